--- /dev/null
+++ b/crates/kumquatlock-control/src/main.rs
@@ -0,0 +1,2 @@
+//! Binary.
+fn main() {}
--- /dev/null
+++ b/crates/kumquatlock-testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Testkit.
--- /dev/null
+++ b/crates/kumquatlock-wire/src/codec.rs
@@ -0,0 +1,81 @@
+//! Length-delimited framing of envelopes.
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::Envelope;
+
+/// Largest frame, in bytes. A call body is at most 1 MiB and a snapshot chunk 256 KiB; the rest
+/// leaves room for headers and for an accepted manifest with its changes.
+pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
+
+/// Bytes of the length prefix of each frame.
+pub const FRAME_HEADER_BYTES: usize = 4;
+
+/// Why a frame could not be read or written. The connection is closed after any of them, because
+/// the position in the byte stream is no longer trusted.
+#[derive(Debug, thiserror::Error)]
+pub enum FrameError {
+    /// The length prefix or the message to send exceeds [`MAX_FRAME_BYTES`].
+    #[error("frame exceeds {MAX_FRAME_BYTES} bytes")]
+    TooLarge,
+    /// The payload is not a valid envelope.
+    #[error("frame payload is not a valid message: {0}")]
+    Malformed(#[from] prost::DecodeError),
+    /// The envelope decoded, but holds no message that this version knows.
+    #[error("frame holds no known message")]
+    UnknownMessage,
+    /// The codec reported an I/O error.
+    #[error("frame could not be coded: {0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// Encodes and decodes one [`Envelope`] per frame.
+#[derive(Debug)]
+pub struct EnvelopeCodec {
+    frames: LengthDelimitedCodec,
+}
+
+impl Default for EnvelopeCodec {
+    fn default() -> Self {
+        let frames = LengthDelimitedCodec::builder()
+            .length_field_length(FRAME_HEADER_BYTES)
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_codec();
+        EnvelopeCodec { frames }
+    }
+}
+
+impl Decoder for EnvelopeCodec {
+    type Item = Envelope;
+    type Error = FrameError;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Envelope>, FrameError> {
+        let frame = self.frames.decode(buffer).map_err(frame_error)?;
+        let Some(frame) = frame else {
+            return Ok(None);
+        };
+        let envelope = Envelope::decode(frame.freeze())?;
+        if envelope.body.is_none() {
+            return Err(FrameError::UnknownMessage);
+        }
+        Ok(Some(envelope))
+    }
+}
+
+impl Encoder<&Envelope> for EnvelopeCodec {
+    type Error = FrameError;
+
+    fn encode(&mut self, envelope: &Envelope, buffer: &mut BytesMut) -> Result<(), FrameError> {
+        let payload = Bytes::from(envelope.encode_to_vec());
+        self.frames.encode(payload, buffer).map_err(frame_error)
+    }
+}
+
+fn frame_error(error: std::io::Error) -> FrameError {
+    match error.kind() {
+        std::io::ErrorKind::InvalidData | std::io::ErrorKind::InvalidInput => FrameError::TooLarge,
+        _ => FrameError::Io(error),
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock-wire/src/tests.rs
@@ -0,0 +1,71 @@
+//! Tests of framing.
+
+use bytes::BytesMut;
+use tokio_util::codec::{Decoder, Encoder};
+
+use crate::distribution::{Applied, Ping};
+use crate::{Body, Envelope, EnvelopeCodec, FrameError};
+
+fn encode(envelopes: &[Envelope]) -> BytesMut {
+    let mut codec = EnvelopeCodec::default();
+    let mut buffer = BytesMut::new();
+    for envelope in envelopes {
+        codec.encode(envelope, &mut buffer).unwrap();
+    }
+    buffer
+}
+
+/// Guards against frames that are lost or merged when the bytes arrive one at a time.
+#[test]
+fn frames_survive_any_split() {
+    let sent: Vec<Envelope> = (0..3)
+        .map(|version| Body::Applied(Applied { version }).into())
+        .collect();
+    let mut codec = EnvelopeCodec::default();
+    let mut buffer = BytesMut::new();
+    let mut received = Vec::new();
+    for byte in encode(&sent) {
+        buffer.extend_from_slice(&[byte]);
+        while let Some(envelope) = codec.decode(&mut buffer).unwrap() {
+            received.push(envelope);
+        }
+    }
+    assert_eq!(received, sent);
+}
+
+/// Guards against bad input that is taken for a message or that reserves memory for its length.
+#[test]
+fn bad_frames_are_typed_errors() {
+    let mut oversized = BytesMut::from(&[0xff, 0xff, 0xff, 0xff][..]);
+    assert!(matches!(
+        EnvelopeCodec::default().decode(&mut oversized),
+        Err(FrameError::TooLarge)
+    ));
+
+    let mut malformed = BytesMut::from(&[0, 0, 0, 2, 0x0a, 0x7f][..]);
+    assert!(matches!(
+        EnvelopeCodec::default().decode(&mut malformed),
+        Err(FrameError::Malformed(_))
+    ));
+
+    let mut unknown = BytesMut::from(&[0, 0, 0, 0][..]);
+    assert!(matches!(
+        EnvelopeCodec::default().decode(&mut unknown),
+        Err(FrameError::UnknownMessage)
+    ));
+}
+
+/// Guards against a truncated frame that is passed on as a message.
+#[test]
+fn a_truncated_frame_is_not_a_message() {
+    let whole = encode(&[Body::Ping(Ping { number: 1 << 40 }).into()]);
+    for len in 0..whole.len() {
+        let mut part = BytesMut::from(&whole[..len]);
+        assert!(
+            EnvelopeCodec::default()
+                .decode(&mut part)
+                .unwrap()
+                .is_none()
+        );
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/core/class.rs
@@ -0,0 +1,79 @@
+//! Request classes and upstream states.
+
+use kumquatlock_wire::distribution::{WireClass, WireState};
+
+/// How a request may be treated. Set by the route.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    strum::Display,
+    strum::EnumString,
+    strum::EnumIter,
+    strum::IntoStaticStr,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum RequestClass {
+    /// May be repeated; a stale answer costs a refresh.
+    Lookup,
+    /// Runs at most once; its caller waits.
+    AtMostOnce,
+    /// A prompt check between services; may be repeated.
+    Internal,
+    /// Runs at most once and may wait up to an hour.
+    Deferred,
+}
+
+impl RequestClass {
+    /// Whether the request may run more than once.
+    pub fn is_repeatable(self) -> bool {
+        matches!(self, RequestClass::Lookup | RequestClass::Internal)
+    }
+}
+
+impl From<WireClass> for RequestClass {
+    fn from(class: WireClass) -> Self {
+        match class {
+            WireClass::Lookup => RequestClass::Lookup,
+            WireClass::AtMostOnce => RequestClass::AtMostOnce,
+            WireClass::Internal => RequestClass::Internal,
+            WireClass::Deferred => RequestClass::Deferred,
+        }
+    }
+}
+
+impl From<RequestClass> for WireClass {
+    fn from(class: RequestClass) -> Self {
+        match class {
+            RequestClass::Lookup => WireClass::Lookup,
+            RequestClass::AtMostOnce => WireClass::AtMostOnce,
+            RequestClass::Internal => WireClass::Internal,
+            RequestClass::Deferred => WireClass::Deferred,
+        }
+    }
+}
+
+/// Whether an upstream in the catalog takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum UpstreamState {
+    /// Takes new work.
+    Serving,
+    /// Finishes work in flight and takes none.
+    Draining,
+}
+
+impl From<UpstreamState> for WireState {
+    fn from(state: UpstreamState) -> Self {
+        match state {
+            UpstreamState::Serving => WireState::Serving,
+            UpstreamState::Draining => WireState::Draining,
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/core/digest.rs
@@ -0,0 +1,44 @@
+//! Digests of catalog items.
+//!
+//! The digest of a state is the wrapping sum of its items' digests. It does not depend on their
+//! order and is kept up to date by adding and subtracting, so a delta costs only its changes.
+
+use kumquatlock_wire::distribution::{
+    CatalogChange, RouteItem, ServiceItem, UpstreamItem, catalog_change,
+};
+use prost::Message;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+const SERVICE_SEED: u64 = 1;
+const ROUTE_SEED: u64 = 2;
+const UPSTREAM_SEED: u64 = 3;
+
+/// A hash that is the same in every process and release.
+pub fn stable_hash(bytes: &[u8]) -> u64 {
+    xxh3_64(bytes)
+}
+
+/// Digest of one service.
+pub fn service_digest(service: &ServiceItem) -> u64 {
+    xxh3_64_with_seed(&service.encode_to_vec(), SERVICE_SEED)
+}
+
+/// Digest of one route.
+pub fn route_digest(route: &RouteItem) -> u64 {
+    xxh3_64_with_seed(&route.encode_to_vec(), ROUTE_SEED)
+}
+
+/// Digest of one upstream.
+pub fn upstream_digest(upstream: &UpstreamItem) -> u64 {
+    xxh3_64_with_seed(&upstream.encode_to_vec(), UPSTREAM_SEED)
+}
+
+/// Digest of the item that a change upserts; zero for removals and for the manifest version.
+pub fn change_digest(change: &CatalogChange) -> u64 {
+    match &change.kind {
+        Some(catalog_change::Kind::UpsertService(service)) => service_digest(service),
+        Some(catalog_change::Kind::UpsertRoute(route)) => route_digest(route),
+        Some(catalog_change::Kind::UpsertUpstream(upstream)) => upstream_digest(upstream),
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/core/ids.rs
@@ -0,0 +1,34 @@
+//! Names and identifiers.
+
+use std::fmt;
+use std::sync::Arc;
+
+/// A shared immutable name of an instance, upstream, service, route, zone or region.
+pub type SharedName = Arc<str>;
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(formatter)
+            }
+        }
+    };
+}
+
+number_id! {
+    /// Position of the latest applied log entry that changed the catalog. Zero is "none".
+    ConfigVersion
+}
+number_id! {
+    /// Identity of a voter group, chosen at random when the group is formed. Zero is "none".
+    GroupId
+}
+number_id! {
+    /// One run of a node. Grows with every restart of the same name.
+    IncarnationId
+}
--- /dev/null
+++ b/crates/kumquatlock/src/core/mod.rs
@@ -0,0 +1,17 @@
+//! Types shared by every duty: names, versions, time, request classes and the applied
+//! configuration.
+
+mod class;
+mod digest;
+mod ids;
+mod snapshot;
+mod time;
+
+pub use class::{RequestClass, UpstreamState};
+pub use digest::{change_digest, route_digest, service_digest, stable_hash, upstream_digest};
+pub use ids::{ConfigVersion, GroupId, IncarnationId, SharedName};
+pub use snapshot::{ConfigSnapshot, RouteEntry, ServiceEntry, SnapshotError, UpstreamEntry};
+pub use time::Timestamp;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/kumquatlock/src/core/time.rs
@@ -0,0 +1,30 @@
+//! Time as the decisions see it.
+
+use std::ops::Add;
+use std::time::Duration;
+
+/// Monotonic time in microseconds since the start of the process. Never compared between
+/// processes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Timestamp(pub u64);
+
+impl Timestamp {
+    /// A timestamp `millis` milliseconds after the start.
+    pub const fn from_millis(millis: u64) -> Self {
+        Timestamp(millis * 1_000)
+    }
+
+    /// Time since `earlier`, zero if `earlier` is later.
+    pub fn since(self, earlier: Timestamp) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Timestamp;
+
+    fn add(self, duration: Duration) -> Timestamp {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Timestamp(self.0.saturating_add(micros))
+    }
+}
--- /dev/null
+++ b/testsuite/src/lib.rs
@@ -0,0 +1,1 @@
+//! Shared helpers of the test suite.
