Add framed links and the HTTP threads

Cause: every duty needs links between processes that can prove that no byte of a call was sent, and HTTP towards callers and upstreams with a bounded number of requests in progress. Change: a link table on stakker_mio with ticketed messages, silence detection and byte counters by kind and scope; a tiny_http server with a fixed number of workers; a ureq pool that tells failures that prove 'not run' from the others.

--- /dev/null
+++ b/crates/kumquatlock/src/http/server.rs
@@ -0,0 +1,232 @@
+//! An HTTP server with a bounded number of requests in progress.
+
+use std::io::{self, Cursor, Read};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread::{self, JoinHandle};
+
+use bytes::Bytes;
+use serde::Serialize;
+use tiny_http::{Header, Request, Response, Server, StatusCode};
+
+use super::message::{HttpRequest, HttpResponse, MAX_BODY_BYTES, MAX_HEADERS};
+
+/// Why a server could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum ServerError {
+    /// The address could not be bound.
+    #[error("failed to listen on {address}: {reason}")]
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// What the platform reported.
+        reason: String,
+    },
+    /// A thread could not be started.
+    #[error("failed to start a server thread: {0}")]
+    Thread(#[from] io::Error),
+}
+
+/// Answers requests on the server's threads; may block.
+pub trait RequestHandler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(&self, request: HttpRequest) -> HttpResponse;
+}
+
+impl<F> RequestHandler for F
+where
+    F: Fn(HttpRequest) -> HttpResponse + Send + Sync + 'static,
+{
+    fn handle(&self, request: HttpRequest) -> HttpResponse {
+        self(request)
+    }
+}
+
+/// Takes the answer of one request from the actor back to the thread that waits for it.
+#[derive(Debug)]
+pub struct ReplySlot {
+    sender: SyncSender<HttpResponse>,
+}
+
+impl ReplySlot {
+    /// Creates a slot and the end that waits for it.
+    pub fn new() -> (Self, Receiver<HttpResponse>) {
+        let (sender, receiver) = sync_channel(1);
+        (ReplySlot { sender }, receiver)
+    }
+
+    /// Sends the answer. A caller that is gone is not an error.
+    pub fn answer(self, response: HttpResponse) {
+        let _ = self.sender.try_send(response);
+    }
+}
+
+/// A running server. Dropping it stops it after the requests in progress.
+pub struct HttpServer {
+    server: Arc<Server>,
+    stopping: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+    address: SocketAddr,
+}
+
+impl HttpServer {
+    /// Listens on `address` and answers at most `workers` requests at once; more wait.
+    pub fn start<H: RequestHandler>(
+        address: SocketAddr,
+        workers: usize,
+        handler: H,
+    ) -> Result<Self, ServerError> {
+        let listen = |reason: String| ServerError::Listen { address, reason };
+        let server = Server::http(address).map_err(|error| listen(error.to_string()))?;
+        let bound = server
+            .server_addr()
+            .to_ip()
+            .ok_or_else(|| listen("no IP address".into()))?;
+        let server = Arc::new(server);
+        let stopping = Arc::new(AtomicBool::new(false));
+        let handler = Arc::new(handler);
+        let mut threads = Vec::with_capacity(workers);
+        for _ in 0..workers {
+            let (server, stopping, handler) = (server.clone(), stopping.clone(), handler.clone());
+            let worker = move || serve_requests(&server, &stopping, &*handler);
+            threads.push(
+                thread::Builder::new()
+                    .name("http-server".into())
+                    .spawn(worker)?,
+            );
+        }
+        Ok(HttpServer {
+            server,
+            stopping,
+            threads,
+            address: bound,
+        })
+    }
+
+    /// Address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.stopping.store(true, Ordering::Release);
+        for _ in &self.threads {
+            self.server.unblock();
+        }
+        for thread in self.threads.drain(..) {
+            // A worker that panicked has already been reported by the panic hook.
+            let _ = thread.join();
+        }
+    }
+}
+
+fn serve_requests<H: RequestHandler>(server: &Server, stopping: &AtomicBool, handler: &H) {
+    loop {
+        match server.recv() {
+            Ok(request) => serve_request(request, handler),
+            Err(_) if stopping.load(Ordering::Acquire) => return,
+            Err(error) => log::warn!("failed to receive an HTTP request: {error}"),
+        }
+    }
+}
+
+fn serve_request<H: RequestHandler>(mut request: Request, handler: &H) {
+    let response = match read_request(&mut request) {
+        Ok(request) => handler.handle(request),
+        Err(refusal) => refusal.response(),
+    };
+    // The caller may be gone; nobody is left to tell.
+    let _ = request.respond(encode_response(response));
+}
+
+/// Why a request was refused before any decision saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum RequestRefusal {
+    BodyTooLarge,
+    TooManyHeaders,
+    TruncatedBody,
+}
+
+#[derive(Serialize)]
+struct RefusalBody {
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+impl RequestRefusal {
+    fn response(self) -> HttpResponse {
+        let status = match self {
+            RequestRefusal::BodyTooLarge => 413,
+            RequestRefusal::TooManyHeaders => 431,
+            RequestRefusal::TruncatedBody => 400,
+        };
+        let body = RefusalBody {
+            outcome: "not_run",
+            reason: self.into(),
+        };
+        HttpResponse::json(status, &body).with_header("kumquatlock-outcome", "not_run")
+    }
+}
+
+fn read_request(request: &mut Request) -> Result<HttpRequest, RequestRefusal> {
+    if request.headers().len() > MAX_HEADERS {
+        return Err(RequestRefusal::TooManyHeaders);
+    }
+    if request
+        .body_length()
+        .is_some_and(|length| length > MAX_BODY_BYTES)
+    {
+        return Err(RequestRefusal::BodyTooLarge);
+    }
+    let body = read_body(request)?;
+    let headers = request.headers().iter();
+    Ok(HttpRequest {
+        method: request.method().as_str().to_owned(),
+        target: request.url().to_owned(),
+        headers: headers
+            .map(|header| (header.field.as_str().to_string(), header.value.to_string()))
+            .collect(),
+        body,
+    })
+}
+
+fn read_body(request: &mut Request) -> Result<Bytes, RequestRefusal> {
+    let expected = request.body_length();
+    let mut body = Vec::with_capacity(expected.unwrap_or_default());
+    let mut reader = request.as_reader().take(MAX_BODY_BYTES as u64 + 1);
+    reader
+        .read_to_end(&mut body)
+        .map_err(|_| RequestRefusal::TruncatedBody)?;
+    if body.len() > MAX_BODY_BYTES {
+        return Err(RequestRefusal::BodyTooLarge);
+    }
+    if expected.is_some_and(|expected| expected != body.len()) {
+        return Err(RequestRefusal::TruncatedBody);
+    }
+    Ok(body.into())
+}
+
+fn encode_response(response: HttpResponse) -> Response<Cursor<Bytes>> {
+    let headers = response
+        .headers
+        .iter()
+        .filter_map(|(name, value)| Header::from_bytes(name.as_bytes(), value.as_bytes()).ok())
+        .collect();
+    let length = response.body.len();
+    let reader = Cursor::new(response.body);
+    // A body with its length lets the caller notice a cut answer; chunks would do so less
+    // reliably with old clients.
+    Response::new(
+        StatusCode(response.status),
+        headers,
+        reader,
+        Some(length),
+        None,
+    )
+    .with_chunked_threshold(usize::MAX)
+}
--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -12,3 +12,5 @@
 //! by `admission` and `retry`, protected from repetition by `claim`, and driven by `call`.
 
 pub mod core;
+pub mod http;
+pub mod transport;
--- /dev/null
+++ b/crates/kumquatlock/src/transport/link.rs
@@ -0,0 +1,227 @@
+//! One framed connection.
+
+use std::io::{self, Read};
+use std::net::SocketAddr;
+
+use bytes::BytesMut;
+use kumquatlock_wire::distribution::{Ping, Pong};
+use kumquatlock_wire::{Body, Envelope, EnvelopeCodec};
+use stakker_mio::MioSource;
+use stakker_mio::mio::net::TcpStream;
+use tokio_util::codec::{Decoder, Encoder};
+
+use super::counters::{LinkScope, TrafficCounters, TrafficDirection};
+use super::outbox::LinkOutbox;
+use super::table::{LinkError, MAX_QUEUED_BYTES, PROBE_AFTER, SILENCE_LIMIT};
+use crate::core::Timestamp;
+
+/// Bytes read from a socket at once.
+const READ_CHUNK_BYTES: usize = 64 * 1024;
+
+/// Identifies a link within its table. Never reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct LinkId(pub u64);
+
+/// What the regular check of a link asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ProbeStep {
+    /// Nothing to do.
+    Wait,
+    /// Send a ping.
+    Probe,
+    /// Close the link as silent.
+    Close,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LinkPhase {
+    Connecting,
+    Open,
+}
+
+pub(super) struct FramedLink {
+    pub(super) socket: MioSource<TcpStream>,
+    pub(super) remote: SocketAddr,
+    pub(super) phase: LinkPhase,
+    /// Whether the other end opened the link.
+    pub(super) accepted: bool,
+    pub(super) scope: LinkScope,
+    /// Whether silence closes the link. Set while somebody depends on answers.
+    pub(super) watched: bool,
+    pub(super) outbox: LinkOutbox,
+    codec: EnvelopeCodec,
+    inbox: BytesMut,
+    /// When bytes last arrived, or when watching began.
+    pub(super) heard_at: Timestamp,
+    /// When the unanswered ping was sent.
+    probed_at: Option<Timestamp>,
+    probes: u64,
+}
+
+impl FramedLink {
+    pub(super) fn new(
+        socket: MioSource<TcpStream>,
+        remote: SocketAddr,
+        phase: LinkPhase,
+        now: Timestamp,
+    ) -> Self {
+        FramedLink {
+            socket,
+            remote,
+            phase,
+            accepted: phase == LinkPhase::Open,
+            scope: LinkScope::Region,
+            watched: false,
+            outbox: LinkOutbox::default(),
+            codec: EnvelopeCodec::default(),
+            inbox: BytesMut::new(),
+            heard_at: now,
+            probed_at: None,
+            probes: 0,
+        }
+    }
+
+    /// Queues a message and writes what the socket takes.
+    pub(super) fn send(
+        &mut self,
+        body: Body,
+        ticket: Option<u64>,
+        counters: &TrafficCounters,
+    ) -> Result<(), LinkError> {
+        let kind = body.kind();
+        let before = self.outbox.buffer.len();
+        if before > MAX_QUEUED_BYTES {
+            return Err(LinkError::QueueFull);
+        }
+        if let Some(ticket) = ticket {
+            self.outbox.mark(ticket);
+        }
+        self.codec
+            .encode(&Envelope::from(body), &mut self.outbox.buffer)?;
+        let bytes = self.outbox.buffer.len() - before;
+        counters.record(TrafficDirection::Sent, self.scope, kind, bytes);
+        self.flush()
+    }
+
+    pub(super) fn flush(&mut self) -> Result<(), LinkError> {
+        if self.phase == LinkPhase::Connecting {
+            return Ok(());
+        }
+        self.outbox
+            .flush(&mut *self.socket)
+            .map_err(LinkError::from)
+    }
+
+    /// Takes the result of a pending connect.
+    pub(super) fn finish_connect(&mut self) -> Result<bool, LinkError> {
+        if let Some(error) = self.socket.take_error()? {
+            return Err(error.into());
+        }
+        match self.socket.peer_addr() {
+            Ok(_) => {
+                self.phase = LinkPhase::Open;
+                // Small frames must not wait for the acknowledgement of earlier ones.
+                self.socket.set_nodelay(true)?;
+                Ok(true)
+            }
+            Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// Reads until the socket is empty and appends whole messages to `received`.
+    pub(super) fn read(
+        &mut self,
+        now: Timestamp,
+        counters: &TrafficCounters,
+        received: &mut Vec<Body>,
+    ) -> Result<(), LinkError> {
+        let mut chunk = [0u8; READ_CHUNK_BYTES];
+        loop {
+            match self.socket.read(&mut chunk) {
+                Ok(0) => return Err(LinkError::ClosedByPeer),
+                Ok(count) => {
+                    self.heard_at = now;
+                    self.probed_at = None;
+                    self.inbox.extend_from_slice(&chunk[..count]);
+                    self.decode(counters, received)?;
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
+    }
+
+    fn decode(
+        &mut self,
+        counters: &TrafficCounters,
+        received: &mut Vec<Body>,
+    ) -> Result<(), LinkError> {
+        loop {
+            let before = self.inbox.len();
+            let Some(envelope) = self.codec.decode(&mut self.inbox)? else {
+                return Ok(());
+            };
+            let bytes = before - self.inbox.len();
+            let Some(body) = envelope.body else {
+                continue;
+            };
+            counters.record(TrafficDirection::Received, self.scope, body.kind(), bytes);
+            match body {
+                Body::Ping(Ping { number }) => {
+                    self.send(Body::Pong(Pong { number }), None, counters)?;
+                }
+                Body::Pong(_) => {}
+                body => received.push(body),
+            }
+        }
+    }
+
+    /// Decides whether the link needs a ping or has gone silent.
+    pub(super) fn probe_step(&self, now: Timestamp) -> ProbeStep {
+        if self.phase == LinkPhase::Connecting {
+            // A connect that gets no answer looks the same as a silent link.
+            return if now.since(self.heard_at) >= SILENCE_LIMIT {
+                ProbeStep::Close
+            } else {
+                ProbeStep::Wait
+            };
+        }
+        if !self.watched {
+            return ProbeStep::Wait;
+        }
+        let silence = now.since(self.heard_at);
+        match self.probed_at {
+            Some(_) if silence >= SILENCE_LIMIT => ProbeStep::Close,
+            None if silence >= PROBE_AFTER => ProbeStep::Probe,
+            _ => ProbeStep::Wait,
+        }
+    }
+
+    pub(super) fn probe(
+        &mut self,
+        now: Timestamp,
+        counters: &TrafficCounters,
+    ) -> Result<(), LinkError> {
+        self.probed_at = Some(now);
+        self.probes += 1;
+        self.send(
+            Body::Ping(Ping {
+                number: self.probes,
+            }),
+            None,
+            counters,
+        )
+    }
+
+    /// Starts or stops watching for silence.
+    pub(super) fn watch(&mut self, now: Timestamp, watched: bool) {
+        if watched && !self.watched {
+            // Silence before anybody waited is no evidence.
+            self.heard_at = now;
+            self.probed_at = None;
+        }
+        self.watched = watched;
+    }
+}
