--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -12,3 +12,4 @@
 //! by `admission` and `retry`, protected from repetition by `claim`, and driven by `call`.
 
 pub mod core;
+pub mod util;
--- /dev/null
+++ b/crates/kumquatlock/src/util/signals.rs
@@ -0,0 +1,89 @@
+//! SIGTERM and SIGINT.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::thread::{self, JoinHandle};
+
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::flag;
+use signal_hook::iterator::{Handle, Signals};
+use thiserror::Error;
+
+/// A signal that asks the process to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+pub enum StopSignal {
+    /// SIGTERM.
+    #[strum(serialize = "SIGTERM")]
+    Terminate,
+    /// SIGINT.
+    #[strum(serialize = "SIGINT")]
+    Interrupt,
+}
+
+impl StopSignal {
+    fn number(self) -> i32 {
+        match self {
+            StopSignal::Terminate => SIGTERM,
+            StopSignal::Interrupt => SIGINT,
+        }
+    }
+}
+
+/// The signal handlers could not be installed.
+#[derive(Debug, Error)]
+#[error("failed to install the handlers of SIGTERM and SIGINT")]
+pub struct SignalError(#[from] io::Error);
+
+/// Ends the thread that waits for signals when it is dropped.
+#[derive(Debug)]
+pub struct SignalGuard {
+    handle: Handle,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// Calls `on_stop` on a thread of its own at the first SIGTERM or SIGINT. A second one, of either
+/// kind, ends the process at once with status 128 + signal number, even if `on_stop` hangs.
+pub fn install_stop_handler<F>(on_stop: F) -> Result<SignalGuard, SignalError>
+where
+    F: FnOnce(StopSignal) + Send + 'static,
+{
+    let stopping = Arc::new(AtomicBool::new(false));
+    for signal in [StopSignal::Terminate, StopSignal::Interrupt] {
+        let number = signal.number();
+        // The handlers run in the order of their registration. The exit comes before the flag is
+        // set, so that the first signal does not end the process.
+        flag::register_conditional_shutdown(number, 128 + number, Arc::clone(&stopping))?;
+        flag::register(number, Arc::clone(&stopping))?;
+    }
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let handle = signals.handle();
+    let thread = thread::Builder::new()
+        .name("signals".into())
+        .spawn(move || {
+            let signal = signals.forever().find_map(|number| match number {
+                SIGTERM => Some(StopSignal::Terminate),
+                SIGINT => Some(StopSignal::Interrupt),
+                _ => None,
+            });
+            if let Some(signal) = signal {
+                on_stop(signal);
+            }
+        })?;
+    Ok(SignalGuard {
+        handle,
+        thread: Some(thread),
+    })
+}
+
+impl Drop for SignalGuard {
+    fn drop(&mut self) {
+        self.handle.close();
+        if let Some(thread) = self.thread.take()
+            && thread.thread().id() != thread::current().id()
+        {
+            // A panic of the callback has already been printed by the panic hook.
+            let _ = thread.join();
+        }
+    }
+}
