Add the stand-in upstream, caller, load generator and relay

Failure tests need upstreams that shed, hang, cut their answers, lag and lie, and a proof that nothing ran twice. A shared ledger counts the runs of every key and body, also across upstreams. The relay stands for a network path that delays, cuts or goes silent, and closes connections for the upstream, since tiny_http cannot.

Two properties of ureq that the nodes rely on are tested: it does not send a request again after the connection broke, and a body shorter than its Content-Length is an error.

--- /dev/null
+++ b/crates/kumquatlock-testkit/src/tests.rs
@@ -0,0 +1,379 @@
+//! Tests of the stand-ins.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use kumquatlock::util::trace::{SeededIds, TraceContext};
+
+use crate::caller::{CallFailure, CallPlan, StandInCaller};
+use crate::load::{LoadOptions, run_closed_loop};
+use crate::relay::TcpRelay;
+use crate::upstream::*;
+
+/// Longer than any of the waits below, so that only a real fault reaches it.
+const LONG: Duration = Duration::from_secs(20);
+
+fn options() -> UpstreamOptions {
+    UpstreamOptions {
+        service_time: Duration::from_millis(1),
+        ..UpstreamOptions::new("booking-1", "booking")
+    }
+}
+
+fn start(options: UpstreamOptions) -> (StandInUpstream, StandInCaller) {
+    let upstream = StandInUpstream::start(options).unwrap();
+    let caller = StandInCaller::new(upstream.address());
+    (upstream, caller)
+}
+
+fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < LONG, "not reached: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Reads one request from a raw connection; false if there is none.
+fn read_request(reader: &mut BufReader<TcpStream>) -> bool {
+    let (mut line, mut body_bytes) = (String::new(), 0);
+    loop {
+        line.clear();
+        if reader.read_line(&mut line).unwrap_or(0) == 0 {
+            return false;
+        }
+        match line.trim_end().to_ascii_lowercase().split_once(": ") {
+            Some(("content-length", length)) => body_bytes = length.parse().unwrap(),
+            Some(_) => {}
+            None if line == "\r\n" => break,
+            None => {}
+        }
+    }
+    reader.read_exact(&mut vec![0; body_bytes]).is_ok()
+}
+
+/// A raw server that answers the first request of every connection and then, if `reads_second`,
+/// reads the second one before it closes the connection. Counts the requests that it read.
+fn closing_server(reads_second: bool) -> (SocketAddr, Arc<AtomicU64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = Arc::new(AtomicU64::new(0));
+    let counter = Arc::clone(&requests);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut reader = BufReader::new(stream.unwrap());
+            if read_request(&mut reader) {
+                counter.fetch_add(1, Ordering::SeqCst);
+                let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+                reader.get_mut().write_all(answer).unwrap();
+            }
+            if reads_second && read_request(&mut reader) {
+                counter.fetch_add(1, Ordering::SeqCst);
+            }
+        }
+    });
+    (address, requests)
+}
+
+/// Guards the at-most-once rule on the hop from a node to its upstream: a client that repeats a
+/// request by itself after the connection broke would run a booking twice.
+#[test]
+fn ureq_does_not_send_a_request_again_after_it_was_read() {
+    for plan in [CallPlan::get("/a"), CallPlan::post("/a", "seat")] {
+        let (address, requests) = closing_server(true);
+        let caller = StandInCaller::new(address);
+        assert_eq!(caller.send(&plan).unwrap().text(), "ok");
+        let failure = caller.send(&plan).unwrap_err();
+        assert!(matches!(failure, CallFailure::NoAnswer { .. }), "{failure}");
+        thread::sleep(Duration::from_millis(300));
+        assert_eq!(requests.load(Ordering::SeqCst), 2);
+    }
+}
+
+/// Guards the same rule for a connection that the upstream closed while it was idle: the request
+/// fails or uses a new connection, and is read at most once.
+#[test]
+fn ureq_sends_at_most_once_on_a_connection_closed_while_idle() {
+    for plan in [CallPlan::get("/a"), CallPlan::post("/a", "seat")] {
+        let (address, requests) = closing_server(false);
+        let caller = StandInCaller::new(address);
+        assert_eq!(caller.send(&plan).unwrap().text(), "ok");
+        thread::sleep(Duration::from_millis(100));
+        let answered = u64::from(caller.send(&plan).is_ok());
+        thread::sleep(Duration::from_millis(300));
+        assert_eq!(requests.load(Ordering::SeqCst), 1 + answered);
+    }
+}
+
+/// Guards against a part of an answer being taken for the whole.
+#[test]
+fn a_body_shorter_than_its_content_length_is_an_error() {
+    for (missing, answer_bytes) in [(1, 0), (1_000, 0), (1, 200_000)] {
+        let (upstream, caller) = start(UpstreamOptions {
+            answer_bytes,
+            ..options()
+        });
+        upstream.fault_next(1, AnswerFault::CutShort { missing });
+        let failure = caller.post("/book", "seat 7").unwrap_err();
+        let is_incomplete = matches!(failure, CallFailure::Incomplete { status: 200, .. });
+        assert!(is_incomplete, "{failure}");
+        assert_eq!(upstream.ledger().runs_of_body(b"seat 7").finished, 1);
+        let whole = caller.post("/book", "seat 8").unwrap();
+        assert_eq!(whole.json()["body"], "seat 8");
+        assert!(whole.body.len() >= answer_bytes);
+    }
+}
+
+/// Guards the ledger: what was closed before the run is not counted, what was closed after is.
+#[test]
+fn closed_connections_count_as_run_only_if_run() {
+    let (upstream, caller) = start(options());
+    for (fault, runs) in [
+        (AnswerFault::CloseBeforeRun, 0),
+        (AnswerFault::CloseAfterRun, 1),
+    ] {
+        let body = format!("{fault:?}");
+        upstream.fault_next(1, fault);
+        let failure = caller.post("/book", body.as_str()).unwrap_err();
+        assert!(matches!(failure, CallFailure::NoAnswer { .. }), "{failure}");
+        assert_eq!(
+            upstream.ledger().runs_of_body(body.as_bytes()).started,
+            runs
+        );
+    }
+    let plan = CallPlan::post("/book", "same").key("k");
+    assert_eq!(caller.send(&plan).unwrap().json()["key"], "k");
+    assert_eq!(caller.send(&plan).unwrap().status, 200);
+    assert_eq!(upstream.ledger().repeated_keys()[0].1.finished, 2);
+    assert_eq!(upstream.ledger().repeated_bodies(), 1);
+}
+
+#[test]
+fn requests_over_the_slots_are_shed_and_do_not_run() {
+    let (upstream, caller) = start(UpstreamOptions {
+        slots: 1,
+        ..options()
+    });
+    upstream.fault_next(1, AnswerFault::Hang);
+    let first = thread::spawn({
+        let caller = caller.clone();
+        move || caller.post("/book", "first")
+    });
+    eventually("first request runs", || upstream.in_flight() == 1);
+    let shed = caller.post("/book", "second").unwrap();
+    assert_eq!((shed.status, &*shed.text()), (503, r#"{"refusal":"shed"}"#));
+    assert_eq!(caller.get("/load").unwrap().json()["in_flight"], 1);
+    assert_eq!(upstream.ledger().total().started, 1);
+    // Guards against a drop that waits for a hanging request.
+    let started = Instant::now();
+    drop(upstream);
+    assert!(started.elapsed() < Duration::from_secs(3));
+    assert!(first.join().unwrap().is_err());
+}
+
+#[test]
+fn deadline_and_cancellation_stop_the_work() {
+    let (upstream, caller) = start(UpstreamOptions {
+        service_time: LONG,
+        ..options()
+    });
+    let late = CallPlan::post("/book", "late").timeout(Duration::from_millis(30));
+    let answer = caller.send(&late).unwrap();
+    assert_eq!(answer.status, 504);
+    assert!(answer.duration >= Duration::from_millis(30) && answer.duration < LONG);
+    let cancel = CallPlan::post("/cancel", Vec::new()).header(ATTEMPT_HEADER, "a-1");
+    assert_eq!(caller.send(&cancel).unwrap().json()["state"], "unknown");
+    let running = thread::spawn({
+        let caller = caller.clone();
+        move || caller.send(&CallPlan::post("/book", "cut").header(ATTEMPT_HEADER, "a-1"))
+    });
+    eventually("request runs", || upstream.in_flight() == 1);
+    eventually("cancelled", || {
+        caller.send(&cancel).unwrap().json()["state"] == "cancelled"
+    });
+    assert_eq!(running.join().unwrap().unwrap().status, 499);
+    assert_eq!(caller.send(&cancel).unwrap().json()["state"], "ended");
+    let total = upstream.ledger().total();
+    assert_eq!((total.started, total.finished), (2, 0));
+}
+
+#[test]
+fn health_and_load_can_lag_and_lie() {
+    let (upstream, caller) = start(options());
+    let health = || caller.get("/health").unwrap().status;
+    upstream.set_hints(HintMode::Lagging(Duration::from_millis(400)));
+    upstream.refuse_new();
+    assert_eq!(health(), 200);
+    eventually("lag has passed", || health() == 503);
+    upstream.set_hints(HintMode::Lying {
+        healthy: true,
+        in_flight: 99,
+    });
+    assert_eq!(health(), 200);
+    assert_eq!(caller.get("/load").unwrap().json()["in_flight"], 99);
+    upstream.set_hints(HintMode::Honest);
+    assert_eq!(health(), 503);
+    assert_eq!(caller.post("/book", "late").unwrap().status, 503);
+    assert!(upstream.wait_idle(Duration::ZERO));
+}
+
+#[test]
+fn cold_start_and_slow_answers_take_their_time() {
+    let (upstream, caller) = start(UpstreamOptions {
+        service_time: Duration::from_millis(20),
+        cold_start: Some(ColdStart {
+            slowdown: 5.0,
+            span: ColdSpan::Requests(1),
+        }),
+        ..options()
+    });
+    assert!(caller.get("/a").unwrap().duration >= Duration::from_millis(100));
+    upstream.set_service_time(Duration::ZERO);
+    upstream.fault_next(
+        1,
+        AnswerFault::Slow {
+            chunks: 4,
+            pause: Duration::from_millis(25),
+        },
+    );
+    let slow = caller.get("/a").unwrap();
+    assert!(slow.duration >= Duration::from_millis(100));
+    assert_eq!(slow.json()["path"], "/a");
+}
+
+/// Guards against chained calls that lose the trace or the deadline of their request.
+#[test]
+fn chained_calls_carry_trace_and_deadline() {
+    let (stock, _) = start(UpstreamOptions::new("stock-1", "stock"));
+    let (_booking, caller) = start(UpstreamOptions {
+        chain: Some(ChainCall {
+            node: stock.address(),
+            path: "/stock?seat=7".into(),
+        }),
+        ..options()
+    });
+    let trace = TraceContext::new_root(&mut SeededIds::new(3));
+    let answer = caller
+        .send(&CallPlan::post("/book", "x").trace(trace))
+        .unwrap();
+    let value = answer.json();
+    assert_eq!(value["chained"]["path"], "/stock?seat=7");
+    let chained = value["chained"]["traceparent"].as_str().unwrap();
+    let chained: TraceContext = chained.parse().unwrap();
+    assert_eq!(chained.trace_id, trace.trace_id);
+    assert_ne!(chained.span_id, trace.span_id);
+    stock.set_service_time(LONG);
+    let late = CallPlan::post("/book", "y").timeout(Duration::from_millis(50));
+    assert_eq!(caller.send(&late).unwrap().status, 502);
+}
+
+#[test]
+fn announcements_reach_the_node_until_the_drain() {
+    // Another stand-in takes the place of the node and counts the announcements by their body.
+    let (node, _) = start(UpstreamOptions::new("node", "node"));
+    let (mut upstream, caller) = start(options());
+    assert!(matches!(upstream.leave(), Err(UpstreamError::NoNode)));
+    let body = serde_json::json!({
+        "name": "booking-1", "service": "booking",
+        "address": upstream.address().to_string(), "slots": 10,
+    })
+    .to_string();
+    let announced = || node.ledger().runs_of_body(body.as_bytes()).started;
+    upstream.announce_to(node.address());
+    eventually("announced twice", || announced() >= 2);
+    upstream.drain().unwrap();
+    upstream.leave().unwrap();
+    let after_leave = announced();
+    thread::sleep(Duration::from_millis(2_300));
+    assert_eq!(announced(), after_leave);
+    assert_eq!(caller.get("/health").unwrap().status, 503);
+    node.refuse_new();
+    let refused = upstream.leave().unwrap_err();
+    assert!(matches!(
+        refused,
+        UpstreamError::Refused { status: 503, .. }
+    ));
+}
+
+#[test]
+fn closed_loop_counts_every_call() {
+    let (upstream, _) = start(UpstreamOptions {
+        slots: 2,
+        breakable: false,
+        jitter: Duration::from_millis(1),
+        ..options()
+    });
+    let report = run_closed_loop(
+        &LoadOptions {
+            targets: vec![upstream.address()],
+            threads: 4,
+            duration: LONG,
+            max_calls_per_thread: 25,
+        },
+        |thread, call| CallPlan::get(&format!("/a/{thread}/{call}")),
+    );
+    assert_eq!(
+        (report.calls(), report.failures, report.latency.len()),
+        (100, 0, 100)
+    );
+    assert_eq!(report.answers_with(200), upstream.ledger().total().finished);
+    assert_eq!(report.answers_with(200) + report.answers_with(503), 100);
+}
+
+/// Guards against a relay that drops or reorders what it held, or that harms new connections.
+#[test]
+fn a_silent_connection_holds_its_bytes_while_new_ones_work() {
+    let (upstream, _) = start(options());
+    let relay = TcpRelay::start(upstream.address()).unwrap();
+    let request = b"GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    let mut old = TcpStream::connect(relay.address()).unwrap();
+    eventually("accepted", || relay.counters().accepted == 1);
+    relay.silence_open();
+    old.write_all(request).unwrap();
+    assert_eq!(
+        StandInCaller::new(relay.address())
+            .get("/b")
+            .unwrap()
+            .status,
+        200
+    );
+    old.set_read_timeout(Some(Duration::from_millis(200)))
+        .unwrap();
+    assert!(old.read(&mut [0; 1]).is_err());
+    assert_eq!(upstream.ledger().total().started, 1);
+    let before = relay.counters();
+    relay.resume();
+    old.set_read_timeout(Some(LONG)).unwrap();
+    let mut answer = String::new();
+    old.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let after = relay.counters();
+    assert_eq!(after.to_target - before.to_target, request.len() as u64);
+    assert_eq!(after.to_client - before.to_client, answer.len() as u64);
+}
+
+#[test]
+fn a_relay_delays_cuts_and_refuses() {
+    let (upstream, _) = start(options());
+    let relay = TcpRelay::start(upstream.address()).unwrap();
+    let caller = StandInCaller::new(relay.address());
+    let delay = Duration::from_millis(60);
+    relay.set_delay(delay);
+    let answer = caller.get("/a").unwrap();
+    assert!(answer.duration >= 2 * delay && answer.duration < 20 * delay);
+    relay.set_delay(Duration::ZERO);
+    upstream.fault_next(1, AnswerFault::Hang);
+    let hanging = thread::spawn(move || caller.get("/hang"));
+    eventually("request runs", || upstream.in_flight() == 1);
+    relay.cut();
+    assert!(hanging.join().unwrap().is_err());
+    let caller = StandInCaller::new(relay.address());
+    assert_eq!(caller.get("/c").unwrap().status, 200);
+    relay.refuse_new(true);
+    assert!(StandInCaller::new(relay.address()).get("/d").is_err());
+    assert_eq!(relay.counters().refused, 1);
+}
--- /dev/null
+++ b/crates/kumquatlock-testkit/src/upstream/announce.rs
@@ -0,0 +1,82 @@
+//! How a stand-in upstream talks to its node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kumquatlock::util::cancel::CancelToken;
+use serde::Serialize;
+
+use super::{UpstreamError, UpstreamOptions};
+use crate::caller::{CallPlan, StandInCaller};
+
+/// Time between two announcements.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time that the node has for an answer.
+const NODE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Body of an announcement; drain and leave carry the same.
+#[derive(Clone, Debug, Serialize)]
+struct Announcement {
+    name: String,
+    service: String,
+    address: SocketAddr,
+    slots: usize,
+}
+
+#[derive(Debug)]
+pub(super) struct NodeContact {
+    caller: StandInCaller,
+    announcement: Announcement,
+}
+
+impl NodeContact {
+    pub(super) fn new(node: SocketAddr, options: &UpstreamOptions, address: SocketAddr) -> Self {
+        NodeContact {
+            caller: StandInCaller::new(node),
+            announcement: Announcement {
+                name: options.name.clone(),
+                service: options.service.clone(),
+                address,
+                slots: options.slots,
+            },
+        }
+    }
+
+    pub(super) fn announce_until(&self, stop: &CancelToken) {
+        while !stop.is_cancelled() {
+            if let Err(error) = self.post("/v1/announce") {
+                log::debug!(
+                    upstream = self.announcement.name.as_str(),
+                    error:% = error;
+                    "announcement_failed"
+                );
+            }
+            stop.wait_timeout(ANNOUNCE_INTERVAL);
+        }
+    }
+
+    pub(super) fn post_drain(&self) -> Result<(), UpstreamError> {
+        self.post("/v1/drain")
+    }
+
+    pub(super) fn post_leave(&self) -> Result<(), UpstreamError> {
+        self.post("/v1/leave")
+    }
+
+    fn post(&self, path: &'static str) -> Result<(), UpstreamError> {
+        let body = serde_json::json!(self.announcement).to_string();
+        let plan = CallPlan::post(path, body)
+            .header("Content-Type", "application/json")
+            .timeout(NODE_TIMEOUT);
+        let answer = self.caller.send(&plan)?;
+        if (200..300).contains(&answer.status) {
+            return Ok(());
+        }
+        Err(UpstreamError::Refused {
+            path,
+            status: answer.status,
+            body: answer.text(),
+        })
+    }
+}
