--- /dev/null
+++ b/crates/kumquatlock-testkit/examples/mesh.rs
@@ -0,0 +1,213 @@
+//! The main job on loopback: a mesh in three regions accepts a manifest, serves a lookup and
+//! runs a booking once although it is sent twice.
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use eyre::{Result, WrapErr, ensure, eyre};
+use kumquatlock_testkit::caller::{CallAnswer, CallPlan};
+use kumquatlock_testkit::process::{Mesh, MeshBuilder, wait_for};
+
+/// Time for a manifest to be in force, as in the design target.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(7);
+
+/// Time until the mesh accepts the first manifest; covers the first election.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Time until the announced upstreams serve.
+const SERVE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Time for all nodes, and then all control instances, to stop.
+const STOP_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Version of the submitted manifest.
+const MANIFEST_VERSION: u64 = 1;
+
+/// Outcome word of a request that was proved not to have run.
+const NOT_RUN_OUTCOME: &str = "not_run";
+
+/// Run a small mesh on loopback.
+#[derive(FromArgs)]
+struct MeshCommand {
+    /// upstreams of each service in each of the three regions (default 2)
+    #[argh(option, default = "2")]
+    upstreams_per_region: usize,
+
+    /// replicas in each region (default 0)
+    #[argh(option, default = "0")]
+    replicas_per_region: usize,
+
+    /// keep the folder with data and logs
+    #[argh(switch)]
+    keep: bool,
+}
+
+fn main() -> ExitCode {
+    let command: MeshCommand = argh::from_env();
+    match run(&command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("mesh failed: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: &MeshCommand) -> Result<()> {
+    ensure!(
+        (1..=9).contains(&command.upstreams_per_region) && command.replicas_per_region <= 9,
+        "--upstreams-per-region must be 1..=9 and --replicas-per-region 0..=9"
+    );
+    let steps = StepPrinter::start();
+    let mut mesh = MeshBuilder::kranjc()
+        .upstreams_per_region(command.upstreams_per_region)
+        .replicas_per_region(command.replicas_per_region)
+        .build()
+        .and_then(|plan| plan.start())
+        .wrap_err("starting the mesh")?;
+    steps.print(&format!(
+        "started {} control instances, {} nodes and their upstreams",
+        mesh.controls.len(),
+        mesh.nodes.len()
+    ));
+    let result = serve(&mut mesh, &steps);
+    if command.keep || result.is_err() {
+        mesh.keep_dir();
+        steps.print(&format!("logs are in {}", mesh.log_dir().display()));
+    }
+    result
+}
+
+fn serve(mesh: &mut Mesh, steps: &StepPrinter) -> Result<()> {
+    submit(mesh, steps).wrap_err("submitting the manifest")?;
+    look_up(mesh, steps).wrap_err("serving a lookup")?;
+    let first = book(mesh, steps).wrap_err("serving a booking")?;
+    resend(mesh, &first, steps).wrap_err("sending the booking again")?;
+    mesh.stop(STOP_TIMEOUT).wrap_err("stopping the mesh")?;
+    steps.print("stopped all processes gracefully");
+    Ok(())
+}
+
+fn submit(mesh: &Mesh, steps: &StepPrinter) -> Result<()> {
+    let control = &mesh.controls[0];
+    let manifest = mesh.manifest(MANIFEST_VERSION);
+    // A resend of the same manifest gets the first answer, so submitting again is safe.
+    let answer = wait_for("the manifest is accepted", ACCEPT_TIMEOUT, || {
+        let answer = control
+            .submit(&manifest)
+            .map_err(|error| error.to_string())?;
+        match answer.status {
+            200..=299 => Ok(answer),
+            status => Err(format!("{status}: {}", answer.text())),
+        }
+    })?;
+    steps.print(&format!(
+        "{} accepted manifest {MANIFEST_VERSION}: {}",
+        control.flags.name,
+        answer.text().trim()
+    ));
+    let started = Instant::now();
+    let shown = control.wait_in_force(MANIFEST_VERSION, IN_FORCE_TIMEOUT)?;
+    steps.print(&format!(
+        "manifest {MANIFEST_VERSION} is in force {} ms after the answer: {shown}",
+        started.elapsed().as_millis()
+    ));
+    Ok(())
+}
+
+fn look_up(mesh: &Mesh, steps: &StepPrinter) -> Result<()> {
+    // The last node belongs to another service, so the lookup has to cross the mesh.
+    let entry = mesh.nodes.last().ok_or_else(|| eyre!("no node"))?;
+    let caller = entry.caller();
+    let answer = wait_for("a lookup is served", SERVE_TIMEOUT, || {
+        let sent = caller.get("/catalogue/tatami");
+        expect_service(sent.map_err(|error| error.to_string())?, "catalogue")
+    })?;
+    steps.print(&format!(
+        "lookup through {} was served by {} in {} us",
+        entry.flags.name,
+        answer.json()["upstream"],
+        answer.duration.as_micros()
+    ));
+    Ok(())
+}
+
+/// A booking that was served, with the key that it was sent with.
+struct ServedBooking {
+    plan: CallPlan,
+    body: String,
+    answer: CallAnswer,
+}
+
+fn book(mesh: &Mesh, steps: &StepPrinter) -> Result<ServedBooking> {
+    let entry = &mesh.nodes[0];
+    let caller = entry.caller();
+    let mut attempt = 0;
+    let served = wait_for("a booking is served", SERVE_TIMEOUT, || {
+        attempt += 1;
+        let body = format!("{{\"order\":{attempt}}}");
+        let plan = CallPlan::post("/booking", body.as_str()).key(&format!("order-{attempt}"));
+        let answer = match caller.send(&plan) {
+            Ok(answer) => answer,
+            // The booking may have run, so it is not sent under another key.
+            Err(error) => return Ok(Err(error.into())),
+        };
+        // "Not run" is final for a key, so a refused booking is sent again under a new one.
+        let is_refused = answer.outcome.as_deref() == Some(NOT_RUN_OUTCOME);
+        match expect_service(answer, "booking") {
+            Ok(answer) => Ok(Ok(ServedBooking { plan, body, answer })),
+            Err(reason) if is_refused => Err(reason),
+            Err(reason) => Ok(Err(eyre!("unexpected answer: {reason}"))),
+        }
+    })??;
+    let runs = mesh.ledger().runs_of_body(served.body.as_bytes());
+    ensure!(runs.started == 1, "the booking ran {} times", runs.started);
+    steps.print(&format!(
+        "booking through {} ran once, at {}, in {} us ({attempt} sent)",
+        entry.flags.name,
+        served.answer.json()["upstream"],
+        served.answer.duration.as_micros()
+    ));
+    Ok(served)
+}
+
+fn resend(mesh: &Mesh, first: &ServedBooking, steps: &StepPrinter) -> Result<()> {
+    let entry = mesh.nodes.last().ok_or_else(|| eyre!("no node"))?;
+    let answer = entry.caller().send(&first.plan)?;
+    let runs = mesh.ledger().runs_of_body(first.body.as_bytes());
+    ensure!(runs.started == 1, "the booking ran {} times", runs.started);
+    ensure!(
+        answer.status == first.answer.status && answer.body == first.answer.body,
+        "the answer to the resend differs: {} {}",
+        answer.status,
+        answer.text()
+    );
+    let repeated = mesh.ledger().repeated_bodies();
+    ensure!(repeated == 0, "{repeated} bookings ran more than once");
+    steps.print(&format!(
+        "the same booking through {} got the same answer and did not run again",
+        entry.flags.name
+    ));
+    Ok(())
+}
+
+fn expect_service(answer: CallAnswer, service: &str) -> Result<CallAnswer, String> {
+    if answer.status == 200 && answer.json()["service"] == service {
+        return Ok(answer);
+    }
+    let outcome = answer.outcome.as_deref().unwrap_or("no outcome");
+    Err(format!("{} ({outcome}): {}", answer.status, answer.text()))
+}
+
+struct StepPrinter(Instant);
+
+impl StepPrinter {
+    fn start() -> Self {
+        StepPrinter(Instant::now())
+    }
+
+    fn print(&self, step: &str) {
+        println!("[{:7.3} s] {step}", self.0.elapsed().as_secs_f64());
+    }
+}
--- a/crates/kumquatlock-testkit/src/lib.rs
+++ b/crates/kumquatlock-testkit/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod caller;
 pub mod load;
+pub mod process;
 pub mod relay;
 pub mod upstream;
 
