--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod core;
 pub mod http;
 pub mod transport;
+pub mod util;
