Add routing, admission and retry decisions

A call needs a route, an upstream, a slot and a rule for its failed attempts. The decisions come as three modules without I/O: time is passed in as a timestamp and randomness as a seeded generator.

--- /dev/null
+++ b/crates/kumquatlock/src/admission/limit.rs
@@ -0,0 +1,100 @@
+//! How many calls may run on the upstream at once.
+
+use std::time::Duration;
+
+use crate::core::Timestamp;
+
+/// Time over which a new incarnation's limit grows to its slots.
+const COLD_START: Duration = Duration::from_secs(10);
+/// Divisor of the slots that a new incarnation starts with.
+const COLD_DIVISOR: u32 = 4;
+/// Share of the limit that is kept when the upstream sheds load.
+const SHED_KEEP: f32 = 0.75;
+/// Time in which further shed answers do not lower the limit again; they belong to the calls
+/// that ran under the earlier limit.
+const SHED_HOLD: Duration = Duration::from_millis(100);
+/// Time without shed answers after which the limit grows by one.
+const RAISE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What an upstream announced of its capacity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionLimits {
+    /// Requests that the upstream runs at once.
+    pub slots: u32,
+    /// Connections that the upstream accepts; each running call uses one.
+    pub connections: u32,
+}
+
+impl AdmissionLimits {
+    fn most(self) -> u32 {
+        self.slots.min(self.connections).max(1)
+    }
+}
+
+/// Bound of the running calls: the announced capacity, less while the upstream is cold, and
+/// lowered while it sheds load.
+#[derive(Clone, Debug)]
+pub struct ConcurrencyLimit {
+    limits: AdmissionLimits,
+    started_at: Timestamp,
+    /// In 1..=slots.
+    learned: u32,
+    /// When `learned` was last changed.
+    changed_at: Timestamp,
+}
+
+impl ConcurrencyLimit {
+    /// Makes the limit of an upstream that starts now.
+    pub fn new(limits: AdmissionLimits, now: Timestamp) -> Self {
+        ConcurrencyLimit {
+            limits,
+            started_at: now,
+            learned: limits.most(),
+            changed_at: now,
+        }
+    }
+
+    /// Calls that may run at once; at least 1.
+    pub fn current(&self, now: Timestamp) -> u32 {
+        self.learned.min(self.cold_bound(now))
+    }
+
+    /// Lowers the limit after the upstream shed load. `running` calls ran when it did.
+    pub fn upstream_shed(&mut self, now: Timestamp, running: u32) {
+        if now.since(self.changed_at) < SHED_HOLD && self.learned < self.limits.most() {
+            return;
+        }
+        let used = self.current(now).min(running.max(1));
+        self.learned = ((used as f32 * SHED_KEEP) as u32).max(1);
+        self.changed_at = now;
+    }
+
+    /// Raises a lowered limit by one for each interval without shed answers.
+    pub fn advance(&mut self, now: Timestamp) {
+        let most = self.limits.most();
+        while self.learned < most && now.since(self.changed_at) >= RAISE_INTERVAL {
+            self.learned += 1;
+            self.changed_at = self.changed_at + RAISE_INTERVAL;
+        }
+    }
+
+    /// When the limit next grows without any event; none if it is at its most.
+    pub fn next_raise(&self, now: Timestamp) -> Option<Timestamp> {
+        let most = self.limits.most();
+        let learned = (self.learned < most).then(|| self.changed_at + RAISE_INTERVAL);
+        let cold = self.cold_bound(now) < most;
+        let warmer = cold.then(|| now + COLD_START / (most * 2));
+        learned.into_iter().chain(warmer).min()
+    }
+
+    fn cold_bound(&self, now: Timestamp) -> u32 {
+        let most = self.limits.most();
+        let age = now.since(self.started_at);
+        if age >= COLD_START {
+            return most;
+        }
+        let first = most.div_ceil(COLD_DIVISOR);
+        let grown = u64::from(most - first) * age.as_millis() as u64;
+        first + (grown / COLD_START.as_millis() as u64) as u32
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/admission/queue.rs
@@ -0,0 +1,234 @@
+//! Admission of calls at the destination.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use kumquatlock_wire::call::{CallReason, LoadReport};
+
+use super::estimate::ServiceEstimate;
+use super::lanes::{QueueKey, WorkLanes};
+use super::limit::{AdmissionLimits, ConcurrencyLimit};
+use crate::core::{RequestClass, Timestamp};
+
+/// Queue length in units of the slots. Longer queues only add waiting time: at 2 × slots a call
+/// waits about two service times.
+const QUEUE_PER_SLOT: u32 = 2;
+
+/// Identifies admitted work. Never reused within a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AdmissionTicket(pub(super) u64);
+
+/// Answer to [`AdmissionQueue::offer`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionDecision {
+    /// Run the call on the upstream now.
+    Start(AdmissionTicket),
+    /// The call waits; a later [`QueueStep`] names its ticket.
+    Queued {
+        /// The call that waits.
+        ticket: AdmissionTicket,
+        /// Work that gave up its place. It did not run; answer it with `Overloaded`.
+        evicted: Option<AdmissionTicket>,
+    },
+    /// The call did not run and never will.
+    Refused(CallReason),
+}
+
+/// What to do next with queued work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use = "a step that is not carried out loses the call that it names"]
+pub enum QueueStep {
+    /// Run this call on the upstream now.
+    Start(AdmissionTicket),
+    /// Answer this call as not run.
+    Refuse(AdmissionTicket, CallReason),
+    /// Nothing until the next event or [`AdmissionQueue::next_wakeup`].
+    Idle,
+}
+
+/// What became of a call that ran on the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServiceOutcome {
+    /// The upstream answered.
+    Answered,
+    /// The upstream answered 503: it runs more calls than it can carry.
+    Shed,
+    /// The upstream failed, timed out, or the call was cancelled while it ran.
+    Ended,
+}
+
+/// Answer to [`AdmissionQueue::cancel`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelOutcome {
+    /// The call waited and was removed; it did not run and never will.
+    Dequeued,
+    /// The call runs. Cancel it at the upstream; its slot is free after
+    /// [`AdmissionQueue::finished`].
+    Running,
+    /// The call has ended or was never admitted.
+    NotHeld,
+}
+
+/// Bounds the calls that run on one upstream and orders those that wait.
+///
+/// Internal checks run first, then at-most-once calls and lookups, then deferred work; within
+/// these, the earliest deadline. Deferred work joins the waiting callers when its deadline
+/// nears, and one in eight starts goes to the earliest deadline whatever the class.
+#[derive(Clone, Debug)]
+pub struct AdmissionQueue {
+    /// At most [`QUEUE_PER_SLOT`] × slots.
+    lanes: WorkLanes,
+    queue_bound: usize,
+    /// Start of each running call.
+    running: IndexMap<AdmissionTicket, Timestamp>,
+    limit: ConcurrencyLimit,
+    estimate: ServiceEstimate,
+    draining: bool,
+    next_ticket: u64,
+}
+
+impl AdmissionQueue {
+    /// Makes the queue of an upstream that starts now.
+    pub fn new(limits: AdmissionLimits, now: Timestamp) -> Self {
+        AdmissionQueue {
+            lanes: WorkLanes::default(),
+            queue_bound: (limits.slots.max(1) * QUEUE_PER_SLOT) as usize,
+            running: IndexMap::new(),
+            limit: ConcurrencyLimit::new(limits, now),
+            estimate: ServiceEstimate::default(),
+            draining: false,
+            next_ticket: 0,
+        }
+    }
+
+    /// Decides on a new call that has to be answered by `deadline`.
+    pub fn offer(
+        &mut self,
+        now: Timestamp,
+        class: RequestClass,
+        deadline: Timestamp,
+    ) -> AdmissionDecision {
+        if self.draining {
+            return AdmissionDecision::Refused(CallReason::Draining);
+        }
+        if deadline <= self.least_deadline(now) {
+            return AdmissionDecision::Refused(CallReason::DeadlineTooShort);
+        }
+        let limit = self.limit.current(now);
+        let ticket = AdmissionTicket(self.next_ticket + 1);
+        if self.running.len() < limit as usize && self.lanes.len() == 0 {
+            self.next_ticket += 1;
+            self.running.insert(ticket, now);
+            return AdmissionDecision::Start(ticket);
+        }
+        self.promote(now, limit);
+        let key = QueueKey {
+            lane: class.into(),
+            deadline,
+            ticket,
+        };
+        let wait = self.estimate.wait(self.lanes.ahead_of(&key), limit);
+        if now + wait + self.estimate.service() > deadline {
+            return AdmissionDecision::Refused(CallReason::Overloaded);
+        }
+        let mut evicted = None;
+        if self.lanes.len() >= self.queue_bound {
+            match self.lanes.last().filter(|last| last.lane > key.lane) {
+                Some(last) => evicted = self.lanes.remove(last.ticket).map(|key| key.ticket),
+                None => return AdmissionDecision::Refused(CallReason::Overloaded),
+            }
+        }
+        self.next_ticket += 1;
+        self.lanes.insert(key);
+        AdmissionDecision::Queued { ticket, evicted }
+    }
+
+    /// Frees the slot of a running call and returns the first step that follows; call
+    /// [`AdmissionQueue::poll`] for the others.
+    pub fn finished(
+        &mut self,
+        now: Timestamp,
+        ticket: AdmissionTicket,
+        outcome: ServiceOutcome,
+    ) -> QueueStep {
+        let running = self.running.len() as u32;
+        if let Some(started) = self.running.swap_remove(&ticket) {
+            match outcome {
+                ServiceOutcome::Answered => self.estimate.observe(now.since(started)),
+                ServiceOutcome::Shed => self.limit.upstream_shed(now, running),
+                ServiceOutcome::Ended => {}
+            }
+        }
+        self.poll(now)
+    }
+
+    /// Withdraws a call that nobody waits for any more.
+    pub fn cancel(&mut self, ticket: AdmissionTicket) -> CancelOutcome {
+        if self.lanes.remove(ticket).is_some() {
+            CancelOutcome::Dequeued
+        } else if self.running.contains_key(&ticket) {
+            CancelOutcome::Running
+        } else {
+            CancelOutcome::NotHeld
+        }
+    }
+
+    /// The next thing to do. Call until it returns [`QueueStep::Idle`].
+    pub fn poll(&mut self, now: Timestamp) -> QueueStep {
+        if let Some(expired) = self.lanes.pop_expired(self.least_deadline(now)) {
+            return QueueStep::Refuse(expired.ticket, CallReason::DeadlineTooShort);
+        }
+        self.limit.advance(now);
+        let limit = self.limit.current(now);
+        if self.running.len() >= limit as usize {
+            return QueueStep::Idle;
+        }
+        self.promote(now, limit);
+        match self.lanes.pop_next() {
+            Some(key) => {
+                self.running.insert(key.ticket, now);
+                QueueStep::Start(key.ticket)
+            }
+            None => QueueStep::Idle,
+        }
+    }
+
+    /// When to call [`AdmissionQueue::poll`] if no event comes first.
+    pub fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
+        let expiry = self.lanes.earliest()?.deadline;
+        let raise = self.limit.next_raise(now).unwrap_or(expiry);
+        Some(expiry.min(raise))
+    }
+
+    /// Refuses new calls from now on. Queued and running calls finish.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Whether the queue drains and no call is left.
+    pub fn is_drained(&self) -> bool {
+        self.draining && self.running.is_empty() && self.lanes.len() == 0
+    }
+
+    /// The load to carry on answers and refusals.
+    pub fn load(&self, now: Timestamp) -> LoadReport {
+        LoadReport {
+            running: self.running.len() as u32,
+            queued: self.lanes.len() as u32,
+            slots: self.limit.current(now),
+            draining: self.draining,
+        }
+    }
+
+    fn promote(&mut self, now: Timestamp, limit: u32) {
+        let full_wait = self.estimate.wait(self.queue_bound, limit);
+        self.lanes.promote(now, full_wait);
+    }
+
+    /// Work with an earlier deadline is not started: it would occupy a slot and most likely
+    /// answer too late.
+    fn least_deadline(&self, now: Timestamp) -> Timestamp {
+        let half: Duration = self.estimate.service() / 2;
+        now + half
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/retry/policy.rs
@@ -0,0 +1,182 @@
+//! Decision after a failed attempt.
+
+use std::time::Duration;
+
+use kumquatlock_wire::call::CallReason;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use super::budget::RetryBudget;
+use crate::core::{RequestClass, Timestamp};
+
+/// Attempts of one call, the first included.
+const MAX_ATTEMPTS: u32 = 3;
+/// Attempts of a call inside a chain, if the first was proved not run. A chain of 14 in which
+/// each level tried three times would run its last call 3^14 times.
+const MAX_INNER_ATTEMPTS: u32 = 2;
+/// Attempts of a deferred call; with the longest backoff they spread over more than an hour.
+const MAX_DEFERRED_ATTEMPTS: u32 = 72;
+
+/// Upper bound of the first backoff; doubles with each attempt. The delay is drawn evenly below
+/// the bound, so that calls that failed together do not return together.
+const BACKOFF: Duration = Duration::from_millis(4);
+const BACKOFF_MAX: Duration = Duration::from_millis(250);
+const DEFERRED_BACKOFF: Duration = Duration::from_secs(1);
+const DEFERRED_BACKOFF_MAX: Duration = Duration::from_secs(60);
+
+/// What the entry knows of a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// The attempt did not run and never will: refused, fenced, or no byte was sent.
+    NotRun(CallReason),
+    /// The attempt may have run.
+    Unknown(CallReason),
+    /// The upstream answered with a server failure. It ran, even if it answered 503: the status
+    /// may stem from a call further down the chain.
+    Failed,
+}
+
+/// How far a call has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallProgress {
+    /// Class of the route.
+    pub class: RequestClass,
+    /// Calls above this one in the chain.
+    pub depth: u32,
+    /// Attempts made so far, hedges included.
+    pub attempts: u32,
+    /// When the caller stops waiting.
+    pub deadline: Timestamp,
+}
+
+/// What to do after a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryDecision {
+    /// Send another attempt after the delay; its token is taken.
+    Retry {
+        /// Time to wait before sending.
+        after: Duration,
+    },
+    /// The budget is spent but the call can wait: ask again after the delay.
+    AskAgain {
+        /// Time to wait before asking.
+        after: Duration,
+    },
+    /// Answer the caller with what is known.
+    GiveUp(GiveUpReason),
+}
+
+/// Why a call gets no other attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum GiveUpReason {
+    /// The attempt may have run and the class does not allow another.
+    NotRepeatable,
+    /// The refusal follows from the request and would be the same everywhere.
+    Final,
+    /// The call is inside a chain, whose first level retries.
+    InnerLevel,
+    /// The bound of attempts is reached.
+    AttemptsSpent,
+    /// Too little time is left for another attempt.
+    DeadlineSpent,
+    /// The node's budget is spent.
+    BudgetSpent,
+}
+
+/// Decides on retries.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RetryPolicy;
+
+impl RetryPolicy {
+    /// Decides after a failed attempt. `expected` is the usual time of an attempt, zero if
+    /// unknown.
+    pub fn after_failure(
+        &self,
+        now: Timestamp,
+        rng: &mut SmallRng,
+        budget: &mut RetryBudget,
+        progress: &CallProgress,
+        failure: AttemptFailure,
+        expected: Duration,
+    ) -> RetryDecision {
+        if let Some(reason) = rule_out(progress, failure) {
+            return RetryDecision::GiveUp(reason);
+        }
+        let after = backoff(rng, progress, failure);
+        if now + after + expected >= progress.deadline {
+            return RetryDecision::GiveUp(GiveUpReason::DeadlineSpent);
+        }
+        if costs_token(failure) && !budget.take(now, 0.0) {
+            return if progress.class == RequestClass::Deferred {
+                RetryDecision::AskAgain { after }
+            } else {
+                RetryDecision::GiveUp(GiveUpReason::BudgetSpent)
+            };
+        }
+        RetryDecision::Retry { after }
+    }
+}
+
+fn rule_out(progress: &CallProgress, failure: AttemptFailure) -> Option<GiveUpReason> {
+    let proved = match failure {
+        AttemptFailure::NotRun(reason) if is_final(reason) => return Some(GiveUpReason::Final),
+        AttemptFailure::NotRun(_) => true,
+        AttemptFailure::Unknown(_) | AttemptFailure::Failed => false,
+    };
+    if !proved && !progress.class.is_repeatable() {
+        return Some(GiveUpReason::NotRepeatable);
+    }
+    let inner = progress.depth > 0;
+    if inner && !proved {
+        return Some(GiveUpReason::InnerLevel);
+    }
+    let most = match progress.class {
+        _ if inner => MAX_INNER_ATTEMPTS,
+        RequestClass::Deferred => MAX_DEFERRED_ATTEMPTS,
+        _ => MAX_ATTEMPTS,
+    };
+    (progress.attempts >= most).then_some(GiveUpReason::AttemptsSpent)
+}
+
+/// Refusals that another upstream would repeat.
+fn is_final(reason: CallReason) -> bool {
+    matches!(
+        reason,
+        CallReason::Cancelled
+            | CallReason::KeyReused
+            | CallReason::KeyFenced
+            | CallReason::DepthExceeded
+            | CallReason::AnswerGone
+            | CallReason::NoUpstream
+            | CallReason::NoRoute
+            | CallReason::TooLarge
+    )
+}
+
+/// An upstream that left refuses each entry once, whatever the load, so the retry is not a sign
+/// of overload and always allowed. Otherwise a restart under load would lose calls.
+fn left_service(failure: AttemptFailure) -> bool {
+    matches!(
+        failure,
+        AttemptFailure::NotRun(CallReason::Draining | CallReason::WrongIncarnation)
+    )
+}
+
+fn costs_token(failure: AttemptFailure) -> bool {
+    !left_service(failure)
+}
+
+fn backoff(rng: &mut SmallRng, progress: &CallProgress, failure: AttemptFailure) -> Duration {
+    if left_service(failure) {
+        return Duration::ZERO;
+    }
+    let (first, longest) = if progress.class == RequestClass::Deferred {
+        (DEFERRED_BACKOFF, DEFERRED_BACKOFF_MAX)
+    } else {
+        (BACKOFF, BACKOFF_MAX)
+    };
+    let doublings = progress.attempts.saturating_sub(1).min(16);
+    let bound = first.saturating_mul(1 << doublings).min(longest);
+    bound.mul_f32(rng.random::<f32>())
+}
--- /dev/null
+++ b/crates/kumquatlock/src/retry/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the retry decisions.
--- /dev/null
+++ b/crates/kumquatlock/src/routing/balancer.rs
@@ -0,0 +1,388 @@
+//! Choice of an upstream for one attempt.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatlock_wire::call::LoadReport;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use super::live::{HealthHint, LiveUpstream, UpstreamOutcome, UpstreamToken};
+use super::subset::{EntryLocation, RingDistance, SUBSET_SIZE, pick_subset};
+use crate::core::{ServiceEntry, Timestamp, UpstreamEntry};
+
+/// Fullness (work per slot) from which on a ring spills into the next one.
+///
+/// Towards the region as soon as calls would queue, since that traffic is free. Towards other
+/// regions only when the queue (2 × slots) is half full, since that traffic is paid.
+const SPILL_FULLNESS: [f32; 3] = [1.0, 2.0, 2.0];
+
+/// Latency estimate of a ring without samples, in microseconds.
+const UNKNOWN_LATENCY_US: f32 = 1_000.0;
+/// Weight of a new latency sample in the mean of a ring.
+const RING_GAIN: f32 = 0.05;
+
+/// Result of [`UpstreamBalancer::choose`].
+#[derive(Clone, Debug)]
+pub enum UpstreamChoice {
+    /// Send the attempt here.
+    Chosen(ChosenUpstream),
+    /// There is nowhere to send the attempt.
+    None(NoChoice),
+}
+
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoChoice {
+    /// The service has no serving upstream.
+    NoUpstream,
+    /// Every upstream of the subset drains or was replaced.
+    AllDraining,
+    /// Every upstream that could take the attempt is excluded by the caller.
+    AllExcluded,
+}
+
+/// How the choice came about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChoiceMode {
+    /// Some ring was healthy and had room.
+    Normal,
+    /// Every healthy upstream is saturated; the nearest were used.
+    Saturated,
+    /// Most upstreams of every ring are ejected, so ejection was ignored. If most look bad, the
+    /// observation is more likely wrong than the upstreams, and the rest could not carry the load.
+    Panic,
+}
+
+/// An upstream that was chosen for an attempt.
+#[derive(Clone, Debug)]
+pub struct ChosenUpstream {
+    /// Names the upstream in later calls, for example as excluded.
+    pub token: UpstreamToken,
+    /// The upstream, with the incarnation that the attempt must name.
+    pub entry: Arc<UpstreamEntry>,
+    /// Distance from the entry.
+    pub ring: RingDistance,
+    /// How the choice came about.
+    pub mode: ChoiceMode,
+}
+
+/// An attempt in flight. Each ticket goes to [`UpstreamBalancer::finished`] exactly once.
+#[derive(Debug)]
+#[must_use = "an attempt that is never finished counts as in flight forever"]
+pub struct AttemptTicket {
+    token: UpstreamToken,
+    started_at: Timestamp,
+}
+
+/// Attempts by distance, and choices that were made under pressure.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RingCounters {
+    /// Attempts started, by [`RingDistance`]; the last is paid traffic.
+    pub started: [u64; 3],
+    /// Attempts started in panic mode.
+    pub panic: u64,
+    /// Attempts started while every healthy upstream was saturated.
+    pub saturated: u64,
+}
+
+impl RingCounters {
+    /// Attempts to another region, whose traffic is paid by volume.
+    pub fn cross_region(&self) -> u64 {
+        self.started[RingDistance::CrossRegion as usize]
+    }
+
+    pub(super) fn add(&mut self, other: &RingCounters) {
+        for (sum, started) in self.started.iter_mut().zip(other.started) {
+            *sum += started;
+        }
+        self.panic += other.panic;
+        self.saturated += other.saturated;
+    }
+}
+
+/// Chooses among the upstreams of one service.
+#[derive(Clone, Debug)]
+pub struct UpstreamBalancer {
+    location: EntryLocation,
+    service: Arc<ServiceEntry>,
+    /// At most [`SUBSET_SIZE`], nearest ring first.
+    upstreams: Vec<LiveUpstream>,
+    /// Mean latency by ring; none before the first sample.
+    ring_latency_us: [Option<f32>; 3],
+    counters: RingCounters,
+    next_token: u64,
+}
+
+/// Indexes of the upstreams that take part in a draw.
+#[derive(Default)]
+struct CandidateSet {
+    indexes: [u8; SUBSET_SIZE],
+    len: usize,
+}
+
+impl CandidateSet {
+    fn push(&mut self, index: usize) {
+        self.indexes[self.len] = index as u8;
+        self.len += 1;
+    }
+}
+
+impl UpstreamBalancer {
+    /// Makes a balancer for the upstreams of `service`, none of which counts as cold.
+    pub fn new(location: EntryLocation, service: &Arc<ServiceEntry>, now: Timestamp) -> Self {
+        let mut balancer = UpstreamBalancer {
+            location,
+            service: service.clone(),
+            upstreams: Vec::new(),
+            ring_latency_us: [None; 3],
+            counters: RingCounters::default(),
+            next_token: 0,
+        };
+        balancer.rebuild(service, now);
+        balancer
+    }
+
+    /// Takes over the members of a newer snapshot; does nothing if they are the same.
+    ///
+    /// State survives for upstreams that stay in the subset with the same incarnation. Others
+    /// start afresh, cold if the service did not have this incarnation before. Attempts in flight
+    /// to upstreams that left the subset still finish; their outcome is ignored.
+    pub fn apply(&mut self, service: &Arc<ServiceEntry>, now: Timestamp) {
+        if Arc::ptr_eq(&self.service, service) {
+            return;
+        }
+        let previous = std::mem::replace(&mut self.service, service.clone());
+        self.rebuild(&previous, now);
+    }
+
+    fn rebuild(&mut self, previous: &ServiceEntry, now: Timestamp) {
+        let service = self.service.clone();
+        let mut old = std::mem::take(&mut self.upstreams);
+        for seat in pick_subset(&self.location, &service.members) {
+            let held = old.iter().position(|live| {
+                live.entry.name == seat.entry.name
+                    && live.entry.incarnation == seat.entry.incarnation
+            });
+            self.upstreams.push(match held {
+                Some(index) => old.swap_remove(index).with_seat(seat),
+                None => {
+                    self.next_token += 1;
+                    let token = UpstreamToken(self.next_token);
+                    let cold = !holds_incarnation(previous, &seat.entry);
+                    LiveUpstream::new(token, seat.entry, seat.ring, cold.then_some(now))
+                }
+            });
+        }
+    }
+
+    /// Chooses an upstream for one attempt. `excluded` holds those that the call already tried.
+    ///
+    /// The rings are walked from the nearest. A ring in which more than half of the upstreams are
+    /// ejected, or all are saturated, adds its usable upstreams and lets the next ring add its
+    /// own. Two of the usable upstreams are drawn by weight, and the cheaper one is chosen.
+    pub fn choose(
+        &self,
+        now: Timestamp,
+        rng: &mut SmallRng,
+        excluded: &[UpstreamToken],
+    ) -> UpstreamChoice {
+        let mut usable = CandidateSet::default();
+        let mut ring_start = 0;
+        let mut failing_rings = 0;
+        let mut serving_rings = 0;
+        while let Some(first) = self.upstreams.get(ring_start) {
+            let ring = first.ring;
+            let (mut serving, mut ejected, mut added) = (0, 0, 0);
+            let mut index = ring_start;
+            while let Some(live) = self.upstreams.get(index).filter(|live| live.ring == ring) {
+                if !live.retired {
+                    serving += 1;
+                    if live.is_ejected(now) {
+                        ejected += 1;
+                    } else if live.fullness(now) < SPILL_FULLNESS[ring as usize]
+                        && !excluded.contains(&live.token)
+                    {
+                        usable.push(index);
+                        added += 1;
+                    }
+                }
+                index += 1;
+            }
+            ring_start = index;
+            let failing = ejected * 2 > serving;
+            if added > 0 && !failing {
+                return self.draw(now, rng, &usable, ChoiceMode::Normal);
+            }
+            serving_rings += usize::from(serving > 0);
+            failing_rings += usize::from(failing);
+        }
+        if serving_rings == 0 {
+            return UpstreamChoice::None(if self.upstreams.is_empty() {
+                NoChoice::NoUpstream
+            } else {
+                NoChoice::AllDraining
+            });
+        }
+        if failing_rings == serving_rings {
+            return self.choose_nearest(now, rng, excluded, ChoiceMode::Panic);
+        }
+        if usable.len > 0 {
+            return self.draw(now, rng, &usable, ChoiceMode::Normal);
+        }
+        self.choose_nearest(now, rng, excluded, ChoiceMode::Saturated)
+    }
+
+    /// Draws from the entry's region if it has any candidate, otherwise from the other regions.
+    /// Ignores saturation, and in panic mode ejection as well.
+    fn choose_nearest(
+        &self,
+        now: Timestamp,
+        rng: &mut SmallRng,
+        excluded: &[UpstreamToken],
+        mode: ChoiceMode,
+    ) -> UpstreamChoice {
+        let mut set = CandidateSet::default();
+        for (index, live) in self.upstreams.iter().enumerate() {
+            if live.ring == RingDistance::CrossRegion && set.len > 0 {
+                break;
+            }
+            let allowed = mode == ChoiceMode::Panic || !live.is_ejected(now);
+            if allowed && !live.retired && !excluded.contains(&live.token) {
+                set.push(index);
+            }
+        }
+        self.draw(now, rng, &set, mode)
+    }
+
+    fn draw(
+        &self,
+        now: Timestamp,
+        rng: &mut SmallRng,
+        set: &CandidateSet,
+        mode: ChoiceMode,
+    ) -> UpstreamChoice {
+        let mut weights = [0.0f32; SUBSET_SIZE];
+        let mut total = 0.0;
+        for (weight, index) in weights.iter_mut().zip(&set.indexes[..set.len]) {
+            *weight = self.upstreams[usize::from(*index)].weight(now);
+            total += *weight;
+        }
+        let Some(first) = draw_one(rng, &weights[..set.len], total) else {
+            return UpstreamChoice::None(NoChoice::AllExcluded);
+        };
+        let total = total - weights[first];
+        weights[first] = 0.0;
+        let second = draw_one(rng, &weights[..set.len], total);
+        let live = |drawn: usize| &self.upstreams[usize::from(set.indexes[drawn])];
+        let mut chosen = live(first);
+        if let Some(other) = second.map(live)
+            && self.cost(other, now) < self.cost(chosen, now)
+        {
+            chosen = other;
+        }
+        UpstreamChoice::Chosen(ChosenUpstream {
+            token: chosen.token,
+            entry: chosen.entry.clone(),
+            ring: chosen.ring,
+            mode,
+        })
+    }
+
+    fn cost(&self, live: &LiveUpstream, now: Timestamp) -> f32 {
+        let mean_us = self.ring_latency_us[live.ring as usize].unwrap_or(UNKNOWN_LATENCY_US);
+        live.cost(now, mean_us)
+    }
+
+    /// Counts an attempt as in flight and, if it leaves the region, as paid traffic.
+    pub fn started(&mut self, now: Timestamp, chosen: &ChosenUpstream) -> AttemptTicket {
+        if let Some(live) = self.find(chosen.token) {
+            live.in_flight += 1;
+        }
+        self.counters.started[chosen.ring as usize] += 1;
+        self.counters.panic += u64::from(chosen.mode == ChoiceMode::Panic);
+        self.counters.saturated += u64::from(chosen.mode == ChoiceMode::Saturated);
+        AttemptTicket {
+            token: chosen.token,
+            started_at: now,
+        }
+    }
+
+    /// Records the outcome of an attempt and the load that the answer carried, if any.
+    pub fn finished(
+        &mut self,
+        now: Timestamp,
+        ticket: AttemptTicket,
+        outcome: UpstreamOutcome,
+        load: Option<LoadReport>,
+    ) {
+        let latency = now.since(ticket.started_at);
+        let Some(live) = self.find(ticket.token) else {
+            return;
+        };
+        live.in_flight = live.in_flight.saturating_sub(1);
+        if let Some(report) = load {
+            live.observe_report(now, report);
+        }
+        live.observe_outcome(now, outcome, latency);
+        let ring = live.ring;
+        if outcome == UpstreamOutcome::Answered {
+            self.observe_ring(ring, latency);
+        }
+    }
+
+    /// Records what the health or load endpoint of an upstream says.
+    pub fn hint(&mut self, now: Timestamp, upstream: &str, hint: HealthHint) {
+        let held = self
+            .upstreams
+            .iter_mut()
+            .find(|live| &*live.entry.name == upstream);
+        if let Some(live) = held {
+            live.observe_hint(now, hint);
+        }
+    }
+
+    /// Attempts since the balancer was made.
+    pub fn counters(&self) -> RingCounters {
+        self.counters
+    }
+
+    /// The upstreams that the balancer keeps state for, nearest ring first.
+    pub fn subset(&self) -> impl Iterator<Item = (RingDistance, &Arc<UpstreamEntry>)> {
+        self.upstreams.iter().map(|live| (live.ring, &live.entry))
+    }
+
+    fn observe_ring(&mut self, ring: RingDistance, latency: Duration) {
+        let sample_us = latency.as_micros() as f32;
+        let mean = self.ring_latency_us[ring as usize].get_or_insert(sample_us);
+        *mean += (sample_us - *mean) * RING_GAIN;
+    }
+
+    fn find(&mut self, token: UpstreamToken) -> Option<&mut LiveUpstream> {
+        self.upstreams.iter_mut().find(|live| live.token == token)
+    }
+}
+
+/// Whether `service` had the upstream's incarnation. Members are sorted by name.
+fn holds_incarnation(service: &ServiceEntry, upstream: &UpstreamEntry) -> bool {
+    service
+        .members
+        .binary_search_by(|member| member.name.cmp(&upstream.name))
+        .is_ok_and(|index| service.members[index].incarnation == upstream.incarnation)
+}
+
+/// Draws an index with a probability in proportion to its weight.
+fn draw_one(rng: &mut SmallRng, weights: &[f32], total: f32) -> Option<usize> {
+    let mut left = rng.random::<f32>() * total;
+    let mut last = None;
+    for (index, weight) in weights.iter().enumerate() {
+        if *weight > 0.0 {
+            last = Some(index);
+            left -= weight;
+            if left < 0.0 {
+                break;
+            }
+        }
+    }
+    last
+}
--- /dev/null
+++ b/crates/kumquatlock/src/routing/balancer_set.rs
@@ -0,0 +1,65 @@
+//! The balancers of one entry.
+
+use indexmap::IndexMap;
+
+use super::balancer::{RingCounters, UpstreamBalancer};
+use super::subset::EntryLocation;
+use crate::core::{ConfigSnapshot, SharedName, Timestamp};
+
+/// One balancer for each service that the entry has called, bounded by the services of the
+/// snapshot.
+#[derive(Clone, Debug)]
+pub struct BalancerSet {
+    location: EntryLocation,
+    balancers: IndexMap<SharedName, UpstreamBalancer>,
+    /// Counters of services that the snapshot no longer holds.
+    removed: RingCounters,
+}
+
+impl BalancerSet {
+    /// Makes an empty set.
+    pub fn new(location: EntryLocation) -> Self {
+        BalancerSet {
+            location,
+            balancers: IndexMap::new(),
+            removed: RingCounters::default(),
+        }
+    }
+
+    /// Takes over a newer snapshot. Only balancers of services that changed are rebuilt.
+    pub fn apply(&mut self, snapshot: &ConfigSnapshot, now: Timestamp) {
+        let removed = &mut self.removed;
+        self.balancers.retain(|name, balancer| {
+            let Some(service) = snapshot.services.get(name) else {
+                removed.add(&balancer.counters());
+                return false;
+            };
+            balancer.apply(service, now);
+            true
+        });
+    }
+
+    /// The balancer of a service, made on first use.
+    pub fn balancer(
+        &mut self,
+        snapshot: &ConfigSnapshot,
+        service: &str,
+        now: Timestamp,
+    ) -> Option<&mut UpstreamBalancer> {
+        if !self.balancers.contains_key(service) {
+            let entry = snapshot.services.get(service)?;
+            let balancer = UpstreamBalancer::new(self.location.clone(), entry, now);
+            self.balancers.insert(entry.name.clone(), balancer);
+        }
+        self.balancers.get_mut(service)
+    }
+
+    /// Attempts over all services.
+    pub fn counters(&self) -> RingCounters {
+        let mut sum = self.removed;
+        for balancer in self.balancers.values() {
+            sum.add(&balancer.counters());
+        }
+        sum
+    }
+}
