Add the manifest checks and the catalog

Operators need one fixed answer per manifest, and children need the changes since any version at a cost that does not grow with the mesh.

Progress gains the count of nodes at the current version and Attachment a sequence number.

--- a/crates/kumquatlock-wire/src/distribution.rs
+++ b/crates/kumquatlock-wire/src/distribution.rs
@@ -161,6 +161,83 @@
     pub routes: Vec<RouteItem>,
     #[prost(message, repeated, tag = "5")]
     pub upstreams: Vec<UpstreamItem>,
+    /// Present in log snapshots and in snapshots for replicas; nodes have no use for it.
+    #[prost(message, optional, tag = "6")]
+    pub history: Option<CatalogHistory>,
+}
+
+/// What a catalog knows beyond its present content.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CatalogHistory {
+    /// Version at which each service changed last, in the order of `CatalogState::services`.
+    #[prost(uint64, repeated, tag = "1")]
+    pub service_changed_at: Vec<u64>,
+    #[prost(uint64, repeated, tag = "2")]
+    pub route_changed_at: Vec<u64>,
+    #[prost(uint64, repeated, tag = "3")]
+    pub upstream_changed_at: Vec<u64>,
+    /// Version at which the newest manifest was accepted.
+    #[prost(uint64, tag = "4")]
+    pub manifest_changed_at: u64,
+    #[prost(message, repeated, tag = "5")]
+    pub tombstones: Vec<Tombstone>,
+    /// Lowest version from which a delta can be computed.
+    #[prost(uint64, tag = "6")]
+    pub tombstone_floor: u64,
+    /// The newest accepted manifests, oldest first.
+    #[prost(message, repeated, tag = "7")]
+    pub accepted: Vec<AcceptedManifest>,
+    #[prost(message, repeated, tag = "8")]
+    pub seen_regions: Vec<SeenRegion>,
+    /// Last applied log entry, whether or not it changed the catalog.
+    #[prost(uint64, tag = "9")]
+    pub applied_index: u64,
+}
+
+/// A removed item.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Tombstone {
+    #[prost(enumeration = "ItemKind", tag = "1")]
+    pub kind: i32,
+    #[prost(string, tag = "2")]
+    pub name: String,
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Incarnation of a removed upstream, which never comes back; zero for other kinds.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
+}
+
+/// Kind of a catalog item.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum ItemKind {
+    Service = 0,
+    Route = 1,
+    Upstream = 2,
+}
+
+/// A manifest that was accepted, so that a resend gets the first answer.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct AcceptedManifest {
+    /// Version that the operator gave.
+    #[prost(uint64, tag = "1")]
+    pub manifest_version: u64,
+    /// Digest of the content.
+    #[prost(uint64, tag = "2")]
+    pub digest: u64,
+    /// Log index of the acceptance.
+    #[prost(uint64, tag = "3")]
+    pub config_version: u64,
+}
+
+/// A service that has had an upstream in a region.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct SeenRegion {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(string, tag = "2")]
+    pub region: String,
 }
 
 /// Role of a child.
@@ -283,6 +360,12 @@
     pub nodes: u64,
     #[prost(uint64, tag = "3")]
     pub lowest_applied: u64,
+    /// Catalog version of the reporter.
+    #[prost(uint64, tag = "4")]
+    pub current_version: u64,
+    /// Nodes that have applied `current_version` or a later one.
+    #[prost(uint64, tag = "5")]
+    pub current_nodes: u64,
 }
 
 /// Nodes that attached to or detached from a parent.
@@ -298,6 +381,10 @@
     pub attached: Vec<Expiry>,
     #[prost(message, repeated, tag = "4")]
     pub detached: Vec<Expiry>,
+    /// Grows with every message of the reporter, also over its restarts, so that a message that
+    /// was delayed on an old path is recognised.
+    #[prost(uint64, tag = "5")]
+    pub sequence: u64,
 }
 
 /// Keeps a connection observed; answered by [`Pong`] with the same number.
--- /dev/null
+++ b/crates/kumquatlock/src/catalog/tests.rs
@@ -0,0 +1,295 @@
+//! Tests of the catalog.
+
+use kumquatlock_wire::distribution::{
+    CatalogCommand, CatalogState, Delta, Expiry, UpstreamItem, UpstreamReport, WireState,
+    catalog_command::Kind,
+};
+use prost::Message;
+
+use super::*;
+use crate::core::{ConfigSnapshot, IncarnationId};
+
+fn manifest(version: u64, services: &[&str]) -> CatalogCommand {
+    let list: Vec<String> = services
+        .iter()
+        .map(|name| format!("{{\"name\":\"{name}\",\"upstreams\":[\"{name}-*\"]}}"))
+        .collect();
+    let routes: Vec<String> = services
+        .iter()
+        .map(|name| {
+            format!("{{\"name\":\"{name}\",\"prefix\":\"/{name}\",\"class\":\"lookup\",\"service\":\"{name}\"}}")
+        })
+        .collect();
+    let text = format!(
+        "{{\"version\":{version},\"services\":[{}],\"routes\":[{}]}}",
+        list.join(","),
+        routes.join(",")
+    );
+    let kind = Some(Kind::Manifest(text.into()));
+    CatalogCommand { kind }
+}
+
+fn report(name: &str, incarnation: u64, state: WireState) -> CatalogCommand {
+    let service = name.split('-').next().unwrap();
+    let upstream = UpstreamItem {
+        name: name.into(),
+        service: service.into(),
+        zone: "osrednja-1".into(),
+        region: "osrednja".into(),
+        node_address: "127.0.0.1:7000".into(),
+        incarnation,
+        slots: 10,
+        state: state as i32,
+        first_in_region: false,
+    };
+    let kind = Some(Kind::Report(UpstreamReport { upstream }));
+    CatalogCommand { kind }
+}
+
+fn serving(name: &str) -> CatalogCommand {
+    report(name, 1, WireState::Serving)
+}
+
+fn apply_all(catalog: &mut Catalog, commands: &[CatalogCommand]) {
+    for command in commands {
+        catalog.apply(catalog.applied_index() + 1, command);
+    }
+}
+
+fn proxy_of(catalog: &Catalog) -> ConfigSnapshot {
+    let snapshot = catalog.encode_snapshot(SnapshotDetail::Routing);
+    let state = CatalogState::decode(snapshot.bytes).unwrap();
+    ConfigSnapshot::from_state(&state, snapshot.digest).unwrap()
+}
+
+fn delta(catalog: &Catalog, base: ConfigVersion) -> Delta {
+    match catalog.delta_since(base) {
+        CatalogUpdate::Delta(delta) => delta,
+        other => panic!("expected a delta, got {other:?}"),
+    }
+}
+
+fn accepted(manifest_version: u64, index: u64) -> ApplyOutcome {
+    ApplyOutcome::Manifest(ManifestDecision::Accepted {
+        manifest_version,
+        config_version: ConfigVersion(index),
+    })
+}
+
+/// Guards against a resend that is refused or accepted twice, and against two operators who both
+/// win with one version number, also when a new leader restored the catalog from a snapshot.
+#[test]
+fn resends_races_and_stale_versions_get_fixed_answers() {
+    let mut catalog = Catalog::new();
+    assert_eq!(catalog.apply(3, &manifest(5, &["a"])), accepted(5, 3));
+    assert_eq!(catalog.apply(4, &manifest(6, &["b"])), accepted(6, 4));
+    let mut restored = Catalog::from_state(&catalog.to_state()).unwrap();
+    assert_eq!(restored, catalog);
+    for catalog in [&mut catalog, &mut restored] {
+        let before = (catalog.version(), catalog.digest());
+        assert_eq!(catalog.apply(5, &manifest(6, &["b"])), accepted(6, 4));
+        assert_eq!(catalog.apply(6, &manifest(5, &["a"])), accepted(5, 3));
+        assert!(matches!(
+            catalog.apply(7, &manifest(6, &["c"])),
+            ApplyOutcome::Manifest(ManifestDecision::Conflict {
+                manifest_version: 6,
+                ..
+            })
+        ));
+        assert!(matches!(
+            catalog.apply(8, &manifest(5, &["c"])),
+            ApplyOutcome::Manifest(ManifestDecision::Conflict {
+                manifest_version: 5,
+                ..
+            })
+        ));
+        let stale = ManifestDecision::Stale {
+            manifest_version: 4,
+            accepted_version: 6,
+        };
+        assert_eq!(
+            catalog.apply(9, &manifest(4, &["a"])),
+            ApplyOutcome::Manifest(stale)
+        );
+        let bad = Kind::Manifest("{\"version\":7}".into());
+        let bad = CatalogCommand { kind: Some(bad) };
+        assert!(matches!(
+            catalog.apply(10, &bad),
+            ApplyOutcome::Manifest(ManifestDecision::Invalid(_))
+        ));
+        assert_eq!((catalog.version(), catalog.digest()), before);
+        assert_eq!(
+            catalog.apply(10, &manifest(7, &["c"])),
+            ApplyOutcome::AlreadyApplied
+        );
+    }
+}
+
+/// Guards against doubled, delayed and reordered reports that change the outcome, above all
+/// against one that brings back an upstream that left or that was expired.
+#[test]
+fn reports_are_idempotent_and_never_go_back() {
+    use WireState::{Draining, Left, Serving};
+    let recorded = ApplyOutcome::Report(ReportDecision::Recorded);
+    let unchanged = ApplyOutcome::Report(ReportDecision::Unchanged);
+    let refused = |refusal| ApplyOutcome::Report(ReportDecision::Refused(refusal));
+    let recorded_as = |recorded| ReportRefusal::LowerIncarnation {
+        recorded: IncarnationId(recorded),
+    };
+    let table = [
+        (5, Serving, recorded.clone()),
+        (5, Serving, unchanged.clone()),
+        (5, Draining, recorded.clone()),
+        (5, Serving, refused(ReportRefusal::AlreadyDraining)),
+        (4, Left, refused(recorded_as(5))),
+        (5, Left, recorded.clone()),
+        (5, Left, unchanged),
+        (5, Serving, refused(ReportRefusal::EndedIncarnation)),
+        (4, Serving, refused(recorded_as(5))),
+        (6, Serving, recorded),
+    ];
+    let mut catalog = Catalog::new();
+    for (step, (incarnation, state, expected)) in table.into_iter().enumerate() {
+        let outcome = catalog.apply(step as u64 + 1, &report("a-1", incarnation, state));
+        assert_eq!(outcome, expected, "step {step}");
+    }
+    let expire = |incarnation| {
+        let name = "a-1".into();
+        let kind = Some(Kind::Expire(Expiry { name, incarnation }));
+        CatalogCommand { kind }
+    };
+    assert_eq!(catalog.apply(20, &expire(5)), ApplyOutcome::NotExpired);
+    assert_eq!(catalog.apply(21, &expire(6)), ApplyOutcome::Expired);
+    let outcome = catalog.apply(22, &report("a-1", 6, Serving));
+    assert_eq!(outcome, refused(ReportRefusal::EndedIncarnation));
+    let mut unusable = report("a-2", 1, Serving);
+    if let Some(Kind::Report(report)) = &mut unusable.kind {
+        report.upstream.node_address = "nowhere".into();
+    }
+    assert_eq!(
+        catalog.apply(23, &unusable),
+        refused(ReportRefusal::Invalid)
+    );
+    assert_eq!(catalog.version(), ConfigVersion(21));
+}
+
+/// Guards against two upstreams that both start with no claims, and against a restarted first
+/// upstream that is believed to hold every claim.
+#[test]
+fn one_admitted_upstream_per_service_and_region_is_first() {
+    let firsts = |catalog: &Catalog| -> Vec<String> {
+        let firsts = catalog.upstreams().filter(|item| item.first_in_region);
+        firsts.map(|item| item.name.clone()).collect()
+    };
+    let mut catalog = Catalog::new();
+    apply_all(&mut catalog, &[serving("a-2"), serving("a-1")]);
+    assert!(firsts(&catalog).is_empty(), "not admitted yet");
+    apply_all(&mut catalog, &[manifest(1, &["a"])]);
+    assert_eq!(firsts(&catalog), ["a-1"]);
+    apply_all(
+        &mut catalog,
+        &[serving("a-0"), report("a-1", 2, WireState::Serving)],
+    );
+    assert!(firsts(&catalog).is_empty(), "the new run has no claims");
+    apply_all(&mut catalog, &[manifest(2, &["b"]), manifest(3, &["a"])]);
+    assert!(firsts(&catalog).is_empty());
+}
+
+/// Guards against a merged delta that misses a change, on the leader and on a replica that got
+/// its own changes merged, for a child that stopped at any version in between.
+#[test]
+fn merged_deltas_lead_from_every_version_to_the_present() {
+    let mut leader = Catalog::new();
+    apply_all(&mut leader, &[manifest(1, &["a", "b"])]);
+    for number in 0..40 {
+        apply_all(&mut leader, &[serving(&format!("a-{number}"))]);
+    }
+    let mut replica = Catalog::from_state(&leader.to_state()).unwrap();
+    let mut proxies = vec![proxy_of(&leader)];
+    // b is removed and created again unchanged; a-41 comes and goes between two deltas.
+    let steps = [
+        manifest(2, &["a"]),
+        serving("a-41"),
+        report("a-3", 1, WireState::Draining),
+        report("a-41", 1, WireState::Left),
+        manifest(3, &["a", "b"]),
+        report("a-3", 1, WireState::Left),
+    ];
+    for (step, command) in steps.iter().enumerate() {
+        apply_all(&mut leader, std::slice::from_ref(command));
+        if step % 3 == 2 {
+            let update = delta(&leader, replica.version());
+            replica.absorb_delta(&update).unwrap();
+        }
+        let newest = proxies.last().unwrap();
+        proxies.push(newest.apply(&delta(&leader, newest.version)).unwrap());
+    }
+    assert_eq!(replica.version(), leader.version());
+    for proxy in &proxies[..proxies.len() - 1] {
+        for source in [&leader, &replica] {
+            let next = proxy.apply(&delta(source, proxy.version)).unwrap();
+            assert_eq!(next.digest, leader.digest());
+        }
+    }
+}
+
+/// Guards against a delta computed from forgotten removals, and against one that costs more
+/// than the snapshot.
+#[test]
+fn a_snapshot_replaces_deltas_that_are_unsafe_or_larger() {
+    let mut catalog = Catalog::new();
+    apply_all(&mut catalog, &[manifest(1, &["a"]), serving("a-0")]);
+    let base = catalog.version();
+    for number in 1..=MAX_TOMBSTONES {
+        let name = format!("a-{number}");
+        apply_all(
+            &mut catalog,
+            &[serving(&name), report(&name, 1, WireState::Left)],
+        );
+    }
+    assert_eq!(catalog.tombstone_floor(), ConfigVersion(0));
+    assert_eq!(catalog.delta_since(base), CatalogUpdate::Snapshot, "larger");
+    let recent = ConfigVersion(catalog.version().0 - 2);
+    assert!(matches!(
+        catalog.delta_since(recent),
+        CatalogUpdate::Delta(_)
+    ));
+    apply_all(
+        &mut catalog,
+        &[serving("b-1"), report("b-1", 1, WireState::Left)],
+    );
+    assert_eq!(catalog.tombstone_count(), MAX_TOMBSTONES);
+    let floor = catalog.tombstone_floor();
+    assert!(floor > base);
+    let restored = Catalog::from_state(&catalog.to_state()).unwrap();
+    assert_eq!(restored, catalog);
+    assert_eq!(
+        restored.delta_since(ConfigVersion(floor.0 - 1)),
+        CatalogUpdate::Snapshot
+    );
+}
+
+/// Guards against a cost of deltas that grows with the catalog. Prints the cost at two sizes.
+#[test]
+fn delta_cost_does_not_depend_on_catalog_size() {
+    let nanos = |upstreams: usize| {
+        let mut catalog = Catalog::new();
+        for number in 0..upstreams {
+            apply_all(&mut catalog, &[serving(&format!("a-{number}"))]);
+        }
+        let base = ConfigVersion(catalog.version().0 - 10);
+        // The fastest of several rounds leaves out rounds in which the test was not scheduled.
+        let round = |_| {
+            let started = std::time::Instant::now();
+            for _ in 0..50 {
+                assert_eq!(delta(&catalog, base).changes.len(), 10);
+            }
+            started.elapsed().as_nanos() / 50
+        };
+        (0..8).map(round).min().unwrap_or_default()
+    };
+    let (small, large) = (nanos(200), nanos(20_000));
+    println!("delta of 10 changes: {small} ns of 200 upstreams, {large} ns of 20000");
+    // 100 times the catalog; linear cost would show as about 100.
+    assert!(large < small * 20, "{small} ns -> {large} ns");
+}
--- /dev/null
+++ b/crates/kumquatlock/src/catalog/transfer.rs
@@ -0,0 +1,273 @@
+//! The catalog as deltas, as snapshots for children and as log snapshots.
+
+use bytes::Bytes;
+use kumquatlock_wire::distribution::{
+    AcceptedManifest, CatalogChange, CatalogHistory, CatalogState, Delta, ItemKind, RouteItem,
+    SeenRegion, ServiceItem, Tombstone, UpstreamItem, catalog_change::Kind,
+};
+use prost::Message;
+
+use super::store::{CatalogItem, encoded_bytes};
+use super::{AcceptedRecord, Catalog, MAX_DELTA_BYTES};
+use crate::core::ConfigVersion;
+
+/// What brings a child from one version to the present one.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CatalogUpdate {
+    /// The child holds the present version or a later one.
+    Current,
+    /// One merged delta.
+    Delta(Delta),
+    /// The child needs a snapshot; see [`Catalog::encode_snapshot`].
+    Snapshot,
+}
+
+/// How much a snapshot holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum SnapshotDetail {
+    /// What a proxy routes by.
+    Routing,
+    /// The history too, so that a replica can serve deltas from versions before the snapshot.
+    Full,
+}
+
+/// An encoded [`CatalogState`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EncodedSnapshot {
+    /// Version of the state.
+    pub version: ConfigVersion,
+    /// Digest of the state.
+    pub digest: u64,
+    /// The encoded message; shared by every transfer.
+    pub bytes: Bytes,
+}
+
+/// Why a transferred state or delta could not be taken over. The catalog is unchanged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StateError {
+    /// The lists of the history do not fit the items.
+    #[error("history does not fit the items")]
+    MalformedHistory,
+    /// The delta does not start at the held version.
+    #[error("delta starts at version {base}, but version {held} is held")]
+    WrongBase {
+        /// Version that the delta starts at.
+        base: ConfigVersion,
+        /// Version that is held.
+        held: ConfigVersion,
+    },
+    /// The delta holds a change that this release does not know.
+    #[error("unknown change")]
+    UnknownChange,
+}
+
+impl Catalog {
+    /// Changes since `base`, as one merged delta unless a snapshot is smaller.
+    pub fn delta_since(&self, base: ConfigVersion) -> CatalogUpdate {
+        if base >= self.version {
+            return CatalogUpdate::Current;
+        }
+        if base.0 < self.store.floor {
+            return CatalogUpdate::Snapshot;
+        }
+        let limit = self.store.bytes().min(MAX_DELTA_BYTES);
+        let mut bytes = 0;
+        let mut changes = Vec::new();
+        if self.manifest_changed_at > base {
+            let kind = Some(Kind::ManifestVersion(self.manifest_version));
+            changes.push(CatalogChange { kind });
+        }
+        for change in self.store.changes_after(base.0) {
+            bytes += encoded_bytes(change.encoded_len());
+            if bytes > limit {
+                return CatalogUpdate::Snapshot;
+            }
+            changes.push(change);
+        }
+        CatalogUpdate::Delta(Delta {
+            base: base.0,
+            version: self.version.0,
+            changes,
+            digest: self.digest(),
+        })
+    }
+
+    /// The whole catalog, encoded for children.
+    pub fn encode_snapshot(&self, detail: SnapshotDetail) -> EncodedSnapshot {
+        let mut state = self.to_state();
+        if detail == SnapshotDetail::Routing {
+            state.history = None;
+        }
+        EncodedSnapshot {
+            version: self.version,
+            digest: self.digest(),
+            bytes: state.encode_to_vec().into(),
+        }
+    }
+
+    /// Everything that the catalog knows, for log snapshots.
+    pub fn to_state(&self) -> CatalogState {
+        let store = &self.store;
+        let history = CatalogHistory {
+            service_changed_at: store.services.values().map(|s| s.changed_at).collect(),
+            route_changed_at: store.routes.values().map(|s| s.changed_at).collect(),
+            upstream_changed_at: store.upstreams.values().map(|s| s.changed_at).collect(),
+            manifest_changed_at: self.manifest_changed_at.0,
+            tombstones: store
+                .tombstones
+                .iter()
+                .map(|(key, record)| Tombstone {
+                    kind: key.kind as i32,
+                    name: key.name.to_string(),
+                    version: record.version,
+                    incarnation: record.incarnation,
+                })
+                .collect(),
+            tombstone_floor: store.floor,
+            accepted: self
+                .accepted
+                .iter()
+                .map(|(&manifest_version, record)| AcceptedManifest {
+                    manifest_version,
+                    digest: record.digest,
+                    config_version: record.config_version.0,
+                })
+                .collect(),
+            seen_regions: self
+                .seen_regions
+                .iter()
+                .map(|(service, region)| SeenRegion {
+                    service: service.to_string(),
+                    region: region.to_string(),
+                })
+                .collect(),
+            applied_index: self.applied_index,
+        };
+        CatalogState {
+            version: self.version.0,
+            manifest_version: self.manifest_version,
+            services: self.services().cloned().collect(),
+            routes: self.routes().cloned().collect(),
+            upstreams: self.upstreams().cloned().collect(),
+            history: Some(history),
+        }
+    }
+
+    /// Builds a catalog from a state. Without history, only children at the state's version or
+    /// above get deltas.
+    pub fn from_state(state: &CatalogState) -> Result<Self, StateError> {
+        let mut catalog = Catalog {
+            version: ConfigVersion(state.version),
+            applied_index: state.version,
+            manifest_version: state.manifest_version,
+            manifest_changed_at: ConfigVersion(state.version),
+            ..Catalog::default()
+        };
+        let history = state.history.as_ref();
+        let ages = |list: fn(&CatalogHistory) -> &Vec<u64>| history.map(list).map(Vec::as_slice);
+        catalog.fill(&state.services, ages(|history| &history.service_changed_at))?;
+        catalog.fill(&state.routes, ages(|history| &history.route_changed_at))?;
+        catalog.fill(
+            &state.upstreams,
+            ages(|history| &history.upstream_changed_at),
+        )?;
+        match history {
+            Some(history) => catalog.restore_history(history)?,
+            None => catalog.store.floor = state.version,
+        }
+        Ok(catalog)
+    }
+
+    fn fill<I: CatalogItem>(
+        &mut self,
+        items: &[I],
+        ages: Option<&[u64]>,
+    ) -> Result<(), StateError> {
+        if ages.is_some_and(|ages| ages.len() != items.len()) {
+            return Err(StateError::MalformedHistory);
+        }
+        for (position, item) in items.iter().enumerate() {
+            let version = ages.map_or(self.version.0, |ages| ages[position]);
+            if version > self.version.0 {
+                return Err(StateError::MalformedHistory);
+            }
+            self.store.upsert(item.clone(), version);
+        }
+        Ok(())
+    }
+
+    fn restore_history(&mut self, history: &CatalogHistory) -> Result<(), StateError> {
+        self.applied_index = history.applied_index.max(self.version.0);
+        self.manifest_changed_at = ConfigVersion(history.manifest_changed_at);
+        self.store.floor = history.tombstone_floor;
+        for tombstone in &history.tombstones {
+            let kind = ItemKind::try_from(tombstone.kind);
+            let kind = kind.map_err(|_| StateError::MalformedHistory)?;
+            let Tombstone { name, version, .. } = tombstone;
+            self.store.bury(kind, name, *version, tombstone.incarnation);
+        }
+        for accepted in &history.accepted {
+            let record = AcceptedRecord {
+                digest: accepted.digest,
+                config_version: ConfigVersion(accepted.config_version),
+            };
+            self.accepted.insert(accepted.manifest_version, record);
+        }
+        for seen in &history.seen_regions {
+            let pair = (seen.service.as_str().into(), seen.region.as_str().into());
+            self.seen_regions.insert(pair);
+        }
+        Ok(())
+    }
+
+    /// Takes over a delta of the configuration stream on a read replica. The caller has checked
+    /// the result as a [`crate::core::ConfigSnapshot`] first.
+    pub fn absorb_delta(&mut self, delta: &Delta) -> Result<(), StateError> {
+        let (base, held) = (ConfigVersion(delta.base), self.version);
+        if base != held || delta.version <= delta.base {
+            return Err(StateError::WrongBase { base, held });
+        }
+        if delta.changes.iter().any(|change| change.kind.is_none()) {
+            return Err(StateError::UnknownChange);
+        }
+        let version = delta.version;
+        for kind in delta
+            .changes
+            .iter()
+            .filter_map(|change| change.kind.as_ref())
+        {
+            self.absorb_change(kind, version);
+        }
+        self.version = ConfigVersion(version);
+        self.applied_index = version;
+        Ok(())
+    }
+
+    fn absorb_change(&mut self, kind: &Kind, version: u64) {
+        let store = &mut self.store;
+        match kind {
+            Kind::UpsertService(item) => store.put(item.clone(), version),
+            Kind::UpsertRoute(item) => store.put(item.clone(), version),
+            Kind::UpsertUpstream(item) => store.put(item.clone(), version),
+            Kind::RemoveService(name) => {
+                if !store.remove::<ServiceItem>(name, version) {
+                    store.bury(ItemKind::Service, name, version, 0);
+                }
+            }
+            Kind::RemoveRoute(name) => {
+                if !store.remove::<RouteItem>(name, version) {
+                    store.bury(ItemKind::Route, name, version, 0);
+                }
+            }
+            Kind::RemoveUpstream(name) => {
+                if !store.remove::<UpstreamItem>(name, version) {
+                    store.bury(ItemKind::Upstream, name, version, 0);
+                }
+            }
+            Kind::ManifestVersion(manifest_version) => {
+                self.manifest_version = *manifest_version;
+                self.manifest_changed_at = ConfigVersion(version);
+            }
+        }
+    }
+}
--- a/crates/kumquatlock/src/core/tests.rs
+++ b/crates/kumquatlock/src/core/tests.rs
@@ -45,6 +45,7 @@
             upstream("booking-1", "booking"),
             upstream("other-1", "booking"),
         ],
+        history: None,
     };
     let digest = service_digest(&state.services[0])
         .wrapping_add(route_digest(&state.routes[0]))
--- /dev/null
+++ b/crates/kumquatlock/src/manifest/check.rs
@@ -0,0 +1,123 @@
+//! Checks of a parsed manifest.
+
+use indexmap::IndexSet;
+
+use super::{
+    MAX_HOST_BYTES, MAX_NAME_BYTES, MAX_PATTERNS, MAX_PREFIX_BYTES, MAX_ROUTES, MAX_SERVICES,
+    ManifestError, ManifestFault, ManifestText, RouteText, ServiceText, has_name_alphabet,
+    is_valid_name,
+};
+
+pub(super) fn check_manifest(text: &ManifestText) -> Result<(), ManifestError> {
+    if text.version == 0 {
+        return Err(ManifestError::at("$.version", ManifestFault::BadVersion));
+    }
+    if text.services.is_empty() {
+        return Err(ManifestError::at("$.services", ManifestFault::NoServices));
+    }
+    check_bound("$.services", text.services.len(), MAX_SERVICES)?;
+    check_bound("$.routes", text.routes.len(), MAX_ROUTES)?;
+
+    let mut services = IndexSet::new();
+    for (position, service) in text.services.iter().enumerate() {
+        let path = format!("$.services[{position}]");
+        check_name(&path, &service.name, &mut services)?;
+        check_patterns(&path, service)?;
+    }
+    let mut routes = IndexSet::new();
+    let mut matches = IndexSet::new();
+    for (position, route) in text.routes.iter().enumerate() {
+        let path = format!("$.routes[{position}]");
+        check_name(&path, &route.name, &mut routes)?;
+        check_match(&path, route, &mut matches)?;
+        if !services.contains(route.service.as_str()) {
+            let service = route.service.clone();
+            let fault = ManifestFault::DanglingService { service };
+            return Err(ManifestError::at(format_args!("{path}.service"), fault));
+        }
+    }
+    Ok(())
+}
+
+fn check_bound(path: &str, len: usize, limit: usize) -> Result<(), ManifestError> {
+    if len > limit {
+        return Err(ManifestError::at(path, ManifestFault::TooLarge { limit }));
+    }
+    Ok(())
+}
+
+fn check_name<'text>(
+    path: &str,
+    name: &'text str,
+    names: &mut IndexSet<&'text str>,
+) -> Result<(), ManifestError> {
+    let owned = || name.to_owned();
+    let fault = if !is_valid_name(name) {
+        ManifestFault::BadName { name: owned() }
+    } else if !names.insert(name) {
+        ManifestFault::DuplicateName { name: owned() }
+    } else {
+        return Ok(());
+    };
+    Err(ManifestError::at(format_args!("{path}.name"), fault))
+}
+
+fn check_patterns(path: &str, service: &ServiceText) -> Result<(), ManifestError> {
+    let path = format!("{path}.upstreams");
+    check_bound(&path, service.upstreams.len(), MAX_PATTERNS)?;
+    let mut patterns = IndexSet::new();
+    for (position, pattern) in service.upstreams.iter().enumerate() {
+        let valid = match pattern.strip_suffix('*') {
+            // A lone `*` admits every upstream that announces the service.
+            Some(prefix) => prefix.len() <= MAX_NAME_BYTES && has_name_alphabet(prefix),
+            None => is_valid_name(pattern),
+        };
+        let name = pattern.clone();
+        let fault = if !valid {
+            ManifestFault::BadName { name }
+        } else if !patterns.insert(pattern) {
+            ManifestFault::DuplicateName { name }
+        } else {
+            continue;
+        };
+        return Err(ManifestError::at(format_args!("{path}[{position}]"), fault));
+    }
+    Ok(())
+}
+
+fn check_match<'text>(
+    path: &str,
+    route: &'text RouteText,
+    matches: &mut IndexSet<(&'text str, &'text str)>,
+) -> Result<(), ManifestError> {
+    let host = route.host.as_deref();
+    if let Some(host) = host
+        && !((1..=MAX_HOST_BYTES).contains(&host.len()) && has_name_alphabet(host))
+    {
+        let name = host.to_owned();
+        let fault = ManifestFault::BadName { name };
+        return Err(ManifestError::at(format_args!("{path}.host"), fault));
+    }
+    let prefix = route.prefix.as_str();
+    let fault = if !is_valid_prefix(prefix) {
+        let prefix = prefix.to_owned();
+        ManifestFault::BadPrefix { prefix }
+    } else if !matches.insert((host.unwrap_or(""), prefix)) {
+        ManifestFault::DuplicateMatch {
+            host: host.unwrap_or("").to_owned(),
+            prefix: prefix.to_owned(),
+        }
+    } else {
+        return Ok(());
+    };
+    Err(ManifestError::at(format_args!("{path}.prefix"), fault))
+}
+
+/// Query and fragment are no part of the path that routes match.
+fn is_valid_prefix(prefix: &str) -> bool {
+    prefix.starts_with('/')
+        && prefix.len() <= MAX_PREFIX_BYTES
+        && prefix
+            .bytes()
+            .all(|byte| byte.is_ascii_graphic() && byte != b'?' && byte != b'#')
+}
--- /dev/null
+++ b/crates/kumquatlock/src/manifest/tests.rs
@@ -0,0 +1,130 @@
+//! Tests of manifest checks.
+
+use super::*;
+
+const GOOD: &str = r#"{"version": 12,
+  "services": [{"name": "booking", "upstreams": ["booking-*", "b.1"]}, {"name": "orders", "upstreams": []}],
+  "routes": [{"name": "book", "host": "kranjc.si", "prefix": "/booking", "class": "at-most-once", "service": "booking"},
+             {"name": "any", "prefix": "/", "class": "lookup", "service": "orders"}]}"#;
+
+fn refuse(from: &str, to: &str) -> String {
+    let text = GOOD.replacen(from, to, 1);
+    assert_ne!(text, GOOD, "replacement {from} must hit");
+    let error = ManifestDocument::parse(text.as_bytes()).unwrap_err();
+    format!("{} {}", error.path, error.reason())
+}
+
+/// Guards against a resend that is taken for other content because a tool reordered it.
+#[test]
+fn digest_ignores_order_and_white_space_only() {
+    let first = ManifestDocument::parse(GOOD.as_bytes()).unwrap();
+    let reordered = r#"{"routes":[
+        {"service":"orders","class":"lookup","prefix":"/","name":"any"},
+        {"service":"booking","class":"at-most-once","prefix":"/booking","host":"kranjc.si","name":"book"}],
+        "services":[{"upstreams":[],"name":"orders"},{"upstreams":["b.1","booking-*"],"name":"booking"}],"version":12}"#;
+    assert_eq!(
+        ManifestDocument::parse(reordered.as_bytes()).unwrap(),
+        first
+    );
+    let other = GOOD.replace("\"/booking\"", "\"/bookings\"");
+    assert_ne!(
+        ManifestDocument::parse(other.as_bytes()).unwrap().digest,
+        first.digest
+    );
+}
+
+/// Guards against a bad manifest that is accepted, or refused at the wrong place.
+#[test]
+fn every_fault_is_refused_with_its_path() {
+    let table = [
+        (("\"host\"", "\"hots\""), "$.routes[0].hots unknown_field"),
+        (
+            ("\"version\": 12", "\"version\": 0"),
+            "$.version bad_version",
+        ),
+        (
+            ("\"version\": 12", "\"version\": -1"),
+            "$.version wrong_shape",
+        ),
+        (("\"version\": 12,", ""), "$ wrong_shape"),
+        (("12,", "12, \"version\": 13,"), "$ wrong_shape"),
+        (("lookup", "lookups"), "$.routes[1].class wrong_shape"),
+        (
+            ("\"service\": \"orders\"", "\"service\": \"order\""),
+            "$.routes[1].service dangling_service",
+        ),
+        (
+            ("\"orders\", \"upstreams\"", "\"booking\", \"upstreams\""),
+            "$.services[1].name duplicate_name",
+        ),
+        (("\"any\"", "\"book\""), "$.routes[1].name duplicate_name"),
+        (
+            ("\"b.1\"", "\"booking-*\""),
+            "$.services[0].upstreams[1] duplicate_name",
+        ),
+        (
+            ("\"b.1\"", "\"b*1\""),
+            "$.services[0].upstreams[1] bad_name",
+        ),
+        (("\"b.1\"", "\"\""), "$.services[0].upstreams[1] bad_name"),
+        (("\"orders\"", "\"Orders\""), "$.services[1].name bad_name"),
+        (("kranjc.si", "kranjc si"), "$.routes[0].host bad_name"),
+        (
+            ("\"/booking\"", "\"booking\""),
+            "$.routes[0].prefix bad_prefix",
+        ),
+        (
+            ("\"/booking\"", "\"/b?x\""),
+            "$.routes[0].prefix bad_prefix",
+        ),
+        (
+            (
+                "\"any\", \"prefix\": \"/\"",
+                "\"any\", \"host\": \"kranjc.si\", \"prefix\": \"/booking\"",
+            ),
+            "$.routes[1].prefix duplicate_match",
+        ),
+        (
+            ("\"lookup\", \"service\": \"orders\"}]}", ""),
+            "$.routes[1].class syntax",
+        ),
+    ];
+    for ((from, to), expected) in table {
+        assert_eq!(refuse(from, to), expected, "{from} -> {to}");
+    }
+}
+
+/// Guards against input whose size exhausts every proxy.
+#[test]
+fn bounds_hold() {
+    let service = |patterns: usize| {
+        let patterns: Vec<String> = (0..patterns).map(|n| format!("\"p{n}\"")).collect();
+        patterns.join(",")
+    };
+    let with = |services: usize, patterns: usize| {
+        let list: Vec<String> = (0..services)
+            .map(|n| {
+                format!(
+                    "{{\"name\":\"s{n}\",\"upstreams\":[{}]}}",
+                    service(patterns)
+                )
+            })
+            .collect();
+        let text = format!(
+            "{{\"version\":1,\"services\":[{}],\"routes\":[]}}",
+            list.join(",")
+        );
+        ManifestDocument::parse(text.as_bytes()).map_err(|error| error.path)
+    };
+    assert!(with(MAX_SERVICES, 1).is_ok());
+    assert_eq!(with(MAX_SERVICES + 1, 1).unwrap_err(), "$.services");
+    assert!(with(1, MAX_PATTERNS).is_ok());
+    assert_eq!(
+        with(1, MAX_PATTERNS + 1).unwrap_err(),
+        "$.services[0].upstreams"
+    );
+    assert_eq!(with(0, 0).unwrap_err(), "$.services");
+    let long = format!("{GOOD}{}", " ".repeat(MAX_MANIFEST_BYTES));
+    let error = ManifestDocument::parse(long.as_bytes()).unwrap_err();
+    assert_eq!(error.reason(), "too_large");
+}
