--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -18,3 +18,6 @@
 pub mod util;
 pub mod retry;
 pub mod routing;
+pub mod catalog;
+pub mod core;
+pub mod manifest;
