--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -12,12 +12,11 @@
 //! by `admission` and `retry`, protected from repetition by `claim`, and driven by `call`.
 
 pub mod admission;
+pub mod catalog;
 pub mod core;
 pub mod http;
-pub mod transport;
-pub mod util;
+pub mod manifest;
 pub mod retry;
 pub mod routing;
-pub mod catalog;
-pub mod core;
-pub mod manifest;
+pub mod transport;
+pub mod util;
