--- /dev/null
+++ b/crates/kumquatlock/src/call/destination/claims.rs
@@ -0,0 +1,182 @@
+//! Claims of the calls that run here.
+
+use std::sync::Arc;
+
+use kumquatlock_wire::call::{CallOutcome, CallReason};
+use kumquatlock_wire::claim::{ClaimOwner, ClaimReply, OutcomeQuery, ShardView};
+
+use super::{DestinationCalls, DestinationStep, RunId};
+use crate::claim::{
+    AcquireDecision, AcquireSteps, ClaimAcquirer, RefuseReason, shard_of,
+};
+use crate::core::Timestamp;
+
+impl DestinationCalls {
+    pub(super) fn acquire_claim(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        let Some(run) = self.runs.get(&id) else { return };
+        let Some(key) = run.claim_key() else { return };
+        let request = &run.request;
+        let owner = ClaimOwner {
+            attempt: request.id.clone(),
+            destination: self.name.to_string(),
+            destination_incarnation: self.incarnation.0,
+            request_digest: request.request_digest,
+        };
+        let service = request.service.as_str();
+        let shard = shard_of(service, key);
+        let view = self.placement.view_of(service, shard.number);
+        let number = claim_number(id);
+        let mut acquirer = ClaimAcquirer::new(number, owner, shard, key, run.deadline);
+        let acquired = acquirer.on_view(now, view);
+        self.claims.insert(number, acquirer);
+        self.follow_claim(now, number, acquired, steps);
+    }
+
+    /// Frees a key whose attempt was granted but never arrived here.
+    pub(super) fn release_claim(
+        &mut self,
+        now: Timestamp,
+        query: &OutcomeQuery,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        let id = RunId(self.next_run);
+        self.next_run += 1;
+        let number = claim_number(id);
+        let shard = shard_of(&query.service, &query.key);
+        let view = self.placement.view_of(&query.service, shard.number);
+        let owner = query.owner.clone();
+        let mut acquirer = ClaimAcquirer::new(number, owner, shard, &query.key, now);
+        let mut released = acquirer.abandon(now);
+        released.sends.extend(acquirer.on_view(now, view).sends);
+        self.claims.insert(number, acquirer);
+        self.follow_claim(now, number, released, steps);
+    }
+
+    pub(super) fn finish_claim(&mut self, now: Timestamp, id: RunId, steps: &mut Vec<DestinationStep>) {
+        let number = claim_number(id);
+        if let Some(acquirer) = self.claims.get_mut(&number) {
+            let finished = acquirer.finish(now);
+            self.follow_claim(now, number, finished, steps);
+        }
+    }
+
+    pub(super) fn abandon_claim(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        let number = claim_number(id);
+        if let Some(acquirer) = self.claims.get_mut(&number) {
+            let abandoned = acquirer.abandon(now);
+            self.follow_claim(now, number, abandoned, steps);
+        }
+    }
+
+    pub(super) fn drop_claim(&mut self, id: RunId) {
+        let number = claim_number(id);
+        self.claims.swap_remove(&number);
+        self.busy_claims.remove(&number);
+    }
+
+    pub(super) fn advance_claim_reply(
+        &mut self,
+        now: Timestamp,
+        from: &str,
+        reply: &ClaimReply,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        let number = ClaimAcquirer::number_of(reply.request_id);
+        if let Some(acquirer) = self.claims.get_mut(&number) {
+            let advanced = acquirer.on_reply(now, from, reply);
+            self.follow_claim(now, number, advanced, steps);
+        }
+    }
+
+    pub(super) fn advance_claims(&mut self, now: Timestamp, steps: &mut Vec<DestinationStep>) {
+        for number in self.busy_claims.iter().copied().collect::<Vec<_>>() {
+            if let Some(acquirer) = self.claims.get_mut(&number) {
+                let advanced = acquirer.on_tick(now);
+                self.follow_claim(now, number, advanced, steps);
+            }
+        }
+    }
+
+    /// Tells all claims in progress of the views of a newer configuration.
+    pub(super) fn refresh_claims(&mut self, now: Timestamp, steps: &mut Vec<DestinationStep>) {
+        for number in self.claims.keys().copied().collect::<Vec<_>>() {
+            let Some(acquirer) = self.claims.get_mut(&number) else { continue };
+            let shard = acquirer.shard().clone();
+            let view: Option<Arc<ShardView>> =
+                self.placement.view_of(&shard.service, shard.number);
+            let advanced = acquirer.on_view(now, view);
+            self.follow_claim(now, number, advanced, steps);
+        }
+    }
+
+    fn follow_claim(
+        &mut self,
+        now: Timestamp,
+        number: u64,
+        advanced: AcquireSteps,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        let sends = advanced.sends.into_iter();
+        steps.extend(sends.map(|send| DestinationStep::Claim { to: send.to, body: send.body }));
+        if let Some(acquirer) = self.claims.get(&number) {
+            if acquirer.is_done() {
+                self.claims.swap_remove(&number);
+                self.busy_claims.remove(&number);
+            } else if acquirer.is_holding() {
+                self.busy_claims.remove(&number);
+            } else {
+                self.busy_claims.insert(number);
+            }
+        }
+        if let Some(decision) = advanced.decision {
+            self.decide_run(now, RunId(number >> 1), decision, steps);
+        }
+    }
+
+    fn decide_run(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        decision: AcquireDecision,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        match decision {
+            AcquireDecision::Run => self.pass_to_upstream(now, id, steps),
+            AcquireDecision::ClaimedElsewhere(owner) | AcquireDecision::Finished(owner) => {
+                let (outcome, reason) = (CallOutcome::ClaimedElsewhere, CallReason::None);
+                self.answer_unrun(now, id, outcome, reason, Some(owner), steps);
+            }
+            AcquireDecision::Fenced => {
+                self.refuse_run(now, id, CallReason::KeyFenced, steps);
+            }
+            AcquireDecision::Refuse(RefuseReason::KeyReused) => {
+                self.refuse_run(now, id, CallReason::KeyReused, steps);
+            }
+            AcquireDecision::Refuse(RefuseReason::ClaimCapacity) => {
+                self.refuse_run(now, id, CallReason::ClaimCapacity, steps);
+            }
+            AcquireDecision::Refuse(
+                RefuseReason::AttemptReleased | RefuseReason::NoHolders,
+            ) => self.refuse_run(now, id, CallReason::ClaimUnavailable, steps),
+            AcquireDecision::Unknown => {
+                let (outcome, reason) = (CallOutcome::Unknown, CallReason::ClaimUnavailable);
+                self.answer_unrun(now, id, outcome, reason, None, steps);
+            }
+        }
+    }
+}
+
+/// Acquirers have odd numbers; fences of the entry on the same node have even ones.
+fn claim_number(id: RunId) -> u64 {
+    (id.0 << 1) | 1
+}
--- /dev/null
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -0,0 +1,495 @@
+//! Calls at the node beside the upstream that runs them.
+
+mod claims;
+mod run;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use kumquatlock_wire::Body;
+use kumquatlock_wire::call::{
+    AttemptId, CallOutcome, CallReason, CallRequest, CallResponse, LoadReport,
+};
+use kumquatlock_wire::claim::{ClaimReply, OutcomeQuery};
+use kumquatlock_wire::distribution::WireClass;
+
+use super::MAX_DEPTH;
+use crate::admission::{AdmissionDecision, AdmissionLimits, AdmissionQueue, AdmissionTicket};
+use crate::claim::{
+    AttemptGate, ClaimAcquirer, ClaimSettings, KeptAnswer, OutcomeTable, PlacementTable,
+    QueryAnswer, QueryStep,
+};
+use crate::core::{ConfigSnapshot, IncarnationId, RequestClass, SharedName, Timestamp};
+use crate::http::{HttpRequest, HttpResponse, UpstreamFailure};
+use crate::transport::LinkId;
+use crate::util::trace::TraceContext;
+use run::{CallRun, RunPhase};
+
+/// Interval at which claims that wait for holders are checked.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which kept outcomes are checked for their retention.
+const OUTCOME_INTERVAL: Duration = Duration::from_secs(1);
+
+/// One run, or one wait for a run, of a call. Never reused within an incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RunId(pub u64);
+
+/// Where a call came from and its answer goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum CallSource {
+    /// Another node.
+    Link(LinkId),
+    /// The entry of this node.
+    Local,
+}
+
+/// The upstream beside this node, as it announced itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UpstreamEndpoint {
+    /// Address of the upstream.
+    pub address: SocketAddr,
+    /// Requests and connections that it takes at once.
+    pub limits: AdmissionLimits,
+}
+
+/// What the destination does next.
+#[derive(Debug)]
+pub enum DestinationStep {
+    /// Answer the node that sent the call or the query.
+    Respond {
+        /// Where to.
+        to: CallSource,
+        /// The answer.
+        response: CallResponse,
+    },
+    /// Send a message about a claim to the node beside an upstream.
+    Claim {
+        /// Name of the upstream.
+        to: SharedName,
+        /// The message.
+        body: Body,
+    },
+    /// Pass a request to the upstream.
+    Run {
+        /// Passed to [`DestinationCalls::on_result`].
+        run: RunId,
+        /// Address of the upstream.
+        address: SocketAddr,
+        /// The request.
+        request: HttpRequest,
+        /// Time left for it.
+        timeout: Duration,
+    },
+    /// Tell the upstream that nobody waits for a request any more.
+    Cancel {
+        /// Address of the upstream.
+        address: SocketAddr,
+        /// Value of [`super::ATTEMPT_HEADER`] of the request.
+        attempt: String,
+    },
+    /// A run has ended; for the trace.
+    Ended {
+        /// Trace of the run, if the call is traced.
+        trace: TraceContext,
+        /// When the call arrived.
+        arrived_at: Timestamp,
+        /// Outcome of the run.
+        outcome: CallOutcome,
+    },
+}
+
+/// The calls that run, or wait to run, on the upstream beside this node.
+pub struct DestinationCalls {
+    name: SharedName,
+    incarnation: IncarnationId,
+    settings: ClaimSettings,
+    endpoint: Option<UpstreamEndpoint>,
+    /// Present once the upstream has announced itself.
+    admission: Option<AdmissionQueue>,
+    draining: bool,
+    placement: PlacementTable,
+    /// Attempts that must not run twice, and their answers.
+    outcomes: OutcomeTable,
+    runs: IndexMap<RunId, CallRun>,
+    /// Run of each admitted ticket.
+    tickets: IndexMap<AdmissionTicket, RunId>,
+    /// Run of each attempt that has not been answered.
+    attempts: IndexMap<AttemptId, RunId>,
+    /// Where queries that wait came from.
+    queries: IndexMap<AttemptId, CallSource>,
+    /// Claims that are being acquired, held or settled, by number. Numbers are odd.
+    claims: IndexMap<u64, ClaimAcquirer>,
+    /// Acquirers that have something to send or to decide.
+    busy_claims: BTreeSet<u64>,
+    next_run: u64,
+    /// Queue time of calls that started, for metrics.
+    outcomes_due: Timestamp,
+}
+
+impl DestinationCalls {
+    /// A destination whose upstream has not announced itself.
+    pub fn new(name: SharedName, incarnation: IncarnationId, settings: ClaimSettings) -> Self {
+        DestinationCalls {
+            outcomes: OutcomeTable::new(name.clone(), incarnation, &settings),
+            name,
+            incarnation,
+            settings,
+            endpoint: None,
+            admission: None,
+            draining: false,
+            placement: PlacementTable::default(),
+            runs: IndexMap::new(),
+            tickets: IndexMap::new(),
+            attempts: IndexMap::new(),
+            queries: IndexMap::new(),
+            claims: IndexMap::new(),
+            busy_claims: BTreeSet::new(),
+            next_run: 1,
+            outcomes_due: Timestamp::default(),
+        }
+    }
+
+    /// Starts another incarnation, after the upstream has left and announced itself again. Calls
+    /// of the old incarnation are refused from now on.
+    pub fn set_incarnation(&mut self, incarnation: IncarnationId) {
+        if incarnation != self.incarnation {
+            self.incarnation = incarnation;
+            self.outcomes = OutcomeTable::new(self.name.clone(), incarnation, &self.settings);
+        }
+    }
+
+    /// Takes what the upstream announced.
+    pub fn on_announce(&mut self, now: Timestamp, endpoint: UpstreamEndpoint) {
+        let unchanged = self.endpoint.is_some_and(|held| held.limits == endpoint.limits);
+        self.endpoint = Some(endpoint);
+        if !unchanged || self.draining {
+            self.admission = Some(AdmissionQueue::new(endpoint.limits, now));
+        }
+        self.draining = false;
+    }
+
+    /// Refuses new calls from now on; queued and running calls finish.
+    pub fn drain(&mut self) {
+        self.draining = true;
+        if let Some(admission) = &mut self.admission {
+            admission.drain();
+        }
+    }
+
+    /// Whether no call is queued or running.
+    pub fn is_idle(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    /// Whether every claim has been settled with its holders.
+    pub fn is_settled(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// Calls that are queued or running.
+    pub fn in_progress(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Load that answers carry.
+    pub fn load(&self, now: Timestamp) -> LoadReport {
+        match &self.admission {
+            Some(admission) => admission.load(now),
+            None => LoadReport { draining: true, ..LoadReport::default() },
+        }
+    }
+
+    /// Takes over a newer configuration.
+    pub fn on_snapshot(&mut self, now: Timestamp, snapshot: Arc<ConfigSnapshot>) -> Vec<DestinationStep> {
+        self.placement.update(snapshot);
+        let mut steps = Vec::new();
+        self.refresh_claims(now, &mut steps);
+        steps
+    }
+
+    /// Takes a call. With `frozen`, this process has just been stopped for so long that the
+    /// deadline of what it reads cannot be trusted.
+    pub fn on_call(
+        &mut self,
+        now: Timestamp,
+        source: CallSource,
+        request: CallRequest,
+        frozen: bool,
+    ) -> Vec<DestinationStep> {
+        let mut steps = Vec::new();
+        match self.check(&request, frozen) {
+            Ok(class) => self.admit(now, source, request, class, &mut steps),
+            Err(reason) => self.refuse(now, source, &request, reason, &mut steps),
+        }
+        steps
+    }
+
+    /// The entry does not wait for the call any more.
+    pub fn on_cancel(&mut self, now: Timestamp, attempt: &AttemptId) -> Vec<DestinationStep> {
+        let mut steps = Vec::new();
+        if let Some(id) = self.attempts.get(attempt).copied() {
+            self.cancel_run(now, id, &mut steps);
+        }
+        steps
+    }
+
+    /// Takes the upstream's answer, or why there is none.
+    pub fn on_result(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        outcome: Result<HttpResponse, UpstreamFailure>,
+    ) -> Vec<DestinationStep> {
+        let mut steps = Vec::new();
+        self.end_run(now, id, outcome, &mut steps);
+        steps
+    }
+
+    /// Takes a question for the outcome of an attempt.
+    pub fn on_query(
+        &mut self,
+        now: Timestamp,
+        source: CallSource,
+        query: OutcomeQuery,
+    ) -> Vec<DestinationStep> {
+        let mut steps = Vec::new();
+        let deadline = now + Duration::from_micros(query.deadline_us);
+        match self.outcomes.query(now, &query.id, &query.owner, deadline) {
+            Some(answer) => {
+                if answer == QueryAnswer::NeverRuns && !query.key.is_empty() {
+                    // The holders may have granted the attempt before this node lost it.
+                    self.release_claim(now, &query, &mut steps);
+                }
+                steps.push(self.query_step(now, source, query.id, answer));
+            }
+            None => {
+                self.queries.insert(query.id, source);
+            }
+        }
+        steps
+    }
+
+    /// Takes a holder's answer.
+    pub fn on_claim_reply(
+        &mut self,
+        now: Timestamp,
+        from: &str,
+        reply: &ClaimReply,
+    ) -> Vec<DestinationStep> {
+        let mut steps = Vec::new();
+        self.advance_claim_reply(now, from, reply, &mut steps);
+        steps
+    }
+
+    /// When to call [`DestinationCalls::on_tick`] if no event comes first.
+    pub fn next_wakeup(&self, now: Timestamp) -> Timestamp {
+        let mut wakeup = self.outcomes_due;
+        if let Some(at) = self.admission.as_ref().and_then(|queue| queue.next_wakeup(now)) {
+            wakeup = wakeup.min(at);
+        }
+        if !self.busy_claims.is_empty() {
+            wakeup = wakeup.min(now + CLAIM_INTERVAL);
+        }
+        wakeup
+    }
+
+    /// Handles everything that is due.
+    pub fn on_tick(&mut self, now: Timestamp) -> Vec<DestinationStep> {
+        let mut steps = Vec::new();
+        self.advance_claims(now, &mut steps);
+        self.run_queue(now, &mut steps);
+        if now >= self.outcomes_due {
+            self.outcomes_due = now + OUTCOME_INTERVAL;
+            let due = self.outcomes.on_tick(now);
+            self.answer_queries(now, due, &mut steps);
+        }
+        steps
+    }
+
+    fn check(&self, request: &CallRequest, frozen: bool) -> Result<RequestClass, CallReason> {
+        if *request.upstream != *self.name || request.incarnation != self.incarnation.0 {
+            return Err(CallReason::WrongIncarnation);
+        }
+        if frozen {
+            return Err(CallReason::Frozen);
+        }
+        if request.depth >= MAX_DEPTH {
+            return Err(CallReason::DepthExceeded);
+        }
+        if self.draining || self.endpoint.is_none() {
+            return Err(CallReason::Draining);
+        }
+        let class = WireClass::try_from(request.class).map_err(|_| CallReason::NoRoute)?;
+        Ok(class.into())
+    }
+
+    fn admit(
+        &mut self,
+        now: Timestamp,
+        source: CallSource,
+        request: CallRequest,
+        class: RequestClass,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        if !class.is_repeatable() {
+            match self.outcomes.begin(now, &request.id) {
+                AttemptGate::Admitted => {}
+                AttemptGate::Duplicate => return,
+                AttemptGate::Fenced => {
+                    let reason = CallReason::Cancelled;
+                    steps.push(self.refusal(now, source, request.id, reason));
+                    return;
+                }
+                AttemptGate::Full => {
+                    let reason = CallReason::Overloaded;
+                    steps.push(self.refusal(now, source, request.id, reason));
+                    return;
+                }
+            }
+        }
+        let deadline = now + Duration::from_micros(request.deadline_us);
+        let Some(admission) = &mut self.admission else { return };
+        let decision = admission.offer(now, class, deadline);
+        let ticket = match decision {
+            AdmissionDecision::Start(ticket) | AdmissionDecision::Queued { ticket, .. } => ticket,
+            AdmissionDecision::Refused(reason) => {
+                self.refuse(now, source, &request, reason, steps);
+                return;
+            }
+        };
+        let id = RunId(self.next_run);
+        self.next_run += 1;
+        self.tickets.insert(ticket, id);
+        self.attempts.insert(request.id.clone(), id);
+        self.runs.insert(id, CallRun::new(source, request, class, deadline, ticket, now));
+        match decision {
+            AdmissionDecision::Start(_) => self.start_run(now, id, steps),
+            AdmissionDecision::Queued { evicted: Some(evicted), .. } => {
+                self.refuse_ticket(now, evicted, CallReason::Overloaded, steps);
+            }
+            _ => {}
+        }
+    }
+
+    /// Refuses a call that was not admitted. The refusal holds for later deliveries as well.
+    fn refuse(
+        &mut self,
+        now: Timestamp,
+        source: CallSource,
+        request: &CallRequest,
+        reason: CallReason,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        let repeatable = WireClass::try_from(request.class)
+            .is_ok_and(|class| RequestClass::from(class).is_repeatable());
+        let refusal = match repeatable || self.fence(now, &request.id, steps) {
+            true => self.refusal(now, source, request.id.clone(), reason),
+            // The first delivery of this attempt has started; it is answered when it ends.
+            false => return,
+        };
+        steps.push(refusal);
+    }
+
+    fn fence(
+        &mut self,
+        now: Timestamp,
+        attempt: &AttemptId,
+        steps: &mut Vec<DestinationStep>,
+    ) -> bool {
+        let (fenced, due) = self.outcomes.fence(now, attempt);
+        self.answer_queries(now, due, steps);
+        fenced
+    }
+
+    fn refusal(
+        &self,
+        now: Timestamp,
+        to: CallSource,
+        id: AttemptId,
+        reason: CallReason,
+    ) -> DestinationStep {
+        let response = self.response(now, id, CallOutcome::NotRun, reason);
+        DestinationStep::Respond { to, response }
+    }
+
+    fn response(
+        &self,
+        now: Timestamp,
+        id: AttemptId,
+        outcome: CallOutcome,
+        reason: CallReason,
+    ) -> CallResponse {
+        CallResponse {
+            id,
+            incarnation: self.incarnation.0,
+            outcome: outcome as i32,
+            reason: reason as i32,
+            load: Some(self.load(now)),
+            ..CallResponse::default()
+        }
+    }
+
+    fn answer_response(&self, now: Timestamp, id: AttemptId, answer: KeptAnswer) -> CallResponse {
+        CallResponse {
+            status: answer.status,
+            headers: answer.headers,
+            body_len: answer.body.len() as u64,
+            body: answer.body,
+            ..self.response(now, id, CallOutcome::Answered, CallReason::None)
+        }
+    }
+
+    fn query_step(
+        &self,
+        now: Timestamp,
+        to: CallSource,
+        query: AttemptId,
+        answer: QueryAnswer,
+    ) -> DestinationStep {
+        let (outcome, reason) = match answer {
+            QueryAnswer::Answered(answer) => {
+                let response = self.answer_response(now, query, answer);
+                return DestinationStep::Respond { to, response };
+            }
+            QueryAnswer::NeverRuns => (CallOutcome::NotRun, CallReason::Cancelled),
+            QueryAnswer::AnswerGone => (CallOutcome::Unknown, CallReason::AnswerGone),
+            QueryAnswer::Unknown => (CallOutcome::Unknown, CallReason::UpstreamFailed),
+            QueryAnswer::StillRunning => (CallOutcome::Unknown, CallReason::Timeout),
+            QueryAnswer::TooManyWaiters => (CallOutcome::Unknown, CallReason::Overloaded),
+        };
+        let response = self.response(now, query, outcome, reason);
+        DestinationStep::Respond { to, response }
+    }
+
+    fn answer_queries(
+        &mut self,
+        now: Timestamp,
+        due: Vec<QueryStep>,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        for QueryStep { query, answer } in due {
+            if let Some(source) = self.queries.swap_remove(&query) {
+                steps.push(self.query_step(now, source, query, answer));
+            }
+        }
+    }
+
+    fn refuse_ticket(
+        &mut self,
+        now: Timestamp,
+        ticket: AdmissionTicket,
+        reason: CallReason,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        if let Some(id) = self.tickets.get(&ticket).copied() {
+            self.refuse_run(now, id, reason, steps);
+        }
+    }
+
+    fn phase(&mut self, id: RunId) -> Option<&mut RunPhase> {
+        self.runs.get_mut(&id).map(|run| &mut run.phase)
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -0,0 +1,328 @@
+//! One call on its way through admission, claim and upstream.
+
+use kumquatlock_wire::call::{CallOutcome, CallReason, CallRequest, HeaderField};
+
+use super::{CallSource, DestinationCalls, DestinationStep, RunId};
+use crate::admission::{AdmissionTicket, CancelOutcome, QueueStep, ServiceOutcome};
+use crate::call::request::{ATTEMPT_HEADER, DEPTH_HEADER, KEY_HEADER, TIMEOUT_HEADER};
+use crate::claim::KeptAnswer;
+use crate::core::{RequestClass, Timestamp};
+use crate::http::{HttpRequest, HttpResponse, UpstreamFailure};
+use crate::util::trace::{TRACEPARENT_HEADER, TraceContext};
+
+/// Status with which an upstream sheds load.
+const SHED_STATUS: u16 = 503;
+
+pub(super) struct CallRun {
+    pub(super) source: CallSource,
+    pub(super) request: CallRequest,
+    pub(super) class: RequestClass,
+    pub(super) deadline: Timestamp,
+    pub(super) ticket: AdmissionTicket,
+    pub(super) arrived_at: Timestamp,
+    pub(super) phase: RunPhase,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RunPhase {
+    /// Waits for a slot.
+    Queued,
+    /// Has a slot and waits for the claim.
+    Claiming,
+    /// The upstream has the request.
+    Running,
+}
+
+impl CallRun {
+    pub(super) fn new(
+        source: CallSource,
+        request: CallRequest,
+        class: RequestClass,
+        deadline: Timestamp,
+        ticket: AdmissionTicket,
+        now: Timestamp,
+    ) -> Self {
+        let phase = RunPhase::Queued;
+        CallRun { source, request, class, deadline, ticket, arrived_at: now, phase }
+    }
+
+    /// Key of a request that claims protect.
+    pub(super) fn claim_key(&self) -> Option<&str> {
+        let repeatable = self.class.is_repeatable();
+        self.request.key.as_deref().filter(|_| !repeatable)
+    }
+
+    fn attempt_label(&self) -> String {
+        let id = &self.request.id;
+        format!("{}/{}/{}/{}", id.entry, id.entry_incarnation, id.call_id, id.attempt)
+    }
+
+    fn upstream_request(&self, now: Timestamp) -> HttpRequest {
+        let request = &self.request;
+        let millis = self.deadline.since(now).as_millis().max(1);
+        let fields = request.headers.iter();
+        let mut headers: Vec<(String, String)> =
+            fields.map(|field| (field.name.clone(), field.value.clone())).collect();
+        let mut add = |name: &str, value: String| headers.push((name.to_owned(), value));
+        add(TIMEOUT_HEADER, millis.to_string());
+        add(DEPTH_HEADER, (request.depth + 1).to_string());
+        add(ATTEMPT_HEADER, self.attempt_label());
+        if let Some(key) = &request.key {
+            add(KEY_HEADER, key.clone());
+        }
+        if let Some(trace) = &request.traceparent {
+            add(TRACEPARENT_HEADER, trace.clone());
+        }
+        HttpRequest {
+            method: request.method.clone(),
+            target: request.path.clone(),
+            headers,
+            body: request.body.clone(),
+        }
+    }
+}
+
+impl DestinationCalls {
+    /// Starts a call that has a slot: first the claim, then the upstream.
+    pub(super) fn start_run(&mut self, now: Timestamp, id: RunId, steps: &mut Vec<DestinationStep>) {
+        let keyed = self.runs.get(&id).is_some_and(|run| run.claim_key().is_some());
+        if keyed {
+            if let Some(phase) = self.phase(id) {
+                *phase = RunPhase::Claiming;
+            }
+            self.acquire_claim(now, id, steps);
+        } else {
+            self.pass_to_upstream(now, id, steps);
+        }
+    }
+
+    /// Hands a call to the upstream; from here on it counts as run.
+    pub(super) fn pass_to_upstream(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        let Some(run) = self.runs.get_mut(&id) else { return };
+        let Some(endpoint) = self.endpoint else {
+            self.refuse_run(now, id, CallReason::Draining, steps);
+            return;
+        };
+        if now >= run.deadline {
+            self.refuse_run(now, id, CallReason::DeadlineTooShort, steps);
+            return;
+        }
+        let guarded = !run.class.is_repeatable();
+        if guarded && !self.outcomes.start_run(now, &run.request.id) {
+            self.refuse_run(now, id, CallReason::Cancelled, steps);
+            return;
+        }
+        run.phase = RunPhase::Running;
+        steps.push(DestinationStep::Run {
+            run: id,
+            address: endpoint.address,
+            request: run.upstream_request(now),
+            timeout: run.deadline.since(now),
+        });
+    }
+
+    /// Answers a call that has not reached the upstream as not run, for good.
+    pub(super) fn refuse_run(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        reason: CallReason,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        let Some(run) = self.take_run(now, id, ServiceOutcome::Ended, steps) else { return };
+        if !run.class.is_repeatable() {
+            self.fence(now, &run.request.id, steps);
+            self.abandon_claim(now, id, steps);
+        }
+        let outcome = CallOutcome::NotRun;
+        let response = self.response(now, run.request.id.clone(), outcome, reason);
+        self.finish_response(&run, response, outcome, steps);
+    }
+
+    /// Answers a call that did not run with something else than a plain refusal.
+    pub(super) fn answer_unrun(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        outcome: CallOutcome,
+        reason: CallReason,
+        owner: Option<kumquatlock_wire::claim::ClaimOwner>,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        let Some(run) = self.take_run(now, id, ServiceOutcome::Ended, steps) else { return };
+        self.fence(now, &run.request.id, steps);
+        let mut response = self.response(now, run.request.id.clone(), outcome, reason);
+        response.owner = owner;
+        self.finish_response(&run, response, outcome, steps);
+    }
+
+    /// Ends a call that the upstream had.
+    pub(super) fn end_run(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        outcome: Result<HttpResponse, UpstreamFailure>,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        let service = match &outcome {
+            Ok(response) if response.status == SHED_STATUS => ServiceOutcome::Shed,
+            Ok(_) => ServiceOutcome::Answered,
+            Err(_) => ServiceOutcome::Ended,
+        };
+        let Some(run) = self.take_run(now, id, service, steps) else { return };
+        match outcome {
+            Ok(response) => self.end_answered(now, id, &run, response, steps),
+            Err(failure) if failure.proves_not_run() => {
+                self.end_unreached(now, id, &run, steps);
+            }
+            Err(failure) => self.end_failed(now, id, &run, failure, steps),
+        }
+    }
+
+    fn end_answered(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        run: &CallRun,
+        response: HttpResponse,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        let headers = response.headers.into_iter();
+        let answer = KeptAnswer {
+            status: response.status.into(),
+            headers: headers.map(|(name, value)| HeaderField { name, value }).collect(),
+            body: response.body,
+        };
+        if !run.class.is_repeatable() {
+            let due = self.outcomes.finish(now, &run.request.id, answer.clone());
+            self.answer_queries(now, due, steps);
+            self.finish_claim(now, id, steps);
+        }
+        let response = self.answer_response(now, run.request.id.clone(), answer);
+        self.finish_response(run, response, CallOutcome::Answered, steps);
+    }
+
+    /// No connection to the upstream could be made, so it has not seen the request.
+    fn end_unreached(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        run: &CallRun,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        if !run.class.is_repeatable() {
+            let due = self.outcomes.withdraw(now, &run.request.id);
+            self.answer_queries(now, due, steps);
+            self.abandon_claim(now, id, steps);
+        }
+        let reason = CallReason::UpstreamUnreachable;
+        let response =
+            self.response(now, run.request.id.clone(), CallOutcome::NotRun, reason);
+        self.finish_response(run, response, CallOutcome::NotRun, steps);
+    }
+
+    fn end_failed(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        run: &CallRun,
+        failure: UpstreamFailure,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        let reason = match failure {
+            UpstreamFailure::Timeout => CallReason::Timeout,
+            UpstreamFailure::Truncated => CallReason::TruncatedAnswer,
+            UpstreamFailure::TooLarge => CallReason::TooLarge,
+            _ => CallReason::UpstreamFailed,
+        };
+        if !run.class.is_repeatable() {
+            let due = self.outcomes.lose(now, &run.request.id);
+            self.answer_queries(now, due, steps);
+            // The claim stays with the attempt, so that no resend runs.
+            self.drop_claim(id);
+        }
+        let response = self.response(now, run.request.id.clone(), CallOutcome::Unknown, reason);
+        self.finish_response(run, response, CallOutcome::Unknown, steps);
+    }
+
+    pub(super) fn cancel_run(&mut self, now: Timestamp, id: RunId, steps: &mut Vec<DestinationStep>) {
+        let Some(run) = self.runs.get(&id) else { return };
+        match run.phase {
+            RunPhase::Queued | RunPhase::Claiming => {
+                self.refuse_run(now, id, CallReason::Cancelled, steps);
+            }
+            RunPhase::Running => {
+                let Some(endpoint) = self.endpoint else { return };
+                let attempt = run.attempt_label();
+                steps.push(DestinationStep::Cancel { address: endpoint.address, attempt });
+            }
+        }
+    }
+
+    /// Carries out what the admission queue asks for.
+    pub(super) fn run_queue(&mut self, now: Timestamp, steps: &mut Vec<DestinationStep>) {
+        loop {
+            let Some(admission) = &mut self.admission else { return };
+            let next = admission.poll(now);
+            if next == QueueStep::Idle {
+                return;
+            }
+            self.follow_queue(now, next, steps);
+        }
+    }
+
+    fn follow_queue(&mut self, now: Timestamp, step: QueueStep, steps: &mut Vec<DestinationStep>) {
+        match step {
+            QueueStep::Start(ticket) => {
+                if let Some(id) = self.tickets.get(&ticket).copied() {
+                    self.start_run(now, id, steps);
+                }
+            }
+            QueueStep::Refuse(ticket, reason) => self.refuse_ticket(now, ticket, reason, steps),
+            QueueStep::Idle => {}
+        }
+    }
+
+    /// Removes a run, frees its slot and starts what waits.
+    fn take_run(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        outcome: ServiceOutcome,
+        steps: &mut Vec<DestinationStep>,
+    ) -> Option<CallRun> {
+        let run = self.runs.swap_remove(&id)?;
+        self.tickets.swap_remove(&run.ticket);
+        self.attempts.swap_remove(&run.request.id);
+        if let Some(admission) = &mut self.admission {
+            if run.phase == RunPhase::Queued
+                && admission.cancel(run.ticket) != CancelOutcome::Running
+            {
+                return Some(run);
+            }
+            let next = admission.finished(now, run.ticket, outcome);
+            self.follow_queue(now, next, steps);
+            self.run_queue(now, steps);
+        }
+        Some(run)
+    }
+
+    fn finish_response(
+        &mut self,
+        run: &CallRun,
+        response: kumquatlock_wire::call::CallResponse,
+        outcome: CallOutcome,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        steps.push(DestinationStep::Respond { to: run.source, response });
+        let trace = run.request.traceparent.as_deref().and_then(|value| value.parse().ok());
+        if let Some(trace) = trace.filter(TraceContext::is_sampled) {
+            steps.push(DestinationStep::Ended { trace, arrived_at: run.arrived_at, outcome });
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -0,0 +1,410 @@
+//! Attempts: sending, answers, failures, hedges.
+
+use std::time::Duration;
+
+use kumquatlock_wire::Body;
+use kumquatlock_wire::call::{
+    CallCancel, CallOutcome, CallReason, CallRequest, CallResponse, LoadReport,
+};
+use kumquatlock_wire::distribution::WireClass;
+
+use super::state::{CallPhase, EntryCall, SentAttempt};
+use super::{CallId, EntryCalls, EntryStep, micros, ticket_of};
+use crate::call::answer::{CallerAnswer, RejectReason};
+use crate::core::{RequestClass, Timestamp};
+use crate::retry::{AttemptFailure, HedgeDecision, RetryDecision};
+use crate::routing::{ChosenUpstream, UpstreamChoice, UpstreamOutcome};
+
+/// Longest wait for a configuration that names an upstream. Covers a restart of a service's only
+/// upstream; longer waits would only pile up callers.
+const UPSTREAM_WAIT: Duration = Duration::from_secs(2);
+/// Interval at which a waiting call looks again.
+const UPSTREAM_RETRY: Duration = Duration::from_millis(50);
+/// Status from which an answer counts as a failure of the upstream.
+const SERVER_FAILURE: u32 = 500;
+
+impl EntryCalls {
+    /// Sends the next attempt of a call, or waits, or gives up.
+    pub(super) fn send_attempt(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
+        match self.choose(now, id) {
+            Some(UpstreamChoice::Chosen(chosen)) => self.send_to(now, id, chosen, steps),
+            Some(UpstreamChoice::None(_)) | None => self.wait_for_upstream(now, id, steps),
+        }
+        self.reschedule(now, id);
+    }
+
+    fn choose(&mut self, now: Timestamp, id: CallId) -> Option<UpstreamChoice> {
+        let call = self.calls.get_mut(&id)?;
+        let snapshot = self.snapshot.as_ref()?;
+        let balancer = self.balancers.balancer(snapshot, &call.route.service, now)?;
+        let choice = balancer.choose(now, &mut self.random, &call.tried);
+        if matches!(choice, UpstreamChoice::None(_)) && !call.tried.is_empty() {
+            // Every upstream refused once; the earliest refusals may no longer hold.
+            call.tried.clear();
+            return Some(balancer.choose(now, &mut self.random, &[]));
+        }
+        Some(choice)
+    }
+
+    fn send_to(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        chosen: ChosenUpstream,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let to = self.peer(&chosen.entry);
+        let version = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.version.0);
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(balancer) = self.balancers.balancer_mut(&call.route.service) else { return };
+        let ticket = balancer.started(now, &chosen);
+        let number = call.next_number();
+        call.made += 1;
+        call.sent_at = now;
+        call.phase = CallPhase::Attempting;
+        call.tried.push(chosen.token);
+        let mut request = build_request(call, &chosen, now, version);
+        call.outstanding.push(SentAttempt { number, chosen, ticket });
+        request.id = self.attempt_id(id, number);
+        self.counters.attempts += 1;
+        let ticket = Some(ticket_of(id, number));
+        steps.push(EntryStep::Send { to, body: Body::Call(request), ticket });
+    }
+
+    fn wait_for_upstream(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if !call.outstanding.is_empty() {
+            return;
+        }
+        let until = match call.phase {
+            CallPhase::WaitingUpstream { until, .. } => until,
+            _ => (now + UPSTREAM_WAIT).min(call.deadline),
+        };
+        if now >= until {
+            call.reason = CallReason::NoUpstream;
+            self.answer_not_run(now, id, steps);
+            return;
+        }
+        call.phase = CallPhase::WaitingUpstream { until, retry_at: now + UPSTREAM_RETRY };
+    }
+
+    /// Handles a call whose timer is due.
+    pub(super) fn wake(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        match &call.phase {
+            CallPhase::Fencing(_) => self.advance_fence_tick(now, id, steps),
+            _ if now >= call.deadline => self.expire(now, id, steps),
+            CallPhase::Attempting => self.hedge(now, id, steps),
+            CallPhase::Backoff(at) if now >= *at => self.send_attempt(now, id, steps),
+            CallPhase::WaitingUpstream { .. } => self.send_attempt(now, id, steps),
+            CallPhase::Querying(_) => self.ask_outcome(now, id, steps),
+            CallPhase::Backoff(_) => {}
+        }
+    }
+
+    fn expire(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        match &call.phase {
+            CallPhase::Attempting if !call.outstanding.is_empty() => {
+                self.answer(now, id, CallerAnswer::Unknown(CallReason::Timeout), steps);
+            }
+            CallPhase::Querying(search) => {
+                let answer = CallerAnswer::Unknown(search.reason);
+                self.answer(now, id, answer, steps);
+            }
+            _ => {
+                if call.reason == CallReason::None {
+                    call.reason = CallReason::DeadlineTooShort;
+                }
+                self.give_up(now, id, steps);
+            }
+        }
+    }
+
+    fn hedge(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let Some(policy) = self.hedges.get(&call.route.service) else { return };
+        let decision = policy.decide(now, &mut self.budget, &call.progress());
+        if decision != HedgeDecision::Send {
+            return;
+        }
+        if let Some(UpstreamChoice::Chosen(chosen)) = self.choose(now, id) {
+            self.counters.hedges += 1;
+            self.send_to(now, id, chosen, steps);
+        }
+    }
+
+    /// Takes the answer to an attempt.
+    pub(super) fn finish_attempt(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        response: CallResponse,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let call = self.calls.get_mut(&id);
+        let matching = call.as_deref().and_then(|call| {
+            call.outstanding.iter().find(|sent| sent.number == response.id.attempt)
+        });
+        let expected = matching.map(|sent| sent.chosen.entry.incarnation.0);
+        let refused = response.reason == CallReason::WrongIncarnation as i32;
+        // A refusal for a wrong incarnation comes from the later run of the same upstream.
+        if expected.is_none_or(|expected| expected != response.incarnation && !refused) {
+            self.counters.stray_answers += 1;
+            return;
+        }
+        let sent = call.and_then(|call| call.take_attempt(response.id.attempt));
+        let Some(sent) = sent else { return };
+        let outcome = attempt_outcome(&response);
+        self.record(now, id, sent, &outcome, response.load);
+        match outcome {
+            AttemptResult::Answer => {
+                self.answer(now, id, CallerAnswer::from_response(response), steps);
+            }
+            AttemptResult::ServerFailure => {
+                if let Some(call) = self.calls.get_mut(&id) {
+                    call.failed_answer = Some(CallerAnswer::from_response(response));
+                }
+                self.fail(now, id, AttemptFailure::Failed, steps);
+            }
+            AttemptResult::NotRun(CallReason::KeyReused) => {
+                let answer = CallerAnswer::Rejected(RejectReason::KeyReused);
+                self.answer(now, id, answer, steps);
+            }
+            AttemptResult::NotRun(CallReason::KeyFenced) => {
+                let answer = CallerAnswer::NotRun(CallReason::KeyFenced);
+                self.answer(now, id, answer, steps);
+            }
+            AttemptResult::NotRun(reason) => {
+                self.fail(now, id, AttemptFailure::NotRun(reason), steps);
+            }
+            AttemptResult::Unknown(reason) => {
+                self.fail(now, id, AttemptFailure::Unknown(reason), steps);
+            }
+            AttemptResult::Claimed => match response.owner {
+                Some(owner) => self.search_owner(now, id, owner, steps),
+                None => {
+                    let failure = AttemptFailure::Unknown(CallReason::ClaimUnavailable);
+                    self.fail(now, id, failure, steps);
+                }
+            },
+        }
+    }
+
+    fn record(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        sent: SentAttempt,
+        result: &AttemptResult,
+        load: Option<LoadReport>,
+    ) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let service = call.route.service.clone();
+        let outcome = match result {
+            AttemptResult::Answer | AttemptResult::Claimed => UpstreamOutcome::Answered,
+            AttemptResult::ServerFailure => UpstreamOutcome::Failed,
+            AttemptResult::NotRun(reason) => UpstreamOutcome::Refused(*reason),
+            AttemptResult::Unknown(_) => UpstreamOutcome::Failed,
+        };
+        if matches!(result, AttemptResult::Answer) && call.route.class == RequestClass::Lookup {
+            let latency = now.since(call.sent_at);
+            self.hedges.entry(service.clone()).or_default().observe(latency);
+        }
+        self.finish_ticket(now, &service, sent, outcome, load);
+    }
+
+    fn finish_ticket(
+        &mut self,
+        now: Timestamp,
+        service: &str,
+        sent: SentAttempt,
+        outcome: UpstreamOutcome,
+        load: Option<LoadReport>,
+    ) {
+        if let Some(balancer) = self.balancers.balancer_mut(service) {
+            balancer.finished(now, sent.ticket, outcome, load);
+        }
+    }
+
+    pub(super) fn fail_unsent(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        number: u32,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let service = call.route.service.clone();
+        let Some(sent) = call.take_attempt(number) else { return };
+        self.finish_ticket(now, &service, sent, UpstreamOutcome::Unreachable, None);
+        self.fail(now, id, AttemptFailure::NotRun(CallReason::LinkLost), steps);
+    }
+
+    /// Handles the loss of the link to `peer` for one call.
+    pub(super) fn lose_attempts(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        peer: &str,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if let CallPhase::Querying(search) = &call.phase
+            && *search.destination == *peer
+        {
+            self.retry_query(now, id);
+            return;
+        }
+        let service = call.route.service.clone();
+        let lost = call.outstanding.iter().position(|sent| *sent.chosen.entry.name == *peer);
+        let Some(sent) = lost.map(|index| call.outstanding.swap_remove(index)) else { return };
+        let repeatable = call.route.class.is_repeatable();
+        let number = sent.number;
+        let entry = sent.chosen.entry.clone();
+        self.finish_ticket(now, &service, sent, UpstreamOutcome::Lost, None);
+        if repeatable {
+            self.fail(now, id, AttemptFailure::Unknown(CallReason::LinkLost), steps);
+        } else {
+            self.search_own(now, id, number, &entry, steps);
+        }
+    }
+
+    /// Decides what follows a failed attempt.
+    pub(super) fn fail(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        failure: AttemptFailure,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if let AttemptFailure::NotRun(reason) | AttemptFailure::Unknown(reason) = failure {
+            call.reason = reason;
+        }
+        if !call.outstanding.is_empty() {
+            // A hedge or the first attempt may still answer.
+            return;
+        }
+        let hedge = self.hedges.get(&call.route.service);
+        let expected = hedge.map_or(Duration::ZERO, |policy| policy.expected());
+        let progress = call.progress();
+        let budget = &mut self.budget;
+        let decision =
+            self.policy.after_failure(now, &mut self.random, budget, &progress, failure, expected);
+        match decision {
+            RetryDecision::Retry { after } => {
+                self.counters.retries += 1;
+                call.phase = CallPhase::Backoff(now + after);
+                if after.is_zero() {
+                    self.send_attempt(now, id, steps);
+                    return;
+                }
+            }
+            RetryDecision::AskAgain { after } => call.phase = CallPhase::Backoff(now + after),
+            RetryDecision::GiveUp(_) => {
+                self.conclude(now, id, failure, steps);
+                return;
+            }
+        }
+        self.reschedule(now, id);
+    }
+
+    fn conclude(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        failure: AttemptFailure,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        match failure {
+            AttemptFailure::Unknown(reason) => {
+                self.answer(now, id, CallerAnswer::Unknown(reason), steps);
+            }
+            AttemptFailure::NotRun(_) | AttemptFailure::Failed => self.give_up(now, id, steps),
+        }
+    }
+
+    /// Answers with the best that is known: an upstream's failure, or "not run".
+    fn give_up(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        match call.failed_answer.take() {
+            Some(answer) => self.answer(now, id, answer, steps),
+            None => self.answer_not_run(now, id, steps),
+        }
+    }
+
+    /// Tells destinations that nobody waits for their attempts any more.
+    pub(super) fn withdraw_attempts(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        call: &mut EntryCall,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        for sent in std::mem::take(&mut call.outstanding) {
+            let cancel = CallCancel { id: self.attempt_id(id, sent.number) };
+            let to = self.peer(&sent.chosen.entry);
+            steps.push(EntryStep::Send { to, body: Body::Cancel(cancel), ticket: None });
+            // At the deadline the upstream was late; otherwise another attempt was faster.
+            let outcome = match now >= call.deadline {
+                true => UpstreamOutcome::Lost,
+                false => UpstreamOutcome::Cancelled,
+            };
+            self.finish_ticket(now, &call.route.service, sent, outcome, None);
+        }
+    }
+}
+
+/// What an answer means for the call.
+enum AttemptResult {
+    Answer,
+    ServerFailure,
+    NotRun(CallReason),
+    Unknown(CallReason),
+    Claimed,
+}
+
+fn attempt_outcome(response: &CallResponse) -> AttemptResult {
+    let reason = CallReason::try_from(response.reason).unwrap_or(CallReason::UpstreamFailed);
+    match CallOutcome::try_from(response.outcome) {
+        Ok(CallOutcome::Answered) if response.body_len != response.body.len() as u64 => {
+            AttemptResult::Unknown(CallReason::TruncatedAnswer)
+        }
+        Ok(CallOutcome::Answered) if response.status >= SERVER_FAILURE => {
+            AttemptResult::ServerFailure
+        }
+        Ok(CallOutcome::Answered) => AttemptResult::Answer,
+        Ok(CallOutcome::NotRun) => AttemptResult::NotRun(reason),
+        Ok(CallOutcome::ClaimedElsewhere) => AttemptResult::Claimed,
+        Ok(CallOutcome::Unknown | CallOutcome::Unspecified) | Err(_) => {
+            AttemptResult::Unknown(reason)
+        }
+    }
+}
+
+fn build_request(
+    call: &EntryCall,
+    chosen: &ChosenUpstream,
+    now: Timestamp,
+    version: u64,
+) -> CallRequest {
+    let request = &call.request;
+    CallRequest {
+        incarnation: chosen.entry.incarnation.0,
+        upstream: chosen.entry.name.to_string(),
+        config_version: version,
+        service: call.route.service.to_string(),
+        class: WireClass::from(call.route.class) as i32,
+        key: request.key.clone(),
+        deadline_us: micros(call.deadline.since(now)),
+        traceparent: request.trace.as_ref().map(ToString::to_string),
+        depth: request.depth,
+        method: request.method.clone(),
+        path: request.target.clone(),
+        headers: request.headers.clone(),
+        body: request.body.clone(),
+        request_digest: request.digest,
+        ..CallRequest::default()
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -0,0 +1,386 @@
+//! Calls at the node where they entered.
+
+mod attempt;
+mod resolve;
+mod state;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use kumquatlock_wire::Body;
+use kumquatlock_wire::call::{AttemptId, CallReason, CallResponse};
+use kumquatlock_wire::claim::ClaimReply;
+use rand::rngs::SmallRng;
+
+use super::answer::{CallerAnswer, RejectReason};
+use super::request::CallerRequest;
+use crate::claim::PlacementTable;
+use crate::core::{ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamEntry};
+use crate::retry::{HedgePolicy, RetryBudget, RetryPolicy};
+use crate::routing::{BalancerSet, EntryLocation, RouteTable};
+use crate::util::trace::TraceContext;
+use state::{CallPhase, EntryCall};
+
+/// Calls of one entry in progress. Each holds a worker thread, so this is above any sane number
+/// of workers.
+const MAX_CALLS: usize = 4_096;
+/// Deferred calls in progress. They may wait an hour, and must not take every worker.
+const MAX_DEFERRED_CALLS: usize = 32;
+
+/// One call of one entry. Never reused within an incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CallId(pub u64);
+
+/// The node beside an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerNode {
+    /// Name of the upstream.
+    pub name: SharedName,
+    /// Address of the node.
+    pub address: std::net::SocketAddr,
+    /// Whether the node is in another region.
+    pub cross_region: bool,
+}
+
+/// What the entry does next.
+#[derive(Debug)]
+pub enum EntryStep {
+    /// Send a message to a node.
+    Send {
+        /// The node.
+        to: PeerNode,
+        /// The message.
+        body: Body,
+        /// Passed to [`EntryCalls::on_unsent`] if no byte of the message was written.
+        ticket: Option<u64>,
+    },
+    /// Answer the caller. Given exactly once per call.
+    Answer {
+        /// The call.
+        call: CallId,
+        /// The answer.
+        answer: CallerAnswer,
+        /// Trace of the call, if its caller asked for one.
+        trace: Option<TraceContext>,
+        /// When the call entered.
+        opened_at: Timestamp,
+    },
+}
+
+/// Counts of one entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EntryCounters {
+    /// Calls that entered.
+    pub calls: u64,
+    /// Attempts that were sent, hedges included.
+    pub attempts: u64,
+    /// Second attempts for late lookups.
+    pub hedges: u64,
+    /// Attempts after a failed one.
+    pub retries: u64,
+    /// Answers that match no outstanding attempt: late, crossed or of another incarnation.
+    pub stray_answers: u64,
+    /// Lost attempts whose outcome was asked for over a new link.
+    pub resolutions: u64,
+    /// Keys that were fenced before a "not run" answer.
+    pub fences: u64,
+}
+
+/// The calls that entered at this node.
+pub struct EntryCalls {
+    name: SharedName,
+    incarnation: IncarnationId,
+    region: SharedName,
+    snapshot: Option<Arc<ConfigSnapshot>>,
+    /// Built from `snapshot`.
+    routes: RouteTable,
+    balancers: BalancerSet,
+    placement: PlacementTable,
+    budget: RetryBudget,
+    policy: RetryPolicy,
+    /// One per service that was called.
+    hedges: IndexMap<SharedName, HedgePolicy>,
+    calls: IndexMap<CallId, EntryCall>,
+    /// Number of deferred calls in `calls`.
+    deferred: usize,
+    /// One entry per call, at its `wake_at`.
+    timers: BTreeSet<(Timestamp, CallId)>,
+    next_call: u64,
+    draining: bool,
+    random: SmallRng,
+    counters: EntryCounters,
+}
+
+impl EntryCalls {
+    /// An entry without a configuration.
+    pub fn new(
+        location: EntryLocation,
+        incarnation: IncarnationId,
+        random: SmallRng,
+        now: Timestamp,
+    ) -> Self {
+        EntryCalls {
+            name: location.name.clone(),
+            incarnation,
+            region: location.region.clone(),
+            snapshot: None,
+            routes: RouteTable::new(&ConfigSnapshot::default()),
+            balancers: BalancerSet::new(location),
+            placement: PlacementTable::default(),
+            budget: RetryBudget::new(now),
+            policy: RetryPolicy,
+            hedges: IndexMap::new(),
+            calls: IndexMap::new(),
+            deferred: 0,
+            timers: BTreeSet::new(),
+            next_call: 1,
+            draining: false,
+            random,
+            counters: EntryCounters::default(),
+        }
+    }
+
+    /// Counts since the start.
+    pub fn counters(&self) -> EntryCounters {
+        self.counters
+    }
+
+    /// Attempts by distance of the upstream.
+    pub fn ring_counters(&self) -> crate::routing::RingCounters {
+        self.balancers.counters()
+    }
+
+    /// Calls in progress.
+    pub fn in_progress(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Refuses new calls from now on; calls in progress go on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Takes a caller's request.
+    pub fn open(&mut self, now: Timestamp, request: CallerRequest) -> (CallId, Vec<EntryStep>) {
+        let id = CallId(self.next_call);
+        self.next_call += 1;
+        self.counters.calls += 1;
+        let mut steps = Vec::new();
+        match self.admit(now, &request) {
+            Ok(call) => {
+                let call = EntryCall::new(request, call.route, now, call.deadline);
+                self.deferred += usize::from(call.is_deferred());
+                self.timers.insert((call.wake_at, id));
+                self.calls.insert(id, call);
+                self.budget.first_attempt(now);
+                self.send_attempt(now, id, &mut steps);
+            }
+            Err(answer) => steps.push(EntryStep::Answer {
+                call: id,
+                answer,
+                trace: request.trace,
+                opened_at: now,
+            }),
+        }
+        (id, steps)
+    }
+
+    /// Takes over a newer configuration.
+    pub fn on_snapshot(&mut self, now: Timestamp, snapshot: Arc<ConfigSnapshot>) -> Vec<EntryStep> {
+        self.routes = RouteTable::new(&snapshot);
+        self.balancers.apply(&snapshot, now);
+        self.placement.update(snapshot.clone());
+        self.snapshot = Some(snapshot);
+        let mut steps = Vec::new();
+        self.refresh_fences(now, &mut steps);
+        let waiting = self.calls.iter();
+        let waiting: Vec<CallId> = waiting
+            .filter(|(_, call)| matches!(call.phase, CallPhase::WaitingUpstream { .. }))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in waiting {
+            self.send_attempt(now, id, &mut steps);
+        }
+        steps
+    }
+
+    /// Takes an answer from a destination.
+    pub fn on_response(&mut self, now: Timestamp, response: CallResponse) -> Vec<EntryStep> {
+        let mut steps = Vec::new();
+        if !self.is_own(&response.id) {
+            self.counters.stray_answers += 1;
+            return steps;
+        }
+        let id = CallId(response.id.call_id);
+        if self.is_query(id, response.id.attempt) {
+            self.finish_query(now, id, response, &mut steps);
+        } else {
+            self.finish_attempt(now, id, response, &mut steps);
+        }
+        steps
+    }
+
+    /// No byte of the message with this ticket was written.
+    pub fn on_unsent(&mut self, now: Timestamp, ticket: u64) -> Vec<EntryStep> {
+        let mut steps = Vec::new();
+        let (id, number) = split_ticket(ticket);
+        if self.is_query(id, number) {
+            self.retry_query(now, id);
+        } else {
+            self.fail_unsent(now, id, number, &mut steps);
+        }
+        steps
+    }
+
+    /// The link to a node closed. Everything sent to it may or may not have arrived; messages
+    /// that were not sent have been reported before.
+    pub fn on_link_lost(&mut self, now: Timestamp, peer: &str) -> Vec<EntryStep> {
+        let mut steps = Vec::new();
+        for id in self.calls.keys().copied().collect::<Vec<_>>() {
+            self.lose_attempts(now, id, peer, &mut steps);
+        }
+        steps
+    }
+
+    /// Takes a holder's answer to a fence.
+    pub fn on_claim_reply(
+        &mut self,
+        now: Timestamp,
+        from: &str,
+        reply: &ClaimReply,
+    ) -> Vec<EntryStep> {
+        let mut steps = Vec::new();
+        self.advance_fence_reply(now, from, reply, &mut steps);
+        steps
+    }
+
+    /// When to call [`EntryCalls::on_tick`] if no event comes first.
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        self.timers.first().map(|(at, _)| *at)
+    }
+
+    /// Handles everything that is due.
+    pub fn on_tick(&mut self, now: Timestamp) -> Vec<EntryStep> {
+        let mut steps = Vec::new();
+        while let Some((at, id)) = self.timers.first().copied() {
+            if at > now {
+                break;
+            }
+            self.timers.remove(&(at, id));
+            self.wake(now, id, &mut steps);
+            if self.calls.contains_key(&id) {
+                self.reschedule(now, id);
+            }
+        }
+        steps
+    }
+
+    /// Whether calls to this node are waiting for an answer, so that its link must be watched.
+    pub fn awaits(&self, peer: &str) -> bool {
+        self.calls.values().any(|call| call.awaits(peer))
+    }
+
+    fn is_own(&self, id: &AttemptId) -> bool {
+        *id.entry == *self.name && id.entry_incarnation == self.incarnation.0
+    }
+
+    fn attempt_id(&self, call: CallId, attempt: u32) -> AttemptId {
+        AttemptId {
+            entry: self.name.to_string(),
+            entry_incarnation: self.incarnation.0,
+            call_id: call.0,
+            attempt,
+        }
+    }
+
+    fn peer(&self, upstream: &UpstreamEntry) -> PeerNode {
+        PeerNode {
+            name: upstream.name.clone(),
+            address: upstream.address,
+            cross_region: upstream.region != self.region,
+        }
+    }
+
+    /// Decides whether a request becomes a call.
+    fn admit(&self, now: Timestamp, request: &CallerRequest) -> Result<AdmittedCall, CallerAnswer> {
+        if self.snapshot.is_none() {
+            return Err(refuse_unrouted(request, CallReason::ConfigUnavailable));
+        }
+        let route = self.routes.find(&request.host, request.path());
+        let route = route.ok_or(CallerAnswer::Rejected(RejectReason::NoRoute))?.clone();
+        let keyed = request.key.is_some() && !route.class.is_repeatable();
+        let refuse = |reason| match keyed {
+            // An earlier request of this key may have run, and the holders were not asked.
+            true => CallerAnswer::Unknown(reason),
+            false => CallerAnswer::NotRun(reason),
+        };
+        if self.draining {
+            return Err(refuse(CallReason::Draining));
+        }
+        let deferred = route.class == crate::core::RequestClass::Deferred;
+        if self.calls.len() >= MAX_CALLS || (deferred && self.deferred >= MAX_DEFERRED_CALLS) {
+            return Err(refuse(CallReason::Overloaded));
+        }
+        let deadline = now + request.timeout_for(route.class);
+        Ok(AdmittedCall { route, deadline })
+    }
+
+    fn reschedule(&mut self, now: Timestamp, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let hedge = self.hedges.get(&call.route.service);
+        let wake_at = call.next_wakeup(now, hedge);
+        self.timers.remove(&(call.wake_at, id));
+        call.wake_at = wake_at;
+        self.timers.insert((wake_at, id));
+    }
+
+    fn answer(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        answer: CallerAnswer,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let Some(mut call) = self.calls.swap_remove(&id) else { return };
+        self.timers.remove(&(call.wake_at, id));
+        self.deferred -= usize::from(call.is_deferred());
+        self.withdraw_attempts(now, id, &mut call, steps);
+        steps.push(EntryStep::Answer {
+            call: id,
+            answer,
+            trace: call.request.trace,
+            opened_at: call.opened_at,
+        });
+    }
+}
+
+struct AdmittedCall {
+    route: Arc<crate::core::RouteEntry>,
+    deadline: Timestamp,
+}
+
+/// Without a configuration the class is not known. A request with a key may have run before.
+fn refuse_unrouted(request: &CallerRequest, reason: CallReason) -> CallerAnswer {
+    match request.key {
+        Some(_) => CallerAnswer::Unknown(reason),
+        None => CallerAnswer::NotRun(reason),
+    }
+}
+
+/// Attempts of one call fit into the low bits of a ticket.
+const ATTEMPT_BITS: u32 = 16;
+
+fn ticket_of(call: CallId, attempt: u32) -> u64 {
+    (call.0 << ATTEMPT_BITS) | u64::from(attempt & ((1 << ATTEMPT_BITS) - 1))
+}
+
+fn split_ticket(ticket: u64) -> (CallId, u32) {
+    let attempt = (ticket & ((1 << ATTEMPT_BITS) - 1)) as u32;
+    (CallId(ticket >> ATTEMPT_BITS), attempt)
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/kumquatlock/src/call/entry/resolve.rs
@@ -0,0 +1,270 @@
+//! Outcomes that have to be asked for, and proof that a key never runs.
+
+use std::time::Duration;
+
+use kumquatlock_wire::Body;
+use kumquatlock_wire::call::{CallOutcome, CallReason, CallResponse};
+use kumquatlock_wire::claim::{ClaimOwner, ClaimReply, OutcomeQuery};
+
+use super::state::{CallPhase, OutcomeSearch};
+use super::{CallId, EntryCalls, EntryStep, PeerNode, micros, ticket_of};
+use crate::call::answer::{CallerAnswer, RejectReason};
+use crate::claim::{ClaimAcquirer, ClaimFencer, ClaimSend, FenceDecision, FenceSteps};
+use crate::core::{Timestamp, UpstreamEntry};
+use crate::retry::AttemptFailure;
+
+/// Time between two queries to a destination that could not be reached.
+const QUERY_RETRY: Duration = Duration::from_millis(200);
+/// Time for recording a fence; it may begin at the caller's deadline.
+const FENCE_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl EntryCalls {
+    /// Asks the destination of a lost attempt of this call what became of it.
+    pub(super) fn search_own(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        attempt: u32,
+        upstream: &UpstreamEntry,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let owner = ClaimOwner {
+            attempt: self.attempt_id(id, attempt),
+            destination: upstream.name.to_string(),
+            destination_incarnation: upstream.incarnation.0,
+            request_digest: call.request.digest,
+        };
+        self.counters.resolutions += 1;
+        self.search(now, id, owner, CallReason::LinkLost, false, steps);
+    }
+
+    /// Asks the destination of another call with the same key.
+    pub(super) fn search_owner(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        owner: ClaimOwner,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let Some(call) = self.calls.get(&id) else { return };
+        if owner.request_digest != call.request.digest {
+            let answer = CallerAnswer::Rejected(RejectReason::KeyReused);
+            self.answer(now, id, answer, steps);
+            return;
+        }
+        self.search(now, id, owner, CallReason::ClaimUnavailable, true, steps);
+    }
+
+    fn search(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        owner: ClaimOwner,
+        reason: CallReason,
+        foreign: bool,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let destination = owner.destination.as_str().into();
+        let search =
+            OutcomeSearch { owner, destination, number: 0, retry_at: Some(now), reason, foreign };
+        call.phase = CallPhase::Querying(search);
+        self.ask_outcome(now, id, steps);
+    }
+
+    /// Sends the next query of a search, or gives up if the destination is gone.
+    pub(super) fn ask_outcome(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let CallPhase::Querying(search) = &mut call.phase else { return };
+        if search.retry_at.is_none_or(|at| at > now) {
+            return;
+        }
+        let held = self.snapshot.as_ref().and_then(|held| held.upstreams.get(&search.destination));
+        let incarnation = search.owner.destination_incarnation;
+        let Some(upstream) = held.filter(|entry| entry.incarnation.0 == incarnation).cloned()
+        else {
+            // The run of the node that knew the outcome is over.
+            let answer = CallerAnswer::Unknown(search.reason);
+            self.answer(now, id, answer, steps);
+            return;
+        };
+        search.retry_at = None;
+        call.numbers += 1;
+        search.number = call.numbers;
+        let number = search.number;
+        let query = OutcomeQuery {
+            service: call.route.service.to_string(),
+            key: call.request.key.clone().unwrap_or_default(),
+            owner: search.owner.clone(),
+            deadline_us: micros(call.deadline.since(now)),
+            id: self.attempt_id(id, number),
+        };
+        let to = self.peer(&upstream);
+        let ticket = Some(ticket_of(id, number));
+        steps.push(EntryStep::Send { to, body: Body::OutcomeQuery(query), ticket });
+        self.reschedule(now, id);
+    }
+
+    pub(super) fn is_query(&self, id: CallId, number: u32) -> bool {
+        let phase = self.calls.get(&id).map(|call| &call.phase);
+        matches!(phase, Some(CallPhase::Querying(search)) if search.number == number)
+    }
+
+    /// The query did not arrive, or its answer was lost.
+    pub(super) fn retry_query(&mut self, now: Timestamp, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if let CallPhase::Querying(search) = &mut call.phase {
+            search.retry_at = Some(now + QUERY_RETRY);
+            self.reschedule(now, id);
+        }
+    }
+
+    /// Takes the answer to a query.
+    pub(super) fn finish_query(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        response: CallResponse,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let CallPhase::Querying(search) = &call.phase else { return };
+        if response.incarnation != search.owner.destination_incarnation {
+            let answer = CallerAnswer::Unknown(search.reason);
+            self.answer(now, id, answer, steps);
+            return;
+        }
+        let reason = CallReason::try_from(response.reason).unwrap_or(CallReason::UpstreamFailed);
+        match CallOutcome::try_from(response.outcome) {
+            Ok(CallOutcome::Answered) if response.body_len == response.body.len() as u64 => {
+                self.answer(now, id, CallerAnswer::from_response(response), steps);
+            }
+            Ok(CallOutcome::NotRun) => {
+                call.phase = CallPhase::Attempting;
+                let failure = AttemptFailure::NotRun(CallReason::LinkLost);
+                self.fail(now, id, failure, steps);
+            }
+            _ if reason == CallReason::AnswerGone => {
+                let answer = CallerAnswer::Rejected(RejectReason::FinishedAnswerGone);
+                self.answer(now, id, answer, steps);
+            }
+            _ => self.answer(now, id, CallerAnswer::Unknown(reason), steps),
+        }
+    }
+
+    /// Answers "not run". With a key, only after a majority of the holders has fenced it.
+    pub(super) fn answer_not_run(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let reason = call.reason;
+        let Some(key) = call.claim_key() else {
+            self.answer(now, id, CallerAnswer::NotRun(reason), steps);
+            return;
+        };
+        let Some((shard, view)) = self.placement.locate(&call.route.service, key) else {
+            // Without holders nobody can tell whether an earlier request of this key ran.
+            self.answer(now, id, CallerAnswer::Unknown(reason), steps);
+            return;
+        };
+        let owner = ClaimOwner {
+            attempt: self.attempt_id(id, call.numbers),
+            destination: String::new(),
+            destination_incarnation: 0,
+            request_digest: call.request.digest,
+        };
+        let mut fencer = ClaimFencer::new(fence_number(id), owner, shard, key, now + FENCE_TIMEOUT);
+        let fence = fencer.on_view(now, Some(view));
+        self.counters.fences += 1;
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.phase = CallPhase::Fencing(Box::new(fencer));
+        }
+        self.follow_fence(now, id, fence, steps);
+    }
+
+    pub(super) fn advance_fence_reply(
+        &mut self,
+        now: Timestamp,
+        from: &str,
+        reply: &ClaimReply,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let Some(id) = fenced_call(ClaimAcquirer::number_of(reply.request_id)) else { return };
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if let CallPhase::Fencing(fencer) = &mut call.phase {
+            let fence = fencer.on_reply(now, from, reply);
+            self.follow_fence(now, id, fence, steps);
+        }
+    }
+
+    pub(super) fn advance_fence_tick(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if let CallPhase::Fencing(fencer) = &mut call.phase {
+            let fence = fencer.on_tick(now);
+            self.follow_fence(now, id, fence, steps);
+        }
+    }
+
+    /// Tells the fences in progress of the views of a newer configuration.
+    pub(super) fn refresh_fences(&mut self, now: Timestamp, steps: &mut Vec<EntryStep>) {
+        for id in self.calls.keys().copied().collect::<Vec<_>>() {
+            let Some(call) = self.calls.get_mut(&id) else { continue };
+            let key = call.claim_key().map(str::to_owned);
+            let CallPhase::Fencing(fencer) = &mut call.phase else { continue };
+            let key = key.unwrap_or_default();
+            let located = self.placement.locate(&call.route.service, &key);
+            let fence = fencer.on_view(now, located.map(|(_, view)| view));
+            self.follow_fence(now, id, fence, steps);
+        }
+    }
+
+    fn follow_fence(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        fence: FenceSteps,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        for send in fence.sends {
+            steps.extend(self.claim_step(send));
+        }
+        let Some(call) = self.calls.get(&id) else { return };
+        let reason = call.reason;
+        match fence.decision {
+            None => self.reschedule(now, id),
+            Some(FenceDecision::NotRun) => {
+                self.answer(now, id, CallerAnswer::NotRun(reason), steps);
+            }
+            Some(FenceDecision::Unknown) => {
+                let answer = CallerAnswer::Unknown(CallReason::ClaimUnavailable);
+                self.answer(now, id, answer, steps);
+            }
+            Some(FenceDecision::OwnerExists { owner, .. }) if now < call.deadline => {
+                self.search_owner(now, id, owner, steps);
+            }
+            Some(FenceDecision::OwnerExists { .. }) => {
+                let answer = CallerAnswer::Unknown(CallReason::Timeout);
+                self.answer(now, id, answer, steps);
+            }
+        }
+    }
+
+    fn claim_step(&self, send: ClaimSend) -> Option<EntryStep> {
+        let upstream = self.snapshot.as_ref()?.upstreams.get(&send.to)?;
+        let to: PeerNode = self.peer(upstream);
+        Some(EntryStep::Send { to, body: send.body, ticket: None })
+    }
+}
+
+/// Fences have even numbers; acquirers of the destination on the same node have odd ones.
+fn fence_number(id: CallId) -> u64 {
+    id.0 << 1
+}
+
+fn fenced_call(number: u64) -> Option<CallId> {
+    (number & 1 == 0).then_some(CallId(number >> 1))
+}
--- /dev/null
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -0,0 +1,157 @@
+//! State of one call at its entry.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatlock_wire::call::CallReason;
+use kumquatlock_wire::claim::ClaimOwner;
+
+use crate::call::answer::CallerAnswer;
+use crate::call::request::CallerRequest;
+use crate::claim::ClaimFencer;
+use crate::core::{RequestClass, RouteEntry, SharedName, Timestamp};
+use crate::retry::{CallProgress, HedgePolicy};
+use crate::routing::{AttemptTicket, ChosenUpstream, UpstreamToken};
+
+/// Interval at which unanswered fences are checked.
+const FENCE_INTERVAL: Duration = Duration::from_millis(50);
+
+pub(super) struct EntryCall {
+    pub(super) request: CallerRequest,
+    pub(super) route: Arc<RouteEntry>,
+    pub(super) opened_at: Timestamp,
+    pub(super) deadline: Timestamp,
+    /// Attempts that were sent and not answered. Empty unless the phase is `Attempting`.
+    pub(super) outstanding: Vec<SentAttempt>,
+    /// Attempts and queries made so far; numbers the next.
+    pub(super) numbers: u32,
+    /// Attempts made so far.
+    pub(super) made: u32,
+    pub(super) tried: Vec<UpstreamToken>,
+    pub(super) phase: CallPhase,
+    /// Whole answer of a failed attempt, passed on if no attempt does better.
+    pub(super) failed_answer: Option<CallerAnswer>,
+    /// Why the latest attempt did not run.
+    pub(super) reason: CallReason,
+    /// When the latest attempt was sent.
+    pub(super) sent_at: Timestamp,
+    /// The call is in the timer set at this time.
+    pub(super) wake_at: Timestamp,
+}
+
+pub(super) struct SentAttempt {
+    pub(super) number: u32,
+    pub(super) chosen: ChosenUpstream,
+    pub(super) ticket: AttemptTicket,
+}
+
+pub(super) enum CallPhase {
+    /// Attempts are outstanding.
+    Attempting,
+    /// The next attempt goes out at this time.
+    Backoff(Timestamp),
+    /// No upstream can take the call now; a newer configuration may name one.
+    WaitingUpstream {
+        until: Timestamp,
+        retry_at: Timestamp,
+    },
+    /// The outcome of an attempt is asked of its destination.
+    Querying(OutcomeSearch),
+    /// The key is being fenced before a "not run" answer.
+    Fencing(Box<ClaimFencer>),
+}
+
+/// A search for the outcome of an attempt of this or of another call.
+pub(super) struct OutcomeSearch {
+    /// The attempt and its destination.
+    pub(super) owner: ClaimOwner,
+    pub(super) destination: SharedName,
+    /// Number of the query that is outstanding.
+    pub(super) number: u32,
+    /// When to ask again; none while a query is outstanding.
+    pub(super) retry_at: Option<Timestamp>,
+    /// Answered if the search fails.
+    pub(super) reason: CallReason,
+    /// The attempt belongs to another call with the same key.
+    pub(super) foreign: bool,
+}
+
+impl EntryCall {
+    pub(super) fn new(
+        request: CallerRequest,
+        route: Arc<RouteEntry>,
+        now: Timestamp,
+        deadline: Timestamp,
+    ) -> Self {
+        EntryCall {
+            request,
+            route,
+            opened_at: now,
+            deadline,
+            outstanding: Vec::new(),
+            numbers: 0,
+            made: 0,
+            tried: Vec::new(),
+            phase: CallPhase::Attempting,
+            failed_answer: None,
+            reason: CallReason::None,
+            sent_at: now,
+            wake_at: deadline,
+        }
+    }
+
+    pub(super) fn is_deferred(&self) -> bool {
+        self.route.class == RequestClass::Deferred
+    }
+
+    /// Whether claims protect the request.
+    pub(super) fn claim_key(&self) -> Option<&str> {
+        let repeatable = self.route.class.is_repeatable();
+        self.request.key.as_deref().filter(|_| !repeatable)
+    }
+
+    pub(super) fn progress(&self) -> CallProgress {
+        CallProgress {
+            class: self.route.class,
+            depth: self.request.depth,
+            attempts: self.made,
+            deadline: self.deadline,
+        }
+    }
+
+    pub(super) fn next_number(&mut self) -> u32 {
+        self.numbers += 1;
+        self.numbers
+    }
+
+    pub(super) fn take_attempt(&mut self, number: u32) -> Option<SentAttempt> {
+        let index = self.outstanding.iter().position(|sent| sent.number == number)?;
+        Some(self.outstanding.swap_remove(index))
+    }
+
+    pub(super) fn awaits(&self, peer: &str) -> bool {
+        let sent = self.outstanding.iter().any(|sent| *sent.chosen.entry.name == *peer);
+        let asked = match &self.phase {
+            CallPhase::Querying(search) => {
+                search.retry_at.is_none() && *search.destination == *peer
+            }
+            _ => false,
+        };
+        sent || asked
+    }
+
+    pub(super) fn next_wakeup(&self, now: Timestamp, hedge: Option<&HedgePolicy>) -> Timestamp {
+        let due = match &self.phase {
+            CallPhase::Attempting if self.made == 1 => hedge
+                .and_then(|policy| policy.delay(&self.progress()))
+                .map(|delay| self.sent_at + delay)
+                .filter(|at| *at > now),
+            CallPhase::Attempting => None,
+            CallPhase::Backoff(at) => Some(*at),
+            CallPhase::WaitingUpstream { until, retry_at } => Some(*retry_at.min(until)),
+            CallPhase::Querying(search) => search.retry_at,
+            CallPhase::Fencing(_) => return now + FENCE_INTERVAL,
+        };
+        due.map_or(self.deadline, |at| at.min(self.deadline))
+    }
+}
--- a/crates/kumquatlock/src/http/server.rs
+++ b/crates/kumquatlock/src/http/server.rs
@@ -169,7 +169,7 @@
             outcome: "not_run",
             reason: self.into(),
         };
-        HttpResponse::json(status, &body).with_header("kumquatlock-outcome", "not_run")
+        HttpResponse::json(status, &body).with_header("kumquatlock-outcome", "rejected")
     }
 }
 
--- a/crates/kumquatlock/src/http/tests.rs
+++ b/crates/kumquatlock/src/http/tests.rs
@@ -96,6 +96,6 @@
     assert_eq!(refused.status, 413);
     assert_eq!(
         &refused.body[..],
-        br#"{"outcome":"not_run","reason":"body_too_large"}"#
+        br#"{"outcome":"rejected","reason":"body_too_large"}"#
     );
 }
--- /dev/null
+++ b/crates/kumquatlock/src/ops/node/peers.rs
@@ -0,0 +1,101 @@
+//! Links to other nodes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use kumquatlock_wire::Body;
+
+use crate::call::PeerNode;
+use crate::core::{SharedName, Timestamp};
+use crate::transport::{LinkId, LinkScope, LinkTable};
+
+/// A link that carried nothing for this long is closed. A connection that something on the way
+/// has lost track of is thus rarely used again, and a new one proves itself by connecting.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+
+#[derive(Debug)]
+struct PeerLink {
+    address: SocketAddr,
+    name: SharedName,
+    used_at: Timestamp,
+}
+
+/// The links that this node opened to other nodes, one per address.
+#[derive(Debug, Default)]
+pub(super) struct PeerLinks {
+    links: IndexMap<LinkId, PeerLink>,
+    /// Inverse of `links`.
+    by_address: IndexMap<SocketAddr, LinkId>,
+}
+
+impl PeerLinks {
+    /// Sends over the link to a node, opening it first if there is none.
+    pub(super) fn send(
+        &mut self,
+        now: Timestamp,
+        table: &mut LinkTable,
+        to: &PeerNode,
+        body: Body,
+        ticket: Option<u64>,
+    ) {
+        let link = match self.by_address.get(&to.address) {
+            Some(link) if table.is_open(*link) => *link,
+            _ => self.open(now, table, to),
+        };
+        if let Some(peer) = self.links.get_mut(&link) {
+            peer.used_at = now;
+            if peer.name != to.name {
+                // Another upstream took over the address.
+                peer.name = to.name.clone();
+            }
+        }
+        table.send(link, body, ticket);
+    }
+
+    fn open(&mut self, now: Timestamp, table: &mut LinkTable, to: &PeerNode) -> LinkId {
+        let link = table.connect(now, to.address);
+        let scope = match to.cross_region {
+            true => LinkScope::CrossRegion,
+            false => LinkScope::Region,
+        };
+        table.set_scope(link, scope);
+        table.watch(now, link, true);
+        let peer = PeerLink { address: to.address, name: to.name.clone(), used_at: now };
+        self.links.insert(link, peer);
+        self.by_address.insert(to.address, link);
+        link
+    }
+
+    /// Name of the node that a link leads to.
+    pub(super) fn name(&self, link: LinkId) -> Option<SharedName> {
+        self.links.get(&link).map(|peer| peer.name.clone())
+    }
+
+    /// Forgets a closed link and returns the name of its node.
+    pub(super) fn remove(&mut self, link: LinkId) -> Option<SharedName> {
+        let peer = self.links.swap_remove(&link)?;
+        if self.by_address.get(&peer.address) == Some(&link) {
+            self.by_address.swap_remove(&peer.address);
+        }
+        Some(peer.name)
+    }
+
+    /// Links that carried nothing for long and that nobody waits for.
+    pub(super) fn idle(
+        &self,
+        now: Timestamp,
+        is_awaited: impl Fn(&str) -> bool,
+    ) -> Vec<LinkId> {
+        let links = self.links.iter();
+        links
+            .filter(|(_, peer)| now.since(peer.used_at) >= IDLE_LIMIT && !is_awaited(&peer.name))
+            .map(|(link, _)| *link)
+            .collect()
+    }
+
+    /// Number of links.
+    pub(super) fn len(&self) -> usize {
+        self.links.len()
+    }
+}
--- a/crates/kumquatlock/src/routing/balancer_set.rs
+++ b/crates/kumquatlock/src/routing/balancer_set.rs
@@ -54,6 +54,11 @@
         self.balancers.get_mut(service)
     }
 
+    /// The balancer of a service that has been called, whether or not the snapshot still holds it.
+    pub fn balancer_mut(&mut self, service: &str) -> Option<&mut UpstreamBalancer> {
+        self.balancers.get_mut(service)
+    }
+
     /// Attempts over all services.
     pub fn counters(&self) -> RingCounters {
         let mut sum = self.removed;
--- a/crates/kumquatlock/src/transport/counters.rs
+++ b/crates/kumquatlock/src/transport/counters.rs
@@ -8,7 +8,8 @@
 const SCOPES: usize = 2;
 
 /// Whether a link stays within the region. Links between regions are paid by volume.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum LinkScope {
     /// Both ends are in one region, or the region of the other end is not known yet.
     Region,
--- a/crates/kumquatlock/src/transport/link.rs
+++ b/crates/kumquatlock/src/transport/link.rs
@@ -12,7 +12,7 @@
 
 use super::counters::{LinkScope, TrafficCounters, TrafficDirection};
 use super::outbox::LinkOutbox;
-use super::table::{LinkError, MAX_QUEUED_BYTES, PROBE_AFTER, SILENCE_LIMIT};
+use super::table::{CONNECT_LIMIT, LinkError, MAX_QUEUED_BYTES, PROBE_AFTER, SILENCE_LIMIT};
 use crate::core::Timestamp;
 
 /// Bytes read from a socket at once.
@@ -168,21 +168,19 @@
                 continue;
             };
             counters.record(TrafficDirection::Received, self.scope, body.kind(), bytes);
-            match body {
-                Body::Ping(Ping { number }) => {
-                    self.send(Body::Pong(Pong { number }), None, counters)?;
-                }
-                Body::Pong(_) => {}
-                body => received.push(body),
+            if let Body::Ping(Ping { number }) = body {
+                self.send(Body::Pong(Pong { number }), None, counters)?;
             }
+            // Probes are passed on as well: duties with their own deadlines count them as signs
+            // of life.
+            received.push(body);
         }
     }
 
     /// Decides whether the link needs a ping or has gone silent.
     pub(super) fn probe_step(&self, now: Timestamp) -> ProbeStep {
         if self.phase == LinkPhase::Connecting {
-            // A connect that gets no answer looks the same as a silent link.
-            return if now.since(self.heard_at) >= SILENCE_LIMIT {
+            return if now.since(self.heard_at) >= CONNECT_LIMIT {
                 ProbeStep::Close
             } else {
                 ProbeStep::Wait
--- a/crates/kumquatlock/src/transport/table.rs
+++ b/crates/kumquatlock/src/transport/table.rs
@@ -23,8 +23,11 @@
 const MAX_ACCEPTED_LINKS: usize = 4_096;
 /// Silence on a watched link after which a ping is sent.
 pub const PROBE_AFTER: Duration = Duration::from_millis(1_500);
-/// Silence after which a watched link, or a connect without an answer, is given up.
+/// Silence after which a watched link is given up.
 pub const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+/// Time for a connect. Regions are 30 ms apart, so a connect that takes longer has lost its
+/// packets, and the calls that wait for it can still be tried elsewhere.
+pub const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
 /// Priority of link events in the poll loop.
 const LINK_PRIORITY: u32 = 5;
--- a/crates/kumquatlock/src/util/mod.rs
+++ b/crates/kumquatlock/src/util/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod cancel;
 pub mod logging;
+pub mod metrics;
 pub mod settings;
 pub mod signals;
 pub mod trace;
