Add the configuration stream between parents and children

A proxy must never go back to an older version, never hold a part of a version, and thousands of them must not take a parent down when they all return at once.

ChildState chooses a parent with jittered backoff, makes each configuration whole before it swaps it in, keeps the floor over all welcomes and rejects parents of another group.

--- a/crates/kumquatlock-wire/src/distribution.rs
+++ b/crates/kumquatlock-wire/src/distribution.rs
@@ -133,7 +133,7 @@
 }
 
 /// Names the incarnation to remove.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Expiry {
     #[prost(string, tag = "1")]
     pub name: String,
--- /dev/null
+++ b/crates/kumquatlock/src/distribution/child.rs
@@ -0,0 +1,455 @@
+//! The child's side of the configuration stream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatlock_wire::Body;
+use kumquatlock_wire::agreement::Forward;
+use kumquatlock_wire::distribution::{
+    Applied, Attachment, CatalogState, ChildRole, Delta, Expiry, Hello, Ping, Rejected, RetryAfter,
+    RetryReason, SnapshotChunk, UpstreamReport, Welcome, WireState,
+};
+use rand::rngs::SmallRng;
+
+use super::assembly::{AssemblyProgress, ChunkError, SnapshotAssembly};
+use super::backoff::ParentChoice;
+use super::{ATTACH_TIMEOUT, PARENT_SILENCE, PING_INTERVAL};
+use crate::core::{
+    ConfigSnapshot, ConfigVersion, GroupId, IncarnationId, SharedName, SnapshotError, Timestamp,
+};
+
+/// Time during which a child leaves alone a parent of another group.
+const WRONG_GROUP_DELAY: Duration = Duration::from_secs(30);
+/// Time during which a child leaves alone a parent that shuts down.
+const LEAVING_DELAY: Duration = Duration::from_secs(5);
+
+/// One connection attempt. Events of earlier attempts are ignored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct LinkId(pub u64);
+
+/// Who the child is.
+#[derive(Clone, Debug)]
+pub struct ChildIdentity {
+    /// Name of the instance.
+    pub name: SharedName,
+    /// Run of the instance.
+    pub incarnation: IncarnationId,
+    /// Availability zone.
+    pub zone: SharedName,
+    /// Region of the zone.
+    pub region: SharedName,
+    /// Node or replica.
+    pub role: ChildRole,
+}
+
+/// What happened to the child.
+#[derive(Clone, Debug)]
+pub enum ChildEvent {
+    /// Comes every [`super::TICK_INTERVAL`].
+    Tick,
+    /// The connection is open.
+    Connected { link: LinkId },
+    /// The connection failed or was closed by the other side.
+    Disconnected { link: LinkId },
+    /// A message arrived.
+    Received { link: LinkId, body: Body },
+    /// The upstream beside this node has something to report.
+    Report(UpstreamReport),
+    /// A replica's message towards the leader.
+    Relay(Body),
+}
+
+/// What the child does next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ChildStep {
+    /// Connect to a parent.
+    Connect { link: LinkId, address: SocketAddr },
+    /// Send to the parent.
+    Send { link: LinkId, body: Body },
+    /// Close the connection; no event of it matters any more.
+    Close { link: LinkId },
+    /// The parent welcomed the child. A replica tells its parent state of the new path.
+    Attached { floor: ConfigVersion },
+    /// Route by this configuration from now on.
+    Swap {
+        snapshot: Arc<ConfigSnapshot>,
+        source: AppliedSource,
+    },
+    /// An update was refused whole; the held configuration stays. For the log.
+    Refused {
+        version: ConfigVersion,
+        refusal: UpdateRefusal,
+    },
+    /// A message for the replica's own children or operators arrived.
+    Relayed(Forward),
+    /// The message could not be sent because no parent is attached.
+    NotSent(Body),
+}
+
+/// What a configuration was made from; a replica updates its catalog with it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AppliedSource {
+    /// A whole state.
+    State(Box<CatalogState>),
+    /// A delta on the configuration held before.
+    Delta(Box<Delta>),
+}
+
+/// Why an update was refused.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum UpdateRefusal {
+    /// The result failed a check.
+    #[error(transparent)]
+    Snapshot(#[from] SnapshotError),
+    /// The chunks do not make a snapshot.
+    #[error(transparent)]
+    Chunk(#[from] ChunkError),
+    /// The first configuration is below the floor.
+    #[error("version is below the floor {floor}")]
+    BelowFloor {
+        /// Lowest version that may come first.
+        floor: ConfigVersion,
+    },
+    /// A delta came before any configuration.
+    #[error("delta without a configuration")]
+    NoBase,
+}
+
+#[derive(Debug)]
+enum LinkPhase {
+    Idle,
+    Connecting {
+        since: Timestamp,
+    },
+    /// `Hello` was sent.
+    Greeting {
+        since: Timestamp,
+    },
+    /// Welcomed.
+    Attached,
+}
+
+/// Decisions of one child.
+#[derive(Debug)]
+pub struct ChildState {
+    identity: ChildIdentity,
+    choice: ParentChoice,
+    phase: LinkPhase,
+    /// Latest connection attempt; events of others are late.
+    link: LinkId,
+    /// Position of the parent of `link`.
+    parent: usize,
+    /// Group of the first applied configuration, or from the settings.
+    group: GroupId,
+    /// Group of the parent that welcomed the child.
+    offered_group: GroupId,
+    /// Highest floor of any welcome; the first configuration is at or above it.
+    floor: ConfigVersion,
+    /// Version only grows.
+    held: Option<Arc<ConfigSnapshot>>,
+    assembly: Option<SnapshotAssembly>,
+    last_heard: Timestamp,
+    last_ping: Timestamp,
+    ping_number: u64,
+    /// Upstream that this node speaks for.
+    upstream: Option<Expiry>,
+}
+
+impl ChildState {
+    /// A child that holds no configuration. `parents` are in order of preference.
+    pub fn new(identity: ChildIdentity, group: GroupId, parents: Vec<SocketAddr>) -> Self {
+        ChildState {
+            identity,
+            choice: ParentChoice::new(parents),
+            phase: LinkPhase::Idle,
+            link: LinkId(0),
+            parent: 0,
+            group,
+            offered_group: group,
+            floor: ConfigVersion::default(),
+            held: None,
+            assembly: None,
+            last_heard: Timestamp::default(),
+            last_ping: Timestamp::default(),
+            ping_number: 0,
+            upstream: None,
+        }
+    }
+
+    /// The applied configuration.
+    pub fn held(&self) -> Option<&Arc<ConfigSnapshot>> {
+        self.held.as_ref()
+    }
+
+    /// Whether a parent has welcomed the child.
+    pub fn is_attached(&self) -> bool {
+        matches!(self.phase, LinkPhase::Attached)
+    }
+
+    /// Group that the child belongs to; zero before its first configuration.
+    pub fn group(&self) -> GroupId {
+        self.group
+    }
+
+    /// Decides on one event.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        event: ChildEvent,
+        random: &mut SmallRng,
+    ) -> Vec<ChildStep> {
+        match event {
+            ChildEvent::Tick => self.tick(now, random),
+            ChildEvent::Connected { link } if self.is_connecting(link) => self.greet(now),
+            ChildEvent::Disconnected { link } if self.is_live(link) => {
+                self.detach();
+                self.choice.record_failure(now, random);
+                Vec::new()
+            }
+            ChildEvent::Received { link, body } if self.is_live(link) => {
+                self.last_heard = now;
+                self.receive(now, body, random)
+            }
+            ChildEvent::Connected { .. }
+            | ChildEvent::Disconnected { .. }
+            | ChildEvent::Received { .. } => Vec::new(),
+            ChildEvent::Report(report) => self.report(report),
+            ChildEvent::Relay(body) if self.is_attached() => vec![self.send(body)],
+            ChildEvent::Relay(body) => vec![ChildStep::NotSent(body)],
+        }
+    }
+
+    fn is_live(&self, link: LinkId) -> bool {
+        link == self.link && !matches!(self.phase, LinkPhase::Idle)
+    }
+
+    fn is_connecting(&self, link: LinkId) -> bool {
+        link == self.link && matches!(self.phase, LinkPhase::Connecting { .. })
+    }
+
+    fn send(&self, body: Body) -> ChildStep {
+        let link = self.link;
+        ChildStep::Send { link, body }
+    }
+
+    fn detach(&mut self) {
+        self.phase = LinkPhase::Idle;
+        self.assembly = None;
+    }
+
+    fn close(&mut self) -> ChildStep {
+        self.detach();
+        ChildStep::Close { link: self.link }
+    }
+
+    fn tick(&mut self, now: Timestamp, random: &mut SmallRng) -> Vec<ChildStep> {
+        match self.phase {
+            LinkPhase::Idle => self.connect(now),
+            LinkPhase::Connecting { since } | LinkPhase::Greeting { since } => {
+                if now.since(since) < ATTACH_TIMEOUT {
+                    return Vec::new();
+                }
+                self.choice.record_failure(now, random);
+                vec![self.close()]
+            }
+            LinkPhase::Attached if now.since(self.last_heard) >= PARENT_SILENCE => {
+                self.choice.record_failure(now, random);
+                vec![self.close()]
+            }
+            LinkPhase::Attached if now.since(self.last_ping) >= PING_INTERVAL => {
+                self.last_ping = now;
+                self.ping_number += 1;
+                let number = self.ping_number;
+                vec![self.send(Body::Ping(Ping { number }))]
+            }
+            LinkPhase::Attached => Vec::new(),
+        }
+    }
+
+    fn connect(&mut self, now: Timestamp) -> Vec<ChildStep> {
+        let Some((parent, address)) = self.choice.choose(now) else {
+            return Vec::new();
+        };
+        self.parent = parent;
+        self.link = LinkId(self.link.0 + 1);
+        self.phase = LinkPhase::Connecting { since: now };
+        let link = self.link;
+        vec![ChildStep::Connect { link, address }]
+    }
+
+    fn greet(&mut self, now: Timestamp) -> Vec<ChildStep> {
+        self.phase = LinkPhase::Greeting { since: now };
+        self.last_heard = now;
+        self.last_ping = now;
+        let held = self.held.as_deref();
+        let hello = Hello {
+            group_id: self.group.0,
+            name: self.identity.name.to_string(),
+            incarnation: self.identity.incarnation.0,
+            zone: self.identity.zone.to_string(),
+            region: self.identity.region.to_string(),
+            role: self.identity.role as i32,
+            applied_version: held.map_or(0, |held| held.version.0),
+            applied_digest: held.map_or(0, |held| held.digest),
+        };
+        vec![self.send(Body::Hello(hello))]
+    }
+
+    fn receive(&mut self, now: Timestamp, body: Body, random: &mut SmallRng) -> Vec<ChildStep> {
+        match body {
+            Body::Welcome(welcome) => self.welcome(now, welcome, random),
+            Body::RetryAfter(retry) => self.retry_after(now, retry, random),
+            // An update before the welcome has no proved floor, so it is not looked at.
+            Body::Snapshot(chunk) if self.is_attached() => self.accept_chunk(&chunk),
+            Body::Delta(delta) if self.is_attached() => self.accept_delta(delta),
+            Body::Forward(forward) => vec![ChildStep::Relayed(forward)],
+            _ => Vec::new(),
+        }
+    }
+
+    fn welcome(
+        &mut self,
+        now: Timestamp,
+        welcome: Welcome,
+        random: &mut SmallRng,
+    ) -> Vec<ChildStep> {
+        if !matches!(self.phase, LinkPhase::Greeting { .. }) {
+            return Vec::new();
+        }
+        let offered = GroupId(welcome.group_id);
+        if offered == GroupId(0) || (self.group != GroupId(0) && offered != self.group) {
+            self.choice
+                .record_refusal(now, self.parent, WRONG_GROUP_DELAY, random);
+            return vec![self.close()];
+        }
+        self.offered_group = offered;
+        self.floor = self.floor.max(ConfigVersion(welcome.floor));
+        self.phase = LinkPhase::Attached;
+        self.choice.record_welcome();
+        let floor = self.floor;
+        let mut steps = vec![ChildStep::Attached { floor }];
+        steps.extend(self.attachment());
+        steps
+    }
+
+    fn retry_after(
+        &mut self,
+        now: Timestamp,
+        retry: RetryAfter,
+        random: &mut SmallRng,
+    ) -> Vec<ChildStep> {
+        let delay = Duration::from_millis(retry.delay_ms.into());
+        let delay = match RetryReason::try_from(retry.reason) {
+            Ok(RetryReason::WrongGroup) => delay.max(WRONG_GROUP_DELAY),
+            Ok(RetryReason::Leaving) => delay.max(LEAVING_DELAY),
+            _ => delay,
+        };
+        self.choice.record_refusal(now, self.parent, delay, random);
+        vec![self.close()]
+    }
+
+    fn accept_chunk(&mut self, chunk: &SnapshotChunk) -> Vec<ChildStep> {
+        let version = ConfigVersion(chunk.version);
+        if let Some(steps) = self.ignore_old(version) {
+            return steps;
+        }
+        match SnapshotAssembly::accept(&mut self.assembly, chunk) {
+            Ok(AssemblyProgress::Partial) => Vec::new(),
+            Ok(AssemblyProgress::Complete(state, digest)) => {
+                match ConfigSnapshot::from_state(&state, digest) {
+                    Ok(snapshot) => self.swap(snapshot, AppliedSource::State(state)),
+                    Err(error) => self.refuse(version, error.into()),
+                }
+            }
+            Err(error) => self.refuse(version, error.into()),
+        }
+    }
+
+    fn accept_delta(&mut self, delta: Delta) -> Vec<ChildStep> {
+        let version = ConfigVersion(delta.version);
+        if let Some(steps) = self.ignore_old(version) {
+            return steps;
+        }
+        let Some(held) = &self.held else {
+            return self.refuse(version, UpdateRefusal::NoBase);
+        };
+        match held.apply(&delta) {
+            Ok(snapshot) => self.swap(snapshot, AppliedSource::Delta(Box::new(delta))),
+            Err(error) => self.refuse(version, error.into()),
+        }
+    }
+
+    /// Answers a doubled or late update with the version that is held.
+    fn ignore_old(&self, offered: ConfigVersion) -> Option<Vec<ChildStep>> {
+        let held = self.held.as_deref()?;
+        if offered > held.version {
+            return None;
+        }
+        let version = held.version.0;
+        Some(vec![self.send(Body::Applied(Applied { version }))])
+    }
+
+    fn swap(&mut self, snapshot: ConfigSnapshot, source: AppliedSource) -> Vec<ChildStep> {
+        let version = snapshot.version;
+        if self.held.is_none() && version < self.floor {
+            let floor = self.floor;
+            return self.refuse(version, UpdateRefusal::BelowFloor { floor });
+        }
+        self.group = self.offered_group;
+        self.assembly = None;
+        let snapshot = Arc::new(snapshot);
+        self.held = Some(snapshot.clone());
+        let version = version.0;
+        vec![
+            ChildStep::Swap { snapshot, source },
+            self.send(Body::Applied(Applied { version })),
+        ]
+    }
+
+    /// The parent answers a rejection with a snapshot.
+    fn refuse(&mut self, version: ConfigVersion, refusal: UpdateRefusal) -> Vec<ChildStep> {
+        self.assembly = None;
+        let rejected = Rejected {
+            version: version.0,
+            reason: refusal.to_string(),
+        };
+        vec![
+            self.send(Body::Rejected(rejected)),
+            ChildStep::Refused { version, refusal },
+        ]
+    }
+
+    fn report(&mut self, report: UpstreamReport) -> Vec<ChildStep> {
+        let item = &report.upstream;
+        let present = item.state != WireState::Left as i32;
+        let upstream = present.then(|| Expiry {
+            name: item.name.clone(),
+            incarnation: item.incarnation,
+        });
+        let changed = upstream != self.upstream;
+        self.upstream = upstream;
+        if !self.is_attached() {
+            return vec![ChildStep::NotSent(Body::Report(report))];
+        }
+        let mut steps = vec![self.send(Body::Report(report))];
+        if changed {
+            steps.extend(self.attachment());
+        }
+        steps
+    }
+
+    /// Tells the parent which upstream this node speaks for.
+    fn attachment(&self) -> Option<ChildStep> {
+        if self.identity.role != ChildRole::Node {
+            return None;
+        }
+        let attachment = Attachment {
+            reporter: self.identity.name.to_string(),
+            complete: true,
+            attached: self.upstream.iter().cloned().collect(),
+            ..Attachment::default()
+        };
+        Some(self.send(Body::Attachment(attachment)))
+    }
+}
--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -13,4 +13,5 @@
 
 pub mod catalog;
 pub mod core;
+pub mod distribution;
 pub mod manifest;
