--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod admission;
 pub mod catalog;
 pub mod core;
+pub mod distribution;
 pub mod http;
 pub mod manifest;
 pub mod retry;
