--- /dev/null
+++ b/crates/kumquatlock-node/src/commands/mod.rs
@@ -0,0 +1,26 @@
+//! Subcommands, one file each.
+
+mod serve;
+
+use argh::FromArgs;
+
+/// The process beside one upstream: routes callers' requests and runs those for its upstream.
+#[derive(Debug, FromArgs)]
+pub(crate) struct CommandLine {
+    #[argh(subcommand)]
+    command: NodeCommand,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum NodeCommand {
+    Serve(serve::ServeCommand),
+}
+
+impl CommandLine {
+    pub(crate) fn exec(self) -> eyre::Result<()> {
+        match self.command {
+            NodeCommand::Serve(command) => command.exec(),
+        }
+    }
+}
--- a/crates/kumquatlock/src/call/answer.rs
+++ b/crates/kumquatlock/src/call/answer.rs
@@ -94,12 +94,25 @@
     /// The answer as HTTP.
     pub fn into_http(self) -> HttpResponse {
         let outcome = self.outcome();
-        let body = OutcomeBody { outcome, reason: self.reason() };
+        let body = OutcomeBody {
+            outcome,
+            reason: self.reason(),
+        };
         let response = match self {
-            CallerAnswer::Answered { status, headers, body } => {
-                let headers = headers.into_iter().filter(|field| is_forwarded(&field.name));
+            CallerAnswer::Answered {
+                status,
+                headers,
+                body,
+            } => {
+                let headers = headers
+                    .into_iter()
+                    .filter(|field| is_forwarded(&field.name));
                 let headers = headers.map(|field| (field.name, field.value)).collect();
-                HttpResponse { status, headers, body }
+                HttpResponse {
+                    status,
+                    headers,
+                    body,
+                }
             }
             CallerAnswer::NotRun(_) => HttpResponse::json(503, &body),
             CallerAnswer::Unknown(_) => HttpResponse::json(504, &body),
--- a/crates/kumquatlock/src/call/destination/claims.rs
+++ b/crates/kumquatlock/src/call/destination/claims.rs
@@ -6,9 +6,7 @@
 use kumquatlock_wire::claim::{ClaimOwner, ClaimReply, OutcomeQuery, ShardView};
 
 use super::{DestinationCalls, DestinationStep, RunId};
-use crate::claim::{
-    AcquireDecision, AcquireSteps, ClaimAcquirer, RefuseReason, shard_of,
-};
+use crate::claim::{AcquireDecision, AcquireSteps, ClaimAcquirer, RefuseReason, shard_of};
 use crate::core::Timestamp;
 
 impl DestinationCalls {
@@ -18,7 +16,9 @@
         id: RunId,
         steps: &mut Vec<DestinationStep>,
     ) {
-        let Some(run) = self.runs.get(&id) else { return };
+        let Some(run) = self.runs.get(&id) else {
+            return;
+        };
         let Some(key) = run.claim_key() else { return };
         let request = &run.request;
         let owner = ClaimOwner {
@@ -57,7 +57,12 @@
         self.follow_claim(now, number, released, steps);
     }
 
-    pub(super) fn finish_claim(&mut self, now: Timestamp, id: RunId, steps: &mut Vec<DestinationStep>) {
+    pub(super) fn finish_claim(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        steps: &mut Vec<DestinationStep>,
+    ) {
         let number = claim_number(id);
         if let Some(acquirer) = self.claims.get_mut(&number) {
             let finished = acquirer.finish(now);
@@ -110,10 +115,11 @@
     /// Tells all claims in progress of the views of a newer configuration.
     pub(super) fn refresh_claims(&mut self, now: Timestamp, steps: &mut Vec<DestinationStep>) {
         for number in self.claims.keys().copied().collect::<Vec<_>>() {
-            let Some(acquirer) = self.claims.get_mut(&number) else { continue };
+            let Some(acquirer) = self.claims.get_mut(&number) else {
+                continue;
+            };
             let shard = acquirer.shard().clone();
-            let view: Option<Arc<ShardView>> =
-                self.placement.view_of(&shard.service, shard.number);
+            let view: Option<Arc<ShardView>> = self.placement.view_of(&shard.service, shard.number);
             let advanced = acquirer.on_view(now, view);
             self.follow_claim(now, number, advanced, steps);
         }
@@ -127,7 +133,10 @@
         steps: &mut Vec<DestinationStep>,
     ) {
         let sends = advanced.sends.into_iter();
-        steps.extend(sends.map(|send| DestinationStep::Claim { to: send.to, body: send.body }));
+        steps.extend(sends.map(|send| DestinationStep::Claim {
+            to: send.to,
+            body: send.body,
+        }));
         if let Some(acquirer) = self.claims.get(&number) {
             if acquirer.is_done() {
                 self.claims.swap_remove(&number);
@@ -165,9 +174,9 @@
             AcquireDecision::Refuse(RefuseReason::ClaimCapacity) => {
                 self.refuse_run(now, id, CallReason::ClaimCapacity, steps);
             }
-            AcquireDecision::Refuse(
-                RefuseReason::AttemptReleased | RefuseReason::NoHolders,
-            ) => self.refuse_run(now, id, CallReason::ClaimUnavailable, steps),
+            AcquireDecision::Refuse(RefuseReason::AttemptReleased | RefuseReason::NoHolders) => {
+                self.refuse_run(now, id, CallReason::ClaimUnavailable, steps)
+            }
             AcquireDecision::Unknown => {
                 let (outcome, reason) = (CallOutcome::Unknown, CallReason::ClaimUnavailable);
                 self.answer_unrun(now, id, outcome, reason, None, steps);
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -163,7 +163,9 @@
 
     /// Takes what the upstream announced.
     pub fn on_announce(&mut self, now: Timestamp, endpoint: UpstreamEndpoint) {
-        let unchanged = self.endpoint.is_some_and(|held| held.limits == endpoint.limits);
+        let unchanged = self
+            .endpoint
+            .is_some_and(|held| held.limits == endpoint.limits);
         self.endpoint = Some(endpoint);
         if !unchanged || self.draining {
             self.admission = Some(AdmissionQueue::new(endpoint.limits, now));
@@ -198,12 +200,19 @@
     pub fn load(&self, now: Timestamp) -> LoadReport {
         match &self.admission {
             Some(admission) => admission.load(now),
-            None => LoadReport { draining: true, ..LoadReport::default() },
+            None => LoadReport {
+                draining: true,
+                ..LoadReport::default()
+            },
         }
     }
 
     /// Takes over a newer configuration.
-    pub fn on_snapshot(&mut self, now: Timestamp, snapshot: Arc<ConfigSnapshot>) -> Vec<DestinationStep> {
+    pub fn on_snapshot(
+        &mut self,
+        now: Timestamp,
+        snapshot: Arc<ConfigSnapshot>,
+    ) -> Vec<DestinationStep> {
         self.placement.update(snapshot);
         let mut steps = Vec::new();
         self.refresh_claims(now, &mut steps);
@@ -287,7 +296,11 @@
     /// When to call [`DestinationCalls::on_tick`] if no event comes first.
     pub fn next_wakeup(&self, now: Timestamp) -> Timestamp {
         let mut wakeup = self.outcomes_due;
-        if let Some(at) = self.admission.as_ref().and_then(|queue| queue.next_wakeup(now)) {
+        if let Some(at) = self
+            .admission
+            .as_ref()
+            .and_then(|queue| queue.next_wakeup(now))
+        {
             wakeup = wakeup.min(at);
         }
         if !self.busy_claims.is_empty() {
@@ -351,7 +364,9 @@
             }
         }
         let deadline = now + Duration::from_micros(request.deadline_us);
-        let Some(admission) = &mut self.admission else { return };
+        let Some(admission) = &mut self.admission else {
+            return;
+        };
         let decision = admission.offer(now, class, deadline);
         let ticket = match decision {
             AdmissionDecision::Start(ticket) | AdmissionDecision::Queued { ticket, .. } => ticket,
@@ -364,10 +379,16 @@
         self.next_run += 1;
         self.tickets.insert(ticket, id);
         self.attempts.insert(request.id.clone(), id);
-        self.runs.insert(id, CallRun::new(source, request, class, deadline, ticket, now));
+        self.runs.insert(
+            id,
+            CallRun::new(source, request, class, deadline, ticket, now),
+        );
         match decision {
             AdmissionDecision::Start(_) => self.start_run(now, id, steps),
-            AdmissionDecision::Queued { evicted: Some(evicted), .. } => {
+            AdmissionDecision::Queued {
+                evicted: Some(evicted),
+                ..
+            } => {
                 self.refuse_ticket(now, evicted, CallReason::Overloaded, steps);
             }
             _ => {}
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -43,7 +43,15 @@
         now: Timestamp,
     ) -> Self {
         let phase = RunPhase::Queued;
-        CallRun { source, request, class, deadline, ticket, arrived_at: now, phase }
+        CallRun {
+            source,
+            request,
+            class,
+            deadline,
+            ticket,
+            arrived_at: now,
+            phase,
+        }
     }
 
     /// Key of a request that claims protect.
@@ -54,15 +62,19 @@
 
     fn attempt_label(&self) -> String {
         let id = &self.request.id;
-        format!("{}/{}/{}/{}", id.entry, id.entry_incarnation, id.call_id, id.attempt)
+        format!(
+            "{}/{}/{}/{}",
+            id.entry, id.entry_incarnation, id.call_id, id.attempt
+        )
     }
 
     fn upstream_request(&self, now: Timestamp) -> HttpRequest {
         let request = &self.request;
         let millis = self.deadline.since(now).as_millis().max(1);
         let fields = request.headers.iter();
-        let mut headers: Vec<(String, String)> =
-            fields.map(|field| (field.name.clone(), field.value.clone())).collect();
+        let mut headers: Vec<(String, String)> = fields
+            .map(|field| (field.name.clone(), field.value.clone()))
+            .collect();
         let mut add = |name: &str, value: String| headers.push((name.to_owned(), value));
         add(TIMEOUT_HEADER, millis.to_string());
         add(DEPTH_HEADER, (request.depth + 1).to_string());
@@ -84,8 +96,16 @@
 
 impl DestinationCalls {
     /// Starts a call that has a slot: first the claim, then the upstream.
-    pub(super) fn start_run(&mut self, now: Timestamp, id: RunId, steps: &mut Vec<DestinationStep>) {
-        let keyed = self.runs.get(&id).is_some_and(|run| run.claim_key().is_some());
+    pub(super) fn start_run(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        let keyed = self
+            .runs
+            .get(&id)
+            .is_some_and(|run| run.claim_key().is_some());
         if keyed {
             if let Some(phase) = self.phase(id) {
                 *phase = RunPhase::Claiming;
@@ -103,7 +123,9 @@
         id: RunId,
         steps: &mut Vec<DestinationStep>,
     ) {
-        let Some(run) = self.runs.get_mut(&id) else { return };
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
         let Some(endpoint) = self.endpoint else {
             self.refuse_run(now, id, CallReason::Draining, steps);
             return;
@@ -134,7 +156,9 @@
         reason: CallReason,
         steps: &mut Vec<DestinationStep>,
     ) {
-        let Some(run) = self.take_run(now, id, ServiceOutcome::Ended, steps) else { return };
+        let Some(run) = self.take_run(now, id, ServiceOutcome::Ended, steps) else {
+            return;
+        };
         if !run.class.is_repeatable() {
             self.fence(now, &run.request.id, steps);
             self.abandon_claim(now, id, steps);
@@ -154,7 +178,9 @@
         owner: Option<kumquatlock_wire::claim::ClaimOwner>,
         steps: &mut Vec<DestinationStep>,
     ) {
-        let Some(run) = self.take_run(now, id, ServiceOutcome::Ended, steps) else { return };
+        let Some(run) = self.take_run(now, id, ServiceOutcome::Ended, steps) else {
+            return;
+        };
         self.fence(now, &run.request.id, steps);
         let mut response = self.response(now, run.request.id.clone(), outcome, reason);
         response.owner = owner;
@@ -174,7 +200,9 @@
             Ok(_) => ServiceOutcome::Answered,
             Err(_) => ServiceOutcome::Ended,
         };
-        let Some(run) = self.take_run(now, id, service, steps) else { return };
+        let Some(run) = self.take_run(now, id, service, steps) else {
+            return;
+        };
         match outcome {
             Ok(response) => self.end_answered(now, id, &run, response, steps),
             Err(failure) if failure.proves_not_run() => {
@@ -195,7 +223,9 @@
         let headers = response.headers.into_iter();
         let answer = KeptAnswer {
             status: response.status.into(),
-            headers: headers.map(|(name, value)| HeaderField { name, value }).collect(),
+            headers: headers
+                .map(|(name, value)| HeaderField { name, value })
+                .collect(),
             body: response.body,
         };
         if !run.class.is_repeatable() {
@@ -221,8 +251,7 @@
             self.abandon_claim(now, id, steps);
         }
         let reason = CallReason::UpstreamUnreachable;
-        let response =
-            self.response(now, run.request.id.clone(), CallOutcome::NotRun, reason);
+        let response = self.response(now, run.request.id.clone(), CallOutcome::NotRun, reason);
         self.finish_response(run, response, CallOutcome::NotRun, steps);
     }
 
@@ -250,16 +279,28 @@
         self.finish_response(run, response, CallOutcome::Unknown, steps);
     }
 
-    pub(super) fn cancel_run(&mut self, now: Timestamp, id: RunId, steps: &mut Vec<DestinationStep>) {
-        let Some(run) = self.runs.get(&id) else { return };
+    pub(super) fn cancel_run(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        let Some(run) = self.runs.get(&id) else {
+            return;
+        };
         match run.phase {
             RunPhase::Queued | RunPhase::Claiming => {
                 self.refuse_run(now, id, CallReason::Cancelled, steps);
             }
             RunPhase::Running => {
-                let Some(endpoint) = self.endpoint else { return };
+                let Some(endpoint) = self.endpoint else {
+                    return;
+                };
                 let attempt = run.attempt_label();
-                steps.push(DestinationStep::Cancel { address: endpoint.address, attempt });
+                steps.push(DestinationStep::Cancel {
+                    address: endpoint.address,
+                    attempt,
+                });
             }
         }
     }
@@ -267,7 +308,9 @@
     /// Carries out what the admission queue asks for.
     pub(super) fn run_queue(&mut self, now: Timestamp, steps: &mut Vec<DestinationStep>) {
         loop {
-            let Some(admission) = &mut self.admission else { return };
+            let Some(admission) = &mut self.admission else {
+                return;
+            };
             let next = admission.poll(now);
             if next == QueueStep::Idle {
                 return;
@@ -319,10 +362,21 @@
         outcome: CallOutcome,
         steps: &mut Vec<DestinationStep>,
     ) {
-        steps.push(DestinationStep::Respond { to: run.source, response });
-        let trace = run.request.traceparent.as_deref().and_then(|value| value.parse().ok());
+        steps.push(DestinationStep::Respond {
+            to: run.source,
+            response,
+        });
+        let trace = run
+            .request
+            .traceparent
+            .as_deref()
+            .and_then(|value| value.parse().ok());
         if let Some(trace) = trace.filter(TraceContext::is_sampled) {
-            steps.push(DestinationStep::Ended { trace, arrived_at: run.arrived_at, outcome });
+            steps.push(DestinationStep::Ended {
+                trace,
+                arrived_at: run.arrived_at,
+                outcome,
+            });
         }
     }
 }
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -36,7 +36,9 @@
     fn choose(&mut self, now: Timestamp, id: CallId) -> Option<UpstreamChoice> {
         let call = self.calls.get_mut(&id)?;
         let snapshot = self.snapshot.as_ref()?;
-        let balancer = self.balancers.balancer(snapshot, &call.route.service, now)?;
+        let balancer = self
+            .balancers
+            .balancer(snapshot, &call.route.service, now)?;
         let choice = balancer.choose(now, &mut self.random, &call.tried);
         if matches!(choice, UpstreamChoice::None(_)) && !call.tried.is_empty() {
             // Every upstream refused once; the earliest refusals may no longer hold.
@@ -54,9 +56,16 @@
         steps: &mut Vec<EntryStep>,
     ) {
         let to = self.peer(&chosen.entry);
-        let version = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.version.0);
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        let Some(balancer) = self.balancers.balancer_mut(&call.route.service) else { return };
+        let version = self
+            .snapshot
+            .as_ref()
+            .map_or(0, |snapshot| snapshot.version.0);
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(balancer) = self.balancers.balancer_mut(&call.route.service) else {
+            return;
+        };
         let ticket = balancer.started(now, &chosen);
         let number = call.next_number();
         call.made += 1;
@@ -64,15 +73,25 @@
         call.phase = CallPhase::Attempting;
         call.tried.push(chosen.token);
         let mut request = build_request(call, &chosen, now, version);
-        call.outstanding.push(SentAttempt { number, chosen, ticket });
+        call.outstanding.push(SentAttempt {
+            number,
+            chosen,
+            ticket,
+        });
         request.id = self.attempt_id(id, number);
         self.counters.attempts += 1;
         let ticket = Some(ticket_of(id, number));
-        steps.push(EntryStep::Send { to, body: Body::Call(request), ticket });
+        steps.push(EntryStep::Send {
+            to,
+            body: Body::Call(request),
+            ticket,
+        });
     }
 
     fn wait_for_upstream(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         if !call.outstanding.is_empty() {
             return;
         }
@@ -85,12 +104,17 @@
             self.answer_not_run(now, id, steps);
             return;
         }
-        call.phase = CallPhase::WaitingUpstream { until, retry_at: now + UPSTREAM_RETRY };
+        call.phase = CallPhase::WaitingUpstream {
+            until,
+            retry_at: now + UPSTREAM_RETRY,
+        };
     }
 
     /// Handles a call whose timer is due.
     pub(super) fn wake(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         match &call.phase {
             CallPhase::Fencing(_) => self.advance_fence_tick(now, id, steps),
             _ if now >= call.deadline => self.expire(now, id, steps),
@@ -103,7 +127,9 @@
     }
 
     fn expire(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         match &call.phase {
             CallPhase::Attempting if !call.outstanding.is_empty() => {
                 self.answer(now, id, CallerAnswer::Unknown(CallReason::Timeout), steps);
@@ -122,8 +148,12 @@
     }
 
     fn hedge(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
-        let Some(call) = self.calls.get(&id) else { return };
-        let Some(policy) = self.hedges.get(&call.route.service) else { return };
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let Some(policy) = self.hedges.get(&call.route.service) else {
+            return;
+        };
         let decision = policy.decide(now, &mut self.budget, &call.progress());
         if decision != HedgeDecision::Send {
             return;
@@ -144,7 +174,9 @@
     ) {
         let call = self.calls.get_mut(&id);
         let matching = call.as_deref().and_then(|call| {
-            call.outstanding.iter().find(|sent| sent.number == response.id.attempt)
+            call.outstanding
+                .iter()
+                .find(|sent| sent.number == response.id.attempt)
         });
         let expected = matching.map(|sent| sent.chosen.entry.incarnation.0);
         let refused = response.reason == CallReason::WrongIncarnation as i32;
@@ -172,8 +204,11 @@
                 self.answer(now, id, answer, steps);
             }
             AttemptResult::NotRun(CallReason::KeyFenced) => {
-                let answer = CallerAnswer::NotRun(CallReason::KeyFenced);
-                self.answer(now, id, answer, steps);
+                // One holder may have reported the fence; the answer needs a majority.
+                if let Some(call) = self.calls.get_mut(&id) {
+                    call.reason = CallReason::KeyFenced;
+                }
+                self.answer_not_run(now, id, steps);
             }
             AttemptResult::NotRun(reason) => {
                 self.fail(now, id, AttemptFailure::NotRun(reason), steps);
@@ -199,7 +234,9 @@
         result: &AttemptResult,
         load: Option<LoadReport>,
     ) {
-        let Some(call) = self.calls.get(&id) else { return };
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
         let service = call.route.service.clone();
         let outcome = match result {
             AttemptResult::Answer | AttemptResult::Claimed => UpstreamOutcome::Answered,
@@ -209,7 +246,10 @@
         };
         if matches!(result, AttemptResult::Answer) && call.route.class == RequestClass::Lookup {
             let latency = now.since(call.sent_at);
-            self.hedges.entry(service.clone()).or_default().observe(latency);
+            self.hedges
+                .entry(service.clone())
+                .or_default()
+                .observe(latency);
         }
         self.finish_ticket(now, &service, sent, outcome, load);
     }
@@ -234,9 +274,13 @@
         number: u32,
         steps: &mut Vec<EntryStep>,
     ) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         let service = call.route.service.clone();
-        let Some(sent) = call.take_attempt(number) else { return };
+        let Some(sent) = call.take_attempt(number) else {
+            return;
+        };
         self.finish_ticket(now, &service, sent, UpstreamOutcome::Unreachable, None);
         self.fail(now, id, AttemptFailure::NotRun(CallReason::LinkLost), steps);
     }
@@ -249,7 +293,9 @@
         peer: &str,
         steps: &mut Vec<EntryStep>,
     ) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         if let CallPhase::Querying(search) = &call.phase
             && *search.destination == *peer
         {
@@ -257,14 +303,24 @@
             return;
         }
         let service = call.route.service.clone();
-        let lost = call.outstanding.iter().position(|sent| *sent.chosen.entry.name == *peer);
-        let Some(sent) = lost.map(|index| call.outstanding.swap_remove(index)) else { return };
+        let lost = call
+            .outstanding
+            .iter()
+            .position(|sent| *sent.chosen.entry.name == *peer);
+        let Some(sent) = lost.map(|index| call.outstanding.swap_remove(index)) else {
+            return;
+        };
         let repeatable = call.route.class.is_repeatable();
         let number = sent.number;
         let entry = sent.chosen.entry.clone();
         self.finish_ticket(now, &service, sent, UpstreamOutcome::Lost, None);
         if repeatable {
-            self.fail(now, id, AttemptFailure::Unknown(CallReason::LinkLost), steps);
+            self.fail(
+                now,
+                id,
+                AttemptFailure::Unknown(CallReason::LinkLost),
+                steps,
+            );
         } else {
             self.search_own(now, id, number, &entry, steps);
         }
@@ -278,7 +334,9 @@
         failure: AttemptFailure,
         steps: &mut Vec<EntryStep>,
     ) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         if let AttemptFailure::NotRun(reason) | AttemptFailure::Unknown(reason) = failure {
             call.reason = reason;
         }
@@ -291,7 +349,8 @@
         let progress = call.progress();
         let budget = &mut self.budget;
         let decision =
-            self.policy.after_failure(now, &mut self.random, budget, &progress, failure, expected);
+            self.policy
+                .after_failure(now, &mut self.random, budget, &progress, failure, expected);
         match decision {
             RetryDecision::Retry { after } => {
                 self.counters.retries += 1;
@@ -327,7 +386,9 @@
 
     /// Answers with the best that is known: an upstream's failure, or "not run".
     fn give_up(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         match call.failed_answer.take() {
             Some(answer) => self.answer(now, id, answer, steps),
             None => self.answer_not_run(now, id, steps),
@@ -343,9 +404,15 @@
         steps: &mut Vec<EntryStep>,
     ) {
         for sent in std::mem::take(&mut call.outstanding) {
-            let cancel = CallCancel { id: self.attempt_id(id, sent.number) };
+            let cancel = CallCancel {
+                id: self.attempt_id(id, sent.number),
+            };
             let to = self.peer(&sent.chosen.entry);
-            steps.push(EntryStep::Send { to, body: Body::Cancel(cancel), ticket: None });
+            steps.push(EntryStep::Send {
+                to,
+                body: Body::Cancel(cancel),
+                ticket: None,
+            });
             // At the deadline the upstream was late; otherwise another attempt was faster.
             let outcome = match now >= call.deadline {
                 true => UpstreamOutcome::Lost,
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -46,6 +46,7 @@
 
 /// What the entry does next.
 #[derive(Debug)]
+#[expect(clippy::large_enum_variant, reason = "every call has as many sends as answers")]
 pub enum EntryStep {
     /// Send a message to a node.
     Send {
@@ -157,9 +158,19 @@
         self.calls.len()
     }
 
-    /// Refuses new calls from now on; calls in progress go on.
-    pub fn drain(&mut self) {
+    /// Refuses new calls from now on. Calls in progress go on, but for those that only wait to be
+    /// tried again: deferred work may wait an hour, and its caller can turn to another node.
+    pub fn drain(&mut self, now: Timestamp) -> Vec<EntryStep> {
         self.draining = true;
+        let mut steps = Vec::new();
+        let waiting = self.calls.iter().filter(|(_, call)| call.is_waiting());
+        for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.reason = CallReason::Draining;
+            }
+            self.answer_not_run(now, id, &mut steps);
+        }
+        steps
     }
 
     /// Takes a caller's request.
@@ -309,7 +320,9 @@
             return Err(refuse_unrouted(request, CallReason::ConfigUnavailable));
         }
         let route = self.routes.find(&request.host, request.path());
-        let route = route.ok_or(CallerAnswer::Rejected(RejectReason::NoRoute))?.clone();
+        let route = route
+            .ok_or(CallerAnswer::Rejected(RejectReason::NoRoute))?
+            .clone();
         let keyed = request.key.is_some() && !route.class.is_repeatable();
         let refuse = |reason| match keyed {
             // An earlier request of this key may have run, and the holders were not asked.
@@ -328,7 +341,9 @@
     }
 
     fn reschedule(&mut self, now: Timestamp, id: CallId) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         let hedge = self.hedges.get(&call.route.service);
         let wake_at = call.next_wakeup(now, hedge);
         self.timers.remove(&(call.wake_at, id));
@@ -343,7 +358,9 @@
         answer: CallerAnswer,
         steps: &mut Vec<EntryStep>,
     ) {
-        let Some(mut call) = self.calls.swap_remove(&id) else { return };
+        let Some(mut call) = self.calls.swap_remove(&id) else {
+            return;
+        };
         self.timers.remove(&(call.wake_at, id));
         self.deferred -= usize::from(call.is_deferred());
         self.withdraw_attempts(now, id, &mut call, steps);
--- a/crates/kumquatlock/src/call/entry/resolve.rs
+++ b/crates/kumquatlock/src/call/entry/resolve.rs
@@ -28,7 +28,9 @@
         upstream: &UpstreamEntry,
         steps: &mut Vec<EntryStep>,
     ) {
-        let Some(call) = self.calls.get(&id) else { return };
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
         let owner = ClaimOwner {
             attempt: self.attempt_id(id, attempt),
             destination: upstream.name.to_string(),
@@ -36,7 +38,7 @@
             request_digest: call.request.digest,
         };
         self.counters.resolutions += 1;
-        self.search(now, id, owner, CallReason::LinkLost, false, steps);
+        self.search(now, id, owner, CallReason::LinkLost, steps);
     }
 
     /// Asks the destination of another call with the same key.
@@ -47,13 +49,15 @@
         owner: ClaimOwner,
         steps: &mut Vec<EntryStep>,
     ) {
-        let Some(call) = self.calls.get(&id) else { return };
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
         if owner.request_digest != call.request.digest {
             let answer = CallerAnswer::Rejected(RejectReason::KeyReused);
             self.answer(now, id, answer, steps);
             return;
         }
-        self.search(now, id, owner, CallReason::ClaimUnavailable, true, steps);
+        self.search(now, id, owner, CallReason::ClaimUnavailable, steps);
     }
 
     fn search(
@@ -62,27 +66,42 @@
         id: CallId,
         owner: ClaimOwner,
         reason: CallReason,
-        foreign: bool,
         steps: &mut Vec<EntryStep>,
     ) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         let destination = owner.destination.as_str().into();
-        let search =
-            OutcomeSearch { owner, destination, number: 0, retry_at: Some(now), reason, foreign };
+        let search = OutcomeSearch {
+            owner,
+            destination,
+            number: 0,
+            retry_at: Some(now),
+            reason,
+        };
         call.phase = CallPhase::Querying(search);
         self.ask_outcome(now, id, steps);
     }
 
     /// Sends the next query of a search, or gives up if the destination is gone.
     pub(super) fn ask_outcome(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        let CallPhase::Querying(search) = &mut call.phase else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let CallPhase::Querying(search) = &mut call.phase else {
+            return;
+        };
         if search.retry_at.is_none_or(|at| at > now) {
             return;
         }
-        let held = self.snapshot.as_ref().and_then(|held| held.upstreams.get(&search.destination));
+        let held = self
+            .snapshot
+            .as_ref()
+            .and_then(|held| held.upstreams.get(&search.destination));
         let incarnation = search.owner.destination_incarnation;
-        let Some(upstream) = held.filter(|entry| entry.incarnation.0 == incarnation).cloned()
+        let Some(upstream) = held
+            .filter(|entry| entry.incarnation.0 == incarnation)
+            .cloned()
         else {
             // The run of the node that knew the outcome is over.
             let answer = CallerAnswer::Unknown(search.reason);
@@ -102,7 +121,11 @@
         };
         let to = self.peer(&upstream);
         let ticket = Some(ticket_of(id, number));
-        steps.push(EntryStep::Send { to, body: Body::OutcomeQuery(query), ticket });
+        steps.push(EntryStep::Send {
+            to,
+            body: Body::OutcomeQuery(query),
+            ticket,
+        });
         self.reschedule(now, id);
     }
 
@@ -113,7 +136,9 @@
 
     /// The query did not arrive, or its answer was lost.
     pub(super) fn retry_query(&mut self, now: Timestamp, id: CallId) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         if let CallPhase::Querying(search) = &mut call.phase {
             search.retry_at = Some(now + QUERY_RETRY);
             self.reschedule(now, id);
@@ -128,8 +153,12 @@
         response: CallResponse,
         steps: &mut Vec<EntryStep>,
     ) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        let CallPhase::Querying(search) = &call.phase else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let CallPhase::Querying(search) = &call.phase else {
+            return;
+        };
         if response.incarnation != search.owner.destination_incarnation {
             let answer = CallerAnswer::Unknown(search.reason);
             self.answer(now, id, answer, steps);
@@ -154,8 +183,15 @@
     }
 
     /// Answers "not run". With a key, only after a majority of the holders has fenced it.
-    pub(super) fn answer_not_run(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
-        let Some(call) = self.calls.get(&id) else { return };
+    pub(super) fn answer_not_run(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
         let reason = call.reason;
         let Some(key) = call.claim_key() else {
             self.answer(now, id, CallerAnswer::NotRun(reason), steps);
@@ -188,8 +224,12 @@
         reply: &ClaimReply,
         steps: &mut Vec<EntryStep>,
     ) {
-        let Some(id) = fenced_call(ClaimAcquirer::number_of(reply.request_id)) else { return };
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(id) = fenced_call(ClaimAcquirer::number_of(reply.request_id)) else {
+            return;
+        };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         if let CallPhase::Fencing(fencer) = &mut call.phase {
             let fence = fencer.on_reply(now, from, reply);
             self.follow_fence(now, id, fence, steps);
@@ -202,7 +242,9 @@
         id: CallId,
         steps: &mut Vec<EntryStep>,
     ) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         if let CallPhase::Fencing(fencer) = &mut call.phase {
             let fence = fencer.on_tick(now);
             self.follow_fence(now, id, fence, steps);
@@ -212,9 +254,13 @@
     /// Tells the fences in progress of the views of a newer configuration.
     pub(super) fn refresh_fences(&mut self, now: Timestamp, steps: &mut Vec<EntryStep>) {
         for id in self.calls.keys().copied().collect::<Vec<_>>() {
-            let Some(call) = self.calls.get_mut(&id) else { continue };
+            let Some(call) = self.calls.get_mut(&id) else {
+                continue;
+            };
             let key = call.claim_key().map(str::to_owned);
-            let CallPhase::Fencing(fencer) = &mut call.phase else { continue };
+            let CallPhase::Fencing(fencer) = &mut call.phase else {
+                continue;
+            };
             let key = key.unwrap_or_default();
             let located = self.placement.locate(&call.route.service, &key);
             let fence = fencer.on_view(now, located.map(|(_, view)| view));
@@ -232,7 +278,9 @@
         for send in fence.sends {
             steps.extend(self.claim_step(send));
         }
-        let Some(call) = self.calls.get(&id) else { return };
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
         let reason = call.reason;
         match fence.decision {
             None => self.reschedule(now, id),
@@ -256,7 +304,11 @@
     fn claim_step(&self, send: ClaimSend) -> Option<EntryStep> {
         let upstream = self.snapshot.as_ref()?.upstreams.get(&send.to)?;
         let to: PeerNode = self.peer(upstream);
-        Some(EntryStep::Send { to, body: send.body, ticket: None })
+        Some(EntryStep::Send {
+            to,
+            body: send.body,
+            ticket: None,
+        })
     }
 }
 
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -72,8 +72,6 @@
     pub(super) retry_at: Option<Timestamp>,
     /// Answered if the search fails.
     pub(super) reason: CallReason,
-    /// The attempt belongs to another call with the same key.
-    pub(super) foreign: bool,
 }
 
 impl EntryCall {
@@ -104,6 +102,14 @@
         self.route.class == RequestClass::Deferred
     }
 
+    /// Whether the call waits without an attempt of which the outcome is open.
+    pub(super) fn is_waiting(&self) -> bool {
+        matches!(
+            self.phase,
+            CallPhase::Backoff(_) | CallPhase::WaitingUpstream { .. }
+        )
+    }
+
     /// Whether claims protect the request.
     pub(super) fn claim_key(&self) -> Option<&str> {
         let repeatable = self.route.class.is_repeatable();
@@ -125,12 +131,18 @@
     }
 
     pub(super) fn take_attempt(&mut self, number: u32) -> Option<SentAttempt> {
-        let index = self.outstanding.iter().position(|sent| sent.number == number)?;
+        let index = self
+            .outstanding
+            .iter()
+            .position(|sent| sent.number == number)?;
         Some(self.outstanding.swap_remove(index))
     }
 
     pub(super) fn awaits(&self, peer: &str) -> bool {
-        let sent = self.outstanding.iter().any(|sent| *sent.chosen.entry.name == *peer);
+        let sent = self
+            .outstanding
+            .iter()
+            .any(|sent| *sent.chosen.entry.name == *peer);
         let asked = match &self.phase {
             CallPhase::Querying(search) => {
                 search.retry_at.is_none() && *search.destination == *peer
--- a/crates/kumquatlock/src/call/request.rs
+++ b/crates/kumquatlock/src/call/request.rs
@@ -76,11 +76,23 @@
     /// Checks the headers that the mesh reads.
     pub fn from_http(request: HttpRequest) -> Result<Self, RejectReason> {
         let key = request.header(KEY_HEADER).map(parse_key).transpose()?;
-        let timeout = request.header(TIMEOUT_HEADER).map(parse_timeout).transpose()?;
-        let depth = request.header(DEPTH_HEADER).map(parse_depth).transpose()?.unwrap_or(0);
-        let trace = request.header(TRACEPARENT_HEADER).and_then(|value| value.parse().ok());
+        let timeout = request
+            .header(TIMEOUT_HEADER)
+            .map(parse_timeout)
+            .transpose()?;
+        let depth = request
+            .header(DEPTH_HEADER)
+            .map(parse_depth)
+            .transpose()?
+            .unwrap_or(0);
+        let trace = request
+            .header(TRACEPARENT_HEADER)
+            .and_then(|value| value.parse().ok());
         let host = request.header("host").unwrap_or_default();
-        let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let host = host
+            .rsplit_once(':')
+            .map_or(host, |(name, _)| name)
+            .to_ascii_lowercase();
         let digest = digest_of(&request);
         let headers = request.headers.into_iter();
         let headers = headers
@@ -118,7 +130,9 @@
 
 /// Whether a header of a request or answer is passed on to the next hop.
 pub(super) fn is_forwarded(name: &str) -> bool {
-    let hop = HOP_HEADERS.iter().any(|header| name.eq_ignore_ascii_case(header));
+    let hop = HOP_HEADERS
+        .iter()
+        .any(|header| name.eq_ignore_ascii_case(header));
     !hop && !name.to_ascii_lowercase().starts_with("kumquatlock-")
 }
 
@@ -148,7 +162,11 @@
 fn digest_of(request: &HttpRequest) -> u64 {
     let mut bytes =
         Vec::with_capacity(request.method.len() + request.target.len() + request.body.len() + 2);
-    for part in [request.method.as_bytes(), request.target.as_bytes(), &request.body[..]] {
+    for part in [
+        request.method.as_bytes(),
+        request.target.as_bytes(),
+        &request.body[..],
+    ] {
         bytes.extend_from_slice(part);
         bytes.push(0);
     }
--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -12,11 +12,15 @@
 //! by `admission` and `retry`, protected from repetition by `claim`, and driven by `call`.
 
 pub mod admission;
+pub mod call;
 pub mod catalog;
+pub mod claim;
 pub mod core;
 pub mod distribution;
 pub mod http;
 pub mod manifest;
+pub mod membership;
+pub mod ops;
 pub mod retry;
 pub mod routing;
 pub mod transport;
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -105,8 +105,7 @@
         wakeup: wakeup.clone(),
         finished: finished.clone(),
     };
-    let node: ActorOwn<NodeActor> =
-        actor!(stakker, NodeActor::init(parts), ret_nop!());
+    let node: ActorOwn<NodeActor> = actor!(stakker, NodeActor::init(parts), ret_nop!());
     let (channel, _guard) =
         Channel::new(&mut stakker, fwd_to!([node], handle_event() as (NodeEvent)));
     call!([node], bind(channel.clone()));
@@ -164,11 +163,17 @@
             return ask(&channel, NodeEvent::Metrics);
         }
         match CallerRequest::from_http(request) {
-            Ok(request) => ask(&channel, |reply| NodeEvent::Caller(Box::new(request), reply)),
+            Ok(request) => ask(&channel, |reply| {
+                NodeEvent::Caller(Box::new(request), reply)
+            }),
             Err(reason) => CallerAnswer::Rejected(reason).into_http(),
         }
     };
-    Ok(HttpServer::start(settings.http, settings.http_workers, handler)?)
+    Ok(HttpServer::start(
+        settings.http,
+        settings.http_workers,
+        handler,
+    )?)
 }
 
 fn start_upstream_server(
@@ -179,7 +184,11 @@
         Ok(request) => ask(&channel, |reply| NodeEvent::Upstream(request, reply)),
         Err(refusal) => refusal.response(),
     };
-    Ok(HttpServer::start(settings.upstream_http, UPSTREAM_API_WORKERS, handler)?)
+    Ok(HttpServer::start(
+        settings.upstream_http,
+        UPSTREAM_API_WORKERS,
+        handler,
+    )?)
 }
 
 /// Hands an event to the actor and waits for its answer. Every call has a deadline, so the wait
@@ -199,10 +208,15 @@
 
 /// Wall-clock milliseconds, so that a later run of the same node has a higher incarnation.
 fn new_incarnation() -> IncarnationId {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     IncarnationId(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
 }
 
 fn claim_settings(settings: &NodeSettings) -> ClaimSettings {
-    ClaimSettings { retention: settings.claim_retention, ..ClaimSettings::default() }
+    ClaimSettings {
+        retention: settings.claim_retention,
+        ..ClaimSettings::default()
+    }
 }
--- a/crates/kumquatlock/src/ops/node/peers.rs
+++ b/crates/kumquatlock/src/ops/node/peers.rs
@@ -61,7 +61,11 @@
         };
         table.set_scope(link, scope);
         table.watch(now, link, true);
-        let peer = PeerLink { address: to.address, name: to.name.clone(), used_at: now };
+        let peer = PeerLink {
+            address: to.address,
+            name: to.name.clone(),
+            used_at: now,
+        };
         self.links.insert(link, peer);
         self.by_address.insert(to.address, link);
         link
@@ -82,11 +86,7 @@
     }
 
     /// Links that carried nothing for long and that nobody waits for.
-    pub(super) fn idle(
-        &self,
-        now: Timestamp,
-        is_awaited: impl Fn(&str) -> bool,
-    ) -> Vec<LinkId> {
+    pub(super) fn idle(&self, now: Timestamp, is_awaited: impl Fn(&str) -> bool) -> Vec<LinkId> {
         let links = self.links.iter();
         links
             .filter(|(_, peer)| now.since(peer.used_at) >= IDLE_LIMIT && !is_awaited(&peer.name))
--- /dev/null
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -0,0 +1,394 @@
+//! Carries out the steps of the duties and passes messages between them.
+
+use std::time::Duration;
+
+use kumquatlock_wire::Body;
+use kumquatlock_wire::claim::ClaimReply;
+
+use super::actor::{NodeActor, new_holder};
+use crate::call::{
+    ATTEMPT_HEADER, CallId, CallSource, CallerAnswer, DestinationStep, EntryStep, PeerNode,
+};
+use crate::claim::ClaimSend;
+use crate::core::{ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamState};
+use crate::distribution::{ChildEvent, ChildStep};
+use crate::http::{HttpRequest, UpstreamJob};
+use crate::membership::{AnnouncerEvent, AnnouncerStep};
+use crate::transport::LinkId;
+use crate::util::trace::{SpanRecord, TraceContext};
+use std::sync::Arc;
+
+/// Time for a cancellation to reach the upstream.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// One step of one duty.
+pub(super) enum NodeStep {
+    Entry(EntryStep),
+    Destination(DestinationStep),
+    Claim(ClaimSend),
+    Child(Box<ChildStep>),
+    Announcer(AnnouncerStep),
+}
+
+impl NodeActor {
+    pub(super) fn extend_entry(&mut self, steps: Vec<EntryStep>) {
+        self.steps.extend(steps.into_iter().map(NodeStep::Entry));
+    }
+
+    pub(super) fn extend_destination(&mut self, steps: Vec<DestinationStep>) {
+        self.steps
+            .extend(steps.into_iter().map(NodeStep::Destination));
+    }
+
+    pub(super) fn extend_claims(&mut self, sends: Vec<ClaimSend>) {
+        self.steps.extend(sends.into_iter().map(NodeStep::Claim));
+    }
+
+    pub(super) fn extend_child(&mut self, steps: Vec<ChildStep>) {
+        self.steps.extend(
+            steps
+                .into_iter()
+                .map(|step| NodeStep::Child(Box::new(step))),
+        );
+    }
+
+    pub(super) fn extend_announcer(&mut self, steps: Vec<AnnouncerStep>) {
+        self.steps
+            .extend(steps.into_iter().map(NodeStep::Announcer));
+    }
+
+    pub(super) fn carry_out(&mut self, now: Timestamp, step: NodeStep) {
+        match step {
+            NodeStep::Entry(EntryStep::Send { to, body, ticket }) => {
+                self.send(now, &to, body, ticket);
+            }
+            NodeStep::Entry(EntryStep::Answer {
+                call,
+                answer,
+                trace,
+                opened_at,
+            }) => {
+                self.answer_caller(now, call, answer, trace, opened_at);
+            }
+            NodeStep::Destination(step) => self.carry_out_destination(now, step),
+            NodeStep::Claim(send) => self.send_by_name(now, &send.to, send.body),
+            NodeStep::Child(step) => self.carry_out_child(now, *step),
+            NodeStep::Announcer(step) => self.carry_out_announcer(now, step),
+        }
+    }
+
+    fn carry_out_destination(&mut self, now: Timestamp, step: DestinationStep) {
+        match step {
+            DestinationStep::Respond {
+                to: CallSource::Local,
+                response,
+            } => {
+                let steps = self.entry.on_response(now, response);
+                self.extend_entry(steps);
+            }
+            DestinationStep::Respond {
+                to: CallSource::Link(link),
+                response,
+            } => {
+                self.links.send(link, Body::Response(response), None);
+            }
+            DestinationStep::Claim { to, body } => self.send_by_name(now, &to, body),
+            DestinationStep::Run {
+                run,
+                address,
+                request,
+                timeout,
+            } => {
+                if let Some(pool) = &self.runs {
+                    pool.submit(UpstreamJob {
+                        tag: run,
+                        address,
+                        request,
+                        timeout,
+                    });
+                }
+            }
+            DestinationStep::Cancel { address, attempt } => {
+                let request = HttpRequest {
+                    method: "POST".to_owned(),
+                    target: "/cancel".to_owned(),
+                    headers: vec![(ATTEMPT_HEADER.to_owned(), attempt)],
+                    ..HttpRequest::default()
+                };
+                if let Some(pool) = &self.cancels {
+                    pool.submit(UpstreamJob {
+                        tag: (),
+                        address,
+                        request,
+                        timeout: CANCEL_TIMEOUT,
+                    });
+                }
+            }
+            DestinationStep::Ended {
+                trace,
+                arrived_at,
+                outcome,
+            } => {
+                self.write_span(
+                    now,
+                    trace,
+                    "destination",
+                    arrived_at,
+                    outcome_label(outcome),
+                );
+            }
+        }
+    }
+
+    fn carry_out_child(&mut self, now: Timestamp, step: ChildStep) {
+        match step {
+            ChildStep::Connect { link, address } => {
+                let own = self.links.connect(now, address);
+                self.parent_link = Some((own, link));
+            }
+            ChildStep::Send { link, body } => {
+                if let Some((own, child)) = self.parent_link
+                    && child == link
+                {
+                    self.links.send(own, body, None);
+                }
+            }
+            ChildStep::Close { link } => {
+                if let Some((own, child)) = self.parent_link
+                    && child == link
+                {
+                    self.parent_link = None;
+                    self.links.close(own);
+                    self.tell_uplink(now, false);
+                }
+            }
+            ChildStep::Attached { floor } => {
+                log::info!(floor = floor.0; "parent_attached");
+                self.tell_uplink(now, true);
+            }
+            ChildStep::Swap { snapshot, .. } => self.apply(now, snapshot),
+            ChildStep::Refused { version, refusal } => {
+                log::warn!(version = version.0, reason:% = refusal; "configuration_refused");
+            }
+            // A report that was not sent is repeated by the announcer; nodes relay nothing.
+            ChildStep::NotSent(_) | ChildStep::Relayed(_) => {}
+        }
+    }
+
+    fn carry_out_announcer(&mut self, now: Timestamp, step: AnnouncerStep) {
+        match step {
+            AnnouncerStep::Report(report) => {
+                let steps = self
+                    .child
+                    .handle(now, ChildEvent::Report(report), &mut self.random);
+                self.extend_child(steps);
+            }
+            AnnouncerStep::SetState { incarnation, state } => {
+                self.set_incarnation(now, incarnation);
+                match state {
+                    UpstreamState::Serving => self.refresh_endpoint(now),
+                    UpstreamState::Draining => self.destination.drain(),
+                }
+            }
+            AnnouncerStep::Removed => self.destination.drain(),
+            // Answers only follow the upstream's requests, which take them out.
+            AnnouncerStep::Answer(_) => {}
+        }
+    }
+
+    /// A raised incarnation is a new run: its claim holder starts blank and fetches.
+    fn set_incarnation(&mut self, now: Timestamp, incarnation: IncarnationId) {
+        if incarnation == self.incarnation {
+            return;
+        }
+        self.incarnation = incarnation;
+        self.destination.set_incarnation(incarnation);
+        self.holder = new_holder(&self.settings, incarnation);
+        if let Some(held) = self.child.held().cloned() {
+            let sends = self.holder.on_snapshot(now, held);
+            self.extend_claims(sends);
+        }
+    }
+
+    fn apply(&mut self, now: Timestamp, snapshot: Arc<ConfigSnapshot>) {
+        log::debug!(version = snapshot.version.0; "configuration_applied");
+        let steps = self.entry.on_snapshot(now, snapshot.clone());
+        self.extend_entry(steps);
+        let steps = self.destination.on_snapshot(now, snapshot.clone());
+        self.extend_destination(steps);
+        let sends = self.holder.on_snapshot(now, snapshot.clone());
+        self.extend_claims(sends);
+        let steps = self
+            .announcer
+            .handle(now, AnnouncerEvent::Swapped(snapshot));
+        self.extend_announcer(steps);
+    }
+
+    /// Handles a message of another node.
+    pub(super) fn receive(&mut self, now: Timestamp, link: LinkId, body: Body) {
+        match body {
+            Body::Call(request) => {
+                let source = CallSource::Link(link);
+                let steps = self.destination.on_call(now, source, request, self.frozen);
+                self.extend_destination(steps);
+            }
+            Body::Response(response) => {
+                let steps = self.entry.on_response(now, response);
+                self.extend_entry(steps);
+            }
+            Body::Cancel(cancel) => {
+                let steps = self.destination.on_cancel(now, &cancel.id);
+                self.extend_destination(steps);
+            }
+            Body::Claim(request) => {
+                let reply = self.holder.on_request(now, &request);
+                self.links.send(link, Body::ClaimReply(reply), None);
+            }
+            Body::ClaimReply(reply) => {
+                if let Some(name) = self.peers.name(link) {
+                    self.take_claim_reply(now, &name, &reply);
+                }
+            }
+            Body::ShardFetch(fetch) => {
+                // The answer goes back on the link; the name of the asker is not known here.
+                let asker = SharedName::default();
+                for send in self.holder.on_fetch(now, &asker, &fetch) {
+                    match send.to == asker {
+                        true => self.links.send(link, send.body, None),
+                        false => self.send_by_name(now, &send.to, send.body),
+                    }
+                }
+            }
+            Body::ShardChunk(chunk) => {
+                let sends = self.holder.on_chunk(now, chunk);
+                self.extend_claims(sends);
+            }
+            Body::OutcomeQuery(query) => {
+                let steps = self
+                    .destination
+                    .on_query(now, CallSource::Link(link), query);
+                self.extend_destination(steps);
+            }
+            Body::Ping(_) | Body::Pong(_) => {}
+            other => {
+                log::warn!(kind = other.kind().label(); "unexpected_message");
+            }
+        }
+    }
+
+    fn take_claim_reply(&mut self, now: Timestamp, from: &str, reply: &ClaimReply) {
+        let steps = self.entry.on_claim_reply(now, from, reply);
+        self.extend_entry(steps);
+        let steps = self.destination.on_claim_reply(now, from, reply);
+        self.extend_destination(steps);
+    }
+
+    fn send(&mut self, now: Timestamp, to: &PeerNode, body: Body, ticket: Option<u64>) {
+        if to.name == self.settings.name {
+            self.deliver(now, body);
+        } else {
+            self.peers.send(now, &mut self.links, to, body, ticket);
+        }
+    }
+
+    fn send_by_name(&mut self, now: Timestamp, to: &SharedName, body: Body) {
+        if *to == self.settings.name {
+            self.deliver(now, body);
+            return;
+        }
+        let held = self.child.held().and_then(|held| held.upstreams.get(to));
+        let Some(upstream) = held else { return };
+        let peer = PeerNode {
+            name: upstream.name.clone(),
+            address: upstream.address,
+            cross_region: upstream.region != self.settings.region,
+        };
+        self.peers.send(now, &mut self.links, &peer, body, None);
+    }
+
+    /// Handles a message of one duty of this node to another one.
+    fn deliver(&mut self, now: Timestamp, body: Body) {
+        match body {
+            Body::Call(request) => {
+                let steps = self
+                    .destination
+                    .on_call(now, CallSource::Local, request, self.frozen);
+                self.extend_destination(steps);
+            }
+            Body::Cancel(cancel) => {
+                let steps = self.destination.on_cancel(now, &cancel.id);
+                self.extend_destination(steps);
+            }
+            Body::Claim(request) => {
+                let reply = self.holder.on_request(now, &request);
+                let name = self.settings.name.clone();
+                self.take_claim_reply(now, &name, &reply);
+            }
+            Body::OutcomeQuery(query) => {
+                let steps = self.destination.on_query(now, CallSource::Local, query);
+                self.extend_destination(steps);
+            }
+            Body::ShardFetch(fetch) => {
+                let own = self.settings.name.clone();
+                let sends = self.holder.on_fetch(now, &own, &fetch);
+                self.extend_claims(sends);
+            }
+            Body::ShardChunk(chunk) => {
+                let sends = self.holder.on_chunk(now, chunk);
+                self.extend_claims(sends);
+            }
+            other => log::warn!(kind = other.kind().label(); "unexpected_message"),
+        }
+    }
+
+    fn answer_caller(
+        &mut self,
+        now: Timestamp,
+        call: CallId,
+        answer: CallerAnswer,
+        trace: Option<TraceContext>,
+        opened_at: Timestamp,
+    ) {
+        if let Some(trace) = trace.filter(TraceContext::is_sampled) {
+            self.write_span(now, trace, "entry", opened_at, answer.outcome());
+        }
+        self.count_answer(&answer, now.since(opened_at));
+        if let Some(reply) = self.replies.swap_remove(&call) {
+            reply.answer(answer.into_http());
+        }
+    }
+
+    fn write_span(
+        &mut self,
+        now: Timestamp,
+        trace: TraceContext,
+        hop: &str,
+        started: Timestamp,
+        outcome: &str,
+    ) {
+        let duration = now.since(started);
+        let start = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .unwrap_or_default()
+            .saturating_sub(duration);
+        SpanRecord {
+            context: trace.child(&mut self.ids),
+            parent_id: Some(trace.span_id),
+            hop,
+            start_us: u64::try_from(start.as_micros()).unwrap_or(u64::MAX),
+            duration_us: u64::try_from(duration.as_micros()).unwrap_or(u64::MAX),
+            outcome,
+        }
+        .write();
+    }
+}
+
+fn outcome_label(outcome: kumquatlock_wire::call::CallOutcome) -> &'static str {
+    use kumquatlock_wire::call::CallOutcome;
+    match outcome {
+        CallOutcome::Answered => "answered",
+        CallOutcome::NotRun => "not_run",
+        CallOutcome::Unknown | CallOutcome::Unspecified => "unknown",
+        CallOutcome::ClaimedElsewhere => "claimed_elsewhere",
+    }
+}
--- a/crates/kumquatlock/src/util/metrics.rs
+++ b/crates/kumquatlock/src/util/metrics.rs
@@ -20,10 +20,14 @@
 const PREFIX: &str = "kumquatlock";
 
 /// Media type of the page.
-pub const METRICS_CONTENT_TYPE: &str =
-    "application/openmetrics-text; version=1.0.0; charset=utf-8";
+pub const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 type LabelSet = Vec<(&'static str, String)>;
+type CounterFamily = Family<LabelSet, Counter>;
+type GaugeFamily = Family<LabelSet, Gauge<u64, AtomicU64>>;
+
+/// Families by name, each with its help text.
+type FamilyMap<F> = IndexMap<&'static str, (&'static str, F)>;
 
 /// The page could not be encoded.
 #[derive(Debug, thiserror::Error)]
@@ -33,8 +37,8 @@
 /// One scrape's values.
 #[derive(Default)]
 pub struct MetricsPage {
-    counters: IndexMap<&'static str, (&'static str, Family<LabelSet, Counter>)>,
-    gauges: IndexMap<&'static str, (&'static str, Family<LabelSet, Gauge<u64, AtomicU64>>)>,
+    counters: FamilyMap<CounterFamily>,
+    gauges: FamilyMap<GaugeFamily>,
 }
 
 impl MetricsPage {
@@ -46,7 +50,10 @@
         labels: &[(&'static str, &str)],
         value: u64,
     ) {
-        let (_, family) = self.counters.entry(name).or_insert_with(|| (help, Family::default()));
+        let (_, family) = self
+            .counters
+            .entry(name)
+            .or_insert_with(|| (help, Family::default()));
         family.get_or_create(&label_set(labels)).inc_by(value);
     }
 
@@ -58,7 +65,10 @@
         labels: &[(&'static str, &str)],
         value: u64,
     ) {
-        let (_, family) = self.gauges.entry(name).or_insert_with(|| (help, Family::default()));
+        let (_, family) = self
+            .gauges
+            .entry(name)
+            .or_insert_with(|| (help, Family::default()));
         family.get_or_create(&label_set(labels)).set(value);
     }
 
@@ -73,7 +83,12 @@
                         ("kind", kind.label()),
                     ];
                     let bytes = counters.bytes(direction, scope, kind);
-                    self.counter("link_bytes", "Bytes of frames between processes", &labels, bytes);
+                    self.counter(
+                        "link_bytes",
+                        "Bytes of frames between processes",
+                        &labels,
+                        bytes,
+                    );
                     let messages = counters.messages(direction, scope, kind);
                     let help = "Messages between processes";
                     self.counter("link_messages", help, &labels, messages);
@@ -105,5 +120,8 @@
 }
 
 fn label_set(labels: &[(&'static str, &str)]) -> LabelSet {
-    labels.iter().map(|(name, value)| (*name, (*value).to_owned())).collect()
+    labels
+        .iter()
+        .map(|(name, value)| (*name, (*value).to_owned()))
+        .collect()
 }
