--- a/crates/kumquatlock/src/distribution/admission.rs
+++ b/crates/kumquatlock/src/distribution/admission.rs
@@ -43,8 +43,8 @@
 #[derive(Debug)]
 pub(super) struct HelloAdmission {
     pub(super) limits: AdmissionLimits,
-    /// Time up to which the bucket has been used, as in a leaky bucket. Never more than the burst
-    /// behind the present.
+    /// Time at which everything admitted so far has been paid for at the rate. At most the burst
+    /// ahead of the present.
     used_until: u64,
     /// Expected end of the queue of refused children without a configuration.
     cold_until: u64,
@@ -73,14 +73,14 @@
         random: &mut SmallRng,
     ) -> Result<(), Duration> {
         let per_hello = 1_000_000 / self.limits.hello_rate.max(1);
-        let earliest = now.0.saturating_sub(self.limits.hello_burst * per_hello);
-        let used = self.used_until.max(earliest);
+        let used = self.used_until.max(now.0);
+        let limit = now.0 + self.limits.hello_burst * per_hello;
         let reserved = if holds_config {
             self.limits.hello_burst / 2
         } else {
             0
         };
-        if used + (1 + reserved) * per_hello <= now.0 {
+        if used + (1 + reserved) * per_hello <= limit {
             self.used_until = used + per_hello;
             return Ok(());
         }
--- a/crates/kumquatlock/src/distribution/tests.rs
+++ b/crates/kumquatlock/src/distribution/tests.rs
@@ -5,9 +5,11 @@
 use std::hash::BuildHasher;
 
 use kumquatlock_wire::Body;
+use kumquatlock_wire::agreement::forward::Content;
+use kumquatlock_wire::agreement::{ConfirmReply, ConfirmRequest, Forward};
 use kumquatlock_wire::distribution::{
-    CatalogChange, CatalogCommand, Hello, SnapshotChunk, WireState, catalog_change,
-    catalog_command::Kind,
+    CatalogChange, CatalogCommand, ChildRole, Hello, Progress, SnapshotChunk, WireState,
+    catalog_change, catalog_command::Kind,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -268,6 +270,113 @@
     assert_eq!(welcomed(&steps), [ChildId(2), ChildId(3)]);
 }
 
+/// Guards against a replica whose children never get a proof, and against progress that leaves
+/// out the nodes below a replica or counts them too early.
+#[test]
+fn a_replica_gets_proofs_and_its_subtree_counts() {
+    let mut random = SmallRng::seed_from_u64(12);
+    let catalog = catalog_of(3);
+    let mut parent = ParentState::new("voter".into(), GROUP, 1);
+    let replica = ChildId(1);
+    let mut handle = |millis: u64, event| {
+        parent.handle(Timestamp::from_millis(millis), event, &catalog, &mut random)
+    };
+    let mut receive = |millis: u64, body| {
+        let child = replica;
+        handle(millis, ParentEvent::Received { child, body })
+    };
+    let hello = Hello {
+        name: "replica-1".into(),
+        role: ChildRole::Replica as i32,
+        applied_version: 4,
+        ..Hello::default()
+    };
+    let content = |content| Forward {
+        request_id: 5,
+        content: Some(content),
+    };
+    let ask = Body::Forward(content(Content::ConfirmRequest(ConfirmRequest {})));
+    receive(0, Body::Hello(hello));
+    assert_eq!(receive(0, ask), [], "waits for the next round");
+    let progress = |current_version, current_nodes| Progress {
+        reporter: "replica-1".into(),
+        nodes: 10,
+        lowest_applied: 3,
+        current_version,
+        current_nodes,
+    };
+    receive(0, Body::Progress(progress(3, 10)));
+    let proved = |round| ParentEvent::ProofResult {
+        round,
+        index: Some(4),
+    };
+    let steps = handle(10, proved(1));
+    assert_eq!(steps.last(), Some(&ParentStep::AskProof { round: 2 }));
+    let reply = Body::Forward(content(Content::ConfirmReply(ConfirmReply {
+        index: Some(4),
+    })));
+    let children = vec![replica];
+    assert_eq!(
+        handle(20, proved(2)),
+        [ParentStep::Send {
+            children,
+            body: reply
+        }]
+    );
+
+    let count = |steps: &[ParentStep]| {
+        let mut table = ProgressTable::default();
+        for step in steps {
+            if let ParentStep::ForwardUp(Body::Progress(progress)) = step {
+                table.record(Timestamp::default(), progress.clone());
+            }
+        }
+        let count = table.count(ConfigVersion(4));
+        (count.attached, count.applied, count.is_in_force())
+    };
+    assert_eq!(count(&handle(500, ParentEvent::Tick)), (10, 0, false));
+    let body = Body::Progress(progress(4, 9));
+    let child = replica;
+    handle(600, ParentEvent::Received { child, body });
+    assert_eq!(
+        handle(900, ParentEvent::Tick),
+        [],
+        "not before 500 ms have passed"
+    );
+    assert_eq!(count(&handle(1_000, ParentEvent::Tick)), (10, 9, false));
+    assert_eq!(handle(1_600, ParentEvent::Tick), [], "nothing changed");
+}
+
+/// Guards against children that still route and take the places of those that cannot.
+#[test]
+fn children_without_a_configuration_go_first() {
+    let mut random = SmallRng::seed_from_u64(13);
+    let mut admission = super::admission::HelloAdmission::new(AdmissionLimits::default());
+    let now = Timestamp::from_millis(60_000);
+    let mut admitted = |holds_config, count: usize| {
+        let admit = |_| admission.admit(now, holds_config, &mut random);
+        (0..count)
+            .map(admit)
+            .filter_map(Result::err)
+            .collect::<Vec<_>>()
+    };
+    let warm = admitted(true, 100);
+    let cold = admitted(false, 100);
+    let later = admitted(true, 1);
+    assert_eq!(
+        (warm.len(), cold.len()),
+        (90, 90),
+        "half of the burst is reserved"
+    );
+    // 200 per second: 90 take 450 ms, and a child that holds a configuration comes after all.
+    assert!(
+        cold.iter()
+            .all(|delay| *delay <= Duration::from_millis(500))
+    );
+    assert!(later[0] >= Duration::from_millis(450));
+    assert!(warm.iter().max() >= Some(&Duration::from_millis(450)));
+}
+
 /// Guards against a node that stays with a parent that went silent or that shuts down.
 #[test]
 fn a_silent_or_leaving_parent_is_left_for_another() {
--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod core;
 pub mod distribution;
 pub mod manifest;
+pub mod membership;
--- /dev/null
+++ b/crates/kumquatlock/src/membership/tracker.rs
@@ -0,0 +1,233 @@
+//! The leader's view of attached upstreams and the removal of lost ones.
+
+use std::collections::VecDeque;
+
+use indexmap::{IndexMap, IndexSet};
+use kumquatlock_wire::distribution::{Attachment, Expiry};
+
+use super::{
+    LEADER_GRACE, MAX_REPORTERS, PROPOSAL_TIMEOUT, REMOVAL_DIVISOR, REMOVAL_WINDOW,
+    UNATTACHED_LIMIT, UNATTACHED_PERCENT,
+};
+use crate::catalog::Catalog;
+use crate::core::{SharedName, Timestamp};
+use crate::distribution::REPORTER_SILENCE;
+
+/// What became of an attachment message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordOutcome {
+    /// Taken over.
+    Recorded,
+    /// A later message of the same reporter is known.
+    Late,
+    /// [`MAX_REPORTERS`] are known; the message was not taken over.
+    TooManyReporters,
+}
+
+/// Which upstreams to remove now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ExpiryDecision {
+    /// Propose the removal of these; possibly none.
+    Propose(Vec<Expiry>),
+    /// The leader is new and does not know every attachment yet.
+    Grace,
+    /// So many are unattached in this zone or region that it looks like a partition.
+    Withheld {
+        /// Zone or region.
+        place: SharedName,
+        /// Unattached upstreams there.
+        unattached: usize,
+        /// All upstreams there.
+        total: usize,
+    },
+}
+
+/// Soft state of one leader; a new leader starts with an empty one.
+#[derive(Debug)]
+pub struct AttachmentTracker {
+    leader_since: Timestamp,
+    /// At most [`MAX_REPORTERS`].
+    reporters: IndexMap<SharedName, ReporterRecord>,
+    /// Catalog upstreams that no live reporter lists, and since when.
+    unattached: IndexMap<SharedName, Timestamp>,
+    /// Recent removals by zone. At most a tenth of the zone each.
+    removals: IndexMap<SharedName, VecDeque<Timestamp>>,
+    /// Proposed removals that the catalog does not show yet.
+    proposed: IndexMap<Expiry, Timestamp>,
+}
+
+#[derive(Debug)]
+struct ReporterRecord {
+    sequence: u64,
+    heard: Timestamp,
+    attached: IndexSet<Expiry>,
+}
+
+#[derive(Debug, Default)]
+struct PlaceCount {
+    total: usize,
+    unattached: usize,
+}
+
+impl AttachmentTracker {
+    /// The state of a leader that took office at `now`.
+    pub fn new(now: Timestamp) -> Self {
+        AttachmentTracker {
+            leader_since: now,
+            reporters: IndexMap::new(),
+            unattached: IndexMap::new(),
+            removals: IndexMap::new(),
+            proposed: IndexMap::new(),
+        }
+    }
+
+    /// Takes over what one parent says of its children.
+    pub fn record(&mut self, now: Timestamp, message: &Attachment) -> RecordOutcome {
+        let name = message.reporter.as_str();
+        if !self.reporters.contains_key(name) && self.reporters.len() >= MAX_REPORTERS {
+            self.reporters.retain(|_, record| record.is_live(now));
+            if self.reporters.len() >= MAX_REPORTERS {
+                return RecordOutcome::TooManyReporters;
+            }
+        }
+        let record = self
+            .reporters
+            .entry(name.into())
+            .or_insert_with(|| ReporterRecord {
+                sequence: 0,
+                heard: now,
+                attached: IndexSet::new(),
+            });
+        if message.sequence <= record.sequence {
+            return RecordOutcome::Late;
+        }
+        record.sequence = message.sequence;
+        record.heard = now;
+        if message.complete {
+            record.attached.clear();
+        }
+        for upstream in &message.detached {
+            record.attached.swap_remove(upstream);
+        }
+        record.attached.extend(message.attached.iter().cloned());
+        RecordOutcome::Recorded
+    }
+
+    /// Upstreams of the catalog that no parent has attached now.
+    pub fn unattached_count(&self) -> usize {
+        self.unattached.len()
+    }
+
+    /// Decides which upstreams to remove. Called about once per second; the cost is one pass
+    /// over the catalog.
+    pub fn expire(&mut self, now: Timestamp, catalog: &Catalog) -> ExpiryDecision {
+        let (zones, regions) = self.observe(now, catalog);
+        if now.since(self.leader_since) < LEADER_GRACE {
+            return ExpiryDecision::Grace;
+        }
+        let looks_cut_off = |(_, count): &(&SharedName, &PlaceCount)| {
+            count.unattached > 1.max(count.total * UNATTACHED_PERCENT / 100)
+        };
+        let is_whole = |(_, count): &(&SharedName, &PlaceCount)| count.unattached == count.total;
+        let zone = zones.iter().find(looks_cut_off);
+        if let Some((place, count)) = zone.or_else(|| regions.iter().find(is_whole)) {
+            let (place, unattached, total) = (place.clone(), count.unattached, count.total);
+            // When a partition ends, nodes attach again over some seconds. Counting starts anew,
+            // so that the last of them are not removed meanwhile.
+            for since in self.unattached.values_mut() {
+                *since = now;
+            }
+            return ExpiryDecision::Withheld {
+                place,
+                unattached,
+                total,
+            };
+        }
+        self.propose(now, catalog, &zones)
+    }
+
+    /// Updates since when each upstream has been unattached, and counts per zone and region.
+    fn observe(
+        &mut self,
+        now: Timestamp,
+        catalog: &Catalog,
+    ) -> (
+        IndexMap<SharedName, PlaceCount>,
+        IndexMap<SharedName, PlaceCount>,
+    ) {
+        let mut attached: IndexMap<&str, u64> = IndexMap::new();
+        for record in self.reporters.values().filter(|record| record.is_live(now)) {
+            for upstream in &record.attached {
+                let incarnation = attached.entry(&upstream.name).or_default();
+                *incarnation = upstream.incarnation.max(*incarnation);
+            }
+        }
+        let mut zones: IndexMap<SharedName, PlaceCount> = IndexMap::new();
+        let mut regions: IndexMap<SharedName, PlaceCount> = IndexMap::new();
+        let mut unattached = IndexMap::new();
+        for item in catalog.upstreams() {
+            // A later run that is attached already is about to replace the recorded one.
+            let held = attached.get(item.name.as_str());
+            let is_attached = held.is_some_and(|&held| held >= item.incarnation);
+            for (counts, place) in [(&mut zones, &item.zone), (&mut regions, &item.region)] {
+                let count = counts.entry(place.as_str().into()).or_default();
+                count.total += 1;
+                count.unattached += usize::from(!is_attached);
+            }
+            if !is_attached {
+                let known = self.unattached.get_key_value(item.name.as_str());
+                let (name, since) = match known {
+                    Some((name, &since)) => (name.clone(), since),
+                    None => (item.name.as_str().into(), now),
+                };
+                unattached.insert(name, since);
+            }
+        }
+        self.unattached = unattached;
+        (zones, regions)
+    }
+
+    fn propose(
+        &mut self,
+        now: Timestamp,
+        catalog: &Catalog,
+        zones: &IndexMap<SharedName, PlaceCount>,
+    ) -> ExpiryDecision {
+        self.proposed
+            .retain(|_, since| now.since(*since) < PROPOSAL_TIMEOUT);
+        let mut proposals = Vec::new();
+        for (name, &since) in &self.unattached {
+            let Some(item) = catalog.upstream(name) else {
+                continue;
+            };
+            let expiry = Expiry {
+                name: item.name.clone(),
+                incarnation: item.incarnation,
+            };
+            if now.since(since) < UNATTACHED_LIMIT || self.proposed.contains_key(&expiry) {
+                continue;
+            }
+            let total = zones.get(item.zone.as_str()).map_or(0, |count| count.total);
+            let zone: SharedName = item.zone.as_str().into();
+            let recent = self.removals.entry(zone).or_default();
+            while recent
+                .front()
+                .is_some_and(|&at| now.since(at) >= REMOVAL_WINDOW)
+            {
+                recent.pop_front();
+            }
+            if recent.len() < (total / REMOVAL_DIVISOR).max(1) {
+                recent.push_back(now);
+                self.proposed.insert(expiry.clone(), now);
+                proposals.push(expiry);
+            }
+        }
+        ExpiryDecision::Propose(proposals)
+    }
+}
+
+impl ReporterRecord {
+    fn is_live(&self, now: Timestamp) -> bool {
+        now.since(self.heard) < REPORTER_SILENCE
+    }
+}
