--- /dev/null
+++ b/crates/kumquatlock/src/claim/tests/failures.rs
@@ -0,0 +1,1 @@
+//! failures
--- /dev/null
+++ b/crates/kumquatlock/src/claim/tests/measure.rs
@@ -0,0 +1,1 @@
+//! measure
