--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -46,7 +46,10 @@
 
 /// What the entry does next.
 #[derive(Debug)]
-#[expect(clippy::large_enum_variant, reason = "every call has as many sends as answers")]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "every call has as many sends as answers"
+)]
 pub enum EntryStep {
     /// Send a message to a node.
     Send {
--- a/crates/kumquatlock/src/claim/tests/cluster.rs
+++ b/crates/kumquatlock/src/claim/tests/cluster.rs
@@ -68,6 +68,7 @@
         services: vec![service],
         routes: Vec::new(),
         upstreams,
+        ..CatalogState::default()
     };
     Arc::new(ConfigSnapshot::from_state(&state, digest).unwrap())
 }
