--- /dev/null
+++ b/crates/kumquatlock/src/agreement/follower.rs
@@ -0,0 +1,129 @@
+//! The follower: appends from the leader.
+
+use kumquatlock_wire::agreement::{
+    AppendReply, AppendRequest, LogEntry, VoterIdentity, peer_message::Kind,
+};
+
+use super::machine::{Agreement, RoleState};
+use super::outbox::WriteEffect;
+use crate::core::{SharedName, Timestamp};
+use crate::journal::JournalWrite;
+
+/// How an append fits the log.
+enum AppendOutcome {
+    /// The log now agrees with the leader's up to this index.
+    Matched(u64),
+    /// The previous entry is missing or differs; the leader should go back to this index.
+    Mismatched(u64),
+    /// The append contradicts itself or a committed entry.
+    Invalid,
+}
+
+impl Agreement {
+    /// Answers a message of an earlier term, so that its sender learns of the current one.
+    pub(super) fn refuse_old_term(&mut self, from: &VoterIdentity, kind: &Kind) {
+        if !matches!(kind, Kind::AppendRequest(_) | Kind::SnapshotChunk(_)) {
+            return;
+        }
+        if let Some(peer) = self.shared_name(&from.name) {
+            self.post(&peer, Kind::AppendReply(AppendReply::default()));
+        }
+    }
+
+    /// Notes that the leader of the current term was heard. Returns its name, or `None` if the
+    /// message cannot be from it.
+    pub(super) fn note_leader(
+        &mut self,
+        now: Timestamp,
+        from: &VoterIdentity,
+    ) -> Option<SharedName> {
+        let leader = self.shared_name(&from.name)?;
+        if self.leading.is_some() || matches!(self.role, RoleState::Forming(_)) {
+            log::error!("{} claims to lead this term as well", from.name);
+            return None;
+        }
+        self.become_follower(now, self.metadata.term);
+        self.leader = Some(leader.clone());
+        self.leader_heard = Some(now);
+        self.reset_election_deadline(now);
+        Some(leader)
+    }
+
+    pub(super) fn on_append_request(
+        &mut self,
+        now: Timestamp,
+        from: &VoterIdentity,
+        request: AppendRequest,
+    ) {
+        let Some(leader) = self.note_leader(now, from) else {
+            return;
+        };
+        let (round, leader_commit) = (request.round, request.commit_index);
+        let (success, match_index) = match self.append_from_leader(request) {
+            AppendOutcome::Matched(index) => (true, index),
+            AppendOutcome::Mismatched(hint) => (false, hint),
+            AppendOutcome::Invalid => return,
+        };
+        let reply = Kind::AppendReply(AppendReply {
+            success,
+            match_index,
+            round,
+        });
+        if !success {
+            return self.post(&leader, reply);
+        }
+        self.commit_index = self.commit_index.max(leader_commit.min(match_index));
+        self.post_when_synced(&leader, reply);
+        self.apply_committed();
+    }
+
+    fn append_from_leader(&mut self, request: AppendRequest) -> AppendOutcome {
+        let previous = request.previous_index;
+        let indices = request.entries.iter().map(|entry| entry.index);
+        if !indices.eq((previous + 1..).take(request.entries.len())) {
+            log::error!("append after {previous} has a gap");
+            return AppendOutcome::Invalid;
+        }
+        // What is compacted is committed, so it agrees.
+        if previous >= self.log.base_index() {
+            match self.log.term(previous) {
+                Some(term) if term == request.previous_term => {}
+                Some(_) => return AppendOutcome::Mismatched(self.log.before_term_of(previous)),
+                None => return AppendOutcome::Mismatched(self.log.last_index()),
+            }
+        }
+        let matched = previous + request.entries.len() as u64;
+        let base_index = self.log.base_index();
+        let fresh: Vec<LogEntry> = request
+            .entries
+            .into_iter()
+            .skip_while(|entry| {
+                entry.index <= base_index || self.log.term(entry.index) == Some(entry.term)
+            })
+            .collect();
+        if let Some(first) = fresh.first().map(|entry| entry.index) {
+            if first <= self.commit_index {
+                log::error!("append contradicts committed entry {first}");
+                return AppendOutcome::Invalid;
+            }
+            self.replace_suffix(first, fresh);
+        }
+        AppendOutcome::Matched(matched)
+    }
+
+    fn replace_suffix(&mut self, first: u64, entries: Vec<LogEntry>) {
+        if first <= self.log.last_index() {
+            self.log.truncate_from(first);
+            self.voters.note_truncated(first);
+            self.outbox.note_truncated(first);
+            self.synced_index = self.synced_index.min(first - 1);
+        }
+        for entry in &entries {
+            self.voters.note_appended(entry);
+            self.log.push(entry.clone());
+        }
+        self.written_index = self.log.last_index();
+        let effect = WriteEffect::Entries(self.written_index);
+        self.persist(JournalWrite::Append(entries), effect);
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/agreement/outbox.rs
@@ -0,0 +1,147 @@
+//! Order between writes and the messages that depend on them.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use kumquatlock_wire::agreement::PeerMessage;
+
+use super::MAX_HELD_MESSAGES;
+use super::types::PersistTicket;
+use crate::core::SharedName;
+use crate::journal::StoredSnapshot;
+
+/// A message whose writes are durable. Only the outbox makes one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReleasedMessage {
+    to: SharedName,
+    message: PeerMessage,
+}
+
+impl ReleasedMessage {
+    /// Name of the receiving voter.
+    pub fn to(&self) -> &SharedName {
+        &self.to
+    }
+
+    pub fn message(&self) -> &PeerMessage {
+        &self.message
+    }
+
+    pub fn into_parts(self) -> (SharedName, PeerMessage) {
+        (self.to, self.message)
+    }
+}
+
+/// A message that waits for a write.
+#[derive(Debug)]
+struct HeldMessage {
+    after: PersistTicket,
+    released: ReleasedMessage,
+}
+
+/// What becomes true when a write is durable.
+#[derive(Clone, Debug)]
+pub(super) enum WriteEffect {
+    Metadata,
+    /// The log is durable up to this index.
+    Entries(u64),
+    Compacted(Arc<StoredSnapshot>),
+    Installed(Arc<StoredSnapshot>),
+}
+
+/// Writes in progress and the messages behind them.
+#[derive(Debug, Default)]
+pub(super) struct MessageOutbox {
+    issued: PersistTicket,
+    /// Last write of the metadata. Every message states the term, so each waits for it.
+    metadata: PersistTicket,
+    durable: PersistTicket,
+    writes: VecDeque<(PersistTicket, WriteEffect)>,
+    held: VecDeque<HeldMessage>,
+}
+
+impl MessageOutbox {
+    /// Issues the ticket of a new write.
+    pub(super) fn issue(&mut self, effect: WriteEffect) -> PersistTicket {
+        self.issued.0 += 1;
+        if matches!(effect, WriteEffect::Metadata) {
+            self.metadata = self.issued;
+        }
+        self.writes.push_back((self.issued, effect));
+        self.issued
+    }
+
+    /// Ticket of the last write issued.
+    pub(super) fn last_issued(&self) -> PersistTicket {
+        self.issued
+    }
+
+    pub(super) fn is_writing_entries(&self) -> bool {
+        self.writes
+            .iter()
+            .any(|(_, effect)| matches!(effect, WriteEffect::Entries(_)))
+    }
+
+    /// Entries from `from` on were replaced: earlier writes no longer make them durable.
+    pub(super) fn note_truncated(&mut self, from: u64) {
+        for (_, effect) in &mut self.writes {
+            if let WriteEffect::Entries(last) = effect {
+                *last = (*last).min(from - 1);
+            }
+        }
+    }
+
+    /// Returns the message if the metadata is durable, and holds it otherwise.
+    pub(super) fn post(&mut self, to: SharedName, message: PeerMessage) -> Option<ReleasedMessage> {
+        self.post_after(self.metadata, to, message)
+    }
+
+    /// Returns the message if the write is durable, and holds it otherwise.
+    pub(super) fn post_after(
+        &mut self,
+        after: PersistTicket,
+        to: SharedName,
+        message: PeerMessage,
+    ) -> Option<ReleasedMessage> {
+        let released = ReleasedMessage { to, message };
+        if after <= self.durable {
+            return Some(released);
+        }
+        if self.held.len() >= MAX_HELD_MESSAGES {
+            ::log::warn!("dropped a message to {}: storage is slow", released.to);
+            return None;
+        }
+        self.held.push_back(HeldMessage { after, released });
+        None
+    }
+
+    /// Notes that a write and all earlier ones are durable; returns their effects.
+    pub(super) fn note_durable(&mut self, ticket: PersistTicket) -> Vec<WriteEffect> {
+        self.durable = self.durable.max(ticket.min(self.issued));
+        let mut effects = Vec::new();
+        while let Some((_, effect)) = self
+            .writes
+            .pop_front_if(|(first, _)| *first <= self.durable)
+        {
+            effects.push(effect);
+        }
+        effects
+    }
+
+    /// Takes out the messages whose writes are durable.
+    pub(super) fn release(&mut self) -> Vec<ReleasedMessage> {
+        let (ready, held): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.held)
+            .into_iter()
+            .partition(|held| held.after <= self.durable);
+        self.held = held;
+        ready.into_iter().map(|held| held.released).collect()
+    }
+
+    /// Forgets writes that failed or were never made, and the messages that depended on them.
+    /// Their tickets are never issued again.
+    pub(super) fn discard(&mut self) {
+        self.writes.clear();
+        self.held.clear();
+        self.durable = self.issued;
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/journal/recovery.rs
@@ -0,0 +1,157 @@
+//! Reading the log back after a restart.
+
+use std::fs::{self, File};
+use std::path::{Path, PathBuf};
+
+use kumquatlock_wire::agreement::LogEntry;
+use prost::Message;
+
+use super::error::JournalError;
+use super::folder::{list_segments, segment_path};
+use super::record::{EntryBatch, RECORD_HEADER_BYTES, read_record};
+use super::state::StoredSnapshot;
+
+/// One segment that recovery has read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct SegmentInfo {
+    pub(super) sequence: u64,
+    /// Highest index that any record of the segment holds, replaced entries included.
+    pub(super) highest_index: u64,
+    /// Bytes of whole records.
+    pub(super) bytes: u64,
+}
+
+/// The log as it stands on disk.
+#[derive(Debug, Default)]
+pub(super) struct RecoveredLog {
+    pub(super) segments: Vec<SegmentInfo>,
+    pub(super) entries: Vec<LogEntry>,
+    pub(super) torn_bytes: u64,
+}
+
+/// Reads all segments. Cuts an unfinished record at the end of the last one and refuses any other
+/// damage.
+pub(super) fn recover_log(folder: &Path) -> Result<RecoveredLog, JournalError> {
+    let sequences = list_segments(folder)?;
+    let mut log = RecoveredLog::default();
+    for (position, sequence) in sequences.iter().enumerate() {
+        let path = segment_path(folder, *sequence);
+        let bytes = fs::read(&path).map_err(|error| JournalError::io("read", &path, error))?;
+        let valid = read_segment(&path, *sequence, &bytes, &mut log)?;
+        if valid == bytes.len() {
+            continue;
+        }
+        let is_last = position + 1 == sequences.len();
+        if !is_last || holds_record(&bytes[valid..]) {
+            let offset = valid as u64;
+            return Err(JournalError::CorruptRecord { path, offset });
+        }
+        log.torn_bytes = (bytes.len() - valid) as u64;
+        cut_file(&path, valid as u64)?;
+    }
+    Ok(log)
+}
+
+/// Adds the segment's whole records to the log and returns how many bytes they take.
+fn read_segment(
+    path: &Path,
+    sequence: u64,
+    bytes: &[u8],
+    log: &mut RecoveredLog,
+) -> Result<usize, JournalError> {
+    let mut offset = 0;
+    let mut highest_index = 0;
+    while let Some(payload) = read_record(&bytes[offset..]) {
+        let batch = EntryBatch::decode(payload).map_err(|_| JournalError::CorruptRecord {
+            path: path.to_path_buf(),
+            offset: offset as u64,
+        })?;
+        for entry in batch.entries {
+            highest_index = highest_index.max(entry.index);
+            push_entry(path, entry, &mut log.entries)?;
+        }
+        offset += RECORD_HEADER_BYTES + payload.len();
+    }
+    log.segments.push(SegmentInfo {
+        sequence,
+        highest_index,
+        bytes: offset as u64,
+    });
+    Ok(offset)
+}
+
+/// Adds one entry; an index that is already held replaces the suffix from there on.
+fn push_entry(
+    path: &Path,
+    entry: LogEntry,
+    entries: &mut Vec<LogEntry>,
+) -> Result<(), JournalError> {
+    if let Some(first) = entries.first().map(|first| first.index) {
+        let expected = first + entries.len() as u64;
+        if entry.index > expected {
+            return Err(JournalError::MissingEntries {
+                path: path.to_path_buf(),
+                expected,
+                found: entry.index,
+            });
+        }
+        entries.truncate(entry.index.saturating_sub(first) as usize);
+    }
+    entries.push(entry);
+    Ok(())
+}
+
+/// Whether a whole record starts anywhere after the first byte.
+///
+/// A crash leaves at most one unfinished record, because each is synced before the next is
+/// written. A whole record behind a bad one is therefore damage to synced data.
+fn holds_record(bytes: &[u8]) -> bool {
+    (1..bytes.len()).any(|offset| {
+        read_record(&bytes[offset..]).is_some_and(|payload| {
+            EntryBatch::decode(payload).is_ok_and(|batch| !batch.entries.is_empty())
+        })
+    })
+}
+
+fn cut_file(path: &Path, bytes: u64) -> Result<(), JournalError> {
+    let cut = |path: &PathBuf| {
+        let file = File::options().write(true).open(path)?;
+        file.set_len(bytes)?;
+        file.sync_data()
+    };
+    cut(&path.to_path_buf()).map_err(|error| JournalError::io("cut", path, error))
+}
+
+/// Keeps the entries that follow the snapshot.
+///
+/// A log that disagrees with the snapshot at its last index, or that ends before it, was
+/// superseded by a snapshot from the leader and is discarded.
+pub(super) fn entries_after(
+    folder: &Path,
+    snapshot: Option<&StoredSnapshot>,
+    mut entries: Vec<LogEntry>,
+) -> Result<Vec<LogEntry>, JournalError> {
+    let (last_index, last_term) =
+        snapshot.map_or((0, 0), |snapshot| (snapshot.last_index, snapshot.last_term));
+    let Some(first) = entries.first().map(|first| first.index) else {
+        return Ok(entries);
+    };
+    if first > last_index + 1 {
+        return Err(JournalError::MissingEntries {
+            path: folder.to_path_buf(),
+            expected: last_index + 1,
+            found: first,
+        });
+    }
+    if first == last_index + 1 {
+        return Ok(entries);
+    }
+    let position = (last_index - first) as usize;
+    let agrees = entries
+        .get(position)
+        .is_some_and(|entry| entry.term == last_term);
+    if !agrees {
+        return Ok(Vec::new());
+    }
+    Ok(entries.split_off(position + 1))
+}
