--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -12,9 +12,11 @@
 //! by `admission` and `retry`, protected from repetition by `claim`, and driven by `call`.
 
 pub mod admission;
+pub mod agreement;
 pub mod catalog;
 pub mod core;
 pub mod http;
+pub mod journal;
 pub mod manifest;
 pub mod retry;
 pub mod routing;
--- a/crates/kumquatlock/src/transport/link.rs
+++ b/crates/kumquatlock/src/transport/link.rs
@@ -168,13 +168,12 @@
                 continue;
             };
             counters.record(TrafficDirection::Received, self.scope, body.kind(), bytes);
-            match body {
-                Body::Ping(Ping { number }) => {
-                    self.send(Body::Pong(Pong { number }), None, counters)?;
-                }
-                Body::Pong(_) => {}
-                body => received.push(body),
+            if let Body::Ping(Ping { number }) = body {
+                self.send(Body::Pong(Pong { number }), None, counters)?;
             }
+            // Probes are passed on as well: duties with their own deadlines count them as signs
+            // of life.
+            received.push(body);
         }
     }
 
--- a/crates/kumquatlock/src/transport/table.rs
+++ b/crates/kumquatlock/src/transport/table.rs
@@ -204,6 +204,11 @@
             .all(|link| link.outbox.buffer.is_empty())
     }
 
+    /// Bytes of one link that wait to be written; none if it is gone.
+    pub fn queued_bytes(&self, link: LinkId) -> Option<usize> {
+        self.links.get(&link).map(|link| link.outbox.buffer.len())
+    }
+
     /// Address of the other end.
     pub fn remote(&self, link: LinkId) -> Option<SocketAddr> {
         self.links.get(&link).map(|link| link.remote)
