--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod agreement;
 pub mod catalog;
 pub mod core;
+pub mod distribution;
 pub mod http;
 pub mod journal;
 pub mod manifest;
