Add the runtime of a control instance

The duties had no process around them. Steps of one duty that concern another wait in one queue, so no duty is entered twice. `kumquatlock-control serve` starts it; operators submit and read manifests over HTTP at any instance, which passes the request on to the leader.

--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod http;
 pub mod journal;
 pub mod manifest;
+pub mod ops;
 pub mod retry;
 pub mod routing;
 pub mod transport;
--- /dev/null
+++ b/crates/kumquatlock/src/ops/control/answer.rs
@@ -0,0 +1,199 @@
+//! Words of the answers to operators.
+
+use serde::Serialize;
+
+use super::requests::{RequestAnswer, RequestKind};
+use crate::agreement::ProposalError;
+use crate::catalog::{Catalog, ManifestDecision};
+use crate::distribution::InForceCount;
+use crate::http::HttpResponse;
+use crate::manifest::ManifestError;
+
+/// A submission or question that was provably not carried out, or whose outcome is unknown.
+#[derive(Serialize)]
+struct OutcomeBody<'a> {
+    outcome: &'a str,
+    reason: &'a str,
+}
+
+#[derive(Serialize)]
+struct AcceptedBody {
+    state: &'static str,
+    manifest_version: u64,
+    config_version: u64,
+}
+
+#[derive(Serialize)]
+struct RefusedBody<'a> {
+    state: &'static str,
+    reason: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    manifest_version: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    accepted_version: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    path: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    detail: Option<String>,
+}
+
+#[derive(Serialize)]
+struct ShownBody {
+    state: &'static str,
+    manifest_version: u64,
+    config_version: u64,
+    attached: u64,
+    applied: u64,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: &'a str,
+    detail: &'a str,
+}
+
+fn operator(status: u16, body: &impl Serialize) -> RequestAnswer {
+    let json = serde_json::to_string(body).unwrap_or_default();
+    RequestAnswer::Operator { status, json }
+}
+
+/// The request was provably not carried out.
+pub(super) fn not_run(reason: &str) -> RequestAnswer {
+    let outcome = "not_run";
+    operator(503, &OutcomeBody { outcome, reason })
+}
+
+/// The request may have been carried out.
+pub(super) fn unknown(reason: &str) -> RequestAnswer {
+    let outcome = "unknown";
+    operator(504, &OutcomeBody { outcome, reason })
+}
+
+/// Answer to a request that provably reached no leader.
+pub(super) fn unavailable(kind: RequestKind, reason: &str) -> RequestAnswer {
+    match kind {
+        RequestKind::Submit | RequestKind::Status => not_run(reason),
+        RequestKind::Confirm => RequestAnswer::Confirm(None),
+    }
+}
+
+/// Answer to a request that may have reached the leader.
+pub(super) fn uncertain(kind: RequestKind, reason: &str) -> RequestAnswer {
+    match kind {
+        RequestKind::Submit => unknown(reason),
+        // A question that is not answered has no effect.
+        RequestKind::Status => not_run(reason),
+        RequestKind::Confirm => RequestAnswer::Confirm(None),
+    }
+}
+
+/// A proposal that failed.
+pub(super) fn failed_proposal(error: &ProposalError) -> RequestAnswer {
+    match error {
+        ProposalError::NotLeader { .. } => not_run("no_leader"),
+        ProposalError::LostLeadership => unknown("leadership_lost"),
+        ProposalError::StorageFull => not_run("storage_full"),
+        ProposalError::StorageFailed => not_run("storage_failed"),
+        ProposalError::QueueFull => not_run("busy"),
+        ProposalError::TooLarge => not_run("too_large"),
+    }
+}
+
+/// The catalog's decision on a manifest.
+pub(super) fn decided_manifest(decision: &ManifestDecision) -> RequestAnswer {
+    let refused = |reason, manifest_version, accepted_version| RefusedBody {
+        state: "refused",
+        reason,
+        manifest_version: Some(manifest_version),
+        accepted_version,
+        path: None,
+        detail: None,
+    };
+    match decision {
+        ManifestDecision::Accepted {
+            manifest_version,
+            config_version,
+        } => operator(
+            200,
+            &AcceptedBody {
+                state: "accepted",
+                manifest_version: *manifest_version,
+                config_version: config_version.0,
+            },
+        ),
+        ManifestDecision::Conflict {
+            manifest_version, ..
+        } => operator(409, &refused("conflict", *manifest_version, None)),
+        ManifestDecision::Stale {
+            manifest_version,
+            accepted_version,
+        } => operator(
+            409,
+            &refused("stale", *manifest_version, Some(*accepted_version)),
+        ),
+        ManifestDecision::Invalid(error) => invalid_manifest(error),
+    }
+}
+
+/// A manifest that fails a check.
+pub(super) fn invalid_manifest(error: &ManifestError) -> RequestAnswer {
+    let body = RefusedBody {
+        state: "refused",
+        reason: error.reason(),
+        manifest_version: None,
+        accepted_version: None,
+        path: Some(&error.path),
+        detail: Some(error.fault.to_string()),
+    };
+    operator(422, &body)
+}
+
+/// State of a manifest as the leader sees it. `count` is absent while the leader has not heard
+/// from every voter.
+pub(super) fn shown_manifest(
+    catalog: &Catalog,
+    asked: Option<u64>,
+    count: impl Fn(crate::core::ConfigVersion) -> (InForceCount, bool),
+) -> RequestAnswer {
+    let manifest_version = asked.unwrap_or(catalog.manifest_version());
+    let Some(record) = catalog.accepted(manifest_version) else {
+        let body = ShownBody {
+            state: "unknown",
+            manifest_version,
+            config_version: 0,
+            attached: 0,
+            applied: 0,
+        };
+        return operator(404, &body);
+    };
+    let (count, is_complete) = count(record.config_version);
+    let state = if manifest_version != catalog.manifest_version() {
+        "superseded"
+    } else if is_complete && count.is_in_force() {
+        "in_force"
+    } else {
+        "accepted"
+    };
+    let body = ShownBody {
+        state,
+        manifest_version,
+        config_version: record.config_version.0,
+        attached: count.attached,
+        applied: count.applied,
+    };
+    operator(200, &body)
+}
+
+/// The answer as an HTTP response.
+pub(super) fn response(answer: RequestAnswer) -> HttpResponse {
+    match answer {
+        RequestAnswer::Operator { status, json } => HttpResponse::json_text(status, json),
+        // Never asked for by an operator.
+        RequestAnswer::Confirm(_) => HttpResponse::json_text(500, "{}"),
+    }
+}
+
+/// A request that no operation matches.
+pub(super) fn bad_request(status: u16, error: &str, detail: &str) -> HttpResponse {
+    HttpResponse::json(status, &ErrorBody { error, detail })
+}
--- /dev/null
+++ b/crates/kumquatlock/src/ops/control/children.rs
@@ -0,0 +1,211 @@
+//! The configuration stream, towards the children and towards the parent of a replica.
+
+use std::net::SocketAddr;
+
+use kumquatlock_wire::Body;
+use kumquatlock_wire::agreement::forward::Content;
+use kumquatlock_wire::distribution::{ChildRole, RetryReason};
+
+use super::actor::{ControlActor, Work};
+use super::answer;
+use super::clock::wall_clock_ms;
+use super::links::LinkRole;
+use super::requests::{RequestKind, RequestRoute, Requester};
+use super::settings::ControlSettings;
+use crate::catalog::Catalog;
+use crate::core::{ConfigSnapshot, GroupId, IncarnationId, Timestamp};
+use crate::distribution::{
+    self, AppliedSource, ChildEvent, ChildId, ChildIdentity, ChildState, ChildStep, ParentEvent,
+    ParentStep,
+};
+use crate::transport::LinkId;
+
+/// The child's side of a replica.
+pub(super) struct UplinkDuty {
+    pub(super) child: ChildState,
+    /// Transport link of the latest connection attempt.
+    link: Option<(distribution::LinkId, LinkId)>,
+}
+
+impl UplinkDuty {
+    pub(super) fn new(settings: &ControlSettings, parents: Vec<SocketAddr>) -> Self {
+        let identity = ChildIdentity {
+            name: settings.name.clone(),
+            incarnation: IncarnationId(wall_clock_ms()),
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            role: ChildRole::Replica,
+        };
+        UplinkDuty {
+            child: ChildState::new(identity, GroupId(0), parents),
+            link: None,
+        }
+    }
+
+    fn link_of(&self, attempt: distribution::LinkId) -> Option<LinkId> {
+        let (latest, link) = self.link?;
+        (latest == attempt).then_some(link)
+    }
+}
+
+impl ControlActor {
+    pub(super) fn handle_parent(&mut self, now: Timestamp, event: ParentEvent) {
+        let steps = self
+            .parent
+            .handle(now, event, &self.catalog, &mut self.random);
+        for step in steps {
+            self.carry_out_parent(now, step);
+        }
+    }
+
+    fn carry_out_parent(&mut self, now: Timestamp, step: ParentStep) {
+        match step {
+            ParentStep::Send { children, body } => self.send_to_children(&children, body),
+            ParentStep::Close { child } => self.links.close(LinkId(child.0)),
+            ParentStep::AskProof { round } => {
+                let requester = Requester::OwnProof { round };
+                self.ask(now, requester, Content::ConfirmRequest(Default::default()));
+            }
+            ParentStep::ForwardUp(body) => self.forward_up(now, body),
+            ParentStep::HandleRequest { child, request } => {
+                let request_id = request.request_id;
+                if let Some(content) = request.content {
+                    self.ask(now, Requester::Child { child, request_id }, content);
+                }
+            }
+        }
+    }
+
+    fn send_to_children(&mut self, children: &[ChildId], body: Body) {
+        match &body {
+            Body::Delta(_) => self.metrics.count_deltas(children.len()),
+            Body::Snapshot(chunk) => {
+                if chunk.offset == 0 {
+                    self.metrics.count_snapshots(children.len());
+                }
+                let links = children.iter().map(|child| LinkId(child.0));
+                self.transfers.extend(links);
+            }
+            Body::RetryAfter(retry) => {
+                let reason = RetryReason::try_from(retry.reason).unwrap_or(RetryReason::Busy);
+                self.metrics.count_retry_after(reason, children.len());
+            }
+            _ => {}
+        }
+        if let [child] = children {
+            return self.links.send(LinkId(child.0), body, None);
+        }
+        for child in children {
+            self.links.send(LinkId(child.0), body.clone(), None);
+        }
+    }
+
+    /// Asks for the next chunk of transfers whose last one has left the output buffer. Returns
+    /// whether there was one.
+    pub(super) fn continue_transfers(&mut self) -> bool {
+        let links = &self.links;
+        let is_sent = |link: &&LinkId| links.queued_bytes(**link).is_none_or(|bytes| bytes == 0);
+        let sent: Vec<LinkId> = self.transfers.iter().filter(is_sent).copied().collect();
+        for link in &sent {
+            self.transfers.swap_remove(link);
+            let child = ChildId(link.0);
+            self.work
+                .push_back(Work::Parent(ParentEvent::Writable { child }));
+        }
+        !sent.is_empty()
+    }
+
+    pub(super) fn handle_child(&mut self, now: Timestamp, event: ChildEvent) {
+        let Some(uplink) = &mut self.uplink else {
+            return;
+        };
+        for step in uplink.child.handle(now, event, &mut self.random) {
+            self.carry_out_child(now, step);
+        }
+    }
+
+    fn carry_out_child(&mut self, now: Timestamp, step: ChildStep) {
+        match step {
+            ChildStep::Connect { link, address } => {
+                let opened = self.links.connect(now, address);
+                self.link_roles.insert(opened, LinkRole::Uplink(link));
+                if let Some(uplink) = &mut self.uplink {
+                    uplink.link = Some((link, opened));
+                }
+            }
+            ChildStep::Send { link, body } => {
+                let opened = self.uplink.as_ref().and_then(|uplink| uplink.link_of(link));
+                if let Some(opened) = opened {
+                    let ticket = ticket_of(&body);
+                    self.links.send(opened, body, ticket);
+                }
+            }
+            ChildStep::Close { link } => {
+                let opened = self.uplink.as_ref().and_then(|uplink| uplink.link_of(link));
+                if let Some(opened) = opened {
+                    self.links.close(opened);
+                }
+            }
+            ChildStep::Attached { floor } => {
+                log::info!(floor = floor.0; "attached_to_parent");
+                self.work
+                    .push_back(Work::Parent(ParentEvent::UplinkChanged));
+            }
+            ChildStep::Swap { snapshot, source } => self.swap(&snapshot, &source),
+            ChildStep::Refused { version, refusal } => {
+                let reason = refusal.to_string();
+                log::warn!(version = version.0, reason = reason.as_str(); "update_refused");
+            }
+            ChildStep::Relayed(forward) => self.answer_received(now, forward),
+            ChildStep::NotSent(Body::Forward(forward)) => {
+                if let Some(kind) = self.requests.kind(forward.request_id) {
+                    let answer = answer::unavailable(kind, "no_leader");
+                    self.finish(now, forward.request_id, answer);
+                }
+            }
+            // Reports, progress and attachments are repeated.
+            ChildStep::NotSent(_) => {}
+        }
+    }
+
+    /// Takes over a configuration that the child state has checked.
+    fn swap(&mut self, snapshot: &ConfigSnapshot, source: &AppliedSource) {
+        let taken = match source {
+            AppliedSource::State(state) => {
+                Catalog::from_state(state).map(|catalog| self.catalog = catalog)
+            }
+            AppliedSource::Delta(delta) => self.catalog.absorb_delta(delta),
+        };
+        if let Err(error) = taken {
+            return self.fail(super::process::ControlError::Update {
+                version: snapshot.version,
+                source: error,
+            });
+        }
+        if let Some(uplink) = &self.uplink {
+            self.parent.set_group(uplink.child.group());
+        }
+        self.has_catalog_moved = true;
+    }
+
+    pub(super) fn uplink_closed(&mut self, now: Timestamp, attempt: distribution::LinkId) {
+        for id in self.requests.on_route(RequestRoute::Parent) {
+            if let Some(kind) = self.requests.kind(id) {
+                self.finish(now, id, answer::uncertain(kind, "parent_lost"));
+            }
+        }
+        let event = ChildEvent::Disconnected { link: attempt };
+        self.work.push_back(Work::Child(event));
+    }
+}
+
+/// Ticket by which a request that provably did not leave is recognised.
+fn ticket_of(body: &Body) -> Option<u64> {
+    match body {
+        Body::Forward(forward) => {
+            let content = forward.content.as_ref()?;
+            RequestKind::of(content).map(|_| forward.request_id)
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/ops/control/metrics.rs
@@ -0,0 +1,225 @@
+//! Metrics of a control instance.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatlock_wire::MessageKind;
+use kumquatlock_wire::distribution::RetryReason;
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeLabelSet, EncodeMetric, text};
+use prometheus_client::metrics::MetricType;
+use prometheus_client::metrics::counter::{ConstCounter, Counter};
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use strum::IntoEnumIterator;
+
+use super::actor::ControlActor;
+use crate::http::HttpResponse;
+use crate::transport::{LinkScope, TrafficCounters, TrafficDirection};
+
+/// Media type of the Prometheus text that the registry writes.
+const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabel {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
+/// Counters and gauges that the actor sets and the HTTP threads read.
+pub(super) struct ControlMetrics {
+    pub(super) traffic: Arc<TrafficCounters>,
+    registry: Registry,
+    config_version: Gauge,
+    commit_index: Gauge,
+    term: Gauge,
+    is_leader: Gauge,
+    children: Gauge,
+    journal_sync: Histogram,
+    submissions: Family<OutcomeLabel, Counter>,
+    snapshots: Counter,
+    deltas: Counter,
+    retry_after: Family<ReasonLabel, Counter>,
+}
+
+impl ControlMetrics {
+    pub(super) fn new() -> Self {
+        let mut metrics = ControlMetrics {
+            traffic: Arc::default(),
+            registry: Registry::with_prefix("kumquatlock"),
+            config_version: Gauge::default(),
+            commit_index: Gauge::default(),
+            term: Gauge::default(),
+            is_leader: Gauge::default(),
+            children: Gauge::default(),
+            // From 25 us to 50 ms.
+            journal_sync: Histogram::new(exponential_buckets(0.000_025, 2.0, 12)),
+            submissions: Family::default(),
+            snapshots: Counter::default(),
+            deltas: Counter::default(),
+            retry_after: Family::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        let mut gauge = |name, help, gauge: &Gauge| registry.register(name, help, gauge.clone());
+        gauge(
+            "config_version",
+            "Applied configuration version",
+            &self.config_version,
+        );
+        gauge(
+            "commit_index",
+            "Highest committed log index",
+            &self.commit_index,
+        );
+        gauge("term", "Current election term", &self.term);
+        gauge(
+            "is_leader",
+            "Whether this instance leads its group",
+            &self.is_leader,
+        );
+        gauge("children", "Admitted children", &self.children);
+        registry.register(
+            "journal_sync_seconds",
+            "Time of one durable journal write",
+            self.journal_sync.clone(),
+        );
+        registry.register(
+            "submissions",
+            "Answered submissions by outcome",
+            self.submissions.clone(),
+        );
+        registry.register(
+            "snapshots_sent",
+            "Snapshot transfers begun",
+            self.snapshots.clone(),
+        );
+        registry.register(
+            "deltas_sent",
+            "Deltas sent to children",
+            self.deltas.clone(),
+        );
+        registry.register(
+            "retry_after_sent",
+            "Children that were refused for now",
+            self.retry_after.clone(),
+        );
+        registry.register_collector(Box::new(TrafficCollector(self.traffic.clone())));
+    }
+
+    /// Everything as Prometheus text.
+    pub(super) fn response(&self) -> HttpResponse {
+        let mut body = String::new();
+        match text::encode(&mut body, &self.registry) {
+            Ok(()) => HttpResponse {
+                status: 200,
+                headers: vec![("Content-Type".to_owned(), CONTENT_TYPE.to_owned())],
+                body: body.into(),
+            },
+            Err(fmt::Error) => super::answer::bad_request(500, "metrics", "could not be encoded"),
+        }
+    }
+
+    pub(super) fn observe_sync(&self, elapsed: Duration) {
+        self.journal_sync.observe(elapsed.as_secs_f64());
+    }
+
+    /// Counts an answered submission by its HTTP status.
+    pub(super) fn count_submission(&self, status: u16) {
+        let outcome = match status {
+            200 => "accepted",
+            409 => "refused",
+            422 => "invalid",
+            503 => "not_run",
+            _ => "unknown",
+        };
+        let outcome = OutcomeLabel { outcome };
+        self.submissions.get_or_create(&outcome).inc();
+    }
+
+    pub(super) fn count_snapshots(&self, children: usize) {
+        self.snapshots.inc_by(children as u64);
+    }
+
+    pub(super) fn count_deltas(&self, children: usize) {
+        self.deltas.inc_by(children as u64);
+    }
+
+    pub(super) fn count_retry_after(&self, reason: RetryReason, children: usize) {
+        let reason = match reason {
+            RetryReason::Busy => "busy",
+            RetryReason::NotCurrent => "not_current",
+            RetryReason::Leaving => "leaving",
+            RetryReason::WrongGroup => "wrong_group",
+        };
+        let reason = ReasonLabel { reason };
+        self.retry_after
+            .get_or_create(&reason)
+            .inc_by(children as u64);
+    }
+}
+
+impl ControlActor {
+    pub(super) fn update_metrics(&self) {
+        let metrics = &self.metrics;
+        let gauge_value = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        metrics
+            .config_version
+            .set(gauge_value(self.catalog.version().0));
+        metrics
+            .children
+            .set(gauge_value(self.parent.child_count() as u64));
+        metrics.is_leader.set(self.is_leader().into());
+        if let Some(voter) = &self.voter {
+            let status = voter.agreement.status();
+            metrics.commit_index.set(gauge_value(status.commit_index));
+            metrics.term.set(gauge_value(status.term));
+        }
+    }
+}
+
+/// Reads the traffic counters at each scrape.
+#[derive(Debug)]
+struct TrafficCollector(Arc<TrafficCounters>);
+
+impl Collector for TrafficCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        let mut family = encoder.encode_descriptor(
+            "control_bytes",
+            "Bytes of control messages at the framing layer.",
+            None,
+            MetricType::Counter,
+        )?;
+        for direction in TrafficDirection::iter() {
+            for (scope, scope_label) in [
+                (LinkScope::Region, "region"),
+                (LinkScope::CrossRegion, "cross_region"),
+            ] {
+                for kind in MessageKind::ALL
+                    .into_iter()
+                    .filter(|kind| kind.is_control())
+                {
+                    let labels = [
+                        ("direction", <&str>::from(direction)),
+                        ("kind", kind.label()),
+                        ("scope", scope_label),
+                    ];
+                    let bytes = ConstCounter::new(self.0.bytes(direction, scope, kind));
+                    bytes.encode(family.encode_family(&labels)?)?;
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/ops/control/operator.rs
@@ -0,0 +1,207 @@
+//! HTTP requests of operators.
+
+use std::sync::Arc;
+use std::sync::mpsc::RecvTimeoutError;
+use std::time::Duration;
+
+use kumquatlock_wire::agreement::forward::Content;
+use kumquatlock_wire::distribution::StatusRequest;
+use serde::Serialize;
+use stakker::sync::Channel;
+
+use super::actor::ControlActor;
+use super::answer;
+use super::metrics::ControlMetrics;
+use super::requests::{REQUEST_TIMEOUT, Requester};
+use super::settings::RoleSettings;
+use crate::core::Timestamp;
+use crate::http::{HttpRequest, HttpResponse, ReplySlot};
+use crate::manifest::ManifestDocument;
+
+/// Longest wait of an HTTP thread. Above the timeout of a request, whose answer says more.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(REQUEST_TIMEOUT.as_millis() as u64 + 1_000);
+
+const MANIFESTS_PATH: &str = "/v1/manifests";
+const STATUS_PATH: &str = "/v1/status";
+const METRICS_PATH: &str = "/metrics";
+const LATEST: &str = "latest";
+
+/// A request on its way from an HTTP thread to the actor.
+pub(super) struct OperatorCall {
+    request: HttpRequest,
+    reply: ReplySlot,
+}
+
+/// What an operator asks for.
+enum Operation {
+    Submit,
+    Show(Option<u64>),
+    Status,
+}
+
+/// Hands requests to the actor and waits for its answers. Metrics are read here, so that they can
+/// be scraped while the actor is busy.
+pub(super) fn handler(
+    calls: Channel<OperatorCall>,
+    metrics: Arc<ControlMetrics>,
+) -> impl Fn(HttpRequest) -> HttpResponse + Send + Sync + 'static {
+    move |request| {
+        if request.path() == METRICS_PATH {
+            return match request.method.as_str() {
+                "GET" => metrics.response(),
+                _ => wrong_method("GET"),
+            };
+        }
+        let (reply, answer) = ReplySlot::new();
+        if !calls.send(OperatorCall { request, reply }) {
+            return answer::response(answer::not_run("leaving"));
+        }
+        match answer.recv_timeout(ANSWER_TIMEOUT) {
+            Ok(response) => response,
+            Err(RecvTimeoutError::Timeout) => answer::response(answer::unknown("timeout")),
+            Err(RecvTimeoutError::Disconnected) => answer::response(answer::unknown("leaving")),
+        }
+    }
+}
+
+fn wrong_method(allowed: &str) -> HttpResponse {
+    let detail = format!("this path takes {allowed}");
+    answer::bad_request(405, "method_not_allowed", &detail).with_header("Allow", allowed)
+}
+
+/// Reads method and path, or gives the answer that refuses them.
+fn read_operation(request: &HttpRequest) -> Result<Operation, HttpResponse> {
+    let path = request.path();
+    let (operation, method) = if path == MANIFESTS_PATH {
+        (Operation::Submit, "POST")
+    } else if path == STATUS_PATH {
+        (Operation::Status, "GET")
+    } else if let Some(version) = path
+        .strip_prefix(MANIFESTS_PATH)
+        .and_then(|rest| rest.strip_prefix('/'))
+    {
+        (Operation::Show(read_version(version)?), "GET")
+    } else {
+        let detail = "paths are /v1/manifests, /v1/manifests/<version>, /v1/status and /metrics";
+        return Err(answer::bad_request(404, "not_found", detail));
+    };
+    if request.method != method {
+        return Err(wrong_method(method));
+    }
+    Ok(operation)
+}
+
+fn read_version(text: &str) -> Result<Option<u64>, HttpResponse> {
+    if text == LATEST {
+        return Ok(None);
+    }
+    let is_number = text.bytes().all(|byte| byte.is_ascii_digit());
+    let version = text
+        .parse()
+        .ok()
+        .filter(|version| is_number && *version > 0);
+    version.map(Some).ok_or_else(|| {
+        let detail = "a version is a whole number from 1, or `latest`";
+        answer::bad_request(400, "bad_version", detail)
+    })
+}
+
+#[derive(Serialize)]
+struct VoterBody {
+    name: String,
+    disk_id: String,
+}
+
+#[derive(Serialize)]
+struct StatusBody<'a> {
+    name: &'a str,
+    role: &'static str,
+    zone: &'a str,
+    region: &'a str,
+    leader: Option<String>,
+    term: u64,
+    group_id: String,
+    voters: Vec<VoterBody>,
+    commit_index: u64,
+    applied_index: u64,
+    config_version: u64,
+    manifest_version: u64,
+    children: usize,
+    attached: u64,
+    applied: u64,
+    connected_voters: usize,
+}
+
+impl ControlActor {
+    pub(super) fn answer_operator(&mut self, now: Timestamp, call: OperatorCall) {
+        let OperatorCall { request, reply } = call;
+        match read_operation(&request) {
+            Err(response) => reply.answer(response),
+            Ok(Operation::Status) => reply.answer(self.status_response()),
+            Ok(Operation::Show(manifest_version)) => {
+                let content = Content::StatusRequest(StatusRequest { manifest_version });
+                self.ask(now, Requester::Operator(reply), content);
+            }
+            Ok(Operation::Submit) => self.submit(now, request, reply),
+        }
+    }
+
+    fn submit(&mut self, now: Timestamp, request: HttpRequest, reply: ReplySlot) {
+        let refused = if self.stop.is_some() {
+            Some(answer::not_run("leaving"))
+        } else {
+            // Checked where it arrives, so that a bad manifest costs the leader nothing.
+            let checked = ManifestDocument::parse(&request.body);
+            checked.err().map(|error| answer::invalid_manifest(&error))
+        };
+        if let Some(refused) = refused {
+            let response = answer::response(refused);
+            self.metrics.count_submission(response.status);
+            return reply.answer(response);
+        }
+        let content = Content::Submit(request.body);
+        self.ask(now, Requester::Operator(reply), content);
+    }
+
+    fn status_response(&self) -> HttpResponse {
+        let settings = &self.settings;
+        let status = self.voter.as_ref().map(|voter| voter.agreement.status());
+        let count = self.attached_count(self.catalog.version());
+        let voters = status.iter().flat_map(|status| &status.voters.voters);
+        let group = match (&status, &self.uplink) {
+            (Some(status), _) => status.group_id.0,
+            (None, Some(uplink)) => uplink.child.group().0,
+            (None, None) => 0,
+        };
+        let body = StatusBody {
+            name: &settings.name,
+            role: match (&self.voter, &settings.role) {
+                (Some(voter), _) => voter.role.into(),
+                (None, RoleSettings::Replica { .. } | RoleSettings::Voter { .. }) => "replica",
+            },
+            zone: &settings.zone,
+            region: &settings.region,
+            leader: self
+                .voter
+                .as_ref()
+                .and_then(|voter| voter.leader.as_ref().map(ToString::to_string)),
+            term: status.as_ref().map_or(0, |status| status.term),
+            group_id: format!("{group:016x}"),
+            voters: voters
+                .map(|voter| VoterBody {
+                    name: voter.name.clone(),
+                    disk_id: format!("{:016x}", voter.disk_id),
+                })
+                .collect(),
+            commit_index: status.as_ref().map_or(0, |status| status.commit_index),
+            applied_index: self.catalog.applied_index(),
+            config_version: self.catalog.version().0,
+            manifest_version: self.catalog.manifest_version(),
+            children: self.parent.child_count(),
+            attached: count.attached,
+            applied: count.applied,
+            connected_voters: self.peers.connected_count(),
+        };
+        HttpResponse::json(200, &body)
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/ops/control/peers.rs
@@ -0,0 +1,96 @@
+//! Outbound links to the other voters.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::core::{SharedName, Timestamp};
+use crate::transport::LinkId;
+
+/// Bounds of the delay before the next connection attempt, in milliseconds. Short against the
+/// election timeout, so that a restarted voter is heard before it disturbs the group.
+const RECONNECT_DELAY_MS: std::ops::RangeInclusive<u64> = 50..=250;
+
+#[derive(Debug)]
+struct PeerLink {
+    address: SocketAddr,
+    link: Option<LinkId>,
+    is_connected: bool,
+    retry_at: Timestamp,
+}
+
+/// One link per peer, on which this voter sends. Answers arrive on the peer's own link.
+#[derive(Debug, Default)]
+pub(super) struct PeerLinks {
+    peers: IndexMap<SharedName, PeerLink>,
+}
+
+impl PeerLinks {
+    pub(super) fn new(peers: impl Iterator<Item = (SharedName, SocketAddr)>) -> Self {
+        let peer_link = |address| PeerLink {
+            address,
+            link: None,
+            is_connected: false,
+            retry_at: Timestamp::default(),
+        };
+        PeerLinks {
+            peers: peers
+                .map(|(name, address)| (name, peer_link(address)))
+                .collect(),
+        }
+    }
+
+    /// Peers to connect to now.
+    pub(super) fn due(&self, now: Timestamp) -> Vec<(SharedName, SocketAddr)> {
+        let is_due = |peer: &PeerLink| peer.link.is_none() && peer.retry_at <= now;
+        let due = self.peers.iter().filter(|(_, peer)| is_due(peer));
+        due.map(|(name, peer)| (name.clone(), peer.address))
+            .collect()
+    }
+
+    pub(super) fn set_connecting(&mut self, name: &str, link: LinkId) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.link = Some(link);
+            peer.is_connected = false;
+        }
+    }
+
+    pub(super) fn set_connected(&mut self, name: &str, link: LinkId) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.is_connected = peer.link == Some(link);
+        }
+    }
+
+    pub(super) fn set_closed(
+        &mut self,
+        now: Timestamp,
+        name: &str,
+        link: LinkId,
+        random: &mut SmallRng,
+    ) {
+        if let Some(peer) = self.peers.get_mut(name)
+            && peer.link == Some(link)
+        {
+            peer.link = None;
+            peer.is_connected = false;
+            peer.retry_at = now + Duration::from_millis(random.random_range(RECONNECT_DELAY_MS));
+        }
+    }
+
+    /// The link of a connected peer.
+    pub(super) fn link(&self, name: &str) -> Option<LinkId> {
+        let peer = self.peers.get(name)?;
+        peer.link.filter(|_| peer.is_connected)
+    }
+
+    pub(super) fn is_peer(&self, name: &str) -> bool {
+        self.peers.contains_key(name)
+    }
+
+    pub(super) fn connected_count(&self) -> usize {
+        self.peers.values().filter(|peer| peer.is_connected).count()
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -0,0 +1,250 @@
+//! Requests: answered here by the leader, or passed on towards it.
+
+use indexmap::IndexSet;
+use kumquatlock_wire::Body;
+use kumquatlock_wire::agreement::Forward;
+use kumquatlock_wire::agreement::forward::Content;
+use kumquatlock_wire::distribution::{Progress, UpstreamReport, catalog_command};
+
+use super::actor::{ControlActor, Work};
+use super::answer;
+use super::requests::{RequestAnswer, RequestKind, RequestRoute, Requester, forward};
+use crate::agreement::{AgreementEvent, CurrencyTicket, ProposalTicket};
+use crate::core::{ConfigVersion, Timestamp};
+use crate::distribution::{ChildEvent, InForceCount, ParentEvent, ProgressTable, REPORTER_SILENCE};
+use crate::manifest::ManifestDocument;
+use crate::transport::LinkId;
+
+/// What only the leader knows. Starts empty with each leadership.
+#[derive(Debug, Default)]
+pub(super) struct LeaderView {
+    since: Timestamp,
+    progress: ProgressTable,
+    /// Voters whose progress has arrived since the leadership began.
+    reporters: IndexSet<String>,
+}
+
+impl ControlActor {
+    pub(super) fn change_leadership(&mut self, now: Timestamp, _is_leader: bool) {
+        self.leader_view = LeaderView {
+            since: now,
+            ..LeaderView::default()
+        };
+    }
+
+    /// Answers a request here or passes it on towards the leader.
+    pub(super) fn ask(&mut self, now: Timestamp, requester: Requester, content: Content) {
+        let Some(kind) = RequestKind::of(&content) else {
+            return;
+        };
+        // A voter forwards only to whom it takes for the leader; passing on again could go round.
+        let is_last_hop = matches!(requester, Requester::Voter { .. });
+        let id = match self.requests.insert(now, requester, kind) {
+            Ok(id) => id,
+            Err(requester) => {
+                let answer = answer::unavailable(kind, "busy");
+                return self.deliver(requester, kind, answer);
+            }
+        };
+        if self.is_leader() {
+            self.serve(now, id, content);
+        } else if let (Some(link), false) = (self.leader_link(), is_last_hop) {
+            self.requests.set_route(id, RequestRoute::Link(link));
+            self.send_to_voter(link, forward(id, content), Some(id));
+        } else if self.uplink.is_some() {
+            self.requests.set_route(id, RequestRoute::Parent);
+            let body = Body::Forward(forward(id, content));
+            self.work.push_back(Work::Child(ChildEvent::Relay(body)));
+        } else {
+            self.finish(now, id, answer::unavailable(kind, "no_leader"));
+        }
+    }
+
+    /// Answers a request as the leader.
+    fn serve(&mut self, now: Timestamp, id: u64, content: Content) {
+        match content {
+            Content::Submit(text) => {
+                let decided = match ManifestDocument::parse(&text) {
+                    Ok(document) => self
+                        .catalog
+                        .preview_manifest(&document)
+                        .map(|decision| answer::decided_manifest(&decision)),
+                    Err(error) => Some(answer::invalid_manifest(&error)),
+                };
+                match decided {
+                    // What the catalog has applied is final.
+                    Some(answer) => self.finish(now, id, answer),
+                    None => {
+                        let command = catalog_command::Kind::Manifest(text);
+                        self.propose_with(ProposalTicket(id), command);
+                    }
+                }
+            }
+            Content::StatusRequest(request) => {
+                let answer = self.show(now, request.manifest_version);
+                self.finish(now, id, answer);
+            }
+            Content::ConfirmRequest(_) => {
+                let event = AgreementEvent::ConfirmCurrency(CurrencyTicket(id));
+                self.work.push_back(Work::Agreement(event));
+            }
+            _ => {}
+        }
+    }
+
+    fn show(&self, now: Timestamp, manifest_version: Option<u64>) -> RequestAnswer {
+        let is_complete = self.has_whole_view(now);
+        let count = |version| (self.leader_view.progress.count(version), is_complete);
+        answer::shown_manifest(&self.catalog, manifest_version, count)
+    }
+
+    /// Whether every voter has reported, or was silent for so long that it is not counted.
+    fn has_whole_view(&self, now: Timestamp) -> bool {
+        let Some(voter) = &self.voter else {
+            return false;
+        };
+        let voters = voter.agreement.status().voters.voters;
+        let view = &self.leader_view;
+        now.since(view.since) >= REPORTER_SILENCE
+            || voters
+                .iter()
+                .all(|voter| view.reporters.contains(&voter.name))
+    }
+
+    /// Progress of all attached nodes, as far as this instance knows.
+    pub(super) fn attached_count(&self, version: ConfigVersion) -> InForceCount {
+        if self.is_leader() {
+            return self.leader_view.progress.count(version);
+        }
+        let own = self.parent.progress(&self.catalog);
+        InForceCount {
+            attached: own.nodes,
+            applied: own.current_nodes,
+        }
+    }
+
+    /// Ends a request with its answer. Later answers to it are ignored.
+    pub(super) fn finish(&mut self, _now: Timestamp, id: u64, answer: RequestAnswer) {
+        if let Some(request) = self.requests.take(id) {
+            self.deliver(request.requester, request.kind, answer);
+        }
+    }
+
+    fn deliver(&mut self, requester: Requester, kind: RequestKind, answer: RequestAnswer) {
+        match requester {
+            Requester::Operator(slot) => {
+                if let (RequestKind::Submit, RequestAnswer::Operator { status, .. }) =
+                    (kind, &answer)
+                {
+                    self.metrics.count_submission(*status);
+                }
+                slot.answer(answer::response(answer));
+            }
+            Requester::Voter { name, request_id } => {
+                // The other voter's request times out if it is not connected.
+                if let Some(link) = self.peers.link(&name) {
+                    let reply = forward(request_id, answer.into_content(kind));
+                    self.send_to_voter(link, reply, None);
+                }
+            }
+            Requester::Child { child, request_id } => {
+                let reply = forward(request_id, answer.into_content(kind));
+                self.links.send(LinkId(child.0), Body::Forward(reply), None);
+            }
+            Requester::OwnProof { round } => {
+                let index = match answer {
+                    RequestAnswer::Confirm(index) => index,
+                    RequestAnswer::Operator { .. } => None,
+                };
+                let event = ParentEvent::ProofResult { round, index };
+                self.work.push_back(Work::Parent(event));
+            }
+        }
+    }
+
+    pub(super) fn expire_requests(&mut self, now: Timestamp) {
+        for id in self.requests.overdue(now) {
+            if let Some(kind) = self.requests.kind(id) {
+                self.finish(now, id, answer::uncertain(kind, "timeout"));
+            }
+        }
+    }
+
+    /// A request or answer from another voter.
+    pub(super) fn forward_received(&mut self, now: Timestamp, from: &str, message: Forward) {
+        let Some(content) = &message.content else {
+            return;
+        };
+        if RequestKind::of(content).is_some() {
+            let request_id = message.request_id;
+            let name = from.into();
+            if let Some(content) = message.content {
+                self.ask(now, Requester::Voter { name, request_id }, content);
+            }
+            return;
+        }
+        match message.content {
+            Some(Content::Report(report)) => self.take_up(now, Body::Report(report)),
+            Some(Content::Progress(progress)) => self.take_up(now, Body::Progress(progress)),
+            Some(Content::Attachment(attachment)) => {
+                self.take_up(now, Body::Attachment(attachment));
+            }
+            _ => self.answer_received(now, message),
+        }
+    }
+
+    /// The answer of another instance to a request that was passed on.
+    pub(super) fn answer_received(&mut self, now: Timestamp, message: Forward) {
+        let answer = message.content.and_then(RequestAnswer::from_content);
+        if let Some(answer) = answer {
+            self.finish(now, message.request_id, answer);
+        }
+    }
+
+    /// Passes a message on towards the leader. It is repeated by its sender, so a lost one is not
+    /// answered.
+    pub(super) fn forward_up(&mut self, now: Timestamp, body: Body) {
+        if self.is_leader() {
+            return self.take_up(now, body);
+        }
+        if let Some(link) = self.leader_link() {
+            let content = match body {
+                Body::Report(report) => Content::Report(report),
+                Body::Progress(progress) => Content::Progress(progress),
+                Body::Attachment(attachment) => Content::Attachment(attachment),
+                _ => return,
+            };
+            self.send_to_voter(link, forward(0, content), None);
+        } else if self.uplink.is_some() {
+            self.work.push_back(Work::Child(ChildEvent::Relay(body)));
+        }
+    }
+
+    /// Takes a message that was on its way to the leader. It is dropped if the leadership moved.
+    fn take_up(&mut self, now: Timestamp, body: Body) {
+        if !self.is_leader() {
+            return;
+        }
+        match body {
+            Body::Report(report) => self.take_report(report),
+            Body::Progress(progress) => self.take_progress(now, progress),
+            _ => {}
+        }
+    }
+
+    fn take_report(&mut self, report: UpstreamReport) {
+        self.propose(catalog_command::Kind::Report(report));
+    }
+
+    fn take_progress(&mut self, now: Timestamp, progress: Progress) {
+        self.leader_view.reporters.insert(progress.reporter.clone());
+        self.leader_view.progress.record(now, progress);
+    }
+
+    fn send_to_voter(&mut self, link: LinkId, message: Forward, ticket: Option<u64>) {
+        if let Some(voter) = &self.voter {
+            let body = Body::Peer(voter.wrap(message));
+            self.links.send(link, body, ticket);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock/src/ops/control/settings.rs
@@ -0,0 +1,248 @@
+//! Settings of a control instance.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::core::SharedName;
+use crate::util::logging::LogFilter;
+use crate::util::settings::{
+    AddressList, CheckedName, DurationMillis, EnumChoice, NamedAddresses, SettingError,
+    SettingSpec, VariableSource,
+};
+
+/// What a control instance does in its group.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    strum::Display,
+    strum::EnumIter,
+    strum::EnumString,
+    strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum InstanceRole {
+    /// Has a disk and votes.
+    Voter,
+    /// Serves reads and has no vote.
+    Replica,
+}
+
+/// Sizes of a group. Even sizes need a larger quorum without surviving more failures.
+const GROUP_SIZES: [usize; 3] = [1, 3, 5];
+
+/// Heartbeats that must fit into the shortest election timeout, so that one lost heartbeat does
+/// not cause an election.
+const HEARTBEATS_PER_TIMEOUT: u64 = 3;
+
+const NAME: SettingSpec<CheckedName> =
+    SettingSpec::new("name", "name of this instance, unique in the mesh");
+const LISTEN: SettingSpec<SocketAddr> =
+    SettingSpec::new("listen", "address for nodes and other control instances");
+const HTTP: SettingSpec<SocketAddr> = SettingSpec::new("http", "address for operators and metrics");
+const DATA_DIR: SettingSpec<PathBuf> =
+    SettingSpec::new("data-dir", "folder of the voter's durable state");
+const ROLE: SettingSpec<EnumChoice<InstanceRole>> =
+    SettingSpec::new("role", "voter or replica").default_value("voter");
+const VOTERS: SettingSpec<NamedAddresses> = SettingSpec::new(
+    "voters",
+    "all voters as <name>=<ip>:<port>,..., this one included",
+);
+const PARENTS: SettingSpec<AddressList> = SettingSpec::new(
+    "parents",
+    "control instances that a replica follows, the preferred one first",
+);
+const ZONE: SettingSpec<CheckedName> =
+    SettingSpec::new("zone", "availability zone of this instance");
+const REGION: SettingSpec<CheckedName> = SettingSpec::new("region", "region of the zone");
+const LOG: SettingSpec<LogFilter> =
+    SettingSpec::new("log", "log levels by target").default_value("info");
+const HEARTBEAT: SettingSpec<DurationMillis> =
+    SettingSpec::new("heartbeat-ms", "interval between heartbeats of the leader")
+        .unit("ms")
+        .range(10, 10_000)
+        .default_value("150");
+const ELECTION_TIMEOUT: SettingSpec<DurationMillis> = SettingSpec::new(
+    "election-timeout-ms",
+    "shortest election timeout; the longest is twice as long",
+)
+.unit("ms")
+.range(50, 60_000)
+.default_value("1000");
+const EXPIRY: SettingSpec<DurationMillis> = SettingSpec::new(
+    "expiry-ms",
+    "time after which an unattached upstream is removed",
+)
+.unit("ms")
+.range(100, 3_600_000)
+.default_value("30000");
+
+/// Texts of the flags of `serve`, as given on the command line.
+#[derive(Clone, Debug, Default)]
+pub struct ControlFlags {
+    pub name: Option<String>,
+    pub listen: Option<String>,
+    pub http: Option<String>,
+    pub data_dir: Option<String>,
+    pub role: Option<String>,
+    pub voters: Option<String>,
+    pub parents: Option<String>,
+    pub zone: Option<String>,
+    pub region: Option<String>,
+    pub log: Option<String>,
+    pub heartbeat_ms: Option<String>,
+    pub election_timeout_ms: Option<String>,
+    pub expiry_ms: Option<String>,
+}
+
+/// Why the settings cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ControlSettingsError {
+    /// One setting is missing or malformed.
+    #[error(transparent)]
+    Setting(#[from] SettingError),
+    /// A voter does not know its own place.
+    #[error("setting --voters (KUMQUATLOCK_VOTERS) does not name this instance, `{name}`")]
+    NotAmongVoters {
+        /// Name of this instance.
+        name: SharedName,
+    },
+    /// A group of this size is not supported.
+    #[error("setting --voters (KUMQUATLOCK_VOTERS) names {count} voters; 1, 3 or 5 are possible")]
+    GroupSize {
+        /// Voters that were named.
+        count: usize,
+    },
+    /// A lost heartbeat would cause an election.
+    #[error(
+        "setting --election-timeout-ms (KUMQUATLOCK_ELECTION_TIMEOUT_MS) must be at least \
+         {HEARTBEATS_PER_TIMEOUT} times --heartbeat-ms (KUMQUATLOCK_HEARTBEAT_MS): {election_ms} \
+         and {heartbeat_ms}"
+    )]
+    ElectionTooShort {
+        /// Shortest election timeout.
+        election_ms: u64,
+        /// Heartbeat interval.
+        heartbeat_ms: u64,
+    },
+}
+
+/// What depends on the role.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RoleSettings {
+    /// Settings of a voter.
+    Voter {
+        /// Folder of the journal.
+        data_dir: PathBuf,
+        /// All voters by name, this one included.
+        voters: IndexMap<SharedName, SocketAddr>,
+    },
+    /// Settings of a replica.
+    Replica {
+        /// Parents in order of preference; not empty.
+        parents: Vec<SocketAddr>,
+    },
+}
+
+/// Checked settings of a control instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ControlSettings {
+    pub name: SharedName,
+    pub listen: SocketAddr,
+    pub http: SocketAddr,
+    pub role: RoleSettings,
+    pub zone: SharedName,
+    pub region: SharedName,
+    pub log: LogFilter,
+    pub heartbeat: Duration,
+    /// Shortest election timeout; the longest is twice as long.
+    pub election_timeout: Duration,
+    /// Time after which an unattached upstream is removed.
+    pub expiry: Duration,
+}
+
+impl ControlSettings {
+    /// Checks all settings; the first one that cannot be used is the error.
+    pub fn resolve(
+        flags: &ControlFlags,
+        variables: &impl VariableSource,
+    ) -> Result<Self, ControlSettingsError> {
+        let CheckedName(name) = NAME.resolve(flags.name.as_deref(), variables)?;
+        let listen = LISTEN.resolve(flags.listen.as_deref(), variables)?;
+        let http = HTTP.resolve(flags.http.as_deref(), variables)?;
+        let EnumChoice(role) = ROLE.resolve(flags.role.as_deref(), variables)?;
+        let role = match role {
+            InstanceRole::Voter => resolve_voter(&name, flags, variables)?,
+            InstanceRole::Replica => {
+                let AddressList(parents) = PARENTS.resolve(flags.parents.as_deref(), variables)?;
+                RoleSettings::Replica { parents }
+            }
+        };
+        let CheckedName(zone) = ZONE.resolve(flags.zone.as_deref(), variables)?;
+        let CheckedName(region) = REGION.resolve(flags.region.as_deref(), variables)?;
+        let heartbeat = HEARTBEAT.resolve(flags.heartbeat_ms.as_deref(), variables)?;
+        let election = ELECTION_TIMEOUT.resolve(flags.election_timeout_ms.as_deref(), variables)?;
+        if election.0 < heartbeat.0 * HEARTBEATS_PER_TIMEOUT {
+            return Err(ControlSettingsError::ElectionTooShort {
+                election_ms: election.0,
+                heartbeat_ms: heartbeat.0,
+            });
+        }
+        Ok(ControlSettings {
+            name,
+            listen,
+            http,
+            role,
+            zone,
+            region,
+            log: LOG.resolve(flags.log.as_deref(), variables)?,
+            heartbeat: heartbeat.duration(),
+            election_timeout: election.duration(),
+            expiry: EXPIRY
+                .resolve(flags.expiry_ms.as_deref(), variables)?
+                .duration(),
+        })
+    }
+
+    /// One line per setting of `serve`, for the help text.
+    pub fn describe() -> Vec<String> {
+        vec![
+            NAME.describe(),
+            LISTEN.describe(),
+            HTTP.describe(),
+            DATA_DIR.describe(),
+            ROLE.describe(),
+            VOTERS.describe(),
+            PARENTS.describe(),
+            ZONE.describe(),
+            REGION.describe(),
+            LOG.describe(),
+            HEARTBEAT.describe(),
+            ELECTION_TIMEOUT.describe(),
+            EXPIRY.describe(),
+        ]
+    }
+}
+
+fn resolve_voter(
+    name: &SharedName,
+    flags: &ControlFlags,
+    variables: &impl VariableSource,
+) -> Result<RoleSettings, ControlSettingsError> {
+    let data_dir = DATA_DIR.resolve(flags.data_dir.as_deref(), variables)?;
+    let NamedAddresses(voters) = VOTERS.resolve(flags.voters.as_deref(), variables)?;
+    if !voters.contains_key(name) {
+        let name = name.clone();
+        return Err(ControlSettingsError::NotAmongVoters { name });
+    }
+    if !GROUP_SIZES.contains(&voters.len()) {
+        let count = voters.len();
+        return Err(ControlSettingsError::GroupSize { count });
+    }
+    Ok(RoleSettings::Voter { data_dir, voters })
+}
--- /dev/null
+++ b/crates/kumquatlock/src/ops/mod.rs
@@ -0,0 +1,3 @@
+//! What the commands of the binaries do.
+
+pub mod control;
