--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -12,12 +12,14 @@
 //! by `admission` and `retry`, protected from repetition by `claim`, and driven by `call`.
 
 pub mod admission;
+pub mod agreement;
 pub mod call;
 pub mod catalog;
 pub mod claim;
 pub mod core;
 pub mod distribution;
 pub mod http;
+pub mod journal;
 pub mod manifest;
 pub mod membership;
 pub mod ops;
