--- a/crates/kumquatlock/src/agreement/leader.rs
+++ b/crates/kumquatlock/src/agreement/leader.rs
@@ -227,6 +227,10 @@
         }
         self.commit_index = index;
         self.apply_committed();
+        if self.commit_index == self.log.last_index() {
+            // No later append carries the commit index, and the next heartbeat may be 150 ms away.
+            self.broadcast_round(now);
+        }
         self.start_currency_round(now);
     }
 
--- a/crates/kumquatlock/src/agreement/machine.rs
+++ b/crates/kumquatlock/src/agreement/machine.rs
@@ -52,7 +52,7 @@
     /// Payload bytes applied since the latest snapshot.
     pub(super) applied_bytes: u64,
     pub(super) snapshot: Option<Arc<StoredSnapshot>>,
-    /// Index and voter set of the snapshot that the caller was asked for.
+    /// Index and voter set of the snapshot that the caller was asked for, until it is durable.
     pub(super) snapshot_due: Option<(u64, VoterSet)>,
     pub(super) incoming: Option<IncomingSnapshot>,
     /// A received snapshot is being written; nothing is applied until it is durable.
@@ -127,6 +127,7 @@
             }
         }
         self.report_role();
+        self.request_snapshot();
         std::mem::take(&mut self.steps)
     }
 
@@ -284,9 +285,14 @@
     }
 
     fn on_storage_reopened(&mut self, now: Timestamp, recovered: RecoveredState) {
-        if matches!(self.role, RoleState::Halted(_)) {
-            self.restore(now, recovered);
+        if !matches!(self.role, RoleState::Halted(_)) {
+            return;
         }
+        if recovered.metadata.disk_id != self.identity.disk_id {
+            log::error!("the reopened folder has another disk identity; restart the process");
+            return;
+        }
+        self.restore(now, recovered);
     }
 
     /// Whether this instance may vote and lead.
@@ -382,7 +388,6 @@
             self.steps.push(AgreementStep::Apply(entry));
             self.answer_proposals(index);
         }
-        self.request_snapshot();
     }
 
     fn report_role(&mut self) {
--- a/crates/kumquatlock/src/agreement/snapshot.rs
+++ b/crates/kumquatlock/src/agreement/snapshot.rs
@@ -8,7 +8,7 @@
 };
 
 use super::log::EntryLog;
-use super::machine::Agreement;
+use super::machine::{Agreement, RoleState};
 use super::outbox::WriteEffect;
 use super::progress::ReplicationMode;
 use super::types::AgreementStep;
@@ -32,7 +32,8 @@
         let entries = self.applied_index.saturating_sub(self.snapshot_index());
         let is_due = entries >= self.settings.compaction_entries
             || self.applied_bytes >= self.settings.compaction_bytes;
-        if !is_due || self.snapshot_due.is_some() {
+        let is_halted = matches!(self.role, RoleState::Halted(_));
+        if !is_due || is_halted || self.is_installing || self.snapshot_due.is_some() {
             return;
         }
         let last_index = self.applied_index;
@@ -41,7 +42,8 @@
     }
 
     pub(super) fn on_snapshot_taken(&mut self, last_index: u64, data: Bytes) {
-        let Some((_, voters)) = self.snapshot_due.take_if(|(due, _)| *due == last_index) else {
+        let due = self.snapshot_due.clone();
+        let Some((_, voters)) = due.filter(|(due, _)| *due == last_index) else {
             return;
         };
         let Some(last_term) = self.log.term(last_index) else {
@@ -62,6 +64,7 @@
     }
 
     pub(super) fn finish_compaction(&mut self, snapshot: Arc<StoredSnapshot>) {
+        self.snapshot_due = None;
         if snapshot.last_index <= self.snapshot_index() {
             return;
         }
--- a/crates/kumquatlock/src/agreement/tests.rs
+++ b/crates/kumquatlock/src/agreement/tests.rs
@@ -1,7 +1,7 @@
 //! Failure tests of the replicated log.
 
 use kumquatlock_wire::agreement::{
-    EntryKind, LogEntry, PeerMessage, TimeoutNow, VoteReply, VoterIdentity, VoterSet,
+    AppendReply, EntryKind, LogEntry, PeerMessage, TimeoutNow, VoteReply, VoterIdentity, VoterSet,
     peer_message::Kind,
 };
 use prost::Message;
@@ -43,6 +43,31 @@
     assert_eq!(ids("a"), ids("b"));
 }
 
+/// Guards against a second group: an empty folder must not form one while others are silent or
+/// hold a group already.
+#[test]
+fn an_empty_folder_never_forms_a_second_group() {
+    let mut group = TestGroup::new(&["a", "b", "c"], 12);
+    group.cut.insert("c".into());
+    group.run(5_000);
+    assert!(
+        ["a", "b", "c"]
+            .iter()
+            .all(|name| group.role(name) == AgreementRole::Forming)
+    );
+    group.cut.clear();
+    group.elect();
+    let formed = group.voters["b"].agreement.status().group_id;
+    group.cut = ["b".into(), "c".into()].into();
+    group.start("a", RecoveredState::default());
+    group.run(5_000);
+    assert_eq!(group.role("a"), AgreementRole::Forming);
+    group.cut.clear();
+    group.run(5_000);
+    assert_eq!(group.role("a"), AgreementRole::Follower);
+    assert_eq!(group.voters["a"].agreement.status().group_id, formed);
+}
+
 /// Guards against two leaders that both commit, and against a proposal whose loss is not told.
 #[test]
 fn a_cut_off_leader_commits_nothing_beside_its_successor() {
@@ -131,9 +156,7 @@
     let mut group = TestGroup::new(&["a", "b", "c"], 6);
     let leader = group.elect();
     group.propose(&leader, 1);
-    while let Some((to, message)) = group.queue.pop_front() {
-        group.deliver(&to, message);
-    }
+    group.deliver_all();
     assert!(group.voters.values().all(|voter| !voter.writes.is_empty()));
     assert_eq!(group.proposals.get(&1), None);
     assert!(group.queue.is_empty());
@@ -143,6 +166,70 @@
     assert!(group.proposals[&1].is_ok());
 }
 
+/// Guards against a vote that is forgotten in a crash after it was asked for or given.
+#[test]
+fn no_vote_is_sent_before_it_is_written() {
+    let mut group = TestGroup::new(&["a", "b", "c"], 13);
+    let leader = group.elect();
+    group.crash(&leader);
+    group.queue.clear();
+    while group.voters.values().all(|voter| voter.writes.is_empty()) {
+        group.tick();
+        group.deliver_all();
+    }
+    let is_writing = |name: &&SharedName| !group.voters[*name].writes.is_empty();
+    let candidate = group.voters.keys().find(is_writing).unwrap().clone();
+    assert!(group.queue.is_empty());
+    group.write_next(&candidate);
+    assert!(!group.queue.is_empty());
+    group.deliver_all();
+    let voters = group.voters.keys();
+    let mut others = voters.filter(|name| **name != leader && **name != candidate);
+    let voter = others.next().unwrap().clone();
+    assert_eq!(group.role(&candidate), AgreementRole::Candidate);
+    while group.write_next(&voter) {}
+    group.deliver_all();
+    assert_eq!(group.role(&candidate), AgreementRole::Leader);
+}
+
+/// Guards against committing an entry of an earlier term by counting copies: a later leader may
+/// still replace it.
+#[test]
+fn an_entry_of_an_earlier_term_is_committed_only_with_one_of_this_term() {
+    let mut group = TestGroup::new(&["a", "b", "c"], 14);
+    group.elect_named("a");
+    group.crash("c");
+    group.cut.insert("b".into());
+    group.propose("a", 1);
+    group.run(1_500);
+    group.cut.clear();
+    while group.role("a") != AgreementRole::Leader {
+        group.tick();
+        group.write_next("a");
+        group.write_next("b");
+        group.deliver_all();
+    }
+    let status = group.voters["a"].agreement.status();
+    let from_b = |(_, message): &&(SharedName, PeerMessage)| message.from.name == "b";
+    let template = group.delivered.iter().rfind(from_b).unwrap().1.clone();
+    for (behind, commit_index) in [(1, status.commit_index), (0, status.last_index)] {
+        let reply = AppendReply {
+            success: true,
+            match_index: status.last_index - behind,
+            round: 1,
+        };
+        let message = PeerMessage {
+            term: status.term,
+            kind: Some(Kind::AppendReply(reply)),
+            ..template.clone()
+        };
+        group.feed("a", AgreementEvent::Received(message));
+        while group.write_next("a") {}
+        let reached = group.voters["a"].agreement.status().commit_index;
+        assert_eq!(reached, commit_index);
+    }
+}
+
 /// Guards against a leader with a full disk that holds up the group or acknowledges.
 #[test]
 fn a_full_disk_halts_the_voter_until_it_is_reopened() {
--- a/crates/kumquatlock/src/agreement/tests/group.rs
+++ b/crates/kumquatlock/src/agreement/tests/group.rs
@@ -127,11 +127,15 @@
         }
         let steps = voter.agreement.handle(self.now, event);
         for step in steps {
-            self.carry_out(name, step);
+            let event = self.carry_out(name, step);
+            if let Some(event) = event {
+                self.feed(name, event);
+            }
         }
     }
 
-    pub(super) fn carry_out(&mut self, name: &str, step: AgreementStep) {
+    /// Returns the event that answers the step. A snapshot is always the last one.
+    pub(super) fn carry_out(&mut self, name: &str, step: AgreementStep) -> Option<AgreementEvent> {
         match step {
             AgreementStep::Send(released) => self.queue.push_back(released.into_parts()),
             AgreementStep::Persist(request) => self.voters[name].writes.push_back(request),
@@ -146,7 +150,7 @@
             }
             AgreementStep::TakeSnapshot { last_index } => {
                 let data = Bytes::from(vec![1; SNAPSHOT_CHUNK_BYTES + 1]);
-                self.feed(name, AgreementEvent::SnapshotTaken { last_index, data });
+                return Some(AgreementEvent::SnapshotTaken { last_index, data });
             }
             AgreementStep::AnswerProposal { ticket, result } => {
                 if let Ok(index) = result {
@@ -159,6 +163,7 @@
             }
             AgreementStep::RoleChanged { .. } => {}
         }
+        None
     }
 
     /// Carries out a voter's next write.
@@ -188,6 +193,13 @@
         }
     }
 
+    /// Delivers without writing.
+    pub(super) fn deliver_all(&mut self) {
+        while let Some((to, message)) = self.queue.pop_front() {
+            self.deliver(&to, message);
+        }
+    }
+
     /// Writes and delivers until nothing is left to do.
     pub(super) fn settle(&mut self) {
         let names: Vec<SharedName> = self.voters.keys().cloned().collect();
--- a/crates/kumquatlock/src/agreement/tests/schedule.rs
+++ b/crates/kumquatlock/src/agreement/tests/schedule.rs
@@ -6,6 +6,7 @@
 use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 
 use super::group::TestGroup;
+use crate::core::SharedName;
 use crate::journal::RecoveredState;
 
 /// One step of a random schedule; numbers pick a voter or a message.
@@ -20,6 +21,8 @@
     Crash(usize),
     Restart(usize),
     LoseDisk(usize),
+    CutOff(usize),
+    Reconnect,
     Propose(usize),
 }
 
@@ -35,6 +38,8 @@
         1 => number.clone().prop_map(ScheduleStep::Crash),
         2 => number.clone().prop_map(ScheduleStep::Restart),
         1 => number.clone().prop_map(ScheduleStep::LoseDisk),
+        1 => number.clone().prop_map(ScheduleStep::CutOff),
+        2 => Just(ScheduleStep::Reconnect),
         4 => number.prop_map(ScheduleStep::Propose),
     ]
 }
@@ -43,7 +48,8 @@
     /// Carries out one step. At most one disk is lost in a schedule: a group of three survives no
     /// second one before the first is repaired.
     fn run_step(&mut self, step: ScheduleStep, number: u64, is_disk_lost: &mut bool) {
-        let name = |pick: usize| ["a", "b", "c"][pick % 3];
+        let names: Vec<SharedName> = self.voters.keys().cloned().collect();
+        let name = |pick: usize| &*names[pick % names.len()];
         let position = |pick: usize, length: usize| pick.checked_rem(length);
         match step {
             ScheduleStep::Tick => self.tick(),
@@ -71,6 +77,8 @@
                 self.start(name(pick), RecoveredState::default());
             }
             ScheduleStep::Propose(pick) => self.propose(name(pick), number),
+            ScheduleStep::CutOff(pick) => drop(self.cut.insert(name(pick).into())),
+            ScheduleStep::Reconnect => self.cut.clear(),
             ScheduleStep::Restart(_) | ScheduleStep::LoseDisk(_) => {}
         }
     }
@@ -97,15 +105,18 @@
     };
     let mut runner = TestRunner::new_with_rng(config, generator);
     let schedule = prop::collection::vec(schedule_step(), 200..800);
-    let outcome = runner.run(&(schedule, any::<u32>()), |(steps, seed)| {
-        let mut group = TestGroup::new(&["a", "b", "c"], u64::from(seed));
+    let size = prop_oneof![Just(3_usize), Just(5)];
+    let outcome = runner.run(&(schedule, size, any::<u32>()), |(steps, size, seed)| {
+        let names = &["a", "b", "c", "d", "e"][..size];
+        let mut group = TestGroup::new(names, u64::from(seed));
         group.elect();
         let mut is_disk_lost = false;
         for (number, step) in (1_000..).zip(steps) {
             group.run_step(step, number, &mut is_disk_lost);
         }
-        for name in ["a", "b", "c"] {
-            if !group.voters[name].is_running {
+        group.cut.clear();
+        for name in names {
+            if !group.voters[*name].is_running {
                 group.restart(name);
             }
         }
--- a/crates/kumquatlock/src/agreement/types.rs
+++ b/crates/kumquatlock/src/agreement/types.rs
@@ -75,7 +75,8 @@
         ticket: PersistTicket,
         reason: PersistFailure,
     },
-    /// The journal was opened again after a failure, in the same process.
+    /// The journal was opened again after a failure, in the same process and with the same disk
+    /// identity.
     StorageReopened(RecoveredState),
     Propose {
         ticket: ProposalTicket,
@@ -118,7 +119,7 @@
     /// Replace the applied state by a snapshot.
     InstallSnapshot(Arc<StoredSnapshot>),
     /// Feed [`AgreementEvent::SnapshotTaken`] with the state as applied so far, which is exactly
-    /// up to `last_index`.
+    /// up to `last_index`. Always the last step of a call.
     TakeSnapshot { last_index: u64 },
     /// The proposal was committed at this index and the entry applied, or it failed.
     AnswerProposal {
--- a/crates/kumquatlock/src/journal/mod.rs
+++ b/crates/kumquatlock/src/journal/mod.rs
@@ -4,11 +4,11 @@
 //! and hands it over as a [`RecoveredState`]; after that, [`Journal::write`] carries out one
 //! [`JournalWrite`] at a time and returns only when it is durable.
 //!
-//! The log is a sequence of segment files of records ([`mod@record`]). One record holds one batch
-//! of entries, so at most the last record of the last segment can be unsynced after a crash. A
-//! batch that starts at or below the last index replaces the suffix from there on, so truncation
-//! never rewrites a file. Metadata and snapshot are replaced by write, sync, rename and sync of
-//! the folder.
+//! The log is a sequence of segment files of records (length, checksum, payload). One record
+//! holds one batch of entries, so at most the last record of the last segment can be unsynced
+//! after a crash. A batch that starts at or below the last index replaces the suffix from there
+//! on, so truncation never rewrites a file. Metadata and snapshot are replaced by write, sync,
+//! rename and sync of the folder.
 
 mod error;
 mod files;
