Let the random schedule of the replicated log reach more states

It now writes, delivers, restarts and reconnects more often, is up to 1,500 steps long and compacts every 4 entries.

--- a/crates/kumquatlock/src/agreement/tests/group.rs
+++ b/crates/kumquatlock/src/agreement/tests/group.rs
@@ -67,7 +67,7 @@
     pub(super) fn new(names: &[&str], seed: u64) -> Self {
         let names: Vec<SharedName> = names.iter().map(|name| (*name).into()).collect();
         let mut settings = AgreementSettings::new(names[0].clone(), names.clone());
-        settings.compaction_entries = 8;
+        settings.compaction_entries = 4;
         let mut group = TestGroup {
             settings,
             now: Timestamp::default(),
--- a/crates/kumquatlock/src/agreement/tests/schedule.rs
+++ b/crates/kumquatlock/src/agreement/tests/schedule.rs
@@ -29,18 +29,18 @@
 fn schedule_step() -> impl Strategy<Value = ScheduleStep> {
     let number = 0..64_usize;
     prop_oneof![
-        8 => Just(ScheduleStep::Tick),
-        1 => Just(ScheduleStep::Settle),
-        12 => number.clone().prop_map(ScheduleStep::Write),
-        20 => number.clone().prop_map(ScheduleStep::Deliver),
+        10 => Just(ScheduleStep::Tick),
+        3 => Just(ScheduleStep::Settle),
+        30 => number.clone().prop_map(ScheduleStep::Write),
+        50 => number.clone().prop_map(ScheduleStep::Deliver),
         3 => number.clone().prop_map(ScheduleStep::Lose),
         3 => number.clone().prop_map(ScheduleStep::Double),
         1 => number.clone().prop_map(ScheduleStep::Crash),
-        2 => number.clone().prop_map(ScheduleStep::Restart),
+        6 => number.clone().prop_map(ScheduleStep::Restart),
         1 => number.clone().prop_map(ScheduleStep::LoseDisk),
         1 => number.clone().prop_map(ScheduleStep::CutOff),
-        2 => Just(ScheduleStep::Reconnect),
-        4 => number.prop_map(ScheduleStep::Propose),
+        6 => Just(ScheduleStep::Reconnect),
+        10 => number.prop_map(ScheduleStep::Propose),
     ]
 }
 
@@ -104,7 +104,7 @@
         ..ProptestConfig::default()
     };
     let mut runner = TestRunner::new_with_rng(config, generator);
-    let schedule = prop::collection::vec(schedule_step(), 200..800);
+    let schedule = prop::collection::vec(schedule_step(), 200..1_500);
     let size = prop_oneof![Just(3_usize), Just(5)];
     let outcome = runner.run(&(schedule, size, any::<u32>()), |(steps, size, seed)| {
         let names = &["a", "b", "c", "d", "e"][..size];
