Test the policies and close the gaps that the tests found

Cause: the first version lost calls to upstreams whose link was silent but not yet closed, never tried a recovered upstream again while idle, and let a flood of lookups evict and starve deferred work.

Costs within 10% count as equal. One in eight starts goes to deferred work within 120 s of its deadline, or else to a waiting caller, and one in eight queue places is kept for deferred work. Cross-region candidates need an idle slot.

--- a/crates/kumquatlock/src/admission/lanes.rs
+++ b/crates/kumquatlock/src/admission/lanes.rs
@@ -6,14 +6,12 @@
 use super::queue::AdmissionTicket;
 use crate::core::{RequestClass, Timestamp};
 
-/// Time left at which deferred work joins the waiting callers, at least. Twice the default
-/// deadline of a caller, so that it then has the earliest deadline among them soon enough.
-const PROMOTION_FLOOR: Duration = Duration::from_secs(10);
-/// Waits of a full queue that are left, at least, when deferred work joins the waiting callers.
-const PROMOTION_WAITS: u32 = 8;
-/// One in this many starts takes the earliest deadline of all lanes, so that a flood of a higher
-/// class cannot starve a lower one.
-const EARLIEST_EVERY: u32 = 8;
+/// Time left from which on deferred work takes part in the reserved starts. Twice the longest
+/// backoff of a deferred call, so that a refused one comes back at least once within it.
+const DEADLINE_NEAR: Duration = Duration::from_secs(120);
+/// One in this many starts is reserved for the lower classes, so that a flood of a higher class
+/// cannot starve them.
+const RESERVED_START: u32 = 8;
 
 /// Order of service; the lower lane runs first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -25,6 +23,15 @@
 
 impl WorkLane {
     const ALL: [WorkLane; 3] = [WorkLane::Internal, WorkLane::Waiting, WorkLane::Deferred];
+
+    /// The lower bound of the lane's keys.
+    fn first_key(self) -> QueueKey {
+        QueueKey {
+            lane: self,
+            deadline: Timestamp(0),
+            ticket: AdmissionTicket(0),
+        }
+    }
 }
 
 impl From<RequestClass> for WorkLane {
@@ -49,7 +56,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct WorkLanes {
     queued: BTreeSet<QueueKey>,
-    /// Starts since the earliest deadline of all lanes was taken.
+    /// Starts since the last reserved one.
     starts: u32,
 }
 
@@ -67,9 +74,22 @@
         self.queued.range(..key).count()
     }
 
-    /// The work to give up first: the latest deadline of the last lane in use.
-    pub(super) fn last(&self) -> Option<QueueKey> {
-        self.queued.last().copied()
+    /// Work of waiting callers and internal checks.
+    pub(super) fn prompt_len(&self) -> usize {
+        let first = WorkLane::Deferred.first_key();
+        self.queued.range(..first).count()
+    }
+
+    /// The deferred work with the latest deadline.
+    pub(super) fn last_deferred(&self) -> Option<QueueKey> {
+        let first = WorkLane::Deferred.first_key();
+        self.queued.range(first..).next_back().copied()
+    }
+
+    /// The waiting or internal work to give up first: the latest deadline of the last lane.
+    pub(super) fn last_prompt(&self) -> Option<QueueKey> {
+        let first = WorkLane::Deferred.first_key();
+        self.queued.range(..first).next_back().copied()
     }
 
     pub(super) fn remove(&mut self, ticket: AdmissionTicket) -> Option<QueueKey> {
@@ -77,21 +97,6 @@
         key.filter(|key| self.queued.remove(key))
     }
 
-    /// Moves deferred work whose deadline nears to the waiting callers. `full_wait` is the
-    /// estimated wait of a full queue.
-    pub(super) fn promote(&mut self, now: Timestamp, full_wait: Duration) {
-        let horizon = now + PROMOTION_FLOOR.max(full_wait * PROMOTION_WAITS);
-        while let Some(key) = self.first(WorkLane::Deferred)
-            && key.deadline <= horizon
-        {
-            self.queued.remove(&key);
-            self.queued.insert(QueueKey {
-                lane: WorkLane::Waiting,
-                ..key
-            });
-        }
-    }
-
     /// Takes work whose deadline is before `bound`.
     pub(super) fn pop_expired(&mut self, bound: Timestamp) -> Option<QueueKey> {
         let key = self.earliest().filter(|key| key.deadline < bound)?;
@@ -100,14 +105,19 @@
     }
 
     /// Takes the work to run next.
-    pub(super) fn pop_next(&mut self) -> Option<QueueKey> {
-        let key = if self.starts + 1 >= EARLIEST_EVERY {
+    ///
+    /// One in eight starts goes to deferred work whose deadline is near, or else to a waiting
+    /// caller, ahead of the lanes above.
+    pub(super) fn pop_next(&mut self, now: Timestamp) -> Option<QueueKey> {
+        self.starts += 1;
+        let mut key = self.queued.first().copied();
+        if self.starts >= RESERVED_START {
             self.starts = 0;
-            self.earliest()
-        } else {
-            self.starts += 1;
-            self.queued.first().copied()
-        };
+            let near = self
+                .first(WorkLane::Deferred)
+                .filter(|first| first.deadline <= now + DEADLINE_NEAR);
+            key = near.or_else(|| self.first(WorkLane::Waiting)).or(key);
+        }
         key.filter(|key| self.queued.remove(key))
     }
 
@@ -120,12 +130,7 @@
     }
 
     fn first(&self, lane: WorkLane) -> Option<QueueKey> {
-        let start = QueueKey {
-            lane,
-            deadline: Timestamp(0),
-            ticket: AdmissionTicket(0),
-        };
-        let key = self.queued.range(start..).next().copied();
+        let key = self.queued.range(lane.first_key()..).next().copied();
         key.filter(|key| key.lane == lane)
     }
 }
--- a/crates/kumquatlock/src/admission/queue.rs
+++ b/crates/kumquatlock/src/admission/queue.rs
@@ -6,7 +6,7 @@
 use kumquatlock_wire::call::{CallReason, LoadReport};
 
 use super::estimate::ServiceEstimate;
-use super::lanes::{QueueKey, WorkLanes};
+use super::lanes::{QueueKey, WorkLane, WorkLanes};
 use super::limit::{AdmissionLimits, ConcurrencyLimit};
 use crate::core::{RequestClass, Timestamp};
 
@@ -14,6 +14,10 @@
 /// waits about two service times.
 const QUEUE_PER_SLOT: u32 = 2;
 
+/// One in this many queue places is kept for deferred work. Without it, work that was refused
+/// until its deadline nears would meet a queue that is full of waiting callers.
+const DEFERRED_SEAT_DIVISOR: usize = 8;
+
 /// Identifies admitted work. Never reused within a queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct AdmissionTicket(pub(super) u64);
@@ -69,16 +73,26 @@
     NotHeld,
 }
 
+/// Whether a call may join the queue.
+enum QueueSeat {
+    Free,
+    Evict(AdmissionTicket),
+    None,
+}
+
 /// Bounds the calls that run on one upstream and orders those that wait.
 ///
 /// Internal checks run first, then at-most-once calls and lookups, then deferred work; within
-/// these, the earliest deadline. Deferred work joins the waiting callers when its deadline
-/// nears, and one in eight starts goes to the earliest deadline whatever the class.
+/// these, the earliest deadline. Against starvation, one in eight starts goes to deferred work
+/// whose deadline is near, or else to a waiting caller, and one in eight queue places is kept for
+/// deferred work, the earliest deadlines first.
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
     /// At most [`QUEUE_PER_SLOT`] × slots.
     lanes: WorkLanes,
     queue_bound: usize,
+    /// Queue places that only deferred work may take; at least 1.
+    deferred_seats: usize,
     /// Start of each running call.
     running: IndexMap<AdmissionTicket, Timestamp>,
     limit: ConcurrencyLimit,
@@ -90,9 +104,11 @@
 impl AdmissionQueue {
     /// Makes the queue of an upstream that starts now.
     pub fn new(limits: AdmissionLimits, now: Timestamp) -> Self {
+        let queue_bound = (limits.slots.max(1) * QUEUE_PER_SLOT) as usize;
         AdmissionQueue {
             lanes: WorkLanes::default(),
-            queue_bound: (limits.slots.max(1) * QUEUE_PER_SLOT) as usize,
+            queue_bound,
+            deferred_seats: (queue_bound / DEFERRED_SEAT_DIVISOR).max(1),
             running: IndexMap::new(),
             limit: ConcurrencyLimit::new(limits, now),
             estimate: ServiceEstimate::default(),
@@ -121,7 +137,6 @@
             self.running.insert(ticket, now);
             return AdmissionDecision::Start(ticket);
         }
-        self.promote(now, limit);
         let key = QueueKey {
             lane: class.into(),
             deadline,
@@ -131,18 +146,32 @@
         if now + wait + self.estimate.service() > deadline {
             return AdmissionDecision::Refused(CallReason::Overloaded);
         }
-        let mut evicted = None;
-        if self.lanes.len() >= self.queue_bound {
-            match self.lanes.last().filter(|last| last.lane > key.lane) {
-                Some(last) => evicted = self.lanes.remove(last.ticket).map(|key| key.ticket),
-                None => return AdmissionDecision::Refused(CallReason::Overloaded),
-            }
-        }
+        let evicted = match self.find_seat(&key) {
+            QueueSeat::Free => None,
+            QueueSeat::Evict(ticket) => self.lanes.remove(ticket).map(|key| key.ticket),
+            QueueSeat::None => return AdmissionDecision::Refused(CallReason::Overloaded),
+        };
         self.next_ticket += 1;
         self.lanes.insert(key);
         AdmissionDecision::Queued { ticket, evicted }
     }
 
+    /// Finds a place in the queue. Deferred work gives up its place to any other class down to
+    /// its reserved places, and to deferred work with an earlier deadline; waiting callers give
+    /// up theirs to internal checks.
+    fn find_seat(&self, key: &QueueKey) -> QueueSeat {
+        let deferred = key.lane == WorkLane::Deferred;
+        let prompt_full = self.lanes.prompt_len() >= self.queue_bound - self.deferred_seats;
+        let victim = if !deferred && prompt_full {
+            self.lanes.last_prompt().filter(|last| last.lane > key.lane)
+        } else if self.lanes.len() < self.queue_bound {
+            return QueueSeat::Free;
+        } else {
+            self.lanes.last_deferred().filter(|last| last > key)
+        };
+        victim.map_or(QueueSeat::None, |victim| QueueSeat::Evict(victim.ticket))
+    }
+
     /// Frees the slot of a running call and returns the first step that follows; call
     /// [`AdmissionQueue::poll`] for the others.
     pub fn finished(
@@ -183,8 +212,7 @@
         if self.running.len() >= limit as usize {
             return QueueStep::Idle;
         }
-        self.promote(now, limit);
-        match self.lanes.pop_next() {
+        match self.lanes.pop_next(now) {
             Some(key) => {
                 self.running.insert(key.ticket, now);
                 QueueStep::Start(key.ticket)
@@ -220,11 +248,6 @@
         }
     }
 
-    fn promote(&mut self, now: Timestamp, limit: u32) {
-        let full_wait = self.estimate.wait(self.queue_bound, limit);
-        self.lanes.promote(now, full_wait);
-    }
-
     /// Work with an earlier deadline is not started: it would occupy a slot and most likely
     /// answer too late.
     fn least_deadline(&self, now: Timestamp) -> Timestamp {
--- a/crates/kumquatlock/src/admission/tests.rs
+++ b/crates/kumquatlock/src/admission/tests.rs
@@ -1,1 +1,252 @@
-//! Tests of the admission decisions.
+//! Tests of admission at the destination.
+
+use std::time::Duration;
+
+use kumquatlock_wire::call::CallReason;
+
+use super::*;
+use crate::core::{RequestClass, Timestamp};
+
+/// Later than the cold start of a queue made at zero.
+const WARM: Timestamp = Timestamp::from_millis(20_000);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn queue(slots: u32) -> AdmissionQueue {
+    let limits = AdmissionLimits {
+        slots,
+        connections: 120,
+    };
+    AdmissionQueue::new(limits, Timestamp(0))
+}
+
+/// A queue whose slots are all taken, with a service time of `service_ms`.
+fn full_slots(slots: u32, service_ms: u64) -> (AdmissionQueue, Vec<AdmissionTicket>, Timestamp) {
+    let mut queue = queue(slots);
+    let ticket = started(&mut queue, WARM);
+    let now = WARM + Duration::from_millis(service_ms);
+    assert_eq!(
+        queue.finished(now, ticket, ServiceOutcome::Answered),
+        QueueStep::Idle
+    );
+    let tickets = (0..slots).map(|_| started(&mut queue, now)).collect();
+    (queue, tickets, now)
+}
+
+fn started(queue: &mut AdmissionQueue, now: Timestamp) -> AdmissionTicket {
+    match queue.offer(now, RequestClass::Lookup, now + SECOND * 5) {
+        AdmissionDecision::Start(ticket) => ticket,
+        other => panic!("not started: {other:?}"),
+    }
+}
+
+fn queued(
+    queue: &mut AdmissionQueue,
+    now: Timestamp,
+    class: RequestClass,
+    deadline: Timestamp,
+) -> (AdmissionTicket, Option<AdmissionTicket>) {
+    match queue.offer(now, class, deadline) {
+        AdmissionDecision::Queued { ticket, evicted } => (ticket, evicted),
+        other => panic!("not queued: {other:?}"),
+    }
+}
+
+/// Guards against work that waits for a slot and then answers too late.
+#[test]
+fn work_that_cannot_meet_its_deadline_is_refused_at_once() {
+    let (mut queue, _, now) = full_slots(2, 100);
+    queued(&mut queue, now, RequestClass::Lookup, now + SECOND);
+    queued(&mut queue, now, RequestClass::Lookup, now + SECOND);
+    let overloaded = AdmissionDecision::Refused(CallReason::Overloaded);
+    let late = now + Duration::from_millis(240);
+    // Behind two queued calls on two slots it waits 150 ms and runs 100 ms.
+    assert_eq!(
+        queue.offer(now, RequestClass::Lookup, now + SECOND * 2),
+        AdmissionDecision::Queued {
+            ticket: AdmissionTicket(6),
+            evicted: None
+        }
+    );
+    assert!(matches!(
+        queue.offer(now, RequestClass::Internal, late),
+        AdmissionDecision::Queued { .. }
+    ));
+    assert_eq!(queue.offer(now, RequestClass::Deferred, late), overloaded);
+    let past = queue.offer(now, RequestClass::Internal, now);
+    assert_eq!(
+        past,
+        AdmissionDecision::Refused(CallReason::DeadlineTooShort)
+    );
+}
+
+/// Guards against a slot that runs work nobody waits for any more.
+#[test]
+fn expired_work_is_refused_and_not_started() {
+    let (mut queue, running, now) = full_slots(2, 10);
+    let deadline = now + SECOND;
+    let (expired, _) = queued(&mut queue, now, RequestClass::Lookup, deadline);
+    let (waiting, _) = queued(&mut queue, now, RequestClass::Lookup, now + SECOND * 9);
+    assert_eq!(queue.next_wakeup(now), Some(deadline));
+    let step = queue.finished(deadline, running[0], ServiceOutcome::Ended);
+    assert_eq!(
+        step,
+        QueueStep::Refuse(expired, CallReason::DeadlineTooShort)
+    );
+    assert_eq!(queue.poll(deadline), QueueStep::Start(waiting));
+    assert_eq!(queue.poll(deadline), QueueStep::Idle);
+}
+
+/// Guards against a full queue that drops a booking or a check and keeps deferred work.
+#[test]
+fn a_full_queue_evicts_deferred_then_waiting_then_refuses() {
+    let (mut queue, _, now) = full_slots(2, 10);
+    let hour = now + SECOND * 3_600;
+    let mut deferred = Vec::new();
+    for place in 0..4 {
+        let deadline = hour + SECOND * place;
+        deferred.push(queued(&mut queue, now, RequestClass::Deferred, deadline).0);
+    }
+    let refused = AdmissionDecision::Refused(CallReason::Overloaded);
+    let last = hour + SECOND * 9;
+    assert_eq!(queue.offer(now, RequestClass::Deferred, last), refused);
+    let (_, evicted) = queued(&mut queue, now, RequestClass::Deferred, now + SECOND);
+    assert_eq!(evicted, Some(deferred[3]), "the earlier deadline stays");
+
+    let mut bookings = Vec::new();
+    for place in 0..3 {
+        let deadline = now + SECOND * (2 + place);
+        let (booking, evicted) = queued(&mut queue, now, RequestClass::AtMostOnce, deadline);
+        assert_eq!(evicted, Some(deferred[2 - place as usize]));
+        bookings.push(booking);
+    }
+    let deadline = now + SECOND;
+    assert_eq!(queue.offer(now, RequestClass::Lookup, deadline), refused);
+    for place in 0..3 {
+        let (_, evicted) = queued(&mut queue, now, RequestClass::Internal, deadline);
+        assert_eq!(evicted, Some(bookings[2 - place]));
+    }
+    assert_eq!(queue.offer(now, RequestClass::Internal, deadline), refused);
+    assert_eq!(queue.load(now).queued, 4);
+}
+
+/// Offers two calls of the class `flood` for each that a single slot can run, and a deferred call
+/// again and again. Returns when the deferred call runs.
+fn run_flood(flood: RequestClass, backoff: Duration, time: Duration) -> Option<Duration> {
+    let (mut queue, running, start) = full_slots(1, 10);
+    let deadline = start + time;
+    let (mut now, mut slot, mut next_offer, mut deferred) = (start, running[0], start, None);
+    while now < deadline {
+        for _ in 0..2 {
+            let decision = queue.offer(now, flood, now + SECOND);
+            if let AdmissionDecision::Queued { evicted, .. } = decision
+                && evicted == deferred
+            {
+                deferred = None;
+            }
+        }
+        if deferred.is_none()
+            && now >= next_offer
+            && let AdmissionDecision::Queued { ticket, .. } =
+                queue.offer(now, RequestClass::Deferred, deadline)
+        {
+            deferred = Some(ticket);
+        }
+        if now >= next_offer {
+            next_offer = now + backoff;
+        }
+        now = now + Duration::from_millis(10);
+        let mut step = queue.finished(now, slot, ServiceOutcome::Answered);
+        while step != QueueStep::Idle {
+            if let QueueStep::Start(ticket) = step {
+                slot = ticket;
+                if deferred == Some(ticket) {
+                    return Some(now.since(start));
+                }
+            }
+            step = queue.poll(now);
+        }
+    }
+    None
+}
+
+/// Guards against a flood of lookups or checks that starves deferred work past its deadline, and
+/// against deferred work that takes starts from waiting callers while it has time.
+#[test]
+fn deferred_work_runs_when_its_deadline_nears_under_a_flood() {
+    for flood in [RequestClass::Lookup, RequestClass::Internal] {
+        let ran = run_flood(flood, SECOND * 60, SECOND * 600).expect("runs before its deadline");
+        assert!(ran >= SECOND * 480, "{flood}: ran after {ran:?}");
+    }
+}
+
+/// Guards against an upstream that keeps answering 503 because the destination sends it as much
+/// as before, and against a limit that never returns.
+#[test]
+fn shed_answers_lower_the_limit_and_quiet_raises_it_slowly() {
+    let (mut queue, running, now) = full_slots(8, 10);
+    for ticket in &running[..4] {
+        let _ = queue.finished(now, *ticket, ServiceOutcome::Shed);
+    }
+    assert_eq!(queue.load(now).slots, 6, "one burst lowers the limit once");
+    let (waiting, _) = {
+        let _ = started(&mut queue, now);
+        let _ = started(&mut queue, now);
+        queued(&mut queue, now, RequestClass::Lookup, now + SECOND * 5)
+    };
+    let raise = queue.next_wakeup(now).unwrap();
+    assert_eq!(queue.poll(raise), QueueStep::Start(waiting));
+    assert_eq!(queue.load(raise).slots, 7);
+    let quiet = now + SECOND * 10;
+    assert_eq!(queue.poll(quiet), QueueStep::Idle);
+    assert_eq!(queue.load(quiet).slots, 8);
+}
+
+/// Guards against a new upstream that gets all its slots' work while its caches are cold.
+#[test]
+fn a_cold_upstream_starts_with_fewer_slots() {
+    let queue = queue(12);
+    let slots = |ms: u64| queue.load(Timestamp::from_millis(ms)).slots;
+    assert_eq!([slots(0), slots(5_000), slots(10_000)], [3, 7, 12]);
+}
+
+/// Guards against more running calls than the upstream accepts connections.
+#[test]
+fn connections_bound_the_running_calls() {
+    let limits = AdmissionLimits {
+        slots: 10,
+        connections: 4,
+    };
+    let queue = AdmissionQueue::new(limits, Timestamp(0));
+    assert_eq!(queue.load(WARM).slots, 4);
+}
+
+/// Guards against a drain that interrupts work or takes new work.
+#[test]
+fn a_drain_refuses_new_work_and_finishes_the_rest() {
+    let (mut queue, running, now) = full_slots(1, 10);
+    let (waiting, _) = queued(&mut queue, now, RequestClass::Lookup, now + SECOND);
+    queue.drain();
+    let refused = queue.offer(now, RequestClass::Internal, now + SECOND);
+    assert_eq!(refused, AdmissionDecision::Refused(CallReason::Draining));
+    assert!(queue.load(now).draining && !queue.is_drained());
+    let step = queue.finished(now, running[0], ServiceOutcome::Answered);
+    assert_eq!(step, QueueStep::Start(waiting));
+    let step = queue.finished(now, waiting, ServiceOutcome::Answered);
+    assert_eq!(step, QueueStep::Idle);
+    assert!(queue.is_drained());
+}
+
+/// Guards against cancelled work that still takes a slot, and a running call whose slot is
+/// reused before it ended.
+#[test]
+fn cancelled_work_leaves_the_queue() {
+    let (mut queue, running, now) = full_slots(1, 10);
+    let (waiting, _) = queued(&mut queue, now, RequestClass::Lookup, now + SECOND);
+    assert_eq!(queue.cancel(waiting), CancelOutcome::Dequeued);
+    assert_eq!(queue.cancel(waiting), CancelOutcome::NotHeld);
+    assert_eq!(queue.cancel(running[0]), CancelOutcome::Running);
+    assert_eq!(queue.load(now).running, 1);
+    let step = queue.finished(now, running[0], ServiceOutcome::Ended);
+    assert_eq!(step, QueueStep::Idle);
+    assert_eq!(queue.load(now).running, 0);
+}
--- a/crates/kumquatlock/src/retry/tests.rs
+++ b/crates/kumquatlock/src/retry/tests.rs
@@ -1,1 +1,195 @@
-//! Tests of the retry decisions.
+//! Tests of retries, hedges and their budget.
+
+use std::time::Duration;
+
+use kumquatlock_wire::call::CallReason;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::*;
+use crate::core::{RequestClass, Timestamp};
+
+const REFUSED: AttemptFailure = AttemptFailure::NotRun(CallReason::Overloaded);
+const LOST: AttemptFailure = AttemptFailure::Unknown(CallReason::LinkLost);
+const START: Timestamp = Timestamp(0);
+
+fn progress(class: RequestClass, depth: u32, attempts: u32) -> CallProgress {
+    CallProgress {
+        class,
+        depth,
+        attempts,
+        deadline: Timestamp::from_millis(3_600_000),
+    }
+}
+
+/// A call before its deadline, with a new budget.
+fn decide(progress: CallProgress, failure: AttemptFailure) -> RetryDecision {
+    let mut budget = RetryBudget::new(START);
+    decide_with(&mut budget, progress, failure)
+}
+
+fn decide_with(
+    budget: &mut RetryBudget,
+    progress: CallProgress,
+    failure: AttemptFailure,
+) -> RetryDecision {
+    let mut rng = SmallRng::seed_from_u64(1);
+    RetryPolicy.after_failure(START, &mut rng, budget, &progress, failure, Duration::ZERO)
+}
+
+fn spent_budget() -> RetryBudget {
+    let mut budget = RetryBudget::new(START);
+    while budget.take(START, 0.0) {}
+    budget
+}
+
+/// Attempts that the last call of a chain of 14 gets if each of them ends with `failure`.
+fn last_attempts(depth: u32, class: RequestClass, failure: AttemptFailure) -> u32 {
+    let mut sum = 0;
+    for attempts in 1.. {
+        // An upstream that could not complete its inner call answers with a failure.
+        let (inner, seen) = if depth == 13 {
+            (1, failure)
+        } else {
+            let inner = last_attempts(depth + 1, class, failure);
+            (inner, AttemptFailure::Failed)
+        };
+        sum += inner;
+        let decision = decide(progress(class, depth, attempts), seen);
+        if !matches!(decision, RetryDecision::Retry { .. }) {
+            break;
+        }
+    }
+    sum
+}
+
+/// Guards against retries that multiply at each level of a chain.
+#[test]
+fn a_chain_of_14_is_retried_at_one_level() {
+    assert_eq!(last_attempts(0, RequestClass::Lookup, LOST), 3);
+    assert_eq!(last_attempts(0, RequestClass::Lookup, REFUSED), 6);
+    assert_eq!(last_attempts(0, RequestClass::AtMostOnce, LOST), 1);
+    assert_eq!(last_attempts(0, RequestClass::AtMostOnce, REFUSED), 2);
+}
+
+/// Guards against a booking or settlement that runs twice because silence or a failure was taken
+/// for "not run".
+#[test]
+fn only_proof_allows_another_attempt_of_an_at_most_once_call() {
+    for class in [RequestClass::AtMostOnce, RequestClass::Deferred] {
+        for failure in [LOST, AttemptFailure::Failed] {
+            assert_eq!(
+                decide(progress(class, 0, 1), failure),
+                RetryDecision::GiveUp(GiveUpReason::NotRepeatable)
+            );
+        }
+        assert!(matches!(
+            decide(progress(class, 0, 1), REFUSED),
+            RetryDecision::Retry { .. }
+        ));
+    }
+    let fenced = AttemptFailure::NotRun(CallReason::KeyFenced);
+    assert_eq!(
+        decide(progress(RequestClass::AtMostOnce, 0, 1), fenced),
+        RetryDecision::GiveUp(GiveUpReason::Final)
+    );
+}
+
+/// Guards against retries without end and past the caller's deadline.
+#[test]
+fn attempts_and_deadline_bound_the_retries() {
+    assert_eq!(
+        decide(progress(RequestClass::Lookup, 0, 3), LOST),
+        RetryDecision::GiveUp(GiveUpReason::AttemptsSpent)
+    );
+    let mut budget = RetryBudget::new(START);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut late = progress(RequestClass::Lookup, 0, 1);
+    late.deadline = Timestamp::from_millis(20);
+    let expected = Duration::from_millis(20);
+    let decision = RetryPolicy.after_failure(START, &mut rng, &mut budget, &late, LOST, expected);
+    assert_eq!(decision, RetryDecision::GiveUp(GiveUpReason::DeadlineSpent));
+}
+
+/// Guards against retries that multiply the load while everything fails.
+#[test]
+fn the_budget_bounds_retries_to_a_share_of_the_calls() {
+    let mut budget = RetryBudget::new(START);
+    let mut retries = 0;
+    for call in 0..10_000 {
+        let now = Timestamp::from_millis(call);
+        budget.first_attempt(now);
+        retries += u32::from(budget.take(now, 0.0)) + u32::from(budget.take(now, 0.0));
+    }
+    // 0.2 × 10,000 and the first second's tokens; not the gain per second on top of it.
+    assert!((2_000..=2_012).contains(&retries), "{retries}");
+}
+
+/// Guards against a quiet node that may never retry, and one that saves up for a storm.
+#[test]
+fn a_quiet_node_gains_ten_tokens_a_second_up_to_a_bound() {
+    let mut budget = spent_budget();
+    assert!(!budget.take(Timestamp::from_millis(90), 0.0));
+    let now = Timestamp::from_millis(1_000);
+    assert!((0..10).all(|_| budget.take(now, 0.0)) && !budget.take(now, 0.0));
+    let _ = budget.take(Timestamp::from_millis(3_600_000), 0.0);
+    assert!(budget.tokens() <= 100.0);
+}
+
+/// Guards against calls lost to a restart under load, and a deferred call that is given up though
+/// it has an hour.
+#[test]
+fn a_spent_budget_spares_restarts_and_postpones_deferred_work() {
+    let lookup = progress(RequestClass::Lookup, 0, 1);
+    let mut budget = spent_budget();
+    assert_eq!(
+        decide_with(&mut budget, lookup, REFUSED),
+        RetryDecision::GiveUp(GiveUpReason::BudgetSpent)
+    );
+    let draining = AttemptFailure::NotRun(CallReason::Draining);
+    assert_eq!(
+        decide_with(&mut budget, lookup, draining),
+        RetryDecision::Retry {
+            after: Duration::ZERO
+        }
+    );
+    assert!(matches!(
+        decide_with(&mut budget, progress(RequestClass::Deferred, 0, 9), REFUSED),
+        RetryDecision::AskAgain { .. }
+    ));
+}
+
+/// Guards against hedges of calls that must not repeat, hedges inside a chain, and hedges that
+/// double the load when everything is late.
+#[test]
+fn only_late_first_level_lookups_are_hedged_within_the_budget() {
+    let mut hedge = HedgePolicy::default();
+    let lookup = progress(RequestClass::Lookup, 0, 1);
+    assert_eq!(hedge.delay(&lookup), None, "no samples yet");
+    for sample in 1..=1_000 {
+        hedge.observe(Duration::from_micros(sample * 10));
+    }
+    let delay = hedge.delay(&lookup).unwrap().as_micros();
+    assert!(
+        (9_500..11_500).contains(&delay),
+        "{delay} µs for a p95 of 9,500"
+    );
+    for class in [
+        RequestClass::AtMostOnce,
+        RequestClass::Internal,
+        RequestClass::Deferred,
+    ] {
+        assert_eq!(hedge.delay(&progress(class, 0, 1)), None);
+    }
+    assert_eq!(hedge.delay(&progress(RequestClass::Lookup, 1, 1)), None);
+
+    let mut budget = RetryBudget::new(START);
+    let sent = (0..10)
+        .filter(|_| hedge.decide(START, &mut budget, &lookup) == HedgeDecision::Send)
+        .count();
+    assert_eq!(sent, 5, "hedges leave tokens to retries");
+    assert_eq!(
+        hedge.decide(START, &mut budget, &progress(RequestClass::Lookup, 0, 2)),
+        HedgeDecision::Skip(HedgeSkip::AlreadyRetried)
+    );
+}
--- a/crates/kumquatlock/src/routing/balancer.rs
+++ b/crates/kumquatlock/src/routing/balancer.rs
@@ -15,7 +15,11 @@
 ///
 /// Towards the region as soon as calls would queue, since that traffic is free. Towards other
 /// regions only when the queue (2 × slots) is half full, since that traffic is paid.
-const SPILL_FULLNESS: [f32; 3] = [1.0, 2.0, 2.0];
+const SPILL_FULLNESS: [f32; 3] = [1.0, 2.0, 1.0];
+
+/// Costs above this share of each other count as equal. Otherwise an estimate that fades towards
+/// the mean would never meet it, and an idle entry would never try a recovered upstream again.
+const EQUAL_COST: f32 = 0.9;
 
 /// Latency estimate of a ring without samples, in microseconds.
 const UNKNOWN_LATENCY_US: f32 = 1_000.0;
@@ -193,12 +197,13 @@
         let mut serving_rings = 0;
         while let Some(first) = self.upstreams.get(ring_start) {
             let ring = first.ring;
+            let mean_us = self.ring_mean(ring);
             let (mut serving, mut ejected, mut added) = (0, 0, 0);
             let mut index = ring_start;
             while let Some(live) = self.upstreams.get(index).filter(|live| live.ring == ring) {
                 if !live.retired {
                     serving += 1;
-                    if live.is_ejected(now) {
+                    if live.is_ejected(now, mean_us) {
                         ejected += 1;
                     } else if live.fullness(now) < SPILL_FULLNESS[ring as usize]
                         && !excluded.contains(&live.token)
@@ -247,7 +252,8 @@
             if live.ring == RingDistance::CrossRegion && set.len > 0 {
                 break;
             }
-            let allowed = mode == ChoiceMode::Panic || !live.is_ejected(now);
+            let allowed =
+                mode == ChoiceMode::Panic || !live.is_ejected(now, self.ring_mean(live.ring));
             if allowed && !live.retired && !excluded.contains(&live.token) {
                 set.push(index);
             }
@@ -277,7 +283,7 @@
         let live = |drawn: usize| &self.upstreams[usize::from(set.indexes[drawn])];
         let mut chosen = live(first);
         if let Some(other) = second.map(live)
-            && self.cost(other, now) < self.cost(chosen, now)
+            && self.cost(other, now) < self.cost(chosen, now) * EQUAL_COST
         {
             chosen = other;
         }
@@ -290,14 +296,17 @@
     }
 
     fn cost(&self, live: &LiveUpstream, now: Timestamp) -> f32 {
-        let mean_us = self.ring_latency_us[live.ring as usize].unwrap_or(UNKNOWN_LATENCY_US);
-        live.cost(now, mean_us)
+        live.cost(now, self.ring_mean(live.ring))
+    }
+
+    fn ring_mean(&self, ring: RingDistance) -> f32 {
+        self.ring_latency_us[ring as usize].unwrap_or(UNKNOWN_LATENCY_US)
     }
 
     /// Counts an attempt as in flight and, if it leaves the region, as paid traffic.
     pub fn started(&mut self, now: Timestamp, chosen: &ChosenUpstream) -> AttemptTicket {
         if let Some(live) = self.find(chosen.token) {
-            live.in_flight += 1;
+            live.observe_start(now);
         }
         self.counters.started[chosen.ring as usize] += 1;
         self.counters.panic += u64::from(chosen.mode == ChoiceMode::Panic);
