--- a/crates/kumquatlock/src/retry/hedge.rs
+++ b/crates/kumquatlock/src/retry/hedge.rs
@@ -7,7 +7,7 @@
 use crate::core::{RequestClass, Timestamp};
 
 /// Samples before the quantile is trusted.
-const MIN_SAMPLES: u32 = 100;
+const MIN_SAMPLES: u32 = 20;
 /// Samples at which all counts are halved, so that older ones fade.
 const MAX_SAMPLES: u32 = 2_000;
 /// Share of the samples that are faster than the hedge delay, in percent.
--- a/crates/kumquatlock/src/routing/balancer.rs
+++ b/crates/kumquatlock/src/routing/balancer.rs
@@ -8,6 +8,7 @@
 use rand::rngs::SmallRng;
 
 use super::live::{HealthHint, LiveUpstream, UpstreamOutcome, UpstreamToken};
+use super::silence::SilenceTracker;
 use super::subset::{EntryLocation, RingDistance, SUBSET_SIZE, pick_subset};
 use crate::core::{ServiceEntry, Timestamp, UpstreamEntry};
 
@@ -23,6 +24,9 @@
 
 /// Latency estimate of a ring without samples, in microseconds.
 const UNKNOWN_LATENCY_US: f32 = 1_000.0;
+/// Latency that the silence of a ring without samples is judged by, in microseconds. Above the
+/// usual first answers, which would otherwise be taken for silence.
+const UNKNOWN_SILENCE_US: f32 = 100_000.0;
 /// Weight of a new latency sample in the mean of a ring.
 const RING_GAIN: f32 = 0.05;
 
@@ -114,6 +118,8 @@
     upstreams: Vec<LiveUpstream>,
     /// Mean latency by ring; none before the first sample.
     ring_latency_us: [Option<f32>; 3],
+    /// By ring. A lost zone is noticed after three attempts to any of its upstreams.
+    ring_silence: [SilenceTracker; 3],
     counters: RingCounters,
     next_token: u64,
 }
@@ -140,6 +146,7 @@
             service: service.clone(),
             upstreams: Vec::new(),
             ring_latency_us: [None; 3],
+            ring_silence: Default::default(),
             counters: RingCounters::default(),
             next_token: 0,
         };
@@ -182,8 +189,8 @@
 
     /// Chooses an upstream for one attempt. `excluded` holds those that the call already tried.
     ///
-    /// The rings are walked from the nearest. A ring in which more than half of the upstreams are
-    /// ejected, or all are saturated, adds its usable upstreams and lets the next ring add its
+    /// The rings are walked from the nearest. A ring that is silent, in which more than half of the
+    /// upstreams are ejected, or all are saturated, adds its usable upstreams and lets the next ring add its
     /// own. Two of the usable upstreams are drawn by weight, and the cheaper one is chosen.
     pub fn choose(
         &self,
@@ -197,13 +204,14 @@
         let mut serving_rings = 0;
         while let Some(first) = self.upstreams.get(ring_start) {
             let ring = first.ring;
-            let mean_us = self.ring_mean(ring);
+            let mean_us = self.silence_mean(ring);
+            let silent = self.ring_silence[ring as usize].is_silent(now, mean_us);
             let (mut serving, mut ejected, mut added) = (0, 0, 0);
             let mut index = ring_start;
             while let Some(live) = self.upstreams.get(index).filter(|live| live.ring == ring) {
                 if !live.retired {
                     serving += 1;
-                    if live.is_ejected(now, mean_us) {
+                    if silent || live.is_ejected(now, mean_us) {
                         ejected += 1;
                     } else if live.fullness(now) < SPILL_FULLNESS[ring as usize]
                         && !excluded.contains(&live.token)
@@ -253,7 +261,7 @@
                 break;
             }
             let allowed =
-                mode == ChoiceMode::Panic || !live.is_ejected(now, self.ring_mean(live.ring));
+                mode == ChoiceMode::Panic || !live.is_ejected(now, self.silence_mean(live.ring));
             if allowed && !live.retired && !excluded.contains(&live.token) {
                 set.push(index);
             }
@@ -303,11 +311,16 @@
         self.ring_latency_us[ring as usize].unwrap_or(UNKNOWN_LATENCY_US)
     }
 
+    fn silence_mean(&self, ring: RingDistance) -> f32 {
+        self.ring_latency_us[ring as usize].unwrap_or(UNKNOWN_SILENCE_US)
+    }
+
     /// Counts an attempt as in flight and, if it leaves the region, as paid traffic.
     pub fn started(&mut self, now: Timestamp, chosen: &ChosenUpstream) -> AttemptTicket {
         if let Some(live) = self.find(chosen.token) {
             live.observe_start(now);
         }
+        self.ring_silence[chosen.ring as usize].started(now);
         self.counters.started[chosen.ring as usize] += 1;
         self.counters.panic += u64::from(chosen.mode == ChoiceMode::Panic);
         self.counters.saturated += u64::from(chosen.mode == ChoiceMode::Saturated);
@@ -326,15 +339,19 @@
         load: Option<LoadReport>,
     ) {
         let latency = now.since(ticket.started_at);
-        let Some(live) = self.find(ticket.token) else {
+        let held = |live: &LiveUpstream| live.token == ticket.token;
+        let Some(index) = self.upstreams.iter().position(held) else {
             return;
         };
+        let ring = self.upstreams[index].ring;
+        let mean_us = self.silence_mean(ring);
+        let live = &mut self.upstreams[index];
         live.in_flight = live.in_flight.saturating_sub(1);
         if let Some(report) = load {
             live.observe_report(now, report);
         }
-        live.observe_outcome(now, outcome, latency);
-        let ring = live.ring;
+        live.observe_outcome(now, outcome, latency, mean_us);
+        self.ring_silence[ring as usize].finished(outcome, latency, mean_us);
         if outcome == UpstreamOutcome::Answered {
             self.observe_ring(ring, latency);
         }
--- a/crates/kumquatlock/src/routing/live.rs
+++ b/crates/kumquatlock/src/routing/live.rs
@@ -5,6 +5,7 @@
 
 use kumquatlock_wire::call::{CallReason, LoadReport};
 
+use super::silence::SilenceTracker;
 use super::subset::{RingDistance, SubsetSeat};
 use crate::core::{Timestamp, UpstreamEntry};
 
@@ -44,15 +45,6 @@
 /// endpoint may be wrong.
 const UNHEALTHY_WEIGHT: f32 = 0.25;
 
-/// Attempts without any answer from which on an upstream may count as silent.
-const SILENT_ATTEMPTS: u32 = 3;
-/// Time without any answer, in units of the latency estimate and at least, after which it does.
-/// A dead link is closed only after seconds; the calls until then would all be lost.
-const SILENT_LATENCIES: f32 = 5.0;
-const SILENT_MIN_US: f32 = 20_000.0;
-/// Time after the latest attempt to a silent upstream after which one more may try it.
-const SILENT_PROBE: Duration = Duration::from_secs(1);
-
 /// Identifies one upstream's live state within a balancer. Never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct UpstreamToken(pub(super) u64);
@@ -103,11 +95,7 @@
     failure_at: Timestamp,
     report: LoadReport,
     report_until: Timestamp,
-    /// Attempts started since the upstream last answered anything.
-    unanswered: u32,
-    /// Start of the first and of the latest of these.
-    unanswered_from: Timestamp,
-    unanswered_to: Timestamp,
+    silence: SilenceTracker,
     failures: u32,
     refusals: u32,
     /// Ejections since the last success; sets the length of the next one.
@@ -137,9 +125,7 @@
             failure_at: Timestamp::default(),
             report: LoadReport::default(),
             report_until: Timestamp::default(),
-            unanswered: 0,
-            unanswered_from: Timestamp::default(),
-            unanswered_to: Timestamp::default(),
+            silence: SilenceTracker::default(),
             failures: 0,
             refusals: 0,
             ejections: 0,
@@ -160,26 +146,13 @@
 
     /// Whether the upstream takes no attempts for now, after failures or while it is silent.
     pub(super) fn is_ejected(&self, now: Timestamp, mean_us: f32) -> bool {
-        now < self.ejected_until || self.is_silent(now, mean_us)
-    }
-
-    fn is_silent(&self, now: Timestamp, mean_us: f32) -> bool {
-        if self.unanswered < SILENT_ATTEMPTS {
-            return false;
-        }
-        let usual = mean_us * SILENT_LATENCIES;
-        let silence_us = now.since(self.unanswered_from).as_micros() as f32;
-        silence_us > usual.max(SILENT_MIN_US) && now.since(self.unanswered_to) < SILENT_PROBE
+        now < self.ejected_until || self.silence.is_silent(now, mean_us)
     }
 
     /// Records the start of an attempt.
     pub(super) fn observe_start(&mut self, now: Timestamp) {
         self.in_flight += 1;
-        if self.unanswered == 0 {
-            self.unanswered_from = now;
-        }
-        self.unanswered = self.unanswered.saturating_add(1);
-        self.unanswered_to = now;
+        self.silence.started(now);
     }
 
     /// Work at the upstream in units of its slots: own attempts, or the reported load if higher.
@@ -242,20 +215,16 @@
         };
     }
 
-    /// Records the outcome of an attempt that took `latency`.
+    /// Records the outcome of an attempt that took `latency`. `mean_us` is that of the ring.
     pub(super) fn observe_outcome(
         &mut self,
         now: Timestamp,
         outcome: UpstreamOutcome,
         latency: Duration,
+        mean_us: f32,
     ) {
         let latency_us = latency.as_micros() as f32;
-        if !matches!(
-            outcome,
-            UpstreamOutcome::Lost | UpstreamOutcome::Cancelled | UpstreamOutcome::Unreachable
-        ) {
-            self.unanswered = 0;
-        }
+        self.silence.finished(outcome, latency, mean_us);
         match outcome {
             UpstreamOutcome::Answered => {
                 self.observe_latency(now, latency_us);
--- a/crates/kumquatlock/src/routing/mod.rs
+++ b/crates/kumquatlock/src/routing/mod.rs
@@ -11,6 +11,7 @@
 mod balancer;
 mod balancer_set;
 mod live;
+mod silence;
 mod subset;
 mod table;
 
--- a/crates/kumquatlock/src/routing/tests.rs
+++ b/crates/kumquatlock/src/routing/tests.rs
@@ -397,28 +397,30 @@
     assert!(all.len() == 4, "{all:?}");
 }
 
-/// Guards against calls that are lost to an upstream whose link went silent, in the seconds
-/// until the link is closed.
+/// Guards against calls that are lost to a zone whose links went silent, in the seconds until
+/// the links are closed, and against hedges that make a working ring look silent.
 #[test]
-fn a_silent_upstream_is_avoided_before_its_link_closes() {
-    let mut driver = CallDriver::new(&zone_of(&["silent", "b", "c"], "north-1"));
+fn a_silent_zone_is_avoided_before_its_links_close() {
+    let mut items = zone_of(&["a1", "a2"], "north-1");
+    items.extend(zone_of(&["b1", "b2"], "north-2"));
+    let mut driver = CallDriver::new(&items);
     driver.run(100, answered);
-    // Each call to it is withdrawn when a hedge answers, so it never counts as failed.
-    let silent = (UpstreamOutcome::Cancelled, 1_000, None);
-    let outcome = |name: &str| {
-        if name == "silent" {
-            silent
-        } else {
-            answered(name)
+    // Each call is withdrawn when a hedge answers, so it never counts as failed.
+    let withdrawn = |after_us: u64| {
+        move |name: &str| match name.starts_with('a') {
+            true => (UpstreamOutcome::Cancelled, after_us, None),
+            false => answered(name),
         }
     };
-    let counts = driver.run(450, outcome);
-    assert!(counts["silent"] < 15, "{counts:?}");
-    let counts = driver.run(9_000, answered);
-    assert!(
-        counts["silent"] > 900,
-        "one answer ends the silence: {counts:?}"
-    );
+    let from_zone = |counts: IndexMap<String, u32>| {
+        let names = ["a1", "a2"].iter();
+        names.filter_map(|name| counts.get(*name)).sum::<u32>()
+    };
+    assert_eq!(from_zone(driver.run(100, withdrawn(500))), 100);
+    let lost = from_zone(driver.run(450, withdrawn(3_000)));
+    assert!((3..15).contains(&lost), "{lost} of 450 calls");
+    driver.run(1_000, answered);
+    assert_eq!(from_zone(driver.run(100, answered)), 100);
 }
 
 /// Guards against an attempt that returns to an upstream that the call already tried.
