Refuse queued calls at their deadline and retry deferred ones for an hour

Cause: a timer set for a queued call's deadline found the call not yet expired and was set again for the same instant. Deferred calls used up 72 attempts after about 33 minutes, before admission reserves starts for them.

Change: work is expired at its deadline, and deferred calls get 160 attempts.

--- a/crates/kumquatlock/src/admission/lanes.rs
+++ b/crates/kumquatlock/src/admission/lanes.rs
@@ -97,9 +97,9 @@
         key.filter(|key| self.queued.remove(key))
     }
 
-    /// Takes work whose deadline is before `bound`.
+    /// Takes work whose deadline is at or before `bound`.
     pub(super) fn pop_expired(&mut self, bound: Timestamp) -> Option<QueueKey> {
-        let key = self.earliest().filter(|key| key.deadline < bound)?;
+        let key = self.earliest().filter(|key| key.deadline <= bound)?;
         self.queued.remove(&key);
         Some(key)
     }
--- a/crates/kumquatlock/src/admission/queue.rs
+++ b/crates/kumquatlock/src/admission/queue.rs
@@ -248,7 +248,7 @@
         }
     }
 
-    /// Work with an earlier deadline is not started: it would occupy a slot and most likely
+    /// Work with this deadline or an earlier one is not started: it would occupy a slot and most likely
     /// answer too late.
     fn least_deadline(&self, now: Timestamp) -> Timestamp {
         let half: Duration = self.estimate.service() / 2;
--- a/crates/kumquatlock/src/admission/tests.rs
+++ b/crates/kumquatlock/src/admission/tests.rs
@@ -96,6 +96,18 @@
     assert_eq!(queue.poll(deadline), QueueStep::Idle);
 }
 
+/// Guards against a timer that fires at the deadline, finds nothing to do and is set again.
+#[test]
+fn the_wakeup_at_a_deadline_refuses_the_call() {
+    let mut queue = queue(1);
+    let _ = started(&mut queue, WARM);
+    let (waiting, _) = queued(&mut queue, WARM, RequestClass::Lookup, WARM + SECOND);
+    let wakeup = queue.next_wakeup(WARM).unwrap();
+    let refuse = QueueStep::Refuse(waiting, CallReason::DeadlineTooShort);
+    assert_eq!(queue.poll(wakeup), refuse);
+    assert_eq!(queue.next_wakeup(wakeup), None);
+}
+
 /// Guards against a full queue that drops a booking or a check and keeps deferred work.
 #[test]
 fn a_full_queue_evicts_deferred_then_waiting_then_refuses() {
--- a/crates/kumquatlock/src/retry/policy.rs
+++ b/crates/kumquatlock/src/retry/policy.rs
@@ -14,8 +14,9 @@
 /// Attempts of a call inside a chain, if the first was proved not run. A chain of 14 in which
 /// each level tried three times would run its last call 3^14 times.
 const MAX_INNER_ATTEMPTS: u32 = 2;
-/// Attempts of a deferred call; with the longest backoff they spread over more than an hour.
-const MAX_DEFERRED_ATTEMPTS: u32 = 72;
+/// Attempts of a deferred call. At a mean of 30 s between them they outlast an hour, so that the
+/// last ones fall into the time in which admission reserves starts for them.
+const MAX_DEFERRED_ATTEMPTS: u32 = 160;
 
 /// Upper bound of the first backoff; doubles with each attempt. The delay is drawn evenly below
 /// the bound, so that calls that failed together do not return together.
--- a/crates/kumquatlock/src/retry/tests.rs
+++ b/crates/kumquatlock/src/retry/tests.rs
@@ -111,6 +111,28 @@
     assert_eq!(decision, RetryDecision::GiveUp(GiveUpReason::DeadlineSpent));
 }
 
+/// Guards against a deferred call that has used up its attempts before its deadline nears.
+#[test]
+fn attempts_of_a_deferred_call_outlast_an_hour() {
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut now = START;
+        for attempts in 1.. {
+            let mut budget = RetryBudget::new(now);
+            let call = progress(RequestClass::Deferred, 0, attempts);
+            let zero = Duration::ZERO;
+            match RetryPolicy.after_failure(now, &mut rng, &mut budget, &call, REFUSED, zero) {
+                RetryDecision::Retry { after } => now = now + after,
+                decision => {
+                    let spent = RetryDecision::GiveUp(GiveUpReason::DeadlineSpent);
+                    assert_eq!(decision, spent, "seed {seed}, attempt {attempts}");
+                    break;
+                }
+            }
+        }
+    }
+}
+
 /// Guards against retries that multiply the load while everything fails.
 #[test]
 fn the_budget_bounds_retries_to_a_share_of_the_calls() {
