--- a/crates/kumquatlock/src/routing/live.rs
+++ b/crates/kumquatlock/src/routing/live.rs
@@ -5,6 +5,7 @@
 
 use kumquatlock_wire::call::{CallReason, LoadReport};
 
+use super::silence::SilenceTracker;
 use super::subset::{RingDistance, SubsetSeat};
 use crate::core::{Timestamp, UpstreamEntry};
 
@@ -94,6 +95,7 @@
     failure_at: Timestamp,
     report: LoadReport,
     report_until: Timestamp,
+    silence: SilenceTracker,
     failures: u32,
     refusals: u32,
     /// Ejections since the last success; sets the length of the next one.
@@ -123,6 +125,7 @@
             failure_at: Timestamp::default(),
             report: LoadReport::default(),
             report_until: Timestamp::default(),
+            silence: SilenceTracker::default(),
             failures: 0,
             refusals: 0,
             ejections: 0,
@@ -141,8 +144,15 @@
         }
     }
 
-    pub(super) fn is_ejected(&self, now: Timestamp) -> bool {
-        now < self.ejected_until
+    /// Whether the upstream takes no attempts for now, after failures or while it is silent.
+    pub(super) fn is_ejected(&self, now: Timestamp, mean_us: f32) -> bool {
+        now < self.ejected_until || self.silence.is_silent(now, mean_us)
+    }
+
+    /// Records the start of an attempt.
+    pub(super) fn observe_start(&mut self, now: Timestamp) {
+        self.in_flight += 1;
+        self.silence.started(now);
     }
 
     /// Work at the upstream in units of its slots: own attempts, or the reported load if higher.
@@ -205,14 +215,16 @@
         };
     }
 
-    /// Records the outcome of an attempt that took `latency`.
+    /// Records the outcome of an attempt that took `latency`. `mean_us` is that of the ring.
     pub(super) fn observe_outcome(
         &mut self,
         now: Timestamp,
         outcome: UpstreamOutcome,
         latency: Duration,
+        mean_us: f32,
     ) {
         let latency_us = latency.as_micros() as f32;
+        self.silence.finished(outcome, latency, mean_us);
         match outcome {
             UpstreamOutcome::Answered => {
                 self.observe_latency(now, latency_us);
@@ -252,7 +264,7 @@
 
     /// Counters stay at their bound, so one more failure after the ejection ejects again.
     fn eject(&mut self, now: Timestamp, first: Duration, longest: Duration) {
-        if self.is_ejected(now) {
+        if now < self.ejected_until {
             return;
         }
         let time = first.saturating_mul(1 << self.ejections.min(16));
