Add the operators' commands, expiry and process tests of control

The leader now records attachments, proposes expiries and skips reports that change nothing.

The process tests live in this package, because cargo builds its binary before them. A mesh without nodes no longer needs the node's binary. The tracker of attachments takes its limits from settings; a new leader's grace is a setting of its own, since attachment lists of replicas take up to 20 s.

--- a/crates/kumquatlock-control/src/commands/serve.rs
+++ b/crates/kumquatlock-control/src/commands/serve.rs
@@ -1,13 +1,13 @@
 //! `kumquatlock-control serve`
 
-use std::process::ExitCode;
-
 use argh::FromArgs;
 use eyre::WrapErr;
 use kumquatlock::ops::control::{ControlFlags, ControlSettings, run_control};
 use kumquatlock::util::logging::init_logging;
 use kumquatlock::util::settings::ProcessEnvironment;
 
+use super::EXIT_DONE;
+
 /// Run a control instance until SIGTERM or SIGINT. Each flag may also be given as the environment
 /// variable KUMQUATLOCK_<FLAG>; the flag wins.
 #[derive(FromArgs)]
@@ -54,20 +54,14 @@
     /// time after which an unattached upstream is removed, 100 to 3600000 ms, default 30000
     #[argh(option)]
     expiry_ms: Option<String>,
+    /// time for which a new leader removes no upstream, 100 to 3600000 ms, default 60000; complete
+    /// attachment lists of replicas take up to 20000 ms
+    #[argh(option)]
+    expiry_grace_ms: Option<String>,
 }
 
 impl ServeCommand {
-    pub(crate) fn exec(self) -> ExitCode {
-        match self.run() {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(error) => {
-                super::report(&error);
-                ExitCode::FAILURE
-            }
-        }
-    }
-
-    fn run(self) -> eyre::Result<()> {
+    pub(crate) fn exec(self) -> eyre::Result<u8> {
         let flags = ControlFlags {
             name: self.name,
             listen: self.listen,
@@ -82,9 +76,11 @@
             heartbeat_ms: self.heartbeat_ms,
             election_timeout_ms: self.election_timeout_ms,
             expiry_ms: self.expiry_ms,
+            expiry_grace_ms: self.expiry_grace_ms,
         };
         let settings = ControlSettings::resolve(&flags, &ProcessEnvironment)?;
         init_logging(&settings.log)?;
-        run_control(settings).wrap_err("control instance failed")
+        run_control(settings).wrap_err("control instance failed")?;
+        Ok(EXIT_DONE)
     }
 }
--- /dev/null
+++ b/crates/kumquatlock-control/src/commands/submit.rs
@@ -0,0 +1,51 @@
+//! `kumquatlock-control submit`
+
+use std::fs;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use eyre::WrapErr;
+use kumquatlock::ops::operate::{OperatorError, SubmitOutcome};
+
+use super::{EXIT_DONE, EXIT_REFUSED, EXIT_UNKNOWN};
+
+/// Submit a manifest and print the answer. Tries one instance after the other; submitting the same
+/// manifest again gets the first answer. Exits with 0 if it is accepted, 1 if it is refused and 2
+/// if the outcome is not known.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "submit")]
+pub(crate) struct SubmitCommand {
+    /// operator addresses of control instances, <ip>:<port>,... (variable KUMQUATLOCK_CONTROL)
+    #[argh(option)]
+    control: Option<String>,
+    /// file of the manifest, JSON of at most 1 MiB
+    #[argh(option)]
+    file: PathBuf,
+    /// time after which the command gives up, 100 to 600000 ms, default 15000 (variable
+    /// KUMQUATLOCK_TIMEOUT_MS)
+    #[argh(option)]
+    timeout_ms: Option<String>,
+}
+
+impl SubmitCommand {
+    pub(crate) fn exec(self) -> eyre::Result<u8> {
+        let client = super::operator_client(self.control.as_deref(), self.timeout_ms.as_deref())?;
+        let text = fs::read(&self.file)
+            .wrap_err_with(|| format!("failed to read {}", self.file.display()))?;
+        match client.submit_manifest(&text) {
+            Ok(SubmitOutcome::Accepted(answer)) => {
+                super::print_answer(&answer);
+                Ok(EXIT_DONE)
+            }
+            Ok(SubmitOutcome::Refused(answer)) => {
+                super::print_answer(&answer);
+                Ok(EXIT_REFUSED)
+            }
+            Err(error @ OperatorError::NoAnswer { .. }) => {
+                eprintln!("error: {error}");
+                Ok(EXIT_UNKNOWN)
+            }
+            Err(error) => Err(error.into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquatlock-control/tests/control/main.rs
@@ -0,0 +1,13 @@
+//! Control instances as real processes.
+//!
+//! These tests belong to this package because cargo builds its binary before them.
+
+mod child;
+mod decisions;
+mod disks;
+mod failover;
+mod group;
+mod replica;
+mod settings;
+mod stop;
+mod stream;
--- /dev/null
+++ b/crates/kumquatlock-control/tests/control/replica.rs
@@ -0,0 +1,52 @@
+//! Read replicas.
+
+use serde_json::json;
+
+use crate::child::RawChild;
+use crate::group::{
+    builder, manifest, other_manifest, show, start, submit_until_decided, wait_in_force,
+    wait_status,
+};
+
+/// Guards against a replica that serves another configuration than the voters, that loses
+/// requests, or whose children are not counted.
+#[test]
+fn a_replica_serves_children_and_passes_requests_on() {
+    let mut mesh = start(builder().replicas_per_region(1));
+    let submitted = |index: usize, version: u64| {
+        let answer = mesh.controls[index].submit(&manifest(version)).unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        answer.json()["config_version"].as_u64().unwrap()
+    };
+    wait_status(&mesh.controls[3], "role", &json!("replica"));
+    let first = {
+        // The replica may not be attached yet.
+        let (code, answer) = submit_until_decided(&mesh.controls[3], &manifest(1));
+        assert_eq!(code, 200, "{answer}");
+        answer["config_version"].as_u64().unwrap()
+    };
+    wait_status(&mesh.controls[3], "config_version", &json!(first));
+    let refused = mesh.controls[3].submit(&other_manifest(1)).unwrap();
+    assert_eq!(
+        (refused.status, &refused.json()["reason"]),
+        (409, &json!("conflict"))
+    );
+
+    let mut child = RawChild::greet(mesh.controls[3].flags.listen, "child");
+    assert_eq!(child.expect_welcome(), first);
+    assert_eq!(child.expect_snapshot().version, first);
+    child.confirm(first);
+    wait_in_force(&mesh.controls[3], 1, 1);
+
+    let second = submitted(1, 2);
+    let delta = child.expect_delta();
+    assert_eq!((delta.base, delta.version), (first, second));
+    assert_eq!(show(&mesh.controls[3], "2")["state"], "accepted");
+    child.confirm(second);
+    wait_in_force(&mesh.controls[3], 2, 1);
+
+    // A restarted replica holds nothing on disk and takes the configuration over again.
+    mesh.controls[3].process.restart().unwrap();
+    mesh.controls[3].wait_ready().unwrap();
+    wait_status(&mesh.controls[3], "config_version", &json!(second));
+}
--- /dev/null
+++ b/crates/kumquatlock-control/tests/control/stop.rs
@@ -0,0 +1,73 @@
+//! Graceful stop.
+
+use std::thread;
+use std::time::Duration;
+
+use kumquatlock_testkit::caller::CallPlan;
+use kumquatlock_wire::Body;
+use kumquatlock_wire::distribution::RetryReason;
+use serde_json::json;
+
+use crate::child::RawChild;
+use crate::group::{LONG, builder, manifest, start, status, wait_leader, wait_status};
+
+/// Status of a process that a second SIGTERM ended: 128 + 15.
+const SECOND_SIGNAL_STATUS: i32 = 143;
+
+/// Guards against an election timeout without a leader at each planned restart, and against
+/// children that stay on a parent that is gone.
+#[test]
+fn a_leader_that_stops_hands_over_and_sends_its_children_away() {
+    let mut mesh = start(builder());
+    mesh.controls[0].submit(&manifest(1)).unwrap();
+    let leader = wait_leader(&mesh, &[0, 1, 2]);
+    let term = status(&mesh.controls[leader]).unwrap()["term"].clone();
+    let mut child = RawChild::greet(mesh.controls[leader].flags.listen, "child");
+    child.expect_welcome();
+    child.confirm_snapshot();
+    mesh.controls[leader].process.stop(LONG).unwrap();
+    match child.receive() {
+        Some(Body::RetryAfter(retry)) => assert_eq!(retry.reason, RetryReason::Leaving as i32),
+        other => panic!("{other:?}"),
+    }
+    let rest = [(leader + 1) % 3, (leader + 2) % 3];
+    let next = wait_leader(&mesh, &rest);
+    let after = status(&mesh.controls[next]).unwrap()["term"].clone();
+    // Two terms would mean that the handover failed and an election followed.
+    assert_eq!(after.as_u64(), term.as_u64().map(|term| term + 1));
+    let log = mesh.controls[leader].process.log_records();
+    assert_eq!(log.last().unwrap()["event"], "stopped");
+}
+
+/// Guards against a submission that is cut off without an answer, and against a stop that cannot
+/// be cut short.
+#[test]
+fn a_stop_answers_what_is_in_progress_and_a_second_signal_ends_it() {
+    let mut mesh = start(builder());
+    let leader = wait_leader(&mesh, &[0, 1, 2]);
+    let others = [(leader + 1) % 3, (leader + 2) % 3];
+    for other in others {
+        mesh.controls[other].process.pause().unwrap();
+    }
+    let caller = mesh.controls[leader].caller();
+    let plan = CallPlan::post("/v1/manifests", manifest(1).to_string());
+    let sending = thread::spawn(move || caller.send(&plan).unwrap());
+    wait_status(&mesh.controls[leader], "pending_requests", &json!(1));
+    mesh.controls[leader].process.stop(LONG).unwrap();
+    let answer = sending.join().unwrap();
+    assert_eq!(
+        (answer.status, &answer.json()["outcome"]),
+        (504, &json!("unknown"))
+    );
+
+    // Requests of the frozen voters keep the next stop waiting.
+    let frozen = &mut mesh.controls[others[0]].process;
+    frozen.terminate().unwrap();
+    frozen.terminate().unwrap();
+    frozen.resume().unwrap();
+    let ended = frozen.wait_exit(Duration::from_secs(10)).unwrap();
+    assert!(
+        matches!(ended.code(), Some(0 | SECOND_SIGNAL_STATUS)),
+        "{ended}"
+    );
+}
--- /dev/null
+++ b/crates/kumquatlock-control/tests/control/stream.rs
@@ -0,0 +1,156 @@
+//! Children of a voter.
+
+use kumquatlock_wire::Body;
+use kumquatlock_wire::distribution::{Ping, RetryReason, catalog_change::Kind};
+use serde_json::json;
+
+use crate::child::RawChild;
+use crate::group::{builder, manifest, show, start, wait_in_force, wait_leader, wait_status};
+
+/// Guards against a manifest that is reported in force before every child has applied it.
+#[test]
+fn a_manifest_is_in_force_when_every_child_has_applied_it() {
+    let mesh = start(builder());
+    let first = mesh.controls[0].submit(&manifest(1)).unwrap().json();
+    let version = first["config_version"].as_u64().unwrap();
+    let mut children: Vec<RawChild> = (0..3)
+        .map(|index| {
+            let parent = mesh.controls[index].flags.listen;
+            RawChild::greet(parent, &format!("child-{index}"))
+        })
+        .collect();
+    for child in &mut children {
+        assert_eq!(child.expect_welcome(), version);
+        let state = child.expect_snapshot();
+        assert_eq!((state.version, state.manifest_version), (version, 1));
+        assert!(state.history.is_none());
+        child.confirm(version);
+    }
+    // The counts follow a new child with a delay of up to 500 ms.
+    wait_in_force(&mesh.controls[1], 1, 3);
+
+    let second = mesh.controls[2].submit(&manifest(2)).unwrap().json();
+    for (index, child) in children.iter_mut().enumerate() {
+        let delta = child.expect_delta();
+        assert_eq!(
+            (delta.base, json!(delta.version)),
+            (version, second["config_version"].clone())
+        );
+        assert_eq!(delta.changes.len(), 1);
+        let shown = show(&mesh.controls[index], "2");
+        assert_eq!(shown["state"], "accepted", "{shown}");
+    }
+    for child in &mut children {
+        child.confirm(second["config_version"].as_u64().unwrap());
+    }
+    wait_in_force(&mesh.controls[0], 2, 3);
+}
+
+/// Guards against a restarted child that starts from a configuration older than one that is
+/// accepted already.
+#[test]
+fn an_isolated_voter_welcomes_no_child() {
+    let mut mesh = start(builder());
+    mesh.controls[0].submit(&manifest(1)).unwrap();
+    let leader = wait_leader(&mesh, &[0, 1, 2]);
+    let others = [(leader + 1) % 3, (leader + 2) % 3];
+    for other in others {
+        mesh.controls[other].process.pause().unwrap();
+    }
+    // At first the former leader, then a candidate.
+    for _ in 0..2 {
+        let mut child = RawChild::greet(mesh.controls[leader].flags.listen, "child");
+        match child.receive() {
+            Some(Body::RetryAfter(retry)) => {
+                assert_eq!(retry.reason, RetryReason::NotCurrent as i32);
+            }
+            other => panic!("{other:?}"),
+        }
+        wait_status(&mesh.controls[leader], "leader", &json!(null));
+    }
+    for other in others {
+        mesh.controls[other].process.resume().unwrap();
+    }
+    wait_leader(&mesh, &[0, 1, 2]);
+    let mut child = RawChild::greet(mesh.controls[leader].flags.listen, "child");
+    child.expect_welcome();
+}
+
+/// Guards against reports that get lost on the way to the leader, and against lost upstreams that
+/// stay for ever.
+#[test]
+fn an_upstream_is_announced_and_expired() {
+    let timings = ["--expiry-ms", "300", "--expiry-grace-ms", "2000"];
+    let mesh = start(
+        timings
+            .iter()
+            .fold(builder(), |builder, text| builder.control_argument(text)),
+    );
+    mesh.controls[0].submit(&manifest(1)).unwrap();
+    let mut children: Vec<RawChild> = (0..3)
+        .map(|index| {
+            let name = format!("booking-{index}");
+            let mut child = RawChild::greet(mesh.controls[index].flags.listen, &name);
+            child.expect_welcome();
+            child.confirm_snapshot();
+            child.announce(&name);
+            child
+        })
+        .collect();
+    let mut seen = Vec::new();
+    while seen.len() < 3 {
+        for name in children[0].confirm_delta().into_iter().flatten() {
+            if let Kind::UpsertUpstream(item) = name {
+                seen.push((item.name, item.first_in_region));
+            }
+        }
+    }
+    seen.sort();
+    let names: Vec<&str> = seen.iter().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(names, ["booking-0", "booking-1", "booking-2"]);
+    assert_eq!(seen.iter().filter(|(_, first)| *first).count(), 1);
+
+    drop(children.remove(2));
+    let mut watcher = children.remove(0);
+    // Keeps the other child attached while the first one waits.
+    let keep = std::thread::spawn(move || {
+        let mut child = children.remove(0);
+        while let Some(body) = child.receive() {
+            if let Body::Delta(delta) = body {
+                child.confirm(delta.version);
+            }
+        }
+    });
+    loop {
+        let changes = watcher.confirm_delta().unwrap();
+        if let [Kind::RemoveUpstream(name)] = &changes[..] {
+            assert_eq!(name, "booking-2");
+            break;
+        }
+    }
+    drop(mesh);
+    keep.join().unwrap();
+}
+
+/// Guards against links that say nothing, or something else, and stay open for ever.
+#[test]
+fn foreign_connections_are_closed() {
+    let mesh = start(builder());
+    let listen = mesh.controls[0].flags.listen;
+    let mut foreign = RawChild::connect(listen);
+    foreign.send(Body::Applied(Default::default()));
+    assert!(foreign.receive().is_none());
+    let mut garbage = RawChild::connect(listen);
+    garbage.send_raw(b"GET / HTTP/1.1\r\n\r\n");
+    assert!(garbage.receive().is_none());
+    let mut unknown = RawChild::connect(listen);
+    let mut message = kumquatlock_wire::agreement::PeerMessage::default();
+    message.from.name = "voter-9".to_owned();
+    unknown.send(Body::Peer(message));
+    assert!(unknown.receive().is_none());
+    // A probe alone does not tell who it is.
+    let mut silent = RawChild::connect(listen);
+    silent.send(Body::Ping(Ping { number: 1 }));
+    assert!(silent.receive().is_none());
+    assert_eq!(mesh.controls[0].submit(&manifest(1)).unwrap().status, 200);
+}
--- a/crates/kumquatlock-testkit/src/process/mesh.rs
+++ b/crates/kumquatlock-testkit/src/process/mesh.rs
@@ -139,7 +139,11 @@
 impl Mesh {
     pub(super) fn start(plan: MeshPlan) -> Result<Mesh, ProcessError> {
         let control_program = ProgramName::Control.locate()?;
-        let node_program = ProgramName::Node.locate()?;
+        // A mesh of control instances only does not need the other binary to be built.
+        let node_program = match plan.nodes.is_empty() {
+            true => PathBuf::new(),
+            false => ProgramName::Node.locate()?,
+        };
         let log_dir = plan.dir.path().join("logs");
         let mut mesh = Mesh {
             nodes: Vec::with_capacity(plan.nodes.len()),
--- a/crates/kumquatlock/src/catalog/apply.rs
+++ b/crates/kumquatlock/src/catalog/apply.rs
@@ -132,6 +132,13 @@
         }
     }
 
+    /// Whether the catalog would change if the report were applied now. One that would not need
+    /// not be proposed; nodes repeat reports until they see the result.
+    pub fn is_changed_by(&self, report: &UpstreamReport) -> bool {
+        let effect = self.decide_report(&report.upstream);
+        matches!(effect, Ok(ReportEffect::Upsert(_) | ReportEffect::Remove))
+    }
+
     fn apply_manifest(&mut self, index: u64, text: &[u8]) -> ManifestDecision {
         let document = match ManifestDocument::parse(text) {
             Ok(document) => document,
--- a/crates/kumquatlock/src/membership/mod.rs
+++ b/crates/kumquatlock/src/membership/mod.rs
@@ -15,7 +15,7 @@
     AnnounceAnswer, AnnouncerEvent, AnnouncerStep, NodePlace, UpstreamAnnouncement,
     UpstreamAnnouncer,
 };
-pub use tracker::{AttachmentTracker, ExpiryDecision, RecordOutcome};
+pub use tracker::{AttachmentTracker, ExpiryDecision, ExpiryLimits, RecordOutcome};
 
 /// An upstream that is unattached for this long is removed.
 pub const UNATTACHED_LIMIT: Duration = Duration::from_secs(30);
--- a/crates/kumquatlock/src/membership/tracker.rs
+++ b/crates/kumquatlock/src/membership/tracker.rs
@@ -1,6 +1,7 @@
 //! The leader's view of attached upstreams and the removal of lost ones.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
 use kumquatlock_wire::distribution::{Attachment, Expiry};
@@ -42,10 +43,29 @@
     },
 }
 
+/// Times of the removal of lost upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExpiryLimits {
+    /// An upstream that is unattached for this long is removed.
+    pub unattached: Duration,
+    /// A new leader removes nothing for this long.
+    pub leader_grace: Duration,
+}
+
+impl Default for ExpiryLimits {
+    fn default() -> Self {
+        ExpiryLimits {
+            unattached: UNATTACHED_LIMIT,
+            leader_grace: LEADER_GRACE,
+        }
+    }
+}
+
 /// Soft state of one leader; a new leader starts with an empty one.
 #[derive(Debug)]
 pub struct AttachmentTracker {
     leader_since: Timestamp,
+    limits: ExpiryLimits,
     /// At most [`MAX_REPORTERS`].
     reporters: IndexMap<SharedName, ReporterRecord>,
     /// Catalog upstreams that no live reporter lists, and since when.
@@ -72,8 +92,14 @@
 impl AttachmentTracker {
     /// The state of a leader that took office at `now`.
     pub fn new(now: Timestamp) -> Self {
+        AttachmentTracker::with_limits(now, ExpiryLimits::default())
+    }
+
+    /// The same with other limits than the default ones.
+    pub fn with_limits(now: Timestamp, limits: ExpiryLimits) -> Self {
         AttachmentTracker {
             leader_since: now,
+            limits,
             reporters: IndexMap::new(),
             unattached: IndexMap::new(),
             removals: IndexMap::new(),
@@ -122,7 +148,7 @@
     /// over the catalog.
     pub fn expire(&mut self, now: Timestamp, catalog: &Catalog) -> ExpiryDecision {
         let (zones, regions) = self.observe(now, catalog);
-        if now.since(self.leader_since) < LEADER_GRACE {
+        if now.since(self.leader_since) < self.limits.leader_grace {
             return ExpiryDecision::Grace;
         }
         let looks_cut_off = |(_, count): &(&SharedName, &PlaceCount)| {
@@ -204,7 +230,7 @@
                 name: item.name.clone(),
                 incarnation: item.incarnation,
             };
-            if now.since(since) < UNATTACHED_LIMIT || self.proposed.contains_key(&expiry) {
+            if now.since(since) < self.limits.unattached || self.proposed.contains_key(&expiry) {
                 continue;
             }
             let total = zones.get(item.zone.as_str()).map_or(0, |count| count.total);
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -35,6 +35,9 @@
 /// Ticks of the actor per check of the links.
 const TICKS_PER_LINK_CHECK: u64 = 5;
 
+/// Ticks of the actor per search for lost upstreams, which passes over the whole catalog.
+const TICKS_PER_EXPIRY: u64 = 1_000 / TICK_MS;
+
 /// An event for one duty that waits for its turn.
 #[derive(Debug)]
 pub(super) enum Work {
@@ -163,6 +166,9 @@
             self.links.handle_tick(now);
             self.close_unknown_links(now);
         }
+        if self.ticks.is_multiple_of(TICKS_PER_EXPIRY) {
+            self.expire_upstreams(now);
+        }
         self.expire_requests(now);
         self.finish_turn(cx, now);
         if self.has_stopped(now) {
--- a/crates/kumquatlock/src/ops/control/operator.rs
+++ b/crates/kumquatlock/src/ops/control/operator.rs
@@ -130,6 +130,7 @@
     attached: u64,
     applied: u64,
     connected_voters: usize,
+    pending_requests: usize,
 }
 
 impl ControlActor {
@@ -201,6 +202,7 @@
             attached: count.attached,
             applied: count.applied,
             connected_voters: self.peers.connected_count(),
+            pending_requests: self.requests.len(),
         };
         HttpResponse::json(200, &body)
     }
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -4,15 +4,16 @@
 use kumquatlock_wire::Body;
 use kumquatlock_wire::agreement::Forward;
 use kumquatlock_wire::agreement::forward::Content;
-use kumquatlock_wire::distribution::{Progress, UpstreamReport, catalog_command};
+use kumquatlock_wire::distribution::{Attachment, Progress, UpstreamReport, catalog_command};
 
 use super::actor::{ControlActor, Work};
 use super::answer;
 use super::requests::{RequestAnswer, RequestKind, RequestRoute, Requester, forward};
 use crate::agreement::{AgreementEvent, CurrencyTicket, ProposalTicket};
-use crate::core::{ConfigVersion, Timestamp};
+use crate::core::{ConfigVersion, SharedName, Timestamp};
 use crate::distribution::{ChildEvent, InForceCount, ParentEvent, ProgressTable, REPORTER_SILENCE};
 use crate::manifest::ManifestDocument;
+use crate::membership::{AttachmentTracker, ExpiryDecision, ExpiryLimits, RecordOutcome};
 use crate::transport::LinkId;
 
 /// What only the leader knows. Starts empty with each leadership.
@@ -22,16 +23,57 @@
     progress: ProgressTable,
     /// Voters whose progress has arrived since the leadership began.
     reporters: IndexSet<String>,
+    /// Present while this instance leads.
+    attachments: Option<AttachmentTracker>,
+    /// Place for which the last withheld removal was logged.
+    withheld: Option<SharedName>,
 }
 
 impl ControlActor {
-    pub(super) fn change_leadership(&mut self, now: Timestamp, _is_leader: bool) {
+    pub(super) fn change_leadership(&mut self, now: Timestamp, is_leader: bool) {
+        let limits = ExpiryLimits {
+            unattached: self.settings.expiry,
+            leader_grace: self.settings.expiry_grace,
+        };
         self.leader_view = LeaderView {
             since: now,
+            attachments: is_leader.then(|| AttachmentTracker::with_limits(now, limits)),
             ..LeaderView::default()
         };
     }
 
+    /// Removes upstreams that no parent has had attached for long. Called once per second.
+    pub(super) fn expire_upstreams(&mut self, now: Timestamp) {
+        let view = &mut self.leader_view;
+        let Some(attachments) = &mut view.attachments else {
+            return;
+        };
+        match attachments.expire(now, &self.catalog) {
+            ExpiryDecision::Propose(expired) => {
+                view.withheld = None;
+                for expiry in expired {
+                    log::info!(
+                        upstream = expiry.name.as_str(),
+                        incarnation = expiry.incarnation;
+                        "upstream_expired"
+                    );
+                    self.propose(catalog_command::Kind::Expire(expiry));
+                }
+            }
+            ExpiryDecision::Grace => {}
+            ExpiryDecision::Withheld {
+                place,
+                unattached,
+                total,
+            } => {
+                if view.withheld.as_ref() != Some(&place) {
+                    log::warn!(place = &*place, unattached, total; "expiry_withheld");
+                    view.withheld = Some(place);
+                }
+            }
+        }
+    }
+
     /// Answers a request here or passes it on towards the leader.
     pub(super) fn ask(&mut self, now: Timestamp, requester: Requester, content: Content) {
         let Some(kind) = RequestKind::of(&content) else {
@@ -228,12 +270,24 @@
         match body {
             Body::Report(report) => self.take_report(report),
             Body::Progress(progress) => self.take_progress(now, progress),
+            Body::Attachment(attachment) => self.take_attachment(now, &attachment),
             _ => {}
         }
     }
 
     fn take_report(&mut self, report: UpstreamReport) {
-        self.propose(catalog_command::Kind::Report(report));
+        if self.catalog.is_changed_by(&report) {
+            self.propose(catalog_command::Kind::Report(report));
+        }
+    }
+
+    fn take_attachment(&mut self, now: Timestamp, attachment: &Attachment) {
+        let Some(attachments) = &mut self.leader_view.attachments else {
+            return;
+        };
+        if attachments.record(now, attachment) == RecordOutcome::TooManyReporters {
+            log::warn!(reporter = attachment.reporter.as_str(); "attachment_refused");
+        }
     }
 
     fn take_progress(&mut self, now: Timestamp, progress: Progress) {
--- a/crates/kumquatlock/src/ops/control/requests.rs
+++ b/crates/kumquatlock/src/ops/control/requests.rs
@@ -142,6 +142,10 @@
         Ok(self.last_id)
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.pending.len()
+    }
+
     pub(super) fn set_route(&mut self, id: u64, route: RequestRoute) {
         if let Some(request) = self.pending.get_mut(&id) {
             request.route = route;
--- a/crates/kumquatlock/src/ops/control/settings.rs
+++ b/crates/kumquatlock/src/ops/control/settings.rs
@@ -82,6 +82,15 @@
 .range(100, 3_600_000)
 .default_value("30000");
 
+const EXPIRY_GRACE: SettingSpec<DurationMillis> = SettingSpec::new(
+    "expiry-grace-ms",
+    "time for which a new leader removes no upstream; complete attachment lists of replicas take \
+     up to 20000 ms",
+)
+.unit("ms")
+.range(100, 3_600_000)
+.default_value("60000");
+
 /// Texts of the flags of `serve`, as given on the command line.
 #[derive(Clone, Debug, Default)]
 pub struct ControlFlags {
@@ -98,6 +107,7 @@
     pub heartbeat_ms: Option<String>,
     pub election_timeout_ms: Option<String>,
     pub expiry_ms: Option<String>,
+    pub expiry_grace_ms: Option<String>,
 }
 
 /// Why the settings cannot be used.
@@ -164,6 +174,8 @@
     pub election_timeout: Duration,
     /// Time after which an unattached upstream is removed.
     pub expiry: Duration,
+    /// Time for which a new leader removes no upstream.
+    pub expiry_grace: Duration,
 }
 
 impl ControlSettings {
@@ -206,6 +218,9 @@
             expiry: EXPIRY
                 .resolve(flags.expiry_ms.as_deref(), variables)?
                 .duration(),
+            expiry_grace: EXPIRY_GRACE
+                .resolve(flags.expiry_grace_ms.as_deref(), variables)?
+                .duration(),
         })
     }
 
@@ -225,6 +240,7 @@
             HEARTBEAT.describe(),
             ELECTION_TIMEOUT.describe(),
             EXPIRY.describe(),
+            EXPIRY_GRACE.describe(),
         ]
     }
 }
--- a/crates/kumquatlock/src/ops/mod.rs
+++ b/crates/kumquatlock/src/ops/mod.rs
@@ -1,3 +1,4 @@
 //! What the commands of the binaries do.
 
 pub mod control;
+pub mod operate;
