--- a/crates/kumquatlock/src/agreement/leader.rs
+++ b/crates/kumquatlock/src/agreement/leader.rs
@@ -126,7 +126,9 @@
         };
         match &progress.mode {
             ReplicationMode::SendingSnapshot { sent_at, .. } => {
-                if now.since(*sent_at) >= resend {
+                // A voter that answers no heartbeat either gets no chunk, to save its link.
+                let is_heard = progress.last_heard > *sent_at;
+                if is_heard && now.since(*sent_at) >= resend {
                     self.send_chunk(now, peer);
                 }
             }
@@ -225,6 +227,10 @@
         }
         self.commit_index = index;
         self.apply_committed();
+        if self.commit_index == self.log.last_index() {
+            // No later append carries the commit index, and the next heartbeat may be 150 ms away.
+            self.broadcast_round(now);
+        }
         self.start_currency_round(now);
     }
 
