Refuse manifests that are written as lists

A derived struct also takes a list of its fields in order, so `[9,[["booking",["*"]]],[]]` was accepted as a manifest. The document, its services and its routes are now read as objects only.

Seen before the change: the list was accepted by a running group with status 200. The process test of bad manifests now holds both forms.

--- a/crates/kumquatlock-control/tests/control/decisions.rs
+++ b/crates/kumquatlock-control/tests/control/decisions.rs
@@ -107,6 +107,14 @@
         ),
         ("deeply nested", "[".repeat(100_000).into_bytes()),
         ("list", b"[]".to_vec()),
+        (
+            "fields as a list",
+            b"[9,[[\"booking\",[\"*\"]]],[]]".to_vec(),
+        ),
+        (
+            "service as a list",
+            edited("/services/0", json!(["booking", ["booking-*"]])),
+        ),
         ("missing field", b"{\"version\":1,\"services\":[]}".to_vec()),
         ("doubled field", b"{\"version\":1,\"version\":2}".to_vec()),
         ("unknown field", with("owner", json!("x"))),
--- a/crates/kumquatlock/src/manifest/mod.rs
+++ b/crates/kumquatlock/src/manifest/mod.rs
@@ -7,12 +7,14 @@
 
 mod check;
 mod error;
+mod object;
 
 use kumquatlock_wire::distribution::{RouteItem, ServiceItem, WireClass};
 use prost::Message;
 use serde::Deserialize;
 
 pub use error::{ManifestError, ManifestFault};
+use object::ObjectOf;
 
 use crate::core::{RequestClass, stable_hash};
 
@@ -48,7 +50,9 @@
 #[serde(deny_unknown_fields)]
 struct ManifestText {
     version: u64,
+    #[serde(deserialize_with = "object::read_objects")]
     services: Vec<ServiceText>,
+    #[serde(deserialize_with = "object::read_objects")]
     routes: Vec<RouteText>,
 }
 
@@ -79,7 +83,7 @@
             return Err(ManifestError::at("$", fault));
         }
         let mut deserializer = serde_json::Deserializer::from_slice(text);
-        let parsed: ManifestText = serde_path_to_error::deserialize(&mut deserializer)
+        let ObjectOf(parsed) = serde_path_to_error::deserialize(&mut deserializer)
             .map_err(|error| ManifestError::from_json(&error.path().to_string(), error.inner()))?;
         deserializer
             .end()
