Test full disks, partitions and the largest manifest with real processes

It now says storage_full or storage_failed.

New tests: a voter that cannot write stops acknowledging, the others go on, and it catches up once it can write; a silently isolated leader accepts nothing, welcomes no child, and the new leader does not say "in force" while the isolated child lags; connections that go silent are replaced; a manifest of 0.99 MB with 5,000 routes reaches a child of a replica in chunks.

--- a/crates/kumquatlock-control/tests/control/child.rs
+++ b/crates/kumquatlock-control/tests/control/child.rs
@@ -99,19 +99,26 @@
 
     /// A whole snapshot; it is not confirmed.
     pub(crate) fn expect_snapshot(&mut self) -> CatalogState {
+        self.expect_chunks().0
+    }
+
+    /// A whole snapshot with its digest and the number of its chunks.
+    pub(crate) fn expect_chunks(&mut self) -> (CatalogState, u64, usize) {
         let mut data = BytesMut::new();
-        loop {
+        for chunks in 1.. {
             match self.receive() {
                 Some(Body::Snapshot(chunk)) => {
                     assert_eq!(chunk.offset, data.len() as u64);
                     data.extend_from_slice(&chunk.data);
                     if chunk.total_bytes == data.len() as u64 {
-                        return prost_decode(data);
+                        let state = prost::Message::decode(data.freeze()).unwrap();
+                        return (state, chunk.digest, chunks);
                     }
                 }
                 other => panic!("no snapshot: {other:?}"),
             }
         }
+        unreachable!("a snapshot ends")
     }
 
     pub(crate) fn expect_delta(&mut self) -> Delta {
@@ -166,7 +173,3 @@
         self.send(Body::Report(UpstreamReport { upstream }));
     }
 }
-
-fn prost_decode(data: BytesMut) -> CatalogState {
-    prost::Message::decode(data.freeze()).unwrap()
-}
--- a/crates/kumquatlock-control/tests/control/disks.rs
+++ b/crates/kumquatlock-control/tests/control/disks.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use kumquatlock_testkit::process::{Mesh, wait_for};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::group::{
-    LONG, builder, manifest, show, start, status, submit_until_decided, wait_leader,
+    LONG, builder, manifest, show, start, status, submit_until_decided, wait_leader, wait_status,
 };
 
 /// Waits until the leader's voter set names the disk that the instance has now.
@@ -106,3 +106,63 @@
             .contains("is in use by another process")
     );
 }
+
+/// Guards against a voter that acknowledges what it could not write, that takes the group down
+/// with it, or that does not come back when the disk has space again.
+#[test]
+fn a_voter_that_cannot_write_stops_acknowledging() {
+    const LIMITED: &str = "trap '' XFSZ; ulimit -f 16; exec \"$0\" \"$@\"";
+    let mut mesh = start(builder());
+    let leader = wait_leader(&mesh, &[0, 1, 2]);
+    let victim = (leader + 1) % 3;
+    let process = &mut mesh.controls[victim].process;
+    process.kill().unwrap();
+    let plan = process.plan_mut();
+    let (program, arguments) = (plan.program.clone(), plan.arguments.clone());
+    // The shell limits the size of the files that its successor may write.
+    plan.arguments = vec!["-c".into(), LIMITED.into(), program.display().to_string()];
+    plan.arguments.extend(arguments.iter().cloned());
+    plan.program = "/bin/sh".into();
+    process.restart().unwrap();
+    mesh.controls[victim].wait_ready().unwrap();
+    wait_leader(&mesh, &[0, 1, 2]);
+
+    let mut version = 0;
+    let mut accepted = Value::Null;
+    wait_for("the victim stops", LONG, || {
+        version += 1;
+        let (code, answer) = submit_until_decided(&mesh.controls[leader], &manifest(version));
+        assert_eq!(code, 200, "{answer}");
+        accepted = answer;
+        match status(&mesh.controls[victim]).unwrap()["role"] == "halted" {
+            true => Ok(()),
+            false => Err(version),
+        }
+    })
+    .unwrap();
+    let answer = mesh.controls[victim]
+        .submit(&manifest(version + 1))
+        .unwrap();
+    assert_eq!(
+        (answer.status, answer.json()),
+        (
+            503,
+            json!({ "outcome": "not_run", "reason": "storage_failed" })
+        )
+    );
+    // The other two go on.
+    let (code, _) = submit_until_decided(&mesh.controls[leader], &manifest(version + 1));
+    assert_eq!(code, 200);
+
+    let process = &mut mesh.controls[victim].process;
+    process.kill().unwrap();
+    process.plan_mut().program = program;
+    process.plan_mut().arguments = arguments;
+    process.restart().unwrap();
+    mesh.controls[victim].wait_ready().unwrap();
+    wait_status(
+        &mesh.controls[victim],
+        "manifest_version",
+        &json!(version + 1),
+    );
+}
--- a/crates/kumquatlock-control/tests/control/main.rs
+++ b/crates/kumquatlock-control/tests/control/main.rs
@@ -7,6 +7,7 @@
 mod disks;
 mod failover;
 mod group;
+mod partition;
 mod replica;
 mod settings;
 mod stop;
--- a/crates/kumquatlock-control/tests/control/replica.rs
+++ b/crates/kumquatlock-control/tests/control/replica.rs
@@ -1,5 +1,7 @@
 //! Read replicas.
 
+use kumquatlock::core::ConfigSnapshot;
+use kumquatlock::manifest::{MAX_MANIFEST_BYTES, MAX_ROUTES};
 use serde_json::json;
 
 use crate::child::RawChild;
@@ -50,3 +52,31 @@
     mesh.controls[3].wait_ready().unwrap();
     wait_status(&mesh.controls[3], "config_version", &json!(second));
 }
+
+/// Guards against a bound on the way that is lower than the largest manifest, and against chunks
+/// that are lost, doubled or sent before the last one has left.
+#[test]
+fn the_largest_manifest_reaches_a_child_of_a_replica() {
+    let mesh = start(builder().replicas_per_region(1));
+    let routes = (0..MAX_ROUTES).map(|number| {
+        let name = format!("route-{number}");
+        let prefix = format!("/{number}/{}", "x".repeat(120));
+        json!({ "name": name, "prefix": prefix, "class": "lookup", "service": "booking" })
+    });
+    let mut large = manifest(1);
+    large["routes"] = routes.collect();
+    let bytes = large.to_string().len();
+    assert!((900_000..MAX_MANIFEST_BYTES).contains(&bytes), "{bytes}");
+    let (code, answer) = submit_until_decided(&mesh.controls[3], &large);
+    assert_eq!(code, 200, "{answer}");
+    for parent in [0, 3] {
+        let version = answer["config_version"].clone();
+        wait_status(&mesh.controls[parent], "config_version", &version);
+        let mut child = RawChild::greet(mesh.controls[parent].flags.listen, "child");
+        child.expect_welcome();
+        let (state, digest, chunks) = child.expect_chunks();
+        assert!(chunks > 1);
+        let snapshot = ConfigSnapshot::from_state(&state, digest).unwrap();
+        assert_eq!(snapshot.routes.len(), MAX_ROUTES);
+    }
+}
--- a/crates/kumquatlock-control/tests/control/settings.rs
+++ b/crates/kumquatlock-control/tests/control/settings.rs
@@ -3,8 +3,10 @@
 use std::fmt::Write as _;
 use std::fs;
 use std::net::TcpListener;
+use std::path::Path;
 use std::process::Command;
 
+use indexmap::IndexMap;
 use kumquatlock_testkit::process::{ProgramName, free_address};
 
 /// Flags of a voter that could start.
@@ -21,28 +23,27 @@
     ("--region", "osrednja"),
 ];
 
-/// A start with some flags replaced or, with an empty value, left out.
-struct BadStart<'a> {
-    flags: &'a [(&'a str, &'a str)],
-    variables: &'a [(&'a str, &'a str)],
-}
-
-fn run_in(dir: &std::path::Path, start: &BadStart<'_>) -> (Option<i32>, String) {
+/// Starts a voter with some settings changed: `--flag=value`, `--flag=` to leave it out, or
+/// `VARIABLE=value`.
+fn run_with(dir: &Path, changes: &[&str]) -> (Option<i32>, String) {
     let mut command = Command::new(ProgramName::Control.locate().unwrap());
     command.env_clear().current_dir(dir).arg("serve");
-    let replaced = |name: &str| start.flags.iter().find(|(flag, _)| *flag == name);
-    for (name, value) in GOOD {
-        let value = replaced(name).map_or(value, |(_, value)| value);
-        if !value.is_empty() {
-            command.args([name, value]);
+    let mut flags: IndexMap<&str, &str> = GOOD.into_iter().collect();
+    for change in changes {
+        match change.split_once('=').unwrap() {
+            (flag, value) if flag.starts_with("--") => {
+                flags.insert(flag, value);
+            }
+            (variable, value) => {
+                command.env(variable, value);
+            }
         }
     }
-    let is_added = |(name, _): &&(&str, &str)| GOOD.iter().all(|(good, _)| good != name);
-    for (name, value) in start.flags.iter().filter(is_added) {
-        command.args([name, value]);
-    }
-    command.envs(start.variables.iter().copied());
-    let output = command.output().unwrap();
+    flags.retain(|_, value| !value.is_empty());
+    let output = command
+        .args(flags.into_iter().flat_map(<[&str; 2]>::from))
+        .output()
+        .unwrap();
     let text = [output.stdout, output.stderr].concat();
     (output.status.code(), String::from_utf8(text).unwrap())
 }
@@ -51,113 +52,42 @@
 /// one it is.
 #[test]
 fn a_bad_setting_ends_the_start_with_one_error() {
-    let starts: &[BadStart<'_>] = &[
-        BadStart {
-            flags: &[("--name", "")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--name", "Voter 1")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--listen", "localhost:1")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--http", "127.0.0.1")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--role", "leader")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--data-dir", "")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--voters", "")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--voters", "voter-2=127.0.0.1:2")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--voters", "voter-1=127.0.0.1:1,voter-2=127.0.0.1:2")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--voters", "voter-1=127.0.0.1:1,")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--role", "replica")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--role", "replica"), ("--parents", "127.0.0.1:0")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--zone", "")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--region", "é")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--log", "loud")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--heartbeat-ms", "0")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[],
-            variables: &[("KUMQUATLOCK_HEARTBEAT_MS", "150ms")],
-        },
-        BadStart {
-            flags: &[],
-            variables: &[("KUMQUATLOCK_ELECTION_TIMEOUT_MS", "400")],
-        },
-        BadStart {
-            flags: &[("--expiry-ms", "99")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--expiry-grace-ms", "x")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--data-dir", "file")],
-            variables: &[],
-        },
-        BadStart {
-            flags: &[("--data-dir", "damaged")],
-            variables: &[],
-        },
+    let starts: &[&[&str]] = &[
+        &["--name="],
+        &["--name=Voter 1"],
+        &["--listen=localhost:1"],
+        &["--http=127.0.0.1"],
+        &["--role=leader"],
+        &["--data-dir="],
+        &["--voters="],
+        &["--voters=voter-2=127.0.0.1:2"],
+        &["--voters=voter-1=127.0.0.1:1,voter-2=127.0.0.1:2"],
+        &["--voters=voter-1=127.0.0.1:1,"],
+        &["--role=replica"],
+        &["--role=replica", "--parents=127.0.0.1:0"],
+        &["--zone="],
+        &["--region=é"],
+        &["--log=loud"],
+        &["--heartbeat-ms=0"],
+        &["KUMQUATLOCK_HEARTBEAT_MS=150ms"],
+        &["KUMQUATLOCK_ELECTION_TIMEOUT_MS=400"],
+        &["--expiry-ms=99"],
+        &["--expiry-grace-ms=x"],
+        &["--data-dir=file"],
+        &["--data-dir=damaged"],
     ];
     let dir = tempfile::tempdir().unwrap();
     fs::write(dir.path().join("file"), "").unwrap();
     fs::create_dir(dir.path().join("damaged")).unwrap();
     fs::write(dir.path().join("damaged/metadata"), "garbage").unwrap();
     let mut table = String::new();
-    for start in starts {
-        let (code, text) = run_in(dir.path(), start);
+    for changes in starts {
+        let (code, text) = run_with(dir.path(), changes);
         assert_eq!(code, Some(1), "{text}");
         assert_eq!(text.lines().count(), 1, "{text}");
         // A cause that is told twice.
         assert!(text.matches("os error").count() <= 1, "{text}");
-        let given: Vec<String> = [start.flags, start.variables]
-            .concat()
-            .iter()
-            .map(|(name, value)| format!("{name}={value}"))
-            .collect();
-        writeln!(table, "{}\n  {text}", given.join(" ")).unwrap();
+        writeln!(table, "{}\n  {text}", changes.join(" ")).unwrap();
     }
     insta::assert_snapshot!("bad_settings", table);
 }
@@ -168,14 +98,9 @@
     let dir = tempfile::tempdir().unwrap();
     let address = free_address().unwrap();
     let _listener = TcpListener::bind(address).unwrap();
-    let text = address.to_string();
     for flag in ["--listen", "--http"] {
-        let flags: &[(&str, &str)] = &[(flag, &text), ("--log", "error")];
-        let start = BadStart {
-            flags,
-            variables: &[],
-        };
-        let (code, output) = run_in(dir.path(), &start);
+        let change = format!("{flag}={address}");
+        let (code, output) = run_with(dir.path(), &[&change, "--log=error"]);
         assert_eq!(code, Some(1), "{output}");
         let expected = format!("error: control instance failed: failed to listen on {address}: ");
         assert!(output.starts_with(&expected), "{output}");
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -9,6 +9,7 @@
 use super::actor::{ControlActor, Work};
 use super::answer;
 use super::requests::{RequestAnswer, RequestKind, RequestRoute, Requester, forward};
+use super::voter::VoterDuty;
 use crate::agreement::{AgreementEvent, CurrencyTicket, ProposalTicket};
 use crate::core::{ConfigVersion, SharedName, Timestamp};
 use crate::distribution::{ChildEvent, InForceCount, ParentEvent, ProgressTable, REPORTER_SILENCE};
@@ -101,7 +102,9 @@
             let body = Body::Forward(forward(id, content));
             self.work.push_back(Work::Child(ChildEvent::Relay(body)));
         } else {
-            self.finish(now, id, answer::unavailable(kind, "no_leader"));
+            let voter = self.voter.as_ref();
+            let reason = voter.map_or("no_leader", VoterDuty::unavailable_reason);
+            self.finish(now, id, answer::unavailable(kind, reason));
         }
     }
 
--- a/crates/kumquatlock/src/ops/control/voter.rs
+++ b/crates/kumquatlock/src/ops/control/voter.rs
@@ -46,6 +46,8 @@
     /// Absent after a failed write until the folder is opened again.
     journal: Option<Journal>,
     reopen_at: Timestamp,
+    /// Why the journal is absent.
+    write_failure: PersistFailure,
     /// Index and outcome of the entry applied last; its proposal is answered next.
     last_outcome: Option<(u64, ApplyOutcome)>,
 }
@@ -86,6 +88,7 @@
             folder,
             journal: Some(journal),
             reopen_at: now,
+            write_failure: PersistFailure::Other,
             last_outcome: None,
         })
     }
@@ -99,6 +102,15 @@
         self.journal.is_none()
     }
 
+    /// Why a request that needs the leader cannot be carried out or passed on.
+    pub(super) fn unavailable_reason(&self) -> &'static str {
+        match (self.is_halted(), self.write_failure) {
+            (false, _) => "no_leader",
+            (true, PersistFailure::StorageFull) => "storage_full",
+            (true, PersistFailure::Other) => "storage_failed",
+        }
+    }
+
     /// Writes to the journal; `None` if the request is to be dropped because an earlier one
     /// failed.
     fn persist(&mut self, request: &PersistRequest) -> Option<Result<(), JournalError>> {
@@ -240,6 +252,7 @@
                     true => PersistFailure::StorageFull,
                     false => PersistFailure::Other,
                 };
+                voter.write_failure = reason;
                 // Before everything else: nothing may be acknowledged any more.
                 let event = AgreementEvent::PersistFailed { ticket, reason };
                 self.work.push_front(Work::Agreement(event));
