Bound the wait for stalled HTTP clients when a server stops

A client that sent a part of its body and then nothing kept an HTTP thread, and with it the whole process, from ending after SIGTERM: the process still ran after 20 s. Dropping a server now waits at most 3 s for requests in progress. They have been answered by then; what remains is a client that does not send its body or read its answer.

Measured: the new test fails without the change and passes with it.

--- a/crates/kumquatlock-control/tests/control/stop.rs
+++ b/crates/kumquatlock-control/tests/control/stop.rs
@@ -1,5 +1,7 @@
 //! Graceful stop.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 
 use kumquatlock_testkit::caller::CallPlan;
@@ -83,3 +85,16 @@
     let ended = stopping.wait_exit(LONG).unwrap();
     assert_eq!(ended.code(), Some(SECOND_SIGNAL_STATUS));
 }
+
+/// Guards against a client that keeps a process from stopping.
+#[test]
+fn a_stalled_upload_does_not_hold_up_the_stop() {
+    let mut mesh = start(builder());
+    let instance = &mut mesh.controls[0];
+    let mut stalled = TcpStream::connect(instance.flags.http).unwrap();
+    let head = b"POST /v1/manifests HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n{";
+    stalled.write_all(head).unwrap();
+    // Later than the upload, so that a thread has taken it.
+    assert_eq!(instance.caller().get("/v1/status").unwrap().status, 200);
+    instance.process.stop(LONG).unwrap();
+}
--- a/crates/kumquatlock/src/http/server.rs
+++ b/crates/kumquatlock/src/http/server.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use serde::Serialize;
@@ -63,7 +64,14 @@
     }
 }
 
-/// A running server. Dropping it stops it after the requests in progress.
+/// Longest wait for requests in progress when a server is dropped. A client that stalls in the
+/// middle of its body, or does not read its answer, must not keep the process alive.
+const STOP_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time between two looks at a thread that is to end.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
+/// A running server. Dropping it stops it after the requests in progress, which get at most
+/// [`STOP_TIMEOUT`].
 pub struct HttpServer {
     server: Arc<Server>,
     stopping: Arc<AtomicBool>,
@@ -117,9 +125,17 @@
         for _ in &self.threads {
             self.server.unblock();
         }
+        let stopped_at = Instant::now();
         for thread in self.threads.drain(..) {
-            // A worker that panicked has already been reported by the panic hook.
-            let _ = thread.join();
+            while !thread.is_finished() && stopped_at.elapsed() < STOP_TIMEOUT {
+                thread::sleep(STOP_POLL_INTERVAL);
+            }
+            if thread.is_finished() {
+                // A worker that panicked has already been reported by the panic hook.
+                let _ = thread.join();
+            } else {
+                log::warn!("left an HTTP thread behind: its client stalls");
+            }
         }
     }
 }
