--- a/crates/kumquatlock/src/ops/control/operator.rs
+++ b/crates/kumquatlock/src/ops/control/operator.rs
@@ -130,6 +130,7 @@
     attached: u64,
     applied: u64,
     connected_voters: usize,
+    pending_requests: usize,
 }
 
 impl ControlActor {
@@ -137,7 +138,7 @@
         let OperatorCall { request, reply } = call;
         match read_operation(&request) {
             Err(response) => reply.answer(response),
-            Ok(Operation::Status) => reply.answer(self.status_response()),
+            Ok(Operation::Status) => reply.answer(self.status_response(now)),
             Ok(Operation::Show(manifest_version)) => {
                 let content = Content::StatusRequest(StatusRequest { manifest_version });
                 self.ask(now, Requester::Operator(reply), content);
@@ -163,10 +164,10 @@
         self.ask(now, Requester::Operator(reply), content);
     }
 
-    fn status_response(&self) -> HttpResponse {
+    fn status_response(&self, now: Timestamp) -> HttpResponse {
         let settings = &self.settings;
         let status = self.voter.as_ref().map(|voter| voter.agreement.status());
-        let count = self.attached_count(self.catalog.version());
+        let count = self.attached_count(now, self.catalog.version());
         let voters = status.iter().flat_map(|status| &status.voters.voters);
         let group = match (&status, &self.uplink) {
             (Some(status), _) => status.group_id.0,
@@ -201,6 +202,7 @@
             attached: count.attached,
             applied: count.applied,
             connected_voters: self.peers.connected_count(),
+            pending_requests: self.requests.len(),
         };
         HttpResponse::json(200, &body)
     }
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -1,37 +1,83 @@
 //! Requests: answered here by the leader, or passed on towards it.
 
-use indexmap::IndexSet;
+use indexmap::IndexMap;
 use kumquatlock_wire::Body;
 use kumquatlock_wire::agreement::Forward;
 use kumquatlock_wire::agreement::forward::Content;
-use kumquatlock_wire::distribution::{Progress, UpstreamReport, catalog_command};
+use kumquatlock_wire::distribution::{Attachment, Progress, UpstreamReport, catalog_command};
 
 use super::actor::{ControlActor, Work};
 use super::answer;
 use super::requests::{RequestAnswer, RequestKind, RequestRoute, Requester, forward};
+use super::voter::VoterDuty;
 use crate::agreement::{AgreementEvent, CurrencyTicket, ProposalTicket};
-use crate::core::{ConfigVersion, Timestamp};
+use crate::core::{ConfigVersion, SharedName, Timestamp};
 use crate::distribution::{ChildEvent, InForceCount, ParentEvent, ProgressTable, REPORTER_SILENCE};
 use crate::manifest::ManifestDocument;
-use crate::transport::LinkId;
+use crate::membership::{AttachmentTracker, ExpiryDecision, ExpiryLimits, RecordOutcome};
+use crate::transport::{LinkError, LinkId};
 
 /// What only the leader knows. Starts empty with each leadership.
 #[derive(Debug, Default)]
 pub(super) struct LeaderView {
-    since: Timestamp,
     progress: ProgressTable,
-    /// Voters whose progress has arrived since the leadership began.
-    reporters: IndexSet<String>,
+    /// Voters that may have children of which this instance knows nothing, since when: at first
+    /// all, later those that went silent. Those that ended have no children.
+    unheard: IndexMap<String, Timestamp>,
+    /// Present while this instance leads.
+    attachments: Option<AttachmentTracker>,
+    /// Place for which the last withheld removal was logged.
+    withheld: Option<SharedName>,
 }
 
 impl ControlActor {
-    pub(super) fn change_leadership(&mut self, now: Timestamp, _is_leader: bool) {
+    pub(super) fn change_leadership(&mut self, now: Timestamp, is_leader: bool) {
+        let limits = ExpiryLimits {
+            unattached: self.settings.expiry,
+            leader_grace: self.settings.expiry_grace,
+        };
+        let voters = self.voter.as_ref().filter(|voter| voter.is_leader());
+        let voters = voters.map(|voter| voter.agreement.status().voters.voters);
+        let voters = voters.into_iter().flatten();
         self.leader_view = LeaderView {
-            since: now,
+            unheard: voters.map(|voter| (voter.name, now)).collect(),
+            attachments: is_leader.then(|| AttachmentTracker::with_limits(now, limits)),
             ..LeaderView::default()
         };
     }
 
+    /// Removes upstreams that no parent has had attached for long. Called once per second.
+    pub(super) fn expire_upstreams(&mut self, now: Timestamp) {
+        let view = &mut self.leader_view;
+        let Some(attachments) = &mut view.attachments else {
+            return;
+        };
+        match attachments.expire(now, &self.catalog) {
+            ExpiryDecision::Propose(expired) => {
+                view.withheld = None;
+                for expiry in expired {
+                    log::info!(
+                        upstream = expiry.name.as_str(),
+                        incarnation = expiry.incarnation;
+                        "upstream_expired"
+                    );
+                    self.propose(catalog_command::Kind::Expire(expiry));
+                }
+            }
+            ExpiryDecision::Grace => {}
+            ExpiryDecision::Withheld {
+                place,
+                unattached,
+                total,
+            } => {
+                if view.withheld.as_ref() != Some(&place) {
+                    log::warn!(place = &*place, unattached, total; "expiry_withheld");
+                    view.withheld = Some(place);
+                }
+            }
+        }
+    }
+
     /// Answers a request here or passes it on towards the leader.
     pub(super) fn ask(&mut self, now: Timestamp, requester: Requester, content: Content) {
         let Some(kind) = RequestKind::of(&content) else {
@@ -56,7 +102,9 @@
             let body = Body::Forward(forward(id, content));
             self.work.push_back(Work::Child(ChildEvent::Relay(body)));
         } else {
-            self.finish(now, id, answer::unavailable(kind, "no_leader"));
+            let voter = self.voter.as_ref();
+            let reason = voter.map_or("no_leader", VoterDuty::unavailable_reason);
+            self.finish(now, id, answer::unavailable(kind, reason));
         }
     }
 
@@ -94,27 +142,36 @@
 
     fn show(&self, now: Timestamp, manifest_version: Option<u64>) -> RequestAnswer {
         let is_complete = self.has_whole_view(now);
-        let count = |version| (self.leader_view.progress.count(version), is_complete);
+        let count = |version| (self.leader_view.progress.count(now, version), is_complete);
         answer::shown_manifest(&self.catalog, manifest_version, count)
     }
 
-    /// Whether every voter has reported, or was silent for so long that it is not counted.
+    /// Whether every voter's progress is known, or the voter has been silent for so long that its
+    /// children have left it.
     fn has_whole_view(&self, now: Timestamp) -> bool {
-        let Some(voter) = &self.voter else {
-            return false;
-        };
-        let voters = voter.agreement.status().voters.voters;
-        let view = &self.leader_view;
-        now.since(view.since) >= REPORTER_SILENCE
-            || voters
-                .iter()
-                .all(|voter| view.reporters.contains(&voter.name))
+        let mut unheard = self.leader_view.unheard.values();
+        unheard.all(|since| now.since(*since) >= REPORTER_SILENCE)
+    }
+
+    /// The link to another voter is gone. A voter that ended has lost its children too; one that
+    /// is only silent may still have them.
+    pub(super) fn voter_lost(&mut self, now: Timestamp, name: &str, error: &LinkError) {
+        let is_leader = self.is_leader();
+        let view = &mut self.leader_view;
+        view.progress.remove(name);
+        // A refused connection shows it as well.
+        let has_ended = matches!(error, LinkError::ClosedByPeer | LinkError::Socket(_));
+        if has_ended {
+            view.unheard.swap_remove(name);
+        } else if is_leader {
+            view.unheard.insert(name.to_owned(), now);
+        }
     }
 
     /// Progress of all attached nodes, as far as this instance knows.
-    pub(super) fn attached_count(&self, version: ConfigVersion) -> InForceCount {
+    pub(super) fn attached_count(&self, now: Timestamp, version: ConfigVersion) -> InForceCount {
         if self.is_leader() {
-            return self.leader_view.progress.count(version);
+            return self.leader_view.progress.count(now, version);
         }
         let own = self.parent.progress(&self.catalog);
         InForceCount {
@@ -228,16 +285,28 @@
         match body {
             Body::Report(report) => self.take_report(report),
             Body::Progress(progress) => self.take_progress(now, progress),
+            Body::Attachment(attachment) => self.take_attachment(now, &attachment),
             _ => {}
         }
     }
 
     fn take_report(&mut self, report: UpstreamReport) {
-        self.propose(catalog_command::Kind::Report(report));
+        if self.catalog.is_changed_by(&report) {
+            self.propose(catalog_command::Kind::Report(report));
+        }
+    }
+
+    fn take_attachment(&mut self, now: Timestamp, attachment: &Attachment) {
+        let Some(attachments) = &mut self.leader_view.attachments else {
+            return;
+        };
+        if attachments.record(now, attachment) == RecordOutcome::TooManyReporters {
+            log::warn!(reporter = attachment.reporter.as_str(); "attachment_refused");
+        }
     }
 
     fn take_progress(&mut self, now: Timestamp, progress: Progress) {
-        self.leader_view.reporters.insert(progress.reporter.clone());
+        self.leader_view.unheard.swap_remove(&progress.reporter);
         self.leader_view.progress.record(now, progress);
     }
 
--- a/crates/kumquatlock/src/ops/mod.rs
+++ b/crates/kumquatlock/src/ops/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod control;
 pub mod node;
+pub mod operate;
