--- a/crates/kumquatlock/src/claim/tests/failures.rs
+++ b/crates/kumquatlock/src/claim/tests/failures.rs
@@ -264,3 +264,29 @@
     cluster.check().unwrap();
     assert_eq!(cluster.runs_of(KEY), 0);
 }
+
+/// Guards against a holder that enters a view on the word of one that is active in a later view:
+/// the later view may have been formed without fencing the earlier one.
+#[test]
+fn later_view_does_not_open_an_earlier_one() {
+    let (mut cluster, members) = Cluster::of(&["a", "b", "c"]);
+    let mut earlier = members.clone();
+    earlier[0] = member("d", 1);
+    earlier[1] = member("e", 1);
+    let mut later = members;
+    later[0] = member("f", 1);
+    for name in ["d", "e", "f"] {
+        cluster.start(name, 1);
+    }
+    for name in ["b", "c", "f"] {
+        cluster.apply(name, &snapshot_of(3, &later));
+    }
+    cluster.pass(1_000);
+    for name in ["d", "e"] {
+        cluster.apply(name, &snapshot_of(2, &earlier));
+    }
+    cluster.pass(5_000);
+    assert_eq!(cluster.nodes["f"].holder.joining_shards(), 0);
+    assert_eq!(cluster.nodes["d"].holder.joining_shards(), 1);
+    assert_eq!(cluster.nodes["e"].holder.joining_shards(), 1);
+}
