Notice an answer of another run in the test of crossed answers

Cause: a trial edit that accepts answers of any incarnation passed all tests of calls. Change: the crossed answer carries another body, and the test looks at the body.

--- a/crates/kumquatlock/src/call/tests/failures.rs
+++ b/crates/kumquatlock/src/call/tests/failures.rs
@@ -99,6 +99,8 @@
         };
         let mut crossed = response.clone();
         crossed.incarnation += 1;
+        crossed.body = "of another run".into();
+        crossed.body_len = crossed.body.len() as u64;
         let mut foreign = response.clone();
         foreign.id.entry = "other-1".to_owned();
         for response in [crossed, foreign, response.clone(), response] {
@@ -107,8 +109,12 @@
             world.deliver(Parcel { from, to, body });
         }
     }
-    assert_eq!(world.outcome(first), "answered");
-    assert_eq!(world.outcome(second), "answered");
+    for call in [first, second] {
+        let CallerAnswer::Answered { body, .. } = &world.answers[&call] else {
+            panic!("not answered")
+        };
+        assert_eq!(&body[..], b"booked");
+    }
     assert_eq!(world.entry.counters().stray_answers, 6);
 }
 
