Pass each hop's own span on

Cause: entry and destination both wrote spans below the caller's span, so a trace of a deep chain was flat. Change: the entry opens a span below the caller's and passes it on; the destination opens one below it and passes that on to the upstream.

--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -22,10 +22,12 @@
     AttemptGate, ClaimAcquirer, ClaimSettings, KeptAnswer, OutcomeTable, PlacementTable,
     QueryAnswer, QueryStep,
 };
-use crate::core::{ConfigSnapshot, IncarnationId, RequestClass, SharedName, Timestamp};
+use crate::core::{
+    ConfigSnapshot, IncarnationId, RequestClass, SharedName, Timestamp, stable_hash,
+};
 use crate::http::{HttpRequest, HttpResponse, UpstreamFailure};
 use crate::transport::LinkId;
-use crate::util::trace::TraceContext;
+use crate::util::trace::{HopSpan, SeededIds};
 use run::{CallRun, RunPhase};
 
 /// Interval at which claims that wait for holders are checked.
@@ -92,8 +94,8 @@
     },
     /// A run has ended; for the trace.
     Ended {
-        /// Trace of the run, if the call is traced.
-        trace: TraceContext,
+        /// Span of the run.
+        span: HopSpan,
         /// When the call arrived.
         arrived_at: Timestamp,
         /// Outcome of the run.
@@ -125,7 +127,8 @@
     /// Acquirers that have something to send or to decide.
     busy_claims: BTreeSet<u64>,
     next_run: u64,
-    /// Queue time of calls that started, for metrics.
+    ids: SeededIds,
+    /// When kept outcomes are checked next.
     outcomes_due: Timestamp,
 }
 
@@ -134,6 +137,7 @@
     pub fn new(name: SharedName, incarnation: IncarnationId, settings: ClaimSettings) -> Self {
         DestinationCalls {
             outcomes: OutcomeTable::new(name.clone(), incarnation, &settings),
+            ids: SeededIds::new(incarnation.0 ^ stable_hash(name.as_bytes())),
             name,
             incarnation,
             settings,
@@ -381,7 +385,7 @@
         self.attempts.insert(request.id.clone(), id);
         self.runs.insert(
             id,
-            CallRun::new(source, request, class, deadline, ticket, now),
+            CallRun::new(source, request, class, deadline, ticket, now, &mut self.ids),
         );
         match decision {
             AdmissionDecision::Start(_) => self.start_run(now, id, steps),
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -8,7 +8,7 @@
 use crate::claim::KeptAnswer;
 use crate::core::{RequestClass, Timestamp};
 use crate::http::{HttpRequest, HttpResponse, UpstreamFailure};
-use crate::util::trace::{TRACEPARENT_HEADER, TraceContext};
+use crate::util::trace::{HopSpan, SeededIds, TRACEPARENT_HEADER};
 
 /// Status with which an upstream sheds load.
 const SHED_STATUS: u16 = 503;
@@ -20,6 +20,8 @@
     pub(super) deadline: Timestamp,
     pub(super) ticket: AdmissionTicket,
     pub(super) arrived_at: Timestamp,
+    /// Present if the call is traced.
+    pub(super) span: Option<HopSpan>,
     pub(super) phase: RunPhase,
 }
 
@@ -41,8 +43,14 @@
         deadline: Timestamp,
         ticket: AdmissionTicket,
         now: Timestamp,
+        ids: &mut SeededIds,
     ) -> Self {
         let phase = RunPhase::Queued;
+        let received = request
+            .traceparent
+            .as_deref()
+            .and_then(|value| value.parse().ok());
+        let span = received.map(|received| HopSpan::below(&received, ids));
         CallRun {
             source,
             request,
@@ -50,6 +58,7 @@
             deadline,
             ticket,
             arrived_at: now,
+            span,
             phase,
         }
     }
@@ -82,8 +91,8 @@
         if let Some(key) = &request.key {
             add(KEY_HEADER, key.clone());
         }
-        if let Some(trace) = &request.traceparent {
-            add(TRACEPARENT_HEADER, trace.clone());
+        if let Some(span) = &self.span {
+            add(TRACEPARENT_HEADER, span.context.to_string());
         }
         HttpRequest {
             method: request.method.clone(),
@@ -366,14 +375,9 @@
             to: run.source,
             response,
         });
-        let trace = run
-            .request
-            .traceparent
-            .as_deref()
-            .and_then(|value| value.parse().ok());
-        if let Some(trace) = trace.filter(TraceContext::is_sampled) {
+        if let Some(span) = run.span.filter(|span| span.context.is_sampled()) {
             steps.push(DestinationStep::Ended {
-                trace,
+                span,
                 arrived_at: run.arrived_at,
                 outcome,
             });
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -465,7 +465,7 @@
         class: WireClass::from(call.route.class) as i32,
         key: request.key.clone(),
         deadline_us: micros(call.deadline.since(now)),
-        traceparent: request.trace.as_ref().map(ToString::to_string),
+        traceparent: call.span.map(|span| span.context.to_string()),
         depth: request.depth,
         method: request.method.clone(),
         path: request.target.clone(),
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -12,6 +12,7 @@
 use kumquatlock_wire::Body;
 use kumquatlock_wire::call::{AttemptId, CallReason, CallResponse};
 use kumquatlock_wire::claim::ClaimReply;
+use rand::Rng;
 use rand::rngs::SmallRng;
 
 use super::answer::{CallerAnswer, RejectReason};
@@ -20,7 +21,7 @@
 use crate::core::{ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamEntry};
 use crate::retry::{HedgePolicy, RetryBudget, RetryPolicy};
 use crate::routing::{BalancerSet, EntryLocation, RouteTable};
-use crate::util::trace::TraceContext;
+use crate::util::trace::{HopSpan, SeededIds};
 use state::{CallPhase, EntryCall};
 
 /// Calls of one entry in progress. Each holds a worker thread, so this is above any sane number
@@ -66,8 +67,8 @@
         call: CallId,
         /// The answer.
         answer: CallerAnswer,
-        /// Trace of the call, if its caller asked for one.
-        trace: Option<TraceContext>,
+        /// Span of the call, if its caller traces it.
+        span: Option<HopSpan>,
         /// When the call entered.
         opened_at: Timestamp,
     },
@@ -114,6 +115,7 @@
     next_call: u64,
     draining: bool,
     random: SmallRng,
+    ids: SeededIds,
     counters: EntryCounters,
 }
 
@@ -141,6 +143,7 @@
             timers: BTreeSet::new(),
             next_call: 1,
             draining: false,
+            ids: SeededIds::new(random.clone().random()),
             random,
             counters: EntryCounters::default(),
         }
@@ -182,9 +185,11 @@
         self.next_call += 1;
         self.counters.calls += 1;
         let mut steps = Vec::new();
+        let received = request.trace.as_ref();
+        let span = received.map(|received| HopSpan::below(received, &mut self.ids));
         match self.admit(now, &request) {
             Ok(call) => {
-                let call = EntryCall::new(request, call.route, now, call.deadline);
+                let call = EntryCall::new(request, span, call.route, now, call.deadline);
                 self.deferred += usize::from(call.is_deferred());
                 self.timers.insert((call.wake_at, id));
                 self.calls.insert(id, call);
@@ -194,7 +199,7 @@
             Err(answer) => steps.push(EntryStep::Answer {
                 call: id,
                 answer,
-                trace: request.trace,
+                span,
                 opened_at: now,
             }),
         }
@@ -370,7 +375,7 @@
         steps.push(EntryStep::Answer {
             call: id,
             answer,
-            trace: call.request.trace,
+            span: call.span,
             opened_at: call.opened_at,
         });
     }
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -12,12 +12,14 @@
 use crate::core::{RequestClass, RouteEntry, SharedName, Timestamp};
 use crate::retry::{CallProgress, HedgePolicy};
 use crate::routing::{AttemptTicket, ChosenUpstream, UpstreamToken};
+use crate::util::trace::HopSpan;
 
 /// Interval at which unanswered fences are checked.
 const FENCE_INTERVAL: Duration = Duration::from_millis(50);
 
 pub(super) struct EntryCall {
     pub(super) request: CallerRequest,
+    pub(super) span: Option<HopSpan>,
     pub(super) route: Arc<RouteEntry>,
     pub(super) opened_at: Timestamp,
     pub(super) deadline: Timestamp,
@@ -77,12 +79,14 @@
 impl EntryCall {
     pub(super) fn new(
         request: CallerRequest,
+        span: Option<HopSpan>,
         route: Arc<RouteEntry>,
         now: Timestamp,
         deadline: Timestamp,
     ) -> Self {
         EntryCall {
             request,
+            span,
             route,
             opened_at: now,
             deadline,
--- a/crates/kumquatlock/src/call/tests/failures.rs
+++ b/crates/kumquatlock/src/call/tests/failures.rs
@@ -196,3 +196,21 @@
     world.settle();
     assert_eq!(world.entry.counters().stray_answers, 1);
 }
+
+/// Guards against a trace whose hops do not hang together.
+#[test]
+fn each_hop_passes_its_own_span_on() {
+    let mut world = CallWorld::new(WireClass::AtMostOnce);
+    let received = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    world.open_traced(received);
+    let Body::Call(request) = &world.queue[0].body else {
+        panic!("no call is on its way")
+    };
+    let entry = request.traceparent.clone().unwrap();
+    world.settle();
+    let run = world.traces.last().unwrap().clone();
+    let spans = [received, &entry, &run].map(|trace| trace.split('-').nth(2).unwrap().to_owned());
+    let traces = [received, &entry, &run].map(|trace| trace.split('-').nth(1).unwrap().to_owned());
+    assert!(traces.iter().all(|trace| *trace == traces[0]));
+    assert!(spans[0] != spans[1] && spans[1] != spans[2] && spans[0] != spans[2]);
+}
--- a/crates/kumquatlock/src/call/tests/world.rs
+++ b/crates/kumquatlock/src/call/tests/world.rs
@@ -51,6 +51,8 @@
     pub(super) answers: IndexMap<CallId, CallerAnswer>,
     /// Upstream of every run, in order.
     pub(super) runs: Vec<String>,
+    /// Trace headers that upstreams got.
+    pub(super) traces: Vec<String>,
     /// Transcript of what happened.
     pub(super) lines: Vec<String>,
     /// Parcels for which this returns true are lost.
@@ -75,6 +77,7 @@
             queue: VecDeque::new(),
             answers: IndexMap::new(),
             runs: Vec::new(),
+            traces: Vec::new(),
             lines: Vec::new(),
             lose: |_| false,
         };
@@ -100,8 +103,21 @@
     }
 
     pub(super) fn open_with(&mut self, key: Option<&str>, body: &str) -> CallId {
+        let header = key.map(|key| ("Idempotency-Key", key));
+        self.note(format!(
+            "caller opens a call, key {}",
+            key.unwrap_or("none")
+        ));
+        self.open_request(header, body)
+    }
+
+    pub(super) fn open_traced(&mut self, trace: &str) -> CallId {
+        self.open_request(Some(("traceparent", trace)), "crew 7")
+    }
+
+    fn open_request(&mut self, header: Option<(&str, &str)>, body: &str) -> CallId {
         let mut headers = vec![("Request-Timeout-Ms".to_owned(), "4000".to_owned())];
-        headers.extend(key.map(|key| ("Idempotency-Key".to_owned(), key.to_owned())));
+        headers.extend(header.map(|(name, value)| (name.to_owned(), value.to_owned())));
         let request = HttpRequest {
             method: "POST".to_owned(),
             target: "/booking/7".to_owned(),
@@ -109,10 +125,6 @@
             body: body.to_owned().into(),
         };
         let request = CallerRequest::from_http(request).unwrap();
-        self.note(format!(
-            "caller opens a call, key {}",
-            key.unwrap_or("none")
-        ));
         let (id, steps) = self.entry.open(self.now, request);
         self.follow_entry(steps);
         id
@@ -240,7 +252,11 @@
                     };
                     self.queue.push_back(parcel);
                 }
-                DestinationStep::Run { run, .. } => self.run(name, run),
+                DestinationStep::Run { run, request, .. } => {
+                    let trace = request.header("traceparent").map(str::to_owned);
+                    self.traces.extend(trace);
+                    self.run(name, run);
+                }
                 DestinationStep::Cancel { .. } | DestinationStep::Ended { .. } => {}
             }
         }
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -31,7 +31,6 @@
 };
 use crate::routing::EntryLocation;
 use crate::transport::{LinkEvent, LinkId, LinkReady, LinkTable, TrafficCounters};
-use crate::util::trace::SeededIds;
 use kumquatlock_wire::claim::ShardHolder;
 
 /// Interval of the duties that count time in steps.
@@ -94,7 +93,6 @@
     pub(super) cancels: Option<UpstreamPool<()>>,
     pub(super) counters: Arc<TrafficCounters>,
     pub(super) random: SmallRng,
-    pub(super) ids: SeededIds,
     /// Steps that follow from the event in progress.
     pub(super) steps: VecDeque<NodeStep>,
     pub(super) stopping: bool,
@@ -153,7 +151,6 @@
             runs: None,
             cancels: None,
             counters: parts.counters,
-            ids: SeededIds::new(seed),
             random,
             steps: VecDeque::new(),
             stopping: false,
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -15,7 +15,7 @@
 use crate::http::{HttpRequest, UpstreamJob};
 use crate::membership::{AnnouncerEvent, AnnouncerStep};
 use crate::transport::LinkId;
-use crate::util::trace::{SpanRecord, TraceContext};
+use crate::util::trace::{HopSpan, SpanRecord};
 use std::sync::Arc;
 
 /// Time for a cancellation to reach the upstream.
@@ -65,10 +65,10 @@
             NodeStep::Entry(EntryStep::Answer {
                 call,
                 answer,
-                trace,
+                span,
                 opened_at,
             }) => {
-                self.answer_caller(now, call, answer, trace, opened_at);
+                self.answer_caller(now, call, answer, span, opened_at);
             }
             NodeStep::Destination(step) => self.carry_out_destination(now, step),
             NodeStep::Claim(send) => self.send_by_name(now, &send.to, send.body),
@@ -125,18 +125,10 @@
                 }
             }
             DestinationStep::Ended {
-                trace,
+                span,
                 arrived_at,
                 outcome,
-            } => {
-                self.write_span(
-                    now,
-                    trace,
-                    "destination",
-                    arrived_at,
-                    outcome_label(outcome),
-                );
-            }
+            } => write_span(now, span, "destination", arrived_at, outcome_label(outcome)),
         }
     }
 
@@ -346,41 +338,34 @@
         now: Timestamp,
         call: CallId,
         answer: CallerAnswer,
-        trace: Option<TraceContext>,
+        span: Option<HopSpan>,
         opened_at: Timestamp,
     ) {
-        if let Some(trace) = trace.filter(TraceContext::is_sampled) {
-            self.write_span(now, trace, "entry", opened_at, answer.outcome());
+        if let Some(span) = span.filter(|span| span.context.is_sampled()) {
+            write_span(now, span, "entry", opened_at, answer.outcome());
         }
         self.count_answer(&answer, now.since(opened_at));
         if let Some(reply) = self.replies.swap_remove(&call) {
             reply.answer(answer.into_http());
         }
     }
+}
 
-    fn write_span(
-        &mut self,
-        now: Timestamp,
-        trace: TraceContext,
-        hop: &str,
-        started: Timestamp,
-        outcome: &str,
-    ) {
-        let duration = now.since(started);
-        let start = std::time::SystemTime::now()
-            .duration_since(std::time::UNIX_EPOCH)
-            .unwrap_or_default()
-            .saturating_sub(duration);
-        SpanRecord {
-            context: trace.child(&mut self.ids),
-            parent_id: Some(trace.span_id),
-            hop,
-            start_us: u64::try_from(start.as_micros()).unwrap_or(u64::MAX),
-            duration_us: u64::try_from(duration.as_micros()).unwrap_or(u64::MAX),
-            outcome,
-        }
-        .write();
+fn write_span(now: Timestamp, span: HopSpan, hop: &str, started: Timestamp, outcome: &str) {
+    let duration = now.since(started);
+    let start = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default()
+        .saturating_sub(duration);
+    SpanRecord {
+        context: span.context,
+        parent_id: Some(span.parent_id),
+        hop,
+        start_us: u64::try_from(start.as_micros()).unwrap_or(u64::MAX),
+        duration_us: u64::try_from(duration.as_micros()).unwrap_or(u64::MAX),
+        outcome,
     }
+    .write();
 }
 
 fn outcome_label(outcome: kumquatlock_wire::call::CallOutcome) -> &'static str {
--- a/crates/kumquatlock/src/util/trace.rs
+++ b/crates/kumquatlock/src/util/trace.rs
@@ -126,6 +126,25 @@
     }
 }
 
+/// The span of one hop and the span that caused it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HopSpan {
+    /// Position of the hop, passed on to the next one.
+    pub context: TraceContext,
+    /// Span of the hop before.
+    pub parent_id: SpanId,
+}
+
+impl HopSpan {
+    /// Opens a span below the one that the hop before passed on.
+    pub fn below(received: &TraceContext, ids: &mut impl IdSource) -> Self {
+        HopSpan {
+            context: received.child(ids),
+            parent_id: received.span_id,
+        }
+    }
+}
+
 impl fmt::Display for TraceContext {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
