Test that a refused attempt never runs

Change: a test delivers a refused attempt again, first to a process that was stopped and then to one that was not.

--- a/crates/kumquatlock/src/call/tests/failures.rs
+++ b/crates/kumquatlock/src/call/tests/failures.rs
@@ -214,3 +214,18 @@
     assert!(traces.iter().all(|trace| *trace == traces[0]));
     assert!(spans[0] != spans[1] && spans[1] != spans[2] && spans[0] != spans[2]);
 }
+
+/// Guards against an attempt that was refused as "not run" and runs when it is delivered again.
+#[test]
+fn a_refused_attempt_never_runs() {
+    let mut world = CallWorld::new(WireClass::AtMostOnce);
+    world.open(None);
+    let parcel = world.queue.pop_front().unwrap();
+    for frozen in [true, false] {
+        world.frozen = frozen;
+        let body = parcel.body.clone();
+        let (from, to) = (parcel.from.clone(), parcel.to.clone());
+        world.deliver(Parcel { from, to, body });
+    }
+    assert!(world.runs.is_empty());
+}
--- a/crates/kumquatlock/src/call/tests/world.rs
+++ b/crates/kumquatlock/src/call/tests/world.rs
@@ -51,6 +51,8 @@
     pub(super) answers: IndexMap<CallId, CallerAnswer>,
     /// Upstream of every run, in order.
     pub(super) runs: Vec<String>,
+    /// Destinations were stopped before they read what is delivered.
+    pub(super) frozen: bool,
     /// Trace headers that upstreams got.
     pub(super) traces: Vec<String>,
     /// Transcript of what happened.
@@ -77,6 +79,7 @@
             queue: VecDeque::new(),
             answers: IndexMap::new(),
             runs: Vec::new(),
+            frozen: false,
             traces: Vec::new(),
             lines: Vec::new(),
             lose: |_| false,
@@ -170,7 +173,7 @@
         }
         let (name, asker) = (parcel.to, parcel.from);
         let steps = match parcel.body {
-            Body::Call(request) => destination.calls.on_call(now, source, request, false),
+            Body::Call(request) => destination.calls.on_call(now, source, request, self.frozen),
             Body::Cancel(cancel) => destination.calls.on_cancel(now, &cancel.id),
             Body::OutcomeQuery(query) => destination.calls.on_query(now, source, query),
             Body::ClaimReply(reply) => destination.calls.on_claim_reply(now, &asker, &reply),
