State unit, range, default and variable of every flag in the help texts

They now hold the line that each setting describes itself with, and a test in each binary compares the two.

Errors of a node that name their cause no longer print it twice.

Measured: the help tests of both binaries and the tests of util pass.

--- a/crates/kumquatlock-control/src/commands/mod.rs
+++ b/crates/kumquatlock-control/src/commands/mod.rs
@@ -20,8 +20,10 @@
 /// Unknown or unreachable.
 const EXIT_UNKNOWN: u8 = 2;
 
-const CONTROL: SettingSpec<AddressList> =
-    SettingSpec::new("control", "operator addresses of control instances");
+const CONTROL: SettingSpec<AddressList> = SettingSpec::new(
+    "control",
+    "operator addresses of control instances, <ip>:<port>,...",
+);
 const TIMEOUT: SettingSpec<DurationMillis> =
     SettingSpec::new("timeout-ms", "time after which the command gives up")
         .unit("ms")
@@ -88,3 +90,6 @@
 fn print_answer(answer: &OperatorAnswer) {
     println!("{}", answer.json);
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/kumquatlock-control/src/commands/serve.rs
+++ b/crates/kumquatlock-control/src/commands/serve.rs
@@ -8,54 +8,66 @@
 
 use super::EXIT_DONE;
 
-/// Run a control instance until SIGTERM or SIGINT. Each flag may also be given as the environment
-/// variable KUMQUATLOCK_<FLAG>; the flag wins.
+/// Run a control instance until SIGTERM or SIGINT. Each flag may also be given as its environment
+/// variable; the flag wins.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 pub(crate) struct ServeCommand {
-    /// name of this instance, unique in the mesh: 1 to 63 of [a-z0-9-.]
+    /// name of this instance, unique in the mesh, of [a-z0-9-.] (length in bytes 1..=63, default
+    /// none, variable KUMQUATLOCK_NAME)
     #[argh(option)]
     name: Option<String>,
-    /// address for nodes and other control instances, <ip>:<port>
+    /// address for nodes and other control instances, <ip>:<port> (port 0..=65535, default none,
+    /// variable KUMQUATLOCK_LISTEN)
     #[argh(option)]
     listen: Option<String>,
-    /// address for operators and metrics, <ip>:<port>
+    /// address for operators and metrics, <ip>:<port> (port 0..=65535, default none, variable
+    /// KUMQUATLOCK_HTTP)
     #[argh(option)]
     http: Option<String>,
-    /// folder of the durable state; required for a voter
+    /// folder of the durable state; required for a voter, unused by a replica (length in bytes
+    /// 1..=4095, default none, variable KUMQUATLOCK_DATA_DIR)
     #[argh(option)]
     data_dir: Option<String>,
-    /// voter or replica, default voter
+    /// voter or replica (length in bytes 1..=63, default voter, variable KUMQUATLOCK_ROLE)
     #[argh(option)]
     role: Option<String>,
-    /// all voters, this one included, <name>=<ip>:<port>,...: 1, 3 or 5; required for a voter
+    /// all voters, this one included, <name>=<ip>:<port>,...: 1, 3 or 5; required for a voter,
+    /// unused by a replica (entries 1..=64, default none, variable KUMQUATLOCK_VOTERS)
     #[argh(option)]
     voters: Option<String>,
     /// control instances that a replica follows, the preferred one first, <ip>:<port>,...;
-    /// required for a replica
+    /// required for a replica, unused by a voter (entries 1..=64, default none, variable
+    /// KUMQUATLOCK_PARENTS)
     #[argh(option)]
     parents: Option<String>,
-    /// availability zone of this instance: 1 to 63 of [a-z0-9-.]
+    /// availability zone of this instance, of [a-z0-9-.] (length in bytes 1..=63, default none,
+    /// variable KUMQUATLOCK_ZONE)
     #[argh(option)]
     zone: Option<String>,
-    /// region of the zone: 1 to 63 of [a-z0-9-.]
+    /// region of the zone, of [a-z0-9-.] (length in bytes 1..=63, default none, variable
+    /// KUMQUATLOCK_REGION)
     #[argh(option)]
     region: Option<String>,
-    /// log levels, such as info or warn,kumquatlock::agreement=debug, default info
+    /// log levels by target, such as info or warn,kumquatlock::agreement=debug (length in bytes
+    /// 1..=1024, default info, variable KUMQUATLOCK_LOG)
     #[argh(option)]
     log: Option<String>,
-    /// interval between heartbeats of the leader, 10 to 10000 ms, default 150
+    /// interval between heartbeats of the leader (value 10..=10000 ms, default 150, variable
+    /// KUMQUATLOCK_HEARTBEAT_MS)
     #[argh(option)]
     heartbeat_ms: Option<String>,
-    /// shortest election timeout, 50 to 60000 ms and at least three heartbeats, default 1000; the
-    /// longest is twice as long
+    /// shortest election timeout, at least three heartbeats; the longest is twice as long (value
+    /// 50..=60000 ms, default 1000, variable KUMQUATLOCK_ELECTION_TIMEOUT_MS)
     #[argh(option)]
     election_timeout_ms: Option<String>,
-    /// time after which an unattached upstream is removed, 100 to 3600000 ms, default 30000
+    /// time after which an unattached upstream is removed (value 100..=3600000 ms, default 30000,
+    /// variable KUMQUATLOCK_EXPIRY_MS)
     #[argh(option)]
     expiry_ms: Option<String>,
-    /// time for which a new leader removes no upstream, 100 to 3600000 ms, default 60000; complete
-    /// attachment lists of replicas take up to 20000 ms
+    /// time for which a new leader removes no upstream; complete attachment lists of replicas
+    /// take up to 20000 ms (value 100..=3600000 ms, default 60000, variable
+    /// KUMQUATLOCK_EXPIRY_GRACE_MS)
     #[argh(option)]
     expiry_grace_ms: Option<String>,
 }
--- a/crates/kumquatlock-control/src/commands/show.rs
+++ b/crates/kumquatlock-control/src/commands/show.rs
@@ -6,27 +6,33 @@
 
 use super::{EXIT_DONE, EXIT_REFUSED, EXIT_UNKNOWN};
 
-const VERSION: SettingSpec<ItemCount> =
-    SettingSpec::new("version", "manifest version").range(1, u64::MAX);
-const WAIT: SettingSpec<DurationMillis> =
-    SettingSpec::new("wait-in-force-ms", "longest wait until in force").unit("ms");
+pub(super) const VERSION: SettingSpec<ItemCount> =
+    SettingSpec::new("version", "manifest version; the newest if left out").range(1, u64::MAX);
+pub(super) const WAIT: SettingSpec<DurationMillis> = SettingSpec::new(
+    "wait-in-force-ms",
+    "wait until the manifest is in force on every attached node, at most this long",
+)
+.unit("ms");
 
 /// Print the state of a manifest. Exits with 0 if it is accepted, or in force when waited for; 1 if
 /// it was superseded while waiting; 2 if it is unknown, not in force in time or no instance answers.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "show")]
 pub(crate) struct ShowCommand {
-    /// operator addresses of control instances, <ip>:<port>,... (variable KUMQUATLOCK_CONTROL)
+    /// operator addresses of control instances, <ip>:<port>,... (entries 1..=64, default none,
+    /// variable KUMQUATLOCK_CONTROL)
     #[argh(option)]
     control: Option<String>,
-    /// manifest version; the newest if left out
+    /// manifest version; the newest if left out (value 1..=18446744073709551615, default none,
+    /// variable KUMQUATLOCK_VERSION)
     #[argh(option)]
     version: Option<String>,
-    /// wait until the manifest is in force on every attached node, 1 to 3600000 ms
+    /// wait until the manifest is in force on every attached node, at most this long (value
+    /// 1..=3600000 ms, default none, variable KUMQUATLOCK_WAIT_IN_FORCE_MS)
     #[argh(option)]
     wait_in_force_ms: Option<String>,
-    /// time after which the command gives up on unreachable instances, 100 to 600000 ms, default
-    /// 15000 (variable KUMQUATLOCK_TIMEOUT_MS)
+    /// time after which the command gives up (value 100..=600000 ms, default 15000, variable
+    /// KUMQUATLOCK_TIMEOUT_MS)
     #[argh(option)]
     timeout_ms: Option<String>,
 }
--- a/crates/kumquatlock-control/src/commands/status.rs
+++ b/crates/kumquatlock-control/src/commands/status.rs
@@ -9,10 +9,11 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
 pub(crate) struct StatusCommand {
-    /// operator addresses of control instances, <ip>:<port>,... (variable KUMQUATLOCK_CONTROL)
+    /// operator addresses of control instances, <ip>:<port>,... (entries 1..=64, default none,
+    /// variable KUMQUATLOCK_CONTROL)
     #[argh(option)]
     control: Option<String>,
-    /// time after which the command gives up, 100 to 600000 ms, default 15000 (variable
+    /// time after which the command gives up (value 100..=600000 ms, default 15000, variable
     /// KUMQUATLOCK_TIMEOUT_MS)
     #[argh(option)]
     timeout_ms: Option<String>,
--- a/crates/kumquatlock-control/src/commands/submit.rs
+++ b/crates/kumquatlock-control/src/commands/submit.rs
@@ -15,13 +15,14 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "submit")]
 pub(crate) struct SubmitCommand {
-    /// operator addresses of control instances, <ip>:<port>,... (variable KUMQUATLOCK_CONTROL)
+    /// operator addresses of control instances, <ip>:<port>,... (entries 1..=64, default none,
+    /// variable KUMQUATLOCK_CONTROL)
     #[argh(option)]
     control: Option<String>,
-    /// file of the manifest, JSON of at most 1 MiB
+    /// file of the manifest, JSON of at most 1048576 bytes (required, no variable)
     #[argh(option)]
     file: PathBuf,
-    /// time after which the command gives up, 100 to 600000 ms, default 15000 (variable
+    /// time after which the command gives up (value 100..=600000 ms, default 15000, variable
     /// KUMQUATLOCK_TIMEOUT_MS)
     #[argh(option)]
     timeout_ms: Option<String>,
--- a/crates/kumquatlock-node/src/commands/mod.rs
+++ b/crates/kumquatlock-node/src/commands/mod.rs
@@ -24,3 +24,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/kumquatlock-node/src/commands/serve.rs
+++ b/crates/kumquatlock-node/src/commands/serve.rs
@@ -8,21 +8,33 @@
 use kumquatlock::util::cancel::CancelToken;
 use kumquatlock::util::logging::{LogFilter, init_logging};
 use kumquatlock::util::settings::{
-    AddressList, CheckedName, DurationMillis, ItemCount, ProcessEnvironment, SettingError,
-    SettingSpec,
+    AddressList, CheckedName, DurationMillis, ItemCount, ProcessEnvironment, ReachableAddress,
+    SettingError, SettingSpec,
 };
 use kumquatlock::util::signals::install_stop_handler;
 
-const NAME: SettingSpec<CheckedName> =
-    SettingSpec::new("name", "name of the node and its upstream");
-const ZONE: SettingSpec<CheckedName> = SettingSpec::new("zone", "availability zone");
-const REGION: SettingSpec<CheckedName> = SettingSpec::new("region", "region of the zone");
-const LISTEN: SettingSpec<SocketAddr> = SettingSpec::new("listen", "address for other nodes");
-const HTTP: SettingSpec<SocketAddr> = SettingSpec::new("http", "address for callers and metrics");
-const UPSTREAM_HTTP: SettingSpec<SocketAddr> =
-    SettingSpec::new("upstream-http", "address for the upstream beside this node");
-const PARENTS: SettingSpec<AddressList> =
-    SettingSpec::new("parents", "control instances, the preferred one first");
+const NAME: SettingSpec<CheckedName> = SettingSpec::new(
+    "name",
+    "name of the node and its upstream, unique in the mesh, of [a-z0-9-.]",
+);
+const ZONE: SettingSpec<CheckedName> = SettingSpec::new("zone", "availability zone, of [a-z0-9-.]");
+const REGION: SettingSpec<CheckedName> =
+    SettingSpec::new("region", "region of the zone, of [a-z0-9-.]");
+const LISTEN: SettingSpec<ReachableAddress> = SettingSpec::new(
+    "listen",
+    "address for other nodes, <ip>:<port>; announced to them, so it must be one that \
+     they can connect to",
+);
+const HTTP: SettingSpec<SocketAddr> =
+    SettingSpec::new("http", "address for callers and metrics, <ip>:<port>");
+const UPSTREAM_HTTP: SettingSpec<SocketAddr> = SettingSpec::new(
+    "upstream-http",
+    "address for the upstream beside this node, <ip>:<port>",
+);
+const PARENTS: SettingSpec<AddressList> = SettingSpec::new(
+    "parents",
+    "control instances, the preferred one first, <ip>:<port>,...",
+);
 const HTTP_WORKERS: SettingSpec<ItemCount> =
     SettingSpec::new("http-workers", "callers' requests in progress at once")
         .unit("requests")
@@ -35,51 +47,64 @@
         .default_value("32");
 const CLAIM_RETENTION: SettingSpec<DurationMillis> = SettingSpec::new(
     "claim-retention-ms",
-    "how long claims and kept answers are remembered",
+    "time for which claims and kept answers are remembered",
 )
 .unit("ms")
 .range(10_000, 3_600_000)
 .default_value("600000");
-const LOG: SettingSpec<LogFilter> =
-    SettingSpec::new("log", "log filter, such as info or kumquatlock=debug").default_value("info");
+const LOG: SettingSpec<LogFilter> = SettingSpec::new(
+    "log",
+    "log levels by target, such as info or warn,kumquatlock::call=debug",
+)
+.default_value("info");
 
-/// Run the node. Every flag can also be given as an environment variable KUMQUATLOCK_<FLAG>, with
-/// underscores for dashes; the flag goes first.
+/// Run the node until SIGTERM or SIGINT. Each flag may also be given as its environment variable;
+/// the flag wins.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "serve")]
 pub(crate) struct ServeCommand {
-    /// name of the node and its upstream: 1 to 63 of a-z, 0-9, '-' and '.'
+    /// name of the node and its upstream, unique in the mesh, of [a-z0-9-.] (length in bytes
+    /// 1..=63, default none, variable KUMQUATLOCK_NAME)
     #[argh(option)]
     name: Option<String>,
-    /// availability zone
+    /// availability zone, of [a-z0-9-.] (length in bytes 1..=63, default none, variable
+    /// KUMQUATLOCK_ZONE)
     #[argh(option)]
     zone: Option<String>,
-    /// region of the zone
+    /// region of the zone, of [a-z0-9-.] (length in bytes 1..=63, default none, variable
+    /// KUMQUATLOCK_REGION)
     #[argh(option)]
     region: Option<String>,
-    /// address for other nodes, ip:port
+    /// address for other nodes, <ip>:<port>; announced to them, so it must be one that they can
+    /// connect to (port 1..=65535, default none, variable KUMQUATLOCK_LISTEN)
     #[argh(option)]
     listen: Option<String>,
-    /// address for callers and metrics, ip:port
+    /// address for callers and metrics, <ip>:<port> (port 0..=65535, default none, variable
+    /// KUMQUATLOCK_HTTP)
     #[argh(option)]
     http: Option<String>,
-    /// address for the upstream beside this node, ip:port
+    /// address for the upstream beside this node, <ip>:<port> (port 0..=65535, default none,
+    /// variable KUMQUATLOCK_UPSTREAM_HTTP)
     #[argh(option)]
     upstream_http: Option<String>,
-    /// control instances, ip:port,ip:port, the preferred one first
+    /// control instances, the preferred one first, <ip>:<port>,... (entries 1..=64, default none,
+    /// variable KUMQUATLOCK_PARENTS)
     #[argh(option)]
     parents: Option<String>,
-    /// callers' requests in progress at once, 4 to 1024 (default 64)
+    /// callers' requests in progress at once (value 4..=1024 requests, default 64, variable
+    /// KUMQUATLOCK_HTTP_WORKERS)
     #[argh(option)]
     http_workers: Option<String>,
-    /// connections to the upstream, 1 to 1024 (default 32)
+    /// connections to the upstream (value 1..=1024 connections, default 32, variable
+    /// KUMQUATLOCK_UPSTREAM_CONNECTIONS)
     #[argh(option)]
     upstream_connections: Option<String>,
-    /// milliseconds for which claims and kept answers are remembered, 10000 to 3600000
-    /// (default 600000)
+    /// time for which claims and kept answers are remembered (value 10000..=3600000 ms, default
+    /// 600000, variable KUMQUATLOCK_CLAIM_RETENTION_MS)
     #[argh(option)]
     claim_retention_ms: Option<String>,
-    /// log filter (default info)
+    /// log levels by target, such as info or warn,kumquatlock::call=debug (length in bytes
+    /// 1..=1024, default info, variable KUMQUATLOCK_LOG)
     #[argh(option)]
     log: Option<String>,
 }
@@ -97,6 +122,24 @@
         run_node(settings, &cancel).wrap_err_with(|| format!("failed to run node {name}"))
     }
 
+    /// One line per setting, for the check of the help text.
+    #[cfg(test)]
+    pub(super) fn describe() -> Vec<String> {
+        vec![
+            NAME.describe(),
+            ZONE.describe(),
+            REGION.describe(),
+            LISTEN.describe(),
+            HTTP.describe(),
+            UPSTREAM_HTTP.describe(),
+            PARENTS.describe(),
+            HTTP_WORKERS.describe(),
+            UPSTREAM_CONNECTIONS.describe(),
+            CLAIM_RETENTION.describe(),
+            LOG.describe(),
+        ]
+    }
+
     fn settings(&self) -> Result<NodeSettings, SettingError> {
         let source = &ProcessEnvironment;
         let workers = HTTP_WORKERS.resolve(self.http_workers.as_deref(), source)?;
@@ -107,7 +150,7 @@
             name: NAME.resolve(self.name.as_deref(), source)?.0,
             zone: ZONE.resolve(self.zone.as_deref(), source)?.0,
             region: REGION.resolve(self.region.as_deref(), source)?.0,
-            listen: LISTEN.resolve(self.listen.as_deref(), source)?,
+            listen: LISTEN.resolve(self.listen.as_deref(), source)?.0,
             http: HTTP.resolve(self.http.as_deref(), source)?,
             upstream_http: UPSTREAM_HTTP.resolve(self.upstream_http.as_deref(), source)?,
             parents: PARENTS.resolve(self.parents.as_deref(), source)?.0,
--- a/crates/kumquatlock/src/ops/control/settings.rs
+++ b/crates/kumquatlock/src/ops/control/settings.rs
@@ -40,28 +40,41 @@
 /// not cause an election.
 const HEARTBEATS_PER_TIMEOUT: u64 = 3;
 
-const NAME: SettingSpec<CheckedName> =
-    SettingSpec::new("name", "name of this instance, unique in the mesh");
-const LISTEN: SettingSpec<SocketAddr> =
-    SettingSpec::new("listen", "address for nodes and other control instances");
-const HTTP: SettingSpec<SocketAddr> = SettingSpec::new("http", "address for operators and metrics");
-const DATA_DIR: SettingSpec<PathBuf> =
-    SettingSpec::new("data-dir", "folder of the voter's durable state");
+const NAME: SettingSpec<CheckedName> = SettingSpec::new(
+    "name",
+    "name of this instance, unique in the mesh, of [a-z0-9-.]",
+);
+const LISTEN: SettingSpec<SocketAddr> = SettingSpec::new(
+    "listen",
+    "address for nodes and other control instances, <ip>:<port>",
+);
+const HTTP: SettingSpec<SocketAddr> =
+    SettingSpec::new("http", "address for operators and metrics, <ip>:<port>");
+const DATA_DIR: SettingSpec<PathBuf> = SettingSpec::new(
+    "data-dir",
+    "folder of the durable state; required for a voter, unused by a replica",
+);
 const ROLE: SettingSpec<EnumChoice<InstanceRole>> =
     SettingSpec::new("role", "voter or replica").default_value("voter");
 const VOTERS: SettingSpec<NamedAddresses> = SettingSpec::new(
     "voters",
-    "all voters as <name>=<ip>:<port>,..., this one included",
+    "all voters, this one included, <name>=<ip>:<port>,...: 1, 3 or 5; required for a \
+     voter, unused by a replica",
 );
 const PARENTS: SettingSpec<AddressList> = SettingSpec::new(
     "parents",
-    "control instances that a replica follows, the preferred one first",
+    "control instances that a replica follows, the preferred one first, \
+     <ip>:<port>,...; required for a replica, unused by a voter",
 );
 const ZONE: SettingSpec<CheckedName> =
-    SettingSpec::new("zone", "availability zone of this instance");
-const REGION: SettingSpec<CheckedName> = SettingSpec::new("region", "region of the zone");
-const LOG: SettingSpec<LogFilter> =
-    SettingSpec::new("log", "log levels by target").default_value("info");
+    SettingSpec::new("zone", "availability zone of this instance, of [a-z0-9-.]");
+const REGION: SettingSpec<CheckedName> =
+    SettingSpec::new("region", "region of the zone, of [a-z0-9-.]");
+const LOG: SettingSpec<LogFilter> = SettingSpec::new(
+    "log",
+    "log levels by target, such as info or warn,kumquatlock::agreement=debug",
+)
+.default_value("info");
 const HEARTBEAT: SettingSpec<DurationMillis> =
     SettingSpec::new("heartbeat-ms", "interval between heartbeats of the leader")
         .unit("ms")
@@ -69,7 +82,7 @@
         .default_value("150");
 const ELECTION_TIMEOUT: SettingSpec<DurationMillis> = SettingSpec::new(
     "election-timeout-ms",
-    "shortest election timeout; the longest is twice as long",
+    "shortest election timeout, at least three heartbeats; the longest is twice as long",
 )
 .unit("ms")
 .range(50, 60_000)
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -68,7 +68,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum NodeError {
     /// The poll loop could not be set up or failed.
-    #[error("failed to poll for events: {0}")]
+    #[error("failed to poll for events")]
     Poll(#[source] io::Error),
     /// The address for other nodes could not be bound.
     #[error("failed to listen for nodes on {address}: {error}")]
@@ -82,7 +82,7 @@
     #[error(transparent)]
     Http(#[from] ServerError),
     /// A thread could not be started.
-    #[error("failed to start a thread: {0}")]
+    #[error("failed to start a thread")]
     Thread(#[source] io::Error),
 }
 
--- a/crates/kumquatlock/src/util/settings/mod.rs
+++ b/crates/kumquatlock/src/util/settings/mod.rs
@@ -28,7 +28,8 @@
 
 pub use value::{
     AddressList, CheckedName, DurationMillis, EnumChoice, ItemCount, MAX_LIST_ENTRIES,
-    MAX_NAME_BYTES, MAX_PATH_BYTES, NamedAddresses, SettingValue, ValueProblem, ValueRange,
+    MAX_NAME_BYTES, MAX_PATH_BYTES, NamedAddresses, ReachableAddress, SettingValue, ValueProblem,
+    ValueRange,
 };
 
 /// Start of the environment variable of every setting.
--- a/crates/kumquatlock/src/util/settings/value.rs
+++ b/crates/kumquatlock/src/util/settings/value.rs
@@ -232,6 +232,28 @@
     }
 }
 
+/// An address to listen at that is also given to other processes, so they must be able to connect
+/// to it: neither port 0 nor an unspecified or multicast address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReachableAddress(pub SocketAddr);
+
+impl SettingValue for ReachableAddress {
+    const MEASURE: &'static str = "port";
+    const RANGE: ValueRange = ValueRange {
+        min: 1,
+        max: u16::MAX as u64,
+    };
+
+    fn parse(text: &str, range: ValueRange) -> Result<Self, ValueProblem> {
+        if text.is_empty() {
+            return Err(ValueProblem::Empty);
+        }
+        let address = parse_remote_address(text)?;
+        range.check(u64::from(address.port()))?;
+        Ok(ReachableAddress(address))
+    }
+}
+
 /// Addresses to connect to, as `<ip>:<port>,<ip>:<port>`, without duplicates and in the order
 /// given.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/kumquatlock/src/util/tests.rs
+++ b/crates/kumquatlock/src/util/tests.rs
@@ -92,6 +92,15 @@
         "[::]:1",
         &many.collect::<Vec<_>>().join(","),
     ]);
+    refuse_all::<ReachableAddress>(&[
+        "",
+        "localhost:1",
+        "127.0.0.1",
+        "127.0.0.1:0",
+        "0.0.0.0:1",
+        "224.0.0.1:1",
+        "[::]:1",
+    ]);
     refuse_all::<NamedAddresses>(&[
         "",
         "a",
@@ -122,6 +131,7 @@
     assert_eq!(accept::<ItemCount>("0"), ItemCount(0));
     assert_eq!(&*accept::<CheckedName>(&"a".repeat(63)).0, "a".repeat(63));
     assert_eq!(accept::<SocketAddr>("[::1]:0").port(), 0);
+    assert_eq!(accept::<ReachableAddress>("127.0.0.1:7").0.port(), 7);
     assert_eq!(
         accept::<AddressList>("127.0.0.1:2,127.0.0.1:1").0[0].port(),
         2
