Keep the operators' commands within their timeout and to control instances

Each exchange is now bounded by the time that is left.

submit exited with 1, refused, when an address belonged to a node, because any answer other than 502 to 504 counted as a decision. Only an answer with a state is one now.

--- a/crates/kumquatlock-control/tests/control/main.rs
+++ b/crates/kumquatlock-control/tests/control/main.rs
@@ -7,6 +7,7 @@
 mod disks;
 mod failover;
 mod group;
+mod operate;
 mod partition;
 mod replica;
 mod settings;
--- a/crates/kumquatlock/src/ops/operate.rs
+++ b/crates/kumquatlock/src/ops/operate.rs
@@ -18,6 +18,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest exchange with one instance. Above the time after which an instance answers for sure.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(6);
+/// Shortest exchange with one instance, so that instances late in the list are tried as well.
+const MIN_EXCHANGE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Longest connect to one instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest answer, in bytes. Answers are a few hundred bytes.
@@ -39,9 +41,11 @@
         value["state"].as_str().unwrap_or_default().to_owned()
     }
 
-    /// Whether another instance, or the same one later, may answer otherwise.
+    /// Whether a control instance has decided. Another instance, or the same one later, may answer
+    /// otherwise to a request that was not carried out; an answer without a state may also come
+    /// from a process that is no control instance, and decides nothing.
     fn is_final(&self) -> bool {
-        !matches!(self.status, 502..=504)
+        !self.state().is_empty()
     }
 }
 
@@ -84,6 +88,8 @@
     },
 }
 
+type ExchangeResult = Result<ureq::http::Response<ureq::Body>, ureq::Error>;
+
 /// Asks control instances over HTTP.
 #[derive(Debug)]
 pub struct OperatorClient {
@@ -100,8 +106,7 @@
             .http_status_as_error(false)
             .proxy(None)
             .max_redirects(0)
-            .timeout_connect(Some(CONNECT_TIMEOUT))
-            .timeout_global(Some(EXCHANGE_TIMEOUT));
+            .timeout_connect(Some(CONNECT_TIMEOUT.min(timeout)));
         OperatorClient {
             agent: config.build().into(),
             instances,
@@ -114,11 +119,13 @@
         if text.len() > MAX_MANIFEST_BYTES {
             return Err(OperatorError::TooLarge { bytes: text.len() });
         }
-        let answer = self.ask_until(Instant::now() + self.timeout, |instance| {
+        let answer = self.ask_until(Instant::now() + self.timeout, |instance, timeout| {
             let url = format!("http://{instance}/v1/manifests");
-            self.agent
-                .post(url)
-                .content_type("application/json")
+            let request = self.agent.post(url).content_type("application/json");
+            request
+                .config()
+                .timeout_global(Some(timeout))
+                .build()
                 .send(text)
         })?;
         Ok(match answer.status {
@@ -137,9 +144,9 @@
         let version = version.map_or_else(|| "latest".to_owned(), |version| version.to_string());
         let started = Instant::now();
         loop {
-            let answer = self.ask_until(Instant::now() + self.timeout, |instance| {
+            let answer = self.ask_until(Instant::now() + self.timeout, |instance, timeout| {
                 let url = format!("http://{instance}/v1/manifests/{version}");
-                self.agent.get(url).call()
+                self.get(&url, timeout)
             })?;
             let waits = wait.is_some_and(|wait| started.elapsed() < wait);
             match (answer.state().as_str(), wait) {
@@ -155,24 +162,31 @@
 
     /// The state of each instance, or why it did not tell.
     pub fn show_status(&self) -> Vec<(SocketAddr, Result<OperatorAnswer, String>)> {
+        let deadline = Instant::now() + self.timeout;
         let ask = |instance: &SocketAddr| {
             let url = format!("http://{instance}/v1/status");
-            (*instance, read_answer(self.agent.get(url).call()))
+            let answer = read_answer(self.get(&url, exchange_timeout(deadline)));
+            (*instance, answer)
         };
         self.instances.iter().map(ask).collect()
     }
 
+    fn get(&self, url: &str, timeout: Duration) -> ExchangeResult {
+        let request = self.agent.get(url).config();
+        request.timeout_global(Some(timeout)).build().call()
+    }
+
     /// Asks the instances in turn until one gives a final answer.
     fn ask_until(
         &self,
         deadline: Instant,
-        ask: impl Fn(SocketAddr) -> Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+        ask: impl Fn(SocketAddr, Duration) -> ExchangeResult,
     ) -> Result<OperatorAnswer, OperatorError> {
         let started = Instant::now();
         loop {
             let mut last = String::new();
             for instance in &self.instances {
-                match read_answer(ask(*instance)) {
+                match read_answer(ask(*instance, exchange_timeout(deadline))) {
                     Ok(answer) if answer.is_final() => return Ok(answer),
                     Ok(answer) => last = format!("{instance} answered {}", answer.json),
                     Err(error) => last = format!("{instance}: {error}"),
@@ -187,9 +201,14 @@
     }
 }
 
-fn read_answer(
-    response: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
-) -> Result<OperatorAnswer, String> {
+/// Time for the next exchange of a command that gives up at `deadline`.
+fn exchange_timeout(deadline: Instant) -> Duration {
+    deadline
+        .saturating_duration_since(Instant::now())
+        .clamp(MIN_EXCHANGE_TIMEOUT, EXCHANGE_TIMEOUT)
+}
+
+fn read_answer(response: ExchangeResult) -> Result<OperatorAnswer, String> {
     let (head, body) = response.map_err(|error| error.to_string())?.into_parts();
     let body = body.into_with_config().limit(MAX_ANSWER_BYTES);
     let json = body.lossy_utf8(true).read_to_string();
