--- a/crates/kumquatlock-control/tests/control/main.rs
+++ b/crates/kumquatlock-control/tests/control/main.rs
@@ -8,6 +8,7 @@
 mod failover;
 mod group;
 mod operate;
+mod pages;
 mod partition;
 mod replica;
 mod settings;
