Derive the retention of unfinished keys from the setting

--claim-retention-ms changed only the retention of finished keys. That of unfinished ones stayed at 4,200 s, the longest deadline and the default retention, so with an hour's retention a key whose outcome is unknown was forgotten earlier than intended.

--- a/crates/kumquatlock/src/call/mod.rs
+++ b/crates/kumquatlock/src/call/mod.rs
@@ -19,7 +19,9 @@
 pub use answer::{CallerAnswer, OUTCOME_HEADER, RejectReason, reason_label};
 pub use destination::{CallSource, DestinationCalls, DestinationStep, RunId, UpstreamEndpoint};
 pub use entry::{CallId, EntryCalls, EntryCounters, EntryStep, PeerNode};
-pub use request::{ATTEMPT_HEADER, CallerRequest, DEPTH_HEADER, KEY_HEADER, TIMEOUT_HEADER};
+pub use request::{
+    ATTEMPT_HEADER, CallerRequest, DEPTH_HEADER, KEY_HEADER, MAX_TIMEOUT, TIMEOUT_HEADER,
+};
 
 /// Deepest chain of calls that is served. The users' deepest chain has 14 levels.
 pub const MAX_DEPTH: u32 = 16;
--- a/crates/kumquatlock/src/call/request.rs
+++ b/crates/kumquatlock/src/call/request.rs
@@ -21,11 +21,12 @@
 
 /// Longest key, in bytes.
 const MAX_KEY_BYTES: usize = 128;
-/// Longest time that a caller may wait: deferred work waits up to an hour.
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
+/// Longest time that a caller may wait: deferred work waits up to an hour.
+pub const MAX_TIMEOUT: Duration = Duration::from_millis(MAX_TIMEOUT_MS);
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(5);
 const INTERNAL_TIMEOUT: Duration = Duration::from_secs(1);
-const DEFERRED_TIMEOUT: Duration = Duration::from_secs(3_600);
+const DEFERRED_TIMEOUT: Duration = MAX_TIMEOUT;
 
 /// Headers that end at each hop or that the nodes set themselves.
 const HOP_HEADERS: [&str; 15] = [
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -24,7 +24,7 @@
 use stakker_mio::MioPoll;
 use stakker_mio::mio::{Events, Poll};
 
-use crate::call::{CallerAnswer, CallerRequest};
+use crate::call::{CallerAnswer, CallerRequest, MAX_TIMEOUT};
 use crate::claim::ClaimSettings;
 use crate::core::{IncarnationId, SharedName, Timestamp};
 use crate::http::{HttpRequest, HttpResponse, HttpServer, ReplySlot, ServerError};
@@ -217,6 +217,10 @@
 fn claim_settings(settings: &NodeSettings) -> ClaimSettings {
     ClaimSettings {
         retention: settings.claim_retention,
+        running_retention: MAX_TIMEOUT + settings.claim_retention,
         ..ClaimSettings::default()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/kumquatlock/src/ops/node/tests.rs
@@ -0,0 +1,24 @@
+//! Tests of what a node derives from its settings.
+
+use super::*;
+
+/// Guards against an unfinished key that is forgotten before its request can have ended.
+#[test]
+fn unfinished_keys_are_kept_for_the_longest_deadline_and_the_retention() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let settings = NodeSettings {
+        name: "node".into(),
+        zone: "zone".into(),
+        region: "region".into(),
+        listen: address,
+        http: address,
+        upstream_http: address,
+        parents: vec![address],
+        http_workers: 4,
+        upstream_connections: 1,
+        claim_retention: Duration::from_secs(3_600),
+    };
+    let claims = claim_settings(&settings);
+    assert_eq!(claims.retention, Duration::from_secs(3_600));
+    assert_eq!(claims.running_retention, Duration::from_secs(7_200));
+}
