Leave the parser's question mark out of the path of a syntax error

A manifest that ends early was refused with a path such as $.routes[0].?, which names nothing. The golden file changes in that one path.

Measured: the tests of manifest and the process tests of control pass.

--- a/crates/kumquatlock/src/manifest/error.rs
+++ b/crates/kumquatlock/src/manifest/error.rs
@@ -96,6 +96,11 @@
         } else {
             ManifestFault::Syntax { detail }
         };
+        // Where the text ends or breaks before a value, its place is given as a question mark.
+        let path = match fault {
+            ManifestFault::Syntax { .. } => path.trim_end_matches('?').trim_end_matches('.'),
+            _ => path,
+        };
         match path {
             "" | "." => ManifestError::at("$", fault),
             path => ManifestError::at(format_args!("$.{path}"), fault),
