--- a/crates/kumquatlock-control/tests/control/main.rs
+++ b/crates/kumquatlock-control/tests/control/main.rs
@@ -7,6 +7,8 @@
 mod disks;
 mod failover;
 mod group;
+mod operate;
+mod pages;
 mod partition;
 mod replica;
 mod settings;
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -24,7 +24,7 @@
 use stakker_mio::MioPoll;
 use stakker_mio::mio::{Events, Poll};
 
-use crate::call::{CallerAnswer, CallerRequest};
+use crate::call::{CallerAnswer, CallerRequest, MAX_TIMEOUT};
 use crate::claim::ClaimSettings;
 use crate::core::{IncarnationId, SharedName, Timestamp};
 use crate::http::{HttpRequest, HttpResponse, HttpServer, ReplySlot, ServerError};
@@ -68,7 +68,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum NodeError {
     /// The poll loop could not be set up or failed.
-    #[error("failed to poll for events: {0}")]
+    #[error("failed to poll for events")]
     Poll(#[source] io::Error),
     /// The address for other nodes could not be bound.
     #[error("failed to listen for nodes on {address}: {error}")]
@@ -82,7 +82,7 @@
     #[error(transparent)]
     Http(#[from] ServerError),
     /// A thread could not be started.
-    #[error("failed to start a thread: {0}")]
+    #[error("failed to start a thread")]
     Thread(#[source] io::Error),
 }
 
@@ -217,6 +217,10 @@
 fn claim_settings(settings: &NodeSettings) -> ClaimSettings {
     ClaimSettings {
         retention: settings.claim_retention,
+        running_retention: MAX_TIMEOUT + settings.claim_retention,
         ..ClaimSettings::default()
     }
 }
+
+#[cfg(test)]
+mod tests;
