Keep late answers of keyed requests, bound deferred calls by the workers

Cause: a destination gave up the exchange with its upstream at the caller's deadline and cancelled it, so a resend of the key stayed unknown although the request finished. 32 deferred calls could take every worker of a node with 32 or fewer. Depth 16 was accepted by the entry and refused by every destination. A call that ran out of time while it waited for an upstream said deadline_too_short.

--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -1,5 +1,7 @@
 //! One call on its way through admission, claim and upstream.
 
+use std::time::Duration;
+
 use kumquatlock_wire::call::{CallOutcome, CallReason, CallRequest, HeaderField};
 
 use super::{CallSource, DestinationCalls, DestinationStep, RunId};
@@ -10,6 +12,9 @@
 use crate::http::{HttpRequest, HttpResponse, UpstreamFailure};
 use crate::util::trace::{HopSpan, SeededIds, TRACEPARENT_HEADER};
 
+/// Time past the caller's deadline for which a keyed request may still be answered. A resend of
+/// the key then gets the answer; without it the outcome would stay unknown for good.
+const LATE_ANSWER_GRACE: Duration = Duration::from_secs(10);
 /// Status with which an upstream sheds load.
 const SHED_STATUS: u16 = 503;
 
@@ -69,6 +74,15 @@
         self.request.key.as_deref().filter(|_| !repeatable)
     }
 
+    /// Time to wait for the upstream's answer.
+    fn exchange_timeout(&self, now: Timestamp) -> Duration {
+        let left = self.deadline.since(now);
+        match self.claim_key() {
+            Some(_) => left + LATE_ANSWER_GRACE,
+            None => left,
+        }
+    }
+
     fn attempt_label(&self) -> String {
         let id = &self.request.id;
         format!(
@@ -153,7 +167,7 @@
             run: id,
             address: endpoint.address,
             request: run.upstream_request(now),
-            timeout: run.deadline.since(now),
+            timeout: run.exchange_timeout(now),
         });
     }
 
@@ -301,6 +315,8 @@
             RunPhase::Queued | RunPhase::Claiming => {
                 self.refuse_run(now, id, CallReason::Cancelled, steps);
             }
+            // A resend of the key asks for the answer, so the run goes on.
+            RunPhase::Running if run.claim_key().is_some() => {}
             RunPhase::Running => {
                 let Some(endpoint) = self.endpoint else {
                     return;
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -139,7 +139,9 @@
                 self.answer(now, id, answer, steps);
             }
             _ => {
-                if call.reason == CallReason::None {
+                if matches!(call.phase, CallPhase::WaitingUpstream { .. }) {
+                    call.reason = CallReason::NoUpstream;
+                } else if call.reason == CallReason::None {
                     call.reason = CallReason::DeadlineTooShort;
                 }
                 self.give_up(now, id, steps);
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -27,8 +27,6 @@
 /// Calls of one entry in progress. Each holds a worker thread, so this is above any sane number
 /// of workers.
 const MAX_CALLS: usize = 4_096;
-/// Deferred calls in progress. They may wait an hour, and must not take every worker.
-const MAX_DEFERRED_CALLS: usize = 32;
 
 /// One call of one entry. Never reused within an incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -108,8 +106,10 @@
     /// One per service that was called.
     hedges: IndexMap<SharedName, HedgePolicy>,
     calls: IndexMap<CallId, EntryCall>,
-    /// Number of deferred calls in `calls`.
+    /// Number of deferred calls in `calls`, at most `deferred_limit`.
     deferred: usize,
+    /// Deferred calls may wait an hour, and must not take every worker.
+    deferred_limit: usize,
     /// One entry per call, at its `wake_at`.
     timers: BTreeSet<(Timestamp, CallId)>,
     next_call: u64,
@@ -124,6 +124,7 @@
     pub fn new(
         location: EntryLocation,
         incarnation: IncarnationId,
+        deferred_limit: usize,
         random: SmallRng,
         now: Timestamp,
     ) -> Self {
@@ -140,6 +141,7 @@
             hedges: IndexMap::new(),
             calls: IndexMap::new(),
             deferred: 0,
+            deferred_limit,
             timers: BTreeSet::new(),
             next_call: 1,
             draining: false,
@@ -341,7 +343,7 @@
             return Err(refuse(CallReason::Draining));
         }
         let deferred = route.class == crate::core::RequestClass::Deferred;
-        if self.calls.len() >= MAX_CALLS || (deferred && self.deferred >= MAX_DEFERRED_CALLS) {
+        if self.calls.len() >= MAX_CALLS || (deferred && self.deferred >= self.deferred_limit) {
             return Err(refuse(CallReason::Overloaded));
         }
         let deadline = now + request.timeout_for(route.class);
--- a/crates/kumquatlock/src/call/request.rs
+++ b/crates/kumquatlock/src/call/request.rs
@@ -154,7 +154,7 @@
 
 fn parse_depth(value: &str) -> Result<u32, RejectReason> {
     match value.parse::<u32>() {
-        Ok(depth) if depth <= super::MAX_DEPTH => Ok(depth),
+        Ok(depth) if depth < super::MAX_DEPTH => Ok(depth),
         Ok(_) => Err(RejectReason::DepthExceeded),
         Err(_) => Err(RejectReason::InvalidDepth),
     }
--- a/crates/kumquatlock/src/call/tests/keyed.rs
+++ b/crates/kumquatlock/src/call/tests/keyed.rs
@@ -105,3 +105,35 @@
     world.advance(Duration::from_secs(5));
     assert_eq!(world.outcome(refused), "unknown");
 }
+
+/// Guards against a resend that stays unknown although the upstream finished late.
+#[test]
+fn a_late_answer_is_kept_for_the_resend() {
+    let mut world = CallWorld::new(WireClass::AtMostOnce);
+    let first = world.open(KEY);
+    let destination = world.called();
+    world.hold(&destination);
+    world.advance(Duration::from_millis(4_500));
+    assert_eq!(world.outcome(first), "unknown");
+    assert!(world.timeouts[0] > Duration::from_secs(5));
+    world.finish_runs(&destination);
+    world.settle();
+    let resend = world.open(KEY);
+    world.settle();
+    assert_eq!(world.outcome(resend), "answered");
+    assert_eq!(world.runs.len(), 1);
+    assert_eq!(world.cancels, 0);
+}
+
+/// Guards against deferred work that takes every worker of a node for an hour.
+#[test]
+fn deferred_calls_leave_workers_to_others() {
+    let mut world = CallWorld::new(WireClass::Deferred);
+    for name in ["booking-1", "booking-2", "booking-3"] {
+        world.hold(name);
+    }
+    let calls: Vec<_> = (0..5).map(|_| world.open(None)).collect();
+    world.settle();
+    let outcomes: Vec<_> = calls.iter().map(|call| world.outcome(*call)).collect();
+    assert_eq!(outcomes, ["open", "open", "open", "open", "not_run"]);
+}
--- a/crates/kumquatlock/src/call/tests/world.rs
+++ b/crates/kumquatlock/src/call/tests/world.rs
@@ -53,6 +53,10 @@
     pub(super) runs: Vec<String>,
     /// Destinations were stopped before they read what is delivered.
     pub(super) frozen: bool,
+    /// Time that destinations give each run.
+    pub(super) timeouts: Vec<Duration>,
+    /// Cancellations that reached an upstream.
+    pub(super) cancels: usize,
     /// Trace headers that upstreams got.
     pub(super) traces: Vec<String>,
     /// Transcript of what happened.
@@ -71,7 +75,7 @@
             region: "osrednja".into(),
         };
         let random = SmallRng::seed_from_u64(7);
-        let entry = EntryCalls::new(location, IncarnationId(1), random, now);
+        let entry = EntryCalls::new(location, IncarnationId(1), 4, random, now);
         let mut world = CallWorld {
             now,
             entry,
@@ -80,6 +84,8 @@
             answers: IndexMap::new(),
             runs: Vec::new(),
             frozen: false,
+            timeouts: Vec::new(),
+            cancels: 0,
             traces: Vec::new(),
             lines: Vec::new(),
             lose: |_| false,
@@ -255,12 +261,19 @@
                     };
                     self.queue.push_back(parcel);
                 }
-                DestinationStep::Run { run, request, .. } => {
+                DestinationStep::Run {
+                    run,
+                    request,
+                    timeout,
+                    ..
+                } => {
+                    self.timeouts.push(timeout);
                     let trace = request.header("traceparent").map(str::to_owned);
                     self.traces.extend(trace);
                     self.run(name, run);
                 }
-                DestinationStep::Cancel { .. } | DestinationStep::Ended { .. } => {}
+                DestinationStep::Cancel { .. } => self.cancels += 1,
+                DestinationStep::Ended { .. } => {}
             }
         }
     }
