--- a/crates/kumquatlock-node/src/commands/serve.rs
+++ b/crates/kumquatlock-node/src/commands/serve.rs
@@ -25,6 +25,10 @@
     "address for other nodes, <ip>:<port>; announced to them, so it must be one that \
      they can connect to",
 );
+const ADVERTISE: SettingSpec<ReachableAddress> = SettingSpec::new(
+    "advertise",
+    "address at which other nodes reach this one, <ip>:<port>, if it is not the listen address",
+);
 const HTTP: SettingSpec<SocketAddr> =
     SettingSpec::new("http", "address for callers and metrics, <ip>:<port>");
 const UPSTREAM_HTTP: SettingSpec<SocketAddr> = SettingSpec::new(
@@ -79,6 +83,10 @@
     /// connect to (port 1..=65535, default none, variable KUMQUATLOCK_LISTEN)
     #[argh(option)]
     listen: Option<String>,
+    /// address at which other nodes reach this one, <ip>:<port>, if it is not the listen address
+    /// (port 1..=65535, default none, variable KUMQUATLOCK_ADVERTISE)
+    #[argh(option)]
+    advertise: Option<String>,
     /// address for callers and metrics, <ip>:<port> (port 0..=65535, default none, variable
     /// KUMQUATLOCK_HTTP)
     #[argh(option)]
@@ -146,11 +154,14 @@
         let connections =
             UPSTREAM_CONNECTIONS.resolve(self.upstream_connections.as_deref(), source)?;
         let retention = CLAIM_RETENTION.resolve(self.claim_retention_ms.as_deref(), source)?;
+        let listen = LISTEN.resolve(self.listen.as_deref(), source)?.0;
+        let advertise = ADVERTISE.resolve_optional(self.advertise.as_deref(), source)?;
         Ok(NodeSettings {
             name: NAME.resolve(self.name.as_deref(), source)?.0,
             zone: ZONE.resolve(self.zone.as_deref(), source)?.0,
             region: REGION.resolve(self.region.as_deref(), source)?.0,
-            listen: LISTEN.resolve(self.listen.as_deref(), source)?.0,
+            listen,
+            advertise: advertise.map_or(listen, |address| address.0),
             http: HTTP.resolve(self.http.as_deref(), source)?,
             upstream_http: UPSTREAM_HTTP.resolve(self.upstream_http.as_deref(), source)?,
             parents: PARENTS.resolve(self.parents.as_deref(), source)?.0,
--- a/crates/kumquatlock/src/ops/node/tests.rs
+++ b/crates/kumquatlock/src/ops/node/tests.rs
@@ -11,6 +11,7 @@
         zone: "zone".into(),
         region: "region".into(),
         listen: address,
+        advertise: address,
         http: address,
         upstream_http: address,
         parents: vec![address],
