--- /dev/null
+++ b/crates/kumquatlock-testkit/examples/measure/main.rs
@@ -0,0 +1,165 @@
+//! Measures the costs that the capacity page is worked out from.
+//!
+//! `slopes` runs the decision code without processes, `mesh` and `latency` run the real binaries
+//! on loopback. Every figure is printed and written as one line of JSON, and those with a bound
+//! from the design target are shown as met or missed. Run with
+//! `cargo build --release --locked && cargo run --release --locked --example measure -- all`.
+
+mod claims;
+mod fleet;
+mod host;
+mod latency;
+mod mesh;
+mod record;
+mod scrape;
+mod slopes;
+mod storm;
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use eyre::{Result, WrapErr, bail, ensure};
+use kumquatlock::catalog::SnapshotDetail;
+
+use fleet::{FleetCatalog, FleetSize};
+use mesh::MeshSize;
+use record::ResultRecorder;
+
+/// Replicas per region of the run with replicas.
+const REPLICAS_PER_REGION: usize = 2;
+
+/// Measure costs and compare them with the design target.
+#[derive(FromArgs)]
+struct MeasureCommand {
+    /// first seed of random choices (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+
+    /// fleets of `slopes` as <upstreams>/<services>, the target last (default
+    /// 1000/36,5000/180,19000/620)
+    #[argh(option, default = "\"1000/36,5000/180,19000/620\".to_owned()")]
+    sizes: String,
+
+    /// nodes of each run of `mesh`, multiples of 6 (default 6,18,60,150)
+    #[argh(option, default = "\"6,18,60,150\".to_owned()")]
+    nodes: String,
+
+    /// nodes of the run of `mesh` with replicas (default 60; 0 leaves it out)
+    #[argh(option, default = "60")]
+    replica_nodes: usize,
+
+    /// calls of each way and round of `latency` (default 2000)
+    #[argh(option, default = "2000")]
+    calls: usize,
+
+    /// file of the record (default target/measure.jsonl)
+    #[argh(option, default = "PathBuf::from(\"target/measure.jsonl\")")]
+    record: PathBuf,
+
+    #[argh(subcommand)]
+    part: MeasurePart,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum MeasurePart {
+    Slopes(SlopesCommand),
+    Mesh(MeshCommand),
+    Latency(LatencyCommand),
+    All(AllCommand),
+}
+
+/// Decision code without processes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "slopes")]
+struct SlopesCommand {}
+
+/// Convergence, traffic, CPU and memory of real processes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "mesh")]
+struct MeshCommand {}
+
+/// Latency added to a call by real processes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "latency")]
+struct LatencyCommand {}
+
+/// Everything.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "all")]
+struct AllCommand {}
+
+fn main() -> Result<()> {
+    let command: MeasureCommand = argh::from_env();
+    let mut recorder = ResultRecorder::create(&command.record)?;
+    let is_part = |part: fn(&MeasurePart) -> bool| {
+        part(&command.part) || matches!(command.part, MeasurePart::All(_))
+    };
+    if is_part(|part| matches!(part, MeasurePart::Slopes(_))) {
+        run_slopes(&mut recorder, &command).wrap_err("measuring slopes")?;
+    }
+    if is_part(|part| matches!(part, MeasurePart::Latency(_))) {
+        latency::run(&mut recorder, command.calls).wrap_err("measuring latency")?;
+    }
+    if is_part(|part| matches!(part, MeasurePart::Mesh(_))) {
+        run_meshes(&mut recorder, &command).wrap_err("measuring a mesh")?;
+    }
+    recorder.finish();
+    Ok(())
+}
+
+fn run_slopes(recorder: &mut ResultRecorder, command: &MeasureCommand) -> Result<()> {
+    let sizes = parse_sizes(&command.sizes)?;
+    for (index, &size) in sizes.iter().enumerate() {
+        let is_target = index + 1 == sizes.len();
+        slopes::run(recorder, size, is_target, command.seed)?;
+        storm::run(recorder, size, command.seed)?;
+    }
+    claims::run(recorder)
+}
+
+fn run_meshes(recorder: &mut ResultRecorder, command: &MeasureCommand) -> Result<()> {
+    let mut sizes = Vec::new();
+    for nodes in command.nodes.split(',') {
+        sizes.push(MeshSize {
+            nodes: nodes.parse().wrap_err("reading --nodes")?,
+            replicas_per_region: 0,
+        });
+    }
+    let largest = sizes.iter().map(|size| size.nodes).max().unwrap_or(0);
+    if command.replica_nodes > 0 {
+        sizes.push(MeshSize {
+            nodes: command.replica_nodes,
+            replicas_per_region: REPLICAS_PER_REGION,
+        });
+    }
+    for size in sizes {
+        let fleet = FleetCatalog::new(FleetSize {
+            upstreams: size.nodes,
+            services: 2,
+        });
+        let encoded = fleet.catalog.encode_snapshot(SnapshotDetail::Routing);
+        let is_largest = size.nodes == largest && size.replicas_per_region == 0;
+        mesh::run(recorder, size, encoded.bytes.len() as f64, is_largest)?;
+    }
+    Ok(())
+}
+
+fn parse_sizes(text: &str) -> Result<Vec<FleetSize>> {
+    let mut sizes = Vec::new();
+    for pair in text.split(',') {
+        let Some((upstreams, services)) = pair.split_once('/') else {
+            bail!("--sizes holds {pair}, which is not <upstreams>/<services>");
+        };
+        let (upstreams, services) = (upstreams.parse()?, services.parse()?);
+        ensure!(
+            (3..=40_000).contains(&upstreams) && (1..=1_000).contains(&services),
+            "--sizes holds {pair}; upstreams are 3..=40000 and services 1..=1000"
+        );
+        sizes.push(FleetSize {
+            upstreams,
+            services,
+        });
+    }
+    Ok(sizes)
+}
--- /dev/null
+++ b/crates/kumquatlock-testkit/examples/measure/mesh.rs
@@ -0,0 +1,291 @@
+//! Costs of a mesh of real processes on loopback.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use eyre::{Result, WrapErr, ensure};
+use kumquatlock::core::RequestClass;
+use kumquatlock_testkit::process::{Mesh, MeshBuilder, wait_for};
+use serde_json::Value;
+
+use crate::record::ResultRecorder;
+use crate::scrape::{AppliedLog, MeshUsage, UsageSum, scrape, time_of_day_us};
+
+const REGIONS: usize = 3;
+const SERVICES: usize = 2;
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+const STOP_TIMEOUT: Duration = Duration::from_secs(60);
+/// Pause after the last announcement, so that the claim shards of the start have settled.
+const SETTLE_TIME: Duration = Duration::from_secs(6);
+/// Time in which nothing changes and traffic is counted.
+const IDLE_TIME: Duration = Duration::from_secs(10);
+const MANIFEST_CHANGES: u64 = 12;
+const POLLED_CHANGES: u64 = 3;
+const MEMBER_CHANGES: usize = 6;
+/// Pause after each change; far above the time to apply it.
+const CHANGE_PAUSE: Duration = Duration::from_millis(500);
+const POLL_PAUSE: Duration = Duration::from_millis(5);
+/// Bound on the convergence of the largest local mesh, in milliseconds. The target is 7 s over
+/// slow links; a local mesh has to be well below one second.
+const CONVERGENCE_LIMIT_MS: f64 = 1_000.0;
+/// Bound on a node's control traffic, in bytes per second.
+const TRAFFIC_LIMIT: f64 = 3_000.0;
+/// Mean rate of changes at the target: per day, 21,000 configuration changes, three changes for
+/// each of 7,400 restarts, and two for each of 51 failures.
+const TARGET_CHANGES_PER_SECOND: f64 = (21_000.0 + 3.0 * 7_400.0 + 2.0 * 51.0) / 86_400.0;
+/// Bytes of TCP and IP headers for one message and its acknowledgement, each with 20 bytes of IP,
+/// 20 of TCP and 12 of timestamps.
+const PACKET_BYTES: f64 = 104.0;
+
+/// Nodes and replicas of one run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MeshSize {
+    pub(crate) nodes: usize,
+    pub(crate) replicas_per_region: usize,
+}
+
+/// Starts, measures and stops one mesh.
+pub(crate) fn run(
+    recorder: &mut ResultRecorder,
+    size: MeshSize,
+    snapshot_bytes: f64,
+    is_largest: bool,
+) -> Result<()> {
+    let per_group = size.nodes / (REGIONS * SERVICES);
+    ensure!(
+        per_group > 0 && per_group * REGIONS * SERVICES == size.nodes,
+        "--nodes holds {}, which is not a multiple of {}",
+        size.nodes,
+        REGIONS * SERVICES
+    );
+    let scope = match size.replicas_per_region {
+        0 => format!("{} nodes", size.nodes),
+        replicas => format!("{} nodes, {} replicas", size.nodes, replicas * REGIONS),
+    };
+    recorder.heading(&format!("mesh: 3 voters, {scope}"));
+    let mut plan = MeshBuilder::default()
+        .regions(&[("osrednja", 2), ("stajerska", 2), ("primorska", 2)])
+        .service("catalogue", RequestClass::Lookup)
+        .service("booking", RequestClass::AtMostOnce)
+        .replicas_per_region(size.replicas_per_region)
+        .upstreams_per_region(per_group)
+        .upstream_size(1, Duration::ZERO)
+        .node_argument("--log")
+        .node_argument("info,kumquatlock::ops::node::steps=debug")
+        .build()?;
+    for node in &mut plan.nodes {
+        node.upstream.breakable = false;
+    }
+    let mut mesh = plan.start().wrap_err("starting the mesh")?;
+    let measured = measure(recorder, &scope, &mut mesh, snapshot_bytes, is_largest);
+    if measured.is_err() {
+        mesh.keep_dir();
+        eprintln!("logs are in {}", mesh.log_dir().display());
+    }
+    measured?;
+    mesh.stop(STOP_TIMEOUT).wrap_err("stopping the mesh")
+}
+
+fn measure(
+    recorder: &mut ResultRecorder,
+    scope: &str,
+    mesh: &mut Mesh,
+    snapshot_bytes: f64,
+    is_largest: bool,
+) -> Result<()> {
+    let nodes = mesh.nodes.len();
+    wait_for("the first manifest is accepted", START_TIMEOUT, || {
+        submit(mesh, 1).map_err(|error| format!("{error:#}"))
+    })?;
+    mesh.controls[0].wait_in_force(1, nodes, START_TIMEOUT)?;
+    wait_for("every node knows every upstream", START_TIMEOUT, || {
+        let text = mesh.nodes[nodes - 1].caller().get("/metrics");
+        let text = text.map_err(|error| error.to_string())?.text();
+        match text.contains(&format!("kumquatlock_upstreams {nodes}\n")) {
+            true => Ok(()),
+            false => Err("upstreams are missing".to_owned()),
+        }
+    })?;
+    thread::sleep(SETTLE_TIME);
+
+    let before = scrape(mesh)?;
+    let started = Instant::now();
+    thread::sleep(IDLE_TIME);
+    let idle = rates(recorder, scope, "idle", mesh, &before, started)?;
+
+    let before = scrape(mesh)?;
+    let started = Instant::now();
+    let mut manifests = Vec::new();
+    for version in 2..2 + MANIFEST_CHANGES {
+        let answer = submit(mesh, version)?;
+        manifests.push((config_version(&answer)?, time_of_day_us()));
+        thread::sleep(CHANGE_PAUSE);
+    }
+    let mut members = Vec::new();
+    for change in 0..MEMBER_CHANGES {
+        let index = change / 2 * 5 % nodes;
+        let held = config_version(&status(mesh)?)?;
+        members.push((held + 1, time_of_day_us()));
+        let node = &mut mesh.nodes[index];
+        match change % 2 {
+            0 => node.upstream.leave()?,
+            _ => node.upstream.announce_to(node.flags.upstream_http),
+        }
+        thread::sleep(CHANGE_PAUSE);
+    }
+    let changes = manifests.len() + members.len();
+    let busy = rates(recorder, scope, "changes", mesh, &before, started)?;
+    report_traffic(recorder, scope, &idle, &busy, changes as f64, is_largest)?;
+    recorder.row(
+        scope,
+        "full snapshots to every node instead, per change",
+        snapshot_bytes * nodes as f64,
+        "B",
+    )?;
+
+    let log = AppliedLog::read(mesh)?;
+    let delays = |changes: &[(u64, i64)]| -> Vec<f64> {
+        let delay = |&(version, from): &(u64, i64)| log.delay_ms(version, from);
+        changes.iter().filter_map(delay).collect()
+    };
+    let (manifest_ms, member_ms) = (delays(&manifests), delays(&members));
+    ensure!(
+        manifest_ms.len() == manifests.len() && member_ms.len() == members.len(),
+        "a change did not reach every node"
+    );
+    recorder.spread(
+        scope,
+        "manifest: answer until applied on every node",
+        &manifest_ms,
+        "ms",
+    )?;
+    let name = "membership: request until applied on every node";
+    recorder.spread(scope, name, &member_ms, "ms")?;
+    let mut polled = Vec::new();
+    for version in 2 + MANIFEST_CHANGES..2 + MANIFEST_CHANGES + POLLED_CHANGES {
+        submit(mesh, version)?;
+        let started = Instant::now();
+        loop {
+            let shown = mesh.controls[0].show(version)?.json();
+            if shown["state"] == "in_force" && shown["applied"] == nodes {
+                break;
+            }
+            ensure!(started.elapsed() < START_TIMEOUT, "not in force: {shown}");
+            thread::sleep(POLL_PAUSE);
+        }
+        polled.push(started.elapsed().as_secs_f64() * 1e3);
+    }
+    recorder.spread(
+        scope,
+        "manifest: answer until shown in force",
+        &polled,
+        "ms",
+    )?;
+    if is_largest {
+        let worst = manifest_ms.iter().chain(&member_ms).copied();
+        let worst = worst.fold(0.0, f64::max);
+        let name = format!("convergence, {scope}, worst change");
+        recorder.bound(&name, worst, CONVERGENCE_LIMIT_MS, "ms")?;
+    }
+    Ok(())
+}
+
+fn submit(mesh: &Mesh, version: u64) -> Result<Value> {
+    let mut manifest = mesh.manifest(version);
+    // One route changes with every version.
+    manifest["routes"][0]["prefix"] = format!("/catalogue/{version}").into();
+    let answer = mesh.controls[0].submit(&manifest)?;
+    ensure!(
+        (200..300).contains(&answer.status),
+        "{} to manifest {version}: {}",
+        answer.status,
+        answer.text()
+    );
+    Ok(answer.json())
+}
+
+fn status(mesh: &Mesh) -> Result<Value> {
+    Ok(mesh.controls[0].caller().get("/v1/status")?.json())
+}
+
+fn config_version(answer: &Value) -> Result<u64> {
+    let version = answer["config_version"].as_u64();
+    version.ok_or_else(|| eyre::eyre!("no config_version in {answer}"))
+}
+
+/// Prints what each role used per process and second since `before`.
+fn rates(
+    recorder: &mut ResultRecorder,
+    scope: &str,
+    phase: &str,
+    mesh: &Mesh,
+    before: &MeshUsage,
+    started: Instant,
+) -> Result<(UsageSum, f64)> {
+    let seconds = started.elapsed().as_secs_f64();
+    let after = scrape(mesh)?;
+    let roles = [
+        ("voter", after.voters.since(&before.voters)),
+        ("replica", after.replicas.since(&before.replicas)),
+        ("node", after.nodes.since(&before.nodes)),
+    ];
+    for (role, sum) in &roles {
+        if sum.processes == 0 {
+            continue;
+        }
+        let processes = sum.processes as f64;
+        let per_second = processes * seconds;
+        let name = |what: &str| format!("{phase}, {role}: {what}");
+        let cpu = sum.cpu_seconds / per_second * 100.0;
+        recorder.row(scope, &name("CPU"), cpu, "% of a core")?;
+        let resident = sum.resident / processes / 1e6;
+        recorder.row(scope, &name("resident"), resident, "MB")?;
+        let bytes = sum.total_bytes() / per_second;
+        recorder.row(scope, &name("control bytes, both directions"), bytes, "B/s")?;
+        for ((kind, region_scope), bytes) in &sum.bytes {
+            if *bytes > 0.0 {
+                let what = format!("  {kind}, {region_scope}");
+                recorder.row(scope, &name(&what), bytes / per_second, "B/s")?;
+            }
+        }
+    }
+    let [_, _, (_, nodes)] = roles;
+    Ok((nodes, seconds))
+}
+
+/// A node's traffic at the target's rate of changes, with packet headers.
+fn report_traffic(
+    recorder: &mut ResultRecorder,
+    scope: &str,
+    (idle, idle_seconds): &(UsageSum, f64),
+    (busy, busy_seconds): &(UsageSum, f64),
+    changes: f64,
+    is_largest: bool,
+) -> Result<()> {
+    let nodes = idle.processes as f64;
+    let wire = |sum: &UsageSum| {
+        let messages: f64 = sum.messages.values().sum();
+        (sum.total_bytes() + messages * PACKET_BYTES) / nodes
+    };
+    let idle_rate = wire(idle) / idle_seconds;
+    let per_change = (wire(busy) - idle_rate * busy_seconds).max(0.0) / changes;
+    recorder.row(scope, "node, idle, with packet headers", idle_rate, "B/s")?;
+    recorder.row(
+        scope,
+        "node, one change, with packet headers",
+        per_change,
+        "B",
+    )?;
+    let target = idle_rate + per_change * TARGET_CHANGES_PER_SECOND;
+    let name = "node at the target's change rate, with headers";
+    recorder.row(scope, name, target, "B/s")?;
+    if is_largest {
+        recorder.bound(
+            "a node's control traffic without keyed calls",
+            target,
+            TRAFFIC_LIMIT,
+            "B/s",
+        )?;
+    }
+    Ok(())
+}
