Poll wake-ups of HTTP threads at the priority of links

A node polled its links at priority 5 and the wake-ups of its HTTP threads at 0. The poll loop sets events of a lower priority aside and then sleeps, so requests and answers of HTTP threads waited up to 100 ms whenever a link was ready in the same poll. Both now use one constant, as control instances already did in effect.

--- a/crates/kumquatlock/src/ops/control/process.rs
+++ b/crates/kumquatlock/src/ops/control/process.rs
@@ -21,14 +21,13 @@
 use crate::core::ConfigVersion;
 use crate::http::{HttpServer, ServerError};
 use crate::journal::JournalError;
+use crate::transport::POLL_PRIORITY;
 use crate::util::signals::{SignalError, install_stop_handler};
 
 /// Operator requests that are answered at once; more wait.
 const HTTP_WORKERS: usize = 8;
 /// Events that one poll takes.
 const POLL_EVENTS: usize = 1_024;
-/// Priority of wake-ups by other threads in the poll loop.
-const WAKER_PRIORITY: u32 = 5;
 /// Longest wait of one poll.
 const MAX_POLL_WAIT: Duration = Duration::from_secs(1);
 
@@ -107,7 +106,7 @@
         &mut stakker,
         Poll::new()?,
         Events::with_capacity(POLL_EVENTS),
-        WAKER_PRIORITY,
+        POLL_PRIORITY,
     )?;
     let metrics = Arc::new(ControlMetrics::new());
     let parts = ActorParts {
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -28,7 +28,7 @@
 use crate::claim::ClaimSettings;
 use crate::core::{IncarnationId, SharedName, Timestamp};
 use crate::http::{HttpRequest, HttpResponse, HttpServer, ReplySlot, ServerError};
-use crate::transport::TrafficCounters;
+use crate::transport::{POLL_PRIORITY, TrafficCounters};
 use crate::util::cancel::CancelToken;
 use actor::{ActorParts, NodeActor, NodeEvent};
 
@@ -92,7 +92,7 @@
     let mut stakker = Stakker::new(started);
     let poll = Poll::new().map_err(NodeError::Poll)?;
     let events = Events::with_capacity(POLL_EVENTS);
-    let poll = MioPoll::new(&mut stakker, poll, events, 0).map_err(NodeError::Poll)?;
+    let poll = MioPoll::new(&mut stakker, poll, events, POLL_PRIORITY).map_err(NodeError::Poll)?;
     let wakeup = Rc::new(Cell::new(Timestamp::default()));
     let finished = Rc::new(Cell::new(false));
     let counters = Arc::new(TrafficCounters::default());
--- a/crates/kumquatlock/src/transport/table.rs
+++ b/crates/kumquatlock/src/transport/table.rs
@@ -29,8 +29,10 @@
 /// packets, and the calls that wait for it can still be tried elsewhere.
 pub const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
-/// Priority of link events in the poll loop.
-const LINK_PRIORITY: u32 = 5;
+/// Priority of link events in the poll loop. The waker of other threads has to be polled at the
+/// same priority: the loop sets events of a lower one aside and then sleeps, so that requests and
+/// answers of HTTP threads waited up to the longest sleep while links were busy.
+pub const POLL_PRIORITY: u32 = 5;
 
 /// Why a link closed or a message was refused.
 #[derive(Debug, thiserror::Error)]
@@ -122,7 +124,7 @@
         let forward = self.forward_ready(None);
         let listener = self
             .poll
-            .add(listener, Interest::READABLE, LINK_PRIORITY, forward)?;
+            .add(listener, Interest::READABLE, POLL_PRIORITY, forward)?;
         self.listener = Some(listener);
         Ok(bound)
     }
@@ -340,7 +342,7 @@
         self.poll.add(
             stream,
             interest,
-            LINK_PRIORITY,
+            POLL_PRIORITY,
             self.forward_ready(Some(id)),
         )
     }
