Announce a commit to followers that acknowledge late

An append covers no index beyond its own last entry. When the other voters make the quorum, the announcement leaves before the slowest follower has acknowledged the entry, so it covers only what that follower acknowledged earlier, and the follower learned of the commit from the next heartbeat.

The leader now notes the highest index that it announced to each voter and sends an empty append when an acknowledgement shows that more can be announced. Idle groups send only heartbeats, as before.

--- a/crates/kumquatlock/src/agreement/leader.rs
+++ b/crates/kumquatlock/src/agreement/leader.rs
@@ -159,15 +159,19 @@
     }
 
     fn send_append(&mut self, peer: &SharedName, entries: Vec<LogEntry>) {
-        let Some(leading) = &self.leading else {
+        let Some(leading) = &mut self.leading else {
             return;
         };
-        let Some(progress) = leading.progress.get(peer) else {
+        let Some(progress) = leading.progress.get_mut(peer) else {
             return;
         };
         // A voter that is behind the base gets the base as a probe; it refuses, which still
         // confirms the round.
         let previous_index = (progress.next_index - 1).max(self.log.base_index());
+        let covered_index = previous_index + entries.len() as u64;
+        progress.announced_index = progress
+            .announced_index
+            .max(self.commit_index.min(covered_index));
         let request = AppendRequest {
             previous_index,
             previous_term: self.log.term(previous_index).unwrap_or(0),
@@ -206,12 +210,32 @@
         self.apply_committed();
         self.answer_proved_currency(now);
         self.send_entries(now, &peer);
+        self.announce_commit(&peer);
         self.replace_lost_disk(now);
         if reply.success {
             self.continue_transfer();
         }
     }
 
+    /// Tells a voter of a commit that the last announcement could not cover.
+    ///
+    /// When others make the quorum, the announcement leaves before this voter's acknowledgement
+    /// has arrived and covers only what was acknowledged earlier. The next heartbeat is up to
+    /// 150 ms away.
+    fn announce_commit(&mut self, peer: &SharedName) {
+        let Some(leading) = &self.leading else {
+            return;
+        };
+        let is_due = leading.progress.get(peer).is_some_and(|progress| {
+            let is_replicating = matches!(progress.mode, ReplicationMode::Replicating { .. });
+            let known = self.commit_index.min(progress.match_index);
+            is_replicating && known > progress.announced_index
+        });
+        if is_due {
+            self.send_append(peer, Vec::new());
+        }
+    }
+
     /// Commits up to the highest entry of this term that a quorum has synced.
     pub(super) fn advance_commit(&mut self, now: Timestamp) {
         let Some(leading) = &self.leading else {
--- a/crates/kumquatlock/src/agreement/progress.rs
+++ b/crates/kumquatlock/src/agreement/progress.rs
@@ -43,6 +43,9 @@
     pub(super) match_index: u64,
     /// Next index to send. Greater than `match_index`.
     pub(super) next_index: u64,
+    /// Highest index that an append has told the voter to be committed. An append covers no index
+    /// beyond its own last entry, because the voter cannot know that what it holds there agrees.
+    pub(super) announced_index: u64,
     pub(super) last_heard: Timestamp,
     pub(super) mode: ReplicationMode,
 }
@@ -55,6 +58,7 @@
             acked_round: 0,
             match_index: 0,
             next_index: last_index + 1,
+            announced_index: 0,
             last_heard: now,
             mode: ReplicationMode::Probing,
         }
@@ -104,6 +108,7 @@
         let next_index = (hint + 1).clamp(self.match_index + 1, self.next_index);
         let is_earlier = next_index < self.next_index;
         self.next_index = next_index;
+        self.announced_index = self.announced_index.min(self.match_index);
         self.mode = ReplicationMode::Probing;
         is_earlier
     }
--- a/crates/kumquatlock/src/agreement/tests.rs
+++ b/crates/kumquatlock/src/agreement/tests.rs
@@ -166,6 +166,47 @@
     assert!(group.proposals[&1].is_ok());
 }
 
+/// Guards against a follower that learns of a commit only from the next heartbeat: the
+/// announcement overtakes its acknowledgement whenever its write is the slower one.
+#[test]
+fn a_follower_that_writes_late_applies_without_a_heartbeat() {
+    let mut group = TestGroup::new(&["a", "b", "c"], 16);
+    group.elect_named("a");
+    group.run(300);
+    let mut delays = Vec::new();
+    for number in 1..=100 {
+        // Another point of the heartbeat interval each time.
+        group.run(TICK_INTERVAL_MS * (1 + number % 10));
+        group.propose("a", number);
+        while group.write_next("a") {}
+        group.deliver_all();
+        while group.write_next("b") {}
+        group.deliver_all();
+        assert!(group.holds("b", number) && !group.holds("c", number));
+        while group.write_next("c") {}
+        let acknowledged = group.now;
+        group.deliver_all();
+        while !group.holds("c", number) {
+            group.run(TICK_INTERVAL_MS);
+        }
+        delays.push(group.now.since(acknowledged).as_millis());
+    }
+    assert_eq!(delays.iter().max(), Some(&0), "delays in ms: {delays:?}");
+}
+
+/// Guards against announcements that raise the message rate of an idle group.
+#[test]
+fn an_idle_group_sends_only_heartbeats() {
+    let mut group = TestGroup::new(&["a", "b", "c"], 17);
+    let leader = group.elect();
+    (1..10).for_each(|number| group.propose(&leader, number));
+    group.run(1_000);
+    group.delivered.clear();
+    group.run(3_000);
+    // A heartbeat per 150 ms to two followers, each with its answer.
+    assert_eq!(group.delivered.len(), 3_000 / 150 * 2 * 2);
+}
+
 /// Guards against a vote that is forgotten in a crash after it was asked for or given.
 #[test]
 fn no_vote_is_sent_before_it_is_written() {
