Encode a delta once for all children at a version

A parent merged a delta for each child that confirmed on its own, and the runtime copied and encoded the message once per child. The parent now keeps the encoded deltas to the present version, by base, and the transport sends the same bytes on every link and counts them as it counts other frames.

--- a/crates/kumquatlock-wire/src/codec.rs
+++ b/crates/kumquatlock-wire/src/codec.rs
@@ -4,7 +4,7 @@
 use prost::Message;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
-use crate::Envelope;
+use crate::{Body, Envelope, MessageKind};
 
 /// Largest frame, in bytes. A call body is at most 1 MiB and a snapshot chunk 256 KiB; the rest
 /// leaves room for headers and for an accepted manifest with its changes.
@@ -73,6 +73,35 @@
     }
 }
 
+/// A message encoded once, for sending the same bytes on many connections.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EncodedFrame {
+    kind: MessageKind,
+    /// Length prefix and payload.
+    bytes: Bytes,
+}
+
+impl EncodedFrame {
+    /// Encodes a message.
+    pub fn new(body: Body) -> Result<Self, FrameError> {
+        let kind = body.kind();
+        let mut buffer = BytesMut::new();
+        EnvelopeCodec::default().encode(&Envelope::from(body), &mut buffer)?;
+        let bytes = buffer.freeze();
+        Ok(EncodedFrame { kind, bytes })
+    }
+
+    /// Kind under which the bytes are counted.
+    pub fn kind(&self) -> MessageKind {
+        self.kind
+    }
+
+    /// Length prefix and payload.
+    pub fn bytes(&self) -> &Bytes {
+        &self.bytes
+    }
+}
+
 fn frame_error(error: std::io::Error) -> FrameError {
     match error.kind() {
         std::io::ErrorKind::InvalidData | std::io::ErrorKind::InvalidInput => FrameError::TooLarge,
--- a/crates/kumquatlock-wire/src/tests.rs
+++ b/crates/kumquatlock-wire/src/tests.rs
@@ -4,7 +4,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::distribution::{Applied, Ping};
-use crate::{Body, Envelope, EnvelopeCodec, FrameError};
+use crate::{Body, EncodedFrame, Envelope, EnvelopeCodec, FrameError, MessageKind};
 
 fn encode(envelopes: &[Envelope]) -> BytesMut {
     let mut codec = EnvelopeCodec::default();
@@ -33,6 +33,16 @@
     assert_eq!(received, sent);
 }
 
+/// Guards against shared frames that differ from, or are counted otherwise than, those of one
+/// connection.
+#[test]
+fn a_shared_frame_is_what_the_codec_writes() {
+    let body = Body::Applied(Applied { version: 300 });
+    let frame = EncodedFrame::new(body.clone()).unwrap();
+    assert_eq!(frame.bytes()[..], encode(&[body.into()])[..]);
+    assert_eq!(frame.kind(), MessageKind::Progress);
+}
+
 /// Guards against bad input that is taken for a message or that reserves memory for its length.
 #[test]
 fn bad_frames_are_typed_errors() {
--- a/crates/kumquatlock/src/distribution/mod.rs
+++ b/crates/kumquatlock/src/distribution/mod.rs
@@ -42,6 +42,8 @@
 pub const MAX_SNAPSHOT_TRANSFERS: usize = 32;
 /// Children without a configuration that wait, attached, for a snapshot transfer.
 pub const MAX_SNAPSHOT_QUEUE: usize = 64;
+/// Encoded deltas that a parent keeps for the children that are at the same version.
+pub const MAX_DELTA_FRAMES: usize = 16;
 /// Bytes of one snapshot chunk.
 pub const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
 /// Largest snapshot that a child assembles, in bytes.
--- a/crates/kumquatlock/src/distribution/parent.rs
+++ b/crates/kumquatlock/src/distribution/parent.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use kumquatlock_wire::Body;
 use kumquatlock_wire::agreement::forward::Content;
 use kumquatlock_wire::agreement::{ConfirmReply, Forward};
 use kumquatlock_wire::distribution::{
     Attachment, ChildRole, Expiry, Hello, Pong, Progress, RetryAfter, RetryReason, Welcome,
 };
+use kumquatlock_wire::{Body, EncodedFrame};
 use rand::Rng;
 use rand::rngs::SmallRng;
 
@@ -16,7 +16,7 @@
 use super::progress::{UplinkReporter, add_progress, replace_upstreams};
 use super::proof::{ProofBatch, ProofVerdict, ProofWaiter};
 use super::record::ChildRecord;
-use super::serve::SnapshotQueue;
+use super::serve::{DeltaFrames, SnapshotQueue};
 use super::{CHILD_SILENCE, MAX_CHILDREN, MAX_UPSTREAMS_PER_NODE, UPDATE_TIMEOUT};
 use crate::catalog::{Catalog, EncodedSnapshot, SnapshotDetail};
 use crate::core::{ConfigVersion, GroupId, SharedName, Timestamp};
@@ -58,8 +58,13 @@
 /// What the parent does next, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ParentStep {
-    /// Send the same message to each child; it is encoded once.
+    /// Send the same message to each child.
     Send { children: Vec<ChildId>, body: Body },
+    /// Send a delta, encoded already, to each child.
+    SendDelta {
+        children: Vec<ChildId>,
+        frame: EncodedFrame,
+    },
     /// Close the connection after what was sent has left.
     Close { child: ChildId },
     /// Prove that an index is at or above everything committed before this step.
@@ -86,6 +91,7 @@
     pub(super) queue: SnapshotQueue,
     /// Latest encoded snapshot per detail; reused while a delta leads from it to the present.
     pub(super) encoded: IndexMap<SnapshotDetail, EncodedSnapshot>,
+    pub(super) deltas: DeltaFrames,
     is_leaving: bool,
 }
 
@@ -112,6 +118,7 @@
             reporter: UplinkReporter::new(name, started_ms.saturating_mul(1_000)),
             queue: SnapshotQueue::default(),
             encoded: IndexMap::new(),
+            deltas: DeltaFrames::default(),
             is_leaving: false,
         }
     }
--- a/crates/kumquatlock/src/distribution/serve.rs
+++ b/crates/kumquatlock/src/distribution/serve.rs
@@ -1,8 +1,9 @@
 //! Which update each child gets next.
 
 use indexmap::{IndexMap, IndexSet};
-use kumquatlock_wire::Body;
+use kumquatlock_wire::{Body, EncodedFrame};
 
+use super::MAX_DELTA_FRAMES;
 use super::parent::{ChildId, ParentState, ParentStep, send};
 use super::record::{OutstandingUpdate, SnapshotTransfer};
 use crate::catalog::{Catalog, CatalogUpdate, EncodedSnapshot, SnapshotDetail};
@@ -44,6 +45,39 @@
     }
 }
 
+/// Encoded deltas to the present state by base. Children confirm one by one, and most of them at
+/// the same version, so that each would otherwise cost a merge and an encoding of its own.
+#[derive(Debug, Default)]
+pub(super) struct DeltaFrames {
+    /// Version and digest of the state that the frames lead to.
+    target: (ConfigVersion, u64),
+    /// At most [`MAX_DELTA_FRAMES`].
+    frames: IndexMap<ConfigVersion, EncodedFrame>,
+}
+
+impl DeltaFrames {
+    /// The delta from `base` to the present state; `None` if a snapshot is due.
+    fn get(&mut self, base: ConfigVersion, catalog: &Catalog) -> Option<EncodedFrame> {
+        let target = (catalog.version(), catalog.digest());
+        if self.target != target {
+            self.target = target;
+            self.frames.clear();
+        }
+        if let Some(frame) = self.frames.get(&base) {
+            return Some(frame.clone());
+        }
+        let CatalogUpdate::Delta(delta) = catalog.delta_since(base) else {
+            return None;
+        };
+        let frame = EncodedFrame::new(Body::Delta(delta)).ok()?;
+        if self.frames.len() >= MAX_DELTA_FRAMES {
+            self.frames.shift_remove_index(0);
+        }
+        self.frames.insert(base, frame.clone());
+        Some(frame)
+    }
+}
+
 impl ParentState {
     pub(super) fn serve_all(
         &mut self,
@@ -93,25 +127,20 @@
         catalog: &Catalog,
         steps: &mut Vec<ParentStep>,
     ) {
-        match catalog.delta_since(base) {
-            CatalogUpdate::Current => {}
-            CatalogUpdate::Delta(delta) => {
-                let version = ConfigVersion(delta.version);
-                for child in &children {
-                    if let Some(record) = self.children.get_mut(child) {
-                        let since = now;
-                        record.outstanding = Some(OutstandingUpdate::Delta { version, since });
-                    }
-                }
-                let body = Body::Delta(delta);
-                steps.push(ParentStep::Send { children, body });
+        let Some(frame) = self.deltas.get(base, catalog) else {
+            for child in children {
+                self.queue.push(child, true);
             }
-            CatalogUpdate::Snapshot => {
-                for child in children {
-                    self.queue.push(child, true);
-                }
+            return;
+        };
+        let version = catalog.version();
+        for child in &children {
+            if let Some(record) = self.children.get_mut(child) {
+                let since = now;
+                record.outstanding = Some(OutstandingUpdate::Delta { version, since });
             }
         }
+        steps.push(ParentStep::SendDelta { children, frame });
     }
 
     /// Starts transfers for waiting children up to the bound.
--- a/crates/kumquatlock/src/distribution/tests.rs
+++ b/crates/kumquatlock/src/distribution/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the configuration stream, with parents and children joined by a fake network.
 
 mod bench;
+mod measure;
 
 use std::hash::BuildHasher;
 
@@ -8,7 +9,7 @@
 use kumquatlock_wire::agreement::forward::Content;
 use kumquatlock_wire::agreement::{ConfirmReply, ConfirmRequest, Forward};
 use kumquatlock_wire::distribution::{
-    CatalogChange, CatalogCommand, ChildRole, Hello, Progress, SnapshotChunk, WireState,
+    Applied, CatalogChange, CatalogCommand, ChildRole, Hello, Progress, SnapshotChunk, WireState,
     catalog_change, catalog_command::Kind,
 };
 use rand::rngs::SmallRng;
@@ -347,6 +348,46 @@
     assert_eq!(handle(1_600, ParentEvent::Tick), [], "nothing changed");
 }
 
+/// Guards against a parent that merges and encodes a delta once per child, also when the children
+/// ask for it one after another, and against a frame of an earlier version that is sent again.
+#[test]
+fn children_at_one_version_share_one_encoded_delta() {
+    let (mut parent, mut catalog, mut random) = measure::parent_of(594);
+    let now = Timestamp::from_millis(1_000);
+    for round in 0..3 {
+        catalog.apply(catalog.applied_index() + 1, &manifest(round + 2));
+        let event = ParentEvent::CatalogAdvanced;
+        let steps = parent.handle(now, event, &catalog, &mut random);
+        let [ParentStep::SendDelta { children, .. }] = &steps[..] else {
+            panic!("{steps:?}");
+        };
+        assert_eq!(children.len(), 594);
+        let version = catalog.version().0;
+        catalog.apply(
+            catalog.applied_index() + 1,
+            &serving(&format!("a-{round}-x")),
+        );
+        let mut frames = Vec::new();
+        for &child in children {
+            let body = Body::Applied(Applied { version });
+            let event = ParentEvent::Received { child, body };
+            for step in parent.handle(now, event, &catalog, &mut random) {
+                if let ParentStep::SendDelta { frame, .. } = step {
+                    frames.push(frame);
+                }
+            }
+        }
+        assert_eq!(frames.len(), 594);
+        let Body::Delta(delta) = decode(&frames[0]) else {
+            panic!("not a delta");
+        };
+        assert_eq!((delta.base, delta.version), (version, catalog.version().0));
+        let first = frames[0].bytes().as_ptr();
+        assert!(frames.iter().all(|frame| frame.bytes().as_ptr() == first));
+        measure::confirm_all(&mut parent, &catalog, &mut random);
+    }
+}
+
 /// Guards against children that still route and take the places of those that cannot.
 #[test]
 fn children_without_a_configuration_go_first() {
--- a/crates/kumquatlock/src/distribution/tests/bench.rs
+++ b/crates/kumquatlock/src/distribution/tests/bench.rs
@@ -2,15 +2,17 @@
 
 use std::collections::VecDeque;
 
+use bytes::BytesMut;
 use indexmap::IndexMap;
-use kumquatlock_wire::Body;
 use kumquatlock_wire::distribution::{
     CatalogCommand, ChildRole, RetryReason, UpstreamItem, UpstreamReport, WireState,
     catalog_command::Kind,
 };
+use kumquatlock_wire::{Body, EncodedFrame, EnvelopeCodec};
 use prost::Message;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio_util::codec::Decoder;
 
 use super::super::*;
 use crate::catalog::Catalog;
@@ -227,6 +229,11 @@
                     let copies = children.into_iter().map(|child| (child, body.clone()));
                     source.outbox.extend(copies);
                 }
+                ParentStep::SendDelta { children, frame } => {
+                    let body = decode(&frame);
+                    let copies = children.into_iter().map(|child| (child, body.clone()));
+                    source.outbox.extend(copies);
+                }
                 ParentStep::AskProof { round } => {
                     let index = match source.proof {
                         Proof::Quorum => Some(self.sources[0].catalog.applied_index()),
@@ -320,6 +327,12 @@
     kumquatlock_wire::Envelope::from(body.clone()).encoded_len()
 }
 
+pub(super) fn decode(frame: &EncodedFrame) -> Body {
+    let mut buffer = BytesMut::from(&frame.bytes()[..]);
+    let envelope = EnvelopeCodec::default().decode(&mut buffer).unwrap();
+    envelope.unwrap().body.unwrap()
+}
+
 pub(super) fn describe(body: &Body) -> String {
     match body {
         Body::Hello(hello) => format!("hello, applied {}", hello.applied_version),
@@ -352,6 +365,10 @@
         ParentStep::Send { children, body } => {
             format!("send to {} children: {}", children.len(), describe(body))
         }
+        ParentStep::SendDelta { children, frame } => {
+            let body = decode(frame);
+            format!("send to {} children: {}", children.len(), describe(&body))
+        }
         ParentStep::Close { .. } => "close".into(),
         ParentStep::AskProof { round } => format!("ask proof {round}"),
         ParentStep::ForwardUp(body) => format!("forward up: {}", describe(body)),
--- a/crates/kumquatlock/src/ops/control/children.rs
+++ b/crates/kumquatlock/src/ops/control/children.rs
@@ -61,6 +61,12 @@
     fn carry_out_parent(&mut self, now: Timestamp, step: ParentStep) {
         match step {
             ParentStep::Send { children, body } => self.send_to_children(&children, body),
+            ParentStep::SendDelta { children, frame } => {
+                self.metrics.count_deltas(children.len());
+                for child in children {
+                    self.links.send_frame(LinkId(child.0), &frame);
+                }
+            }
             ParentStep::Close { child } => self.links.close(LinkId(child.0)),
             ParentStep::AskProof { round } => {
                 let requester = Requester::OwnProof { round };
@@ -78,7 +84,6 @@
 
     fn send_to_children(&mut self, children: &[ChildId], body: Body) {
         match &body {
-            Body::Delta(_) => self.metrics.count_deltas(children.len()),
             Body::Snapshot(chunk) => {
                 if chunk.offset == 0 {
                     self.metrics.count_snapshots(children.len());
--- a/crates/kumquatlock/src/transport/link.rs
+++ b/crates/kumquatlock/src/transport/link.rs
@@ -5,7 +5,7 @@
 
 use bytes::BytesMut;
 use kumquatlock_wire::distribution::{Ping, Pong};
-use kumquatlock_wire::{Body, Envelope, EnvelopeCodec};
+use kumquatlock_wire::{Body, EncodedFrame, Envelope, EnvelopeCodec};
 use stakker_mio::MioSource;
 use stakker_mio::mio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder};
@@ -103,6 +103,21 @@
         self.flush()
     }
 
+    /// Queues a message that is encoded already and writes what the socket takes.
+    pub(super) fn send_frame(
+        &mut self,
+        frame: &EncodedFrame,
+        counters: &TrafficCounters,
+    ) -> Result<(), LinkError> {
+        if self.outbox.buffer.len() > MAX_QUEUED_BYTES {
+            return Err(LinkError::QueueFull);
+        }
+        self.outbox.buffer.extend_from_slice(frame.bytes());
+        let bytes = frame.bytes().len();
+        counters.record(TrafficDirection::Sent, self.scope, frame.kind(), bytes);
+        self.flush()
+    }
+
     pub(super) fn flush(&mut self) -> Result<(), LinkError> {
         if self.phase == LinkPhase::Connecting {
             return Ok(());
--- a/crates/kumquatlock/src/transport/table.rs
+++ b/crates/kumquatlock/src/transport/table.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use kumquatlock_wire::{Body, FrameError};
+use kumquatlock_wire::{Body, EncodedFrame, FrameError};
 use stakker::Fwd;
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::{TcpListener, TcpStream};
@@ -172,6 +172,15 @@
         }
     }
 
+    /// Sends a message that is encoded already. On a failure the link closes.
+    pub fn send_frame(&mut self, link: LinkId, frame: &EncodedFrame) {
+        if let Some(entry) = self.links.get_mut(&link)
+            && let Err(error) = entry.send_frame(frame, &self.counters)
+        {
+            self.close_with(link, error, None);
+        }
+    }
+
     /// Closes a link after writing what the socket takes.
     pub fn close(&mut self, link: LinkId) {
         if let Some(entry) = self.links.get_mut(&link) {
