Bound the protection of zones and regions that look cut off

One zone or region that was gone for good kept every lost node of the whole mesh in the catalog, because any place that looks cut off withheld all removals without end.

A place now holds up removals elsewhere for 10 minutes. After an hour its own upstreams are removed as well, at most a hundredth of a zone and at least one per 10 s, unless half of the mesh or more is unattached. The 30 s of its upstreams start anew when the loss ends, as before.

--- a/crates/kumquatlock/src/membership/mod.rs
+++ b/crates/kumquatlock/src/membership/mod.rs
@@ -29,6 +29,15 @@
 /// Percentage of a zone that may be unattached while upstreams are removed. One upstream always
 /// may, because in a zone of three it would be more.
 pub const UNATTACHED_PERCENT: usize = 30;
+/// A zone or region that has looked cut off for this long no longer holds up removals elsewhere.
+/// Regions lose their links for minutes; a longer loss is rarely a partition.
+pub const PLACE_LOSS_LIMIT: Duration = Duration::from_secs(600);
+/// A zone or region that has looked cut off for this long is taken to be gone, and its upstreams
+/// are removed as well.
+pub const PLACE_GONE_LIMIT: Duration = Duration::from_secs(3_600);
+/// One in this many of a gone zone's upstreams is removed per window, and at least one. A place
+/// that comes back after all then finds most of its upstreams still known.
+pub const GONE_REMOVAL_DIVISOR: usize = 100;
 /// A removal that has not been applied after this long is proposed again.
 pub const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Most parents that report attachments; the target is 37.
--- a/crates/kumquatlock/src/membership/tests.rs
+++ b/crates/kumquatlock/src/membership/tests.rs
@@ -151,6 +151,58 @@
     );
 }
 
+/// Guards against a region that is gone for good and keeps every lost upstream elsewhere in the
+/// catalog, and its own.
+#[test]
+fn a_place_that_is_gone_holds_up_removals_only_for_a_time() {
+    let mut leader = Leader::new(40);
+    leader.run(60, |_| true);
+    let is_attached = |name: &str| !name.starts_with("z3") && name != "z1-1";
+    assert!(leader.run(600, is_attached).is_empty());
+    let removed = leader.run(60, is_attached);
+    assert_eq!(removed.len(), 1, "{removed:?}");
+    assert_eq!(removed[0].1, "z1-1", "elsewhere after 10 minutes");
+    println!(
+        "the loss elsewhere: removed {} s after it",
+        removed[0].0 - 61
+    );
+    assert!(leader.run(2_930, is_attached).is_empty(), "within the hour");
+    let removed = leader.run(450, is_attached);
+    assert_eq!(removed.len(), 40, "the place itself, after an hour");
+    let seconds: Vec<u64> = removed.iter().map(|(second, _)| *second).collect();
+    assert!(seconds.windows(2).all(|pair| pair[1] - pair[0] >= 10));
+    println!(
+        "the place itself: removed from {} s to {} s",
+        seconds[0], seconds[39]
+    );
+    // Half of a zone is gone; a node of the other half that is away for a moment stays.
+    let is_gone = |name: &str| name.starts_with("z1-1") || name.starts_with("z1-2");
+    leader.run(3_700, |name| !is_gone(name));
+    let removed = leader.run(12, |name| !name.starts_with("z1-"));
+    assert!(removed.iter().all(|(_, name)| is_gone(name)), "{removed:?}");
+}
+
+/// Guards against a long partition whose end removes those that attach last, and against a leader
+/// that has lost most of the mesh and empties the catalog.
+#[test]
+fn a_long_partition_and_a_leader_on_its_own_remove_nothing() {
+    let mut leader = Leader::new(40);
+    leader.run(60, |_| true);
+    assert!(leader.run(1_200, |name| !name.starts_with("z3")).is_empty());
+    let is_late = |name: &str| name.starts_with("z3-3");
+    assert!(leader.run(20, |name| !is_late(name)).is_empty(), "healing");
+    leader.run(60, |_| true);
+    assert!(
+        leader.run(5_000, |name| name.starts_with("z3")).is_empty(),
+        "alone"
+    );
+    leader.run(1, |_| true);
+    assert!(
+        leader.run(590, |name| !name.starts_with("z3")).is_empty(),
+        "counted anew"
+    );
+}
+
 /// Guards against messages of an old path that undo newer ones, and against a dead parent that
 /// keeps its nodes attached.
 #[test]
--- a/crates/kumquatlock/src/membership/tracker.rs
+++ b/crates/kumquatlock/src/membership/tracker.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use kumquatlock_wire::distribution::{Attachment, Expiry};
+use kumquatlock_wire::distribution::{Attachment, Expiry, UpstreamItem};
 
 use super::{
-    LEADER_GRACE, MAX_REPORTERS, PROPOSAL_TIMEOUT, REMOVAL_DIVISOR, REMOVAL_WINDOW,
-    UNATTACHED_LIMIT, UNATTACHED_PERCENT,
+    GONE_REMOVAL_DIVISOR, LEADER_GRACE, MAX_REPORTERS, PLACE_GONE_LIMIT, PLACE_LOSS_LIMIT,
+    PROPOSAL_TIMEOUT, REMOVAL_DIVISOR, REMOVAL_WINDOW, UNATTACHED_LIMIT, UNATTACHED_PERCENT,
 };
 use crate::catalog::Catalog;
 use crate::core::{SharedName, Timestamp};
@@ -32,7 +32,8 @@
     Propose(Vec<Expiry>),
     /// The leader is new and does not know every attachment yet.
     Grace,
-    /// So many are unattached in this zone or region that it looks like a partition.
+    /// So many are unattached in this zone or region, since less than [`PLACE_LOSS_LIMIT`], that
+    /// it looks like a partition.
     Withheld {
         /// Zone or region.
         place: SharedName,
@@ -70,6 +71,8 @@
     reporters: IndexMap<SharedName, ReporterRecord>,
     /// Catalog upstreams that no live reporter lists, and since when.
     unattached: IndexMap<SharedName, Timestamp>,
+    /// Zones and regions that look cut off, and since when.
+    lost_places: IndexMap<LostPlace, Timestamp>,
     /// Recent removals by zone. At most a tenth of the zone each.
     removals: IndexMap<SharedName, VecDeque<Timestamp>>,
     /// Proposed removals that the catalog does not show yet.
@@ -83,12 +86,28 @@
     attached: IndexSet<Expiry>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct PlaceCount {
     total: usize,
     unattached: usize,
 }
 
+/// A zone or region that looks cut off.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum LostPlace {
+    Zone(SharedName),
+    Region(SharedName),
+}
+
+/// What the loss of its zone or region means for an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PlaceState {
+    Present,
+    /// Cut off since less than [`PLACE_GONE_LIMIT`], or together with most of the mesh.
+    CutOff,
+    Gone,
+}
+
 impl AttachmentTracker {
     /// The state of a leader that took office at `now`.
     pub fn new(now: Timestamp) -> Self {
@@ -102,6 +121,7 @@
             limits,
             reporters: IndexMap::new(),
             unattached: IndexMap::new(),
+            lost_places: IndexMap::new(),
             removals: IndexMap::new(),
             proposed: IndexMap::new(),
         }
@@ -151,27 +171,66 @@
         if now.since(self.leader_since) < self.limits.leader_grace {
             return ExpiryDecision::Grace;
         }
-        let looks_cut_off = |(_, count): &(&SharedName, &PlaceCount)| {
-            count.unattached > 1.max(count.total * UNATTACHED_PERCENT / 100)
-        };
-        let is_whole = |(_, count): &(&SharedName, &PlaceCount)| count.unattached == count.total;
-        let zone = zones.iter().find(looks_cut_off);
-        if let Some((place, count)) = zone.or_else(|| regions.iter().find(is_whole)) {
-            let (place, unattached, total) = (place.clone(), count.unattached, count.total);
+        if let Some(withheld) = self.note_lost_places(now, &zones, &regions) {
             // When a partition ends, nodes attach again over some seconds. Counting starts anew,
             // so that the last of them are not removed meanwhile.
             for since in self.unattached.values_mut() {
                 *since = now;
             }
-            return ExpiryDecision::Withheld {
-                place,
-                unattached,
-                total,
-            };
+            return withheld;
         }
         self.propose(now, catalog, &zones)
     }
 
+    /// Notes which zones and regions look cut off. Returns the first one that is lost since too
+    /// short a time to be told from a partition.
+    fn note_lost_places(
+        &mut self,
+        now: Timestamp,
+        zones: &IndexMap<SharedName, PlaceCount>,
+        regions: &IndexMap<SharedName, PlaceCount>,
+    ) -> Option<ExpiryDecision> {
+        let zones = zones
+            .iter()
+            .filter(|(_, count)| count.unattached > 1.max(count.total * UNATTACHED_PERCENT / 100));
+        let regions = regions
+            .iter()
+            .filter(|(_, count)| count.unattached == count.total);
+        let zones = zones.map(|(name, count)| (LostPlace::Zone(name.clone()), name, count));
+        let regions = regions.map(|(name, count)| (LostPlace::Region(name.clone()), name, count));
+        let mut withheld = None;
+        let mut lost_places = IndexMap::new();
+        for (place, name, count) in zones.chain(regions) {
+            let since = self.lost_places.get(&place).copied().unwrap_or(now);
+            lost_places.insert(place, since);
+            if now.since(since) < PLACE_LOSS_LIMIT {
+                withheld.get_or_insert(ExpiryDecision::Withheld {
+                    place: name.clone(),
+                    unattached: count.unattached,
+                    total: count.total,
+                });
+            }
+        }
+        self.lost_places = lost_places;
+        withheld
+    }
+
+    /// State of the zone and region of an upstream.
+    fn place_state(&self, now: Timestamp, item: &UpstreamItem, is_majority: bool) -> PlaceState {
+        let places = [
+            LostPlace::Zone(item.zone.as_str().into()),
+            LostPlace::Region(item.region.as_str().into()),
+        ];
+        let since = places
+            .iter()
+            .filter_map(|place| self.lost_places.get(place));
+        match since.min() {
+            None => PlaceState::Present,
+            Some(since) if is_majority && now.since(*since) >= PLACE_GONE_LIMIT => PlaceState::Gone,
+            Some(_) => PlaceState::CutOff,
+        }
+    }
+
     /// Updates since when each upstream has been unattached, and counts per zone and region.
     fn observe(
         &mut self,
@@ -221,7 +280,10 @@
     ) -> ExpiryDecision {
         self.proposed
             .retain(|_, since| now.since(*since) < PROPOSAL_TIMEOUT);
+        let total: usize = zones.values().map(|count| count.total).sum();
+        let is_majority = self.unattached.len() * 2 < total;
         let mut proposals = Vec::new();
+        let mut restarted = Vec::new();
         for (name, &since) in &self.unattached {
             let Some(item) = catalog.upstream(name) else {
                 continue;
@@ -230,7 +292,19 @@
                 name: item.name.clone(),
                 incarnation: item.incarnation,
             };
-            if now.since(since) < self.limits.unattached || self.proposed.contains_key(&expiry) {
+            let divisor = match self.place_state(now, item, is_majority) {
+                PlaceState::Present => REMOVAL_DIVISOR,
+                PlaceState::CutOff => {
+                    // As while everything is withheld: counting starts when the loss ends.
+                    restarted.push(name.clone());
+                    continue;
+                }
+                PlaceState::Gone => GONE_REMOVAL_DIVISOR,
+            };
+            if now.since(since) < self.limits.unattached {
+                continue;
+            }
+            if self.proposed.contains_key(&expiry) {
                 continue;
             }
             let total = zones.get(item.zone.as_str()).map_or(0, |count| count.total);
@@ -242,12 +316,15 @@
             {
                 recent.pop_front();
             }
-            if recent.len() < (total / REMOVAL_DIVISOR).max(1) {
+            if recent.len() < (total / divisor).max(1) {
                 recent.push_back(now);
                 self.proposed.insert(expiry.clone(), now);
                 proposals.push(expiry);
             }
         }
+        for name in restarted {
+            self.unattached.insert(name, now);
+        }
         ExpiryDecision::Propose(proposals)
     }
 }
