Stop granting claims without proof of being listed

A joining holder starts blank once the other holders of a lost view have been out of the configuration for a time. This assumed that such holders grant nothing any more, but a holder that was cut off, attached to a cut-off parent, or no longer named by its configuration went on granting.

A holder now grants only while the last proof that the configuration lists it and names its view is younger than half the retention. Parents renew their currency proof every 5 s while children ask for it and report its age in pongs, so that a child of a cut-off parent does not count as current.

The wait for a blank start now begins when no missing holder is listed any more and lasts the isolation limit and the retention of unfinished claims, 4,500 s, because the claims that were lost may not have finished.

--- a/crates/kumquatlock-wire/src/distribution.rs
+++ b/crates/kumquatlock-wire/src/distribution.rs
@@ -392,6 +392,9 @@
 pub struct Ping {
     #[prost(uint64, tag = "1")]
     pub number: u64,
+    /// Asks for the age of the parent's currency proof. The transport answers other pings.
+    #[prost(bool, tag = "2")]
+    pub prove: bool,
 }
 
 /// Answers a [`Ping`].
@@ -399,6 +402,13 @@
 pub struct Pong {
     #[prost(uint64, tag = "1")]
     pub number: u64,
+    /// Version of the parent's configuration.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Time since the beginning of the parent's latest proof that this version is current. None
+    /// without proof.
+    #[prost(uint64, optional, tag = "3")]
+    pub proof_age_ms: Option<u64>,
 }
 
 /// The decision on a submitted manifest, as JSON text for the operator.
--- a/crates/kumquatlock-wire/src/tests.rs
+++ b/crates/kumquatlock-wire/src/tests.rs
@@ -58,7 +58,11 @@
 /// Guards against a truncated frame that is passed on as a message.
 #[test]
 fn a_truncated_frame_is_not_a_message() {
-    let whole = encode(&[Body::Ping(Ping { number: 1 << 40 }).into()]);
+    let whole = encode(&[Body::Ping(Ping {
+        number: 1 << 40,
+        prove: false,
+    })
+    .into()]);
     for len in 0..whole.len() {
         let mut part = BytesMut::from(&whole[..len]);
         assert!(
--- a/crates/kumquatlock/src/call/tests/world.rs
+++ b/crates/kumquatlock/src/call/tests/world.rs
@@ -88,6 +88,7 @@
             let destination = &mut world.destinations[name];
             destination.calls.on_snapshot(now, snapshot.clone());
             let sends = destination.holder.on_snapshot(now, snapshot.clone());
+            destination.holder.confirm(now);
             world.queue_claims(name, sends);
         }
         world.settle();
--- a/crates/kumquatlock/src/claim/holder.rs
+++ b/crates/kumquatlock/src/claim/holder.rs
@@ -40,6 +40,8 @@
     next_request_id: u64,
     /// Records in all shards.
     kept: usize,
+    /// When the configuration was last proved to list this run.
+    confirmed_at: Option<Timestamp>,
 }
 
 /// One shard at one holder.
@@ -51,6 +53,9 @@
     /// Set while the holder is not active in `current`. No claim is granted meanwhile: the holder
     /// counts as fenced in its own read of the earlier views.
     joining: Option<JoiningView>,
+    /// Last proof that the configuration named the view that the holder is active in, once it
+    /// names another one.
+    unnamed_since: Option<Timestamp>,
     records: IndexMap<Box<str>, KeyRecord>,
     /// Counts removals of records, which shift the offsets of a transfer.
     generation: u64,
@@ -61,6 +66,16 @@
         self.joining.is_none() && self.report.is_unfenced() && self.report.is_active_in(view)
     }
 
+    /// Sets the view that the configuration names, and the last proof of the one before.
+    fn name_view(&mut self, view: u64, confirmed_at: Option<Timestamp>) {
+        self.current = view;
+        if self.report.is_active_in(view) {
+            self.unnamed_since = None;
+        } else {
+            self.unnamed_since = self.unnamed_since.or(confirmed_at);
+        }
+    }
+
     fn epoch(&self) -> u64 {
         let active = self.report.active.as_ref();
         active.map_or(0, |view| view.config_version)
@@ -82,6 +97,7 @@
             shards: IndexMap::new(),
             next_request_id: 1,
             kept: 0,
+            confirmed_at: None,
         }
     }
 
@@ -168,13 +184,13 @@
             .filter(|view| view.holders.contains(&self.own));
         let Some(view) = view else {
             if let Some(shard) = self.shards.get_mut(&number) {
-                shard.current = 0;
+                shard.name_view(0, self.confirmed_at);
                 shard.joining = None;
             }
             return false;
         };
         let shard = self.shards.entry(number).or_default();
-        shard.current = view.view;
+        shard.name_view(view.view, self.confirmed_at);
         if shard.report.is_unfenced() && shard.report.is_active_in(view.view) {
             shard.joining = None;
             return false;
@@ -205,6 +221,26 @@
         true
     }
 
+    /// Takes note that the held configuration was proved current at `at`. Without newer proof that
+    /// lists this run the holder stops granting after [`ClaimSettings::isolation_limit`].
+    pub fn confirm(&mut self, at: Timestamp) {
+        if self.service.is_some() {
+            self.confirmed_at = self.confirmed_at.max(Some(at));
+        }
+    }
+
+    /// Whether the configuration may have dropped this run, or named other holders for the shard,
+    /// for so long that others stop waiting for its claims.
+    fn is_isolated(&self, now: Timestamp, number: u32) -> bool {
+        let limit = self.settings.isolation_limit;
+        let unnamed_since = self
+            .shards
+            .get(&number)
+            .and_then(|shard| shard.unnamed_since);
+        let named_at = unnamed_since.or(self.confirmed_at);
+        named_at.is_none_or(|at| now.since(at) >= limit)
+    }
+
     /// Answers a request for one key.
     pub fn on_request(&mut self, now: Timestamp, request: &ClaimRequest) -> ClaimReply {
         let (verdict, owner, epoch) = self.decide_request(now, request);
@@ -223,6 +259,7 @@
         request: &ClaimRequest,
     ) -> (ClaimVerdict, Option<ClaimOwner>, u64) {
         self.follow_epoch(now, request);
+        let isolated = self.is_isolated(now, request.shard.number);
         let own_service = self.service.as_ref().map(|service| &*service.name);
         let shard = self
             .shards
@@ -231,7 +268,7 @@
         let Some(shard) = shard else {
             return (ClaimVerdict::WrongView, None, 0);
         };
-        if !shard.grants_in(request.view) {
+        if isolated || !shard.grants_in(request.view) {
             let verdict = if shard.current == request.view {
                 ClaimVerdict::NotActive
             } else {
@@ -455,12 +492,13 @@
             own: &self.own,
             genesis: self.genesis.as_deref(),
             is_listed: &is_listed,
-            retention: self.settings.retention,
+            lost_view_age: self.settings.lost_view_age(),
         };
         match joining.decide(&shard.report, &context, now) {
             JoinDecision::Activate(view) => {
                 shard.report.enter(view);
                 shard.joining = None;
+                shard.unnamed_since = None;
                 // Records that were sent before may have been merged with others since.
                 shard.generation += 1;
             }
--- a/crates/kumquatlock/src/claim/joining.rs
+++ b/crates/kumquatlock/src/claim/joining.rs
@@ -112,8 +112,9 @@
 pub(super) struct JoiningView {
     /// The view to become active in.
     pub(super) target: ShardView,
-    /// When the holder first knew the target's holders.
-    since: Timestamp,
+    /// Since when no holder whose answer is missing has been listed; at the earliest when this
+    /// holder first knew the target's holders.
+    lost_since: Timestamp,
     /// Answers count only with this id, so an answer to an earlier target is dropped.
     pub(super) request_id: u64,
     fetches: IndexMap<ShardHolder, FetchProgress>,
@@ -130,8 +131,8 @@
     pub(super) genesis: Option<&'a [ShardHolder]>,
     /// Whether the configuration still lists a holder in this incarnation.
     pub(super) is_listed: &'a dyn Fn(&ShardHolder) -> bool,
-    /// Age after which a claim of a lost view no longer matters.
-    pub(super) retention: Duration,
+    /// Time out of the configuration after which the claims of lost holders no longer matter.
+    pub(super) lost_view_age: Duration,
 }
 
 /// What a join does next.
@@ -162,7 +163,7 @@
     pub(super) fn new(target: ShardView, request_id: u64, now: Timestamp) -> Self {
         JoiningView {
             target,
-            since: now,
+            lost_since: now,
             request_id,
             fetches: IndexMap::new(),
             hints: Vec::new(),
@@ -250,18 +251,32 @@
 
     /// Decides from all complete answers and the holder's own report.
     pub(super) fn decide(
-        &self,
+        &mut self,
         own: &ViewReport,
         context: &JoinContext<'_>,
         now: Timestamp,
     ) -> JoinDecision {
+        let (decision, any_listed) = self.assess(own, context, now);
+        if any_listed {
+            self.lost_since = now;
+        }
+        decision
+    }
+
+    /// Also tells whether a holder is listed whose answer is missing.
+    fn assess(
+        &self,
+        own: &ViewReport,
+        context: &JoinContext<'_>,
+        now: Timestamp,
+    ) -> (JoinDecision, bool) {
         let mut reports: IndexMap<&ShardHolder, &ViewReport> = self
             .fetches
             .iter()
             .filter_map(|(holder, fetch)| Some((holder, fetch.report.as_ref()?)))
             .collect();
         if let Some(view) = self.adoptable(own, &reports) {
-            return JoinDecision::Activate(view);
+            return (JoinDecision::Activate(view), false);
         }
         reports.insert(context.own, own);
         let required = self.required_views(&reports);
@@ -280,10 +295,10 @@
         let complete = has_base && required.iter().all(|view| has_majority(view));
         if own.allows(&self.target) {
             if complete {
-                return JoinDecision::Activate(self.target.clone());
+                return (JoinDecision::Activate(self.target.clone()), false);
             }
             if self.may_start_blank(&required, genesis, &answered, context, now) {
-                return JoinDecision::Activate(self.target.clone());
+                return (JoinDecision::Activate(self.target.clone()), false);
             }
         }
         let mut missing: Vec<ShardHolder> = Vec::new();
@@ -302,7 +317,9 @@
                 missing.push(holder.clone());
             }
         }
-        JoinDecision::Fetch(missing)
+        let mut lost = required.iter().flat_map(|view| &view.holders);
+        let any_listed = lost.any(|holder| !answered(holder) && (context.is_listed)(holder));
+        (JoinDecision::Fetch(missing), any_listed)
     }
 
     /// A view with the target's holders in which another holder is active and unfenced. Only the
@@ -340,8 +357,8 @@
     }
 
     /// Whether the claims that were lost are past their retention: everyone who is left has been
-    /// read and fenced, and those who are missing have been out of the configuration since before
-    /// the target was known.
+    /// read and fenced, and those who are missing have been out of the configuration for so long
+    /// that they have fenced themselves.
     fn may_start_blank(
         &self,
         required: &[&ShardView],
@@ -351,7 +368,7 @@
         now: Timestamp,
     ) -> bool {
         let read_or_gone = |holder: &ShardHolder| answered(holder) || !(context.is_listed)(holder);
-        now.since(self.since) >= context.retention
+        now.since(self.lost_since) >= context.lost_view_age
             && self.target.holders.iter().all(answered)
             && genesis.iter().all(answered)
             && required
--- a/crates/kumquatlock/src/claim/mod.rs
+++ b/crates/kumquatlock/src/claim/mod.rs
@@ -48,8 +48,12 @@
 //!
 //! After the loss of two of three holders no majority of the old view can be read, so nobody
 //! becomes active. A joining holder starts with what is left when all that the configuration still
-//! lists have answered and the retention has passed since it learned of its view. This assumes
-//! that a process which the configuration has not listed for that long grants nothing any more.
+//! lists have answered, and it has not seen any of the others listed for
+//! [`ClaimSettings::lost_view_age`]. By then their claims are past the retention, because a holder
+//! grants nothing when the last proof that the configuration lists it and names its view is older
+//! than `isolation_limit` ([`ClaimHolder::confirm`]). The configuration never lists a run again that it
+//! has dropped, so a holder that finds itself listed was listed all the time, and nobody has
+//! started without it.
 
 mod acquirer;
 mod fencer;
@@ -93,6 +97,9 @@
     /// Time that a key is kept whose attempt has not finished: the longest deadline of a deferred
     /// request, one hour, and the retention.
     pub running_retention: Duration,
+    /// Time without proof that the configuration lists a holder after which it grants nothing.
+    /// A longer outage of all control instances stops requests with a key.
+    pub isolation_limit: Duration,
     /// Keys that a holder keeps.
     pub max_keys: usize,
     /// Time after which an unanswered fetch of a shard is repeated.
@@ -104,12 +111,22 @@
         ClaimSettings {
             retention: Duration::from_secs(600),
             running_retention: Duration::from_secs(4_200),
+            isolation_limit: Duration::from_secs(300),
             max_keys: 200_000,
             fetch_interval: Duration::from_millis(500),
         }
     }
 }
 
+impl ClaimSettings {
+    /// Time that the holders of a lost view must have been out of the configuration before their
+    /// claims no longer matter: they may have granted for the first part of it, and a claim that
+    /// has not finished matters longest.
+    pub fn lost_view_age(&self) -> Duration {
+        self.isolation_limit + self.retention.max(self.running_retention)
+    }
+}
+
 /// A message to the node beside an upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClaimSend {
--- a/crates/kumquatlock/src/claim/tests/cluster.rs
+++ b/crates/kumquatlock/src/claim/tests/cluster.rs
@@ -108,6 +108,10 @@
     /// Granted attempts wait for the test to run them.
     pub(super) manual_run: bool,
     pub(super) log: Option<Vec<String>>,
+    /// Nodes that no control instance reaches.
+    pub(super) cut_off: IndexSet<String>,
+    /// Nodes that are separated from the others by a partition.
+    pub(super) split: Option<Vec<String>>,
     /// The only shard that holders take part in.
     pub(super) shard: u32,
 }
@@ -171,9 +175,16 @@
         node.placement.update(snapshot.clone());
         let sends = node.holder.on_snapshot(now, snapshot.clone());
         self.push(name, sends);
+        self.confirm(name);
         self.refresh(name, true);
     }
 
+    fn confirm(&mut self, name: &str) {
+        if !self.cut_off.contains(name) {
+            self.nodes[name].holder.confirm(self.now);
+        }
+    }
+
     pub(super) fn apply_all(&mut self, version: u64, members: &[Member]) {
         let snapshot = snapshot_of(version, members);
         let names: Vec<String> = self.nodes.keys().cloned().collect();
@@ -328,6 +339,10 @@
     pub(super) fn deliver(&mut self, packet: Packet) {
         let now = self.now;
         let (from, to) = (packet.from.as_str(), packet.to.as_str());
+        let is_inside = |name: &str| self.split.iter().flatten().any(|inside| inside == name);
+        if is_inside(from) != is_inside(to) {
+            return;
+        }
         self.note(|| super::golden::line_of(&packet));
         let Some(node) = self.nodes.get_mut(to) else {
             return;
@@ -388,6 +403,7 @@
     pub(super) fn tick(&mut self) {
         let names: Vec<String> = self.nodes.keys().cloned().collect();
         for name in names {
+            self.confirm(&name);
             let sends = self.nodes[&name].holder.on_tick(self.now);
             self.push(&name, sends);
             self.nodes[&name].outcomes.on_tick(self.now);
--- a/crates/kumquatlock/src/distribution/child.rs
+++ b/crates/kumquatlock/src/distribution/child.rs
@@ -7,8 +7,8 @@
 use kumquatlock_wire::Body;
 use kumquatlock_wire::agreement::Forward;
 use kumquatlock_wire::distribution::{
-    Applied, Attachment, CatalogState, ChildRole, Delta, Expiry, Hello, Ping, Rejected, RetryAfter,
-    RetryReason, SnapshotChunk, UpstreamReport, Welcome, WireState,
+    Applied, Attachment, CatalogState, ChildRole, Delta, Expiry, Hello, Ping, Pong, Rejected,
+    RetryAfter, RetryReason, SnapshotChunk, UpstreamReport, Welcome, WireState,
 };
 use rand::rngs::SmallRng;
 
@@ -24,6 +24,9 @@
 /// Time during which a child leaves alone a parent that shuts down.
 const LEAVING_DELAY: Duration = Duration::from_secs(5);
 
+/// Every so many pings the child asks for the age of the parent's currency proof.
+const PINGS_PER_PROOF: u64 = 2;
+
 /// One connection attempt. Events of earlier attempts are ignored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LinkId(pub u64);
@@ -152,6 +155,9 @@
     last_heard: Timestamp,
     last_ping: Timestamp,
     ping_number: u64,
+    /// Proof of the welcome, until the configuration has reached the floor.
+    welcome_proof: Option<Timestamp>,
+    proved_at: Option<Timestamp>,
     /// Upstream that this node speaks for.
     upstream: Option<Expiry>,
 }
@@ -173,6 +179,8 @@
             last_heard: Timestamp::default(),
             last_ping: Timestamp::default(),
             ping_number: 0,
+            welcome_proof: None,
+            proved_at: None,
             upstream: None,
         }
     }
@@ -187,6 +195,12 @@
         matches!(self.phase, LinkPhase::Attached)
     }
 
+    /// When the applied configuration was last proved current: everything committed before is
+    /// applied.
+    pub fn proved_at(&self) -> Option<Timestamp> {
+        self.proved_at
+    }
+
     /// Group that the child belongs to; zero before its first configuration.
     pub fn group(&self) -> GroupId {
         self.group
@@ -235,6 +249,7 @@
 
     fn detach(&mut self) {
         self.phase = LinkPhase::Idle;
+        self.welcome_proof = None;
         self.assembly = None;
     }
 
@@ -261,7 +276,8 @@
                 self.last_ping = now;
                 self.ping_number += 1;
                 let number = self.ping_number;
-                vec![self.send(Body::Ping(Ping { number }))]
+                let prove = number.is_multiple_of(PINGS_PER_PROOF);
+                vec![self.send(Body::Ping(Ping { number, prove }))]
             }
             LinkPhase::Attached => Vec::new(),
         }
@@ -303,20 +319,46 @@
             // An update before the welcome has no proved floor, so it is not looked at.
             Body::Snapshot(chunk) if self.is_attached() => self.accept_chunk(&chunk),
             Body::Delta(delta) if self.is_attached() => self.accept_delta(delta),
+            Body::Pong(pong) if self.is_attached() => {
+                self.accept_pong(&pong);
+                Vec::new()
+            }
             Body::Forward(forward) => vec![ChildStep::Relayed(forward)],
             _ => Vec::new(),
         }
     }
 
+    /// Takes the age of the parent's proof, counted from the ping, which is before the parent's
+    /// answer. An answer to an earlier ping is of no use: the next one brings a newer proof.
+    fn accept_pong(&mut self, pong: &Pong) {
+        let Some(age) = pong.proof_age_ms else {
+            return;
+        };
+        let held = self.held.as_ref().map_or(0, |held| held.version.0);
+        if pong.number == self.ping_number && held >= pong.version {
+            let age = age.saturating_mul(1_000);
+            let proved = self.last_ping.0.checked_sub(age).map(Timestamp);
+            self.proved_at = self.proved_at.max(proved);
+        }
+    }
+
+    /// Counts the proof of the welcome once the configuration has reached its floor.
+    fn settle_welcome(&mut self) {
+        let reached = self.held.as_ref();
+        if reached.is_some_and(|held| held.version >= self.floor) {
+            self.proved_at = self.proved_at.max(self.welcome_proof.take());
+        }
+    }
+
     fn welcome(
         &mut self,
         now: Timestamp,
         welcome: Welcome,
         random: &mut SmallRng,
     ) -> Vec<ChildStep> {
-        if !matches!(self.phase, LinkPhase::Greeting { .. }) {
+        let LinkPhase::Greeting { since } = self.phase else {
             return Vec::new();
-        }
+        };
         let offered = GroupId(welcome.group_id);
         if offered == GroupId(0) || (self.group != GroupId(0) && offered != self.group) {
             self.choice
@@ -326,6 +368,8 @@
         self.offered_group = offered;
         self.floor = self.floor.max(ConfigVersion(welcome.floor));
         self.phase = LinkPhase::Attached;
+        self.welcome_proof = Some(since);
+        self.settle_welcome();
         self.choice.record_welcome();
         let floor = self.floor;
         let mut steps = vec![ChildStep::Attached { floor }];
@@ -400,6 +444,7 @@
         self.assembly = None;
         let snapshot = Arc::new(snapshot);
         self.held = Some(snapshot.clone());
+        self.settle_welcome();
         let version = version.0;
         vec![
             ChildStep::Swap { snapshot, source },
--- a/crates/kumquatlock/src/distribution/mod.rs
+++ b/crates/kumquatlock/src/distribution/mod.rs
@@ -48,6 +48,9 @@
 pub const MAX_SNAPSHOT_BYTES: u64 = 64 * 1024 * 1024;
 /// A currency proof that takes longer counts as failed.
 pub const PROOF_TIMEOUT: Duration = Duration::from_secs(2);
+/// Age at which a parent with children renews its currency proof for their pongs. One round serves
+/// all children, and a claim holder needs a proof that is not older than some seconds.
+pub const PROOF_RENEWAL: Duration = Duration::from_secs(5);
 /// A child that has not applied an update for this long after its last byte was sent is
 /// disconnected and starts over.
 pub const UPDATE_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/kumquatlock/src/distribution/parent.rs
+++ b/crates/kumquatlock/src/distribution/parent.rs
@@ -201,8 +201,15 @@
         };
         match body {
             Body::Ping(ping) => {
-                let number = ping.number;
-                steps.push(send(child, Body::Pong(Pong { number })));
+                let age = self.proof.age(now);
+                let pong = Pong {
+                    number: ping.number,
+                    version: catalog.version().0,
+                    proof_age_ms: age.map(|age| age.as_millis() as u64 + 1),
+                };
+                steps.push(send(child, Body::Pong(pong)));
+                let round = ping.prove.then(|| self.proof.renew(now)).flatten();
+                steps.extend(round.map(|round| ParentStep::AskProof { round }));
             }
             Body::Applied(applied) => {
                 let version = ConfigVersion(applied.version);
@@ -319,6 +326,7 @@
                 ProofWaiter::Confirm { child, request_id } => {
                     steps.push(confirm(child, request_id, Some(floor)));
                 }
+                ProofWaiter::Renewal => {}
             }
         }
         for child in &children {
@@ -356,6 +364,7 @@
                 ProofWaiter::Confirm { child, request_id } => {
                     steps.push(confirm(child, request_id, None));
                 }
+                ProofWaiter::Renewal => {}
             }
         }
     }
--- a/crates/kumquatlock/src/distribution/tests.rs
+++ b/crates/kumquatlock/src/distribution/tests.rs
@@ -51,6 +51,27 @@
     assert!(bench.transcript.contains("retry after, NotCurrent"));
 }
 
+/// Guards against a node that counts as current for as long as its parent answers pings, although
+/// the parent is cut off.
+#[test]
+fn the_proof_of_an_attached_child_ages_when_its_parent_is_cut_off() {
+    let mut bench = Bench::new(13, vec![catalog_of(3)], 1);
+    let age = |bench: &Bench| {
+        let proved_at = bench.proxies[0].state.proved_at().unwrap();
+        bench.now.since(proved_at)
+    };
+    bench.run(500);
+    assert!(age(&bench) <= Duration::from_millis(500));
+    for _ in 0..12 {
+        bench.run(5_000);
+        assert!(age(&bench) <= Duration::from_secs(15));
+    }
+    bench.sources[0].proof = Proof::Unreachable;
+    bench.run(60_000);
+    assert!(bench.proxies[0].state.is_attached());
+    assert!(age(&bench) >= Duration::from_secs(60));
+}
+
 /// Guards against a child that takes a first configuration below the floor of an earlier
 /// welcome, even from a parent that wrongly believes itself current.
 #[test]
--- a/crates/kumquatlock/src/ops/control/links.rs
+++ b/crates/kumquatlock/src/ops/control/links.rs
@@ -110,10 +110,12 @@
             }
             (LinkRole::FromVoter | LinkRole::ToVoter(_), _) => {}
             (LinkRole::Child, body) => {
-                // The transport has answered a ping; to the parent state it is a sign of life.
+                // The transport has answered a ping; without a question for proof it is only a sign
+                // of life to the parent state.
                 let body = match body {
-                    Body::Ping(ping) => Body::Pong(Pong {
+                    Body::Ping(ping) if !ping.prove => Body::Pong(Pong {
                         number: ping.number,
+                        ..Pong::default()
                     }),
                     body => body,
                 };
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -255,6 +255,7 @@
         self.extend_announcer(steps);
         if now >= self.next_claim_tick {
             self.next_claim_tick = now + CLAIM_TICK;
+            self.confirm_claims();
             let sends = self.holder.on_tick(now);
             self.extend_claims(sends);
         }
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -218,12 +218,20 @@
         self.extend_destination(steps);
         let sends = self.holder.on_snapshot(now, snapshot.clone());
         self.extend_claims(sends);
+        self.confirm_claims();
         let steps = self
             .announcer
             .handle(now, AnnouncerEvent::Swapped(snapshot));
         self.extend_announcer(steps);
     }
 
+    /// Tells the claim holder when the configuration was last proved current.
+    pub(super) fn confirm_claims(&mut self) {
+        if let Some(at) = self.child.proved_at() {
+            self.holder.confirm(at);
+        }
+    }
+
     /// Handles a message of another node.
     pub(super) fn receive(&mut self, now: Timestamp, link: LinkId, body: Body) {
         match body {
--- a/crates/kumquatlock/src/transport/link.rs
+++ b/crates/kumquatlock/src/transport/link.rs
@@ -168,8 +168,12 @@
                 continue;
             };
             counters.record(TrafficDirection::Received, self.scope, body.kind(), bytes);
-            if let Body::Ping(Ping { number }) = body {
-                self.send(Body::Pong(Pong { number }), None, counters)?;
+            if let Body::Ping(Ping { number, .. }) = body {
+                let pong = Pong {
+                    number,
+                    ..Pong::default()
+                };
+                self.send(Body::Pong(pong), None, counters)?;
             }
             // Probes are passed on as well: duties with their own deadlines count them as signs
             // of life.
@@ -207,6 +211,7 @@
         self.send(
             Body::Ping(Ping {
                 number: self.probes,
+                prove: false,
             }),
             None,
             counters,
