Bound the wait for a claim

A call that waited for its claim kept a slot of the upstream until its deadline, so holders out of reach filled all slots. The wait now ends after 2 s or at the deadline, and the outcome is unknown with reason claim_unavailable.

--- a/crates/kumquatlock/src/call/destination/claims.rs
+++ b/crates/kumquatlock/src/call/destination/claims.rs
@@ -1,6 +1,7 @@
 //! Claims of the calls that run here.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use kumquatlock_wire::call::{CallOutcome, CallReason};
 use kumquatlock_wire::claim::{ClaimOwner, ClaimReply, OutcomeQuery, ShardView};
@@ -9,6 +10,11 @@
 use crate::claim::{AcquireDecision, AcquireSteps, ClaimAcquirer, RefuseReason, shard_of};
 use crate::core::Timestamp;
 
+/// Longest time that a call waits for its claim. The call holds a slot of the upstream meanwhile, so
+/// with the default deadline of 5 s holders out of reach would fill all slots. Enough for a view
+/// change after the loss of one holder and for several resends.
+const CLAIM_WAIT: Duration = Duration::from_secs(2);
+
 impl DestinationCalls {
     pub(super) fn acquire_claim(
         &mut self,
@@ -31,7 +37,8 @@
         let shard = shard_of(service, key);
         let view = self.placement.view_of(service, shard.number);
         let number = claim_number(id);
-        let mut acquirer = ClaimAcquirer::new(number, owner, shard, key, run.deadline);
+        let deadline = run.deadline.min(now + CLAIM_WAIT);
+        let mut acquirer = ClaimAcquirer::new(number, owner, shard, key, deadline);
         let acquired = acquirer.on_view(now, view);
         self.claims.insert(number, acquirer);
         self.follow_claim(now, number, acquired, steps);
--- a/crates/kumquatlock/src/call/tests/keyed.rs
+++ b/crates/kumquatlock/src/call/tests/keyed.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use kumquatlock_wire::Body;
+use kumquatlock_wire::call::CallReason;
 use kumquatlock_wire::distribution::WireClass;
 
 use super::world::CallWorld;
@@ -105,3 +106,19 @@
     world.advance(Duration::from_secs(5));
     assert_eq!(world.outcome(refused), "unknown");
 }
+
+/// Guards against holders out of reach that keep the slots of an upstream until the deadline of
+/// the calls, 4 s here.
+#[test]
+fn a_call_gives_its_slot_back_when_no_holder_answers() {
+    let mut world = CallWorld::new(WireClass::AtMostOnce);
+    world.lose = |parcel| matches!(parcel.body, Body::Claim(_));
+    let call = world.open(KEY);
+    world.advance(Duration::from_millis(1_900));
+    assert!(!world.answers.contains_key(&call));
+    world.advance(Duration::from_millis(200));
+    let reason = CallReason::ClaimUnavailable;
+    assert_eq!(world.answers[&call], CallerAnswer::Unknown(reason));
+    assert!(world.is_idle());
+    assert!(world.runs.is_empty());
+}
--- a/crates/kumquatlock/src/call/tests/world.rs
+++ b/crates/kumquatlock/src/call/tests/world.rs
@@ -345,6 +345,12 @@
         call.expect("no call is on its way").to.clone()
     }
 
+    /// Whether no call holds a slot of an upstream.
+    pub(super) fn is_idle(&self) -> bool {
+        let mut destinations = self.destinations.values();
+        destinations.all(|held| held.calls.is_idle())
+    }
+
     pub(super) fn outcome(&self, call: CallId) -> &'static str {
         self.answers
             .get(&call)
