Let a stopping node end when the next views do without it

When all nodes of a service stopped, or the next holders formed their view from others, nobody fetched and the node waited in vain.

A node that has left the configuration now asks the holders of each next view whether they are active in it, and ends when a majority of each is, or when no node is listed that could hold the shard. An empty shard is handed over as well: two holders that leave with empty shards would otherwise be a double loss.

--- a/crates/kumquatlock-wire/src/claim.rs
+++ b/crates/kumquatlock-wire/src/claim.rs
@@ -61,6 +61,8 @@
     Finish = 2,
     /// Nobody may run the key any more, if it is free.
     Fence = 3,
+    /// Asks whether the holder is active in the view. Changes nothing.
+    Probe = 4,
 }
 
 /// Answers a [`ClaimRequest`].
--- a/crates/kumquatlock/src/claim/holder.rs
+++ b/crates/kumquatlock/src/claim/holder.rs
@@ -11,6 +11,7 @@
 };
 use prost::Message;
 
+use super::handover::HandoverWatch;
 use super::joining::{ChunkEffect, JoinContext, JoinDecision, JoiningView, ViewReport};
 use super::placement::{PlacementTable, SHARDS_PER_SERVICE};
 use super::record::KeyRecord;
@@ -21,6 +22,15 @@
 /// same link noticeably.
 pub const MAX_CHUNK_BYTES: usize = 256 * 1024;
 
+/// What a leaving holder does next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum HandoverStep {
+    /// Nobody needs the holder.
+    Done,
+    /// Others still have to become active; these messages ask whether they are.
+    Waiting(Vec<ClaimSend>),
+}
+
 /// The holder of claims at one run of one node.
 #[derive(Debug)]
 pub struct ClaimHolder {
@@ -29,6 +39,10 @@
     placement: PlacementTable,
     /// The node's own service at the last snapshot; views change only with its members.
     service: Option<Arc<ServiceEntry>>,
+    /// Name of that service, or of the last one after the node has left.
+    last_service: Option<SharedName>,
+    /// Used while the node leaves.
+    handover: HandoverWatch,
     /// Upstreams that were seen as the first of their region. Genesis counts only while each of
     /// them still runs: a lost one may have known claims.
     genesis_seen: IndexSet<ShardHolder>,
@@ -91,6 +105,8 @@
             settings,
             placement: PlacementTable::default(),
             service: None,
+            last_service: None,
+            handover: HandoverWatch::default(),
             genesis_seen: IndexSet::new(),
             genesis: None,
             numbers: 0..SHARDS_PER_SERVICE,
@@ -118,11 +134,37 @@
         shards.filter(|shard| shard.joining.is_some()).count()
     }
 
-    /// Shards whose claims nobody has fetched for a later view. A node that has left the
-    /// configuration can exit when there are none.
-    pub fn unfetched_shards(&self) -> usize {
-        let shards = self.shards.values();
-        shards.filter(|shard| shard.report.is_unfenced()).count()
+    /// Whether a holder that has left the configuration is needed no more: no shard that it knows
+    /// has a next view, or a majority of each next view has entered it. Otherwise asks them.
+    pub fn hand_over(&mut self, now: Timestamp) -> HandoverStep {
+        let mut waiting = Vec::new();
+        for (&number, shard) in &self.shards {
+            let (Some(name), Some(_)) = (&self.last_service, &shard.report.active) else {
+                continue;
+            };
+            let next = self.placement.view_of(name, number);
+            if let Some(view) = next
+                && !self.handover.is_entered(number, &view)
+            {
+                let service = name.to_string();
+                waiting.push((ShardId { service, number }, view));
+            }
+        }
+        if waiting.is_empty() {
+            return HandoverStep::Done;
+        }
+        let mut sends = Vec::new();
+        if self.handover.is_due(now) {
+            for (shard, view) in &waiting {
+                self.handover.probe(shard, view, &mut sends);
+            }
+        }
+        HandoverStep::Waiting(sends)
+    }
+
+    /// Takes the answer of another holder to a question of [`ClaimHolder::hand_over`].
+    pub fn on_claim_reply(&mut self, from: &str, reply: &ClaimReply) {
+        self.handover.on_reply(from, reply);
     }
 
     /// Takes a new configuration: joins the views that name this node.
@@ -146,6 +188,7 @@
         let is_same = members(&service) == members(&self.service);
         self.service = service;
         if let Some(service) = &self.service {
+            self.last_service = Some(service.name.clone());
             let first = service
                 .members
                 .iter()
@@ -280,6 +323,9 @@
             return (ClaimVerdict::Unspecified, None, 0);
         };
         let epoch = shard.epoch();
+        if action == ClaimAction::Probe {
+            return (ClaimVerdict::Granted, None, epoch);
+        }
         let is_new = !shard.records.contains_key(request.key.as_str());
         if is_new && self.kept >= self.settings.max_keys {
             return (ClaimVerdict::Capacity, None, epoch);
@@ -302,6 +348,7 @@
                 record.finish(&request.owner);
                 (ClaimVerdict::Granted, None)
             }
+            ClaimAction::Probe => (ClaimVerdict::Granted, None),
         };
         if verdict == ClaimVerdict::Granted {
             record.touched = now;
--- a/crates/kumquatlock/src/claim/mod.rs
+++ b/crates/kumquatlock/src/claim/mod.rs
@@ -57,6 +57,7 @@
 
 mod acquirer;
 mod fencer;
+mod handover;
 mod holder;
 mod joining;
 mod outcome;
@@ -70,7 +71,7 @@
 
 pub use acquirer::{AcquireDecision, AcquireSteps, ClaimAcquirer, RefuseReason, SETTLE_TIMEOUT};
 pub use fencer::{ClaimFencer, FenceDecision, FenceSteps};
-pub use holder::{ClaimHolder, MAX_CHUNK_BYTES};
+pub use holder::{ClaimHolder, HandoverStep, MAX_CHUNK_BYTES};
 pub use joining::MAX_PROMISED_VIEWS;
 pub use outcome::{
     AttemptGate, KeptAnswer, MAX_ANSWER_BYTES, MAX_ANSWERS_BYTES, MAX_QUERY_WAITERS, OutcomeTable,
--- a/crates/kumquatlock/src/claim/tests/cluster.rs
+++ b/crates/kumquatlock/src/claim/tests/cluster.rs
@@ -11,8 +11,8 @@
 
 use crate::claim::{
     AcquireDecision, AttemptGate, ClaimAcquirer, ClaimFencer, ClaimHolder, ClaimSend,
-    ClaimSettings, FenceDecision, KeptAnswer, OutcomeTable, PlacementTable, QueryAnswer,
-    shard_number, shard_of,
+    ClaimSettings, FenceDecision, HandoverStep, KeptAnswer, OutcomeTable, PlacementTable,
+    QueryAnswer, shard_number, shard_of,
 };
 use crate::core::{ConfigSnapshot, IncarnationId, Timestamp, service_digest, upstream_digest};
 
@@ -336,6 +336,17 @@
             .query(now, &asking, owner, now + Duration::from_secs(5))
     }
 
+    /// Whether a node that leaves may end.
+    pub(super) fn hand_over(&mut self, name: &str) -> bool {
+        match self.nodes[name].holder.hand_over(self.now) {
+            HandoverStep::Done => true,
+            HandoverStep::Waiting(sends) => {
+                self.push(name, sends);
+                false
+            }
+        }
+    }
+
     pub(super) fn deliver(&mut self, packet: Packet) {
         let now = self.now;
         let (from, to) = (packet.from.as_str(), packet.to.as_str());
@@ -362,6 +373,7 @@
                 self.push(to, sends);
             }
             Body::ClaimReply(reply) => {
+                node.holder.on_claim_reply(from, reply);
                 let number = ClaimAcquirer::number_of(reply.request_id);
                 if let Some((acquirer, _)) = node.acquirers.get_mut(&number) {
                     let steps = acquirer.on_reply(now, from, reply);
--- a/crates/kumquatlock/src/claim/tests/failures.rs
+++ b/crates/kumquatlock/src/claim/tests/failures.rs
@@ -374,3 +374,51 @@
     cluster.pass(6_000);
     assert_eq!(cluster.decision(old, late), &AcquireDecision::Unknown);
 }
+
+/// Guards against two holders that leave together, or one after the other, and take with them what
+/// only they know. Nodes that stop one by one would make a double loss otherwise.
+#[test]
+fn two_holders_leave_without_a_double_loss() {
+    for together in [true, false] {
+        let (mut cluster, members) = Cluster::of(&["a", "b", "c"]);
+        cluster.start("d", 1);
+        cluster.start("e", 1);
+        cluster.attempt("a", KEY);
+        cluster.queue.retain(|packet| packet.to != "c");
+        cluster.deliver_all();
+        let one_left = vec![members[1].clone(), members[2].clone(), member("d", 1)];
+        let both_left = vec![members[2].clone(), member("d", 1), member("e", 1)];
+        if !together {
+            cluster.apply_all(2, &one_left);
+        }
+        cluster.apply_all(3, &both_left);
+        for name in ["a", "b"] {
+            assert!(!cluster.hand_over(name), "nobody has the claims yet");
+        }
+        let mut leaving = vec!["a", "b"];
+        for _ in 0..30 {
+            cluster.pass(100);
+            leaving.retain(|name| !cluster.hand_over(name));
+        }
+        assert!(leaving.is_empty(), "{leaving:?} wait for nothing");
+        for name in ["a", "b"] {
+            cluster.nodes.swap_remove(name);
+        }
+        cluster.pass(1_000);
+        assert!(cluster.is_settled(3));
+        let decision = resend(&mut cluster, "d");
+        assert!(matches!(decision, AcquireDecision::Finished(_)));
+    }
+}
+
+/// Guards against nodes that wait for successors of a service that stops as a whole.
+#[test]
+fn last_holders_of_a_service_wait_for_nobody() {
+    let (mut cluster, _) = Cluster::of(&["a", "b", "c"]);
+    cluster.attempt("a", KEY);
+    cluster.deliver_all();
+    cluster.apply_all(2, &[]);
+    for name in ["a", "b", "c"] {
+        assert!(cluster.hand_over(name));
+    }
+}
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -21,7 +21,7 @@
 use super::{NodeError, NodeSettings, claim_settings};
 use crate::admission::AdmissionLimits;
 use crate::call::{CallId, CallerRequest, DestinationCalls, EntryCalls, RunId, UpstreamEndpoint};
-use crate::claim::ClaimHolder;
+use crate::claim::{ClaimHolder, HandoverStep};
 use crate::core::{GroupId, IncarnationId, Timestamp};
 use crate::distribution::{ChildEvent, ChildIdentity, ChildState};
 use crate::http::{HttpResponse, ReplySlot, UpstreamPool, UpstreamResult};
@@ -286,7 +286,7 @@
     }
 
     /// Leaves once everything in progress has ended, and ends the loop once the configuration no
-    /// longer names this node and other holders have its claims.
+    /// longer names this node and no other holder needs it.
     fn advance_stop(&mut self, now: Timestamp) {
         let idle = self.entry.in_progress() == 0
             && self.destination.is_idle()
@@ -303,7 +303,14 @@
                 return;
             }
         };
-        let handed_over = self.announcer.is_confirmed() && self.holder.unfetched_shards() == 0;
+        let handed_over = self.announcer.is_confirmed()
+            && match self.holder.hand_over(now) {
+                HandoverStep::Done => true,
+                HandoverStep::Waiting(sends) => {
+                    self.extend_claims(sends);
+                    false
+                }
+            };
         if (handed_over || now.since(since) >= HANDOVER_LIMIT) && self.links.is_flushed() {
             log::info!(handed_over = handed_over; "drain_finished");
             self.finished.set(true);
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -285,6 +285,7 @@
     }
 
     fn take_claim_reply(&mut self, now: Timestamp, from: &str, reply: &ClaimReply) {
+        self.holder.on_claim_reply(from, reply);
         let steps = self.entry.on_claim_reply(now, from, reply);
         self.extend_entry(steps);
         let steps = self.destination.on_claim_reply(now, from, reply);
