--- a/crates/kumquatlock/src/call/tests/world.rs
+++ b/crates/kumquatlock/src/call/tests/world.rs
@@ -100,6 +100,7 @@
             let destination = &mut world.destinations[name];
             destination.calls.on_snapshot(now, snapshot.clone());
             let sends = destination.holder.on_snapshot(now, snapshot.clone());
+            destination.holder.confirm(now);
             world.queue_claims(name, sends);
         }
         world.settle();
@@ -376,6 +377,12 @@
         call.expect("no call is on its way").to.clone()
     }
 
+    /// Whether no call holds a slot of an upstream.
+    pub(super) fn is_idle(&self) -> bool {
+        let mut destinations = self.destinations.values();
+        destinations.all(|held| held.calls.is_idle())
+    }
+
     pub(super) fn outcome(&self, call: CallId) -> &'static str {
         self.answers
             .get(&call)
--- a/crates/kumquatlock/src/claim/holder.rs
+++ b/crates/kumquatlock/src/claim/holder.rs
@@ -11,6 +11,7 @@
 };
 use prost::Message;
 
+use super::handover::HandoverWatch;
 use super::joining::{ChunkEffect, JoinContext, JoinDecision, JoiningView, ViewReport};
 use super::placement::{PlacementTable, SHARDS_PER_SERVICE};
 use super::record::KeyRecord;
@@ -21,6 +22,15 @@
 /// same link noticeably.
 pub const MAX_CHUNK_BYTES: usize = 256 * 1024;
 
+/// What a leaving holder does next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum HandoverStep {
+    /// Nobody needs the holder.
+    Done,
+    /// Others still have to become active; these messages ask whether they are.
+    Waiting(Vec<ClaimSend>),
+}
+
 /// The holder of claims at one run of one node.
 #[derive(Debug)]
 pub struct ClaimHolder {
@@ -29,6 +39,10 @@
     placement: PlacementTable,
     /// The node's own service at the last snapshot; views change only with its members.
     service: Option<Arc<ServiceEntry>>,
+    /// Name of that service, or of the last one after the node has left.
+    last_service: Option<SharedName>,
+    /// Used while the node leaves.
+    handover: HandoverWatch,
     /// Upstreams that were seen as the first of their region. Genesis counts only while each of
     /// them still runs: a lost one may have known claims.
     genesis_seen: IndexSet<ShardHolder>,
@@ -40,6 +54,8 @@
     next_request_id: u64,
     /// Records in all shards.
     kept: usize,
+    /// When the configuration was last proved to list this run.
+    confirmed_at: Option<Timestamp>,
 }
 
 /// One shard at one holder.
@@ -51,6 +67,9 @@
     /// Set while the holder is not active in `current`. No claim is granted meanwhile: the holder
     /// counts as fenced in its own read of the earlier views.
     joining: Option<JoiningView>,
+    /// Last proof that the configuration named the view that the holder is active in, once it
+    /// names another one.
+    unnamed_since: Option<Timestamp>,
     records: IndexMap<Box<str>, KeyRecord>,
     /// Counts removals of records, which shift the offsets of a transfer.
     generation: u64,
@@ -61,6 +80,16 @@
         self.joining.is_none() && self.report.is_unfenced() && self.report.is_active_in(view)
     }
 
+    /// Sets the view that the configuration names, and the last proof of the one before.
+    fn name_view(&mut self, view: u64, confirmed_at: Option<Timestamp>) {
+        self.current = view;
+        if self.report.is_active_in(view) {
+            self.unnamed_since = None;
+        } else {
+            self.unnamed_since = self.unnamed_since.or(confirmed_at);
+        }
+    }
+
     fn epoch(&self) -> u64 {
         let active = self.report.active.as_ref();
         active.map_or(0, |view| view.config_version)
@@ -76,12 +105,15 @@
             settings,
             placement: PlacementTable::default(),
             service: None,
+            last_service: None,
+            handover: HandoverWatch::default(),
             genesis_seen: IndexSet::new(),
             genesis: None,
             numbers: 0..SHARDS_PER_SERVICE,
             shards: IndexMap::new(),
             next_request_id: 1,
             kept: 0,
+            confirmed_at: None,
         }
     }
 
@@ -102,11 +134,37 @@
         shards.filter(|shard| shard.joining.is_some()).count()
     }
 
-    /// Shards whose claims nobody has fetched for a later view. A node that has left the
-    /// configuration can exit when there are none.
-    pub fn unfetched_shards(&self) -> usize {
-        let shards = self.shards.values();
-        shards.filter(|shard| shard.report.is_unfenced()).count()
+    /// Whether a holder that has left the configuration is needed no more: no shard that it knows
+    /// has a next view, or a majority of each next view has entered it. Otherwise asks them.
+    pub fn hand_over(&mut self, now: Timestamp) -> HandoverStep {
+        let mut waiting = Vec::new();
+        for (&number, shard) in &self.shards {
+            let (Some(name), Some(_)) = (&self.last_service, &shard.report.active) else {
+                continue;
+            };
+            let next = self.placement.view_of(name, number);
+            if let Some(view) = next
+                && !self.handover.is_entered(number, &view)
+            {
+                let service = name.to_string();
+                waiting.push((ShardId { service, number }, view));
+            }
+        }
+        if waiting.is_empty() {
+            return HandoverStep::Done;
+        }
+        let mut sends = Vec::new();
+        if self.handover.is_due(now) {
+            for (shard, view) in &waiting {
+                self.handover.probe(shard, view, &mut sends);
+            }
+        }
+        HandoverStep::Waiting(sends)
+    }
+
+    /// Takes the answer of another holder to a question of [`ClaimHolder::hand_over`].
+    pub fn on_claim_reply(&mut self, from: &str, reply: &ClaimReply) {
+        self.handover.on_reply(from, reply);
     }
 
     /// Takes a new configuration: joins the views that name this node.
@@ -130,6 +188,7 @@
         let is_same = members(&service) == members(&self.service);
         self.service = service;
         if let Some(service) = &self.service {
+            self.last_service = Some(service.name.clone());
             let first = service
                 .members
                 .iter()
@@ -168,13 +227,13 @@
             .filter(|view| view.holders.contains(&self.own));
         let Some(view) = view else {
             if let Some(shard) = self.shards.get_mut(&number) {
-                shard.current = 0;
+                shard.name_view(0, self.confirmed_at);
                 shard.joining = None;
             }
             return false;
         };
         let shard = self.shards.entry(number).or_default();
-        shard.current = view.view;
+        shard.name_view(view.view, self.confirmed_at);
         if shard.report.is_unfenced() && shard.report.is_active_in(view.view) {
             shard.joining = None;
             return false;
@@ -205,6 +264,26 @@
         true
     }
 
+    /// Takes note that the held configuration was proved current at `at`. Without newer proof that
+    /// lists this run the holder stops granting after [`ClaimSettings::isolation_limit`].
+    pub fn confirm(&mut self, at: Timestamp) {
+        if self.service.is_some() {
+            self.confirmed_at = self.confirmed_at.max(Some(at));
+        }
+    }
+
+    /// Whether the configuration may have dropped this run, or named other holders for the shard,
+    /// for so long that others stop waiting for its claims.
+    fn is_isolated(&self, now: Timestamp, number: u32) -> bool {
+        let limit = self.settings.isolation_limit;
+        let unnamed_since = self
+            .shards
+            .get(&number)
+            .and_then(|shard| shard.unnamed_since);
+        let named_at = unnamed_since.or(self.confirmed_at);
+        named_at.is_none_or(|at| now.since(at) >= limit)
+    }
+
     /// Answers a request for one key.
     pub fn on_request(&mut self, now: Timestamp, request: &ClaimRequest) -> ClaimReply {
         let (verdict, owner, epoch) = self.decide_request(now, request);
@@ -223,6 +302,7 @@
         request: &ClaimRequest,
     ) -> (ClaimVerdict, Option<ClaimOwner>, u64) {
         self.follow_epoch(now, request);
+        let isolated = self.is_isolated(now, request.shard.number);
         let own_service = self.service.as_ref().map(|service| &*service.name);
         let shard = self
             .shards
@@ -231,7 +311,7 @@
         let Some(shard) = shard else {
             return (ClaimVerdict::WrongView, None, 0);
         };
-        if !shard.grants_in(request.view) {
+        if isolated || !shard.grants_in(request.view) {
             let verdict = if shard.current == request.view {
                 ClaimVerdict::NotActive
             } else {
@@ -243,6 +323,9 @@
             return (ClaimVerdict::Unspecified, None, 0);
         };
         let epoch = shard.epoch();
+        if action == ClaimAction::Probe {
+            return (ClaimVerdict::Granted, None, epoch);
+        }
         let is_new = !shard.records.contains_key(request.key.as_str());
         if is_new && self.kept >= self.settings.max_keys {
             return (ClaimVerdict::Capacity, None, epoch);
@@ -265,6 +348,7 @@
                 record.finish(&request.owner);
                 (ClaimVerdict::Granted, None)
             }
+            ClaimAction::Probe => (ClaimVerdict::Granted, None),
         };
         if verdict == ClaimVerdict::Granted {
             record.touched = now;
@@ -455,12 +539,13 @@
             own: &self.own,
             genesis: self.genesis.as_deref(),
             is_listed: &is_listed,
-            retention: self.settings.retention,
+            lost_view_age: self.settings.lost_view_age(),
         };
         match joining.decide(&shard.report, &context, now) {
             JoinDecision::Activate(view) => {
                 shard.report.enter(view);
                 shard.joining = None;
+                shard.unnamed_since = None;
                 // Records that were sent before may have been merged with others since.
                 shard.generation += 1;
             }
--- a/crates/kumquatlock/src/claim/tests/cluster.rs
+++ b/crates/kumquatlock/src/claim/tests/cluster.rs
@@ -11,8 +11,8 @@
 
 use crate::claim::{
     AcquireDecision, AttemptGate, ClaimAcquirer, ClaimFencer, ClaimHolder, ClaimSend,
-    ClaimSettings, FenceDecision, KeptAnswer, OutcomeTable, PlacementTable, QueryAnswer,
-    shard_number, shard_of,
+    ClaimSettings, FenceDecision, HandoverStep, KeptAnswer, OutcomeTable, PlacementTable,
+    QueryAnswer, shard_number, shard_of,
 };
 use crate::core::{ConfigSnapshot, IncarnationId, Timestamp, service_digest, upstream_digest};
 
@@ -108,6 +108,10 @@
     /// Granted attempts wait for the test to run them.
     pub(super) manual_run: bool,
     pub(super) log: Option<Vec<String>>,
+    /// Nodes that no control instance reaches.
+    pub(super) cut_off: IndexSet<String>,
+    /// Nodes that are separated from the others by a partition.
+    pub(super) split: Option<Vec<String>>,
     /// The only shard that holders take part in.
     pub(super) shard: u32,
 }
@@ -171,9 +175,16 @@
         node.placement.update(snapshot.clone());
         let sends = node.holder.on_snapshot(now, snapshot.clone());
         self.push(name, sends);
+        self.confirm(name);
         self.refresh(name, true);
     }
 
+    fn confirm(&mut self, name: &str) {
+        if !self.cut_off.contains(name) {
+            self.nodes[name].holder.confirm(self.now);
+        }
+    }
+
     pub(super) fn apply_all(&mut self, version: u64, members: &[Member]) {
         let snapshot = snapshot_of(version, members);
         let names: Vec<String> = self.nodes.keys().cloned().collect();
@@ -325,9 +336,24 @@
             .query(now, &asking, owner, now + Duration::from_secs(5))
     }
 
+    /// Whether a node that leaves may end.
+    pub(super) fn hand_over(&mut self, name: &str) -> bool {
+        match self.nodes[name].holder.hand_over(self.now) {
+            HandoverStep::Done => true,
+            HandoverStep::Waiting(sends) => {
+                self.push(name, sends);
+                false
+            }
+        }
+    }
+
     pub(super) fn deliver(&mut self, packet: Packet) {
         let now = self.now;
         let (from, to) = (packet.from.as_str(), packet.to.as_str());
+        let is_inside = |name: &str| self.split.iter().flatten().any(|inside| inside == name);
+        if is_inside(from) != is_inside(to) {
+            return;
+        }
         self.note(|| super::golden::line_of(&packet));
         let Some(node) = self.nodes.get_mut(to) else {
             return;
@@ -347,6 +373,7 @@
                 self.push(to, sends);
             }
             Body::ClaimReply(reply) => {
+                node.holder.on_claim_reply(from, reply);
                 let number = ClaimAcquirer::number_of(reply.request_id);
                 if let Some((acquirer, _)) = node.acquirers.get_mut(&number) {
                     let steps = acquirer.on_reply(now, from, reply);
@@ -388,6 +415,7 @@
     pub(super) fn tick(&mut self) {
         let names: Vec<String> = self.nodes.keys().cloned().collect();
         for name in names {
+            self.confirm(&name);
             let sends = self.nodes[&name].holder.on_tick(self.now);
             self.push(&name, sends);
             self.nodes[&name].outcomes.on_tick(self.now);
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -221,6 +221,7 @@
     ClaimSettings {
         retention: settings.claim_retention,
         running_retention: MAX_TIMEOUT + settings.claim_retention,
+        isolation_limit: settings.claim_retention / 2,
         ..ClaimSettings::default()
     }
 }
