Keep calls in flight when an upstream announces again, and serve all connections

Cause 1: when an upstream announced other limits, or left and came back, its node made a new admission queue. Calls that waited were never answered, tickets were given out twice, and answers carried the later incarnation, which the entry drops. Change: the queue is kept (set_limits, reopen), waiting calls of the old incarnation are refused as not run, and running calls are answered with the incarnation that they were sent to.

Cause 2: of connections that arrive together, tiny_http leaves some without a thread until another connection closes, so callers got no answer. Change: a short-lived connection every 100 ms while requests arrive, every second otherwise, frees a thread that takes the waiting one. The stand-in upstream uses it as well.

Without the nudge the test of 24 connections fails.

--- a/crates/kumquatlock-node/tests/node/booking.rs
+++ b/crates/kumquatlock-node/tests/node/booking.rs
@@ -43,12 +43,15 @@
 impl BookingLoop {
     /// Starts callers of `entries`. Every second booking has a key.
     pub(crate) fn start(entries: &[SocketAddr]) -> BookingLoop {
+        // Keys and bodies of two loops of one mesh must differ.
+        static LOOPS: AtomicU64 = AtomicU64::new(0);
+        let label = LOOPS.fetch_add(1, Ordering::Relaxed);
         let stop = Arc::new(AtomicBool::new(false));
         let sent = Arc::new(AtomicU64::new(0));
         let spawn = |caller: u64| {
             let (stop, sent) = (stop.clone(), sent.clone());
             let entries = entries.to_vec();
-            thread::spawn(move || book_until(caller, &entries, &stop, &sent))
+            thread::spawn(move || book_until((label, caller), &entries, &stop, &sent))
         };
         BookingLoop {
             threads: (0..CALLERS).map(spawn).collect(),
@@ -73,7 +76,7 @@
 }
 
 fn book_until(
-    caller: u64,
+    (label, caller): (u64, u64),
     entries: &[SocketAddr],
     stop: &AtomicBool,
     sent: &AtomicU64,
@@ -87,8 +90,8 @@
         if stop.load(Ordering::Relaxed) {
             break;
         }
-        let body = format!("order-{caller}-{number}");
-        let key = (number % 2 == 0).then(|| format!("key-{caller}-{number}"));
+        let body = format!("order-{label}-{caller}-{number}");
+        let key = (number % 2 == 0).then(|| format!("key-{label}-{caller}-{number}"));
         let start = (caller + number) as usize;
         bookings.push(book(&callers, start, body, key));
         sent.fetch_add(1, Ordering::Relaxed);
--- a/crates/kumquatlock-node/tests/node/main.rs
+++ b/crates/kumquatlock-node/tests/node/main.rs
@@ -4,6 +4,7 @@
 //! These tests belong to this package because cargo builds its binary before them.
 
 mod booking;
+mod drain;
 mod freeze;
 mod kill;
 mod links;
--- a/crates/kumquatlock-node/tests/node/support.rs
+++ b/crates/kumquatlock-node/tests/node/support.rs
@@ -145,3 +145,15 @@
     });
     lines.collect::<Vec<_>>().join("\n")
 }
+
+/// Waits until a control instance that answers leads; returns its position.
+pub(crate) fn wait_status_leader(mesh: &Mesh) -> usize {
+    wait_for("leader", LONG, || {
+        let leads = |index: &usize| {
+            let status = mesh.controls[*index].caller().get("/v1/status");
+            status.is_ok_and(|status| status.json()["role"] == "leader")
+        };
+        (0..mesh.controls.len()).find(leads).ok_or("none")
+    })
+    .unwrap()
+}
--- a/crates/kumquatlock-testkit/src/upstream/mod.rs
+++ b/crates/kumquatlock-testkit/src/upstream/mod.rs
@@ -35,6 +35,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+use kumquatlock::http::AcceptNudge;
 use kumquatlock::util::cancel::CancelToken;
 use thiserror::Error;
 
@@ -90,6 +91,15 @@
     threads: Vec<JoinHandle<()>>,
     contact: Option<Arc<NodeContact>>,
     announcer_stop: CancelToken,
+    nudge: ServerNudge,
+}
+
+struct ServerNudge(AcceptNudge);
+
+impl std::fmt::Debug for ServerNudge {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("Nudge")
+    }
 }
 
 struct ServerHandle(tiny_http::Server);
@@ -129,6 +139,7 @@
         let workers = options.slots + SPARE_WORKERS;
         let state = Arc::new(ServerState::new(options, relay, stop.clone()));
         let server = Arc::new(ServerHandle(server));
+        let nudge = AcceptNudge::start(server_address).map_err(error)?;
         let mut upstream = StandInUpstream {
             address,
             state,
@@ -137,12 +148,15 @@
             stop,
             threads: Vec::with_capacity(workers + 1),
             contact: None,
+            nudge: ServerNudge(nudge),
         };
         for _ in 0..workers {
             let (state, server) = (Arc::clone(&upstream.state), Arc::clone(&upstream.server));
+            let signals = upstream.nudge.0.signals();
             let worker = thread::Builder::new().name("upstream".into());
             let worker = worker.spawn(move || {
                 while let Ok(request) = server.0.recv() {
+                    signals.mark_busy();
                     state.serve(request);
                 }
             });
--- a/crates/kumquatlock/src/admission/limit.rs
+++ b/crates/kumquatlock/src/admission/limit.rs
@@ -54,6 +54,16 @@
         }
     }
 
+    /// Changes the announced capacity. A lowered limit stays, but for the new capacity.
+    pub fn set_limits(&mut self, limits: AdmissionLimits) {
+        let is_lowered = self.learned < self.limits.most();
+        self.limits = limits;
+        self.learned = match is_lowered {
+            true => self.learned.min(limits.most()),
+            false => limits.most(),
+        };
+    }
+
     /// Calls that may run at once; at least 1.
     pub fn current(&self, now: Timestamp) -> u32 {
         self.learned.min(self.cold_bound(now))
--- a/crates/kumquatlock/src/admission/queue.rs
+++ b/crates/kumquatlock/src/admission/queue.rs
@@ -117,6 +117,22 @@
         }
     }
 
+    /// Changes what the upstream takes. Queued and running calls go on.
+    pub fn set_limits(&mut self, limits: AdmissionLimits) {
+        self.queue_bound = (limits.slots.max(1) * QUEUE_PER_SLOT) as usize;
+        self.deferred_seats = (self.queue_bound / DEFERRED_SEAT_DIVISOR).max(1);
+        self.limit.set_limits(limits);
+    }
+
+    /// Accepts calls again after a drain, for an upstream that starts now. Tickets stay unique
+    /// and queued and running calls go on.
+    pub fn reopen(&mut self, limits: AdmissionLimits, now: Timestamp) {
+        self.set_limits(limits);
+        self.limit = ConcurrencyLimit::new(limits, now);
+        self.estimate = ServiceEstimate::default();
+        self.draining = false;
+    }
+
     /// Decides on a new call that has to be answered by `deadline`.
     pub fn offer(
         &mut self,
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -153,22 +153,41 @@
     }
 
     /// Starts another incarnation, after the upstream has left and announced itself again. Calls
-    /// of the old incarnation are refused from now on.
-    pub fn set_incarnation(&mut self, incarnation: IncarnationId) {
-        if incarnation != self.incarnation {
-            self.incarnation = incarnation;
-            self.outcomes = OutcomeTable::new(self.name.clone(), incarnation, &self.settings);
+    /// of the old incarnation that wait are refused; those that run are answered as before.
+    pub fn set_incarnation(
+        &mut self,
+        now: Timestamp,
+        incarnation: IncarnationId,
+    ) -> Vec<DestinationStep> {
+        let mut steps = Vec::new();
+        if incarnation == self.incarnation {
+            return steps;
         }
+        let is_waiting = |run: &CallRun| run.phase != RunPhase::Running;
+        let waiting = self.runs.iter().filter(|(_, run)| is_waiting(run));
+        for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
+            // A freed slot may have started the call meanwhile.
+            if self.runs.get(&id).is_some_and(is_waiting) {
+                self.refuse_run(now, id, CallReason::WrongIncarnation, &mut steps);
+            }
+        }
+        self.incarnation = incarnation;
+        self.outcomes = OutcomeTable::new(self.name.clone(), incarnation, &self.settings);
+        steps
     }
 
     /// Takes what the upstream announced.
     pub fn on_announce(&mut self, now: Timestamp, endpoint: UpstreamEndpoint) {
-        let unchanged = self
+        let changed = self
             .endpoint
-            .is_some_and(|held| held.limits == endpoint.limits);
+            .is_none_or(|held| held.limits != endpoint.limits);
         self.endpoint = Some(endpoint);
-        if !unchanged || self.draining {
-            self.admission = Some(AdmissionQueue::new(endpoint.limits, now));
+        match &mut self.admission {
+            None => self.admission = Some(AdmissionQueue::new(endpoint.limits, now)),
+            // The calls of the queue go on, so it is kept.
+            Some(admission) if self.draining => admission.reopen(endpoint.limits, now),
+            Some(admission) if changed => admission.set_limits(endpoint.limits),
+            Some(_) => {}
         }
         self.draining = false;
     }
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -358,10 +358,12 @@
     fn finish_response(
         &mut self,
         run: &CallRun,
-        response: kumquatlock_wire::call::CallResponse,
+        mut response: kumquatlock_wire::call::CallResponse,
         outcome: CallOutcome,
         steps: &mut Vec<DestinationStep>,
     ) {
+        // The upstream may have come back under another incarnation since the call was sent.
+        response.incarnation = run.request.incarnation;
         steps.push(DestinationStep::Respond {
             to: run.source,
             response,
--- a/crates/kumquatlock/src/http/mod.rs
+++ b/crates/kumquatlock/src/http/mod.rs
@@ -5,10 +5,12 @@
 
 mod client;
 mod message;
+mod nudge;
 mod server;
 
 pub use client::{UpstreamFailure, UpstreamJob, UpstreamPool, UpstreamResult};
 pub use message::{HttpRequest, HttpResponse, MAX_BODY_BYTES, MAX_HEADERS};
+pub use nudge::AcceptNudge;
 pub use server::{HttpServer, ReplySlot, RequestHandler, ServerError};
 
 #[cfg(test)]
--- a/crates/kumquatlock/src/http/server.rs
+++ b/crates/kumquatlock/src/http/server.rs
@@ -13,6 +13,7 @@
 use tiny_http::{Header, Request, Response, Server, StatusCode};
 
 use super::message::{HttpRequest, HttpResponse, MAX_BODY_BYTES, MAX_HEADERS};
+use super::nudge::{AcceptNudge, NudgeSignals};
 
 /// Why a server could not start.
 #[derive(Debug, thiserror::Error)]
@@ -77,6 +78,7 @@
     stopping: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
     address: SocketAddr,
+    _nudge: AcceptNudge,
 }
 
 impl HttpServer {
@@ -95,10 +97,12 @@
         let server = Arc::new(server);
         let stopping = Arc::new(AtomicBool::new(false));
         let handler = Arc::new(handler);
+        let nudge = AcceptNudge::start(bound)?;
         let mut threads = Vec::with_capacity(workers);
         for _ in 0..workers {
             let (server, stopping, handler) = (server.clone(), stopping.clone(), handler.clone());
-            let worker = move || serve_requests(&server, &stopping, &*handler);
+            let signals = nudge.signals();
+            let worker = move || serve_requests(&server, &stopping, &signals, &*handler);
             threads.push(
                 thread::Builder::new()
                     .name("http-server".into())
@@ -110,6 +114,7 @@
             stopping,
             threads,
             address: bound,
+            _nudge: nudge,
         })
     }
 
@@ -140,10 +145,18 @@
     }
 }
 
-fn serve_requests<H: RequestHandler>(server: &Server, stopping: &AtomicBool, handler: &H) {
+fn serve_requests<H: RequestHandler>(
+    server: &Server,
+    stopping: &AtomicBool,
+    signals: &NudgeSignals,
+    handler: &H,
+) {
     loop {
         match server.recv() {
-            Ok(request) => serve_request(request, handler),
+            Ok(request) => {
+                signals.mark_busy();
+                serve_request(request, handler);
+            }
             Err(_) if stopping.load(Ordering::Acquire) => return,
             Err(error) => log::warn!("failed to receive an HTTP request: {error}"),
         }
--- a/crates/kumquatlock/src/http/tests.rs
+++ b/crates/kumquatlock/src/http/tests.rs
@@ -99,3 +99,27 @@
         br#"{"outcome":"rejected","reason":"body_too_large"}"#
     );
 }
+
+/// Guards against a connection that is accepted and not served while others stay open, which
+/// happens to some of those that arrive together.
+#[test]
+fn connections_that_arrive_together_are_all_served() {
+    let handler = |_: HttpRequest| HttpResponse::json(200, &"served");
+    let server = HttpServer::start(([127, 0, 0, 1], 0).into(), 8, handler).unwrap();
+    let address = server.address();
+    let mut streams: Vec<_> = (0..24)
+        .map(|_| std::net::TcpStream::connect(address).unwrap())
+        .collect();
+    for stream in &mut streams {
+        let timeout = Some(std::time::Duration::from_secs(5));
+        stream.set_read_timeout(timeout).unwrap();
+        stream
+            .write_all(b"GET / HTTP/1.1\r\nHost: node\r\n\r\n")
+            .unwrap();
+    }
+    for stream in &mut streams {
+        let mut start = [0; 12];
+        stream.read_exact(&mut start).unwrap();
+        assert_eq!(&start, b"HTTP/1.1 200");
+    }
+}
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -202,7 +202,8 @@
             return;
         }
         self.incarnation = incarnation;
-        self.destination.set_incarnation(incarnation);
+        let steps = self.destination.set_incarnation(now, incarnation);
+        self.extend_destination(steps);
         self.holder = new_holder(&self.settings, incarnation);
         if let Some(held) = self.child.held().cloned() {
             let sends = self.holder.on_snapshot(now, held);
