Reach nodes that left for their claims, and test calls without the source

Cause: the configuration no longer names a node that leaves, so messages to it were dropped and nobody fetched its claims. Every graceful stop waited the whole 10 s, and two of three holders that stopped together left the keys of their shards without a majority.

Change: a node keeps the addresses of nodes that left for 15 s, at most 1,024, and sends claim messages there.

Tests: - drain: two nodes that stop together hand their claims over (P6, P8) - source: all control instances killed, calls go on, a restarted node refuses until they return and does not go back (P1, P5, P6); a voter that is cut off gives a restarted node nothing (P1)

--- a/crates/kumquatlock-node/tests/node/drain.rs
+++ b/crates/kumquatlock-node/tests/node/drain.rs
@@ -69,6 +69,43 @@
     check_all_answered(&mesh, &load.finish());
 }
 
+/// Guards against claims that nobody fetches from nodes that leave, since the configuration no
+/// longer names them: two of three holders that stop together would leave the keys of a shard
+/// unknown until the retention has passed. Shows P6 and P8.
+#[test]
+fn nodes_that_stop_together_hand_their_claims_over() {
+    let mut mesh = start(builder());
+    let load = BookingLoop::start(&entries(&mesh, &[0, 3]));
+    load.wait_more(200);
+    let started = Instant::now();
+    for node in [1, 2] {
+        mesh.nodes[node].process.terminate().unwrap();
+    }
+    for node in [1, 2] {
+        mesh.nodes[node].process.expect_success(LONG).unwrap();
+        let records = mesh.nodes[node].process.log_records();
+        let finished = records
+            .iter()
+            .find(|record| record["event"] == "drain_finished");
+        assert_eq!(finished.unwrap()["handed_over"], true, "node {node}");
+    }
+    println!("two nodes stopped after {:?}", started.elapsed());
+    load.wait_more(200);
+    let bookings = load.finish();
+    let keyed = bookings
+        .iter()
+        .filter_map(|booking| booking.key.as_ref().map(|key| (booking, key)));
+    for (booking, key) in keyed.take(60) {
+        let plan = CallPlan::post("/booking", booking.body.as_str()).key(key);
+        let caller = mesh.nodes[3].caller();
+        let answer = caller
+            .send(&plan.timeout(Duration::from_millis(500)))
+            .unwrap();
+        assert!(matches!(answer.status, 200 | 504), "{}", answer.text());
+    }
+    check_all_answered(&mesh, &bookings);
+}
+
 /// Guards against calls that are cut when the upstream drains, and against new work for it, also
 /// while no control instance answers. Shows P7 and P8.
 #[test]
--- a/crates/kumquatlock-node/tests/node/main.rs
+++ b/crates/kumquatlock-node/tests/node/main.rs
@@ -8,5 +8,6 @@
 mod freeze;
 mod kill;
 mod links;
+mod source;
 mod support;
 mod upstream;
--- /dev/null
+++ b/crates/kumquatlock-node/tests/node/source.rs
@@ -0,0 +1,115 @@
+//! Nodes while the configuration source is away or out of date.
+
+use std::time::{Duration, Instant};
+
+use kumquatlock_testkit::caller::CallPlan;
+use kumquatlock_testkit::process::{Mesh, wait_for, wait_until};
+use kumquatlock_testkit::relay::TcpRelay;
+use serde_json::json;
+
+use crate::booking::{BookingLoop, check};
+use crate::support::{LONG, builder, config_version, start, start_plan, wait_serving};
+
+/// Requests to a node without a configuration, enough for several attempts to attach, which it
+/// repeats after 100 ms and more.
+const UNSERVED_CALLS: usize = 25;
+/// Time between them.
+const UNSERVED_INTERVAL: Duration = Duration::from_millis(60);
+
+/// A node without a configuration refuses unkeyed calls for good. It cannot know whether a key
+/// ran before.
+fn check_unserved(mesh: &Mesh, node: usize, label: &str) {
+    let caller = mesh.nodes[node].caller();
+    for number in 0..UNSERVED_CALLS {
+        let body = format!("unserved-{label}-{number}");
+        let plan = CallPlan::post("/booking", body.as_str());
+        let answer = caller.send(&plan).unwrap();
+        let expected = json!({ "outcome": "not_run", "reason": "config_unavailable" });
+        assert_eq!((answer.status, answer.json()), (503, expected), "P1");
+        let answer = caller.send(&plan.key(&body)).unwrap();
+        let expected = json!({ "outcome": "unknown", "reason": "config_unavailable" });
+        assert_eq!((answer.status, answer.json()), (504, expected), "P5");
+        assert_eq!(mesh.ledger().runs_of_body(body.as_bytes()).started, 0);
+        std::thread::sleep(UNSERVED_INTERVAL);
+    }
+}
+
+/// Guards against calls that depend on the configuration source, and against a restarted node
+/// that serves without it or returns to an older version. Shows P1, P5 and P6.
+#[test]
+fn calls_go_on_while_all_control_instances_are_gone() {
+    let mut mesh = start(builder().voters(3));
+    let entries: Vec<_> = mesh.nodes[..3].iter().map(|node| node.flags.http).collect();
+    let load = BookingLoop::start(&entries);
+    load.wait_more(100);
+    let before = config_version(&mesh, 3);
+    for control in &mut mesh.controls {
+        control.process.kill().unwrap();
+    }
+    load.wait_more(300);
+    mesh.nodes[3].process.restart().unwrap();
+    mesh.nodes[3].wait_ready().unwrap();
+    check_unserved(&mesh, 3, "away");
+    load.wait_more(100);
+    let returned = Instant::now();
+    for control in &mut mesh.controls {
+        control.process.restart().unwrap();
+    }
+    wait_until("restarted node has a configuration", LONG, || {
+        config_version(&mesh, 3) > 0
+    })
+    .unwrap();
+    assert!(config_version(&mesh, 3) >= before, "P1");
+    wait_serving(&mesh, 3, "returned");
+    println!(
+        "restarted node serves {:?} after the source returned",
+        returned.elapsed()
+    );
+    let bookings = load.finish();
+    let counts = check(&mesh, &bookings, &[]);
+    println!("{} bookings: {counts:?}", bookings.len());
+    assert!(
+        counts["answered 200"] * 10 > bookings.len() * 9,
+        "{counts:?}"
+    );
+}
+
+/// Guards against an old configuration from a voter that is cut off and does not know it. Shows
+/// P1.
+#[test]
+fn an_isolated_voter_gives_a_restarted_node_nothing() {
+    let mut plan = builder().voters(3).build().unwrap();
+    let mut paths = Vec::new();
+    for (from, to) in [(0, 2), (1, 2), (2, 0), (2, 1)] {
+        let relay = TcpRelay::start(plan.controls[to].flags.listen).unwrap();
+        plan.controls[from].flags.voters[to].1 = relay.address();
+        paths.push(relay);
+    }
+    plan.nodes[3].flags.parents = vec![plan.controls[2].flags.listen];
+    // The others do not depend on the voter that is cut off.
+    for node in 0..3 {
+        plan.nodes[node].flags.parents = vec![plan.controls[0].flags.listen];
+    }
+    let mut mesh = start_plan(plan);
+    paths.iter().for_each(TcpRelay::silence);
+    let manifest = mesh.manifest(2);
+    let accepted = wait_for("manifest accepted", LONG, || {
+        let answer = mesh.controls[0].submit(&manifest).unwrap();
+        match answer.status {
+            200 => Ok(answer.json()),
+            _ => Err(answer.text()),
+        }
+    })
+    .unwrap();
+    let newest = accepted["config_version"].as_u64().unwrap();
+    mesh.nodes[3].process.restart().unwrap();
+    mesh.nodes[3].wait_ready().unwrap();
+    check_unserved(&mesh, 3, "isolated");
+    assert_eq!(config_version(&mesh, 3), 0, "P1");
+    paths.iter().for_each(TcpRelay::resume);
+    wait_until("restarted node has a configuration", LONG, || {
+        config_version(&mesh, 3) > 0
+    })
+    .unwrap();
+    assert!(config_version(&mesh, 3) >= newest, "P1");
+}
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -15,14 +15,14 @@
 use stakker_mio::MioPoll;
 
 use super::metrics::AnswerCounters;
-use super::peers::PeerLinks;
+use super::peers::{DepartedNodes, PeerLinks};
 use super::steps::NodeStep;
 use super::upstream_api::{UpstreamRefusal, UpstreamRequest};
 use super::{NodeError, NodeSettings, claim_settings};
 use crate::admission::AdmissionLimits;
 use crate::call::{CallId, CallerRequest, DestinationCalls, EntryCalls, RunId, UpstreamEndpoint};
 use crate::claim::ClaimHolder;
-use crate::core::{GroupId, IncarnationId, Timestamp};
+use crate::core::{ConfigSnapshot, GroupId, IncarnationId, Timestamp};
 use crate::distribution::{ChildEvent, ChildIdentity, ChildState};
 use crate::http::{HttpResponse, ReplySlot, UpstreamPool, UpstreamResult};
 use crate::membership::{
@@ -82,6 +82,9 @@
     pub(super) started: Instant,
     pub(super) links: LinkTable,
     pub(super) peers: PeerLinks,
+    pub(super) departed: DepartedNodes,
+    /// Configuration that all duties have.
+    pub(super) applied: Option<Arc<ConfigSnapshot>>,
     pub(super) child: ChildState,
     /// Link of the child's latest connection attempt, with the child's own number for it.
     pub(super) parent_link: Option<(LinkId, crate::distribution::LinkId)>,
@@ -177,6 +180,8 @@
             started: parts.started,
             links,
             peers: PeerLinks::default(),
+            departed: DepartedNodes::default(),
+            applied: None,
         })
     }
 
--- a/crates/kumquatlock/src/ops/node/peers.rs
+++ b/crates/kumquatlock/src/ops/node/peers.rs
@@ -14,6 +14,38 @@
 /// has lost track of is thus rarely used again, and a new one proves itself by connecting.
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
 
+/// How long the address of a node is known after it left the configuration. It hands its claims
+/// over for at most 10 s from then on.
+const DEPARTED_LIMIT: Duration = Duration::from_secs(15);
+/// Bound on the nodes that left whose addresses are known. Beyond it, the oldest are forgotten
+/// and the holders go on without their answers.
+const MAX_DEPARTED: usize = 1_024;
+
+/// Addresses of nodes that the configuration no longer names.
+#[derive(Debug, Default)]
+pub(super) struct DepartedNodes {
+    /// With the time of leaving, oldest first.
+    nodes: IndexMap<SharedName, (Timestamp, PeerNode)>,
+}
+
+impl DepartedNodes {
+    /// Remembers a node that left.
+    pub(super) fn insert(&mut self, now: Timestamp, node: PeerNode) {
+        self.nodes
+            .retain(|_, (left_at, _)| now.since(*left_at) < DEPARTED_LIMIT);
+        if self.nodes.len() >= MAX_DEPARTED {
+            self.nodes.shift_remove_index(0);
+        }
+        self.nodes.insert(node.name.clone(), (now, node));
+    }
+
+    /// The node, if it left recently.
+    pub(super) fn get(&self, now: Timestamp, name: &str) -> Option<&PeerNode> {
+        let (left_at, node) = self.nodes.get(name)?;
+        (now.since(*left_at) < DEPARTED_LIMIT).then_some(node)
+    }
+}
+
 #[derive(Debug)]
 struct PeerLink {
     address: SocketAddr,
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -10,7 +10,9 @@
     ATTEMPT_HEADER, CallId, CallSource, CallerAnswer, DestinationStep, EntryStep, PeerNode,
 };
 use crate::claim::ClaimSend;
-use crate::core::{ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamState};
+use crate::core::{
+    ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamEntry, UpstreamState,
+};
 use crate::distribution::{ChildEvent, ChildStep};
 use crate::http::{HttpRequest, UpstreamJob};
 use crate::membership::{AnnouncerEvent, AnnouncerStep};
@@ -213,6 +215,7 @@
 
     fn apply(&mut self, now: Timestamp, snapshot: Arc<ConfigSnapshot>) {
         log::debug!(version = snapshot.version.0; "configuration_applied");
+        self.remember_departed(now, &snapshot);
         let steps = self.entry.on_snapshot(now, snapshot.clone());
         self.extend_entry(steps);
         let steps = self.destination.on_snapshot(now, snapshot.clone());
@@ -298,13 +301,36 @@
             return;
         }
         let held = self.child.held().and_then(|held| held.upstreams.get(to));
-        let Some(upstream) = held else { return };
-        let peer = PeerNode {
+        let peer = match held {
+            Some(upstream) => self.peer_of(upstream),
+            // A node that left still hands its claims over.
+            None => match self.departed.get(now, to) {
+                Some(peer) => peer.clone(),
+                None => return,
+            },
+        };
+        self.peers.send(now, &mut self.links, &peer, body, None);
+    }
+
+    fn peer_of(&self, upstream: &UpstreamEntry) -> PeerNode {
+        PeerNode {
             name: upstream.name.clone(),
             address: upstream.address,
             cross_region: upstream.region != self.settings.region,
-        };
-        self.peers.send(now, &mut self.links, &peer, body, None);
+        }
+    }
+
+    fn remember_departed(&mut self, now: Timestamp, snapshot: &Arc<ConfigSnapshot>) {
+        let earlier = self.applied.replace(snapshot.clone());
+        let upstreams = earlier
+            .iter()
+            .flat_map(|earlier| earlier.upstreams.values());
+        for upstream in
+            upstreams.filter(|upstream| !snapshot.upstreams.contains_key(&upstream.name))
+        {
+            let peer = self.peer_of(upstream);
+            self.departed.insert(now, peer);
+        }
     }
 
     /// Handles a message of one duty of this node to another one.
