--- a/crates/kumquatlock-node/tests/node/main.rs
+++ b/crates/kumquatlock-node/tests/node/main.rs
@@ -4,8 +4,10 @@
 //! These tests belong to this package because cargo builds its binary before them.
 
 mod booking;
+mod drain;
 mod freeze;
 mod kill;
 mod links;
+mod source;
 mod support;
 mod upstream;
--- a/crates/kumquatlock-testkit/examples/measure/storm.rs
+++ b/crates/kumquatlock-testkit/examples/measure/storm.rs
@@ -97,14 +97,10 @@
         self.parent_seconds += started.elapsed().as_secs_f64();
         for step in steps {
             match step {
-                ParentStep::Send { children, body } => {
-                    let bytes = frame_bytes(body.clone());
-                    self.queued += bytes * children.len();
-                    self.peak = self.peak.max(self.queued);
-                    let copies = children
-                        .into_iter()
-                        .map(|child| (child, body.clone(), bytes));
-                    self.outbox.extend(copies);
+                ParentStep::Send { children, body } => self.queue(children, &body),
+                ParentStep::SendDelta { children, frame } => {
+                    let body = frame.decode().expect("the delta was just encoded");
+                    self.queue(children, &body);
                 }
                 ParentStep::AskProof { round } => {
                     let index = Some(self.fleet.catalog.applied_index());
@@ -117,6 +113,16 @@
         }
     }
 
+    fn queue(&mut self, children: Vec<ChildId>, body: &Body) {
+        let bytes = frame_bytes(body.clone());
+        self.queued += bytes * children.len();
+        self.peak = self.peak.max(self.queued);
+        let copies = children
+            .into_iter()
+            .map(|child| (child, body.clone(), bytes));
+        self.outbox.extend(copies);
+    }
+
     fn child(&mut self, number: usize, event: ChildEvent) {
         let child = &mut self.children[number];
         for step in child.state.handle(self.now, event, &mut self.random) {
--- a/crates/kumquatlock-wire/src/codec.rs
+++ b/crates/kumquatlock-wire/src/codec.rs
@@ -91,6 +91,14 @@
         Ok(EncodedFrame { kind, bytes })
     }
 
+    /// Decodes the message again, for receivers in the same process.
+    pub fn decode(&self) -> Result<Body, FrameError> {
+        let mut buffer = BytesMut::from(&self.bytes[..]);
+        let envelope = EnvelopeCodec::default().decode(&mut buffer)?;
+        let body = envelope.and_then(|envelope| envelope.body);
+        body.ok_or(FrameError::UnknownMessage)
+    }
+
     /// Kind under which the bytes are counted.
     pub fn kind(&self) -> MessageKind {
         self.kind
--- a/crates/kumquatlock/src/distribution/child.rs
+++ b/crates/kumquatlock/src/distribution/child.rs
@@ -234,7 +234,7 @@
                 self.receive(now, body, random)
             }
             ChildEvent::Connected { link } if self.search.is_probe(link) => {
-                let body = Body::Ping(Ping { number: 0 });
+                let body = Body::Ping(Ping::default());
                 vec![ChildStep::Send { link, body }]
             }
             ChildEvent::Disconnected { link } if self.search.is_probe(link) => {
--- a/crates/kumquatlock/src/distribution/tests/bench.rs
+++ b/crates/kumquatlock/src/distribution/tests/bench.rs
@@ -2,17 +2,15 @@
 
 use std::collections::VecDeque;
 
-use bytes::BytesMut;
 use indexmap::IndexMap;
 use kumquatlock_wire::distribution::{
     CatalogCommand, ChildRole, Ping, Pong, RetryReason, UpstreamItem, UpstreamReport, WireState,
     catalog_command::Kind,
 };
-use kumquatlock_wire::{Body, EncodedFrame, EnvelopeCodec};
+use kumquatlock_wire::{Body, EncodedFrame};
 use prost::Message;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio_util::codec::Decoder;
 
 use super::super::*;
 use crate::catalog::Catalog;
@@ -277,8 +275,11 @@
                     if let Some((probe, _)) = proxy.probe
                         && probe == link
                     {
-                        if let Body::Ping(Ping { number: ping }) = body {
-                            let body = Body::Pong(Pong { number: ping });
+                        if let Body::Ping(Ping { number: ping, .. }) = body {
+                            let body = Body::Pong(Pong {
+                                number: ping,
+                                ..Pong::default()
+                            });
                             self.child(number, ChildEvent::Received { link, body });
                             continue;
                         }
@@ -378,9 +379,7 @@
 }
 
 pub(super) fn decode(frame: &EncodedFrame) -> Body {
-    let mut buffer = BytesMut::from(&frame.bytes()[..]);
-    let envelope = EnvelopeCodec::default().decode(&mut buffer).unwrap();
-    envelope.unwrap().body.unwrap()
+    frame.decode().unwrap()
 }
 
 pub(super) fn describe(body: &Body) -> String {
