--- a/crates/kumquatlock/src/call/request.rs
+++ b/crates/kumquatlock/src/call/request.rs
@@ -75,16 +75,12 @@
 impl CallerRequest {
     /// Checks the headers that the mesh reads.
     pub fn from_http(request: HttpRequest) -> Result<Self, RejectReason> {
-        let key = request.header(KEY_HEADER).map(parse_key).transpose()?;
-        let timeout = request
-            .header(TIMEOUT_HEADER)
-            .map(parse_timeout)
-            .transpose()?;
-        let depth = request
-            .header(DEPTH_HEADER)
-            .map(parse_depth)
-            .transpose()?
-            .unwrap_or(0);
+        let key = single(&request, KEY_HEADER).map_err(|_| RejectReason::InvalidKey)?;
+        let key = key.map(parse_key).transpose()?;
+        let timeout = single(&request, TIMEOUT_HEADER).map_err(|_| RejectReason::InvalidTimeout)?;
+        let timeout = timeout.map(parse_timeout).transpose()?;
+        let depth = single(&request, DEPTH_HEADER).map_err(|_| RejectReason::InvalidDepth)?;
+        let depth = depth.map(parse_depth).transpose()?.unwrap_or(0);
         let trace = request
             .header(TRACEPARENT_HEADER)
             .and_then(|value| value.parse().ok());
@@ -136,6 +132,22 @@
     !hop && !name.to_ascii_lowercase().starts_with("kumquatlock-")
 }
 
+/// The header is given more than once.
+struct RepeatedHeader;
+
+/// A header that must not be given twice. Of two keys, a resend could carry only the other one.
+fn single<'a>(request: &'a HttpRequest, name: &str) -> Result<Option<&'a str>, RepeatedHeader> {
+    let mut found = request
+        .headers
+        .iter()
+        .filter(|(key, _)| key.eq_ignore_ascii_case(name));
+    let first = found.next().map(|(_, value)| value.as_str());
+    match found.next() {
+        None => Ok(first),
+        Some(_) => Err(RepeatedHeader),
+    }
+}
+
 fn parse_key(value: &str) -> Result<String, RejectReason> {
     let visible = value.bytes().all(|byte| byte.is_ascii_graphic());
     if value.is_empty() || value.len() > MAX_KEY_BYTES || !visible {
