--- /dev/null
+++ b/crates/kumquatlock-node/tests/node/herd.rs
@@ -0,0 +1,94 @@
+//! All nodes of a region that die and come back together.
+
+use std::time::Instant;
+
+use kumquatlock::core::RequestClass;
+use kumquatlock_testkit::caller::CallPlan;
+use kumquatlock_testkit::process::{MeshBuilder, wait_for};
+
+use crate::support::{LONG, builder, config_version, start, wait_joined, wait_serving};
+
+/// Rounds of killing and starting.
+const ROUNDS: usize = 3;
+
+fn two_regions() -> MeshBuilder {
+    builder()
+        .regions(&[("osrednja", 2), ("stajerska", 2)])
+        .service("catalogue", RequestClass::Lookup)
+        .upstreams_per_region(2)
+}
+
+/// Guards against nodes that do not attach or serve again after all nodes of a region were killed
+/// and started together, several times. Lookups and bookings without a key are served; claims are
+/// not covered here. Shows P1 and P6.
+#[test]
+fn a_region_that_is_killed_and_started_serves_again() {
+    let mut mesh = start(two_regions());
+    let lost: Vec<usize> = (0..mesh.nodes.len())
+        .filter(|node| mesh.nodes[*node].flags.region == "stajerska")
+        .collect();
+    let kept = (0..mesh.nodes.len())
+        .find(|node| !lost.contains(node))
+        .unwrap();
+    for round in 0..ROUNDS {
+        let before = config_version(&mesh, kept);
+        for node in &lost {
+            mesh.nodes[*node].process.kill().unwrap();
+        }
+        for node in &lost {
+            mesh.nodes[*node].process.restart().unwrap();
+        }
+        let started = Instant::now();
+        for node in &lost {
+            mesh.nodes[*node].wait_ready().unwrap();
+            let caller = mesh.nodes[*node].caller();
+            wait_for("lookup is served", LONG, || {
+                let answer = caller
+                    .get("/catalogue/tatami")
+                    .map_err(|error| error.to_string())?;
+                match answer.status {
+                    200 => Ok(()),
+                    _ => Err(answer.text()),
+                }
+            })
+            .unwrap();
+            assert!(config_version(&mesh, *node) >= before, "P1");
+        }
+        println!(
+            "round {round}: all nodes attached and serving after {:?}",
+            started.elapsed()
+        );
+        for number in 0..6 {
+            let body = format!("unkeyed-{round}-{number}");
+            let caller = mesh.nodes[lost[number % lost.len()]].caller();
+            let answer = caller
+                .send(&CallPlan::post("/booking", body.as_str()))
+                .unwrap();
+            assert_eq!(answer.status, 200, "{}", answer.text());
+            assert_eq!(mesh.ledger().runs_of_body(body.as_bytes()).started, 1);
+        }
+    }
+    assert_eq!(mesh.ledger().repeated_bodies(), 0, "P6");
+}
+
+/// Guards against keyed calls that stay unknown when the nodes of a service are killed and
+/// started one after the other, each once the claims have been taken over. Shows P6.
+#[test]
+fn keyed_calls_recover_after_each_node_was_replaced() {
+    let mut mesh = start(builder());
+    let caller = mesh.nodes[3].caller();
+    let plan = CallPlan::post("/booking", "kept").key("kept");
+    assert_eq!(caller.send(&plan).unwrap().status, 200);
+    for node in 0..mesh.nodes.len() {
+        let version = config_version(&mesh, (node + 1) % mesh.nodes.len());
+        mesh.nodes[node].process.restart().unwrap();
+        mesh.nodes[node].wait_ready().unwrap();
+        let joined = wait_joined(&mesh, version);
+        let served = wait_serving(&mesh, node, "replaced");
+        println!("node {node}: claims taken over after {joined:?}, keyed calls {served:?} later");
+        let caller = mesh.nodes[(node + 1) % mesh.nodes.len()].caller();
+        let answer = caller.send(&plan).unwrap();
+        assert!(matches!(answer.status, 200 | 504), "{}", answer.text());
+    }
+    assert_eq!(mesh.ledger().runs_of_key("kept").started, 1, "P6");
+}
--- a/crates/kumquatlock-node/tests/node/main.rs
+++ b/crates/kumquatlock-node/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod booking;
 mod drain;
 mod freeze;
+mod herd;
 mod input;
 mod kill;
 mod links;
