--- a/crates/kumquatlock-node/tests/node/herd.rs
+++ b/crates/kumquatlock-node/tests/node/herd.rs
@@ -92,3 +92,33 @@
     }
     assert_eq!(mesh.ledger().runs_of_key("kept").started, 1, "P6");
 }
+
+/// Guards against keys that stay unknown for good after two of their three claim holders were
+/// lost at once. The design keeps them unknown until the retention has passed. Shows P5 and P6.
+#[test]
+fn keyed_calls_recover_from_two_lost_holders_after_the_retention() {
+    let retention = ["--claim-retention-ms", "10000"];
+    let plan = retention.into_iter().fold(builder(), |builder, argument| {
+        builder.node_argument(argument)
+    });
+    let mut mesh = start(plan);
+    let before = config_version(&mesh, 0);
+    for node in [1, 2] {
+        mesh.nodes[node].process.kill().unwrap();
+    }
+    for node in [1, 2] {
+        mesh.nodes[node].process.restart().unwrap();
+    }
+    let started = Instant::now();
+    for node in [1, 2] {
+        mesh.nodes[node].wait_ready().unwrap();
+    }
+    wait_joined(&mesh, before + 1);
+    println!("all claim shards are active after {:?}", started.elapsed());
+    assert!(
+        started.elapsed().as_secs() >= 9,
+        "P6: before the retention has passed"
+    );
+    wait_serving(&mesh, 0, "retention");
+    assert_eq!(mesh.ledger().repeated_keys(), [], "P6");
+}
