--- a/crates/kumquatlock-node/tests/node/main.rs
+++ b/crates/kumquatlock-node/tests/node/main.rs
@@ -6,6 +6,8 @@
 mod booking;
 mod drain;
 mod freeze;
+mod herd;
+mod input;
 mod kill;
 mod links;
 mod source;
