Fill up the holders of small services from other services

In a service with one or two upstreams the loss of one closed its shards. The missing holders now are nodes of other services in the home region, two per region by hash of the service name. A node keeps its shards by service and number, and enters those of every service that it helps.

A joining holder now asks the others again every 5 s while it cannot go on. One that had answered before it became active was never asked again, so two new holders could stay inactive beside an active one until the next configuration.

--- a/crates/kumquatlock/src/claim/handover.rs
+++ b/crates/kumquatlock/src/claim/handover.rs
@@ -27,14 +27,14 @@
 #[derive(Debug, Default)]
 pub(super) struct HandoverWatch {
     /// Next view of each shard, and its holders that are active in it.
-    entered: IndexMap<u32, (u64, IndexSet<String>)>,
+    entered: IndexMap<ShardId, (u64, IndexSet<String>)>,
     probed_at: Option<Timestamp>,
 }
 
 impl HandoverWatch {
     /// Whether the holders of `view` can do without the leaving one.
-    pub(super) fn is_entered(&self, number: u32, view: &ShardView) -> bool {
-        let entered = self.entered.get(&number);
+    pub(super) fn is_entered(&self, shard: &ShardId, view: &ShardView) -> bool {
+        let entered = self.entered.get(shard);
         entered.is_some_and(|(id, holders)| {
             *id == view.view && holders.len() >= majority(view.holders.len())
         })
@@ -53,7 +53,9 @@
 
     /// Asks the holders of `view` that have not entered it.
     pub(super) fn probe(&mut self, shard: &ShardId, view: &ShardView, sends: &mut Vec<ClaimSend>) {
-        let known = self.entered.entry(shard.number).or_default();
+        let known = self.entered.entry(shard.clone());
+        let index = known.index() as u64;
+        let known = known.or_default();
         if known.0 != view.view {
             *known = (view.view, IndexSet::new());
         }
@@ -62,7 +64,7 @@
                 continue;
             }
             let request = ClaimRequest {
-                request_id: PROBE_MARK | u64::from(shard.number),
+                request_id: PROBE_MARK | index,
                 shard: shard.clone(),
                 view: view.view,
                 action: ClaimAction::Probe as i32,
@@ -82,8 +84,8 @@
         if reply.request_id & PROBE_MARK == 0 || reply.verdict != ClaimVerdict::Granted as i32 {
             return;
         }
-        let number = (reply.request_id & !PROBE_MARK) as u32;
-        if let Some((view, holders)) = self.entered.get_mut(&number)
+        let index = (reply.request_id & !PROBE_MARK) as usize;
+        if let Some((_, (view, holders))) = self.entered.get_index_mut(index)
             && *view == reply.view
         {
             holders.insert(from.to_owned());
--- a/crates/kumquatlock/src/claim/holder.rs
+++ b/crates/kumquatlock/src/claim/holder.rs
@@ -3,7 +3,7 @@
 use std::ops::Range;
 use std::sync::Arc;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use kumquatlock_wire::Body;
 use kumquatlock_wire::claim::{
     ClaimAction, ClaimOwner, ClaimReply, ClaimRequest, ClaimVerdict, ShardChunk, ShardFetch,
@@ -11,12 +11,14 @@
 };
 use prost::Message;
 
+use super::genesis::GenesisTracker;
 use super::handover::HandoverWatch;
-use super::joining::{ChunkEffect, JoinContext, JoinDecision, JoiningView, ViewReport};
+use super::joining::{ChunkEffect, JoinContext, JoinDecision, JoiningView};
 use super::placement::{PlacementTable, SHARDS_PER_SERVICE};
 use super::record::KeyRecord;
+use super::shard::ShardState;
 use super::{ClaimSend, ClaimSettings, TRANSFER_HEADROOM};
-use crate::core::{ConfigSnapshot, ServiceEntry, SharedName, Timestamp};
+use crate::core::{ConfigSnapshot, SharedName, Timestamp};
 
 /// Bytes of records in one chunk. Eight chunks fit into a frame, and no chunk delays a call on the
 /// same link noticeably.
@@ -37,20 +39,15 @@
     own: ShardHolder,
     settings: ClaimSettings,
     placement: PlacementTable,
-    /// The node's own service at the last snapshot; views change only with its members.
-    service: Option<Arc<ServiceEntry>>,
-    /// Name of that service, or of the last one after the node has left.
-    last_service: Option<SharedName>,
+    /// Whether the configuration lists this run.
+    is_listed: bool,
+    /// Services whose shards this node may hold or has held, its own first.
+    services: IndexMap<SharedName, GenesisTracker>,
     /// Used while the node leaves.
     handover: HandoverWatch,
-    /// Upstreams that were seen as the first of their region. Genesis counts only while each of
-    /// them still runs: a lost one may have known claims.
-    genesis_seen: IndexSet<ShardHolder>,
-    /// The upstreams that started the service, while all of them are known to run.
-    genesis: Option<Vec<ShardHolder>>,
     /// Shards that the holder takes part in; all but in tests.
     numbers: Range<u32>,
-    shards: IndexMap<u32, ShardState>,
+    shards: IndexMap<ShardId, ShardState>,
     next_request_id: u64,
     /// Records in all shards.
     kept: usize,
@@ -58,44 +55,6 @@
     confirmed_at: Option<Timestamp>,
 }
 
-/// One shard at one holder.
-#[derive(Debug, Default)]
-struct ShardState {
-    /// Id of the view that the configuration names; zero if it does not name this node.
-    current: u64,
-    report: ViewReport,
-    /// Set while the holder is not active in `current`. No claim is granted meanwhile: the holder
-    /// counts as fenced in its own read of the earlier views.
-    joining: Option<JoiningView>,
-    /// Last proof that the configuration named the view that the holder is active in, once it
-    /// names another one.
-    unnamed_since: Option<Timestamp>,
-    records: IndexMap<Box<str>, KeyRecord>,
-    /// Counts removals of records, which shift the offsets of a transfer.
-    generation: u64,
-}
-
-impl ShardState {
-    fn grants_in(&self, view: u64) -> bool {
-        self.joining.is_none() && self.report.is_unfenced() && self.report.is_active_in(view)
-    }
-
-    /// Sets the view that the configuration names, and the last proof of the one before.
-    fn name_view(&mut self, view: u64, confirmed_at: Option<Timestamp>) {
-        self.current = view;
-        if self.report.is_active_in(view) {
-            self.unnamed_since = None;
-        } else {
-            self.unnamed_since = self.unnamed_since.or(confirmed_at);
-        }
-    }
-
-    fn epoch(&self) -> u64 {
-        let active = self.report.active.as_ref();
-        active.map_or(0, |view| view.config_version)
-    }
-}
-
 impl ClaimHolder {
     /// A holder without claims, at the start of a node's run. It grants nothing before it has
     /// become active in a view.
@@ -104,11 +63,9 @@
             own,
             settings,
             placement: PlacementTable::default(),
-            service: None,
-            last_service: None,
+            is_listed: false,
+            services: IndexMap::new(),
             handover: HandoverWatch::default(),
-            genesis_seen: IndexSet::new(),
-            genesis: None,
             numbers: 0..SHARDS_PER_SERVICE,
             shards: IndexMap::new(),
             next_request_id: 1,
@@ -138,16 +95,13 @@
     /// has a next view, or a majority of each next view has entered it. Otherwise asks them.
     pub fn hand_over(&mut self, now: Timestamp) -> HandoverStep {
         let mut waiting = Vec::new();
-        for (&number, shard) in &self.shards {
-            let (Some(name), Some(_)) = (&self.last_service, &shard.report.active) else {
-                continue;
-            };
-            let next = self.placement.view_of(name, number);
+        for (shard, state) in &self.shards {
+            let next = self.placement.view_of(&shard.service, shard.number);
             if let Some(view) = next
-                && !self.handover.is_entered(number, &view)
+                && state.report.active.is_some()
+                && !self.handover.is_entered(shard, &view)
             {
-                let service = name.to_string();
-                waiting.push((ShardId { service, number }, view));
+                waiting.push((shard.clone(), view));
             }
         }
         if waiting.is_empty() {
@@ -169,70 +123,83 @@
 
     /// Takes a new configuration: joins the views that name this node.
     pub fn on_snapshot(&mut self, now: Timestamp, snapshot: Arc<ConfigSnapshot>) -> Vec<ClaimSend> {
-        let service = snapshot
-            .upstreams
-            .get(self.own.name.as_str())
-            .filter(|upstream| upstream.incarnation.0 == self.own.incarnation)
-            .and_then(|upstream| snapshot.services.get(&upstream.service))
-            .cloned();
-        let earlier = match &self.service {
-            Some(service) => self.placement.computed_views(&service.name),
-            None => Vec::new(),
-        };
-        self.placement.update(snapshot);
-        let members = |entry: &Option<Arc<ServiceEntry>>| {
-            entry
-                .as_ref()
-                .map(|entry| (entry.name.clone(), entry.members.clone()))
-        };
-        let is_same = members(&service) == members(&self.service);
-        self.service = service;
-        if let Some(service) = &self.service {
-            self.last_service = Some(service.name.clone());
-            let first = service
-                .members
-                .iter()
-                .filter(|member| member.first_in_region);
-            self.genesis_seen.extend(first.map(|member| ShardHolder {
-                name: member.name.to_string(),
-                incarnation: member.incarnation.0,
-            }));
+        let own = snapshot.upstreams.get(self.own.name.as_str());
+        let own = own.filter(|upstream| upstream.incarnation.0 == self.own.incarnation);
+        let own_service = own.map(|upstream| upstream.service.clone());
+        self.is_listed = own.is_some();
+        let earlier: Vec<_> = self
+            .services
+            .keys()
+            .map(|name| self.placement.computed_views(name))
+            .collect();
+        self.placement.update(snapshot.clone());
+        let known = self.services.len();
+        let is_held = |name: &SharedName| own_service.as_ref() == Some(name);
+        for name in snapshot.services.keys() {
+            if is_held(name) || self.placement.is_filler(name, &self.own) {
+                self.services.entry(name.clone()).or_default();
+            }
         }
-        self.genesis = self.find_genesis();
         let mut sends = Vec::new();
+        let names: Vec<SharedName> = self.services.keys().cloned().collect();
+        for (index, name) in names.into_iter().enumerate() {
+            let is_same = index < known && self.placement.is_computed(&name);
+            if let (Some(service), Some(genesis)) =
+                (snapshot.services.get(&name), self.services.get_mut(&name))
+            {
+                genesis.update(service);
+            }
+            let earlier = earlier.get(index).map_or(&[][..], Vec::as_slice);
+            self.enter_service(now, &name, is_same, earlier, &mut sends);
+        }
+        sends
+    }
+
+    /// Enters the views of one service.
+    fn enter_service(
+        &mut self,
+        now: Timestamp,
+        name: &SharedName,
+        is_same: bool,
+        earlier: &[Option<Arc<ShardView>>],
+        sends: &mut Vec<ClaimSend>,
+    ) {
         for number in self.numbers.clone() {
+            let shard = ShardId {
+                service: name.to_string(),
+                number,
+            };
             // With the same members a view only changes its epoch, and only if it was fenced.
-            let settled = |shard: &ShardState| shard.current == 0 || shard.grants_in(shard.current);
-            if is_same && self.shards.get(&number).is_none_or(settled) {
+            let settled = |state: &ShardState| state.current == 0 || state.grants_in(state.current);
+            if is_same && self.shards.get(&shard).is_none_or(settled) {
                 continue;
             }
-            if self.enter_view(now, number) {
-                let joining = self.shards.get_mut(&number);
-                let joining = joining.and_then(|shard| shard.joining.as_mut());
+            if self.enter_view(now, &shard) {
+                let joining = self.shards.get_mut(&shard);
+                let joining = joining.and_then(|state| state.joining.as_mut());
                 let view = earlier.get(number as usize).and_then(Option::as_ref);
                 if let (Some(joining), Some(view)) = (joining, view) {
                     joining.add_hints(&view.holders);
                 }
-                self.advance(now, number, &mut sends);
+                self.advance(now, &shard, sends);
             }
         }
-        sends
     }
 
     /// Sets the current view of a shard. True if a join has started or its target has changed.
-    fn enter_view(&mut self, now: Timestamp, number: u32) -> bool {
-        let name = self.service.as_ref().map(|service| service.name.clone());
-        let view = name
-            .and_then(|name| self.placement.view_of(&name, number))
-            .filter(|view| view.holders.contains(&self.own));
+    fn enter_view(&mut self, now: Timestamp, id: &ShardId) -> bool {
+        let view = self
+            .placement
+            .view_of(&id.service, id.number)
+            .filter(|view| self.is_listed && view.holders.contains(&self.own));
         let Some(view) = view else {
-            if let Some(shard) = self.shards.get_mut(&number) {
+            if let Some(shard) = self.shards.get_mut(id) {
                 shard.name_view(0, self.confirmed_at);
                 shard.joining = None;
             }
             return false;
         };
-        let shard = self.shards.entry(number).or_default();
+        let shard = self.shards.entry(id.clone()).or_default();
         shard.name_view(view.view, self.confirmed_at);
         if shard.report.is_unfenced() && shard.report.is_active_in(view.view) {
             shard.joining = None;
@@ -267,19 +234,16 @@
     /// Takes note that the held configuration was proved current at `at`. Without newer proof that
     /// lists this run the holder stops granting after [`ClaimSettings::isolation_limit`].
     pub fn confirm(&mut self, at: Timestamp) {
-        if self.service.is_some() {
+        if self.is_listed {
             self.confirmed_at = self.confirmed_at.max(Some(at));
         }
     }
 
     /// Whether the configuration may have dropped this run, or named other holders for the shard,
     /// for so long that others stop waiting for its claims.
-    fn is_isolated(&self, now: Timestamp, number: u32) -> bool {
+    fn is_isolated(&self, now: Timestamp, id: &ShardId) -> bool {
         let limit = self.settings.isolation_limit;
-        let unnamed_since = self
-            .shards
-            .get(&number)
-            .and_then(|shard| shard.unnamed_since);
+        let unnamed_since = self.shards.get(id).and_then(|shard| shard.unnamed_since);
         let named_at = unnamed_since.or(self.confirmed_at);
         named_at.is_none_or(|at| now.since(at) >= limit)
     }
@@ -302,13 +266,8 @@
         request: &ClaimRequest,
     ) -> (ClaimVerdict, Option<ClaimOwner>, u64) {
         self.follow_epoch(now, request);
-        let isolated = self.is_isolated(now, request.shard.number);
-        let own_service = self.service.as_ref().map(|service| &*service.name);
-        let shard = self
-            .shards
-            .get_mut(&request.shard.number)
-            .filter(|_| own_service == Some(request.shard.service.as_str()));
-        let Some(shard) = shard else {
+        let isolated = self.is_isolated(now, &request.shard);
+        let Some(shard) = self.shards.get_mut(&request.shard) else {
             return (ClaimVerdict::WrongView, None, 0);
         };
         if isolated || !shard.grants_in(request.view) {
@@ -359,8 +318,7 @@
     /// Leaves a view that other holders have formed again since. The join goes on with the next
     /// tick.
     fn follow_epoch(&mut self, now: Timestamp, request: &ClaimRequest) {
-        let number = request.shard.number;
-        let Some(shard) = self.shards.get_mut(&number) else {
+        let Some(shard) = self.shards.get_mut(&request.shard) else {
             return;
         };
         if request.epoch <= shard.epoch() || !shard.grants_in(request.view) {
@@ -371,7 +329,7 @@
         };
         target.config_version = request.epoch;
         if shard.report.promise(&target) {
-            self.enter_view(now, number);
+            self.enter_view(now, &request.shard);
         }
     }
 
@@ -382,17 +340,15 @@
         from: &SharedName,
         fetch: &ShardFetch,
     ) -> Vec<ClaimSend> {
-        let own_service = self.service.as_ref().map(|service| &*service.name);
-        if own_service.is_some_and(|name| name != fetch.shard.service) {
-            return Vec::new();
-        }
-        let number = fetch.shard.number;
-        if number >= SHARDS_PER_SERVICE {
+        let id = &fetch.shard;
+        let is_known = self.services.contains_key(id.service.as_str())
+            || self.placement.has_service(&id.service);
+        if !is_known || id.number >= SHARDS_PER_SERVICE {
             return Vec::new();
         }
         let target = &fetch.target;
-        let is_outdated = self.is_outdated(number, target);
-        let shard = self.shards.entry(number).or_default();
+        let is_outdated = self.is_outdated(id, target);
+        let shard = self.shards.entry(id.clone()).or_default();
         // A holder that is active and unfenced in the same view lets the sender join it there.
         let same_view = shard.report.is_unfenced() && shard.report.is_active_in(target.view);
         let accepted = same_view || (!is_outdated && shard.report.promise(target));
@@ -427,30 +383,29 @@
             body: Body::ShardChunk(chunk),
         }];
         // The promise may have fenced the view that this node is in or on its way to.
-        if accepted && !same_view && self.enter_view(now, number) {
-            self.advance(now, number, &mut sends);
+        if accepted && !same_view && self.enter_view(now, id) {
+            self.advance(now, id, &mut sends);
         }
         sends
     }
 
     /// Whether this node's configuration is at or past the target's and names other holders. The
     /// sender will learn of them, so there is no reason to fence anything for it.
-    fn is_outdated(&mut self, number: u32, target: &ShardView) -> bool {
-        let Some(service) = &self.service else {
+    fn is_outdated(&mut self, id: &ShardId, target: &ShardView) -> bool {
+        if !self.is_listed {
             return false;
-        };
-        let name = service.name.clone();
-        let view = self.placement.view_of(&name, number);
+        }
+        let view = self.placement.view_of(&id.service, id.number);
         target.config_version <= self.placement.snapshot().version.0
             && view.is_some_and(|view| view.view != target.view)
     }
 
     /// Takes claims that another holder handed over.
     pub fn on_chunk(&mut self, now: Timestamp, chunk: ShardChunk) -> Vec<ClaimSend> {
-        let number = chunk.shard.number;
+        let id = chunk.shard.clone();
         let mut sends = Vec::new();
         let limit = self.settings.max_keys.saturating_mul(TRANSFER_HEADROOM);
-        let Some(shard) = self.shards.get_mut(&number) else {
+        let Some(shard) = self.shards.get_mut(&id) else {
             return sends;
         };
         let Some(joining) = &mut shard.joining else {
@@ -485,7 +440,7 @@
                 }
             }
         }
-        self.advance(now, number, &mut sends);
+        self.advance(now, &id, &mut sends);
         sends
     }
 
@@ -495,7 +450,7 @@
         let mut sends = Vec::new();
         let settings = &self.settings;
         let mut waiting = Vec::new();
-        for (number, shard) in &mut self.shards {
+        for (id, shard) in &mut self.shards {
             let before = shard.records.len();
             shard.records.retain(|_, record| {
                 let retention = if record.is_claimed() {
@@ -510,22 +465,21 @@
                 shard.generation += 1;
             }
             if shard.joining.is_some() {
-                waiting.push(*number);
+                waiting.push(id.clone());
             }
         }
-        for number in waiting {
-            self.advance(now, number, &mut sends);
+        for id in waiting {
+            self.advance(now, &id, &mut sends);
         }
         sends
     }
 
     /// Activates a joining shard or asks those whose answers are missing.
-    fn advance(&mut self, now: Timestamp, number: u32, sends: &mut Vec<ClaimSend>) {
+    fn advance(&mut self, now: Timestamp, id: &ShardId, sends: &mut Vec<ClaimSend>) {
         let snapshot = self.placement.snapshot().clone();
-        let Some(service) = &self.service else {
-            return;
-        };
-        let Some(shard) = self.shards.get_mut(&number) else {
+        let genesis = self.services.get(id.service.as_str());
+        let genesis = genesis.and_then(GenesisTracker::holders);
+        let Some(shard) = self.shards.get_mut(id) else {
             return;
         };
         let Some(joining) = &mut shard.joining else {
@@ -537,7 +491,7 @@
         };
         let context = JoinContext {
             own: &self.own,
-            genesis: self.genesis.as_deref(),
+            genesis: genesis.as_deref(),
             is_listed: &is_listed,
             lost_view_age: self.settings.lost_view_age(),
         };
@@ -557,10 +511,7 @@
                     };
                     let fetch = ShardFetch {
                         request_id: joining.request_id,
-                        shard: ShardId {
-                            service: service.name.to_string(),
-                            number,
-                        },
+                        shard: id.clone(),
                         target: joining.target.clone(),
                         offset,
                     };
@@ -572,26 +523,4 @@
             }
         }
     }
-
-    /// The upstreams that started the service, if all that were ever seen as such still run and
-    /// every region of the service has one. Each has known every shard since its start, so they
-    /// can report whether a view was ever formed.
-    fn find_genesis(&self) -> Option<Vec<ShardHolder>> {
-        let service = self.service.as_ref()?;
-        let is_first = |holder: &ShardHolder| {
-            service.members.iter().any(|member| {
-                *member.name == *holder.name
-                    && member.incarnation.0 == holder.incarnation
-                    && member.first_in_region
-            })
-        };
-        let covered = service.members.iter().all(|member| {
-            service
-                .members
-                .iter()
-                .any(|first| first.first_in_region && first.region == member.region)
-        });
-        let complete = !self.genesis_seen.is_empty() && self.genesis_seen.iter().all(is_first);
-        (complete && covered).then(|| self.genesis_seen.iter().cloned().collect())
-    }
 }
--- a/crates/kumquatlock/src/claim/joining.rs
+++ b/crates/kumquatlock/src/claim/joining.rs
@@ -20,6 +20,10 @@
 /// Holders of earlier configurations that a join asks besides those that it has to. Four views.
 const MAX_HINTS: usize = 12;
 
+/// Time after which a holder that has answered is asked again while the join cannot go on. It may
+/// have become active since, and no change of the configuration tells of that.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(5);
+
 /// What a holder reports of its place in the sequence of views.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct ViewReport {
@@ -105,6 +109,8 @@
     /// Set when all records have arrived. Only then does the holder count.
     report: Option<ViewReport>,
     sent_at: Option<Timestamp>,
+    /// When the latest question was sent.
+    asked_at: Timestamp,
 }
 
 /// A holder on its way into a view.
@@ -242,10 +248,15 @@
     ) -> Option<u64> {
         let fetch = self.fetches.entry(holder.clone()).or_default();
         let waiting = fetch.sent_at.is_some_and(|sent| now.since(sent) < interval);
-        if fetch.report.is_some() || waiting {
+        let is_answered = fetch.report.is_some();
+        if waiting || (is_answered && now.since(fetch.asked_at) < REPEAT_INTERVAL) {
             return None;
         }
+        if is_answered {
+            *fetch = FetchProgress::default();
+        }
         fetch.sent_at = Some(now);
+        fetch.asked_at = now;
         Some(fetch.offset)
     }
 
@@ -317,6 +328,13 @@
                 missing.push(holder.clone());
             }
         }
+        // A holder of the target that answered before it became active can be adopted from later.
+        let target = self.target.holders.iter();
+        missing.extend(
+            target
+                .filter(|holder| *holder != context.own && answered(holder))
+                .cloned(),
+        );
         let mut lost = required.iter().flat_map(|view| &view.holders);
         let any_listed = lost.any(|holder| !answered(holder) && (context.is_listed)(holder));
         (JoinDecision::Fetch(missing), any_listed)
--- a/crates/kumquatlock/src/claim/mod.rs
+++ b/crates/kumquatlock/src/claim/mod.rs
@@ -57,6 +57,7 @@
 
 mod acquirer;
 mod fencer;
+mod genesis;
 mod handover;
 mod holder;
 mod joining;
@@ -64,6 +65,7 @@
 mod placement;
 mod record;
 mod round;
+mod shard;
 
 use std::time::Duration;
 
--- a/crates/kumquatlock/src/claim/placement.rs
+++ b/crates/kumquatlock/src/claim/placement.rs
@@ -70,6 +70,15 @@
 pub struct PlacementTable {
     snapshot: Arc<ConfigSnapshot>,
     services: IndexMap<SharedName, ServicePlacement>,
+    /// Fillers of the services that need them.
+    fillers: IndexMap<SharedName, Vec<FillerNode>>,
+}
+
+/// A node of another service that holds claims for a service with too few upstreams.
+#[derive(Clone, Debug, PartialEq)]
+struct FillerNode {
+    holder: ShardHolder,
+    region: SharedName,
 }
 
 #[derive(Debug)]
@@ -78,23 +87,46 @@
     /// Configuration version at which this membership was first seen.
     epoch: u64,
     member_hashes: Vec<u64>,
+    fillers: Vec<FillerNode>,
     regions: IndexSet<SharedName>,
     /// One slot per shard number.
     views: Vec<Option<Arc<ShardView>>>,
 }
 
 impl PlacementTable {
-    /// Moves to another configuration. Views of services whose members are unchanged are kept.
+    /// Moves to another configuration. Views of services whose members and fillers are unchanged
+    /// are kept.
     pub fn update(&mut self, snapshot: Arc<ConfigSnapshot>) {
+        let services = &snapshot.services;
+        let small = services.values().filter(|entry| needs_fillers(entry));
+        self.fillers = small
+            .map(|entry| (entry.name.clone(), find_fillers(entry, &snapshot)))
+            .collect();
+        let fillers = &self.fillers;
         self.services.retain(|name, placement| {
-            snapshot
-                .services
+            services
                 .get(name)
                 .is_some_and(|entry| entry.members == placement.entry.members)
+                && fillers.get(name).map_or(&[][..], Vec::as_slice) == placement.fillers
         });
         self.snapshot = snapshot;
     }
 
+    /// Whether the node helps a service that has fewer upstreams than a shard has holders.
+    pub(super) fn is_filler(&self, service: &str, node: &ShardHolder) -> bool {
+        let fillers = self.fillers.get(service);
+        fillers.is_some_and(|fillers| fillers.iter().any(|filler| filler.holder == *node))
+    }
+
+    /// Whether views of the service are kept since an earlier configuration.
+    pub(super) fn is_computed(&self, service: &str) -> bool {
+        self.services.contains_key(service)
+    }
+
+    pub(super) fn has_service(&self, service: &str) -> bool {
+        self.snapshot.services.contains_key(service)
+    }
+
     /// The configuration that the views are computed from.
     pub fn snapshot(&self) -> &Arc<ConfigSnapshot> {
         &self.snapshot
@@ -104,7 +136,8 @@
     pub fn view_of(&mut self, service: &str, number: u32) -> Option<Arc<ShardView>> {
         if !self.services.contains_key(service) {
             let entry = self.snapshot.services.get(service)?.clone();
-            let placement = ServicePlacement::new(entry, self.snapshot.version.0);
+            let fillers = self.fillers.get(service).cloned().unwrap_or_default();
+            let placement = ServicePlacement::new(entry, fillers, self.snapshot.version.0);
             let name = placement.entry.name.clone();
             self.services.insert(name, placement);
         }
@@ -126,8 +159,9 @@
 }
 
 impl ServicePlacement {
-    fn new(entry: Arc<ServiceEntry>, epoch: u64) -> Self {
+    fn new(entry: Arc<ServiceEntry>, fillers: Vec<FillerNode>, epoch: u64) -> Self {
         ServicePlacement {
+            fillers,
             epoch,
             member_hashes: entry
                 .members
@@ -193,6 +227,9 @@
                 incarnation: member.incarnation.0,
             })
             .collect();
+        let fillers = self.fillers.iter().filter(|filler| filler.region == home);
+        let missing = HOLDERS_PER_SHARD - holders.len();
+        holders.extend(fillers.take(missing).map(|filler| filler.holder.clone()));
         holders.sort_unstable();
         ShardView {
             view: view_id(&holders),
@@ -222,6 +259,54 @@
     }
 }
 
+/// Whether nodes of other services have to help with the claims of a service.
+fn needs_fillers(service: &ServiceEntry) -> bool {
+    (1..HOLDERS_PER_SHARD).contains(&service.members.len())
+}
+
+/// The nodes that help a service in each of its regions, the same for all its shards so that they
+/// are found in one pass. Enough of them in other zones than those of the service's own upstreams,
+/// where there are such.
+fn find_fillers(service: &ServiceEntry, snapshot: &ConfigSnapshot) -> Vec<FillerNode> {
+    let service_hash = stable_hash(service.name.as_bytes());
+    let members = &service.members;
+    let regions: IndexSet<&SharedName> = members.iter().map(|member| &member.region).collect();
+    let own_zones: IndexSet<&SharedName> = members.iter().map(|member| &member.zone).collect();
+    let mut fillers = Vec::new();
+    for region in regions {
+        let is_candidate = |upstream: &&Arc<UpstreamEntry>| {
+            upstream.region == *region && upstream.service != service.name
+        };
+        let candidates = snapshot.upstreams.values().filter(is_candidate);
+        let mut ranked: Vec<(u64, &UpstreamEntry)> = candidates
+            .map(|other| {
+                (
+                    score(stable_hash(other.name.as_bytes()), service_hash),
+                    &**other,
+                )
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(score, other)| (Reverse(*score), other.name.clone()));
+        let mut zones = IndexSet::new();
+        let (new_zones, rest): (Vec<_>, Vec<_>) = ranked
+            .into_iter()
+            .partition(|(_, other)| !own_zones.contains(&other.zone) && zones.insert(&other.zone));
+        let chosen = new_zones.into_iter().chain(rest);
+        fillers.extend(
+            chosen
+                .take(HOLDERS_PER_SHARD - 1)
+                .map(|(_, other)| FillerNode {
+                    holder: ShardHolder {
+                        name: other.name.to_string(),
+                        incarnation: other.incarnation.0,
+                    },
+                    region: other.region.clone(),
+                }),
+        );
+    }
+    fillers
+}
+
 /// Hash of the holders. Sorted by name, so all nodes compute the same.
 fn view_id(holders: &[ShardHolder]) -> u64 {
     let mut bytes = Vec::with_capacity(128);
--- a/crates/kumquatlock/src/claim/tests/cluster.rs
+++ b/crates/kumquatlock/src/claim/tests/cluster.rs
@@ -18,6 +18,8 @@
 
 pub(super) const SERVICE: &str = "booking";
 
+const OTHER_SERVICE: &str = "orders";
+
 pub(super) const KEY: &str = "book-1";
 
 /// Messages that one burst may take; the largest seen is below 1,000.
@@ -31,6 +33,7 @@
     pub(super) zone: u32,
     pub(super) region: String,
     pub(super) first: bool,
+    pub(super) service: &'static str,
 }
 
 pub(super) fn member(name: &str, incarnation: u64) -> Member {
@@ -40,20 +43,32 @@
         zone: 0,
         region: "osrednja".into(),
         first: false,
+        service: SERVICE,
+    }
+}
+
+/// A node of another service.
+pub(super) fn other_member(name: &str, incarnation: u64) -> Member {
+    Member {
+        service: OTHER_SERVICE,
+        ..member(name, incarnation)
     }
 }
 
 pub(super) fn snapshot_of(version: u64, members: &[Member]) -> Arc<ConfigSnapshot> {
-    let service = ServiceItem {
-        name: SERVICE.into(),
+    let services = [SERVICE, OTHER_SERVICE].map(|name| ServiceItem {
+        name: name.into(),
         patterns: vec!["*".into()],
-    };
-    let mut digest = service_digest(&service);
+    });
+    let mut digest = services
+        .iter()
+        .map(service_digest)
+        .fold(0, u64::wrapping_add);
     let mut upstreams = Vec::new();
     for member in members {
         let item = UpstreamItem {
             name: member.name.clone(),
-            service: SERVICE.into(),
+            service: member.service.into(),
             zone: format!("{}-{}", member.region, member.zone),
             region: member.region.clone(),
             node_address: "127.0.0.1:1".into(),
@@ -68,7 +83,7 @@
     let state = CatalogState {
         version,
         manifest_version: 1,
-        services: vec![service],
+        services: services.to_vec(),
         routes: Vec::new(),
         upstreams,
         ..CatalogState::default()
--- a/crates/kumquatlock/src/claim/tests/failures.rs
+++ b/crates/kumquatlock/src/claim/tests/failures.rs
@@ -3,7 +3,7 @@
 use kumquatlock_wire::Body;
 use kumquatlock_wire::claim::{ClaimAction, ClaimOwner};
 
-use super::cluster::{Cluster, KEY, SERVICE, answer, member, snapshot_of};
+use super::cluster::{Cluster, KEY, SERVICE, answer, member, other_member, snapshot_of};
 use crate::claim::{AcquireDecision, ClaimSettings, FenceDecision, PlacementTable, QueryAnswer};
 
 fn other_owner(decision: &AcquireDecision) -> ClaimOwner {
@@ -422,3 +422,36 @@
         assert!(cluster.hand_over(name));
     }
 }
+
+/// Guards against a shard of a service with one upstream that is closed, or forgets its claims,
+/// when that upstream restarts or is replaced.
+#[test]
+fn nodes_of_other_services_keep_the_claims_of_a_single_upstream() {
+    let (mut cluster, mut members) = Cluster::of(&["a"]);
+    for name in ["f", "g", "h"] {
+        cluster.start(name, 1);
+        members.push(other_member(name, 1));
+    }
+    members[1].first = true;
+    cluster.apply_all(2, &members);
+    cluster.pass(1_000);
+    assert!(cluster.is_settled(2));
+    cluster.attempt("a", KEY);
+    cluster.deliver_all();
+    // Lost without a handover; for a while the service has no upstream at all.
+    cluster.start("a", 2);
+    let a = members.remove(0);
+    cluster.apply_all(3, &members);
+    cluster.pass(1_000);
+    members.push(member(&a.name, 2));
+    cluster.apply_all(4, &members);
+    cluster.pass(1_000);
+    assert!(cluster.is_settled(4));
+    let decision = resend(&mut cluster, "a");
+    assert_eq!(other_owner(&decision).destination_incarnation, 1);
+    assert_eq!(cluster.runs_of(KEY), 1);
+    let key = cluster.other_key(0);
+    let number = cluster.attempt("a", &key);
+    cluster.deliver_all();
+    assert_eq!(cluster.decision("a", number), &AcquireDecision::Run);
+}
--- a/crates/kumquatlock/src/claim/tests/property.rs
+++ b/crates/kumquatlock/src/claim/tests/property.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
 
-use super::cluster::{Cluster, Member, member, snapshot_of};
+use super::cluster::{Cluster, Member, SERVICE, member, other_member, snapshot_of};
 use crate::claim::AcquireDecision;
 
 /// Set to repeat a run with another seed.
@@ -78,21 +78,45 @@
     keys: Vec<String>,
     /// Any number of processes may be lost between view changes.
     double_losses: bool,
+    /// The first two nodes are upstreams of the service, the others fill up its holders.
+    with_fillers: bool,
     restarts: usize,
 }
 
+fn member_at(index: usize, incarnation: u64, with_fillers: bool) -> Member {
+    let named = match with_fillers && index >= 2 {
+        true => other_member,
+        false => member,
+    };
+    let mut member = named(NAMES[index], incarnation);
+    member.zone = index as u32;
+    member
+}
+
 impl Schedule {
-    fn new(double_losses: bool) -> Self {
-        let (mut cluster, members) = Cluster::of(&NAMES[..4]);
+    fn new(double_losses: bool, with_fillers: bool) -> Self {
+        let started = if with_fillers { 2 } else { 4 };
+        let (mut cluster, mut members) = Cluster::of(&NAMES[..started]);
         cluster.manual_run = true;
-        cluster.start(NAMES[4], 1);
+        for name in &NAMES[started..] {
+            cluster.start(name, 1);
+        }
         cluster.apply_all(1, &members);
+        let mut history = vec![members.clone()];
+        if with_fillers {
+            members.extend((2..NAMES.len()).map(|index| member_at(index, 1, true)));
+            members[2].first = true;
+            history.push(members.clone());
+            cluster.apply_all(2, &members);
+            cluster.pass(1_000);
+        }
         let keys = (0..KEYS).map(|index| cluster.other_key(index)).collect();
         Schedule {
             cluster,
             keys,
-            history: vec![members],
+            history,
             double_losses,
+            with_fillers,
             restarts: 0,
         }
     }
@@ -139,13 +163,21 @@
         let mut members = self.history.last().cloned().unwrap_or_default();
         // A view of fewer than three holders does not survive the loss of one.
         let least = if self.double_losses { 1 } else { 3 };
+        let is_last = members
+            .iter()
+            .filter(|member| member.service == SERVICE)
+            .count()
+            == 1
+            && members
+                .iter()
+                .any(|member| member.name == name && member.service == SERVICE);
         match members.iter().position(|member| member.name == name) {
+            Some(_) if is_last => return,
             Some(_) if members.len() <= least => return,
             Some(position) => drop(members.remove(position)),
             None => {
-                let mut added = member(name, self.cluster.nodes[name].id.incarnation);
-                added.zone = index as u32;
-                members.push(added);
+                let incarnation = self.cluster.nodes[name].id.incarnation;
+                members.push(member_at(index, incarnation, self.with_fillers));
             }
         }
         self.history.push(members);
@@ -253,7 +285,7 @@
         .unwrap_or(default)
 }
 
-fn check_schedules(double_losses: bool) {
+fn check_schedules(double_losses: bool, with_fillers: bool) {
     let seed = number_from(SEED_VARIABLE, DEFAULT_SEED);
     let cases = number_from(CASES_VARIABLE, u64::from(DEFAULT_CASES)) as u32;
     println!("{SEED_VARIABLE}={seed} {CASES_VARIABLE}={cases}");
@@ -270,7 +302,7 @@
     let tally = std::cell::RefCell::new(Tally::default());
     let events = prop::collection::vec(event(), 20..250);
     let result = runner.run(&events, |events| {
-        let mut schedule = Schedule::new(double_losses);
+        let mut schedule = Schedule::new(double_losses, with_fillers);
         for event in &events {
             schedule.perform(event);
             schedule.cluster.check().map_err(TestCaseError::fail)?;
@@ -302,11 +334,24 @@
 /// Also guards against holders that never become active again.
 #[test]
 fn single_losses_keep_the_guarantees_and_recover() {
-    check_schedules(false);
+    check_schedules(false, false);
 }
 
 /// Guards against the same faults when several holders are lost before a view change completes.
 #[test]
 fn double_losses_keep_the_guarantees() {
-    check_schedules(true);
+    check_schedules(true, false);
+}
+
+/// Guards against the faults of single losses in a service with two upstreams, or one, whose
+/// holders are filled up with nodes of another service.
+#[test]
+fn fillers_keep_the_guarantees_and_recover() {
+    check_schedules(false, true);
+}
+
+/// Guards against the same faults when several holders are lost before a view change completes.
+#[test]
+fn fillers_keep_the_guarantees_after_double_losses() {
+    check_schedules(true, true);
 }
