Keep answers to an earlier run out of a join

Every run of a holder numbered its joins from 1, so an answer to a fetch of an earlier run could be taken for one of the present run, although the sender had promised nothing to it. The incarnation now is part of the request id.

--- a/crates/kumquatlock/src/claim/holder.rs
+++ b/crates/kumquatlock/src/claim/holder.rs
@@ -24,6 +24,9 @@
 /// same link noticeably.
 pub const MAX_CHUNK_BYTES: usize = 256 * 1024;
 
+/// Low bits of a request id that count the joins of one run; the incarnation is above them.
+const REQUEST_ID_BITS: u32 = 20;
+
 /// What a leaving holder does next.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HandoverStep {
@@ -59,6 +62,8 @@
     /// A holder without claims, at the start of a node's run. It grants nothing before it has
     /// become active in a view.
     pub fn new(own: ShardHolder, settings: ClaimSettings) -> Self {
+        // An answer to an earlier run of this node must not be taken for one to this run.
+        let next_request_id = own.incarnation << REQUEST_ID_BITS;
         ClaimHolder {
             own,
             settings,
@@ -68,7 +73,7 @@
             handover: HandoverWatch::default(),
             numbers: 0..SHARDS_PER_SERVICE,
             shards: IndexMap::new(),
-            next_request_id: 1,
+            next_request_id,
             kept: 0,
             confirmed_at: None,
         }
