Count traffic between voters of different regions as paid

The settings of a voter name the other voters by address only, so links between voters always counted as region traffic. A voter now names its region in the first message on each link that it opens; there is no new flag. The other end remembers it for later links in both directions.

With three voters in three regions the agreement bytes of a submission count as cross_region and none as region; in one region it is the other way round.

The control tests were run three times at this state. In one run replica::the_largest_manifest_reaches_a_child_of_a_replica failed with a child that was not welcomed; the cause is not established, and it passed in the two other runs and in three runs of the replica tests alone.

--- a/crates/kumquatlock-control/tests/control/stream.rs
+++ b/crates/kumquatlock-control/tests/control/stream.rs
@@ -155,6 +155,37 @@
     assert_eq!(mesh.controls[0].submit(&manifest(1)).unwrap().status, 200);
 }
 
+/// Guards against paid traffic between voters of different regions that is counted as free.
+#[test]
+fn traffic_between_voters_of_other_regions_counts_as_paid() {
+    for (regions, paid) in [
+        (&[("r1", 2), ("r2", 1), ("r3", 1)][..], true),
+        (&[("r1", 2)], false),
+    ] {
+        let mesh = start(builder().regions(regions));
+        let bytes = |scope: &str| -> u64 {
+            let text = mesh.controls[0].caller().get("/metrics").unwrap().text();
+            let is_counted = |line: &&str| {
+                line.starts_with("kumquatlock_control_bytes_total")
+                    && line.contains("kind=\"agreement\"")
+                    && line.contains(&format!("scope=\"{scope}\""))
+            };
+            let counts = text.lines().filter(is_counted);
+            counts
+                .map(|line| line.rsplit(' ').next().unwrap().parse::<u64>().unwrap())
+                .sum()
+        };
+        let before = (bytes("region"), bytes("cross_region"));
+        mesh.controls[0].submit(&manifest(1)).unwrap();
+        let after = (bytes("region"), bytes("cross_region"));
+        assert_eq!(
+            (after.0 > before.0, after.1 > before.1),
+            (!paid, paid),
+            "{before:?} {after:?}"
+        );
+    }
+}
+
 /// Guards against figures that operators rely on and that are missing or never move.
 #[test]
 fn metrics_count_what_happened() {
--- a/crates/kumquatlock-wire/src/agreement.rs
+++ b/crates/kumquatlock-wire/src/agreement.rs
@@ -59,7 +59,7 @@
     pub term: u64,
     #[prost(
         oneof = "peer_message::Kind",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
     )]
     pub kind: Option<peer_message::Kind>,
 }
@@ -91,9 +91,18 @@
         FormGroup(super::FormGroup),
         #[prost(message, tag = "20")]
         Forward(super::Forward),
+        #[prost(message, tag = "21")]
+        Greeting(super::VoterGreeting),
     }
 }
 
+/// First message on a link between voters. Tells which links are paid.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct VoterGreeting {
+    #[prost(string, tag = "1")]
+    pub region: String,
+}
+
 /// Asks for a vote, or with `pre_vote` whether a vote would be given.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct VoteRequest {
--- a/crates/kumquatlock/src/ops/control/links.rs
+++ b/crates/kumquatlock/src/ops/control/links.rs
@@ -82,8 +82,14 @@
     fn link_connected(&mut self, now: Timestamp, link: LinkId) {
         match self.link_roles.get(&link) {
             Some(LinkRole::ToVoter(name)) => {
-                self.peers.set_connected(name, link);
+                let name = name.clone();
+                self.peers.set_connected(&name, link);
                 self.links.watch(now, link, true);
+                self.scope_voter_link(&name, link);
+                if let Some(voter) = &self.voter {
+                    let greeting = voter.greeting(&self.settings.region);
+                    self.links.send(link, Body::Peer(greeting), None);
+                }
             }
             Some(LinkRole::Uplink(attempt)) => {
                 let event = ChildEvent::Connected { link: *attempt };
@@ -106,7 +112,7 @@
             (LinkRole::Unknown { .. }, Body::Ping(_)) => {}
             (LinkRole::Unknown { .. }, _) => self.links.close(link),
             (LinkRole::FromVoter | LinkRole::ToVoter(_), Body::Peer(message)) => {
-                self.peer_received(now, message);
+                self.peer_received(now, link, message);
             }
             (LinkRole::FromVoter | LinkRole::ToVoter(_), _) => {}
             (LinkRole::Child, body) => {
@@ -149,14 +155,31 @@
         self.links.watch(now, link, true);
         self.peers.set_heard(now, &message.from.name);
         self.connect_peers(now);
-        self.peer_received(now, message);
+        self.scope_voter_link(&message.from.name, link);
+        self.peer_received(now, link, message);
     }
 
-    fn peer_received(&mut self, now: Timestamp, message: PeerMessage) {
+    /// Counts the traffic of a link to or from a voter as paid if its region is another one.
+    fn scope_voter_link(&mut self, name: &str, link: LinkId) {
+        let region = self.peers.region(name);
+        if region.is_some_and(|region| *region != self.settings.region) {
+            self.links.set_scope(link, LinkScope::CrossRegion);
+        }
+    }
+
+    fn peer_received(&mut self, now: Timestamp, link: LinkId, message: PeerMessage) {
         if !self.peers.is_peer(&message.from.name) {
             return;
         }
         match message.kind {
+            Some(Kind::Greeting(greeting)) => {
+                let name = message.from.name.as_str();
+                self.peers.set_region(name, &greeting.region);
+                self.scope_voter_link(name, link);
+                if let Some(own) = self.peers.link(name) {
+                    self.scope_voter_link(name, own);
+                }
+            }
             Some(Kind::Forward(forward)) => {
                 let group = self.voter.as_ref().map(|voter| voter.agreement.status());
                 let is_own = group.is_some_and(|status| status.group_id.0 == message.group_id);
--- a/crates/kumquatlock/src/ops/control/peers.rs
+++ b/crates/kumquatlock/src/ops/control/peers.rs
@@ -20,6 +20,8 @@
     link: Option<LinkId>,
     is_connected: bool,
     retry_at: Timestamp,
+    /// Region by the peer's own word; none before its first greeting.
+    region: Option<SharedName>,
 }
 
 /// One link per peer, on which this voter sends. Answers arrive on the peer's own link.
@@ -35,6 +37,7 @@
             link: None,
             is_connected: false,
             retry_at: Timestamp::default(),
+            region: None,
         };
         PeerLinks {
             peers: peers
@@ -87,6 +90,17 @@
         }
     }
 
+    pub(super) fn set_region(&mut self, name: &str, region: &str) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.region = Some(region.into());
+        }
+    }
+
+    /// Region of the peer, if it is known.
+    pub(super) fn region(&self, name: &str) -> Option<&SharedName> {
+        self.peers.get(name)?.region.as_ref()
+    }
+
     /// The link of a connected peer.
     pub(super) fn link(&self, name: &str) -> Option<LinkId> {
         let peer = self.peers.get(name)?;
--- a/crates/kumquatlock/src/ops/control/voter.rs
+++ b/crates/kumquatlock/src/ops/control/voter.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use kumquatlock_wire::agreement::{
-    EntryKind, Forward, LogEntry, PeerMessage, VoterIdentity, peer_message::Kind,
+    EntryKind, Forward, LogEntry, PeerMessage, VoterGreeting, VoterIdentity, peer_message::Kind,
 };
 use kumquatlock_wire::distribution::{CatalogCommand, CatalogState, catalog_command};
 use prost::Message;
@@ -141,11 +141,21 @@
 
     /// A request or answer of another duty, addressed to a voter.
     pub(super) fn wrap(&self, forward: Forward) -> PeerMessage {
+        self.message(Kind::Forward(forward))
+    }
+
+    /// The first message on a link to another voter.
+    pub(super) fn greeting(&self, region: &str) -> PeerMessage {
+        let region = region.to_owned();
+        self.message(Kind::Greeting(VoterGreeting { region }))
+    }
+
+    fn message(&self, kind: Kind) -> PeerMessage {
         PeerMessage {
             group_id: self.agreement.status().group_id.0,
             from: self.identity.clone(),
             term: self.term,
-            kind: Some(Kind::Forward(forward)),
+            kind: Some(kind),
         }
     }
 }
