Tell a voter of a commit when its acknowledgement comes after it

The leader announces a commit at once, but a voter whose acknowledgement comes second has no acknowledged entry that the announcement could cover. It learned of the commit with the next heartbeat, and all its children up to 150 ms late. The leader now answers such an acknowledgement with the commit index.

--- a/crates/kumquatlock/src/agreement/leader.rs
+++ b/crates/kumquatlock/src/agreement/leader.rs
@@ -159,15 +159,17 @@
     }
 
     fn send_append(&mut self, peer: &SharedName, entries: Vec<LogEntry>) {
-        let Some(leading) = &self.leading else {
+        let Some(leading) = &mut self.leading else {
             return;
         };
-        let Some(progress) = leading.progress.get(peer) else {
+        let Some(progress) = leading.progress.get_mut(peer) else {
             return;
         };
         // A voter that is behind the base gets the base as a probe; it refuses, which still
         // confirms the round.
         let previous_index = (progress.next_index - 1).max(self.log.base_index());
+        let last_sent = previous_index + entries.len() as u64;
+        progress.told_commit = self.commit_index.min(last_sent);
         let request = AppendRequest {
             previous_index,
             previous_term: self.log.term(previous_index).unwrap_or(0),
@@ -206,12 +208,27 @@
         self.apply_committed();
         self.answer_proved_currency(now);
         self.send_entries(now, &peer);
+        self.tell_commit(&peer);
         self.replace_lost_disk(now);
         if reply.success {
             self.continue_transfer();
         }
     }
 
+    /// Sends the commit index to a voter that acknowledged an entry after the quorum had committed
+    /// it. The announcement of the commit came before the acknowledgement and could not cover the
+    /// entry, and the next heartbeat may be 150 ms away.
+    fn tell_commit(&mut self, peer: &SharedName) {
+        let commit_index = self.commit_index;
+        let progress = self
+            .leading
+            .as_ref()
+            .and_then(|leading| leading.progress.get(peer));
+        if progress.is_some_and(|progress| progress.lacks_commit(commit_index)) {
+            self.send_append(peer, Vec::new());
+        }
+    }
+
     /// Commits up to the highest entry of this term that a quorum has synced.
     pub(super) fn advance_commit(&mut self, now: Timestamp) {
         let Some(leading) = &self.leading else {
--- a/crates/kumquatlock/src/agreement/progress.rs
+++ b/crates/kumquatlock/src/agreement/progress.rs
@@ -43,6 +43,8 @@
     pub(super) match_index: u64,
     /// Next index to send. Greater than `match_index`.
     pub(super) next_index: u64,
+    /// Highest index that the latest append lets the voter commit.
+    pub(super) told_commit: u64,
     pub(super) last_heard: Timestamp,
     pub(super) mode: ReplicationMode,
 }
@@ -55,6 +57,7 @@
             acked_round: 0,
             match_index: 0,
             next_index: last_index + 1,
+            told_commit: 0,
             last_heard: now,
             mode: ReplicationMode::Probing,
         }
@@ -95,6 +98,15 @@
         self.mode = ReplicationMode::Replicating { outstanding };
     }
 
+    /// Whether the voter holds committed entries that no append has let it commit, and nothing is
+    /// under way that will.
+    pub(super) fn lacks_commit(&self, commit_index: u64) -> bool {
+        matches!(
+            self.mode,
+            ReplicationMode::Replicating { outstanding: None }
+        ) && self.match_index.min(commit_index) > self.told_commit
+    }
+
     /// Goes back after a mismatch; `hint` is the last index that may match. Returns whether there
     /// is an earlier index to probe at once; a doubled answer gives none.
     pub(super) fn note_mismatch(&mut self, hint: u64) -> bool {
--- a/crates/kumquatlock/src/agreement/tests.rs
+++ b/crates/kumquatlock/src/agreement/tests.rs
@@ -43,6 +43,30 @@
     assert_eq!(ids("a"), ids("b"));
 }
 
+/// Guards against a voter that acknowledges an entry after its commit and applies it only with the
+/// next heartbeat.
+#[test]
+fn a_slow_voter_applies_without_a_heartbeat() {
+    let mut group = TestGroup::new(&["a", "b", "c"], 21);
+    let leader = group.elect();
+    group.run(300);
+    let others = ["a", "b", "c"].into_iter().filter(|name| *name != &*leader);
+    let [fast, slow] = others.collect::<Vec<_>>()[..] else {
+        panic!("two followers");
+    };
+    group.propose(&leader, 7);
+    group.deliver_all();
+    for name in [&*leader, fast] {
+        while group.write_next(name) {}
+    }
+    group.deliver_all();
+    assert!(group.holds(&leader, 7) && group.holds(fast, 7));
+    assert!(!group.holds(slow, 7));
+    while group.write_next(slow) {}
+    group.deliver_all();
+    assert!(group.holds(slow, 7));
+}
+
 /// Guards against a second group: an empty folder must not form one while others are silent or
 /// hold a group already.
 #[test]
