--- a/crates/kumquatlock-testkit/examples/measure/claims.rs
+++ b/crates/kumquatlock-testkit/examples/measure/claims.rs
@@ -29,6 +29,11 @@
     upstreams: 3,
     services: 1,
 };
+/// A service of the target's mean size.
+const TARGET_SERVICE: FleetSize = FleetSize {
+    upstreams: 31,
+    services: 1,
+};
 /// Shard transfers are measured with these numbers of keys in one shard.
 const TRANSFER_KEYS: [u64; 3] = [0, 1_000, 10_000];
 const EXCHANGES: u64 = 20_000;
@@ -230,6 +235,7 @@
     let grown = (resident_bytes("self")? - before) / (3 * MEMORY_KEYS) as f64;
     recorder.row(scope, "memory of one kept key at one holder", grown, "B")?;
     drop(group);
+    measure_restart(recorder)?;
     for keys in TRANSFER_KEYS {
         let mut fleet = FleetCatalog::new(HOLDERS);
         let mut group = HolderGroup::start(&applied(&fleet))?;
@@ -251,3 +257,21 @@
     }
     Ok(())
 }
+
+/// One upstream of a service of the target's size leaves and returns; no keys are kept.
+fn measure_restart(recorder: &mut ResultRecorder) -> Result<()> {
+    let mut fleet = FleetCatalog::new(TARGET_SERVICE);
+    let mut group = HolderGroup::start(&applied(&fleet))?;
+    (group.messages, group.bytes) = (0, 0);
+    fleet.apply(&fleet.report(7, WireState::Left));
+    group.apply(&applied(&fleet))?;
+    let command = fleet.restart_command(7);
+    fleet.apply(&command);
+    group.apply(&applied(&fleet))?;
+    let members = TARGET_SERVICE.upstreams as f64;
+    let name = |what: &str| format!("restart of one of {members} members, no keys: {what}");
+    recorder.row("claims", &name("messages"), group.messages as f64, "")?;
+    recorder.row("claims", &name("bytes"), group.bytes as f64, "B")?;
+    let mean = group.bytes as f64 * 2.0 / members;
+    recorder.row("claims", &name("bytes per member"), mean, "B")
+}
--- a/crates/kumquatlock-testkit/examples/measure/latency.rs
+++ b/crates/kumquatlock-testkit/examples/measure/latency.rs
@@ -8,6 +8,7 @@
 use kumquatlock_testkit::caller::{CallPlan, StandInCaller};
 use kumquatlock_testkit::process::{Mesh, MeshBuilder, wait_for};
 
+use crate::host::cpu_seconds;
 use crate::record::ResultRecorder;
 
 const START_TIMEOUT: Duration = Duration::from_secs(30);
@@ -105,6 +106,7 @@
     round(mesh, kind, callers, WARM_CALLS, "warm")?;
     let (mut direct, mut through, mut added) =
         ([vec![], vec![]], [vec![], vec![]], [vec![], vec![]]);
+    let cpu_before = node_cpu(mesh)?;
     for number in 0..ROUNDS {
         let result = round(mesh, kind, callers, calls, &number.to_string())?;
         for (index, quantile) in [0.5, 0.99].into_iter().enumerate() {
@@ -116,6 +118,10 @@
         }
     }
     let scope = format!("{callers} callers");
+    let meshed = (ROUNDS * (calls / callers) * callers) as f64;
+    let cpu = (node_cpu(mesh)? - cpu_before) / meshed * 1e6;
+    let name = format!("{}: CPU of all nodes per call", kind.label());
+    recorder.row(&scope, &name, cpu, "us")?;
     let mut last = 0.0;
     for (index, quantile) in ["p50", "p99"].into_iter().enumerate() {
         let name = |what: &str| format!("{}, {quantile}: {what}", kind.label());
@@ -126,6 +132,11 @@
     Ok(last)
 }
 
+fn node_cpu(mesh: &Mesh) -> Result<f64> {
+    let nodes = mesh.nodes.iter();
+    nodes.map(|node| cpu_seconds(node.process.id())).sum()
+}
+
 fn round(
     mesh: &Mesh,
     kind: CallKind,
--- a/crates/kumquatlock-testkit/examples/measure/record.rs
+++ b/crates/kumquatlock-testkit/examples/measure/record.rs
@@ -52,7 +52,7 @@
         println!("  {scope:<26} {name:<58} {median:>14.3} {unit} ({first:.3} to {last:.3})");
         self.write(json!({
             "scope": scope, "name": name, "value": median, "unit": unit,
-            "min": first, "max": last, "samples": sorted.len(),
+            "min": first, "max": last, "samples": samples,
         }))?;
         Ok(median)
     }
