--- /dev/null
+++ b/testsuite/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! What the sessions share.
+
+pub(crate) mod session;
