Detect children that hold another content of the present version

A child with the parent's version and another digest was counted as current and was first sent a delta that it had to reject. No version may be applied twice, so only a later one can repair it.

--- a/crates/kumquatlock/src/distribution/parent.rs
+++ b/crates/kumquatlock/src/distribution/parent.rs
@@ -200,7 +200,7 @@
         steps: &mut Vec<ParentStep>,
     ) {
         if let Body::Hello(hello) = &body {
-            return self.greet(now, child, hello, random, steps);
+            return self.greet(now, child, hello, catalog, random, steps);
         }
         let Some(record) = self.children.get_mut(&child) else {
             // The child was closed, or speaks before its hello.
@@ -232,6 +232,7 @@
         now: Timestamp,
         child: ChildId,
         hello: &Hello,
+        catalog: &Catalog,
         random: &mut SmallRng,
         steps: &mut Vec<ParentStep>,
     ) {
@@ -251,7 +252,16 @@
             }
             self.forget(old);
         }
-        let record = ChildRecord::new(now, hello);
+        let mut record = ChildRecord::new(now, hello);
+        // The digest is known for the present version only; a delta from any other base is checked
+        // by the child. Nothing is sent before there is a later version, because a child applies
+        // no version twice.
+        let is_present = record.holds_config() && record.applied == catalog.version();
+        if is_present && hello.applied_digest != 0 && hello.applied_digest != catalog.digest() {
+            log::error!(child = hello.name.as_str(), version = hello.applied_version; "child_diverged");
+            record.diverged = Some(record.applied);
+            record.needs_snapshot = true;
+        }
         self.names.insert(record.name.clone(), child);
         self.children.insert(child, record);
         if let Some(round) = self.proof.request(now, ProofWaiter::Hello(child)) {
--- a/crates/kumquatlock/src/distribution/record.rs
+++ b/crates/kumquatlock/src/distribution/record.rs
@@ -76,8 +76,10 @@
     pub(super) applied: ConfigVersion,
     /// Floor of the welcome.
     pub(super) floor: ConfigVersion,
-    /// The next update must be a snapshot, because a delta was rejected.
+    /// The next update must be a snapshot, because a delta was rejected or would be.
     pub(super) needs_snapshot: bool,
+    /// The child said that it holds this version with another content. It counts as not applied.
+    pub(super) diverged: Option<ConfigVersion>,
     /// Snapshots up to this version were rejected and are not sent again.
     pub(super) refused: ConfigVersion,
     /// At most one update is on its way.
@@ -99,6 +101,7 @@
             applied: ConfigVersion(hello.applied_version),
             floor: ConfigVersion(0),
             needs_snapshot: false,
+            diverged: None,
             refused: ConfigVersion(0),
             outstanding: None,
             last_heard: now,
@@ -111,6 +114,11 @@
         self.applied != ConfigVersion(0)
     }
 
+    /// Whether the child holds what its version stands for.
+    fn is_sound(&self) -> bool {
+        self.diverged != Some(self.applied)
+    }
+
     pub(super) fn is_in_transfer(&self) -> bool {
         matches!(self.outstanding, Some(OutstandingUpdate::Snapshot(_)))
     }
@@ -130,9 +138,9 @@
             ChildRole::Node => Progress {
                 reporter: String::new(),
                 nodes: 1,
-                lowest_applied: self.applied.0,
+                lowest_applied: self.applied.0 - u64::from(!self.is_sound()),
                 current_version: current.0,
-                current_nodes: u64::from(self.applied >= current),
+                current_nodes: u64::from(self.applied >= current && self.is_sound()),
             },
         }
     }
--- a/crates/kumquatlock/src/distribution/tests/parents.rs
+++ b/crates/kumquatlock/src/distribution/tests/parents.rs
@@ -1,7 +1,13 @@
 //! Tests of the choice among several parents.
 
+use kumquatlock_wire::Body;
+use kumquatlock_wire::distribution::{Applied, Hello};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
 use super::super::*;
 use super::bench::*;
+use crate::core::Timestamp;
 
 /// Guards against a node that stays with a parent that went silent or that shuts down.
 #[test]
@@ -121,3 +127,48 @@
     bench.run(100_000);
     assert_eq!(bench.sources[0].parent.child_count(), 1);
 }
+
+/// Guards against a child with the parent's version and another content that counts as current, or
+/// that first gets a delta which cannot fit.
+#[test]
+fn a_child_with_another_content_is_repaired_by_the_next_version() {
+    for wrong in [0, 1] {
+        let mut random = SmallRng::seed_from_u64(18);
+        let mut catalog = catalog_of(100);
+        let mut parent = ParentState::new("voter".into(), GROUP, 1);
+        let (now, child) = (Timestamp::from_millis(1_000), ChildId(1));
+        let hello = Hello {
+            name: "node-1".into(),
+            applied_version: catalog.version().0,
+            applied_digest: catalog.digest() ^ wrong,
+            ..Hello::default()
+        };
+        let body = Body::Hello(hello);
+        let event = ParentEvent::Received { child, body };
+        parent.handle(now, event, &catalog, &mut random);
+        let (round, index) = (1, Some(catalog.applied_index()));
+        let event = ParentEvent::ProofResult { round, index };
+        let steps = parent.handle(now, event, &catalog, &mut random);
+        assert_eq!(steps.len(), 1, "only the welcome: {steps:?}");
+        let current = parent.progress(&catalog).current_nodes;
+        assert_eq!(current, u64::from(wrong == 0));
+        catalog.apply(catalog.applied_index() + 1, &manifest(2));
+        let event = ParentEvent::CatalogAdvanced;
+        let steps = parent.handle(now, event, &catalog, &mut random);
+        match &steps[..] {
+            [ParentStep::SendDelta { .. }] => assert_eq!(wrong, 0),
+            [
+                ParentStep::Send {
+                    body: Body::Snapshot(chunk),
+                    ..
+                },
+            ] => assert_eq!((wrong, chunk.version), (1, catalog.version().0)),
+            other => panic!("{other:?}"),
+        }
+        let version = catalog.version().0;
+        let body = Body::Applied(Applied { version });
+        let event = ParentEvent::Received { child, body };
+        parent.handle(now, event, &catalog, &mut random);
+        assert_eq!(parent.progress(&catalog).current_nodes, 1);
+    }
+}
