--- a/crates/kumquatlock-node/tests/node/input.rs
+++ b/crates/kumquatlock-node/tests/node/input.rs
@@ -15,7 +15,7 @@
     ("--name", "booking-1"),
     ("--zone", "osrednja-1"),
     ("--region", "osrednja"),
-    ("--listen", "127.0.0.1:0"),
+    ("--listen", "127.0.0.1:1"),
     ("--http", "127.0.0.1:0"),
     ("--upstream-http", "127.0.0.1:0"),
     ("--parents", "127.0.0.1:1"),
--- a/testsuite/tests/support/session.rs
+++ b/testsuite/tests/support/session.rs
@@ -433,8 +433,11 @@
 
     fn send_up(&mut self, number: usize, link: LinkId, body: Body) {
         if let Some((_, voter)) = self.nodes[number].probe.filter(|(probe, _)| *probe == link) {
-            if let Body::Ping(Ping { number: ping }) = body {
-                let body = Body::Pong(Pong { number: ping });
+            if let Body::Ping(Ping { number: ping, .. }) = body {
+                let body = Body::Pong(Pong {
+                    number: ping,
+                    ..Pong::default()
+                });
                 let event = ChildEvent::Received { link, body };
                 return self.send(Some(voter), Delivery::ToChild(number, event));
             }
