--- a/crates/kumquatlock-node/tests/node/main.rs
+++ b/crates/kumquatlock-node/tests/node/main.rs
@@ -10,6 +10,7 @@
 mod input;
 mod kill;
 mod links;
+mod session;
 mod source;
 mod support;
 mod upstream;
