Try the next parent when the present one goes silent

Cause: after the silence of its parent a child began its search at the head of its list, which can be the silent parent itself, and lost another 5 s there. Change: the search begins after the silent parent. A child returns to its preferred parent by itself later.

--- a/crates/kumquatlock/src/distribution/backoff.rs
+++ b/crates/kumquatlock/src/distribution/backoff.rs
@@ -60,8 +60,8 @@
         (slot.not_before <= now).then_some(slot.address)
     }
 
-    /// The child greets the parent at `position`; if that fails, the next one follows.
-    pub(super) fn record_return(&mut self, position: usize) {
+    /// The next search starts with the parent after `position`.
+    pub(super) fn search_after(&mut self, position: usize) {
         self.next = (position + 1) % self.parents.len();
     }
 
--- a/crates/kumquatlock/src/distribution/child.rs
+++ b/crates/kumquatlock/src/distribution/child.rs
@@ -317,7 +317,7 @@
         }
         let mut steps = vec![self.close()];
         self.search.record_return(position);
-        self.choice.record_return(position);
+        self.choice.search_after(position);
         self.link = link;
         self.parent = position;
         steps.extend(self.greet(now));
@@ -341,6 +341,8 @@
             }
             LinkPhase::Attached if now.since(self.last_heard) >= PARENT_SILENCE => {
                 self.choice.record_failure(now, random);
+                // A silent parent would cost another connect timeout before the next one is tried.
+                self.choice.search_after(self.parent);
                 vec![self.close()]
             }
             LinkPhase::Attached if now.since(self.last_ping) >= PING_INTERVAL => {
