--- a/crates/kumquatlock-testkit/examples/measure/claims.rs
+++ b/crates/kumquatlock-testkit/examples/measure/claims.rs
@@ -83,6 +83,7 @@
         }
         for (name, holder) in &mut self.holders {
             let sends = holder.on_snapshot(self.now, snapshot.clone());
+            holder.confirm(self.now);
             self.queue
                 .extend(sends.into_iter().map(|send| (name.clone(), send)));
         }
