--- a/crates/kumquatlock/src/agreement/follower.rs
+++ b/crates/kumquatlock/src/agreement/follower.rs
@@ -39,7 +39,7 @@
     ) -> Option<SharedName> {
         let leader = self.shared_name(&from.name)?;
         if self.leading.is_some() || matches!(self.role, RoleState::Forming(_)) {
-            log::error!("{} claims to lead this term as well", from.name);
+            log::error!(from = from.name.as_str(); "second_leader_of_term");
             return None;
         }
         self.become_follower(now, self.metadata.term);
@@ -81,7 +81,7 @@
         let previous = request.previous_index;
         let indices = request.entries.iter().map(|entry| entry.index);
         if !indices.eq((previous + 1..).take(request.entries.len())) {
-            log::error!("append after {previous} has a gap");
+            log::error!(previous = previous; "append_has_gap");
             return AppendOutcome::Invalid;
         }
         // What is compacted is committed, so it agrees.
@@ -103,7 +103,7 @@
             .collect();
         if let Some(first) = fresh.first().map(|entry| entry.index) {
             if first <= self.commit_index {
-                log::error!("append contradicts committed entry {first}");
+                log::error!(entry = first; "append_contradicts_commit");
                 return AppendOutcome::Invalid;
             }
             self.replace_suffix(first, fresh);
--- a/crates/kumquatlock/src/agreement/leader.rs
+++ b/crates/kumquatlock/src/agreement/leader.rs
@@ -76,7 +76,7 @@
             *voter == own || heard
         });
         if !self.voters.is_quorum(heard) {
-            log::warn!("stepped down: no quorum heard within the election timeout");
+            log::warn!("stepped_down_without_quorum");
             return self.become_follower(now, self.metadata.term);
         }
         if leading
@@ -373,7 +373,7 @@
         let Some(learner) = learner else {
             return;
         };
-        log::info!("replacing the disk of voter {}", learner.name);
+        log::info!(voter = learner.name.as_str(); "voter_disk_replacement_proposed");
         let set = self.voters.replaced(&learner);
         self.append_own(EntryKind::VoterSet, set.encode_to_vec().into());
         for peer in self.peers() {
--- a/crates/kumquatlock/src/agreement/machine.rs
+++ b/crates/kumquatlock/src/agreement/machine.rs
@@ -225,7 +225,7 @@
             Kind::FormationReply(reply) => return self.on_formation_reply(now, from, reply),
             Kind::FormGroup(formed) => return self.on_form_group(now, formed),
             _ if group_id == 0 || group_id != self.metadata.group_id() => {
-                log::debug!("ignored a message of group {group_id} from {}", from.name);
+                log::debug!(group = group_id, from = from.name.as_str(); "foreign_group_message_ignored");
                 return;
             }
             _ => {}
@@ -274,7 +274,7 @@
 
     /// Stops acknowledging: what is in memory and not on disk is forgotten like in a crash.
     fn on_persist_failed(&mut self, now: Timestamp, ticket: PersistTicket, reason: PersistFailure) {
-        log::error!("write {} failed: {reason:?}", ticket.0);
+        log::error!(ticket = ticket.0, reason:? = reason; "write_failed");
         self.become_follower(now, self.metadata.term);
         self.outbox.discard();
         self.steps
@@ -289,7 +289,7 @@
             return;
         }
         if recovered.metadata.disk_id != self.identity.disk_id {
-            log::error!("the reopened folder has another disk identity; restart the process");
+            log::error!("reopened_folder_has_other_disk_id");
             return;
         }
         self.restore(now, recovered);
--- a/crates/kumquatlock/src/agreement/outbox.rs
+++ b/crates/kumquatlock/src/agreement/outbox.rs
@@ -108,7 +108,7 @@
             return Some(released);
         }
         if self.held.len() >= MAX_HELD_MESSAGES {
-            ::log::warn!("dropped a message to {}: storage is slow", released.to);
+            ::log::warn!(to = &*released.to; "message_dropped_storage_slow");
             return None;
         }
         self.held.push_back(HeldMessage { after, released });
--- a/crates/kumquatlock/src/agreement/snapshot.rs
+++ b/crates/kumquatlock/src/agreement/snapshot.rs
@@ -78,7 +78,7 @@
             return;
         };
         if snapshot.data.len() as u64 > MAX_SNAPSHOT_BYTES {
-            log::error!("snapshot of {} bytes is too large", snapshot.data.len());
+            log::error!(bytes = snapshot.data.len(); "snapshot_too_large");
             return;
         }
         let progress = self
@@ -171,7 +171,7 @@
         };
         let last_index = chunk.last_index;
         if chunk.total_bytes > MAX_SNAPSHOT_BYTES {
-            log::error!("refused a snapshot of {} bytes", chunk.total_bytes);
+            log::error!(bytes = chunk.total_bytes; "snapshot_refused");
             return;
         }
         let finished = Kind::SnapshotReply(LogSnapshotReply {
@@ -229,7 +229,7 @@
         }
         let received = incoming.data.len() as u64;
         if received > chunk.total_bytes {
-            log::error!("snapshot {last_index} exceeds its announced size");
+            log::error!(index = last_index; "snapshot_exceeds_announced_size");
             return Err(0);
         }
         if received < chunk.total_bytes {
--- a/crates/kumquatlock/src/agreement/voters.rs
+++ b/crates/kumquatlock/src/agreement/voters.rs
@@ -130,7 +130,7 @@
     match VoterSet::decode(entry.payload.clone()) {
         Ok(set) => Some(set),
         Err(error) => {
-            ::log::error!("entry {} holds no valid voter set: {error}", entry.index);
+            ::log::error!(index = entry.index, error:% = error; "voter_set_invalid");
             None
         }
     }
--- a/crates/kumquatlock/src/http/server.rs
+++ b/crates/kumquatlock/src/http/server.rs
@@ -139,7 +139,7 @@
                 // A worker that panicked has already been reported by the panic hook.
                 let _ = thread.join();
             } else {
-                log::warn!("left an HTTP thread behind: its client stalls");
+                log::warn!("http_client_stalls_at_stop");
             }
         }
     }
@@ -158,7 +158,7 @@
                 serve_request(request, handler);
             }
             Err(_) if stopping.load(Ordering::Acquire) => return,
-            Err(error) => log::warn!("failed to receive an HTTP request: {error}"),
+            Err(error) => log::warn!(error:% = error; "http_receive_failed"),
         }
     }
 }
--- a/crates/kumquatlock/src/transport/table.rs
+++ b/crates/kumquatlock/src/transport/table.rs
@@ -269,7 +269,7 @@
                 Ok((stream, remote)) => self.add_accepted(now, stream, remote),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) => {
-                    log::warn!("failed to accept a link: {error}");
+                    log::warn!(error:% = error; "link_accept_failed");
                     return;
                 }
             }
@@ -278,7 +278,7 @@
 
     fn add_accepted(&mut self, now: Timestamp, stream: TcpStream, remote: SocketAddr) {
         if self.accepted >= MAX_ACCEPTED_LINKS {
-            log::warn!("refused a link: {MAX_ACCEPTED_LINKS} are open");
+            log::warn!(open = MAX_ACCEPTED_LINKS; "link_refused");
             return;
         }
         let id = self.next_id();
@@ -290,7 +290,7 @@
                     .insert(id, FramedLink::new(socket, remote, LinkPhase::Open, now));
                 self.events.push_back(LinkEvent::Accepted(id, remote));
             }
-            Err(error) => log::warn!("failed to register a link: {error}"),
+            Err(error) => log::warn!(error:% = error; "link_register_failed"),
         }
     }
 
