Let many calls wait in the test of the freeze

Cause: the test needs more than 3 calls that wait at the stopped node. Change: upstreams take 100 ms in this test, so many calls are sent before the silence shows. The checks are unchanged.

--- a/crates/kumquatlock-node/tests/node/freeze.rs
+++ b/crates/kumquatlock-node/tests/node/freeze.rs
@@ -20,12 +20,13 @@
 /// is read. Shows P5: an answer does not become untrue later.
 #[test]
 fn a_continued_node_runs_nothing_that_waited_for_it() {
-    let mut mesh = start(builder());
+    // With slow upstreams no entry notices the stopped node before many calls wait for it.
+    let builder = builder().upstream_size(16, Duration::from_millis(100));
+    let mut mesh = start(builder);
     let name = mesh.nodes[3].flags.name.clone();
     mesh.nodes[3].process.pause().unwrap();
     let paused = std::time::Instant::now();
     let mut sending = Vec::new();
-    // Most calls avoid a node that does not answer, so it takes many for some to wait there.
     for number in 0..190 {
         let caller = mesh.nodes[number % 3].caller();
         let body = format!("order-{number}");
