Advance claims of a destination through one function

Cause: finish, release, answer and tick each looked up the claim, passed the event and followed its steps in code of their own; one doc comment stood over another function. Change: advance_claim serves the four; the comment stands where it belongs. Behaviour and tests are unchanged.

--- a/crates/kumquatlock/src/call/destination/claims.rs
+++ b/crates/kumquatlock/src/call/destination/claims.rs
@@ -70,11 +70,7 @@
         id: RunId,
         steps: &mut Vec<DestinationStep>,
     ) {
-        let number = claim_number(id);
-        if let Some(acquirer) = self.claims.get_mut(&number) {
-            let finished = acquirer.finish(now);
-            self.follow_claim(now, number, finished, steps);
-        }
+        self.advance_claim(now, claim_number(id), steps, |claim| claim.finish(now));
     }
 
     pub(super) fn abandon_claim(
@@ -83,11 +79,7 @@
         id: RunId,
         steps: &mut Vec<DestinationStep>,
     ) {
-        let number = claim_number(id);
-        if let Some(acquirer) = self.claims.get_mut(&number) {
-            let abandoned = acquirer.abandon(now);
-            self.follow_claim(now, number, abandoned, steps);
-        }
+        self.advance_claim(now, claim_number(id), steps, |claim| claim.abandon(now));
     }
 
     pub(super) fn drop_claim(&mut self, id: RunId) {
@@ -104,18 +96,12 @@
         steps: &mut Vec<DestinationStep>,
     ) {
         let number = ClaimAcquirer::number_of(reply.request_id);
-        if let Some(acquirer) = self.claims.get_mut(&number) {
-            let advanced = acquirer.on_reply(now, from, reply);
-            self.follow_claim(now, number, advanced, steps);
-        }
+        self.advance_claim(now, number, steps, |claim| claim.on_reply(now, from, reply));
     }
 
     pub(super) fn advance_claims(&mut self, now: Timestamp, steps: &mut Vec<DestinationStep>) {
         for number in self.busy_claims.iter().copied().collect::<Vec<_>>() {
-            if let Some(acquirer) = self.claims.get_mut(&number) {
-                let advanced = acquirer.on_tick(now);
-                self.follow_claim(now, number, advanced, steps);
-            }
+            self.advance_claim(now, number, steps, |claim| claim.on_tick(now));
         }
     }
 
@@ -132,6 +118,20 @@
         }
     }
 
+    /// Passes an event to a claim, if it is still in progress, and follows its steps.
+    fn advance_claim(
+        &mut self,
+        now: Timestamp,
+        number: u64,
+        steps: &mut Vec<DestinationStep>,
+        event: impl FnOnce(&mut ClaimAcquirer) -> AcquireSteps,
+    ) {
+        if let Some(acquirer) = self.claims.get_mut(&number) {
+            let advanced = event(acquirer);
+            self.follow_claim(now, number, advanced, steps);
+        }
+    }
+
     fn follow_claim(
         &mut self,
         now: Timestamp,
--- a/crates/kumquatlock/src/claim/round.rs
+++ b/crates/kumquatlock/src/claim/round.rs
@@ -72,11 +72,11 @@
         self.view.is_some()
     }
 
-    /// Starts another action in the same view.
     pub(super) fn shard(&self) -> &ShardId {
         &self.shard
     }
 
+    /// Starts another action in the same view.
     pub(super) fn ask(&mut self, action: ClaimAction) {
         self.action = action;
         self.answers.fill(HolderAnswer::Unsent);
