--- a/crates/kumquatlock-control/src/commands/serve.rs
+++ b/crates/kumquatlock-control/src/commands/serve.rs
@@ -2,7 +2,7 @@
 
 use argh::FromArgs;
 use eyre::WrapErr;
-use kumquatlock::ops::control::{ControlFlags, ControlSettings, run_control};
+use kumquatlock::ops::control::{ControlFlags, ControlSettings, OperatorDialect, run_control};
 use kumquatlock::util::logging::init_logging;
 use kumquatlock::util::settings::ProcessEnvironment;
 
@@ -25,11 +25,11 @@
     /// KUMQUATLOCK_HTTP)
     #[argh(option)]
     http: Option<String>,
-    /// folder of the durable state; required for a voter, unused by a replica (length in bytes
-    /// 1..=4095, default none, variable KUMQUATLOCK_DATA_DIR)
+    /// folder of the durable state; required for a voter or member, unused by a replica (length in
+    /// bytes 1..=4095, default none, variable KUMQUATLOCK_DATA_DIR)
     #[argh(option)]
     data_dir: Option<String>,
-    /// voter or replica (length in bytes 1..=63, default voter, variable KUMQUATLOCK_ROLE)
+    /// voter, member or replica (length in bytes 1..=63, default voter, variable KUMQUATLOCK_ROLE)
     #[argh(option)]
     role: Option<String>,
     /// all voters, this one included, <name>=<ip>:<port>,...: 1, 3 or 5; required for a voter,
@@ -70,6 +70,24 @@
     /// KUMQUATLOCK_EXPIRY_GRACE_MS)
     #[argh(option)]
     expiry_grace_ms: Option<String>,
+    /// listen addresses of instances through which a member joins, the founders of the group at
+    /// its first start, <ip>:<port>,...; required for a member, unused otherwise (entries 1..=64,
+    /// default none, variable KUMQUATLOCK_SEEDS)
+    #[argh(option)]
+    seeds: Option<String>,
+    /// yes at the very first start of the whole group, when every disk is empty, and no
+    /// afterwards; used by a member only (length in bytes 1..=63, default no, variable
+    /// KUMQUATLOCK_FOUNDING)
+    #[argh(option)]
+    founding: Option<String>,
+    /// most voters of an open group; used by a member only (value 1..=9 voters, default 5,
+    /// variable KUMQUATLOCK_GROUP_SIZE)
+    #[argh(option)]
+    group_size: Option<String>,
+    /// time after which a silent voter is replaced by a member that has caught up; used by a
+    /// member only (value 100..=3600000 ms, default 4000, variable KUMQUATLOCK_REPLACE_MS)
+    #[argh(option)]
+    replace_ms: Option<String>,
 }
 
 impl ServeCommand {
@@ -89,10 +107,14 @@
             election_timeout_ms: self.election_timeout_ms,
             expiry_ms: self.expiry_ms,
             expiry_grace_ms: self.expiry_grace_ms,
+            seeds: self.seeds,
+            founding: self.founding,
+            group_size: self.group_size,
+            replace_ms: self.replace_ms,
         };
         let settings = ControlSettings::resolve(&flags, &ProcessEnvironment)?;
         init_logging(&settings.log)?;
-        run_control(settings).wrap_err("control instance failed")?;
+        run_control(settings, OperatorDialect::default()).wrap_err("control instance failed")?;
         Ok(EXIT_DONE)
     }
 }
--- a/crates/kumquatlock-node/src/commands/serve.rs
+++ b/crates/kumquatlock-node/src/commands/serve.rs
@@ -4,7 +4,7 @@
 
 use argh::FromArgs;
 use eyre::WrapErr;
-use kumquatlock::ops::node::{NodeSettings, run_node};
+use kumquatlock::ops::node::{NodeDialect, NodeSettings, NodeTuning, run_node};
 use kumquatlock::util::cancel::CancelToken;
 use kumquatlock::util::logging::{LogFilter, init_logging};
 use kumquatlock::util::settings::{
@@ -127,7 +127,8 @@
         let _signals = install_stop_handler(move |_| stop.cancel())
             .wrap_err("failed to install the stop handler")?;
         let name = settings.name.clone();
-        run_node(settings, &cancel).wrap_err_with(|| format!("failed to run node {name}"))
+        run_node(settings, NodeDialect::default(), &cancel)
+            .wrap_err_with(|| format!("failed to run node {name}"))
     }
 
     /// One line per setting, for the check of the help text.
@@ -164,10 +165,13 @@
             advertise: advertise.map_or(listen, |address| address.0),
             http: HTTP.resolve(self.http.as_deref(), source)?,
             upstream_http: UPSTREAM_HTTP.resolve(self.upstream_http.as_deref(), source)?,
+            ready_http: None,
+            metrics_http: None,
             parents: PARENTS.resolve(self.parents.as_deref(), source)?.0,
             http_workers: workers.0 as usize,
             upstream_connections: connections.0 as usize,
             claim_retention: retention.duration(),
+            tuning: NodeTuning::default(),
         })
     }
 }
--- a/crates/kumquatlock-wire/src/agreement.rs
+++ b/crates/kumquatlock-wire/src/agreement.rs
@@ -40,7 +40,7 @@
     pub disk_id: u64,
 }
 
-/// The voters of the group. Two consecutive sets differ in at most one voter.
+/// The voters of the group.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct VoterSet {
     #[prost(message, repeated, tag = "1")]
@@ -197,6 +197,9 @@
     /// Set when the folder holds a group: the set that the group was formed with.
     #[prost(message, optional, tag = "2")]
     pub formed: Option<FormGroup>,
+    /// Names of the present voters, as far as the sender knows them.
+    #[prost(string, repeated, tag = "3")]
+    pub voters: Vec<String>,
 }
 
 /// Tells every voter the group that the first instance formed.
--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -65,6 +65,16 @@
     /// Digest of method, path and body, to notice a key that is reused for another request.
     #[prost(uint64, tag = "15")]
     pub request_digest: u64,
+    /// Rank of the route; zero is served first.
+    #[prost(uint32, tag = "16")]
+    pub rank: u32,
+    /// Time left when the message was sent within which the answer is worth most, in microseconds;
+    /// absent if the route has no target.
+    #[prost(uint64, optional, tag = "17")]
+    pub target_us: Option<u64>,
+    /// Service that runs beside the entry.
+    #[prost(string, tag = "18")]
+    pub origin: String,
 }
 
 /// What became of one try.
@@ -109,6 +119,8 @@
     NoRoute = 19,
     TruncatedAnswer = 20,
     TooLarge = 21,
+    /// The upstream says that it did not run the request.
+    UpstreamRefused = 22,
 }
 
 /// Load of the destination, carried on every answer.
--- a/crates/kumquatlock-wire/src/distribution.rs
+++ b/crates/kumquatlock-wire/src/distribution.rs
@@ -11,6 +11,9 @@
     /// Exact upstream names, or prefixes that end in `*`.
     #[prost(string, repeated, tag = "2")]
     pub patterns: Vec<String>,
+    /// Connections that each upstream takes from all callers together; zero if not stated.
+    #[prost(uint32, tag = "3")]
+    pub connections: u32,
 }
 
 /// A route from a host and path prefix to a service.
@@ -24,8 +27,50 @@
     pub prefix: String,
     #[prost(enumeration = "WireClass", tag = "4")]
     pub class: i32,
+    /// The service, or the first one of `split`.
     #[prost(string, tag = "5")]
     pub service: String,
+    /// Longest time that a caller is kept waiting; zero if not stated.
+    #[prost(uint32, tag = "6")]
+    pub timeout_ms: u32,
+    /// Time within which an answer is worth most; zero if not stated.
+    #[prost(uint32, tag = "7")]
+    pub target_ms: u32,
+    /// Zero is served first.
+    #[prost(uint32, tag = "8")]
+    pub rank: u32,
+    /// Most upstreams that one request may be sent to; zero if not stated.
+    #[prost(uint32, tag = "9")]
+    pub attempts: u32,
+    /// Services that share the requests by weight; empty if `service` gets all.
+    #[prost(message, repeated, tag = "10")]
+    pub split: Vec<SplitItem>,
+    /// Whether only paths below the prefix match, and not the prefix itself.
+    #[prost(bool, tag = "11")]
+    pub below: bool,
+}
+
+/// One part of a route that is split between services.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct SplitItem {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(uint32, tag = "2")]
+    pub weight: u32,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct LimitsItem {
+    #[prost(uint32, tag = "1")]
+    pub header_bytes: u32,
+    #[prost(uint64, tag = "2")]
+    pub body_bytes: u64,
+    #[prost(uint32, tag = "3")]
+    pub header_timeout_ms: u32,
+    /// Time for which a connection may stay open without a request.
+    #[prost(uint32, tag = "4")]
+    pub idle_timeout_ms: u32,
 }
 
 /// Request class of a route.
@@ -82,7 +127,7 @@
 /// One change of the catalog.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CatalogChange {
-    #[prost(oneof = "catalog_change::Kind", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "catalog_change::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub kind: Option<catalog_change::Kind>,
 }
 
@@ -106,6 +151,9 @@
         /// Version of the accepted manifest.
         #[prost(uint64, tag = "7")]
         ManifestVersion(u64),
+        /// Limits of the accepted manifest.
+        #[prost(message, tag = "8")]
+        Limits(super::LimitsItem),
     }
 }
 
@@ -164,6 +212,9 @@
     /// Present in log snapshots and in snapshots for replicas; nodes have no use for it.
     #[prost(message, optional, tag = "6")]
     pub history: Option<CatalogHistory>,
+    /// Absent if the manifest states none.
+    #[prost(message, optional, tag = "7")]
+    pub limits: Option<LimitsItem>,
 }
 
 /// What a catalog knows beyond its present content.
@@ -192,6 +243,9 @@
     /// Last applied log entry, whether or not it changed the catalog.
     #[prost(uint64, tag = "9")]
     pub applied_index: u64,
+    /// Source of the newest manifest.
+    #[prost(bytes = "bytes", tag = "10")]
+    pub manifest_source: Bytes,
 }
 
 /// A removed item.
@@ -280,6 +334,10 @@
     /// The child's first configuration must be at or above this version.
     #[prost(uint64, tag = "2")]
     pub floor: u64,
+    /// Addresses of control instances that the child may turn to, `ip:port`. Empty if they are in
+    /// the child's settings.
+    #[prost(string, repeated, tag = "3")]
+    pub parents: Vec<String>,
 }
 
 /// Asks a child to come back later or to go to another parent.
--- a/crates/kumquatlock/examples/policy/run.rs
+++ b/crates/kumquatlock/examples/policy/run.rs
@@ -149,6 +149,8 @@
             class,
             depth: 0,
             attempts: 0,
+            arrived: 0,
+            most_arrivals: None,
             deadline: self.now + timeout,
         };
         let entry = self.rng.random_range(0..self.entries.len());
@@ -420,7 +422,14 @@
         let entry = &mut self.entries[call.entry];
         let (budget, usual) = (&mut entry.budget, entry.hedge.expected());
         let rng = &mut self.rng;
-        match RetryPolicy.after_failure(self.now, rng, budget, &call.progress, failure, usual) {
+        match RetryPolicy::default().after_failure(
+            self.now,
+            rng,
+            budget,
+            &call.progress,
+            failure,
+            usual,
+        ) {
             RetryDecision::Retry { after } => self.after(after, Event::Send(index)),
             RetryDecision::AskAgain { after } => self.after(after, Event::Ask(index, failure)),
             RetryDecision::GiveUp(_) => call.closed = true,
--- a/crates/kumquatlock/examples/policy/standin.rs
+++ b/crates/kumquatlock/examples/policy/standin.rs
@@ -89,6 +89,7 @@
     let item = ServiceItem {
         name: "svc".into(),
         patterns,
+        ..ServiceItem::default()
     };
     let mut state = CatalogState {
         version: 1,
--- a/crates/kumquatlock/src/agreement/formation.rs
+++ b/crates/kumquatlock/src/agreement/formation.rs
@@ -41,19 +41,28 @@
             return;
         }
         formation.next_query = now + interval;
-        for peer in self.peers() {
+        for peer in self.contacts() {
             self.post(&peer, Kind::FormationQuery(FormationQuery {}));
         }
         self.form_if_all_empty(now);
     }
 
-    pub(super) fn on_formation_query(&mut self, from: &VoterIdentity) {
+    pub(super) fn on_formation_query(&mut self, now: Timestamp, from: &VoterIdentity) {
         let Some(peer) = self.shared_name(&from.name) else {
             return;
         };
         let formed = self.metadata.formed.clone();
         let empty = formed.is_none();
-        let reply = FormationReply { empty, formed };
+        let voters = self.voters.committed().voters.iter();
+        let voters = voters.map(|voter| voter.name.clone()).collect();
+        let reply = FormationReply {
+            empty,
+            formed,
+            voters,
+        };
+        if !empty {
+            self.admit_learner(now, &peer);
+        }
         self.post(&peer, Kind::FormationReply(reply));
     }
 
@@ -63,6 +72,7 @@
         from: VoterIdentity,
         reply: FormationReply,
     ) {
+        self.note_members(&reply.voters);
         if let Some(formed) = reply.formed {
             return self.on_form_group(now, formed);
         }
@@ -98,7 +108,10 @@
             return;
         };
         let lifetime = self.settings.formation_interval * REPLY_LIFETIME_INTERVALS;
-        let peers = self.peers();
+        if !self.may_form() {
+            return;
+        }
+        let peers = self.founders();
         let is_lowest = peers.iter().all(|peer| self.settings.name < *peer);
         let mut voters = vec![self.identity.clone()];
         for peer in &peers {
--- a/crates/kumquatlock/src/agreement/leader.rs
+++ b/crates/kumquatlock/src/agreement/leader.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use kumquatlock_wire::agreement::{
-    AppendReply, AppendRequest, EntryKind, LogEntry, VoterIdentity, peer_message::Kind,
+    AppendReply, AppendRequest, EntryKind, LogEntry, VoterIdentity, VoterSet, peer_message::Kind,
 };
 use prost::Message;
 
@@ -65,7 +65,7 @@
             return;
         };
         let own = &self.identity;
-        let heard = self.voters.committed().voters.iter().filter(|voter| {
+        let heard = self.voters.identities().filter(|voter| {
             let heard = leading
                 .progress
                 .get(voter.name.as_str())
@@ -93,7 +93,8 @@
         for peer in self.peers() {
             self.send_entries(now, &peer);
         }
-        self.replace_lost_disk(now);
+        self.forget_lost_learners(now);
+        self.change_voters(now);
     }
 
     /// Sends a heartbeat of a new round to every other voter.
@@ -211,7 +212,7 @@
         self.answer_proved_currency(now);
         self.send_entries(now, &peer);
         self.announce_commit(&peer);
-        self.replace_lost_disk(now);
+        self.change_voters(now);
         if reply.success {
             self.continue_transfer();
         }
@@ -348,33 +349,8 @@
         self.persist(JournalWrite::Append(entries), effect);
     }
 
-    /// Proposes a voter set that names the new disk of a learner that has caught up.
-    ///
-    /// One replacement at a time, and none before the leader knows what earlier terms committed.
-    /// The learner must have answered a round after the one in which it was first heard, so that
-    /// a delayed answer does not bring back a disk that is gone.
-    fn replace_lost_disk(&mut self, now: Timestamp) {
-        let Some(leading) = &self.leading else {
-            return;
-        };
-        if self.voters.has_pending() || self.applied_index < leading.first_index {
-            return;
-        }
-        let learner = leading.progress.iter().find_map(|(name, progress)| {
-            let disk_id = progress.disk_id?;
-            let recorded = self.voters.disk_id(name)?;
-            let is_current = progress.acked_round > progress.first_round
-                && progress.match_index >= self.commit_index;
-            (disk_id != recorded && is_current).then(|| VoterIdentity {
-                name: name.to_string(),
-                disk_id,
-            })
-        });
-        let Some(learner) = learner else {
-            return;
-        };
-        log::info!(voter = learner.name.as_str(); "voter_disk_replacement_proposed");
-        let set = self.voters.replaced(&learner);
+    /// Proposes a voter set.
+    pub(super) fn propose_voters(&mut self, now: Timestamp, set: &VoterSet) {
         self.append_own(EntryKind::VoterSet, set.encode_to_vec().into());
         for peer in self.peers() {
             self.send_entries(now, &peer);
--- a/crates/kumquatlock/src/agreement/machine.rs
+++ b/crates/kumquatlock/src/agreement/machine.rs
@@ -7,13 +7,14 @@
 
 use super::election::VoteTally;
 use super::formation::FormationState;
+use super::joining::JoinState;
 use super::log::EntryLog;
 use super::outbox::{MessageOutbox, WriteEffect};
 use super::progress::LeaderState;
 use super::snapshot::IncomingSnapshot;
 use super::types::{
     AgreementEvent, AgreementRole, AgreementSettings, AgreementStatus, AgreementStep,
-    PersistFailure, PersistRequest, PersistTicket,
+    GroupMembership, PersistFailure, PersistRequest, PersistTicket,
 };
 use super::voters::VoterState;
 use crate::core::{GroupId, SharedName, Timestamp};
@@ -55,6 +56,7 @@
     /// Index and voter set of the snapshot that the caller was asked for, until it is durable.
     pub(super) snapshot_due: Option<(u64, VoterSet)>,
     pub(super) incoming: Option<IncomingSnapshot>,
+    pub(super) joining: JoinState,
     /// A received snapshot is being written; nothing is applied until it is durable.
     pub(super) is_installing: bool,
     pub(super) role: RoleState,
@@ -95,6 +97,7 @@
             snapshot: None,
             snapshot_due: None,
             incoming: None,
+            joining: JoinState::default(),
             is_installing: false,
             role: RoleState::Follower,
             leading: None,
@@ -196,6 +199,7 @@
         } else {
             RoleState::Follower
         };
+        self.joining = JoinState::default();
         self.reset_election_deadline(now);
     }
 
@@ -204,6 +208,7 @@
             RoleState::Forming(_) => self.on_formation_tick(now),
             RoleState::Follower | RoleState::PreCandidate(_) | RoleState::Candidate(_) => {
                 self.on_election_tick(now);
+                self.ask_to_join(now);
             }
             RoleState::Leader => self.on_leader_tick(now),
             RoleState::Halted(_) => {}
@@ -221,7 +226,7 @@
             return;
         };
         match kind {
-            Kind::FormationQuery(_) => return self.on_formation_query(&from),
+            Kind::FormationQuery(_) => return self.on_formation_query(now, &from),
             Kind::FormationReply(reply) => return self.on_formation_reply(now, from, reply),
             Kind::FormGroup(formed) => return self.on_form_group(now, formed),
             _ if group_id == 0 || group_id != self.metadata.group_id() => {
@@ -297,23 +302,38 @@
 
     /// Whether this instance may vote and lead.
     pub(super) fn is_voter(&self) -> bool {
-        self.voters.is_committed(&self.identity)
+        self.voters.contains(&self.identity)
     }
 
-    /// Whether the name is that of another voter in the settings.
+    /// Whether the name may be that of another voter.
     pub(super) fn is_peer(&self, name: &str) -> bool {
-        self.settings.voters.iter().any(|voter| &**voter == name) && *name != *self.settings.name
+        *name != *self.settings.name && self.shared_name(name).is_some()
     }
 
+    /// The instances that messages to all voters go to; in an open group also learners.
     pub(super) fn peers(&self) -> Vec<SharedName> {
+        match self.settings.membership {
+            GroupMembership::Fixed => self.founders(),
+            GroupMembership::Open { .. } => self.members(),
+        }
+    }
+
+    /// The other voters of the settings.
+    pub(super) fn founders(&self) -> Vec<SharedName> {
         let own = &self.settings.name;
         let voters = self.settings.voters.iter();
         voters.filter(|name| *name != own).cloned().collect()
     }
 
+    /// The name of a sender, unless it cannot belong to the group.
     pub(super) fn shared_name(&self, name: &str) -> Option<SharedName> {
         let mut voters = self.settings.voters.iter();
-        voters.find(|voter| &***voter == name).cloned()
+        let named = voters.find(|voter| &***voter == name).cloned();
+        match self.settings.membership {
+            GroupMembership::Fixed => named,
+            // Any instance may ask to join; the voter sets decide whose votes count.
+            GroupMembership::Open { .. } => named.or_else(|| Some(name.into())),
+        }
     }
 
     pub(super) fn snapshot_index(&self) -> u64 {
--- a/crates/kumquatlock/src/agreement/mod.rs
+++ b/crates/kumquatlock/src/agreement/mod.rs
@@ -13,11 +13,17 @@
 //! A voter that lost its disk answers with a new disk identity. It is a learner: it receives the
 //! log, but neither votes nor counts. Once it has caught up, the leader commits a voter set that
 //! names the new identity, by a quorum that counts neither the old nor the new one.
+//!
+//! In an open group ([`GroupMembership::Open`]) instances join by asking any member. They are
+//! learners until the leader commits a voter set with them. While a set is in the log, every
+//! decision needs a quorum of the committed set and of the new one, so the sets may differ in any
+//! number of voters.
 
 mod currency;
 mod election;
 mod follower;
 mod formation;
+mod joining;
 mod leader;
 mod log;
 mod machine;
@@ -32,8 +38,8 @@
 pub use outbox::ReleasedMessage;
 pub use types::{
     AgreementEvent, AgreementRole, AgreementSettings, AgreementStatus, AgreementStep,
-    CurrencyError, CurrencyTicket, PersistFailure, PersistRequest, PersistTicket, ProposalError,
-    ProposalTicket,
+    CurrencyError, CurrencyTicket, GroupMembership, PersistFailure, PersistRequest, PersistTicket,
+    ProposalError, ProposalTicket,
 };
 
 /// Interval at which the caller feeds [`AgreementEvent::Tick`], in milliseconds. A third of the
@@ -69,6 +75,9 @@
 /// entries rather than the snapshot.
 pub const KEPT_ENTRIES: u64 = 512;
 
+/// Members that one instance keeps in touch with.
+pub const MAX_MEMBERS: usize = 64;
+
 /// Messages held back behind a write. Further ones are dropped and logged; the protocol sends
 /// each kind of message again.
 pub const MAX_HELD_MESSAGES: usize = 4_096;
--- a/crates/kumquatlock/src/agreement/types.rs
+++ b/crates/kumquatlock/src/agreement/types.rs
@@ -10,13 +10,30 @@
 use crate::core::{GroupId, SharedName};
 use crate::journal::{JournalWrite, RecoveredState, StoredSnapshot};
 
+/// Who may become a voter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GroupMembership {
+    /// The voters of the settings; only their lost disks are replaced.
+    Fixed,
+    /// Instances join by themselves. The voters of the settings are the founders.
+    Open {
+        /// Whether this start may form a group. Never set for an instance that lost its disk.
+        founds: bool,
+        /// Most voters; further members receive the log and replace voters that are lost.
+        size: usize,
+        /// A voter that is silent for this long is replaced by a member that has caught up.
+        replace_after: Duration,
+    },
+}
+
 /// Names, timings and thresholds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AgreementSettings {
     /// Name of this instance; one of `voters`.
     pub name: SharedName,
-    /// Names of all voters.
+    /// Names of all voters, or of the founders of an open group.
     pub voters: Vec<SharedName>,
+    pub membership: GroupMembership,
     pub heartbeat_interval: Duration,
     /// Lower end of the randomised election timeout. Also the time without a quorum after which a
     /// leader steps down, and the time for which a follower trusts its leader.
@@ -38,6 +55,7 @@
         AgreementSettings {
             name,
             voters,
+            membership: GroupMembership::Fixed,
             heartbeat_interval: Duration::from_millis(150),
             election_timeout_min: Duration::from_secs(1),
             election_timeout_max: Duration::from_secs(2),
--- a/crates/kumquatlock/src/agreement/voters.rs
+++ b/crates/kumquatlock/src/agreement/voters.rs
@@ -1,5 +1,6 @@
 //! Which votes and acknowledgements count.
 
+use indexmap::IndexSet;
 use kumquatlock_wire::agreement::{EntryKind, LogEntry, VoterIdentity, VoterSet};
 use prost::Message;
 
@@ -38,49 +39,65 @@
             .map(|voter| voter.disk_id)
     }
 
-    pub(super) fn is_committed(&self, identity: &VoterIdentity) -> bool {
-        self.committed.voters.contains(identity)
+    /// The committed set and those in the log behind it.
+    fn sets(&self) -> impl Iterator<Item = &VoterSet> {
+        let pending = self.pending.iter().map(|(_, set)| set);
+        std::iter::once(&self.committed).chain(pending)
     }
 
-    /// Whether a vote or acknowledgement of this identity counts.
+    /// Every identity of a committed or pending set; some are named more than once.
+    pub(super) fn identities(&self) -> impl Iterator<Item = &VoterIdentity> {
+        self.sets().flat_map(|set| &set.voters)
+    }
+
+    /// Whether the identity is in the committed set or in one behind it. Such an instance votes.
+    pub(super) fn contains(&self, identity: &VoterIdentity) -> bool {
+        self.sets().any(|set| set.voters.contains(identity))
+    }
+
+    /// Whether a set names the instance, with whatever disk.
+    pub(super) fn names(&self, name: &str) -> bool {
+        self.identities().any(|voter| voter.name == name)
+    }
+
+    /// Whether a vote or acknowledgement of this identity counts in all sets.
     ///
-    /// While a replacement is in the log, neither the old nor the new identity counts: a vote
+    /// While a replaced disk is in the log, neither the old nor the new identity counts: a vote
     /// that the old disk gave must never be combined with an acknowledgement of the new one.
     pub(super) fn counts(&self, identity: &VoterIdentity) -> bool {
-        self.is_committed(identity)
-            && self
-                .pending
-                .iter()
-                .all(|(_, set)| set.voters.contains(identity))
+        self.sets().all(|set| set.voters.contains(identity))
     }
 
-    /// Number of counted voters that decide. Sets differ in identities only, never in size.
-    pub(super) fn quorum(&self) -> usize {
-        self.committed.voters.len() / 2 + 1
+    /// Whether another set names the same instance with another disk.
+    fn is_ambiguous(&self, identity: &VoterIdentity) -> bool {
+        let mut others = self.identities();
+        others.any(|other| other.name == identity.name && other.disk_id != identity.disk_id)
     }
 
+    /// Whether the identities hold a majority of the committed set and of each set behind it.
     pub(super) fn is_quorum<'a>(
         &self,
         identities: impl IntoIterator<Item = &'a VoterIdentity>,
     ) -> bool {
-        let counted = identities
+        let counted: IndexSet<&VoterIdentity> = identities
             .into_iter()
-            .filter(|identity| self.counts(identity))
-            .count();
-        counted >= self.quorum()
+            .filter(|identity| !self.is_ambiguous(identity))
+            .collect();
+        self.sets().all(|set| {
+            let votes = set.voters.iter().filter(|voter| counted.contains(voter));
+            votes.count() >= quorum_of(set)
+        })
     }
 
-    /// Highest value that a quorum of counted voters has reached.
+    /// Highest value that a majority of the committed set and of each set behind it has reached.
     pub(super) fn quorum_value(&self, value: impl Fn(&VoterIdentity) -> u64) -> u64 {
-        let mut values: Vec<u64> = self
-            .committed
-            .voters
-            .iter()
-            .filter(|voter| self.counts(voter))
-            .map(value)
-            .collect();
-        values.sort_unstable_by(|left, right| right.cmp(left));
-        values.get(self.quorum() - 1).copied().unwrap_or(0)
+        let reached = |set: &VoterSet| {
+            let counted = set.voters.iter().filter(|voter| !self.is_ambiguous(voter));
+            let mut values: Vec<u64> = counted.map(&value).collect();
+            values.sort_unstable_by(|left, right| right.cmp(left));
+            values.get(quorum_of(set) - 1).copied().unwrap_or(0)
+        };
+        self.sets().map(reached).min().unwrap_or(0)
     }
 
     /// Notes an entry added to the log.
@@ -111,6 +128,14 @@
         true
     }
 
+    /// The committed set with one more voter, which takes the place of `lost` if there is one.
+    pub(super) fn extended(&self, identity: VoterIdentity, lost: Option<&str>) -> VoterSet {
+        let mut set = self.committed.clone();
+        set.voters.retain(|voter| Some(voter.name.as_str()) != lost);
+        set.voters.push(identity);
+        set
+    }
+
     /// The committed set in which `identity` replaces the one recorded for its name.
     pub(super) fn replaced(&self, identity: &VoterIdentity) -> VoterSet {
         let mut set = self.committed.clone();
@@ -123,6 +148,10 @@
     }
 }
 
+fn quorum_of(set: &VoterSet) -> usize {
+    set.voters.len() / 2 + 1
+}
+
 fn decode_set(entry: &LogEntry) -> Option<VoterSet> {
     if entry.kind != EntryKind::VoterSet as i32 {
         return None;
--- a/crates/kumquatlock/src/call/answer.rs
+++ b/crates/kumquatlock/src/call/answer.rs
@@ -4,6 +4,7 @@
 use kumquatlock_wire::call::{CallReason, CallResponse, HeaderField};
 use serde::Serialize;
 
+use super::names::CallNames;
 use super::request::is_forwarded;
 use crate::http::HttpResponse;
 
@@ -92,7 +93,7 @@
     }
 
     /// The answer as HTTP.
-    pub fn into_http(self) -> HttpResponse {
+    pub fn into_http(self, names: &CallNames) -> HttpResponse {
         let outcome = self.outcome();
         let body = OutcomeBody {
             outcome,
@@ -118,7 +119,10 @@
             CallerAnswer::Unknown(_) => HttpResponse::json(504, &body),
             CallerAnswer::Rejected(reason) => HttpResponse::json(reason.status(), &body),
         };
-        response.with_header(OUTCOME_HEADER, outcome)
+        match names.outcome {
+            Some(name) => response.with_header(name, outcome),
+            None => response,
+        }
     }
 
     pub(super) fn from_response(response: CallResponse) -> Self {
@@ -155,5 +159,6 @@
         CallReason::NoRoute => "no_route",
         CallReason::TruncatedAnswer => "truncated_answer",
         CallReason::TooLarge => "too_large",
+        CallReason::UpstreamRefused => "upstream_refused",
     }
 }
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -16,7 +16,7 @@
 use kumquatlock_wire::claim::{ClaimReply, OutcomeQuery};
 use kumquatlock_wire::distribution::WireClass;
 
-use super::MAX_DEPTH;
+use super::{CallNames, MAX_DEPTH};
 use crate::admission::{AdmissionDecision, AdmissionLimits, AdmissionQueue, AdmissionTicket};
 use crate::claim::{
     AttemptGate, ClaimAcquirer, ClaimSettings, KeptAnswer, OutcomeTable, PlacementTable,
@@ -49,10 +49,12 @@
 }
 
 /// The upstream beside this node, as it announced itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamEndpoint {
     /// Address of the upstream.
     pub address: SocketAddr,
+    /// Run of the upstream, by its own word; empty if it states none.
+    pub instance: SharedName,
     /// Requests and connections that it takes at once.
     pub limits: AdmissionLimits,
 }
@@ -84,13 +86,19 @@
         request: HttpRequest,
         /// Time left for it.
         timeout: Duration,
+        /// Whether the request may run again.
+        is_repeatable: bool,
+        /// Header that the upstream repeats in its answer.
+        echoed: Option<(&'static str, String)>,
     },
     /// Tell the upstream that nobody waits for a request any more.
     Cancel {
+        /// The run of the request.
+        run: RunId,
         /// Address of the upstream.
         address: SocketAddr,
-        /// Value of [`super::ATTEMPT_HEADER`] of the request.
-        attempt: String,
+        /// Name of the attempt; none if the upstream is told by closing the connection.
+        attempt: Option<String>,
     },
     /// A run has ended; for the trace.
     Ended {
@@ -108,6 +116,7 @@
     name: SharedName,
     incarnation: IncarnationId,
     settings: ClaimSettings,
+    names: CallNames,
     endpoint: Option<UpstreamEndpoint>,
     /// Present once the upstream has announced itself.
     admission: Option<AdmissionQueue>,
@@ -141,6 +150,7 @@
             name,
             incarnation,
             settings,
+            names: CallNames::default(),
             endpoint: None,
             admission: None,
             draining: false,
@@ -156,6 +166,11 @@
         }
     }
 
+    /// Takes over the names that the upstream knows.
+    pub fn set_names(&mut self, names: CallNames) {
+        self.names = names;
+    }
+
     /// Starts another incarnation, after the upstream has left and announced itself again. Calls
     /// of the old incarnation that wait are refused; those that run are answered as before.
     pub fn set_incarnation(
@@ -184,13 +199,15 @@
     pub fn on_announce(&mut self, now: Timestamp, endpoint: UpstreamEndpoint) {
         let changed = self
             .endpoint
+            .as_ref()
             .is_none_or(|held| held.limits != endpoint.limits);
+        let limits = endpoint.limits;
         self.endpoint = Some(endpoint);
         match &mut self.admission {
-            None => self.admission = Some(AdmissionQueue::new(endpoint.limits, now)),
+            None => self.admission = Some(AdmissionQueue::new(limits, now)),
             // The calls of the queue go on, so it is kept.
-            Some(admission) if self.draining => admission.reopen(endpoint.limits, now),
-            Some(admission) if changed => admission.set_limits(endpoint.limits),
+            Some(admission) if self.draining => admission.reopen(limits, now),
+            Some(admission) if changed => admission.set_limits(limits),
             Some(_) => {}
         }
         self.draining = false;
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -4,9 +4,9 @@
 
 use kumquatlock_wire::call::{CallOutcome, CallReason, CallRequest, HeaderField};
 
-use super::{CallSource, DestinationCalls, DestinationStep, RunId};
+use super::{CallSource, DestinationCalls, DestinationStep, RunId, UpstreamEndpoint};
 use crate::admission::{AdmissionTicket, CancelOutcome, QueueStep, ServiceOutcome};
-use crate::call::request::{ATTEMPT_HEADER, DEPTH_HEADER, KEY_HEADER, TIMEOUT_HEADER};
+use crate::call::CallNames;
 use crate::claim::KeptAnswer;
 use crate::core::{RequestClass, Timestamp};
 use crate::http::{HttpRequest, HttpResponse, UpstreamFailure};
@@ -15,6 +15,8 @@
 /// Time past the caller's deadline for which a keyed request may still be answered. A resend of
 /// the key then gets the answer; without it the outcome would stay unknown for good.
 const LATE_ANSWER_GRACE: Duration = Duration::from_secs(10);
+/// Status with which an upstream refuses a request that is meant for another instance.
+const MISDIRECTED_STATUS: u16 = 421;
 /// Status with which an upstream sheds load.
 const SHED_STATUS: u16 = 503;
 
@@ -91,7 +93,20 @@
         )
     }
 
-    fn upstream_request(&self, now: Timestamp) -> HttpRequest {
+    /// Header that the upstream repeats in its answer, if the caller named its attempt.
+    fn echoed(&self, names: &CallNames) -> Option<(&'static str, String)> {
+        let name = names.request?;
+        let mut fields = self.request.headers.iter();
+        let field = fields.find(|field| field.name.eq_ignore_ascii_case(name))?;
+        Some((name, field.value.clone()))
+    }
+
+    fn upstream_request(
+        &self,
+        now: Timestamp,
+        names: &CallNames,
+        endpoint: &UpstreamEndpoint,
+    ) -> HttpRequest {
         let request = &self.request;
         let millis = self.deadline.since(now).as_millis().max(1);
         let fields = request.headers.iter();
@@ -99,11 +114,23 @@
             .map(|field| (field.name.clone(), field.value.clone()))
             .collect();
         let mut add = |name: &str, value: String| headers.push((name.to_owned(), value));
-        add(TIMEOUT_HEADER, millis.to_string());
-        add(DEPTH_HEADER, (request.depth + 1).to_string());
-        add(ATTEMPT_HEADER, self.attempt_label());
-        if let Some(key) = &request.key {
-            add(KEY_HEADER, key.clone());
+        add(names.timeout, millis.to_string());
+        if let Some(name) = names.depth {
+            add(name, (request.depth + 1).to_string());
+        }
+        if let Some(name) = names.attempt {
+            add(name, self.attempt_label());
+        }
+        if let (Some(name), Some(key)) = (names.key, &request.key) {
+            add(name, key.clone());
+        }
+        if let Some(name) = names.instance
+            && !endpoint.instance.is_empty()
+        {
+            add(name, endpoint.instance.to_string());
+        }
+        if let Some(name) = names.origin {
+            add(name, request.origin.clone());
         }
         if let Some(span) = &self.span {
             add(TRACEPARENT_HEADER, span.context.to_string());
@@ -117,6 +144,32 @@
     }
 }
 
+/// What an answer of the upstream says about the request.
+enum UpstreamVerdict {
+    Answered,
+    NotRun,
+    /// A success without the mark of the upstream: something else may have written it.
+    Unproved,
+}
+
+fn judge(names: &CallNames, response: &HttpResponse) -> UpstreamVerdict {
+    let is_marked = names
+        .not_run
+        .is_some_and(|name| response.header(name).is_some());
+    let is_other_instance = names.instance.is_some() && response.status == MISDIRECTED_STATUS;
+    if is_marked || is_other_instance {
+        return UpstreamVerdict::NotRun;
+    }
+    let is_success = (200..300).contains(&response.status);
+    let is_proved = names.proof.is_none_or(|name| {
+        response.header(name).is_some() && response.header("content-encoding").is_none()
+    });
+    match is_success && !is_proved {
+        true => UpstreamVerdict::Unproved,
+        false => UpstreamVerdict::Answered,
+    }
+}
+
 impl DestinationCalls {
     /// Starts a call that has a slot: first the claim, then the upstream.
     pub(super) fn start_run(
@@ -149,7 +202,7 @@
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
-        let Some(endpoint) = self.endpoint else {
+        let Some(endpoint) = &self.endpoint else {
             self.refuse_run(now, id, CallReason::Draining, steps);
             return;
         };
@@ -166,8 +219,10 @@
         steps.push(DestinationStep::Run {
             run: id,
             address: endpoint.address,
-            request: run.upstream_request(now),
+            request: run.upstream_request(now, &self.names, endpoint),
             timeout: run.exchange_timeout(now),
+            is_repeatable: run.class.is_repeatable(),
+            echoed: run.echoed(&self.names),
         });
     }
 
@@ -218,18 +273,27 @@
         outcome: Result<HttpResponse, UpstreamFailure>,
         steps: &mut Vec<DestinationStep>,
     ) {
-        let service = match &outcome {
-            Ok(response) if response.status == SHED_STATUS => ServiceOutcome::Shed,
-            Ok(_) => ServiceOutcome::Answered,
-            Err(_) => ServiceOutcome::Ended,
+        let verdict = outcome.map(|response| (judge(&self.names, &response), response));
+        let service = match &verdict {
+            Ok((_, response)) if response.status == SHED_STATUS => ServiceOutcome::Shed,
+            Ok((UpstreamVerdict::Answered, _)) => ServiceOutcome::Answered,
+            Ok(_) | Err(_) => ServiceOutcome::Ended,
         };
         let Some(run) = self.take_run(now, id, service, steps) else {
             return;
         };
-        match outcome {
-            Ok(response) => self.end_answered(now, id, &run, response, steps),
+        match verdict {
+            Ok((UpstreamVerdict::Answered, response)) => {
+                self.end_answered(now, id, &run, response, steps);
+            }
+            Ok((UpstreamVerdict::NotRun, _)) => {
+                self.end_unrun(now, id, &run, CallReason::UpstreamRefused, steps);
+            }
+            Ok((UpstreamVerdict::Unproved, _)) => {
+                self.end_failed(now, id, &run, UpstreamFailure::Garbled, steps);
+            }
             Err(failure) if failure.proves_not_run() => {
-                self.end_unreached(now, id, &run, steps);
+                self.end_unrun(now, id, &run, CallReason::UpstreamUnreachable, steps);
             }
             Err(failure) => self.end_failed(now, id, &run, failure, steps),
         }
@@ -260,12 +324,13 @@
         self.finish_response(run, response, CallOutcome::Answered, steps);
     }
 
-    /// No connection to the upstream could be made, so it has not seen the request.
-    fn end_unreached(
+    /// No connection to the upstream could be made, or it says that it did not run the request.
+    fn end_unrun(
         &mut self,
         now: Timestamp,
         id: RunId,
         run: &CallRun,
+        reason: CallReason,
         steps: &mut Vec<DestinationStep>,
     ) {
         if !run.class.is_repeatable() {
@@ -273,7 +338,6 @@
             self.answer_queries(now, due, steps);
             self.abandon_claim(now, id, steps);
         }
-        let reason = CallReason::UpstreamUnreachable;
         let response = self.response(now, run.request.id.clone(), CallOutcome::NotRun, reason);
         self.finish_response(run, response, CallOutcome::NotRun, steps);
     }
@@ -318,11 +382,17 @@
             // A resend of the key asks for the answer, so the run goes on.
             RunPhase::Running if run.claim_key().is_some() => {}
             RunPhase::Running => {
-                let Some(endpoint) = self.endpoint else {
+                let Some(endpoint) = &self.endpoint else {
                     return;
                 };
-                let attempt = run.attempt_label();
+                let attempt = self.names.attempt.map(|_| run.attempt_label());
+                if attempt.is_none() && !run.class.is_repeatable() {
+                    // Closing the connection leaves open how far the request came, and its caller
+                    // cannot send it again. It ends by itself.
+                    return;
+                }
                 steps.push(DestinationStep::Cancel {
+                    run: id,
                     address: endpoint.address,
                     attempt,
                 });
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -9,15 +9,12 @@
 use kumquatlock_wire::distribution::WireClass;
 
 use super::state::{CallPhase, EntryCall, SentAttempt};
-use super::{CallId, EntryCalls, EntryStep, micros, ticket_of};
+use super::{CallId, EntryCalls, EntryStep, budget_of, micros, ticket_of};
 use crate::call::answer::{CallerAnswer, RejectReason};
 use crate::core::{RequestClass, Timestamp};
-use crate::retry::{AttemptFailure, HedgeDecision, RetryDecision};
+use crate::retry::{AttemptFailure, HedgeDecision, RetryDecision, reached_upstream};
 use crate::routing::{ChosenUpstream, UpstreamChoice, UpstreamOutcome};
 
-/// Longest wait for a configuration that names an upstream. Covers a restart of a service's only
-/// upstream; longer waits would only pile up callers.
-const UPSTREAM_WAIT: Duration = Duration::from_secs(2);
 /// Interval at which a waiting call looks again.
 const UPSTREAM_RETRY: Duration = Duration::from_millis(50);
 /// Status from which an answer counts as a failure of the upstream.
@@ -36,9 +33,7 @@
     fn choose(&mut self, now: Timestamp, id: CallId) -> Option<UpstreamChoice> {
         let call = self.calls.get_mut(&id)?;
         let snapshot = self.snapshot.as_ref()?;
-        let balancer = self
-            .balancers
-            .balancer(snapshot, &call.route.service, now)?;
+        let balancer = self.balancers.balancer(snapshot, &call.service, now)?;
         let choice = balancer.choose(now, &mut self.random, &call.tried);
         if matches!(choice, UpstreamChoice::None(_)) && !call.tried.is_empty() {
             // Every upstream refused once; the earliest refusals may no longer hold.
@@ -63,16 +58,18 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        let Some(balancer) = self.balancers.balancer_mut(&call.route.service) else {
+        let Some(balancer) = self.balancers.balancer_mut(&call.service) else {
             return;
         };
         let ticket = balancer.started(now, &chosen);
         let number = call.next_number();
         call.made += 1;
+        call.arrived += 1;
         call.sent_at = now;
         call.phase = CallPhase::Attempting;
         call.tried.push(chosen.token);
         let mut request = build_request(call, &chosen, now, version);
+        request.origin = self.settings.origin.to_string();
         call.outstanding.push(SentAttempt {
             number,
             chosen,
@@ -97,7 +94,7 @@
         }
         let until = match call.phase {
             CallPhase::WaitingUpstream { until, .. } => until,
-            _ => (now + UPSTREAM_WAIT).min(call.deadline),
+            _ => (now + self.settings.upstream_wait).min(call.deadline),
         };
         if now >= until {
             call.reason = CallReason::NoUpstream;
@@ -153,10 +150,12 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        let Some(policy) = self.hedges.get(&call.route.service) else {
+        let Some(policy) = self.hedges.get(&call.service) else {
             return;
         };
-        let decision = policy.decide(now, &mut self.budget, &call.progress());
+        let progress = call.progress();
+        let budget = budget_of(&mut self.budgets, &self.settings, now, &call.service);
+        let decision = policy.decide(now, budget, &progress);
         if decision != HedgeDecision::Send {
             return;
         }
@@ -239,7 +238,7 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        let service = call.route.service.clone();
+        let service = call.service.clone();
         let outcome = match result {
             AttemptResult::Answer | AttemptResult::Claimed => UpstreamOutcome::Answered,
             AttemptResult::ServerFailure => UpstreamOutcome::Failed,
@@ -279,7 +278,7 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        let service = call.route.service.clone();
+        let service = call.service.clone();
         let Some(sent) = call.take_attempt(number) else {
             return;
         };
@@ -304,7 +303,7 @@
             self.retry_query(now, id);
             return;
         }
-        let service = call.route.service.clone();
+        let service = call.service.clone();
         let lost = call
             .outstanding
             .iter()
@@ -342,14 +341,17 @@
         if let AttemptFailure::NotRun(reason) | AttemptFailure::Unknown(reason) = failure {
             call.reason = reason;
         }
+        if matches!(failure, AttemptFailure::NotRun(reason) if !reached_upstream(reason)) {
+            call.arrived = call.arrived.saturating_sub(1);
+        }
         if !call.outstanding.is_empty() {
             // A hedge or the first attempt may still answer.
             return;
         }
-        let hedge = self.hedges.get(&call.route.service);
+        let hedge = self.hedges.get(&call.service);
         let expected = hedge.map_or(Duration::ZERO, |policy| policy.expected());
         let progress = call.progress();
-        let budget = &mut self.budget;
+        let budget = budget_of(&mut self.budgets, &self.settings, now, &call.service);
         let decision =
             self.policy
                 .after_failure(now, &mut self.random, budget, &progress, failure, expected);
@@ -420,7 +422,7 @@
                 true => UpstreamOutcome::Lost,
                 false => UpstreamOutcome::Cancelled,
             };
-            self.finish_ticket(now, &call.route.service, sent, outcome, None);
+            self.finish_ticket(now, &call.service, sent, outcome, None);
         }
     }
 }
@@ -463,7 +465,7 @@
         incarnation: chosen.entry.incarnation.0,
         upstream: chosen.entry.name.to_string(),
         config_version: version,
-        service: call.route.service.to_string(),
+        service: call.service.to_string(),
         class: WireClass::from(call.route.class) as i32,
         key: request.key.clone(),
         deadline_us: micros(call.deadline.since(now)),
@@ -474,6 +476,11 @@
         headers: request.headers.clone(),
         body: request.body.clone(),
         request_digest: request.digest,
+        rank: call.route.rank,
+        target_us: call.route.target.map(|target| {
+            let left = (call.opened_at + target).since(now);
+            micros(left)
+        }),
         ..CallRequest::default()
     }
 }
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -19,8 +19,8 @@
 use super::request::CallerRequest;
 use crate::claim::PlacementTable;
 use crate::core::{ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamEntry};
-use crate::retry::{HedgePolicy, RetryBudget, RetryPolicy};
-use crate::routing::{BalancerSet, EntryLocation, RouteTable};
+use crate::retry::{BudgetScope, BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy};
+use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
 use state::{CallPhase, EntryCall};
 
@@ -28,6 +28,40 @@
 /// of workers.
 const MAX_CALLS: usize = 4_096;
 
+/// What an entry is told about its environment.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Deferred calls in progress at once; they may wait an hour, and must not take every place.
+    pub deferred_limit: usize,
+    /// Longest wait for a configuration that names an upstream.
+    pub upstream_wait: Duration,
+    /// Whether late lookups get a second attempt.
+    pub hedges: bool,
+    /// Bounds of further attempts for each service.
+    pub budget: BudgetSettings,
+    /// Which attempts draw on the budget.
+    pub scope: BudgetScope,
+    /// Service that runs beside this node; sent to upstreams as the origin of calls.
+    pub origin: SharedName,
+}
+
+/// Covers a restart of a service's only upstream; longer waits would only pile up callers.
+const UPSTREAM_WAIT: Duration = Duration::from_secs(2);
+
+impl EntrySettings {
+    /// The default settings with a bound on deferred calls.
+    pub fn new(deferred_limit: usize) -> Self {
+        EntrySettings {
+            deferred_limit,
+            upstream_wait: UPSTREAM_WAIT,
+            hedges: true,
+            budget: BudgetSettings::default(),
+            scope: BudgetScope::default(),
+            origin: SharedName::default(),
+        }
+    }
+}
+
 /// One call of one entry. Never reused within an incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallId(pub u64);
@@ -101,15 +135,16 @@
     routes: RouteTable,
     balancers: BalancerSet,
     placement: PlacementTable,
-    budget: RetryBudget,
+    settings: EntrySettings,
+    /// One per service that was called.
+    budgets: IndexMap<SharedName, RetryBudget>,
+    splitter: SplitChooser,
     policy: RetryPolicy,
     /// One per service that was called.
     hedges: IndexMap<SharedName, HedgePolicy>,
     calls: IndexMap<CallId, EntryCall>,
-    /// Number of deferred calls in `calls`, at most `deferred_limit`.
+    /// Number of deferred calls in `calls`, at most that of the settings.
     deferred: usize,
-    /// Deferred calls may wait an hour, and must not take every worker.
-    deferred_limit: usize,
     /// One entry per call, at its `wake_at`.
     timers: BTreeSet<(Timestamp, CallId)>,
     next_call: u64,
@@ -124,9 +159,8 @@
     pub fn new(
         location: EntryLocation,
         incarnation: IncarnationId,
-        deferred_limit: usize,
+        settings: EntrySettings,
         random: SmallRng,
-        now: Timestamp,
     ) -> Self {
         EntryCalls {
             name: location.name.clone(),
@@ -136,12 +170,15 @@
             routes: RouteTable::new(&ConfigSnapshot::default()),
             balancers: BalancerSet::new(location),
             placement: PlacementTable::default(),
-            budget: RetryBudget::new(now),
-            policy: RetryPolicy,
+            policy: RetryPolicy {
+                scope: settings.scope,
+            },
+            settings,
+            budgets: IndexMap::new(),
+            splitter: SplitChooser::default(),
             hedges: IndexMap::new(),
             calls: IndexMap::new(),
             deferred: 0,
-            deferred_limit,
             timers: BTreeSet::new(),
             next_call: 1,
             draining: false,
@@ -191,11 +228,13 @@
         let span = received.map(|received| HopSpan::below(received, &mut self.ids));
         match self.admit(now, &request) {
             Ok(call) => {
-                let call = EntryCall::new(request, span, call.route, now, call.deadline);
+                let service = self.splitter.choose(&call.route, &mut self.random);
+                let budget = budget_of(&mut self.budgets, &self.settings, now, &service);
+                budget.first_attempt(now);
+                let call = EntryCall::new(request, span, call.route, service, now, call.deadline);
                 self.deferred += usize::from(call.is_deferred());
                 self.timers.insert((call.wake_at, id));
                 self.calls.insert(id, call);
-                self.budget.first_attempt(now);
                 self.send_attempt(now, id, &mut steps);
             }
             Err(answer) => steps.push(EntryStep::Answer {
@@ -212,6 +251,9 @@
     pub fn on_snapshot(&mut self, now: Timestamp, snapshot: Arc<ConfigSnapshot>) -> Vec<EntryStep> {
         self.routes = RouteTable::new(&snapshot);
         self.balancers.apply(&snapshot, now);
+        self.settings.budget.set_nodes(snapshot.upstreams.len());
+        self.budgets
+            .retain(|name, _| snapshot.services.contains_key(name));
         self.placement.update(snapshot.clone());
         self.snapshot = Some(snapshot);
         let mut steps = Vec::new();
@@ -277,6 +319,26 @@
         steps
     }
 
+    /// When a caller that was refused for this reason may come back.
+    ///
+    /// Spread, so that callers that were refused together do not return together.
+    pub fn comes_back_after(&mut self, reason: CallReason) -> Duration {
+        let (first, last) = match reason {
+            CallReason::ConfigUnavailable | CallReason::NoUpstream => (500, 1_000),
+            _ => (150, 450),
+        };
+        Duration::from_millis(self.random.random_range(first..=last))
+    }
+
+    /// The caller of a call is gone: withdraws its attempts and answers nobody.
+    pub fn cancel(&mut self, now: Timestamp, id: CallId) -> Vec<EntryStep> {
+        let mut steps = Vec::new();
+        if let Some(mut call) = self.remove(id) {
+            self.withdraw_attempts(now, id, &mut call, &mut steps);
+        }
+        steps
+    }
+
     /// When to call [`EntryCalls::on_tick`] if no event comes first.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
         self.timers.first().map(|(at, _)| *at)
@@ -343,10 +405,12 @@
             return Err(refuse(CallReason::Draining));
         }
         let deferred = route.class == crate::core::RequestClass::Deferred;
-        if self.calls.len() >= MAX_CALLS || (deferred && self.deferred >= self.deferred_limit) {
+        if self.calls.len() >= MAX_CALLS
+            || (deferred && self.deferred >= self.settings.deferred_limit)
+        {
             return Err(refuse(CallReason::Overloaded));
         }
-        let deadline = now + request.timeout_for(route.class);
+        let deadline = now + request.timeout_for(&route);
         Ok(AdmittedCall { route, deadline })
     }
 
@@ -354,13 +418,21 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        let hedge = self.hedges.get(&call.route.service);
+        let hedge = self.hedges.get(&call.service);
+        let hedge = hedge.filter(|_| self.settings.hedges);
         let wake_at = call.next_wakeup(now, hedge);
         self.timers.remove(&(call.wake_at, id));
         call.wake_at = wake_at;
         self.timers.insert((wake_at, id));
     }
 
+    fn remove(&mut self, id: CallId) -> Option<EntryCall> {
+        let call = self.calls.swap_remove(&id)?;
+        self.timers.remove(&(call.wake_at, id));
+        self.deferred -= usize::from(call.is_deferred());
+        Some(call)
+    }
+
     fn answer(
         &mut self,
         now: Timestamp,
@@ -368,11 +440,9 @@
         answer: CallerAnswer,
         steps: &mut Vec<EntryStep>,
     ) {
-        let Some(mut call) = self.calls.swap_remove(&id) else {
+        let Some(mut call) = self.remove(id) else {
             return;
         };
-        self.timers.remove(&(call.wake_at, id));
-        self.deferred -= usize::from(call.is_deferred());
         self.withdraw_attempts(now, id, &mut call, steps);
         steps.push(EntryStep::Answer {
             call: id,
@@ -383,6 +453,19 @@
     }
 }
 
+/// The budget of a service, made on its first call.
+fn budget_of<'a>(
+    budgets: &'a mut IndexMap<SharedName, RetryBudget>,
+    settings: &EntrySettings,
+    now: Timestamp,
+    service: &SharedName,
+) -> &'a mut RetryBudget {
+    let budget = budgets.entry(service.clone());
+    let budget = budget.or_insert_with(|| RetryBudget::with_settings(settings.budget, now));
+    budget.set_settings(settings.budget);
+    budget
+}
+
 struct AdmittedCall {
     route: Arc<crate::core::RouteEntry>,
     deadline: Timestamp,
--- a/crates/kumquatlock/src/call/entry/resolve.rs
+++ b/crates/kumquatlock/src/call/entry/resolve.rs
@@ -113,7 +113,7 @@
         search.number = call.numbers;
         let number = search.number;
         let query = OutcomeQuery {
-            service: call.route.service.to_string(),
+            service: call.service.to_string(),
             key: call.request.key.clone().unwrap_or_default(),
             owner: search.owner.clone(),
             deadline_us: micros(call.deadline.since(now)),
@@ -197,7 +197,7 @@
             self.answer(now, id, CallerAnswer::NotRun(reason), steps);
             return;
         };
-        let Some((shard, view)) = self.placement.locate(&call.route.service, key) else {
+        let Some((shard, view)) = self.placement.locate(&call.service, key) else {
             // Without holders nobody can tell whether an earlier request of this key ran.
             self.answer(now, id, CallerAnswer::Unknown(reason), steps);
             return;
@@ -262,7 +262,7 @@
                 continue;
             };
             let key = key.unwrap_or_default();
-            let located = self.placement.locate(&call.route.service, &key);
+            let located = self.placement.locate(&call.service, &key);
             let fence = fencer.on_view(now, located.map(|(_, view)| view));
             self.follow_fence(now, id, fence, steps);
         }
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -21,6 +21,8 @@
     pub(super) request: CallerRequest,
     pub(super) span: Option<HopSpan>,
     pub(super) route: Arc<RouteEntry>,
+    /// Service that runs the call: that of the route, or one part of its split.
+    pub(super) service: SharedName,
     pub(super) opened_at: Timestamp,
     pub(super) deadline: Timestamp,
     /// Attempts that were sent and not answered. Empty unless the phase is `Attempting`.
@@ -29,6 +31,8 @@
     pub(super) numbers: u32,
     /// Attempts made so far.
     pub(super) made: u32,
+    /// Attempts of which it is not proved that they never reached an upstream.
+    pub(super) arrived: u32,
     pub(super) tried: Vec<UpstreamToken>,
     pub(super) phase: CallPhase,
     /// Whole answer of a failed attempt, passed on if no attempt does better.
@@ -81,6 +85,7 @@
         request: CallerRequest,
         span: Option<HopSpan>,
         route: Arc<RouteEntry>,
+        service: SharedName,
         now: Timestamp,
         deadline: Timestamp,
     ) -> Self {
@@ -88,11 +93,13 @@
             request,
             span,
             route,
+            service,
             opened_at: now,
             deadline,
             outstanding: Vec::new(),
             numbers: 0,
             made: 0,
+            arrived: 0,
             tried: Vec::new(),
             phase: CallPhase::Attempting,
             failed_answer: None,
@@ -125,6 +132,8 @@
             class: self.route.class,
             depth: self.request.depth,
             attempts: self.made,
+            arrived: self.arrived,
+            most_arrivals: self.route.attempts,
             deadline: self.deadline,
         }
     }
--- a/crates/kumquatlock/src/call/request.rs
+++ b/crates/kumquatlock/src/call/request.rs
@@ -6,7 +6,8 @@
 use kumquatlock_wire::call::HeaderField;
 
 use super::answer::RejectReason;
-use crate::core::{RequestClass, stable_hash};
+use super::names::CallNames;
+use crate::core::{RequestClass, RouteEntry, stable_hash};
 use crate::http::HttpRequest;
 use crate::util::trace::{TRACEPARENT_HEADER, TraceContext};
 
@@ -29,7 +30,7 @@
 const DEFERRED_TIMEOUT: Duration = MAX_TIMEOUT;
 
 /// Headers that end at each hop or that the nodes set themselves.
-const HOP_HEADERS: [&str; 15] = [
+const HOP_HEADERS: [&str; 12] = [
     "connection",
     "keep-alive",
     "proxy-authenticate",
@@ -40,10 +41,7 @@
     "transfer-encoding",
     "upgrade",
     "content-length",
-    "host",
     "expect",
-    KEY_HEADER,
-    TIMEOUT_HEADER,
     TRACEPARENT_HEADER,
 ];
 
@@ -69,18 +67,20 @@
     pub trace: Option<TraceContext>,
     /// Calls above this one in the chain.
     pub depth: u32,
+    /// The caller's own name of its attempt, for logs.
+    pub id: Option<String>,
     /// Hash of method, target and body.
     pub digest: u64,
 }
 
 impl CallerRequest {
     /// Checks the headers that the mesh reads.
-    pub fn from_http(request: HttpRequest) -> Result<Self, RejectReason> {
-        let key = single(&request, KEY_HEADER).map_err(|_| RejectReason::InvalidKey)?;
+    pub fn from_http(request: HttpRequest, names: &CallNames) -> Result<Self, RejectReason> {
+        let key = optional(&request, names.key).map_err(|_| RejectReason::InvalidKey)?;
         let key = key.map(parse_key).transpose()?;
-        let timeout = single(&request, TIMEOUT_HEADER).map_err(|_| RejectReason::InvalidTimeout)?;
+        let timeout = single(&request, names.timeout).map_err(|_| RejectReason::InvalidTimeout)?;
         let timeout = timeout.map(parse_timeout).transpose()?;
-        let depth = single(&request, DEPTH_HEADER).map_err(|_| RejectReason::InvalidDepth)?;
+        let depth = optional(&request, names.depth).map_err(|_| RejectReason::InvalidDepth)?;
         let depth = depth.map(parse_depth).transpose()?.unwrap_or(0);
         let trace = request
             .header(TRACEPARENT_HEADER)
@@ -91,9 +91,11 @@
             .map_or(host, |(name, _)| name)
             .to_ascii_lowercase();
         let digest = digest_of(&request);
+        let id = names.request.and_then(|name| request.header(name));
+        let id = id.map(str::to_owned);
         let headers = request.headers.into_iter();
         let headers = headers
-            .filter(|(name, _)| is_forwarded(name))
+            .filter(|(name, _)| is_forwarded(name) && !names.is_own(name))
             .map(|(name, value)| HeaderField { name, value })
             .collect();
         Ok(CallerRequest {
@@ -106,6 +108,7 @@
             timeout,
             trace,
             depth,
+            id,
             digest,
         })
     }
@@ -115,13 +118,15 @@
         self.target.split(['?', '#']).next().unwrap_or_default()
     }
 
-    /// Time that the caller waits.
-    pub fn timeout_for(&self, class: RequestClass) -> Duration {
-        self.timeout.unwrap_or(match class {
+    /// Time that the caller is kept waiting.
+    pub fn timeout_for(&self, route: &RouteEntry) -> Duration {
+        let waits = self.timeout.or(route.timeout);
+        let waits = waits.unwrap_or(match route.class {
             RequestClass::Internal => INTERNAL_TIMEOUT,
             RequestClass::Deferred => DEFERRED_TIMEOUT,
             RequestClass::Lookup | RequestClass::AtMostOnce => DEFAULT_TIMEOUT,
-        })
+        });
+        route.timeout.map_or(waits, |timeout| waits.min(timeout))
     }
 }
 
@@ -136,6 +141,13 @@
 /// The header is given more than once.
 struct RepeatedHeader;
 
+fn optional<'a>(
+    request: &'a HttpRequest,
+    name: Option<&str>,
+) -> Result<Option<&'a str>, RepeatedHeader> {
+    name.map_or(Ok(None), |name| single(request, name))
+}
+
 /// A header that must not be given twice. Of two keys, a resend could carry only the other one.
 fn single<'a>(request: &'a HttpRequest, name: &str) -> Result<Option<&'a str>, RepeatedHeader> {
     let mut found = request
--- a/crates/kumquatlock/src/call/tests/world.rs
+++ b/crates/kumquatlock/src/call/tests/world.rs
@@ -75,7 +75,7 @@
             region: "osrednja".into(),
         };
         let random = SmallRng::seed_from_u64(7);
-        let entry = EntryCalls::new(location, IncarnationId(1), 4, random, now);
+        let entry = EntryCalls::new(location, IncarnationId(1), EntrySettings::new(4), random);
         let mut world = CallWorld {
             now,
             entry,
@@ -134,7 +134,7 @@
             headers,
             body: body.to_owned().into(),
         };
-        let request = CallerRequest::from_http(request).unwrap();
+        let request = CallerRequest::from_http(request, &CallNames::default()).unwrap();
         let (id, steps) = self.entry.open(self.now, request);
         self.follow_entry(steps);
         id
@@ -420,6 +420,7 @@
         services: vec![ServiceItem {
             name: "booking".into(),
             patterns: vec!["booking-*".into()],
+            ..ServiceItem::default()
         }],
         routes: vec![RouteItem {
             name: "book".into(),
@@ -479,5 +480,9 @@
         slots: 10,
         connections: 10,
     };
-    UpstreamEndpoint { address, limits }
+    UpstreamEndpoint {
+        address,
+        instance: SharedName::default(),
+        limits,
+    }
 }
--- a/crates/kumquatlock/src/catalog/apply.rs
+++ b/crates/kumquatlock/src/catalog/apply.rs
@@ -55,6 +55,13 @@
         /// Newest accepted version.
         accepted_version: u64,
     },
+    /// The manifest follows another version than the accepted one.
+    OtherBase {
+        /// Version that the operator gave.
+        manifest_version: u64,
+        /// Newest accepted version.
+        accepted_version: u64,
+    },
     /// The manifest fails a check.
     Invalid(ManifestError),
 }
@@ -124,6 +131,15 @@
                 manifest_version,
                 accepted_digest: record.digest,
             }),
+            None if document
+                .base_version
+                .is_some_and(|base| base != self.manifest_version) =>
+            {
+                Some(ManifestDecision::OtherBase {
+                    manifest_version,
+                    accepted_version: self.manifest_version,
+                })
+            }
             None if manifest_version <= self.manifest_version => Some(ManifestDecision::Stale {
                 manifest_version,
                 accepted_version: self.manifest_version,
@@ -160,6 +176,8 @@
         self.version = config_version;
         self.manifest_version = manifest_version;
         self.manifest_changed_at = config_version;
+        self.limits = document.limits;
+        self.manifest_source = document.source;
         self.replace_items::<RouteItem>(document.routes, index);
         self.replace_items::<ServiceItem>(document.services, index);
         self.flag_admitted(index);
--- a/crates/kumquatlock/src/catalog/mod.rs
+++ b/crates/kumquatlock/src/catalog/mod.rs
@@ -14,8 +14,9 @@
 
 use std::collections::BTreeSet;
 
+use bytes::Bytes;
 use indexmap::IndexMap;
-use kumquatlock_wire::distribution::{RouteItem, ServiceItem, UpstreamItem};
+use kumquatlock_wire::distribution::{LimitsItem, RouteItem, ServiceItem, UpstreamItem};
 
 pub use apply::{ApplyOutcome, ManifestDecision, ReportDecision, ReportRefusal};
 use store::ItemStore;
@@ -53,6 +54,10 @@
     /// Version that the operator gave to the newest accepted manifest; zero before the first.
     manifest_version: u64,
     manifest_changed_at: ConfigVersion,
+    /// Limits of the newest accepted manifest.
+    limits: Option<LimitsItem>,
+    /// Source of the newest accepted manifest. Not kept by read replicas.
+    manifest_source: Bytes,
     /// Accepted manifests by the operator's version, oldest first. At most
     /// [`MAX_ACCEPTED_MANIFESTS`].
     accepted: IndexMap<u64, AcceptedRecord>,
@@ -94,6 +99,11 @@
         self.manifest_version
     }
 
+    /// Source of the newest accepted manifest, as it was submitted; empty if it had none.
+    pub fn manifest_source(&self) -> &Bytes {
+        &self.manifest_source
+    }
+
     /// Version at which the newest manifest was accepted. On a read replica that missed the
     /// exact entry, a later version.
     pub fn manifest_changed_at(&self) -> ConfigVersion {
--- a/crates/kumquatlock/src/catalog/transfer.rs
+++ b/crates/kumquatlock/src/catalog/transfer.rs
@@ -76,6 +76,8 @@
         if self.manifest_changed_at > base {
             let kind = Some(Kind::ManifestVersion(self.manifest_version));
             changes.push(CatalogChange { kind });
+            let limits = self.limits.map(Kind::Limits);
+            changes.extend(limits.map(|kind| CatalogChange { kind: Some(kind) }));
         }
         for change in self.store.changes_after(base.0) {
             bytes += encoded_bytes(change.encoded_len());
@@ -142,6 +144,7 @@
                 })
                 .collect(),
             applied_index: self.applied_index,
+            manifest_source: self.manifest_source.clone(),
         };
         CatalogState {
             version: self.version.0,
@@ -150,6 +153,7 @@
             routes: self.routes().cloned().collect(),
             upstreams: self.upstreams().cloned().collect(),
             history: Some(history),
+            limits: self.limits,
         }
     }
 
@@ -161,6 +165,7 @@
             applied_index: state.version,
             manifest_version: state.manifest_version,
             manifest_changed_at: ConfigVersion(state.version),
+            limits: state.limits,
             ..Catalog::default()
         };
         let history = state.history.as_ref();
@@ -199,6 +204,7 @@
     fn restore_history(&mut self, history: &CatalogHistory) -> Result<(), StateError> {
         self.applied_index = history.applied_index.max(self.version.0);
         self.manifest_changed_at = ConfigVersion(history.manifest_changed_at);
+        self.manifest_source = history.manifest_source.clone();
         self.store.floor = history.tombstone_floor;
         for tombstone in &history.tombstones {
             let kind = ItemKind::try_from(tombstone.kind);
@@ -268,6 +274,7 @@
                 self.manifest_version = *manifest_version;
                 self.manifest_changed_at = ConfigVersion(version);
             }
+            Kind::Limits(limits) => self.limits = Some(*limits),
         }
     }
 }
--- a/crates/kumquatlock/src/claim/tests/cluster.rs
+++ b/crates/kumquatlock/src/claim/tests/cluster.rs
@@ -59,6 +59,7 @@
     let services = [SERVICE, OTHER_SERVICE].map(|name| ServiceItem {
         name: name.into(),
         patterns: vec!["*".into()],
+        ..ServiceItem::default()
     });
     let mut digest = services
         .iter()
--- a/crates/kumquatlock/src/core/ids.rs
+++ b/crates/kumquatlock/src/core/ids.rs
@@ -1,11 +1,24 @@
 //! Names and identifiers.
 
 use std::fmt;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 
 /// A shared immutable name of an instance, upstream, service, route, zone or region.
 pub type SharedName = Arc<str>;
 
+/// Name of an instance that is known by its address only, such as `10.1.0.11-7620`.
+pub fn address_name(address: SocketAddrV4) -> SharedName {
+    format!("{}-{}", address.ip(), address.port()).into()
+}
+
+/// Address of an instance that is named by it.
+pub fn named_address(name: &str) -> Option<SocketAddr> {
+    let (ip, port) = name.split_once('-')?;
+    let address = SocketAddrV4::new(ip.parse().ok()?, port.parse().ok()?);
+    Some(address.into())
+}
+
 macro_rules! number_id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
--- a/crates/kumquatlock/src/core/mod.rs
+++ b/crates/kumquatlock/src/core/mod.rs
@@ -9,8 +9,10 @@
 
 pub use class::{RequestClass, UpstreamState};
 pub use digest::{change_digest, route_digest, service_digest, stable_hash, upstream_digest};
-pub use ids::{ConfigVersion, GroupId, IncarnationId, SharedName};
-pub use snapshot::{ConfigSnapshot, RouteEntry, ServiceEntry, SnapshotError, UpstreamEntry};
+pub use ids::{ConfigVersion, GroupId, IncarnationId, SharedName, address_name, named_address};
+pub use snapshot::{
+    CallerLimits, ConfigSnapshot, RouteEntry, ServiceEntry, SnapshotError, SplitPart, UpstreamEntry,
+};
 pub use time::Timestamp;
 
 #[cfg(test)]
--- a/crates/kumquatlock/src/core/snapshot.rs
+++ b/crates/kumquatlock/src/core/snapshot.rs
@@ -5,10 +5,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
 use kumquatlock_wire::distribution::{
-    CatalogState, Delta, RouteItem, ServiceItem, UpstreamItem, WireClass, WireState, catalog_change,
+    CatalogState, Delta, LimitsItem, RouteItem, ServiceItem, SplitItem, UpstreamItem, WireClass,
+    WireState, catalog_change,
 };
 
 use super::{
@@ -129,6 +131,8 @@
     /// Every held upstream that announced this service and matches a pattern, draining ones
     /// included, sorted by name. Derived; each member is in [`ConfigSnapshot::upstreams`].
     pub members: Vec<Arc<UpstreamEntry>>,
+    /// Connections that each upstream takes; zero if not stated.
+    pub connections: u32,
     digest: u64,
 }
 
@@ -142,6 +146,7 @@
                 .map(|pattern| pattern.as_str().into())
                 .collect(),
             members: Vec::new(),
+            connections: item.connections,
             digest: service_digest(item),
         }
     }
@@ -157,6 +162,15 @@
     }
 }
 
+/// One part of a split route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SplitPart {
+    /// Service that gets the part; held by the same snapshot.
+    pub service: SharedName,
+    /// Share of the requests in units of the sum of all weights.
+    pub weight: u32,
+}
+
 /// One route that the proxy holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RouteEntry {
@@ -170,9 +184,25 @@
     pub class: RequestClass,
     /// Service that runs the requests; held by the same snapshot.
     pub service: SharedName,
+    /// Services that share the requests; empty if `service` gets all.
+    pub split: Vec<SplitPart>,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Option<Duration>,
+    /// Time within which an answer is worth most.
+    pub target: Option<Duration>,
+    /// Zero is served first.
+    pub rank: u32,
+    /// Most upstreams that one request may be sent to; none if the node decides.
+    pub attempts: Option<u32>,
+    /// Whether only paths below the prefix match, and not the prefix itself.
+    pub below: bool,
     digest: u64,
 }
 
+fn stated_millis(millis: u32) -> Option<Duration> {
+    (millis > 0).then(|| Duration::from_millis(millis.into()))
+}
+
 impl RouteEntry {
     fn from_item(item: &RouteItem) -> Result<Self, SnapshotError> {
         let name: SharedName = item.name.as_str().into();
@@ -184,11 +214,50 @@
             prefix: item.prefix.as_str().into(),
             class: class.into(),
             service: item.service.as_str().into(),
+            split: item.split.iter().map(SplitPart::from_item).collect(),
+            timeout: stated_millis(item.timeout_ms),
+            target: stated_millis(item.target_ms),
+            rank: item.rank,
+            attempts: (item.attempts > 0).then_some(item.attempts),
+            below: item.below,
             digest: route_digest(item),
         })
     }
 }
 
+impl SplitPart {
+    fn from_item(item: &SplitItem) -> Self {
+        SplitPart {
+            service: item.service.as_str().into(),
+            weight: item.weight,
+        }
+    }
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: u64,
+    /// Time in which a head has to arrive.
+    pub header_timeout: Duration,
+    /// Time for which a connection may stay open without a request.
+    pub idle_timeout: Duration,
+}
+
+impl CallerLimits {
+    fn from_item(item: &LimitsItem) -> Self {
+        CallerLimits {
+            header_bytes: item.header_bytes as usize,
+            body_bytes: item.body_bytes,
+            header_timeout: Duration::from_millis(item.header_timeout_ms.into()),
+            idle_timeout: Duration::from_millis(item.idle_timeout_ms.into()),
+        }
+    }
+}
+
 /// Everything that a proxy routes by, at one version.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ConfigSnapshot {
@@ -202,6 +271,8 @@
     pub routes: IndexMap<SharedName, Arc<RouteEntry>>,
     /// Upstreams by name, whether or not a service admits them.
     pub upstreams: IndexMap<SharedName, Arc<UpstreamEntry>>,
+    /// Limits of callers; none if the manifest states none.
+    pub limits: Option<CallerLimits>,
     /// Wrapping sum of the digests of all items.
     pub digest: u64,
 }
@@ -212,6 +283,7 @@
         let mut snapshot = ConfigSnapshot {
             version: ConfigVersion(state.version),
             manifest_version: state.manifest_version,
+            limits: state.limits.as_ref().map(CallerLimits::from_item),
             ..ConfigSnapshot::default()
         };
         for item in &state.upstreams {
@@ -285,6 +357,7 @@
                 }
             }
             Some(Kind::ManifestVersion(version)) => self.manifest_version = *version,
+            Some(Kind::Limits(item)) => self.limits = Some(CallerLimits::from_item(item)),
             None => {
                 return Err(SnapshotError::UnknownValue {
                     item: "change".into(),
@@ -354,10 +427,12 @@
 
     fn check(&self, digest: u64) -> Result<(), SnapshotError> {
         for route in self.routes.values() {
-            if !self.services.contains_key(&route.service) {
+            let parts = route.split.iter().map(|part| &part.service);
+            let mut services = parts.chain([&route.service]);
+            if let Some(missing) = services.find(|name| !self.services.contains_key(*name)) {
                 return Err(SnapshotError::DanglingRoute {
                     route: route.name.clone(),
-                    service: route.service.clone(),
+                    service: missing.clone(),
                 });
             }
         }
--- a/crates/kumquatlock/src/core/tests.rs
+++ b/crates/kumquatlock/src/core/tests.rs
@@ -10,6 +10,7 @@
     ServiceItem {
         name: name.into(),
         patterns: vec![format!("{name}-*")],
+        ..ServiceItem::default()
     }
 }
 
@@ -46,6 +47,7 @@
             upstream("other-1", "booking"),
         ],
         history: None,
+        ..CatalogState::default()
     };
     let digest = service_digest(&state.services[0])
         .wrapping_add(route_digest(&state.routes[0]))
--- a/crates/kumquatlock/src/distribution/backoff.rs
+++ b/crates/kumquatlock/src/distribution/backoff.rs
@@ -6,13 +6,21 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::{BACKOFF_FIRST, BACKOFF_LAST};
 use crate::core::Timestamp;
 
+/// Parents that a child keeps.
+const MAX_PARENTS: usize = 64;
+
 /// The parents in order of preference with the earliest time of the next try at each.
 #[derive(Debug)]
 pub(super) struct ParentChoice {
+    /// At most [`MAX_PARENTS`] beyond those of the settings.
     parents: Vec<ParentSlot>,
+    /// Seed of the order of learned parents.
+    order: u64,
     /// Failed attempts since the last welcome.
     failures: u32,
     /// No parent is tried before.
@@ -28,19 +36,57 @@
 }
 
 impl ParentChoice {
-    pub(super) fn new(parents: Vec<SocketAddr>) -> Self {
+    /// `order` differs between children.
+    pub(super) fn new(parents: Vec<SocketAddr>, order: u64) -> Self {
         let slot = |address| ParentSlot {
             address,
             not_before: Timestamp::default(),
         };
         ParentChoice {
             parents: parents.into_iter().map(slot).collect(),
+            order,
             failures: 0,
             pause_until: Timestamp::default(),
             next: 0,
         }
     }
 
+    /// Takes over the parents that the one at `present` names, in an order of this child's own, so
+    /// that children spread over them. Parents that are no longer named stay as the last ones: if
+    /// all named ones are lost, one of them may know others. Returns the new position of the
+    /// present parent.
+    pub(super) fn learn(&mut self, named: &[String], present: usize) -> usize {
+        let addresses = named.iter().filter_map(|address| address.parse().ok());
+        let mut learned: Vec<SocketAddr> = addresses.take(MAX_PARENTS).collect();
+        if learned.is_empty() {
+            return present;
+        }
+        let current = self.parents.get(present).map(|slot| slot.address);
+        learned.sort_by_cached_key(|address| {
+            xxh3_64_with_seed(address.to_string().as_bytes(), self.order)
+        });
+        let unnamed = self.parents.iter().map(|slot| slot.address);
+        let unnamed: Vec<SocketAddr> = unnamed
+            .filter(|address| !learned.contains(address))
+            .collect();
+        learned.extend(unnamed);
+        learned.truncate(MAX_PARENTS);
+        let held = std::mem::take(&mut self.parents);
+        let slot = |address| {
+            let known = held.iter().find(|slot| slot.address == address);
+            ParentSlot {
+                address,
+                not_before: known.map_or(Timestamp::default(), |slot| slot.not_before),
+            }
+        };
+        self.parents = learned.into_iter().map(slot).collect();
+        let position = self
+            .parents
+            .iter()
+            .position(|slot| Some(slot.address) == current);
+        position.unwrap_or(0)
+    }
+
     /// The parent to try now, as position and address.
     pub(super) fn choose(&mut self, now: Timestamp) -> Option<(usize, SocketAddr)> {
         if now < self.pause_until {
--- a/crates/kumquatlock/src/distribution/child.rs
+++ b/crates/kumquatlock/src/distribution/child.rs
@@ -18,6 +18,7 @@
 use super::{ATTACH_TIMEOUT, PARENT_SILENCE, PING_INTERVAL};
 use crate::core::{
     ConfigSnapshot, ConfigVersion, GroupId, IncarnationId, SharedName, SnapshotError, Timestamp,
+    stable_hash,
 };
 
 /// Time during which a child leaves alone a parent of another group.
@@ -28,6 +29,27 @@
 /// Every so many pings the child asks for the age of the parent's currency proof.
 const PINGS_PER_PROOF: u64 = 2;
 
+/// When a parent counts as silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamTiming {
+    /// Interval between pings of an attached child.
+    pub ping_interval: Duration,
+    /// Silence after which the child leaves its parent.
+    pub parent_silence: Duration,
+    /// Time for a connection and its greeting.
+    pub attach_timeout: Duration,
+}
+
+impl Default for StreamTiming {
+    fn default() -> Self {
+        StreamTiming {
+            ping_interval: PING_INTERVAL,
+            parent_silence: PARENT_SILENCE,
+            attach_timeout: ATTACH_TIMEOUT,
+        }
+    }
+}
+
 /// One connection attempt. Events of earlier attempts are ignored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LinkId(pub u64);
@@ -140,6 +162,7 @@
 #[derive(Debug)]
 pub struct ChildState {
     identity: ChildIdentity,
+    timing: StreamTiming,
     choice: ParentChoice,
     search: PreferenceSearch,
     phase: LinkPhase,
@@ -171,9 +194,11 @@
 impl ChildState {
     /// A child that holds no configuration. `parents` are in order of preference.
     pub fn new(identity: ChildIdentity, group: GroupId, parents: Vec<SocketAddr>) -> Self {
+        let order = stable_hash(identity.name.as_bytes());
         ChildState {
             identity,
-            choice: ParentChoice::new(parents),
+            timing: StreamTiming::default(),
+            choice: ParentChoice::new(parents, order),
             search: PreferenceSearch::default(),
             phase: LinkPhase::Idle,
             link: LinkId(0),
@@ -193,6 +218,11 @@
         }
     }
 
+    /// Takes over other times of silence.
+    pub fn set_timing(&mut self, timing: StreamTiming) {
+        self.timing = timing;
+    }
+
     /// The applied configuration.
     pub fn held(&self) -> Option<&Arc<ConfigSnapshot>> {
         self.held.as_ref()
@@ -333,19 +363,19 @@
         match self.phase {
             LinkPhase::Idle => self.connect(now),
             LinkPhase::Connecting { since } | LinkPhase::Greeting { since } => {
-                if now.since(since) < ATTACH_TIMEOUT {
+                if now.since(since) < self.timing.attach_timeout {
                     return Vec::new();
                 }
                 self.choice.record_failure(now, random);
                 vec![self.close()]
             }
-            LinkPhase::Attached if now.since(self.last_heard) >= PARENT_SILENCE => {
+            LinkPhase::Attached if now.since(self.last_heard) >= self.timing.parent_silence => {
                 self.choice.record_failure(now, random);
                 // A silent parent would cost another connect timeout before the next one is tried.
                 self.choice.search_after(self.parent);
                 vec![self.close()]
             }
-            LinkPhase::Attached if now.since(self.last_ping) >= PING_INTERVAL => {
+            LinkPhase::Attached if now.since(self.last_ping) >= self.timing.ping_interval => {
                 self.last_ping = now;
                 self.ping_number += 1;
                 let number = self.ping_number;
@@ -443,6 +473,7 @@
         self.phase = LinkPhase::Attached;
         self.welcome_proof = Some(since);
         self.settle_welcome();
+        self.parent = self.choice.learn(&welcome.parents, self.parent);
         self.choice.record_welcome();
         self.search.record_welcome(now, self.parent, random);
         let (link, floor) = (self.link, self.floor);
--- a/crates/kumquatlock/src/distribution/mod.rs
+++ b/crates/kumquatlock/src/distribution/mod.rs
@@ -27,7 +27,8 @@
 pub use admission::AdmissionLimits;
 pub use assembly::ChunkError;
 pub use child::{
-    AppliedSource, ChildEvent, ChildIdentity, ChildState, ChildStep, LinkId, UpdateRefusal,
+    AppliedSource, ChildEvent, ChildIdentity, ChildState, ChildStep, LinkId, StreamTiming,
+    UpdateRefusal,
 };
 pub use parent::{ChildId, ParentEvent, ParentState, ParentStep};
 pub use progress::{InForceCount, ProgressTable};
--- a/crates/kumquatlock/src/distribution/parent.rs
+++ b/crates/kumquatlock/src/distribution/parent.rs
@@ -92,6 +92,8 @@
     /// Latest encoded snapshot per detail; reused while a delta leads from it to the present.
     pub(super) encoded: IndexMap<SnapshotDetail, EncodedSnapshot>,
     pub(super) deltas: DeltaFrames,
+    /// Addresses that children are told to turn to. Empty if they know them from their settings.
+    offered_parents: Vec<String>,
     is_leaving: bool,
 }
 
@@ -119,6 +121,7 @@
             queue: SnapshotQueue::default(),
             encoded: IndexMap::new(),
             deltas: DeltaFrames::default(),
+            offered_parents: Vec::new(),
             is_leaving: false,
         }
     }
@@ -128,6 +131,12 @@
         self.group = group;
     }
 
+    /// Sets the addresses that children are told to turn to. Those that are attached learn of a
+    /// change with their next welcome.
+    pub fn set_offered_parents(&mut self, parents: Vec<String>) {
+        self.offered_parents = parents;
+    }
+
     /// Admitted children.
     pub fn child_count(&self) -> usize {
         self.children.len()
@@ -356,7 +365,12 @@
             return;
         }
         let group_id = self.group.0;
-        let body = Body::Welcome(Welcome { group_id, floor });
+        let parents = self.offered_parents.clone();
+        let body = Body::Welcome(Welcome {
+            group_id,
+            floor,
+            parents,
+        });
         steps.push(ParentStep::Send {
             children: children.clone(),
             body,
--- a/crates/kumquatlock/src/http/mod.rs
+++ b/crates/kumquatlock/src/http/mod.rs
@@ -1,17 +1,26 @@
 //! HTTP towards callers, upstreams and operators.
 //!
-//! Threads of `tiny_http` and `ureq` block on sockets; they hand events to the process actor
-//! and carry answers out. They hold no decisions.
+//! A node serves its callers ([`HttpTable`]) and asks its upstream ([`ExchangeTable`]) on the event
+//! loop of its actor. Like the links between processes, the tables hold no decisions: readiness
+//! goes in, whole requests and answers come out. Operators of control instances are few and are
+//! served by threads ([`HttpServer`]).
 
-mod client;
+mod body;
+mod connection;
+mod encode;
+mod exchange;
+mod head;
 mod message;
 mod nudge;
 mod server;
+mod table;
 
-pub use client::{UpstreamFailure, UpstreamJob, UpstreamPool, UpstreamResult};
+pub use connection::HttpLimits;
+pub use exchange::{ExchangeReady, ExchangeTable, UpstreamFailure, UpstreamJob, UpstreamResult};
 pub use message::{HttpRequest, HttpResponse, MAX_BODY_BYTES, MAX_HEADERS};
 pub use nudge::AcceptNudge;
 pub use server::{HttpServer, ReplySlot, RequestHandler, ServerError};
+pub use table::{HttpEvent, HttpReady, HttpTable, RequestId};
 
 #[cfg(test)]
 mod tests;
--- a/crates/kumquatlock/src/http/server.rs
+++ b/crates/kumquatlock/src/http/server.rs
@@ -175,10 +175,14 @@
 /// Why a request was refused before any decision saw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
-enum RequestRefusal {
+pub(super) enum RequestRefusal {
     BodyTooLarge,
     TooManyHeaders,
     TruncatedBody,
+    /// The bytes are no request.
+    Malformed,
+    /// The head did not arrive in time.
+    HeadTimeout,
 }
 
 #[derive(Serialize)]
@@ -188,8 +192,10 @@
 }
 
 impl RequestRefusal {
-    fn response(self) -> HttpResponse {
+    pub(super) fn response(self) -> HttpResponse {
         let status = match self {
+            RequestRefusal::HeadTimeout => 408,
+            RequestRefusal::Malformed => 400,
             RequestRefusal::BodyTooLarge => 413,
             RequestRefusal::TooManyHeaders => 431,
             RequestRefusal::TruncatedBody => 400,
--- a/crates/kumquatlock/src/http/tests.rs
+++ b/crates/kumquatlock/src/http/tests.rs
@@ -1,10 +1,17 @@
-//! Tests of the HTTP threads over loopback.
+//! Tests of HTTP over loopback.
 
+use std::cell::RefCell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::mpsc::{Receiver, channel};
+use std::rc::Rc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use stakker::{Fwd, Stakker};
+use stakker_mio::MioPoll;
+use stakker_mio::mio::{Events, Poll};
+
+use crate::core::Timestamp;
 
 use super::*;
 
@@ -23,29 +30,76 @@
     address
 }
 
-fn pool() -> (UpstreamPool<u32>, Receiver<UpstreamResult<u32>>) {
-    let (sender, results) = channel();
-    let report = move |result| sender.send(result).unwrap();
-    (UpstreamPool::start(1, report).unwrap(), results)
+/// The table towards the upstream with an event loop of its own.
+struct ExchangeLoop {
+    stakker: Stakker,
+    poll: MioPoll,
+    table: ExchangeTable<u32>,
+    ready: Rc<RefCell<Vec<ExchangeReady>>>,
+    started: Instant,
 }
 
-fn outcome_of(address: SocketAddr, method: &str) -> Result<HttpResponse, UpstreamFailure> {
-    let (pool, results) = pool();
+impl ExchangeLoop {
+    fn new() -> Self {
+        let mut stakker = Stakker::new(Instant::now());
+        let events = Events::with_capacity(16);
+        let poll = MioPoll::new(&mut stakker, Poll::new().unwrap(), events, 5).unwrap();
+        let ready = Rc::new(RefCell::new(Vec::new()));
+        let sink = ready.clone();
+        let forward = Fwd::new(move |event| sink.borrow_mut().push(event));
+        ExchangeLoop {
+            table: ExchangeTable::new(poll.clone(), forward),
+            stakker,
+            poll,
+            ready,
+            started: Instant::now(),
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp(self.started.elapsed().as_micros() as u64)
+    }
+
+    fn run(&mut self, job: UpstreamJob<u32>) -> Result<HttpResponse, UpstreamFailure> {
+        let tag = job.tag;
+        let now = self.now();
+        self.table.start(now, job);
+        while self.started.elapsed() < TIMEOUT * 2 {
+            if let Some(result) = self.table.next_event() {
+                assert_eq!(result.tag, tag);
+                return result.outcome;
+            }
+            self.poll.poll(Duration::from_millis(10)).unwrap();
+            self.stakker.run(Instant::now(), false);
+            let now = self.now();
+            for event in self.ready.take() {
+                self.table.handle_ready(now, event);
+            }
+            self.table.handle_tick(now);
+        }
+        panic!("no result");
+    }
+}
+
+fn job(address: SocketAddr, method: &str, body: Vec<u8>) -> UpstreamJob<u32> {
     let request = HttpRequest {
         method: method.into(),
         target: "/booking".into(),
-        body: "body".into(),
+        body: body.into(),
         ..HttpRequest::default()
     };
-    pool.submit(UpstreamJob {
+    UpstreamJob {
         tag: 7,
         address,
         request,
         timeout: TIMEOUT,
-    });
-    let result = results.recv_timeout(TIMEOUT).unwrap();
-    assert_eq!(result.tag, 7);
-    result.outcome
+        is_repeatable: true,
+        echoed: None,
+    }
+}
+
+fn outcome_of(address: SocketAddr, method: &str) -> Result<HttpResponse, UpstreamFailure> {
+    ExchangeLoop::new().run(job(address, method, b"body".to_vec()))
 }
 
 /// Guards against an answer that was cut on the way and is passed on as whole.
@@ -75,21 +129,8 @@
     let echo = |request: HttpRequest| HttpResponse::json(200, &request.body.len());
     let server = HttpServer::start("127.0.0.1:0".parse().unwrap(), 2, echo).unwrap();
     let send = |body: Vec<u8>| {
-        let (pool, results) = pool();
-        let request = HttpRequest {
-            method: "POST".into(),
-            target: "/".into(),
-            body: body.into(),
-            ..HttpRequest::default()
-        };
-        let job = UpstreamJob {
-            tag: 0,
-            address: server.address(),
-            request,
-            timeout: TIMEOUT,
-        };
-        pool.submit(job);
-        results.recv_timeout(TIMEOUT).unwrap().outcome.unwrap()
+        let job = job(server.address(), "POST", body);
+        ExchangeLoop::new().run(job).unwrap()
     };
     assert_eq!(send(vec![0; MAX_BODY_BYTES]).status, 200);
     let refused = send(vec![0; MAX_BODY_BYTES + 1]);
@@ -123,3 +164,54 @@
         assert_eq!(&start, b"HTTP/1.1 200");
     }
 }
+
+/// Guards against an answer to an earlier request that is taken for that of the present one.
+#[test]
+fn a_late_answer_to_another_request_is_skipped() {
+    let answer = "HTTP/1.1 200 OK\r\nRequest-Id: old\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 \
+                  OK\r\nRequest-Id: new\r\nContent-Length: 3\r\n\r\nnew";
+    let mut job = job(raw_upstream(answer), "GET", Vec::new());
+    job.echoed = Some(("request-id", "new".to_owned()));
+    let response = ExchangeLoop::new().run(job).unwrap();
+    assert_eq!(&response.body[..], b"new");
+}
+
+/// Guards against bytes after an answer that reach the next request of the connection.
+#[test]
+fn a_connection_with_bytes_behind_the_answer_is_not_used_again() {
+    let address = raw_upstream("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
+    let mut exchanges = ExchangeLoop::new();
+    let first = exchanges.run(job(address, "GET", Vec::new())).unwrap();
+    assert_eq!(&first.body[..], b"ok");
+    assert_eq!(exchanges.table.opened(), 1);
+    // The stand-in accepts one connection only, so another one shows as a failed exchange.
+    let mut second = job(address, "GET", Vec::new());
+    second.timeout = Duration::from_millis(200);
+    exchanges.run(second).unwrap_err();
+    assert_eq!(exchanges.table.opened(), 2);
+}
+
+/// Guards against bytes that are no answer and are passed on as one.
+#[test]
+fn bytes_that_are_no_answer_are_a_failure() {
+    for garbage in [
+        "garbage\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+    ] {
+        let address = raw_upstream(garbage);
+        assert_eq!(outcome_of(address, "GET"), Err(UpstreamFailure::Garbled));
+    }
+}
+
+/// Guards against a chunked answer that is cut and taken for whole.
+#[test]
+fn chunked_answers_are_read_to_their_end() {
+    let whole = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+    assert_eq!(
+        &outcome_of(raw_upstream(whole), "GET").unwrap().body[..],
+        b"ok"
+    );
+    let cut = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n";
+    let failure = outcome_of(raw_upstream(cut), "GET").unwrap_err();
+    assert_eq!(failure, UpstreamFailure::Truncated);
+}
--- a/crates/kumquatlock/src/manifest/check.rs
+++ b/crates/kumquatlock/src/manifest/check.rs
@@ -3,9 +3,9 @@
 use indexmap::IndexSet;
 
 use super::{
-    MAX_HOST_BYTES, MAX_NAME_BYTES, MAX_PATTERNS, MAX_PREFIX_BYTES, MAX_ROUTES, MAX_SERVICES,
-    ManifestError, ManifestFault, ManifestText, RouteText, ServiceText, has_name_alphabet,
-    is_valid_name,
+    MAX_HOST_BYTES, MAX_NAME_BYTES, MAX_PATTERNS, MAX_PREFIX_BYTES, MAX_ROUTE_TIMEOUT_MS,
+    MAX_ROUTES, MAX_SERVICES, MAX_SPLIT_PARTS, MAX_TARGET_EXCESS_MS, ManifestError, ManifestFault,
+    ManifestText, RouteText, ServiceText, has_name_alphabet, is_valid_name,
 };
 
 pub(super) fn check_manifest(text: &ManifestText) -> Result<(), ManifestError> {
@@ -30,8 +30,25 @@
         let path = format!("$.routes[{position}]");
         check_name(&path, &route.name, &mut routes)?;
         check_match(&path, route, &mut matches)?;
-        if !services.contains(route.service.as_str()) {
-            let service = route.service.clone();
+        check_services(&path, route, &services)?;
+        check_times(&path, route)?;
+    }
+    Ok(())
+}
+
+fn check_services(
+    path: &str,
+    route: &RouteText,
+    services: &IndexSet<&str>,
+) -> Result<(), ManifestError> {
+    if route.service.is_some() != route.split.is_empty() {
+        return Err(ManifestError::at(path, ManifestFault::BadSplit));
+    }
+    check_bound(&format!("{path}.split"), route.split.len(), MAX_SPLIT_PARTS)?;
+    let parts = route.split.iter().map(|part| part.service.as_str());
+    for service in route.service.as_deref().into_iter().chain(parts) {
+        if !services.contains(service) {
+            let service = service.to_owned();
             let fault = ManifestFault::DanglingService { service };
             return Err(ManifestError::at(format_args!("{path}.service"), fault));
         }
@@ -39,6 +56,21 @@
     Ok(())
 }
 
+fn check_times(path: &str, route: &RouteText) -> Result<(), ManifestError> {
+    let timeout = route.timeout_ms;
+    if timeout.is_some_and(|timeout| timeout == 0 || timeout > MAX_ROUTE_TIMEOUT_MS) {
+        let fault = ManifestFault::BadTimeout;
+        return Err(ManifestError::at(format_args!("{path}.timeout_ms"), fault));
+    }
+    if let (Some(timeout), Some(target)) = (timeout, route.target_ms)
+        && target >= timeout.saturating_add(MAX_TARGET_EXCESS_MS)
+    {
+        let fault = ManifestFault::BadTarget;
+        return Err(ManifestError::at(format_args!("{path}.target_ms"), fault));
+    }
+    Ok(())
+}
+
 fn check_bound(path: &str, len: usize, limit: usize) -> Result<(), ManifestError> {
     if len > limit {
         return Err(ManifestError::at(path, ManifestFault::TooLarge { limit }));
--- a/crates/kumquatlock/src/manifest/error.rs
+++ b/crates/kumquatlock/src/manifest/error.rs
@@ -66,6 +66,18 @@
         /// The missing service.
         service: String,
     },
+    /// A route names neither one service nor a split, or both.
+    #[error("needs either a service or a split")]
+    BadSplit,
+    /// A timeout of zero or above ten minutes.
+    #[error("timeout is not in 1..={} ms", super::MAX_ROUTE_TIMEOUT_MS)]
+    BadTimeout,
+    /// A target latency far above the timeout, which no answer could need.
+    #[error(
+        "target is {} ms or more above the timeout",
+        super::MAX_TARGET_EXCESS_MS
+    )]
+    BadTarget,
     /// The manifest holds no service.
     #[error("no services")]
     NoServices,
--- a/crates/kumquatlock/src/manifest/mod.rs
+++ b/crates/kumquatlock/src/manifest/mod.rs
@@ -9,7 +9,8 @@
 mod error;
 mod object;
 
-use kumquatlock_wire::distribution::{RouteItem, ServiceItem, WireClass};
+use bytes::Bytes;
+use kumquatlock_wire::distribution::{LimitsItem, RouteItem, ServiceItem, SplitItem, WireClass};
 use prost::Message;
 use serde::Deserialize;
 
@@ -20,6 +21,12 @@
 
 /// Largest manifest text, in bytes.
 pub const MAX_MANIFEST_BYTES: usize = 1024 * 1024;
+/// Longest timeout of a route, in milliseconds: ten minutes.
+pub const MAX_ROUTE_TIMEOUT_MS: u32 = 600_000;
+/// A target latency is less than this above the timeout of its route, in milliseconds.
+pub const MAX_TARGET_EXCESS_MS: u32 = 60_000;
+/// Most parts of one split route.
+pub const MAX_SPLIT_PARTS: usize = 64;
 /// Most services in a manifest.
 pub const MAX_SERVICES: usize = 1_000;
 /// Most routes in a manifest.
@@ -38,11 +45,17 @@
 pub struct ManifestDocument {
     /// Version that the operator gave; at least 1.
     pub version: u64,
+    /// Version that the manifest must follow; none if it may follow any.
+    pub base_version: Option<u64>,
+    /// Limits of callers; none if the manifest states none.
+    pub limits: Option<LimitsItem>,
+    /// Text from which the pipeline made the manifest; returned as it is. Empty if not stated.
+    pub source: Bytes,
     /// Services sorted by name, each with sorted patterns.
     pub services: Vec<ServiceItem>,
     /// Routes sorted by name. Every route's service is in `services`.
     pub routes: Vec<RouteItem>,
-    /// Digest of services and routes; the version is not part of it.
+    /// Digest of the content; the version is not part of it.
     pub digest: u64,
 }
 
@@ -50,6 +63,9 @@
 #[serde(deny_unknown_fields)]
 struct ManifestText {
     version: u64,
+    base_version: Option<u64>,
+    limits: Option<LimitsText>,
+    source: Option<String>,
     #[serde(deserialize_with = "object::read_objects")]
     services: Vec<ServiceText>,
     #[serde(deserialize_with = "object::read_objects")]
@@ -61,6 +77,23 @@
 struct ServiceText {
     name: String,
     upstreams: Vec<String>,
+    connections: Option<u32>,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LimitsText {
+    header_bytes: u32,
+    body_bytes: u64,
+    header_timeout_ms: u32,
+    idle_timeout_ms: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SplitText {
+    service: String,
+    weight: u32,
 }
 
 #[derive(Deserialize)]
@@ -70,7 +103,23 @@
     host: Option<String>,
     prefix: String,
     class: RequestClass,
-    service: String,
+    service: Option<String>,
+    #[serde(default)]
+    split: Vec<SplitText>,
+    timeout_ms: Option<u32>,
+    target_ms: Option<u32>,
+    rank: Option<u32>,
+    attempts: Option<u32>,
+    #[serde(default)]
+    below: bool,
+}
+
+impl RouteText {
+    /// The service, or the first one of a split.
+    fn first_service(&self) -> Option<&str> {
+        let split = self.split.first().map(|part| part.service.as_str());
+        self.service.as_deref().or(split)
+    }
 }
 
 impl ManifestDocument {
@@ -102,25 +151,33 @@
                 ServiceItem {
                     name: service.name,
                     patterns,
+                    connections: service.connections.unwrap_or_default(),
                 }
             })
             .collect();
         services.sort_unstable_by(|left, right| left.name.cmp(&right.name));
-        let mut routes: Vec<RouteItem> = text
-            .routes
-            .into_iter()
-            .map(|route| RouteItem {
-                name: route.name,
-                host: route.host.unwrap_or_default(),
-                prefix: route.prefix,
-                class: WireClass::from(route.class) as i32,
-                service: route.service,
-            })
-            .collect();
+        let mut routes: Vec<RouteItem> = text.routes.into_iter().map(route_item).collect();
         routes.sort_unstable_by(|left, right| left.name.cmp(&right.name));
-        let digest = content_digest(&services, &routes);
+        let limits = text.limits.map(|limits| LimitsItem {
+            header_bytes: limits.header_bytes,
+            body_bytes: limits.body_bytes,
+            header_timeout_ms: limits.header_timeout_ms,
+            idle_timeout_ms: limits.idle_timeout_ms,
+        });
+        let source = Bytes::from(text.source.unwrap_or_default());
+        let mut digest = content_digest(&services, &routes);
+        if limits.is_some() || text.base_version.is_some() || !source.is_empty() {
+            let mut content = digest.to_le_bytes().to_vec();
+            content.extend(text.base_version.map_or(0, |base| base + 1).to_le_bytes());
+            content.extend(limits.unwrap_or_default().encode_length_delimited_to_vec());
+            content.extend(&source);
+            digest = stable_hash(&content);
+        }
         ManifestDocument {
             version: text.version,
+            base_version: text.base_version,
+            limits,
+            source,
             services,
             routes,
             digest,
@@ -128,6 +185,27 @@
     }
 }
 
+fn route_item(route: RouteText) -> RouteItem {
+    let service = route.first_service().unwrap_or_default().to_owned();
+    let split = route.split.into_iter().map(|part| SplitItem {
+        service: part.service,
+        weight: part.weight,
+    });
+    RouteItem {
+        name: route.name,
+        host: route.host.unwrap_or_default(),
+        prefix: route.prefix,
+        class: WireClass::from(route.class) as i32,
+        service,
+        timeout_ms: route.timeout_ms.unwrap_or_default(),
+        target_ms: route.target_ms.unwrap_or_default(),
+        rank: route.rank.unwrap_or_default(),
+        attempts: route.attempts.unwrap_or_default(),
+        split: split.collect(),
+        below: route.below,
+    }
+}
+
 /// Length-delimited items keep the boundary between two items part of the digest.
 fn content_digest(services: &[ServiceItem], routes: &[RouteItem]) -> u64 {
     let mut content = Vec::new();
--- a/crates/kumquatlock/src/membership/announcer.rs
+++ b/crates/kumquatlock/src/membership/announcer.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use kumquatlock_wire::distribution::{UpstreamItem, UpstreamReport, WireState};
 
@@ -38,6 +39,31 @@
     pub address: SocketAddr,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// Connections that it takes at once.
+    pub connections: u32,
+    /// Run of the upstream, by its own word; empty if it states none.
+    pub instance: SharedName,
+    /// Start of the run as the upstream gives it, in milliseconds since 1970; orders runs. Zero if
+    /// it states none.
+    pub born_ms: u64,
+    /// Orders the announcements of one run; zero if they are not numbered.
+    pub sequence: u64,
+    /// How much longer the upstream is slow after its start.
+    pub warmup: Duration,
+}
+
+impl UpstreamAnnouncement {
+    fn is_of_run(&self, other: &UpstreamAnnouncement) -> bool {
+        self.instance == other.instance && self.born_ms == other.born_ms
+    }
+
+    /// Whether a delayed announcement says this after the other one was made.
+    fn is_late_after(&self, other: &UpstreamAnnouncement) -> bool {
+        match self.is_of_run(other) {
+            true => self.sequence > 0 && self.sequence <= other.sequence,
+            false => self.born_ms < other.born_ms,
+        }
+    }
 }
 
 /// What happened to the announcer.
@@ -51,6 +77,8 @@
     Drain,
     /// The upstream leaves.
     Leave,
+    /// The named run of the upstream leaves. Says nothing about another run.
+    LeaveOf(SharedName),
     /// The node routes by this configuration now.
     Swapped(Arc<ConfigSnapshot>),
     /// A parent has attached the node, or is lost.
@@ -83,6 +111,8 @@
     Draining,
     /// Left, or never announced.
     Left,
+    /// Overtaken by a later announcement.
+    Late,
     /// The node speaks for another upstream until that one leaves.
     OtherUpstream,
     /// A node at another address holds the name with a later incarnation.
@@ -98,6 +128,8 @@
     state: WireState,
     /// Draining was asked for; announcements do not end it.
     is_drain_asked: bool,
+    /// The run said that it leaves; it does not come back.
+    is_leave_asked: bool,
     announced_at: Timestamp,
     /// The configuration shows this incarnation in this state.
     is_confirmed: bool,
@@ -163,6 +195,15 @@
                 }
                 steps.push(AnnouncerStep::Answer(self.answer()));
             }
+            AnnouncerEvent::LeaveOf(instance) => {
+                if let Some(upstream) = &mut self.upstream
+                    && upstream.announcement.instance == instance
+                {
+                    upstream.is_leave_asked = true;
+                    upstream.advance(WireState::Left, &mut steps);
+                }
+                steps.push(AnnouncerStep::Answer(AnnounceAnswer::Left));
+            }
             AnnouncerEvent::Swapped(snapshot) => self.compare(&snapshot, &mut steps),
             AnnouncerEvent::Uplink { is_attached } => {
                 self.is_attached = is_attached;
@@ -201,8 +242,16 @@
         {
             return steps.push(AnnouncerStep::Answer(AnnounceAnswer::Invalid));
         }
+        if let Some(upstream) = &self.upstream {
+            let held = &upstream.announcement;
+            let is_ended = upstream.is_leave_asked && announcement.is_of_run(held);
+            if is_ended || announcement.is_late_after(held) {
+                return steps.push(AnnouncerStep::Answer(AnnounceAnswer::Late));
+            }
+        }
         if let Some(upstream) = &mut self.upstream
             && upstream.state != WireState::Left
+            && upstream.announcement.is_of_run(&announcement)
         {
             if upstream.announcement.name != announcement.name {
                 return steps.push(AnnouncerStep::Answer(AnnounceAnswer::OtherUpstream));
@@ -232,6 +281,7 @@
             incarnation: self.next_incarnation,
             state: WireState::Serving,
             is_drain_asked: false,
+            is_leave_asked: false,
             announced_at: now,
             is_confirmed: false,
             was_seen: false,
--- a/crates/kumquatlock/src/membership/tests.rs
+++ b/crates/kumquatlock/src/membership/tests.rs
@@ -267,6 +267,11 @@
             service: "a".into(),
             address: ([127, 0, 0, 1], 8).into(),
             slots: 4,
+            connections: 4,
+            instance: crate::core::SharedName::default(),
+            born_ms: 0,
+            sequence: 0,
+            warmup: Duration::ZERO,
         };
         self.handle(AnnouncerEvent::Announce(announcement)).unwrap()
     }
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -14,7 +14,7 @@
 use super::clock::{ProcessClock, random_seed, wall_clock_ms};
 use super::links::LinkRole;
 use super::metrics::ControlMetrics;
-use super::operator::OperatorCall;
+use super::operator::{OperatorCall, WaitingRead};
 use super::peers::PeerLinks;
 use super::process::ControlError;
 use super::relay::LeaderView;
@@ -74,6 +74,8 @@
     pub(super) transfers: IndexSet<LinkId>,
     pub(super) leader_view: LeaderView,
     pub(super) requests: RequestTable,
+    /// Reads that wait until what was proved current is applied here.
+    pub(super) reads: Vec<WaitingRead>,
     pub(super) random: SmallRng,
     pub(super) metrics: Arc<ControlMetrics>,
     pub(super) work: VecDeque<Work>,
@@ -106,6 +108,8 @@
                 let others = others.map(|(voter, address)| (voter.clone(), *address));
                 (PeerLinks::new(others), None)
             }
+            // The links follow the group as it is known; see `follow_group`.
+            RoleSettings::Member { .. } => (PeerLinks::default(), None),
             RoleSettings::Replica { parents } => {
                 let uplink = UplinkDuty::new(&settings, parents.clone());
                 (PeerLinks::default(), Some(uplink))
@@ -125,6 +129,7 @@
             transfers: IndexSet::new(),
             leader_view: LeaderView::default(),
             requests: RequestTable::default(),
+            reads: Vec::new(),
             random: SmallRng::seed_from_u64(random_seed()),
             metrics,
             work: VecDeque::new(),
@@ -151,6 +156,7 @@
         let now = self.clock.now();
         self.ticks += 1;
         self.reopen_storage(now);
+        self.follow_group(now);
         self.connect_peers(now);
         if self.voter.is_some() {
             self.work.push_back(Work::Agreement(AgreementEvent::Tick));
@@ -170,6 +176,7 @@
             self.expire_upstreams(now);
         }
         self.expire_requests(now);
+        self.expire_reads(now);
         self.finish_turn(cx, now);
         if self.has_stopped(now) {
             cx.stop();
@@ -207,6 +214,7 @@
             } else if let Some(event) = self.links.next_event() {
                 self.handle_link_event(now, event);
             } else if std::mem::take(&mut self.has_catalog_moved) {
+                self.answer_reads();
                 // Once for all entries of the turn, so that they become one delta.
                 self.work
                     .push_back(Work::Parent(ParentEvent::CatalogAdvanced));
--- a/crates/kumquatlock/src/ops/control/answer.rs
+++ b/crates/kumquatlock/src/ops/control/answer.rs
@@ -131,6 +131,13 @@
             409,
             &refused("stale", *manifest_version, Some(*accepted_version)),
         ),
+        ManifestDecision::OtherBase {
+            manifest_version,
+            accepted_version,
+        } => operator(
+            409,
+            &refused("other_base", *manifest_version, Some(*accepted_version)),
+        ),
         ManifestDecision::Invalid(error) => invalid_manifest(error),
     }
 }
--- a/crates/kumquatlock/src/ops/control/links.rs
+++ b/crates/kumquatlock/src/ops/control/links.rs
@@ -9,8 +9,9 @@
 use super::actor::{ControlActor, Work};
 use super::answer;
 use super::requests::RequestRoute;
+use super::settings::RoleSettings;
 use crate::agreement::AgreementEvent;
-use crate::core::{SharedName, Timestamp};
+use crate::core::{SharedName, Timestamp, named_address};
 use crate::distribution::{self, ChildEvent, ChildId, ParentEvent};
 use crate::transport::{LinkError, LinkEvent, LinkId, LinkScope};
 
@@ -42,6 +43,24 @@
         }
     }
 
+    /// Keeps links to the members of an open group and to those that turned to this one.
+    pub(super) fn follow_group(&mut self, now: Timestamp) {
+        let RoleSettings::Member { .. } = self.settings.role else {
+            return;
+        };
+        let Some(voter) = &self.voter else {
+            return;
+        };
+        let contacts = voter.agreement.contacts();
+        for link in self.peers.follow(now, &contacts) {
+            self.links.close(link);
+        }
+        let voters = voter.agreement.status().voters.voters;
+        let addresses = voters.iter().filter_map(|voter| named_address(&voter.name));
+        let parents = addresses.map(|address| address.to_string()).collect();
+        self.parent.set_offered_parents(parents);
+    }
+
     pub(super) fn close_unknown_links(&mut self, now: Timestamp) {
         let is_overdue = |role: &LinkRole| {
             matches!(role, LinkRole::Unknown { since }
@@ -149,6 +168,10 @@
     }
 
     fn adopt_voter(&mut self, now: Timestamp, link: LinkId, message: PeerMessage) {
+        let is_open = matches!(self.settings.role, RoleSettings::Member { .. });
+        if is_open {
+            self.peers.add_guest(now, &message.from.name);
+        }
         if !self.peers.is_peer(&message.from.name) {
             log::warn!(from = message.from.name.as_str(); "unknown_voter_refused");
             return self.links.close(link);
--- a/crates/kumquatlock/src/ops/control/mod.rs
+++ b/crates/kumquatlock/src/ops/control/mod.rs
@@ -28,7 +28,8 @@
 mod stop;
 mod voter;
 
+pub use operator::{OperatorDialect, OperatorRequest};
 pub use process::{ControlError, run_control};
 pub use settings::{
-    ControlFlags, ControlSettings, ControlSettingsError, InstanceRole, RoleSettings,
+    ControlFlags, ControlSettings, ControlSettingsError, FoundingChoice, InstanceRole, RoleSettings,
 };
--- a/crates/kumquatlock/src/ops/control/operator.rs
+++ b/crates/kumquatlock/src/ops/control/operator.rs
@@ -4,6 +4,7 @@
 use std::sync::mpsc::RecvTimeoutError;
 use std::time::Duration;
 
+use bytes::Bytes;
 use kumquatlock_wire::agreement::forward::Content;
 use kumquatlock_wire::distribution::StatusRequest;
 use serde::Serialize;
@@ -13,7 +14,6 @@
 use super::answer;
 use super::metrics::ControlMetrics;
 use super::requests::{REQUEST_TIMEOUT, Requester};
-use super::settings::RoleSettings;
 use crate::core::Timestamp;
 use crate::http::{HttpRequest, HttpResponse, ReplySlot};
 use crate::manifest::ManifestDocument;
@@ -21,46 +21,88 @@
 /// Longest wait of an HTTP thread. Above the timeout of a request, whose answer says more.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(REQUEST_TIMEOUT.as_millis() as u64 + 1_000);
 
+/// Longest wait of a read for entries that are committed but not applied here.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
+
 const MANIFESTS_PATH: &str = "/v1/manifests";
 const STATUS_PATH: &str = "/v1/status";
+const SOURCE_PATH: &str = "/v1/source";
 const METRICS_PATH: &str = "/metrics";
 const LATEST: &str = "latest";
 
 /// A request on its way from an HTTP thread to the actor.
 pub(super) struct OperatorCall {
-    request: HttpRequest,
+    request: OperatorRequest,
     reply: ReplySlot,
 }
 
 /// What an operator asks for.
-enum Operation {
-    Submit,
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OperatorRequest {
+    /// Submit this manifest text.
+    Submit(Bytes),
+    /// State of a manifest; of the newest without a version.
     Show(Option<u64>),
+    /// Source of the newest manifest.
+    Source,
+    /// State of the instance.
     Status,
+    /// The metrics page.
+    Metrics,
+}
+
+/// How operators speak to the instance: functions between their requests and the product's.
+#[derive(Clone, Copy, Debug)]
+pub struct OperatorDialect {
+    /// Reads a request, or gives the answer that refuses it.
+    pub read: fn(HttpRequest) -> Result<OperatorRequest, HttpResponse>,
+    /// Words an answer, given in the words of [`OperatorDialect::default`].
+    pub write: fn(HttpResponse) -> HttpResponse,
+}
+
+impl Default for OperatorDialect {
+    fn default() -> Self {
+        OperatorDialect {
+            read: read_operation,
+            write: |response| response,
+        }
+    }
+}
+
+/// A read of the manifest's source that waits until an index is applied here.
+#[derive(Debug)]
+pub(super) struct WaitingRead {
+    index: u64,
+    deadline: Timestamp,
+    reply: ReplySlot,
 }
 
 /// Hands requests to the actor and waits for its answers. Metrics are read here, so that they can
 /// be scraped while the actor is busy.
 pub(super) fn handler(
+    dialect: OperatorDialect,
     calls: Channel<OperatorCall>,
     metrics: Arc<ControlMetrics>,
 ) -> impl Fn(HttpRequest) -> HttpResponse + Send + Sync + 'static {
     move |request| {
-        if request.path() == METRICS_PATH {
-            return match request.method.as_str() {
-                "GET" => metrics.response(),
-                _ => wrong_method("GET"),
-            };
-        }
-        let (reply, answer) = ReplySlot::new();
-        if !calls.send(OperatorCall { request, reply }) {
-            return answer::response(answer::not_run("leaving"));
-        }
-        match answer.recv_timeout(ANSWER_TIMEOUT) {
-            Ok(response) => response,
-            Err(RecvTimeoutError::Timeout) => answer::response(answer::unknown("timeout")),
-            Err(RecvTimeoutError::Disconnected) => answer::response(answer::unknown("leaving")),
-        }
+        let request = match (dialect.read)(request) {
+            Ok(OperatorRequest::Metrics) => return metrics.response(),
+            Ok(request) => request,
+            Err(response) => return response,
+        };
+        (dialect.write)(ask(&calls, request))
+    }
+}
+
+fn ask(calls: &Channel<OperatorCall>, request: OperatorRequest) -> HttpResponse {
+    let (reply, answer) = ReplySlot::new();
+    if !calls.send(OperatorCall { request, reply }) {
+        return answer::response(answer::not_run("leaving"));
+    }
+    match answer.recv_timeout(ANSWER_TIMEOUT) {
+        Ok(response) => response,
+        Err(RecvTimeoutError::Timeout) => answer::response(answer::unknown("timeout")),
+        Err(RecvTimeoutError::Disconnected) => answer::response(answer::unknown("leaving")),
     }
 }
 
@@ -70,19 +112,24 @@
 }
 
 /// Reads method and path, or gives the answer that refuses them.
-fn read_operation(request: &HttpRequest) -> Result<Operation, HttpResponse> {
+fn read_operation(request: HttpRequest) -> Result<OperatorRequest, HttpResponse> {
     let path = request.path();
     let (operation, method) = if path == MANIFESTS_PATH {
-        (Operation::Submit, "POST")
+        (OperatorRequest::Submit(request.body.clone()), "POST")
     } else if path == STATUS_PATH {
-        (Operation::Status, "GET")
+        (OperatorRequest::Status, "GET")
+    } else if path == SOURCE_PATH {
+        (OperatorRequest::Source, "GET")
+    } else if path == METRICS_PATH {
+        (OperatorRequest::Metrics, "GET")
     } else if let Some(version) = path
         .strip_prefix(MANIFESTS_PATH)
         .and_then(|rest| rest.strip_prefix('/'))
     {
-        (Operation::Show(read_version(version)?), "GET")
+        (OperatorRequest::Show(read_version(version)?), "GET")
     } else {
-        let detail = "paths are /v1/manifests, /v1/manifests/<version>, /v1/status and /metrics";
+        let detail = "paths are /v1/manifests, /v1/manifests/<version>, /v1/source, /v1/status \
+                      and /metrics";
         return Err(answer::bad_request(404, "not_found", detail));
     };
     if request.method != method {
@@ -136,23 +183,56 @@
 impl ControlActor {
     pub(super) fn answer_operator(&mut self, now: Timestamp, call: OperatorCall) {
         let OperatorCall { request, reply } = call;
-        match read_operation(&request) {
-            Err(response) => reply.answer(response),
-            Ok(Operation::Status) => reply.answer(self.status_response(now)),
-            Ok(Operation::Show(manifest_version)) => {
+        match request {
+            OperatorRequest::Metrics => reply.answer(self.metrics.response()),
+            OperatorRequest::Status => reply.answer(self.status_response(now)),
+            OperatorRequest::Show(manifest_version) => {
                 let content = Content::StatusRequest(StatusRequest { manifest_version });
                 self.ask(now, Requester::Operator(reply), content);
             }
-            Ok(Operation::Submit) => self.submit(now, request, reply),
+            OperatorRequest::Source => {
+                let content = Content::ConfirmRequest(Default::default());
+                self.ask(now, Requester::Reader(reply), content);
+            }
+            OperatorRequest::Submit(text) => self.submit(now, text, reply),
+        }
+    }
+
+    /// Answers a read once everything up to `index`, which was proved current, is applied here.
+    pub(super) fn read_source(&mut self, now: Timestamp, index: u64, reply: ReplySlot) {
+        self.reads.push(WaitingRead {
+            index,
+            deadline: now + READ_TIMEOUT,
+            reply,
+        });
+        self.answer_reads();
+    }
+
+    pub(super) fn answer_reads(&mut self) {
+        let applied = self.catalog.applied_index();
+        for read in self.reads.extract_if(.., |read| read.index <= applied) {
+            let source = self.catalog.manifest_source();
+            let response = match source.is_empty() {
+                true => answer::response(answer::not_run("no_source")),
+                false => HttpResponse::json_text(200, source.clone()),
+            };
+            read.reply.answer(response);
+        }
+    }
+
+    pub(super) fn expire_reads(&mut self, now: Timestamp) {
+        for read in self.reads.extract_if(.., |read| read.deadline <= now) {
+            let answer = answer::not_run("not_applied");
+            read.reply.answer(answer::response(answer));
         }
     }
 
-    fn submit(&mut self, now: Timestamp, request: HttpRequest, reply: ReplySlot) {
+    fn submit(&mut self, now: Timestamp, text: Bytes, reply: ReplySlot) {
         let refused = if self.stop.is_some() {
             Some(answer::not_run("leaving"))
         } else {
             // Checked where it arrives, so that a bad manifest costs the leader nothing.
-            let checked = ManifestDocument::parse(&request.body);
+            let checked = ManifestDocument::parse(&text);
             checked.err().map(|error| answer::invalid_manifest(&error))
         };
         if let Some(refused) = refused {
@@ -160,8 +240,7 @@
             self.metrics.count_submission(response.status);
             return reply.answer(response);
         }
-        let content = Content::Submit(request.body);
-        self.ask(now, Requester::Operator(reply), content);
+        self.ask(now, Requester::Operator(reply), Content::Submit(text));
     }
 
     fn status_response(&self, now: Timestamp) -> HttpResponse {
@@ -176,9 +255,9 @@
         };
         let body = StatusBody {
             name: &settings.name,
-            role: match (&self.voter, &settings.role) {
-                (Some(voter), _) => voter.role.into(),
-                (None, RoleSettings::Replica { .. } | RoleSettings::Voter { .. }) => "replica",
+            role: match &self.voter {
+                Some(voter) => voter.role.into(),
+                None => "replica",
             },
             zone: &settings.zone,
             region: &settings.region,
--- a/crates/kumquatlock/src/ops/control/peers.rs
+++ b/crates/kumquatlock/src/ops/control/peers.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use crate::core::{SharedName, Timestamp};
+use crate::core::{SharedName, Timestamp, named_address};
 use crate::transport::LinkId;
 
 /// Bounds of the delay before the next connection attempt, in milliseconds. Short against the
@@ -22,8 +22,28 @@
     retry_at: Timestamp,
     /// Region by the peer's own word; none before its first greeting.
     region: Option<SharedName>,
+    /// A peer that turned to this instance is kept until then, even if the group does not name it.
+    guest_until: Timestamp,
 }
 
+impl PeerLink {
+    fn new(address: SocketAddr) -> Self {
+        PeerLink {
+            address,
+            link: None,
+            is_connected: false,
+            retry_at: Timestamp::default(),
+            region: None,
+            guest_until: Timestamp::default(),
+        }
+    }
+}
+
+/// How long an instance that asked to join is kept as a peer without being named by the group.
+const GUEST_LIMIT: Duration = Duration::from_secs(5);
+/// Bound on the peers of an open group.
+const MAX_PEERS: usize = 128;
+
 /// One link per peer, on which this voter sends. Answers arrive on the peer's own link.
 #[derive(Debug, Default)]
 pub(super) struct PeerLinks {
@@ -32,20 +52,44 @@
 
 impl PeerLinks {
     pub(super) fn new(peers: impl Iterator<Item = (SharedName, SocketAddr)>) -> Self {
-        let peer_link = |address| PeerLink {
-            address,
-            link: None,
-            is_connected: false,
-            retry_at: Timestamp::default(),
-            region: None,
-        };
         PeerLinks {
             peers: peers
-                .map(|(name, address)| (name, peer_link(address)))
+                .map(|(name, address)| (name, PeerLink::new(address)))
                 .collect(),
         }
     }
 
+    /// Adds a peer of an open group that turned to this instance.
+    pub(super) fn add_guest(&mut self, now: Timestamp, name: &str) {
+        let Some(address) = named_address(name) else {
+            return;
+        };
+        if self.peers.len() >= MAX_PEERS && !self.peers.contains_key(name) {
+            return;
+        }
+        let peer = self.peers.entry(name.into());
+        let peer = peer.or_insert_with(|| PeerLink::new(address));
+        peer.guest_until = now + GUEST_LIMIT;
+    }
+
+    /// Takes over the members of an open group. Returns the links of peers that are none any more.
+    pub(super) fn follow(&mut self, now: Timestamp, members: &[SharedName]) -> Vec<LinkId> {
+        for name in members {
+            if let (false, Some(address)) = (self.peers.contains_key(name), named_address(name)) {
+                self.peers.insert(name.clone(), PeerLink::new(address));
+            }
+        }
+        let mut dropped = Vec::new();
+        self.peers.retain(|name, peer| {
+            let is_kept = peer.guest_until > now || members.contains(name);
+            if !is_kept {
+                dropped.extend(peer.link);
+            }
+            is_kept
+        });
+        dropped
+    }
+
     /// Peers to connect to now.
     pub(super) fn due(&self, now: Timestamp) -> Vec<(SharedName, SocketAddr)> {
         let is_due = |peer: &PeerLink| peer.link.is_none() && peer.retry_at <= now;
--- a/crates/kumquatlock/src/ops/control/process.rs
+++ b/crates/kumquatlock/src/ops/control/process.rs
@@ -14,9 +14,10 @@
 use super::actor::{ActorParts, ControlActor};
 use super::clock::ProcessClock;
 use super::metrics::ControlMetrics;
-use super::operator::{self, OperatorCall};
+use super::operator::{self, OperatorCall, OperatorDialect};
 use super::settings::{ControlSettings, RoleSettings};
 use super::voter::VoterDuty;
+use crate::agreement::GroupMembership;
 use crate::catalog::StateError;
 use crate::core::ConfigVersion;
 use crate::http::{HttpServer, ServerError};
@@ -97,7 +98,10 @@
 }
 
 /// Runs a control instance until a signal stops it.
-pub fn run_control(settings: ControlSettings) -> Result<(), ControlError> {
+pub fn run_control(
+    settings: ControlSettings,
+    dialect: OperatorDialect,
+) -> Result<(), ControlError> {
     let settings = Arc::new(settings);
     let clock = ProcessClock::start();
     let voter = open_voter(&settings, clock)?;
@@ -124,7 +128,7 @@
     let (calls, calls_guard) = Channel::new(&mut stakker, forward);
     let forward = fwd_to!([actor], on_stop() as (()));
     let (stop, _stop_guard) = Channel::new(&mut stakker, forward);
-    let handler = operator::handler(calls, metrics);
+    let handler = operator::handler(dialect, calls, metrics);
     let server = HttpServer::start(settings.http, HTTP_WORKERS, handler)?;
     let _signals = install_stop_handler(move |signal| {
         log::info!(signal = <&str>::from(signal); "signal_received");
@@ -156,11 +160,28 @@
     settings: &ControlSettings,
     clock: ProcessClock,
 ) -> Result<Option<VoterDuty>, ControlError> {
-    let RoleSettings::Voter { data_dir, voters } = &settings.role else {
-        return Ok(None);
+    let (data_dir, names, membership) = match &settings.role {
+        RoleSettings::Voter { data_dir, voters } => {
+            let names = voters.keys().cloned().collect();
+            (data_dir, names, GroupMembership::Fixed)
+        }
+        RoleSettings::Member {
+            data_dir,
+            seeds,
+            founds,
+            size,
+            replace_after,
+        } => {
+            let membership = GroupMembership::Open {
+                founds: *founds,
+                size: *size,
+                replace_after: *replace_after,
+            };
+            (data_dir, seeds.clone(), membership)
+        }
+        RoleSettings::Replica { .. } => return Ok(None),
     };
-    let names = voters.keys().cloned().collect();
-    let voter = VoterDuty::open(settings, data_dir.clone(), names, clock.now())?;
+    let voter = VoterDuty::open(settings, data_dir.clone(), names, membership, clock.now())?;
     Ok(Some(voter))
 }
 
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -89,7 +89,7 @@
             Ok(id) => id,
             Err(requester) => {
                 let answer = answer::unavailable(kind, "busy");
-                return self.deliver(requester, kind, answer);
+                return self.deliver(now, requester, kind, answer);
             }
         };
         if self.is_leader() {
@@ -181,13 +181,19 @@
     }
 
     /// Ends a request with its answer. Later answers to it are ignored.
-    pub(super) fn finish(&mut self, _now: Timestamp, id: u64, answer: RequestAnswer) {
+    pub(super) fn finish(&mut self, now: Timestamp, id: u64, answer: RequestAnswer) {
         if let Some(request) = self.requests.take(id) {
-            self.deliver(request.requester, request.kind, answer);
+            self.deliver(now, request.requester, request.kind, answer);
         }
     }
 
-    fn deliver(&mut self, requester: Requester, kind: RequestKind, answer: RequestAnswer) {
+    fn deliver(
+        &mut self,
+        now: Timestamp,
+        requester: Requester,
+        kind: RequestKind,
+        answer: RequestAnswer,
+    ) {
         match requester {
             Requester::Operator(slot) => {
                 if let (RequestKind::Submit, RequestAnswer::Operator { status, .. }) =
@@ -197,6 +203,10 @@
                 }
                 slot.answer(answer::response(answer));
             }
+            Requester::Reader(slot) => match answer {
+                RequestAnswer::Confirm(Some(index)) => self.read_source(now, index, slot),
+                _ => slot.answer(answer::response(answer::not_run("not_current"))),
+            },
             Requester::Voter { name, request_id } => {
                 // The other voter's request times out if it is not connected.
                 if let Some(link) = self.peers.link(&name) {
--- a/crates/kumquatlock/src/ops/control/requests.rs
+++ b/crates/kumquatlock/src/ops/control/requests.rs
@@ -28,6 +28,8 @@
     Voter { name: SharedName, request_id: u64 },
     /// A replica below this instance.
     Child { child: ChildId, request_id: u64 },
+    /// An operator's read of the manifest's source, which waits for a currency proof.
+    Reader(ReplySlot),
     /// A currency proof for this instance's own children.
     OwnProof { round: u64 },
 }
@@ -182,9 +184,12 @@
 
     /// Whether an operator waits for an answer.
     pub(super) fn has_operators(&self) -> bool {
-        self.pending
-            .values()
-            .any(|request| matches!(request.requester, Requester::Operator(_)))
+        self.pending.values().any(|request| {
+            matches!(
+                request.requester,
+                Requester::Operator(_) | Requester::Reader(_)
+            )
+        })
     }
 }
 
--- a/crates/kumquatlock/src/ops/control/settings.rs
+++ b/crates/kumquatlock/src/ops/control/settings.rs
@@ -6,10 +6,10 @@
 
 use indexmap::IndexMap;
 
-use crate::core::SharedName;
+use crate::core::{SharedName, address_name};
 use crate::util::logging::LogFilter;
 use crate::util::settings::{
-    AddressList, CheckedName, DurationMillis, EnumChoice, NamedAddresses, SettingError,
+    AddressList, CheckedName, DurationMillis, EnumChoice, ItemCount, NamedAddresses, SettingError,
     SettingSpec, VariableSource,
 };
 
@@ -29,10 +29,35 @@
 pub enum InstanceRole {
     /// Has a disk and votes.
     Voter,
+    /// Has a disk and joins its group by itself; votes when the group needs it.
+    Member,
     /// Serves reads and has no vote.
     Replica,
 }
 
+/// Addresses of seeds from which a group is founded. All founders have to be reached once.
+const MAX_FOUNDERS: usize = 5;
+
+/// Whether a member may found its group.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    strum::Display,
+    strum::EnumIter,
+    strum::EnumString,
+    strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum FoundingChoice {
+    /// Every disk of the group is empty.
+    Yes,
+    /// The group exists.
+    No,
+}
+
 /// Sizes of a group. Even sizes need a larger quorum without surviving more failures.
 const GROUP_SIZES: [usize; 3] = [1, 3, 5];
 
@@ -52,10 +77,10 @@
     SettingSpec::new("http", "address for operators and metrics, <ip>:<port>");
 const DATA_DIR: SettingSpec<PathBuf> = SettingSpec::new(
     "data-dir",
-    "folder of the durable state; required for a voter, unused by a replica",
+    "folder of the durable state; required for a voter or member, unused by a replica",
 );
 const ROLE: SettingSpec<EnumChoice<InstanceRole>> =
-    SettingSpec::new("role", "voter or replica").default_value("voter");
+    SettingSpec::new("role", "voter, member or replica").default_value("voter");
 const VOTERS: SettingSpec<NamedAddresses> = SettingSpec::new(
     "voters",
     "all voters, this one included, <name>=<ip>:<port>,...: 1, 3 or 5; required for a \
@@ -66,6 +91,32 @@
     "control instances that a replica follows, the preferred one first, \
      <ip>:<port>,...; required for a replica, unused by a voter",
 );
+const SEEDS: SettingSpec<AddressList> = SettingSpec::new(
+    "seeds",
+    "listen addresses of instances through which a member joins, the founders of the group at \
+     its first start, <ip>:<port>,...; required for a member, unused otherwise",
+);
+const FOUNDING: SettingSpec<EnumChoice<FoundingChoice>> = SettingSpec::new(
+    "founding",
+    "yes at the very first start of the whole group, when every disk is empty, and no \
+     afterwards; used by a member only",
+)
+.default_value("no");
+const GROUP_SIZE: SettingSpec<ItemCount> = SettingSpec::new(
+    "group-size",
+    "most voters of an open group; used by a member only",
+)
+.unit("voters")
+.range(1, 9)
+.default_value("5");
+const REPLACE: SettingSpec<DurationMillis> = SettingSpec::new(
+    "replace-ms",
+    "time after which a silent voter is replaced by a member that has caught up; used by a \
+     member only",
+)
+.unit("ms")
+.range(100, 3_600_000)
+.default_value("4000");
 const ZONE: SettingSpec<CheckedName> =
     SettingSpec::new("zone", "availability zone of this instance, of [a-z0-9-.]");
 const REGION: SettingSpec<CheckedName> =
@@ -121,6 +172,10 @@
     pub election_timeout_ms: Option<String>,
     pub expiry_ms: Option<String>,
     pub expiry_grace_ms: Option<String>,
+    pub seeds: Option<String>,
+    pub founding: Option<String>,
+    pub group_size: Option<String>,
+    pub replace_ms: Option<String>,
 }
 
 /// Why the settings cannot be used.
@@ -141,6 +196,18 @@
         /// Voters that were named.
         count: usize,
     },
+    /// A member is known by its address, which must be one of IP version 4.
+    #[error("setting --listen (KUMQUATLOCK_LISTEN) of a member must be an IPv4 address: {address}")]
+    MemberAddress {
+        /// Address from the settings.
+        address: SocketAddr,
+    },
+    /// More seeds than founders are possible.
+    #[error("setting --seeds (KUMQUATLOCK_SEEDS) names {count} instances; at most {MAX_FOUNDERS}")]
+    SeedCount {
+        /// Seeds that were named.
+        count: usize,
+    },
     /// A lost heartbeat would cause an election.
     #[error(
         "setting --election-timeout-ms (KUMQUATLOCK_ELECTION_TIMEOUT_MS) must be at least \
@@ -165,6 +232,19 @@
         /// All voters by name, this one included.
         voters: IndexMap<SharedName, SocketAddr>,
     },
+    /// Settings of a member of an open group.
+    Member {
+        /// Folder of the journal.
+        data_dir: PathBuf,
+        /// Names of the seeds. A name is the instance's address.
+        seeds: Vec<SharedName>,
+        /// Whether this start may found the group.
+        founds: bool,
+        /// Most voters.
+        size: usize,
+        /// Silence after which a voter is replaced.
+        replace_after: Duration,
+    },
     /// Settings of a replica.
     Replica {
         /// Parents in order of preference; not empty.
@@ -197,12 +277,16 @@
         flags: &ControlFlags,
         variables: &impl VariableSource,
     ) -> Result<Self, ControlSettingsError> {
-        let CheckedName(name) = NAME.resolve(flags.name.as_deref(), variables)?;
+        let CheckedName(mut name) = NAME.resolve(flags.name.as_deref(), variables)?;
         let listen = LISTEN.resolve(flags.listen.as_deref(), variables)?;
         let http = HTTP.resolve(flags.http.as_deref(), variables)?;
         let EnumChoice(role) = ROLE.resolve(flags.role.as_deref(), variables)?;
         let role = match role {
             InstanceRole::Voter => resolve_voter(&name, flags, variables)?,
+            InstanceRole::Member => {
+                name = member_name(listen)?;
+                resolve_member(flags, variables)?
+            }
             InstanceRole::Replica => {
                 let AddressList(parents) = PARENTS.resolve(flags.parents.as_deref(), variables)?;
                 RoleSettings::Replica { parents }
@@ -254,10 +338,48 @@
             ELECTION_TIMEOUT.describe(),
             EXPIRY.describe(),
             EXPIRY_GRACE.describe(),
+            SEEDS.describe(),
+            FOUNDING.describe(),
+            GROUP_SIZE.describe(),
+            REPLACE.describe(),
         ]
     }
 }
 
+/// Name of a member, by which the others find it without a list of instances.
+fn member_name(listen: SocketAddr) -> Result<SharedName, ControlSettingsError> {
+    match listen {
+        SocketAddr::V4(address) => Ok(address_name(address)),
+        SocketAddr::V6(_) => Err(ControlSettingsError::MemberAddress { address: listen }),
+    }
+}
+
+fn resolve_member(
+    flags: &ControlFlags,
+    variables: &impl VariableSource,
+) -> Result<RoleSettings, ControlSettingsError> {
+    let AddressList(seeds) = SEEDS.resolve(flags.seeds.as_deref(), variables)?;
+    if seeds.len() > MAX_FOUNDERS {
+        let count = seeds.len();
+        return Err(ControlSettingsError::SeedCount { count });
+    }
+    let EnumChoice(founding) = FOUNDING.resolve(flags.founding.as_deref(), variables)?;
+    Ok(RoleSettings::Member {
+        data_dir: DATA_DIR.resolve(flags.data_dir.as_deref(), variables)?,
+        seeds: seeds
+            .into_iter()
+            .map(member_name)
+            .collect::<Result<_, _>>()?,
+        founds: founding == FoundingChoice::Yes,
+        size: GROUP_SIZE
+            .resolve(flags.group_size.as_deref(), variables)?
+            .0 as usize,
+        replace_after: REPLACE
+            .resolve(flags.replace_ms.as_deref(), variables)?
+            .duration(),
+    })
+}
+
 fn resolve_voter(
     name: &SharedName,
     flags: &ControlFlags,
--- a/crates/kumquatlock/src/ops/control/voter.rs
+++ b/crates/kumquatlock/src/ops/control/voter.rs
@@ -18,8 +18,8 @@
 use super::requests::RequestAnswer;
 use super::settings::ControlSettings;
 use crate::agreement::{
-    Agreement, AgreementEvent, AgreementRole, AgreementSettings, AgreementStep, PersistFailure,
-    PersistRequest, ProposalTicket,
+    Agreement, AgreementEvent, AgreementRole, AgreementSettings, AgreementStep, GroupMembership,
+    PersistFailure, PersistRequest, ProposalTicket,
 };
 use crate::catalog::{ApplyOutcome, Catalog, ManifestDecision};
 use crate::core::{SharedName, Timestamp};
@@ -58,6 +58,7 @@
         settings: &ControlSettings,
         folder: PathBuf,
         voters: Vec<SharedName>,
+        membership: GroupMembership,
         now: Timestamp,
     ) -> Result<Self, JournalError> {
         let mut generator = SmallRng::seed_from_u64(random_seed());
@@ -70,6 +71,7 @@
             heartbeat_interval: settings.heartbeat,
             election_timeout_min: settings.election_timeout,
             election_timeout_max: settings.election_timeout * 2,
+            membership,
             ..AgreementSettings::new(settings.name.clone(), voters)
         };
         log::info!(
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -10,25 +10,24 @@
 use kumquatlock_wire::distribution::ChildRole;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use stakker::sync::Channel;
 use stakker::{CX, fwd_to};
 use stakker_mio::MioPoll;
 
+use super::local::{NodeDialect, NodePort};
 use super::metrics::AnswerCounters;
 use super::peers::{DepartedNodes, PeerLinks};
 use super::steps::NodeStep;
-use super::upstream_api::{UpstreamRefusal, UpstreamRequest};
+use super::stop::NodeStop;
 use super::{NodeError, NodeSettings, claim_settings};
 use crate::admission::AdmissionLimits;
-use crate::call::{CallId, CallerRequest, DestinationCalls, EntryCalls, RunId, UpstreamEndpoint};
-use crate::claim::{ClaimHolder, HandoverStep};
+use crate::call::{CallId, DestinationCalls, EntryCalls, EntrySettings, RunId, UpstreamEndpoint};
+use crate::claim::ClaimHolder;
 use crate::core::{ConfigSnapshot, GroupId, IncarnationId, Timestamp};
 use crate::distribution::{self, ChildEvent, ChildIdentity, ChildState};
-use crate::http::{HttpResponse, ReplySlot, UpstreamPool, UpstreamResult};
-use crate::membership::{
-    AnnounceAnswer, AnnouncerEvent, AnnouncerStep, NodePlace, UpstreamAnnouncement,
-    UpstreamAnnouncer,
+use crate::http::{
+    ExchangeReady, ExchangeTable, HttpLimits, HttpReady, HttpTable, MAX_BODY_BYTES, RequestId,
 };
+use crate::membership::{AnnouncerEvent, NodePlace, UpstreamAnnouncer};
 use crate::routing::EntryLocation;
 use crate::transport::{LinkEvent, LinkId, LinkReady, LinkTable, TrafficCounters};
 use kumquatlock_wire::claim::ShardHolder;
@@ -37,34 +36,32 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Interval at which the claim holder looks for expired records and unanswered fetches.
 const CLAIM_TICK: Duration = Duration::from_millis(500);
-/// Longest time that a leaving node waits for others to take over its claims. After a lost node
-/// the others do without them as well.
-const HANDOVER_LIMIT: Duration = Duration::from_secs(10);
 /// A gap between two turns above this means that the process was stopped. Deadlines in messages
 /// that waited meanwhile cannot be trusted.
 const FREEZE_LIMIT: Duration = Duration::from_secs(2);
 /// Time after a freeze in which calls are refused. What waited on links that were not accepted
 /// yet, or beyond the socket buffers, is read only in later iterations of the loop.
 const FREEZE_GRACE: Duration = Duration::from_millis(100);
-/// Threads that carry cancellations to the upstream, so that these do not wait behind the
-/// requests that they cancel.
-const CANCEL_CONNECTIONS: usize = 2;
+/// Limits of callers before a manifest sets others.
+const DEFAULT_LIMITS: HttpLimits = HttpLimits {
+    header_bytes: 16 * 1024,
+    body_bytes: MAX_BODY_BYTES as u64,
+    header_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_secs(60),
+};
 
-/// An event from another thread.
-pub(super) enum NodeEvent {
-    /// A caller's request.
-    Caller(Box<CallerRequest>, ReplySlot),
-    /// A request of the upstream.
-    Upstream(UpstreamRequest, ReplySlot),
-    /// A scrape.
-    Metrics(ReplySlot),
-    /// The upstream's answer to a run.
-    Result(UpstreamResult<RunId>),
+/// What an exchange with the upstream is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RunTag {
+    Run(RunId),
+    /// A cancellation; its answer changes nothing, because the request ends by itself.
+    Cancel,
 }
 
 /// What the actor is made from.
 pub(super) struct ActorParts {
     pub(super) settings: NodeSettings,
+    pub(super) dialect: NodeDialect,
     pub(super) incarnation: IncarnationId,
     pub(super) started: Instant,
     pub(super) poll: MioPoll,
@@ -78,7 +75,14 @@
 /// All duties of one node.
 pub(super) struct NodeActor {
     pub(super) settings: NodeSettings,
+    pub(super) dialect: NodeDialect,
     pub(super) started: Instant,
+    /// Connections of callers, of the upstream as a caller, and of those who watch the node.
+    pub(super) front: HttpTable<NodePort>,
+    /// Largest body that the node passes on.
+    pub(super) body_bytes: u64,
+    /// Connections to the upstream.
+    pub(super) runs: ExchangeTable<RunTag>,
     pub(super) links: LinkTable,
     pub(super) peers: PeerLinks,
     pub(super) departed: DepartedNodes,
@@ -96,9 +100,9 @@
     /// Incarnation of the upstream; the holder and the destination have the same.
     pub(super) incarnation: IncarnationId,
     pub(super) answers: AnswerCounters,
-    pub(super) replies: IndexMap<CallId, ReplySlot>,
-    pub(super) runs: Option<UpstreamPool<RunId>>,
-    pub(super) cancels: Option<UpstreamPool<()>>,
+    /// Request of each call whose caller waits.
+    pub(super) replies: IndexMap<CallId, RequestId>,
+    pub(super) callers_gone: u64,
     pub(super) counters: Arc<TrafficCounters>,
     pub(super) random: SmallRng,
     /// Steps that follow from the event in progress.
@@ -114,10 +118,7 @@
     wakeup: Rc<Cell<Timestamp>>,
     finished: Rc<Cell<bool>>,
     next_claim_tick: Timestamp,
-    /// Connections that the upstream announced.
-    connections: u32,
-    /// When the node reported that its upstream leaves.
-    leaving_since: Option<Timestamp>,
+    pub(super) stop: Option<NodeStop>,
     failure: Option<NodeError>,
 }
 
@@ -125,8 +126,14 @@
     pub(super) fn init(cx: CX![], parts: ActorParts) -> Option<Self> {
         let settings = parts.settings;
         let seed = parts.incarnation.0 ^ crate::core::stable_hash(settings.name.as_bytes());
+        let tuning = &settings.tuning;
         let ready = fwd_to!([cx], handle_ready() as (LinkReady));
-        let links = LinkTable::new(parts.poll, ready, parts.counters.clone());
+        let mut links = LinkTable::new(parts.poll.clone(), ready, parts.counters.clone());
+        links.set_timing(tuning.links);
+        let ready = fwd_to!([cx], handle_caller() as (HttpReady));
+        let front = HttpTable::new(parts.poll.clone(), ready, DEFAULT_LIMITS);
+        let ready = fwd_to!([cx], handle_exchange() as (ExchangeReady));
+        let runs = ExchangeTable::new(parts.poll, ready);
         let location = EntryLocation {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
@@ -148,25 +155,33 @@
         let now = Timestamp::default();
         let random = SmallRng::seed_from_u64(seed);
         let claims = claim_settings(&settings);
+        let mut entry = EntrySettings::new(settings.http_workers / 2);
+        entry.hedges = !tuning.without_hedges;
+        entry.budget = tuning.budget;
+        entry.scope = tuning.scope;
+        entry.origin = tuning.origin.clone();
+        entry.upstream_wait = tuning.upstream_wait.unwrap_or(entry.upstream_wait);
+        let mut child = ChildState::new(identity, GroupId::default(), settings.parents.clone());
+        child.set_timing(tuning.stream);
+        let mut destination =
+            DestinationCalls::new(settings.name.clone(), parts.incarnation, claims);
+        destination.set_names(parts.dialect.names);
         Some(NodeActor {
-            child: ChildState::new(identity, GroupId::default(), settings.parents.clone()),
+            child,
             parent_links: IndexMap::new(),
             attached_link: None,
             announcer,
-            entry: EntryCalls::new(
-                location,
-                parts.incarnation,
-                settings.http_workers / 2,
-                random.clone(),
-                now,
-            ),
-            destination: DestinationCalls::new(settings.name.clone(), parts.incarnation, claims),
+            entry: EntryCalls::new(location, parts.incarnation, entry, random.clone()),
+            destination,
+            dialect: parts.dialect,
+            front,
+            body_bytes: MAX_BODY_BYTES as u64,
+            runs,
             holder: new_holder(&settings, parts.incarnation),
             incarnation: parts.incarnation,
             answers: AnswerCounters::default(),
             replies: IndexMap::new(),
-            runs: None,
-            cancels: None,
+            callers_gone: 0,
             counters: parts.counters,
             random,
             steps: VecDeque::new(),
@@ -179,8 +194,7 @@
             wakeup: parts.wakeup,
             finished: parts.finished,
             next_claim_tick: now,
-            connections: 0,
-            leaving_since: None,
+            stop: None,
             failure: None,
             settings,
             started: parts.started,
@@ -197,27 +211,24 @@
         self.frozen = self.frozen && self.now() < self.frozen_until;
     }
 
-    /// Opens the sockets and starts the threads towards the upstream.
-    pub(super) fn bind(&mut self, _cx: CX![], channel: Channel<NodeEvent>) {
+    /// Opens the sockets.
+    pub(super) fn bind(&mut self, _cx: CX![]) {
         let address = self.settings.listen;
         if let Err(error) = self.links.listen(address) {
-            self.fail(NodeError::Listen { address, error });
-            return;
+            return self.fail(NodeError::Listen { address, error });
         }
-        let connections = self.settings.upstream_connections;
-        let results = move |result| {
-            // The actor is gone only when the process ends.
-            let _ = channel.send(NodeEvent::Result(result));
-        };
-        match (
-            UpstreamPool::start(connections, results),
-            start_cancel_pool(),
-        ) {
-            (Ok(runs), Ok(cancels)) => {
-                self.runs = Some(runs);
-                self.cancels = Some(cancels);
+        let listeners = [
+            (Some(self.settings.http), NodePort::Callers),
+            (Some(self.settings.upstream_http), NodePort::Upstream),
+            (self.settings.ready_http, NodePort::Readiness),
+            (self.settings.metrics_http, NodePort::Metrics),
+        ];
+        for (address, port) in listeners {
+            if let Some(address) = address
+                && let Err(error) = self.front.listen(address, port)
+            {
+                return self.fail(NodeError::Listen { address, error });
             }
-            (Err(error), _) | (_, Err(error)) => self.fail(NodeError::Thread(error)),
         }
     }
 
@@ -226,6 +237,11 @@
         self.finished.set(true);
     }
 
+    /// Ends the loop of the process.
+    pub(super) fn end_loop(&self) {
+        self.finished.set(true);
+    }
+
     /// The error that ended the node, if any.
     pub(super) fn take_failure(&mut self) -> Option<NodeError> {
         self.failure.take()
@@ -237,17 +253,15 @@
         Timestamp(u64::try_from(elapsed).unwrap_or(u64::MAX))
     }
 
-    pub(super) fn handle_event(&mut self, _cx: CX![], event: NodeEvent) {
+    pub(super) fn handle_caller(&mut self, _cx: CX![], ready: HttpReady) {
         let now = self.begin_turn();
-        match event {
-            NodeEvent::Caller(request, reply) => self.open_call(now, *request, reply),
-            NodeEvent::Upstream(request, reply) => self.serve_upstream(now, request, reply),
-            NodeEvent::Metrics(reply) => reply.answer(self.metrics_response(now)),
-            NodeEvent::Result(result) => {
-                let steps = self.destination.on_result(now, result.tag, result.outcome);
-                self.extend_destination(steps);
-            }
-        }
+        self.front.handle_ready(now, ready);
+        self.end_turn(now);
+    }
+
+    pub(super) fn handle_exchange(&mut self, _cx: CX![], ready: ExchangeReady) {
+        let now = self.begin_turn();
+        self.runs.handle_ready(now, ready);
         self.end_turn(now);
     }
 
@@ -263,6 +277,7 @@
         self.extend_entry(steps);
         let steps = self.destination.on_tick(now);
         self.extend_destination(steps);
+        self.runs.handle_tick(now);
         if now >= self.next_tick {
             self.next_tick = now + TICK;
             self.tick_duties(now);
@@ -272,11 +287,13 @@
 
     fn tick_duties(&mut self, now: Timestamp) {
         self.links.handle_tick(now);
+        self.front.handle_tick(now);
+        self.watch_peers(now);
         let steps = self.child.handle(now, ChildEvent::Tick, &mut self.random);
         self.extend_child(steps);
         let steps = self.announcer.handle(now, AnnouncerEvent::Tick);
         self.extend_announcer(steps);
-        if now >= self.next_claim_tick {
+        if now >= self.next_claim_tick && !self.settings.tuning.without_claims {
             self.next_claim_tick = now + CLAIM_TICK;
             self.confirm_claims();
             let sends = self.holder.on_tick(now);
@@ -286,101 +303,24 @@
         for link in self.peers.idle(now, |peer| entry.awaits(peer)) {
             self.links.close(link);
         }
-        if self.stopping {
-            self.advance_stop(now);
-        }
-    }
-
-    /// Stops taking new work; the loop ends when everything in progress has ended.
-    pub(super) fn begin_stop(&mut self, _cx: CX![]) {
-        let now = self.begin_turn();
-        self.stopping = true;
-        let steps = self.entry.drain(now);
-        self.extend_entry(steps);
-        self.destination.drain();
-        let steps = self.announcer.handle(now, AnnouncerEvent::Drain);
-        self.extend_announcer(steps);
-        log::info!(
-            calls = self.entry.in_progress(),
-            runs = self.destination.in_progress();
-            "drain_started"
-        );
-        self.end_turn(now);
+        self.advance_stop(now);
     }
 
-    /// Leaves once everything in progress has ended, and ends the loop once the configuration no
-    /// longer names this node and no other holder needs it.
-    fn advance_stop(&mut self, now: Timestamp) {
-        let idle = self.entry.in_progress() == 0
-            && self.destination.is_idle()
-            && self.destination.is_settled();
-        if !idle {
+    /// Lets silence close the links to those whose answers calls wait for.
+    fn watch_peers(&mut self, now: Timestamp) {
+        if !self.settings.tuning.links.watches_only_awaited {
             return;
         }
-        let since = match self.leaving_since {
-            Some(since) => since,
-            None => {
-                self.leaving_since = Some(now);
-                let steps = self.announcer.handle(now, AnnouncerEvent::Leave);
-                self.extend_announcer(steps);
-                return;
-            }
-        };
-        let handed_over = self.announcer.is_confirmed()
-            && match self.holder.hand_over(now) {
-                HandoverStep::Done => true,
-                HandoverStep::Waiting(sends) => {
-                    self.extend_claims(sends);
-                    false
-                }
-            };
-        if (handed_over || now.since(since) >= HANDOVER_LIMIT) && self.links.is_flushed() {
-            log::info!(handed_over = handed_over; "drain_finished");
-            self.finished.set(true);
+        for (link, peer) in self.peers.iter() {
+            self.links.watch(now, link, self.entry.awaits(peer));
         }
     }
 
-    fn open_call(&mut self, now: Timestamp, request: CallerRequest, reply: ReplySlot) {
-        let (call, steps) = self.entry.open(now, request);
-        self.replies.insert(call, reply);
-        self.extend_entry(steps);
-    }
-
-    fn serve_upstream(&mut self, now: Timestamp, request: UpstreamRequest, reply: ReplySlot) {
-        let event = match request {
-            UpstreamRequest::Announce(body) if body.name != *self.settings.name => {
-                reply.answer(UpstreamRefusal::WrongName.response());
-                return;
-            }
-            UpstreamRequest::Announce(_) if self.stopping => {
-                reply.answer(UpstreamRefusal::Stopping.response());
-                return;
-            }
-            UpstreamRequest::Announce(body) => {
-                self.connections = body.connections.unwrap_or(body.slots);
-                AnnouncerEvent::Announce(UpstreamAnnouncement {
-                    name: body.name.into(),
-                    service: body.service.into(),
-                    address: body.address,
-                    slots: body.slots,
-                })
-            }
-            UpstreamRequest::Drain => AnnouncerEvent::Drain,
-            UpstreamRequest::Leave => AnnouncerEvent::Leave,
-        };
-        let mut steps = self.announcer.handle(now, event);
-        let answered = steps
-            .iter()
-            .position(|step| matches!(step, AnnouncerStep::Answer(_)));
-        let answer = match answered.map(|index| steps.swap_remove(index)) {
-            Some(AnnouncerStep::Answer(answer)) => answer,
-            _ => AnnounceAnswer::Invalid,
-        };
-        if matches!(answer, AnnounceAnswer::Serving { .. }) {
-            self.refresh_endpoint(now);
-        }
-        self.extend_announcer(steps);
-        reply.answer(announce_response(answer));
+    /// Stops taking new work; the loop ends when everything in progress has ended.
+    pub(super) fn begin_stop(&mut self, _cx: CX![]) {
+        let now = self.begin_turn();
+        self.start_stop(now);
+        self.end_turn(now);
     }
 
     /// Tells the destination where the upstream is and what it takes.
@@ -389,14 +329,16 @@
             return;
         };
         let pool = u32::try_from(self.settings.upstream_connections).unwrap_or(u32::MAX);
-        let connections = self.connections.min(pool);
         let limits = AdmissionLimits {
             slots: announcement.slots,
-            connections,
+            connections: announcement.connections.min(pool),
+        };
+        let endpoint = UpstreamEndpoint {
+            address: announcement.address,
+            instance: announcement.instance.clone(),
+            limits,
         };
-        let address = announcement.address;
-        self.destination
-            .on_announce(now, UpstreamEndpoint { address, limits });
+        self.destination.on_announce(now, endpoint);
     }
 
     fn begin_turn(&mut self) -> Timestamp {
@@ -411,22 +353,31 @@
         now
     }
 
-    /// Carries out everything that follows from the event and plans the next wakeup.
+    /// Carries out everything that follows from the event and plans the next wakeup. What follows
+    /// from a request comes before the end of its connection, which may have arrived with it.
     fn end_turn(&mut self, now: Timestamp) {
         loop {
             if let Some(event) = self.links.next_event() {
                 self.handle_link_event(now, event);
             } else if let Some(step) = self.steps.pop_front() {
                 self.carry_out(now, step);
+            } else if let Some(event) = self.front.next_event() {
+                self.handle_http_event(now, event);
+            } else if let Some(result) = self.runs.next_event() {
+                self.handle_result(now, result);
             } else {
                 break;
             }
         }
+        self.front.drop_closed(now);
         self.last_turn = now;
         let mut wakeup = self.next_tick.min(self.destination.next_wakeup(now));
         if let Some(at) = self.entry.next_wakeup() {
             wakeup = wakeup.min(at);
         }
+        if let Some(at) = self.runs.next_wakeup() {
+            wakeup = wakeup.min(at);
+        }
         self.wakeup.set(wakeup);
     }
 
@@ -505,23 +456,3 @@
     };
     ClaimHolder::new(own, claim_settings(settings))
 }
-
-fn start_cancel_pool() -> std::io::Result<UpstreamPool<()>> {
-    // The upstream's answer to a cancellation changes nothing: the request ends by itself.
-    UpstreamPool::start(CANCEL_CONNECTIONS, |_| {})
-}
-
-fn announce_response(answer: AnnounceAnswer) -> HttpResponse {
-    let status = match answer {
-        AnnounceAnswer::Serving { .. } | AnnounceAnswer::Draining | AnnounceAnswer::Left => 200,
-        AnnounceAnswer::OtherUpstream | AnnounceAnswer::NameTaken => 409,
-        AnnounceAnswer::Invalid => 422,
-    };
-    let state: &'static str = answer.into();
-    HttpResponse::json(status, &AnnounceBody { state })
-}
-
-#[derive(serde::Serialize)]
-struct AnnounceBody {
-    state: &'static str,
-}
--- /dev/null
+++ b/crates/kumquatlock/src/ops/node/front.rs
@@ -0,0 +1,132 @@
+//! Requests of callers and of the upstream, and exchanges with the upstream.
+
+use super::actor::NodeActor;
+use super::local::{LocalAnnouncement, LocalAnswer, LocalRequest, NodePort};
+use crate::call::{CallerAnswer, CallerRequest};
+use crate::core::Timestamp;
+use crate::http::{HttpEvent, HttpLimits, HttpRequest, HttpResponse, RequestId};
+use crate::membership::{AnnounceAnswer, AnnouncerEvent, AnnouncerStep, UpstreamAnnouncement};
+
+impl NodeActor {
+    pub(super) fn handle_http_event(&mut self, now: Timestamp, event: HttpEvent<NodePort>) {
+        match event {
+            HttpEvent::Request { id, port, request } => self.handle_request(now, id, port, request),
+            HttpEvent::Gone { id } => self.forget_caller(now, id),
+        }
+    }
+
+    fn handle_request(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        port: NodePort,
+        request: HttpRequest,
+    ) {
+        let response = match (self.dialect.read)(port, &request) {
+            Some(Ok(local)) => self.answer_local(now, local),
+            Some(Err(refusal)) => refusal,
+            None => match CallerRequest::from_http(request, &self.dialect.names) {
+                Ok(request) => return self.open_call(now, request, id),
+                Err(reason) => CallerAnswer::Rejected(reason).into_http(&self.dialect.names),
+            },
+        };
+        self.front.answer(now, id, response);
+    }
+
+    fn open_call(&mut self, now: Timestamp, request: CallerRequest, id: RequestId) {
+        let (call, steps) = self.entry.open(now, request);
+        self.replies.insert(call, id);
+        self.extend_entry(steps);
+    }
+
+    /// A caller closed its connection: nobody waits for its calls any more.
+    fn forget_caller(&mut self, now: Timestamp, id: RequestId) {
+        let waiting = self.replies.iter().find(|(_, reply)| **reply == id);
+        let Some(call) = waiting.map(|(call, _)| *call) else {
+            return;
+        };
+        self.replies.swap_remove(&call);
+        self.callers_gone += 1;
+        let steps = self.entry.cancel(now, call);
+        self.extend_entry(steps);
+    }
+
+    fn answer_local(&mut self, now: Timestamp, request: LocalRequest) -> HttpResponse {
+        let answer = match request {
+            LocalRequest::Metrics => return self.metrics_response(now),
+            LocalRequest::Ready => LocalAnswer::Ready(self.is_ready()),
+            LocalRequest::Announce(body) => self.announce(now, body),
+            LocalRequest::Drain => self.tell_announcer(now, AnnouncerEvent::Drain),
+            LocalRequest::Leave(None) => self.tell_announcer(now, AnnouncerEvent::Leave),
+            LocalRequest::Leave(Some(instance)) => {
+                self.tell_announcer(now, AnnouncerEvent::LeaveOf(instance))
+            }
+        };
+        (self.dialect.write)(answer)
+    }
+
+    /// Whether callers may send requests: the node routes by a configuration and does not stop.
+    fn is_ready(&self) -> bool {
+        self.applied.is_some() && !self.stopping
+    }
+
+    fn announce(&mut self, now: Timestamp, body: LocalAnnouncement) -> LocalAnswer {
+        let name = body.name.unwrap_or_else(|| self.settings.name.to_string());
+        if name != *self.settings.name {
+            return LocalAnswer::WrongName;
+        }
+        if self.stopping {
+            return LocalAnswer::Stopping;
+        }
+        let announcement = UpstreamAnnouncement {
+            name: name.into(),
+            service: body.service.into(),
+            address: body.address,
+            slots: body.slots,
+            connections: body.connections.unwrap_or(body.slots),
+            instance: body.instance,
+            born_ms: body.born_ms,
+            sequence: body.sequence,
+            warmup: body.warmup,
+        };
+        let answer = self.tell_announcer(now, AnnouncerEvent::Announce(announcement));
+        let is_current = matches!(
+            answer,
+            LocalAnswer::Announced(AnnounceAnswer::Serving { .. } | AnnounceAnswer::Draining)
+        );
+        match body.is_draining && is_current {
+            true => self.tell_announcer(now, AnnouncerEvent::Drain),
+            false => answer,
+        }
+    }
+
+    /// Passes what the upstream says to the announcer and takes out its answer.
+    fn tell_announcer(&mut self, now: Timestamp, event: AnnouncerEvent) -> LocalAnswer {
+        let mut steps = self.announcer.handle(now, event);
+        let answered = steps
+            .iter()
+            .position(|step| matches!(step, AnnouncerStep::Answer(_)));
+        let answer = match answered.map(|index| steps.remove(index)) {
+            Some(AnnouncerStep::Answer(answer)) => answer,
+            _ => AnnounceAnswer::Invalid,
+        };
+        if matches!(answer, AnnounceAnswer::Serving { .. }) {
+            self.refresh_endpoint(now);
+        }
+        self.extend_announcer(steps);
+        LocalAnswer::Announced(answer)
+    }
+
+    /// Takes over the limits that the manifest sets for callers.
+    pub(super) fn refresh_limits(&mut self) {
+        let Some(limits) = self.applied.as_ref().and_then(|applied| applied.limits) else {
+            return;
+        };
+        self.front.set_limits(HttpLimits {
+            header_bytes: limits.header_bytes,
+            body_bytes: limits.body_bytes.min(self.body_bytes),
+            header_timeout: limits.header_timeout,
+            idle_timeout: limits.idle_timeout,
+        });
+    }
+}
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -2,15 +2,17 @@
 //!
 //! One actor owns the duties of the node: the configuration child, the entry and destination of
 //! calls, the claim holder and the upstream's membership. They are plain structs whose steps the
-//! actor carries out, so that everything that follows from one event happens in one turn. The
-//! links run in the same thread. HTTP threads hand events in through a channel and take answers
-//! out through a slot.
+//! actor carries out, so that everything that follows from one event happens in one turn. Links,
+//! callers' connections and those to the upstream run in the same thread.
 
 mod actor;
+mod front;
+mod local;
 mod metrics;
 mod peers;
+mod settings;
 mod steps;
-mod upstream_api;
+mod stop;
 
 use std::cell::Cell;
 use std::io;
@@ -19,52 +21,26 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use stakker::sync::Channel;
-use stakker::{ActorOwn, Stakker, actor, call, fwd_to, ret_nop};
+use stakker::{ActorOwn, Stakker, actor, call, ret_nop};
 use stakker_mio::MioPoll;
 use stakker_mio::mio::{Events, Poll};
 
-use crate::call::{CallerAnswer, CallerRequest, MAX_TIMEOUT};
+pub use local::{
+    LocalAnnouncement, LocalAnswer, LocalRequest, NodeDialect, NodePort, check_announcement,
+};
+pub use settings::{NodeSettings, NodeTuning};
+
+use crate::call::MAX_TIMEOUT;
 use crate::claim::ClaimSettings;
-use crate::core::{IncarnationId, SharedName, Timestamp};
-use crate::http::{HttpRequest, HttpResponse, HttpServer, ReplySlot, ServerError};
+use crate::core::{IncarnationId, Timestamp};
 use crate::transport::{POLL_PRIORITY, TrafficCounters};
 use crate::util::cancel::CancelToken;
-use actor::{ActorParts, NodeActor, NodeEvent};
+use actor::{ActorParts, NodeActor};
 
 /// Poll events that are taken at once.
 const POLL_EVENTS: usize = 1_024;
 /// Longest sleep of the loop; also bounds how late a cancelled token is noticed.
 const MAX_SLEEP: Duration = Duration::from_millis(100);
-/// Threads that serve the node's own upstream; it sends one announcement at a time.
-const UPSTREAM_API_WORKERS: usize = 2;
-
-/// Settings of a node.
-#[derive(Clone, Debug)]
-pub struct NodeSettings {
-    /// Name of the node and its upstream.
-    pub name: SharedName,
-    /// Availability zone.
-    pub zone: SharedName,
-    /// Region of the zone.
-    pub region: SharedName,
-    /// Address for other nodes.
-    pub listen: SocketAddr,
-    /// Address at which other nodes reach the listener.
-    pub advertise: SocketAddr,
-    /// Address for callers and metrics.
-    pub http: SocketAddr,
-    /// Address for the upstream beside this node.
-    pub upstream_http: SocketAddr,
-    /// Control instances, the preferred one first.
-    pub parents: Vec<SocketAddr>,
-    /// Caller requests in progress at once.
-    pub http_workers: usize,
-    /// Connections to the upstream.
-    pub upstream_connections: usize,
-    /// How long claims and kept answers are remembered.
-    pub claim_retention: Duration,
-}
 
 /// Why a node could not run.
 #[derive(Debug, thiserror::Error)]
@@ -72,24 +48,22 @@
     /// The poll loop could not be set up or failed.
     #[error("failed to poll for events")]
     Poll(#[source] io::Error),
-    /// The address for other nodes could not be bound.
-    #[error("failed to listen for nodes on {address}: {error}")]
+    /// An address could not be bound.
+    #[error("failed to listen on {address}: {error}")]
     Listen {
         /// Address from the settings.
         address: SocketAddr,
         /// What the platform reported.
         error: io::Error,
     },
-    /// An HTTP server could not start.
-    #[error(transparent)]
-    Http(#[from] ServerError),
-    /// A thread could not be started.
-    #[error("failed to start a thread")]
-    Thread(#[source] io::Error),
 }
 
 /// Runs a node until the token is cancelled and everything in progress has ended.
-pub fn run_node(settings: NodeSettings, cancel: &CancelToken) -> Result<(), NodeError> {
+pub fn run_node(
+    settings: NodeSettings,
+    dialect: NodeDialect,
+    cancel: &CancelToken,
+) -> Result<(), NodeError> {
     let started = Instant::now();
     let mut stakker = Stakker::new(started);
     let poll = Poll::new().map_err(NodeError::Poll)?;
@@ -100,6 +74,7 @@
     let counters = Arc::new(TrafficCounters::default());
     let parts = ActorParts {
         settings: settings.clone(),
+        dialect,
         incarnation: new_incarnation(),
         started,
         poll: poll.clone(),
@@ -108,15 +83,11 @@
         finished: finished.clone(),
     };
     let node: ActorOwn<NodeActor> = actor!(stakker, NodeActor::init(parts), ret_nop!());
-    let (channel, _guard) =
-        Channel::new(&mut stakker, fwd_to!([node], handle_event() as (NodeEvent)));
-    call!([node], bind(channel.clone()));
+    call!([node], bind());
     stakker.run(Instant::now(), false);
     if let Some(error) = node_failure(&finished, &node, &mut stakker) {
         return Err(error);
     }
-    let _callers = start_caller_server(&settings, channel.clone())?;
-    let _upstream = start_upstream_server(&settings, channel.clone())?;
     log::info!(
         name = &*settings.name,
         listen:% = settings.listen,
@@ -157,58 +128,6 @@
     failure.flatten()
 }
 
-fn start_caller_server(
-    settings: &NodeSettings,
-    channel: Channel<NodeEvent>,
-) -> Result<HttpServer, NodeError> {
-    let handler = move |request: HttpRequest| {
-        if request.path() == "/metrics" {
-            return ask(&channel, NodeEvent::Metrics);
-        }
-        match CallerRequest::from_http(request) {
-            Ok(request) => ask(&channel, |reply| {
-                NodeEvent::Caller(Box::new(request), reply)
-            }),
-            Err(reason) => CallerAnswer::Rejected(reason).into_http(),
-        }
-    };
-    Ok(HttpServer::start(
-        settings.http,
-        settings.http_workers,
-        handler,
-    )?)
-}
-
-fn start_upstream_server(
-    settings: &NodeSettings,
-    channel: Channel<NodeEvent>,
-) -> Result<HttpServer, NodeError> {
-    let handler = move |request: HttpRequest| match upstream_api::parse(&request) {
-        Ok(request) => ask(&channel, |reply| NodeEvent::Upstream(request, reply)),
-        Err(refusal) => refusal.response(),
-    };
-    Ok(HttpServer::start(
-        settings.upstream_http,
-        UPSTREAM_API_WORKERS,
-        handler,
-    )?)
-}
-
-/// Hands an event to the actor and waits for its answer. Every call has a deadline, so the wait
-/// ends.
-fn ask(channel: &Channel<NodeEvent>, event: impl FnOnce(ReplySlot) -> NodeEvent) -> HttpResponse {
-    let (reply, answer) = ReplySlot::new();
-    if !channel.send(event(reply)) {
-        return stopped_response();
-    }
-    answer.recv().unwrap_or_else(|_| stopped_response())
-}
-
-/// The node has stopped and cannot tell how far the request came.
-fn stopped_response() -> HttpResponse {
-    CallerAnswer::Unknown(kumquatlock_wire::call::CallReason::LinkLost).into_http()
-}
-
 /// Wall-clock milliseconds, so that a later run of the same node has a higher incarnation.
 fn new_incarnation() -> IncarnationId {
     let elapsed = SystemTime::now()
--- a/crates/kumquatlock/src/ops/node/peers.rs
+++ b/crates/kumquatlock/src/ops/node/peers.rs
@@ -103,6 +103,11 @@
         link
     }
 
+    /// The links with the names of their nodes.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (LinkId, &SharedName)> {
+        self.links.iter().map(|(link, peer)| (*link, &peer.name))
+    }
+
     /// Name of the node that a link leads to.
     pub(super) fn name(&self, link: LinkId) -> Option<SharedName> {
         self.links.get(&link).map(|peer| peer.name.clone())
--- /dev/null
+++ b/crates/kumquatlock/src/ops/node/settings.rs
@@ -0,0 +1,67 @@
+//! Settings of a node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::core::SharedName;
+use crate::distribution::StreamTiming;
+use crate::retry::{BudgetScope, BudgetSettings};
+use crate::transport::LinkTiming;
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Name of the node and its upstream.
+    pub name: SharedName,
+    /// Availability zone.
+    pub zone: SharedName,
+    /// Region of the zone.
+    pub region: SharedName,
+    /// Address for other nodes.
+    pub listen: SocketAddr,
+    /// Address at which other nodes reach the listener.
+    pub advertise: SocketAddr,
+    /// Address for callers and metrics.
+    pub http: SocketAddr,
+    /// Address for the upstream beside this node.
+    pub upstream_http: SocketAddr,
+    /// Further address for questions of readiness.
+    pub ready_http: Option<SocketAddr>,
+    /// Further address for metrics.
+    pub metrics_http: Option<SocketAddr>,
+    /// Control instances, the preferred one first.
+    pub parents: Vec<SocketAddr>,
+    /// Caller requests that the node is sized for; half of them may be deferred ones.
+    pub http_workers: usize,
+    /// Connections to the upstream.
+    pub upstream_connections: usize,
+    /// How long claims and kept answers are remembered.
+    pub claim_retention: Duration,
+    /// What follows from the environment rather than from an operator.
+    pub tuning: NodeTuning,
+}
+
+/// Bounds that an environment sets. The defaults are those of the product on its own.
+#[derive(Clone, Debug, Default)]
+pub struct NodeTuning {
+    /// Service that runs beside the node; told to upstreams as the origin of calls.
+    pub origin: SharedName,
+    /// Longest wait of a call for a configuration that names an upstream; none for the default.
+    pub upstream_wait: Option<Duration>,
+    /// Whether late lookups get no second attempt.
+    pub without_hedges: bool,
+    /// Whether requests carry no keys, so that no claims are kept.
+    pub without_claims: bool,
+    /// Bounds of further attempts.
+    pub budget: BudgetSettings,
+    /// Which attempts draw on the budget.
+    pub scope: BudgetScope,
+    /// Time for which a stopping node still serves those callers that have not turned away.
+    pub serve_stopping: Duration,
+    /// Time after which a stopping node ends in any case; none for the default.
+    pub stop_limit: Option<Duration>,
+    /// When links to other nodes count as silent.
+    pub links: LinkTiming,
+    /// When a parent counts as silent.
+    pub stream: StreamTiming,
+}
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -5,7 +5,7 @@
 use kumquatlock_wire::Body;
 use kumquatlock_wire::claim::ClaimReply;
 
-use super::actor::{NodeActor, new_holder};
+use super::actor::{NodeActor, RunTag, new_holder};
 use crate::call::{
     ATTEMPT_HEADER, CallId, CallSource, CallerAnswer, DestinationStep, EntryStep, PeerNode,
 };
@@ -14,7 +14,7 @@
     ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamEntry, UpstreamState,
 };
 use crate::distribution::{ChildEvent, ChildStep};
-use crate::http::{HttpRequest, UpstreamJob};
+use crate::http::{HttpRequest, HttpResponse, UpstreamJob, UpstreamResult};
 use crate::membership::{AnnouncerEvent, AnnouncerStep};
 use crate::transport::LinkId;
 use crate::util::trace::{HopSpan, SpanRecord};
@@ -100,31 +100,41 @@
                 address,
                 request,
                 timeout,
+                is_repeatable,
+                echoed,
             } => {
-                if let Some(pool) = &self.runs {
-                    pool.submit(UpstreamJob {
-                        tag: run,
-                        address,
-                        request,
-                        timeout,
-                    });
-                }
+                let job = UpstreamJob {
+                    tag: RunTag::Run(run),
+                    address,
+                    request,
+                    timeout,
+                    is_repeatable,
+                    echoed,
+                };
+                self.runs.start(now, job);
+            }
+            DestinationStep::Cancel { run, attempt, .. } if attempt.is_none() => {
+                self.runs.cancel(RunTag::Run(run));
             }
-            DestinationStep::Cancel { address, attempt } => {
+            DestinationStep::Cancel {
+                address, attempt, ..
+            } => {
+                let attempt = attempt.unwrap_or_default();
                 let request = HttpRequest {
                     method: "POST".to_owned(),
                     target: "/cancel".to_owned(),
                     headers: vec![(ATTEMPT_HEADER.to_owned(), attempt)],
                     ..HttpRequest::default()
                 };
-                if let Some(pool) = &self.cancels {
-                    pool.submit(UpstreamJob {
-                        tag: (),
-                        address,
-                        request,
-                        timeout: CANCEL_TIMEOUT,
-                    });
-                }
+                let job = UpstreamJob {
+                    tag: RunTag::Cancel,
+                    address,
+                    request,
+                    timeout: CANCEL_TIMEOUT,
+                    is_repeatable: true,
+                    echoed: None,
+                };
+                self.runs.start(now, job);
             }
             DestinationStep::Ended {
                 span,
@@ -134,6 +144,13 @@
         }
     }
 
+    pub(super) fn handle_result(&mut self, now: Timestamp, result: UpstreamResult<RunTag>) {
+        if let RunTag::Run(run) = result.tag {
+            let steps = self.destination.on_result(now, run, result.outcome);
+            self.extend_destination(steps);
+        }
+    }
+
     fn carry_out_child(&mut self, now: Timestamp, step: ChildStep) {
         match step {
             ChildStep::Connect { link, address } | ChildStep::Probe { link, address } => {
@@ -195,7 +212,9 @@
         let steps = self.destination.set_incarnation(now, incarnation);
         self.extend_destination(steps);
         self.holder = new_holder(&self.settings, incarnation);
-        if let Some(held) = self.child.held().cloned() {
+        if let Some(held) = self.child.held().cloned()
+            && !self.settings.tuning.without_claims
+        {
             let sends = self.holder.on_snapshot(now, held);
             self.extend_claims(sends);
         }
@@ -208,9 +227,12 @@
         self.extend_entry(steps);
         let steps = self.destination.on_snapshot(now, snapshot.clone());
         self.extend_destination(steps);
-        let sends = self.holder.on_snapshot(now, snapshot.clone());
-        self.extend_claims(sends);
-        self.confirm_claims();
+        if !self.settings.tuning.without_claims {
+            let sends = self.holder.on_snapshot(now, snapshot.clone());
+            self.extend_claims(sends);
+            self.confirm_claims();
+        }
+        self.refresh_limits();
         let steps = self
             .announcer
             .handle(now, AnnouncerEvent::Swapped(snapshot));
@@ -377,8 +399,25 @@
             write_span(now, span, "entry", opened_at, answer.outcome());
         }
         self.count_answer(&answer, now.since(opened_at));
-        if let Some(reply) = self.replies.swap_remove(&call) {
-            reply.answer(answer.into_http());
+        if let Some(id) = self.replies.swap_remove(&call) {
+            let response = self.word_answer(answer);
+            self.front.answer(now, id, response);
+        }
+    }
+
+    /// The answer as HTTP, with the time after which the caller may come back.
+    fn word_answer(&mut self, answer: CallerAnswer) -> HttpResponse {
+        let comes_back = match &answer {
+            CallerAnswer::NotRun(reason) => Some(self.entry.comes_back_after(*reason)),
+            _ => None,
+        };
+        let response = answer.into_http(&self.dialect.names);
+        match comes_back {
+            Some(after) => {
+                let seconds = format!("{:.3}", after.as_secs_f64());
+                response.with_header("Retry-After", &seconds)
+            }
+            None => response,
         }
     }
 }
--- a/crates/kumquatlock/src/ops/node/tests.rs
+++ b/crates/kumquatlock/src/ops/node/tests.rs
@@ -14,10 +14,13 @@
         advertise: address,
         http: address,
         upstream_http: address,
+        ready_http: None,
+        metrics_http: None,
         parents: vec![address],
         http_workers: 4,
         upstream_connections: 1,
         claim_retention: Duration::from_secs(3_600),
+        tuning: NodeTuning::default(),
     };
     let claims = claim_settings(&settings);
     assert_eq!(claims.retention, Duration::from_secs(3_600));
--- a/crates/kumquatlock/src/retry/budget.rs
+++ b/crates/kumquatlock/src/retry/budget.rs
@@ -12,13 +12,52 @@
 /// Most tokens held: bounds the burst of retries after a quiet time.
 const MAX_TOKENS: f64 = 100.0;
 
+/// Bounds of a budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetSettings {
+    /// Tokens gained for each first attempt.
+    pub per_call: f64,
+    /// Tokens gained per second, at least.
+    pub per_second: f64,
+    /// Most tokens held.
+    pub most: f64,
+    /// Extra attempts beyond the share that all nodes together may make to one service in a short
+    /// time; none if each node stands for itself. Divided among the nodes.
+    pub shared_slack: Option<f64>,
+}
+
+/// Part of the shared slack that the nodes use. The rest covers nodes that this one does not know
+/// of yet, and the calls that repeated runs make.
+const SLACK_SHARE: f64 = 0.5;
+
+impl Default for BudgetSettings {
+    fn default() -> Self {
+        BudgetSettings {
+            per_call: TOKENS_PER_CALL,
+            per_second: TOKENS_PER_SECOND,
+            most: MAX_TOKENS,
+            shared_slack: None,
+        }
+    }
+}
+
+impl BudgetSettings {
+    /// Takes over the number of nodes that share the slack.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        if let Some(slack) = self.shared_slack {
+            self.most = (slack * SLACK_SHARE / nodes.max(1) as f64).max(1.0);
+        }
+    }
+}
+
 /// Bounds retries and hedges of one node: one token each.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    /// In 0..=`MAX_TOKENS`.
+    settings: BudgetSettings,
+    /// In 0..=`settings.most`.
     tokens: f64,
     /// Tokens gained from calls that the gain per second has not yet covered. The gain per second
-    /// only counts as far as calls gained less; in 0..=`TOKENS_PER_SECOND`.
+    /// only counts as far as calls gained less; in 0..=`settings.per_second`.
     gained_by_calls: f64,
     updated_at: Timestamp,
 }
@@ -26,18 +65,35 @@
 impl RetryBudget {
     /// Makes a budget for a node that starts now.
     pub fn new(now: Timestamp) -> Self {
+        RetryBudget::with_settings(BudgetSettings::default(), now)
+    }
+
+    /// The same with other bounds than the default ones.
+    pub fn with_settings(settings: BudgetSettings, now: Timestamp) -> Self {
         RetryBudget {
-            tokens: INITIAL_TOKENS,
+            settings,
+            tokens: INITIAL_TOKENS.min(settings.most),
             gained_by_calls: 0.0,
             updated_at: now,
         }
     }
 
+    /// Takes over other bounds. Tokens above the new bound are lost.
+    pub fn set_settings(&mut self, settings: BudgetSettings) {
+        self.settings = settings;
+        self.tokens = self.tokens.min(settings.most);
+    }
+
     /// Counts the first attempt of a call.
     pub fn first_attempt(&mut self, now: Timestamp) {
         self.advance(now);
-        self.gain(TOKENS_PER_CALL);
-        self.gained_by_calls = (self.gained_by_calls + TOKENS_PER_CALL).min(TOKENS_PER_SECOND);
+        let BudgetSettings {
+            per_call,
+            per_second,
+            ..
+        } = self.settings;
+        self.gain(per_call);
+        self.gained_by_calls = (self.gained_by_calls + per_call).min(per_second);
     }
 
     /// Takes one token if more than `reserve` would stay.
@@ -58,13 +114,13 @@
     fn advance(&mut self, now: Timestamp) {
         let elapsed = now.since(self.updated_at).as_secs_f64();
         self.updated_at = self.updated_at.max(now);
-        let floor = elapsed * TOKENS_PER_SECOND;
+        let floor = elapsed * self.settings.per_second;
         let covered = floor.min(self.gained_by_calls);
         self.gained_by_calls -= covered;
         self.gain(floor - covered);
     }
 
     fn gain(&mut self, tokens: f64) {
-        self.tokens = (self.tokens + tokens).min(MAX_TOKENS);
+        self.tokens = (self.tokens + tokens).min(self.settings.most);
     }
 }
--- a/crates/kumquatlock/src/retry/policy.rs
+++ b/crates/kumquatlock/src/retry/policy.rs
@@ -46,6 +46,10 @@
     pub depth: u32,
     /// Attempts made so far, hedges included.
     pub attempts: u32,
+    /// Attempts of which it is not proved that they never reached an upstream.
+    pub arrived: u32,
+    /// Most upstreams that the route allows for one call.
+    pub most_arrivals: Option<u32>,
     /// When the caller stops waiting.
     pub deadline: Timestamp,
 }
@@ -85,9 +89,23 @@
     BudgetSpent,
 }
 
+/// Which attempts draw on the budget.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BudgetScope {
+    /// Every further attempt but those after a leave.
+    #[default]
+    Attempts,
+    /// Further attempts of calls of which an earlier one may have reached an upstream. A refusal
+    /// by a node costs its upstream nothing.
+    Arrivals,
+}
+
 /// Decides on retries.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct RetryPolicy;
+pub struct RetryPolicy {
+    /// Which attempts draw on the budget.
+    pub scope: BudgetScope,
+}
 
 impl RetryPolicy {
     /// Decides after a failed attempt. `expected` is the usual time of an attempt, zero if
@@ -108,7 +126,11 @@
         if now + after + expected >= progress.deadline {
             return RetryDecision::GiveUp(GiveUpReason::DeadlineSpent);
         }
-        if costs_token(failure) && !budget.take(now, 0.0) {
+        let costs_token = match self.scope {
+            BudgetScope::Attempts => !left_service(failure),
+            BudgetScope::Arrivals => progress.arrived > 0,
+        };
+        if costs_token && !budget.take(now, 0.0) {
             return if progress.class == RequestClass::Deferred {
                 RetryDecision::AskAgain { after }
             } else {
@@ -128,6 +150,12 @@
     if !proved && !progress.class.is_repeatable() {
         return Some(GiveUpReason::NotRepeatable);
     }
+    if progress
+        .most_arrivals
+        .is_some_and(|most| progress.arrived >= most)
+    {
+        return Some(GiveUpReason::AttemptsSpent);
+    }
     let inner = progress.depth > 0;
     if inner && !proved {
         return Some(GiveUpReason::InnerLevel);
@@ -155,6 +183,11 @@
     )
 }
 
+/// Whether an attempt that did not run for this reason may have reached the upstream.
+pub fn reached_upstream(reason: CallReason) -> bool {
+    reason == CallReason::UpstreamRefused
+}
+
 /// An upstream that left refuses each entry once, whatever the load, so the retry is not a sign
 /// of overload and always allowed. Otherwise a restart under load would lose calls.
 fn left_service(failure: AttemptFailure) -> bool {
@@ -164,10 +197,6 @@
     )
 }
 
-fn costs_token(failure: AttemptFailure) -> bool {
-    !left_service(failure)
-}
-
 fn backoff(rng: &mut SmallRng, progress: &CallProgress, failure: AttemptFailure) -> Duration {
     if left_service(failure) {
         return Duration::ZERO;
--- a/crates/kumquatlock/src/retry/tests.rs
+++ b/crates/kumquatlock/src/retry/tests.rs
@@ -18,6 +18,8 @@
         class,
         depth,
         attempts,
+        arrived: attempts,
+        most_arrivals: None,
         deadline: Timestamp::from_millis(3_600_000),
     }
 }
@@ -34,7 +36,14 @@
     failure: AttemptFailure,
 ) -> RetryDecision {
     let mut rng = SmallRng::seed_from_u64(1);
-    RetryPolicy.after_failure(START, &mut rng, budget, &progress, failure, Duration::ZERO)
+    RetryPolicy::default().after_failure(
+        START,
+        &mut rng,
+        budget,
+        &progress,
+        failure,
+        Duration::ZERO,
+    )
 }
 
 fn spent_budget() -> RetryBudget {
@@ -107,7 +116,8 @@
     let mut late = progress(RequestClass::Lookup, 0, 1);
     late.deadline = Timestamp::from_millis(20);
     let expected = Duration::from_millis(20);
-    let decision = RetryPolicy.after_failure(START, &mut rng, &mut budget, &late, LOST, expected);
+    let decision =
+        RetryPolicy::default().after_failure(START, &mut rng, &mut budget, &late, LOST, expected);
     assert_eq!(decision, RetryDecision::GiveUp(GiveUpReason::DeadlineSpent));
 }
 
@@ -121,7 +131,14 @@
             let mut budget = RetryBudget::new(now);
             let call = progress(RequestClass::Deferred, 0, attempts);
             let zero = Duration::ZERO;
-            match RetryPolicy.after_failure(now, &mut rng, &mut budget, &call, REFUSED, zero) {
+            match RetryPolicy::default().after_failure(
+                now,
+                &mut rng,
+                &mut budget,
+                &call,
+                REFUSED,
+                zero,
+            ) {
                 RetryDecision::Retry { after } => now = now + after,
                 decision => {
                     let spent = RetryDecision::GiveUp(GiveUpReason::DeadlineSpent);
--- a/crates/kumquatlock/src/routing/mod.rs
+++ b/crates/kumquatlock/src/routing/mod.rs
@@ -12,6 +12,7 @@
 mod balancer_set;
 mod live;
 mod silence;
+mod split;
 mod subset;
 mod table;
 
@@ -21,6 +22,7 @@
 };
 pub use balancer_set::BalancerSet;
 pub use live::{HealthHint, UpstreamOutcome, UpstreamToken};
+pub use split::SplitChooser;
 pub use subset::{EntryLocation, RingDistance, SUBSET_SIZE};
 pub use table::RouteTable;
 
--- a/crates/kumquatlock/src/routing/table.rs
+++ b/crates/kumquatlock/src/routing/table.rs
@@ -42,11 +42,12 @@
     /// Finds the route with the longest prefix that ends on a segment boundary of `path`.
     ///
     /// Routes limited to `host` come before routes for any host, even with a shorter prefix.
-    /// `host` may carry a port and `path` a query. A path with a dot segment has no route: an
+    /// A route for paths below its prefix does not match the prefix itself. `host` may carry a port and
+    /// `path` a query. A path with a dot segment has no route: an
     /// upstream that resolves it could run it under another route's class.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteEntry>> {
         let end = path.find(['?', '#']).unwrap_or(path.len());
-        let path = path[..end].trim_end_matches('/');
+        let path = &path[..end];
         if has_dot_segment(path) {
             return None;
         }
@@ -72,11 +73,13 @@
         }
     }
 
-    fn find(&self, path: &str) -> Option<&Arc<RouteEntry>> {
+    fn find(&self, whole: &str) -> Option<&Arc<RouteEntry>> {
+        let path = whole.trim_end_matches('/');
         let mut end = path.len();
         loop {
             if end <= self.longest_bytes
                 && let Some(route) = self.prefixes.get(&path[..end])
+                && (end < whole.len() || !route.below)
             {
                 return Some(route);
             }
--- a/crates/kumquatlock/src/routing/tests.rs
+++ b/crates/kumquatlock/src/routing/tests.rs
@@ -36,6 +36,7 @@
     let service = ServiceItem {
         name: "booking".into(),
         patterns: vec!["*".into()],
+        ..ServiceItem::default()
     };
     let route = |(name, host, prefix): &(&str, &str, &str)| RouteItem {
         name: (*name).into(),
