--- a/crates/kumquatlock/src/transport/link.rs
+++ b/crates/kumquatlock/src/transport/link.rs
@@ -12,7 +12,7 @@
 
 use super::counters::{LinkScope, TrafficCounters, TrafficDirection};
 use super::outbox::LinkOutbox;
-use super::table::{CONNECT_LIMIT, LinkError, MAX_QUEUED_BYTES, PROBE_AFTER, SILENCE_LIMIT};
+use super::table::{CONNECT_LIMIT, LinkError, LinkTiming, MAX_QUEUED_BYTES};
 use crate::core::Timestamp;
 
 /// Bytes read from a socket at once.
@@ -197,7 +197,7 @@
     }
 
     /// Decides whether the link needs a ping or has gone silent.
-    pub(super) fn probe_step(&self, now: Timestamp) -> ProbeStep {
+    pub(super) fn probe_step(&self, now: Timestamp, timing: &LinkTiming) -> ProbeStep {
         if self.phase == LinkPhase::Connecting {
             return if now.since(self.heard_at) >= CONNECT_LIMIT {
                 ProbeStep::Close
@@ -210,8 +210,8 @@
         }
         let silence = now.since(self.heard_at);
         match self.probed_at {
-            Some(_) if silence >= SILENCE_LIMIT => ProbeStep::Close,
-            None if silence >= PROBE_AFTER => ProbeStep::Probe,
+            Some(_) if silence >= timing.silence_limit => ProbeStep::Close,
+            None if silence >= timing.probe_after => ProbeStep::Probe,
             _ => ProbeStep::Wait,
         }
     }
--- a/crates/kumquatlock/src/transport/table.rs
+++ b/crates/kumquatlock/src/transport/table.rs
@@ -34,6 +34,27 @@
 /// answers of HTTP threads waited up to the longest sleep while links were busy.
 pub const POLL_PRIORITY: u32 = 5;
 
+/// When links count as silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkTiming {
+    /// Silence on a watched link after which a ping is sent.
+    pub probe_after: Duration,
+    /// Silence after which a watched link is given up.
+    pub silence_limit: Duration,
+    /// Whether a node watches only the links on which it waits for answers.
+    pub watches_only_awaited: bool,
+}
+
+impl Default for LinkTiming {
+    fn default() -> Self {
+        LinkTiming {
+            probe_after: PROBE_AFTER,
+            silence_limit: SILENCE_LIMIT,
+            watches_only_awaited: false,
+        }
+    }
+}
+
 /// Why a link closed or a message was refused.
 #[derive(Debug, thiserror::Error)]
 pub enum LinkError {
@@ -43,8 +64,8 @@
     /// This process closed the link.
     #[error("closed locally")]
     ClosedLocally,
-    /// Nothing arrived for [`SILENCE_LIMIT`] although an answer was due.
-    #[error("silent for {} ms", SILENCE_LIMIT.as_millis())]
+    /// Nothing arrived for a while although an answer was due.
+    #[error("silent although an answer was due")]
     Silent,
     /// More than [`MAX_QUEUED_BYTES`] wait to be written.
     #[error("more than {MAX_QUEUED_BYTES} bytes are queued")]
@@ -95,6 +116,7 @@
     listener: Option<MioSource<TcpListener>>,
     links: IndexMap<LinkId, FramedLink>,
     accepted: usize,
+    timing: LinkTiming,
     next_id: u64,
     events: VecDeque<LinkEvent>,
     received: Vec<Body>,
@@ -110,6 +132,7 @@
             listener: None,
             links: IndexMap::new(),
             accepted: 0,
+            timing: LinkTiming::default(),
             next_id: 1,
             events: VecDeque::new(),
             received: Vec::new(),
@@ -117,6 +140,11 @@
         }
     }
 
+    /// Takes over other times of silence.
+    pub fn set_timing(&mut self, timing: LinkTiming) {
+        self.timing = timing;
+    }
+
     /// Starts to accept links from other processes.
     pub fn listen(&mut self, address: SocketAddr) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind(address)?;
@@ -233,7 +261,7 @@
         let steps: Vec<(LinkId, ProbeStep)> = self
             .links
             .iter()
-            .map(|(id, link)| (*id, link.probe_step(now)))
+            .map(|(id, link)| (*id, link.probe_step(now, &self.timing)))
             .filter(|(_, step)| *step != ProbeStep::Wait)
             .collect();
         for (id, step) in steps {
--- a/crates/kumquatlock/src/util/logging.rs
+++ b/crates/kumquatlock/src/util/logging.rs
@@ -58,12 +58,13 @@
     }
 }
 
-/// Sends the log of this process to standard error as JSON lines.
+/// Sends the log of this process to standard output as JSON lines.
 pub fn init_logging(filter: &LogFilter) -> Result<(), LoggingError> {
     let mut builder = env_logger::Builder::new();
     for (target, level) in &filter.directives {
         builder.filter(target.as_deref(), *level);
     }
+    builder.target(env_logger::Target::Stdout);
     builder.format(|buffer, record| write_record(buffer, record, SystemTime::now()));
     Ok(builder.try_init()?)
 }
--- a/crates/kumquatlock/src/util/signals.rs
+++ b/crates/kumquatlock/src/util/signals.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::thread::{self, JoinHandle};
 
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::flag;
 use signal_hook::iterator::{Handle, Signals};
 use thiserror::Error;
@@ -35,6 +35,12 @@
 #[error("failed to install the handlers of SIGTERM and SIGINT")]
 pub struct SignalError(#[from] io::Error);
 
+/// Keeps SIGHUP from ending the process.
+pub fn ignore_hangup() -> Result<(), SignalError> {
+    flag::register(SIGHUP, Arc::new(AtomicBool::new(false)))?;
+    Ok(())
+}
+
 /// Ends the thread that waits for signals when it is dropped.
 #[derive(Debug)]
 pub struct SignalGuard {
