Log manifests as differences and send submissions to the leader

The log now carries what a manifest changes, the log is compacted every 1 MiB, and a member answers a submission with the address of the leader.

--- a/crates/kumquatlock-wire/src/distribution.rs
+++ b/crates/kumquatlock-wire/src/distribution.rs
@@ -14,6 +14,9 @@
     /// Connections that each upstream takes from all callers together; zero if not stated.
     #[prost(uint32, tag = "3")]
     pub connections: u32,
+    /// Text from which the pipeline made the item. Only in the log; children have no use for it.
+    #[prost(string, tag = "4")]
+    pub source: String,
 }
 
 /// A route from a host and path prefix to a service.
@@ -48,6 +51,9 @@
     /// Whether only paths below the prefix match, and not the prefix itself.
     #[prost(bool, tag = "11")]
     pub below: bool,
+    /// Text from which the pipeline made the item. Only in the log; children have no use for it.
+    #[prost(string, tag = "12")]
+    pub source: String,
 }
 
 /// One part of a route that is split between services.
@@ -160,7 +166,7 @@
 /// The payload of a log entry of kind `Command`.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CatalogCommand {
-    #[prost(oneof = "catalog_command::Kind", tags = "1, 2, 3")]
+    #[prost(oneof = "catalog_command::Kind", tags = "1, 2, 3, 4")]
     pub kind: Option<catalog_command::Kind>,
 }
 
@@ -177,9 +183,40 @@
         /// Removes an unattached upstream, if it still has this incarnation.
         #[prost(message, tag = "3")]
         Expire(super::Expiry),
+        /// A manifest as what it changes in the accepted one.
+        #[prost(message, tag = "4")]
+        Change(super::ManifestChange),
     }
 }
 
+/// A checked manifest as its difference from the accepted one. A manifest has hundreds of routes of
+/// which most changes touch a few, and the log carries each change to every voter.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ManifestChange {
+    /// Version that the operator gave.
+    #[prost(uint64, tag = "1")]
+    pub manifest_version: u64,
+    /// Version that the difference was taken from; with another one accepted it has no effect.
+    #[prost(uint64, tag = "2")]
+    pub from_version: u64,
+    /// Digest of the whole manifest.
+    #[prost(uint64, tag = "3")]
+    pub digest: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub services: Vec<ServiceItem>,
+    #[prost(message, repeated, tag = "5")]
+    pub routes: Vec<RouteItem>,
+    #[prost(string, repeated, tag = "6")]
+    pub removed_services: Vec<String>,
+    #[prost(string, repeated, tag = "7")]
+    pub removed_routes: Vec<String>,
+    #[prost(message, optional, tag = "8")]
+    pub limits: Option<LimitsItem>,
+    /// Source of the manifest beside those of its items.
+    #[prost(bytes = "bytes", tag = "9")]
+    pub source: Bytes,
+}
+
 /// Names the incarnation to remove.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Expiry {
--- a/crates/kumquatlock/src/admission/limit.rs
+++ b/crates/kumquatlock/src/admission/limit.rs
@@ -10,6 +10,9 @@
 const COLD_DIVISOR: u32 = 4;
 /// Share of the limit that is kept when the upstream sheds load.
 const SHED_KEEP: f32 = 0.75;
+/// Divisor of the slots below which shed answers do not lower the limit. An upstream that sheds with
+/// most of its slots free does so whatever runs on it.
+const SHED_DIVISOR: u32 = 2;
 /// Time in which further shed answers do not lower the limit again; they belong to the calls
 /// that ran under the earlier limit.
 const SHED_HOLD: Duration = Duration::from_millis(100);
@@ -37,7 +40,9 @@
 pub struct ConcurrencyLimit {
     limits: AdmissionLimits,
     started_at: Timestamp,
-    /// In 1..=slots.
+    /// Time from `started_at` over which the limit grows to the slots.
+    cold_start: Duration,
+    /// At least the slots by [`SHED_DIVISOR`], at most the slots.
     learned: u32,
     /// When `learned` was last changed.
     changed_at: Timestamp,
@@ -49,11 +54,17 @@
         ConcurrencyLimit {
             limits,
             started_at: now,
+            cold_start: COLD_START,
             learned: limits.most(),
             changed_at: now,
         }
     }
 
+    /// Takes over how long the upstream says that it is slow after its start.
+    pub fn set_cold_start(&mut self, cold_start: Duration) {
+        self.cold_start = cold_start;
+    }
+
     /// Changes the announced capacity. A lowered limit stays, but for the new capacity.
     pub fn set_limits(&mut self, limits: AdmissionLimits) {
         let is_lowered = self.learned < self.limits.most();
@@ -75,7 +86,8 @@
             return;
         }
         let used = self.current(now).min(running.max(1));
-        self.learned = ((used as f32 * SHED_KEEP) as u32).max(1);
+        let least = self.limits.most().div_ceil(SHED_DIVISOR);
+        self.learned = ((used as f32 * SHED_KEEP) as u32).max(least);
         self.changed_at = now;
     }
 
@@ -93,18 +105,18 @@
         let most = self.limits.most();
         let learned = (self.learned < most).then(|| self.changed_at + RAISE_INTERVAL);
         let cold = self.cold_bound(now) < most;
-        let warmer = cold.then(|| now + COLD_START / (most * 2));
+        let warmer = cold.then(|| now + self.cold_start / (most * 2));
         learned.into_iter().chain(warmer).min()
     }
 
     fn cold_bound(&self, now: Timestamp) -> u32 {
         let most = self.limits.most();
         let age = now.since(self.started_at);
-        if age >= COLD_START {
+        if age >= self.cold_start {
             return most;
         }
         let first = most.div_ceil(COLD_DIVISOR);
         let grown = u64::from(most - first) * age.as_millis() as u64;
-        first + (grown / COLD_START.as_millis() as u64) as u32
+        first + (grown / (self.cold_start.as_millis() as u64).max(1)) as u32
     }
 }
--- a/crates/kumquatlock/src/admission/queue.rs
+++ b/crates/kumquatlock/src/admission/queue.rs
@@ -117,6 +117,11 @@
         }
     }
 
+    /// Takes over how long the upstream says that it is slow after its start.
+    pub fn set_cold_start(&mut self, cold_start: Duration) {
+        self.limit.set_cold_start(cold_start);
+    }
+
     /// Changes what the upstream takes. Queued and running calls go on.
     pub fn set_limits(&mut self, limits: AdmissionLimits) {
         self.queue_bound = (limits.slots.max(1) * QUEUE_PER_SLOT) as usize;
--- a/crates/kumquatlock/src/agreement/election.rs
+++ b/crates/kumquatlock/src/agreement/election.rs
@@ -8,6 +8,9 @@
 use super::types::PersistTicket;
 use crate::core::Timestamp;
 
+/// Divisor of the shortest election timeout, for the first deadline after a start.
+const FIRST_TIMEOUT_DIVISOR: u32 = 4;
+
 /// Votes received in one election or pre-vote.
 #[derive(Debug, Default)]
 pub(super) struct VoteTally {
@@ -23,6 +26,14 @@
         self.election_deadline = now + self.generator.random_range(min..=max);
     }
 
+    /// After a start the group may be without a leader as a whole. If it is not, the others refuse
+    /// the pre-vote, so trying soon disturbs nobody.
+    pub(super) fn set_first_election_deadline(&mut self, now: Timestamp) {
+        let last = self.settings.election_timeout_min;
+        let first = last / FIRST_TIMEOUT_DIVISOR;
+        self.election_deadline = now + self.generator.random_range(first..=last);
+    }
+
     pub(super) fn on_election_tick(&mut self, now: Timestamp) {
         if now < self.election_deadline {
             return;
--- a/crates/kumquatlock/src/agreement/machine.rs
+++ b/crates/kumquatlock/src/agreement/machine.rs
@@ -200,7 +200,7 @@
             RoleState::Follower
         };
         self.joining = JoinState::default();
-        self.reset_election_deadline(now);
+        self.set_first_election_deadline(now);
     }
 
     fn on_tick(&mut self, now: Timestamp) {
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -55,6 +55,10 @@
     pub address: SocketAddr,
     /// Run of the upstream, by its own word; empty if it states none.
     pub instance: SharedName,
+    /// Service that it serves.
+    pub service: SharedName,
+    /// How much longer it is slow after its start, by its own word.
+    pub warmup: Option<Duration>,
     /// Requests and connections that it takes at once.
     pub limits: AdmissionLimits,
 }
@@ -117,6 +121,8 @@
     incarnation: IncarnationId,
     settings: ClaimSettings,
     names: CallNames,
+    /// Whether calls that were meant for an earlier run are taken.
+    takes_earlier_runs: bool,
     endpoint: Option<UpstreamEndpoint>,
     /// Present once the upstream has announced itself.
     admission: Option<AdmissionQueue>,
@@ -151,6 +157,7 @@
             incarnation,
             settings,
             names: CallNames::default(),
+            takes_earlier_runs: false,
             endpoint: None,
             admission: None,
             draining: false,
@@ -171,6 +178,11 @@
         self.names = names;
     }
 
+    /// Lets calls without a key run that were meant for an earlier run of this node.
+    pub fn take_earlier_runs(&mut self) {
+        self.takes_earlier_runs = true;
+    }
+
     /// Starts another incarnation, after the upstream has left and announced itself again. Calls
     /// of the old incarnation that wait are refused; those that run are answered as before.
     pub fn set_incarnation(
@@ -201,15 +213,24 @@
             .endpoint
             .as_ref()
             .is_none_or(|held| held.limits != endpoint.limits);
+        let is_other_run = self
+            .endpoint
+            .as_ref()
+            .is_some_and(|held| held.instance != endpoint.instance);
         let limits = endpoint.limits;
+        let warmup = endpoint.warmup;
         self.endpoint = Some(endpoint);
+        let is_new = self.admission.is_none() || self.draining || is_other_run;
         match &mut self.admission {
             None => self.admission = Some(AdmissionQueue::new(limits, now)),
             // The calls of the queue go on, so it is kept.
-            Some(admission) if self.draining => admission.reopen(limits, now),
+            Some(admission) if is_new => admission.reopen(limits, now),
             Some(admission) if changed => admission.set_limits(limits),
             Some(_) => {}
         }
+        if let (true, Some(warmup), Some(admission)) = (is_new, warmup, &mut self.admission) {
+            admission.set_cold_start(warmup);
+        }
         self.draining = false;
     }
 
@@ -363,7 +384,7 @@
     }
 
     fn check(&self, request: &CallRequest, frozen: bool) -> Result<RequestClass, CallReason> {
-        if *request.upstream != *self.name || request.incarnation != self.incarnation.0 {
+        if *request.upstream != *self.name || !self.takes_incarnation(request) {
             return Err(CallReason::WrongIncarnation);
         }
         if frozen {
@@ -379,6 +400,21 @@
         Ok(class.into())
     }
 
+    /// Whether this run of the node may take a call that was meant for the given one.
+    ///
+    /// After a restart the entries learn of the new run only through the log. An attempt is sent
+    /// once, over a link that ends with the process, so one that was meant for the run before has
+    /// not been taken by it; claims are bound to the run.
+    fn takes_incarnation(&self, request: &CallRequest) -> bool {
+        let same_service = self
+            .endpoint
+            .as_ref()
+            .is_some_and(|endpoint| *endpoint.service == *request.service);
+        let is_earlier = request.incarnation < self.incarnation.0;
+        request.incarnation == self.incarnation.0
+            || (is_earlier && same_service && request.key.is_none() && self.takes_earlier_runs)
+    }
+
     fn admit(
         &mut self,
         now: Timestamp,
--- a/crates/kumquatlock/src/call/tests/world.rs
+++ b/crates/kumquatlock/src/call/tests/world.rs
@@ -483,6 +483,8 @@
     UpstreamEndpoint {
         address,
         instance: SharedName::default(),
+        service: SharedName::default(),
+        warmup: None,
         limits,
     }
 }
--- a/crates/kumquatlock/src/catalog/apply.rs
+++ b/crates/kumquatlock/src/catalog/apply.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use kumquatlock_wire::distribution::{
-    CatalogCommand, Expiry, RouteItem, ServiceItem, UpstreamItem, UpstreamReport, WireState,
-    catalog_command,
+    CatalogCommand, Expiry, ManifestChange, RouteItem, ServiceItem, UpstreamItem, UpstreamReport,
+    WireState, catalog_command,
 };
 
 use super::{
@@ -62,6 +62,8 @@
         /// Newest accepted version.
         accepted_version: u64,
     },
+    /// Another manifest was accepted since the difference was taken; it has to be taken anew.
+    Overtaken,
     /// The manifest fails a check.
     Invalid(ManifestError),
 }
@@ -113,6 +115,7 @@
         match &command.kind {
             Some(Kind::Manifest(text)) => ApplyOutcome::Manifest(self.apply_manifest(index, text)),
             Some(Kind::Report(report)) => ApplyOutcome::Report(self.apply_report(index, report)),
+            Some(Kind::Change(change)) => ApplyOutcome::Manifest(self.apply_change(index, change)),
             Some(Kind::Expire(expiry)) => self.apply_expiry(index, expiry),
             None => ApplyOutcome::UnknownCommand,
         }
@@ -163,10 +166,19 @@
         if let Some(decision) = self.preview_manifest(&document) {
             return decision;
         }
-        let manifest_version = document.version;
+        let accepted = self.accept(index, document.version, document.digest);
+        self.limits = document.limits;
+        self.manifest_source = document.source;
+        self.replace_items::<RouteItem>(document.routes, index);
+        self.replace_items::<ServiceItem>(document.services, index);
+        self.flag_admitted(index);
+        accepted
+    }
+
+    fn accept(&mut self, index: u64, manifest_version: u64, digest: u64) -> ManifestDecision {
         let config_version = ConfigVersion(index);
         let record = AcceptedRecord {
-            digest: document.digest,
+            digest,
             config_version,
         };
         self.accepted.insert(manifest_version, record);
@@ -176,17 +188,80 @@
         self.version = config_version;
         self.manifest_version = manifest_version;
         self.manifest_changed_at = config_version;
-        self.limits = document.limits;
-        self.manifest_source = document.source;
-        self.replace_items::<RouteItem>(document.routes, index);
-        self.replace_items::<ServiceItem>(document.services, index);
-        self.flag_admitted(index);
         ManifestDecision::Accepted {
             manifest_version,
             config_version,
         }
     }
 
+    /// What a manifest changes in the accepted one.
+    pub fn change_to(&self, document: ManifestDocument) -> ManifestChange {
+        let (services, removed_services) = self.difference(document.services);
+        let (routes, removed_routes) = self.difference(document.routes);
+        ManifestChange {
+            manifest_version: document.version,
+            from_version: self.manifest_version,
+            digest: document.digest,
+            services,
+            routes,
+            removed_services,
+            removed_routes,
+            limits: document.limits,
+            source: document.source,
+        }
+    }
+
+    /// Items that are new or differ, and names of those that are gone.
+    fn difference<I: CatalogItem>(&self, items: Vec<I>) -> (Vec<I>, Vec<String>) {
+        let held = I::map(&self.store);
+        let mut removed: std::collections::BTreeSet<SharedName> = held.keys().cloned().collect();
+        let mut changed = Vec::new();
+        for item in items {
+            removed.remove(item.name());
+            if held
+                .get(item.name())
+                .is_none_or(|stored| stored.item != item)
+            {
+                changed.push(item);
+            }
+        }
+        let removed = removed.iter().map(ToString::to_string).collect();
+        (changed, removed)
+    }
+
+    fn apply_change(&mut self, index: u64, change: &ManifestChange) -> ManifestDecision {
+        let manifest_version = change.manifest_version;
+        if let Some(record) = self.accepted.get(&manifest_version)
+            && record.digest == change.digest
+        {
+            return ManifestDecision::Accepted {
+                manifest_version,
+                config_version: record.config_version,
+            };
+        }
+        if change.from_version != self.manifest_version || manifest_version <= self.manifest_version
+        {
+            return ManifestDecision::Overtaken;
+        }
+        let accepted = self.accept(index, manifest_version, change.digest);
+        self.limits = change.limits;
+        self.manifest_source = change.source.clone();
+        for name in &change.removed_routes {
+            self.store.remove::<RouteItem>(name, index);
+        }
+        for name in &change.removed_services {
+            self.store.remove::<ServiceItem>(name, index);
+        }
+        for service in &change.services {
+            self.store.upsert(service.clone(), index);
+        }
+        for route in &change.routes {
+            self.store.upsert(route.clone(), index);
+        }
+        self.flag_admitted(index);
+        accepted
+    }
+
     /// Items that the new manifest repeats unchanged keep their version and are not sent again.
     fn replace_items<I: CatalogItem>(&mut self, items: Vec<I>, index: u64) {
         let mut removed: std::collections::BTreeSet<SharedName> =
--- a/crates/kumquatlock/src/catalog/store.rs
+++ b/crates/kumquatlock/src/catalog/store.rs
@@ -215,11 +215,17 @@
         let name = || key.name.to_string();
         let kind = match key.kind {
             ItemKind::Service => match self.services.get(&key.name) {
-                Some(stored) => Kind::UpsertService(stored.item.clone()),
+                Some(stored) => Kind::UpsertService(ServiceItem {
+                    source: String::new(),
+                    ..stored.item.clone()
+                }),
                 None => Kind::RemoveService(name()),
             },
             ItemKind::Route => match self.routes.get(&key.name) {
-                Some(stored) => Kind::UpsertRoute(stored.item.clone()),
+                Some(stored) => Kind::UpsertRoute(RouteItem {
+                    source: String::new(),
+                    ..stored.item.clone()
+                }),
                 None => Kind::RemoveRoute(name()),
             },
             ItemKind::Upstream => match self.upstreams.get(&key.name) {
--- a/crates/kumquatlock/src/catalog/transfer.rs
+++ b/crates/kumquatlock/src/catalog/transfer.rs
@@ -99,6 +99,12 @@
         let mut state = self.to_state();
         if detail == SnapshotDetail::Routing {
             state.history = None;
+            for service in &mut state.services {
+                service.source.clear();
+            }
+            for route in &mut state.routes {
+                route.source.clear();
+            }
         }
         EncodedSnapshot {
             version: self.version,
--- a/crates/kumquatlock/src/core/digest.rs
+++ b/crates/kumquatlock/src/core/digest.rs
@@ -18,14 +18,24 @@
     xxh3_64(bytes)
 }
 
-/// Digest of one service.
+/// Digest of one service. Its source is no part of it, because proxies do not hold that.
 pub fn service_digest(service: &ServiceItem) -> u64 {
-    xxh3_64_with_seed(&service.encode_to_vec(), SERVICE_SEED)
+    if service.source.is_empty() {
+        return xxh3_64_with_seed(&service.encode_to_vec(), SERVICE_SEED);
+    }
+    let mut item = service.clone();
+    item.source.clear();
+    service_digest(&item)
 }
 
-/// Digest of one route.
+/// Digest of one route. Its source is no part of it, because proxies do not hold that.
 pub fn route_digest(route: &RouteItem) -> u64 {
-    xxh3_64_with_seed(&route.encode_to_vec(), ROUTE_SEED)
+    if route.source.is_empty() {
+        return xxh3_64_with_seed(&route.encode_to_vec(), ROUTE_SEED);
+    }
+    let mut item = route.clone();
+    item.source.clear();
+    route_digest(&item)
 }
 
 /// Digest of one upstream.
--- a/crates/kumquatlock/src/distribution/backoff.rs
+++ b/crates/kumquatlock/src/distribution/backoff.rs
@@ -21,6 +21,7 @@
     parents: Vec<ParentSlot>,
     /// Seed of the order of learned parents.
     order: u64,
+    backoff_last: Duration,
     /// Failed attempts since the last welcome.
     failures: u32,
     /// No parent is tried before.
@@ -45,12 +46,17 @@
         ParentChoice {
             parents: parents.into_iter().map(slot).collect(),
             order,
+            backoff_last: BACKOFF_LAST,
             failures: 0,
             pause_until: Timestamp::default(),
             next: 0,
         }
     }
 
+    pub(super) fn set_backoff_last(&mut self, backoff_last: Duration) {
+        self.backoff_last = backoff_last;
+    }
+
     /// Takes over the parents that the one at `present` names, in an order of this child's own, so
     /// that children spread over them. Parents that are no longer named stay as the last ones: if
     /// all named ones are lost, one of them may know others. Returns the new position of the
@@ -114,7 +120,7 @@
     /// Full jitter: any time up to a bound that doubles with each failure.
     pub(super) fn record_failure(&mut self, now: Timestamp, random: &mut SmallRng) {
         let doubled = BACKOFF_FIRST * 2u32.saturating_pow(self.failures.min(16));
-        let bound = doubled.min(BACKOFF_LAST).as_micros() as u64;
+        let bound = doubled.min(self.backoff_last).as_micros() as u64;
         self.failures = self.failures.saturating_add(1);
         self.pause_until = now + Duration::from_micros(random.random_range(0..=bound));
     }
--- a/crates/kumquatlock/src/distribution/child.rs
+++ b/crates/kumquatlock/src/distribution/child.rs
@@ -15,7 +15,7 @@
 use super::assembly::{AssemblyProgress, ChunkError, SnapshotAssembly};
 use super::backoff::ParentChoice;
 use super::preference::PreferenceSearch;
-use super::{ATTACH_TIMEOUT, PARENT_SILENCE, PING_INTERVAL};
+use super::{ATTACH_TIMEOUT, BACKOFF_LAST, PARENT_SILENCE, PING_INTERVAL};
 use crate::core::{
     ConfigSnapshot, ConfigVersion, GroupId, IncarnationId, SharedName, SnapshotError, Timestamp,
     stable_hash,
@@ -38,6 +38,8 @@
     pub parent_silence: Duration,
     /// Time for a connection and its greeting.
     pub attach_timeout: Duration,
+    /// Last bound of the jittered delay between connection attempts.
+    pub backoff_last: Duration,
 }
 
 impl Default for StreamTiming {
@@ -46,6 +48,7 @@
             ping_interval: PING_INTERVAL,
             parent_silence: PARENT_SILENCE,
             attach_timeout: ATTACH_TIMEOUT,
+            backoff_last: BACKOFF_LAST,
         }
     }
 }
@@ -221,6 +224,7 @@
     /// Takes over other times of silence.
     pub fn set_timing(&mut self, timing: StreamTiming) {
         self.timing = timing;
+        self.choice.set_backoff_last(timing.backoff_last);
     }
 
     /// The applied configuration.
--- a/crates/kumquatlock/src/distribution/parent.rs
+++ b/crates/kumquatlock/src/distribution/parent.rs
@@ -23,8 +23,9 @@
 
 /// Currency proofs that one child may wait for at once.
 const MAX_CONFIRMS: usize = 8;
-/// Bounds of the delay after a failed proof, in milliseconds.
-const NOT_CURRENT_DELAY_MS: std::ops::RangeInclusive<u32> = 500..=1_500;
+/// Bounds of the delay after a failed proof, in milliseconds. A proof fails at once while there is
+/// no leader, so a child that waited as long as an election would often miss its end.
+const NOT_CURRENT_DELAY_MS: std::ops::RangeInclusive<u32> = 150..=450;
 
 /// One connection of a child. Never used again by the same parent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/crates/kumquatlock/src/manifest/mod.rs
+++ b/crates/kumquatlock/src/manifest/mod.rs
@@ -49,7 +49,8 @@
     pub base_version: Option<u64>,
     /// Limits of callers; none if the manifest states none.
     pub limits: Option<LimitsItem>,
-    /// Text from which the pipeline made the manifest; returned as it is. Empty if not stated.
+    /// Text from which the pipeline made the manifest, beside the texts of its items; returned as
+    /// it is. Empty if not stated.
     pub source: Bytes,
     /// Services sorted by name, each with sorted patterns.
     pub services: Vec<ServiceItem>,
@@ -78,6 +79,7 @@
     name: String,
     upstreams: Vec<String>,
     connections: Option<u32>,
+    source: Option<String>,
 }
 
 #[derive(Clone, Copy, Deserialize)]
@@ -112,6 +114,7 @@
     attempts: Option<u32>,
     #[serde(default)]
     below: bool,
+    source: Option<String>,
 }
 
 impl RouteText {
@@ -131,14 +134,23 @@
             };
             return Err(ManifestError::at("$", fault));
         }
+        let ObjectOf(parsed) = match serde_json::from_slice(text) {
+            Ok(parsed) => parsed,
+            Err(_) => ManifestDocument::find_fault(text)?,
+        };
+        check::check_manifest(&parsed)?;
+        Ok(ManifestDocument::canonical(parsed))
+    }
+
+    /// Reads a text that is no manifest once more, to name the place of the fault.
+    fn find_fault(text: &[u8]) -> Result<ObjectOf<ManifestText>, ManifestError> {
         let mut deserializer = serde_json::Deserializer::from_slice(text);
-        let ObjectOf(parsed) = serde_path_to_error::deserialize(&mut deserializer)
+        let parsed = serde_path_to_error::deserialize(&mut deserializer)
             .map_err(|error| ManifestError::from_json(&error.path().to_string(), error.inner()))?;
         deserializer
             .end()
             .map_err(|error| ManifestError::from_json("", &error))?;
-        check::check_manifest(&parsed)?;
-        Ok(ManifestDocument::canonical(parsed))
+        Ok(parsed)
     }
 
     fn canonical(text: ManifestText) -> Self {
@@ -152,6 +164,7 @@
                     name: service.name,
                     patterns,
                     connections: service.connections.unwrap_or_default(),
+                    source: service.source.unwrap_or_default(),
                 }
             })
             .collect();
@@ -203,6 +216,7 @@
         attempts: route.attempts.unwrap_or_default(),
         split: split.collect(),
         below: route.below,
+        source: route.source.unwrap_or_default(),
     }
 }
 
--- a/crates/kumquatlock/src/membership/announcer.rs
+++ b/crates/kumquatlock/src/membership/announcer.rs
@@ -48,8 +48,8 @@
     pub born_ms: u64,
     /// Orders the announcements of one run; zero if they are not numbered.
     pub sequence: u64,
-    /// How much longer the upstream is slow after its start.
-    pub warmup: Duration,
+    /// How much longer the upstream is slow after its start, if it says so.
+    pub warmup: Option<Duration>,
 }
 
 impl UpstreamAnnouncement {
--- a/crates/kumquatlock/src/membership/tests.rs
+++ b/crates/kumquatlock/src/membership/tests.rs
@@ -271,7 +271,7 @@
             instance: crate::core::SharedName::default(),
             born_ms: 0,
             sequence: 0,
-            warmup: Duration::ZERO,
+            warmup: None,
         };
         self.handle(AnnouncerEvent::Announce(announcement)).unwrap()
     }
--- a/crates/kumquatlock/src/ops/control/answer.rs
+++ b/crates/kumquatlock/src/ops/control/answer.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 
+use super::operator::SUBMIT_PATH;
 use super::requests::{RequestAnswer, RequestKind};
 use crate::agreement::ProposalError;
 use crate::catalog::{Catalog, ManifestDecision};
@@ -138,6 +139,8 @@
             409,
             &refused("other_base", *manifest_version, Some(*accepted_version)),
         ),
+        // Taken anew before it is answered; the outcome of this attempt is that it had none.
+        ManifestDecision::Overtaken => not_run("overtaken"),
         ManifestDecision::Invalid(error) => invalid_manifest(error),
     }
 }
@@ -195,6 +198,10 @@
 pub(super) fn response(answer: RequestAnswer) -> HttpResponse {
     match answer {
         RequestAnswer::Operator { status, json } => HttpResponse::json_text(status, json),
+        RequestAnswer::Elsewhere(address) => {
+            let location = format!("http://{address}{SUBMIT_PATH}");
+            HttpResponse::json_text(307, "{}").with_header("Location", &location)
+        }
         // Never asked for by an operator.
         RequestAnswer::Confirm(_) => HttpResponse::json_text(500, "{}"),
     }
--- a/crates/kumquatlock/src/ops/control/operator.rs
+++ b/crates/kumquatlock/src/ops/control/operator.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use indexmap::IndexMap;
 use kumquatlock_wire::agreement::forward::Content;
 use kumquatlock_wire::distribution::StatusRequest;
 use serde::Serialize;
@@ -14,6 +15,7 @@
 use super::answer;
 use super::metrics::ControlMetrics;
 use super::requests::{REQUEST_TIMEOUT, Requester};
+use crate::catalog::Catalog;
 use crate::core::Timestamp;
 use crate::http::{HttpRequest, HttpResponse, ReplySlot};
 use crate::manifest::ManifestDocument;
@@ -24,6 +26,8 @@
 /// Longest wait of a read for entries that are committed but not applied here.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Path that takes submissions.
+pub const SUBMIT_PATH: &str = MANIFESTS_PATH;
 const MANIFESTS_PATH: &str = "/v1/manifests";
 const STATUS_PATH: &str = "/v1/status";
 const SOURCE_PATH: &str = "/v1/source";
@@ -57,14 +61,14 @@
     /// Reads a request, or gives the answer that refuses it.
     pub read: fn(HttpRequest) -> Result<OperatorRequest, HttpResponse>,
     /// Words an answer, given in the words of [`OperatorDialect::default`].
-    pub write: fn(HttpResponse) -> HttpResponse,
+    pub write: fn(&OperatorRequest, HttpResponse) -> HttpResponse,
 }
 
 impl Default for OperatorDialect {
     fn default() -> Self {
         OperatorDialect {
             read: read_operation,
-            write: |response| response,
+            write: |_, response| response,
         }
     }
 }
@@ -90,7 +94,8 @@
             Ok(request) => request,
             Err(response) => return response,
         };
-        (dialect.write)(ask(&calls, request))
+        let response = ask(&calls, request.clone());
+        (dialect.write)(&request, response)
     }
 }
 
@@ -153,6 +158,32 @@
     })
 }
 
+/// Texts from which the pipeline made the accepted manifest and its items.
+#[derive(Serialize)]
+struct SourceBody<'a> {
+    source: std::borrow::Cow<'a, str>,
+    services: IndexMap<&'a str, &'a str>,
+    routes: IndexMap<&'a str, &'a str>,
+}
+
+fn source_response(catalog: &Catalog) -> HttpResponse {
+    if catalog.manifest_source().is_empty() {
+        return answer::response(answer::not_run("no_source"));
+    }
+    let services = catalog.services();
+    let routes = catalog.routes();
+    let body = SourceBody {
+        source: String::from_utf8_lossy(catalog.manifest_source()),
+        services: services
+            .map(|item| (item.name.as_str(), item.source.as_str()))
+            .collect(),
+        routes: routes
+            .map(|item| (item.name.as_str(), item.source.as_str()))
+            .collect(),
+    };
+    HttpResponse::json(200, &body)
+}
+
 #[derive(Serialize)]
 struct VoterBody {
     name: String,
@@ -211,12 +242,7 @@
     pub(super) fn answer_reads(&mut self) {
         let applied = self.catalog.applied_index();
         for read in self.reads.extract_if(.., |read| read.index <= applied) {
-            let source = self.catalog.manifest_source();
-            let response = match source.is_empty() {
-                true => answer::response(answer::not_run("no_source")),
-                false => HttpResponse::json_text(200, source.clone()),
-            };
-            read.reply.answer(response);
+            read.reply.answer(source_response(&self.catalog));
         }
     }
 
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -1,5 +1,7 @@
 //! Requests: answered here by the leader, or passed on towards it.
 
+use std::net::SocketAddr;
+
 use indexmap::IndexMap;
 use kumquatlock_wire::Body;
 use kumquatlock_wire::agreement::Forward;
@@ -11,7 +13,7 @@
 use super::requests::{RequestAnswer, RequestKind, RequestRoute, Requester, forward};
 use super::voter::VoterDuty;
 use crate::agreement::{AgreementEvent, CurrencyTicket, ProposalTicket};
-use crate::core::{ConfigVersion, SharedName, Timestamp};
+use crate::core::{ConfigVersion, SharedName, Timestamp, named_address};
 use crate::distribution::{ChildEvent, InForceCount, ParentEvent, ProgressTable, REPORTER_SILENCE};
 use crate::manifest::ManifestDocument;
 use crate::membership::{AttachmentTracker, ExpiryDecision, ExpiryLimits, RecordOutcome};
@@ -83,6 +85,14 @@
         let Some(kind) = RequestKind::of(&content) else {
             return;
         };
+        if let (Requester::Operator(_), RequestKind::Submit, false) =
+            (&requester, kind, self.is_leader())
+            && let Some(address) = self.leader_address()
+        {
+            // A manifest is large, and the link to the leader may be paid by volume.
+            let answer = RequestAnswer::Elsewhere(address);
+            return self.deliver(now, requester, kind, answer);
+        }
         // A voter forwards only to whom it takes for the leader; passing on again could go round.
         let is_last_hop = matches!(requester, Requester::Voter { .. });
         let id = match self.requests.insert(now, requester, kind) {
@@ -112,21 +122,8 @@
     fn serve(&mut self, now: Timestamp, id: u64, content: Content) {
         match content {
             Content::Submit(text) => {
-                let decided = match ManifestDocument::parse(&text) {
-                    Ok(document) => self
-                        .catalog
-                        .preview_manifest(&document)
-                        .map(|decision| answer::decided_manifest(&decision)),
-                    Err(error) => Some(answer::invalid_manifest(&error)),
-                };
-                match decided {
-                    // What the catalog has applied is final.
-                    Some(answer) => self.finish(now, id, answer),
-                    None => {
-                        let command = catalog_command::Kind::Manifest(text);
-                        self.propose_with(ProposalTicket(id), command);
-                    }
-                }
+                self.requests.keep_text(id, text.clone());
+                self.decide_submission(now, id, &text);
             }
             Content::StatusRequest(request) => {
                 let answer = self.show(now, request.manifest_version);
@@ -140,6 +137,34 @@
         }
     }
 
+    /// Decides on a submission by what the catalog has applied, or proposes what it changes.
+    fn decide_submission(&mut self, now: Timestamp, id: u64, text: &[u8]) {
+        let document = match ManifestDocument::parse(text) {
+            Ok(document) => document,
+            Err(error) => return self.finish(now, id, answer::invalid_manifest(&error)),
+        };
+        if let Some(decision) = self.catalog.preview_manifest(&document) {
+            // What the catalog has applied is final.
+            return self.finish(now, id, answer::decided_manifest(&decision));
+        }
+        let change = self.catalog.change_to(document);
+        self.propose_with(ProposalTicket(id), catalog_command::Kind::Change(change));
+    }
+
+    /// Takes the difference of a submission anew, after another manifest came before it.
+    pub(super) fn submit_again(&mut self, now: Timestamp, id: u64) {
+        if let Some(text) = self.requests.text(id) {
+            self.decide_submission(now, id, &text);
+        }
+    }
+
+    /// Operators' address of the leader, if it is another member and operators are sent there.
+    fn leader_address(&self) -> Option<SocketAddr> {
+        let leader = self.voter.as_ref()?.leader.as_deref()?;
+        let leader = named_address(leader).filter(|_| self.settings.redirects)?;
+        Some(SocketAddr::new(leader.ip(), self.settings.http.port()))
+    }
+
     fn show(&self, now: Timestamp, manifest_version: Option<u64>) -> RequestAnswer {
         let is_complete = self.has_whole_view(now);
         let count = |version| (self.leader_view.progress.count(now, version), is_complete);
@@ -221,7 +246,7 @@
             Requester::OwnProof { round } => {
                 let index = match answer {
                     RequestAnswer::Confirm(index) => index,
-                    RequestAnswer::Operator { .. } => None,
+                    RequestAnswer::Operator { .. } | RequestAnswer::Elsewhere(_) => None,
                 };
                 let event = ParentEvent::ProofResult { round, index };
                 self.work.push_back(Work::Parent(event));
--- a/crates/kumquatlock/src/ops/control/requests.rs
+++ b/crates/kumquatlock/src/ops/control/requests.rs
@@ -1,7 +1,9 @@
 //! Requests that wait for an answer, here or at the leader.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use indexmap::IndexMap;
 use kumquatlock_wire::agreement::forward::Content;
 use kumquatlock_wire::agreement::{ConfirmReply, Forward};
@@ -71,6 +73,8 @@
     pub(super) kind: RequestKind,
     pub(super) route: RequestRoute,
     pub(super) deadline: Timestamp,
+    /// Text of a submission that is answered here, to take its difference anew.
+    pub(super) text: Option<Bytes>,
 }
 
 /// The answer to a request.
@@ -78,6 +82,8 @@
 pub(super) enum RequestAnswer {
     /// HTTP status and JSON text for an operator.
     Operator { status: u16, json: String },
+    /// The request should be sent to the operators' address of the leader.
+    Elsewhere(SocketAddr),
     /// Index that is proved current, or none.
     Confirm(Option<u64>),
 }
@@ -86,6 +92,8 @@
     /// The answer as content of a [`Forward`].
     pub(super) fn into_content(self, kind: RequestKind) -> Content {
         match (self, kind) {
+            // Given to operators only, who are asked to turn to the leader themselves.
+            (RequestAnswer::Elsewhere(_), _) => Content::ConfirmReply(ConfirmReply::default()),
             (RequestAnswer::Confirm(index), _) => Content::ConfirmReply(ConfirmReply { index }),
             (RequestAnswer::Operator { status, json }, RequestKind::Submit) => {
                 let http_status = status.into();
@@ -139,6 +147,7 @@
             kind,
             route: RequestRoute::Here,
             deadline: now + REQUEST_TIMEOUT,
+            text: None,
         };
         self.pending.insert(self.last_id, request);
         Ok(self.last_id)
@@ -154,6 +163,16 @@
         }
     }
 
+    pub(super) fn keep_text(&mut self, id: u64, text: Bytes) {
+        if let Some(request) = self.pending.get_mut(&id) {
+            request.text = Some(text);
+        }
+    }
+
+    pub(super) fn text(&self, id: u64) -> Option<Bytes> {
+        self.pending.get(&id)?.text.clone()
+    }
+
     pub(super) fn kind(&self, id: u64) -> Option<RequestKind> {
         self.pending.get(&id).map(|request| request.kind)
     }
--- a/crates/kumquatlock/src/ops/control/settings.rs
+++ b/crates/kumquatlock/src/ops/control/settings.rs
@@ -269,6 +269,9 @@
     pub expiry: Duration,
     /// Time for which a new leader removes no upstream.
     pub expiry_grace: Duration,
+    /// Whether operators are sent to the leader with their submissions. All members serve them at
+    /// the same port.
+    pub redirects: bool,
 }
 
 impl ControlSettings {
@@ -318,6 +321,7 @@
             expiry_grace: EXPIRY_GRACE
                 .resolve(flags.expiry_grace_ms.as_deref(), variables)?
                 .duration(),
+            redirects: false,
         })
     }
 
--- a/crates/kumquatlock/src/ops/control/stop.rs
+++ b/crates/kumquatlock/src/ops/control/stop.rs
@@ -11,7 +11,7 @@
 /// bounds a transfer.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Longest wait for requests in progress and for bytes in output buffers.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(6);
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time between two attempts to hand the leadership over.
 const HANDOVER_INTERVAL: Duration = Duration::from_millis(500);
 
--- a/crates/kumquatlock/src/ops/control/voter.rs
+++ b/crates/kumquatlock/src/ops/control/voter.rs
@@ -19,7 +19,7 @@
 use super::settings::ControlSettings;
 use crate::agreement::{
     Agreement, AgreementEvent, AgreementRole, AgreementSettings, AgreementStep, GroupMembership,
-    PersistFailure, PersistRequest, ProposalTicket,
+    PersistFailure, PersistRequest, ProposalError, ProposalTicket,
 };
 use crate::catalog::{ApplyOutcome, Catalog, ManifestDecision};
 use crate::core::{SharedName, Timestamp};
@@ -32,6 +32,10 @@
 /// Interval between attempts to open the journal again after a failed write.
 const REOPEN_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Applied bytes after which the log is compacted. What is left is applied anew after a start,
+/// before the instance can serve; a small one applies some 10 MB per second.
+const COMPACTION_BYTES: u64 = 1024 * 1024;
+
 /// Ticket of proposals whose outcome nobody waits for.
 const UNTRACKED: ProposalTicket = ProposalTicket(0);
 
@@ -72,6 +76,7 @@
             election_timeout_min: settings.election_timeout,
             election_timeout_max: settings.election_timeout * 2,
             membership,
+            compaction_bytes: COMPACTION_BYTES,
             ..AgreementSettings::new(settings.name.clone(), voters)
         };
         log::info!(
@@ -228,7 +233,9 @@
                     }));
             }
             AgreementStep::AnswerProposal { ticket, result } => {
-                if ticket != UNTRACKED {
+                if self.is_overtaken(&result) {
+                    self.submit_again(now, ticket.0);
+                } else if ticket != UNTRACKED {
                     let answer = match result {
                         Ok(index) => self.outcome_answer(index),
                         Err(error) => answer::failed_proposal(&error),
@@ -322,6 +329,19 @@
         }
     }
 
+    /// Whether the proposal was a manifest that another one came before.
+    fn is_overtaken(&self, result: &Result<u64, ProposalError>) -> bool {
+        let outcome = self
+            .voter
+            .as_ref()
+            .and_then(|voter| voter.last_outcome.as_ref());
+        matches!(
+            (result, outcome),
+            (Ok(index), Some((applied, ApplyOutcome::Manifest(ManifestDecision::Overtaken))))
+                if index == applied
+        )
+    }
+
     fn outcome_answer(&self, index: u64) -> RequestAnswer {
         let outcome = self
             .voter
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -166,6 +166,9 @@
         let mut destination =
             DestinationCalls::new(settings.name.clone(), parts.incarnation, claims);
         destination.set_names(parts.dialect.names);
+        if tuning.without_claims {
+            destination.take_earlier_runs();
+        }
         Some(NodeActor {
             child,
             parent_links: IndexMap::new(),
@@ -336,6 +339,8 @@
         let endpoint = UpstreamEndpoint {
             address: announcement.address,
             instance: announcement.instance.clone(),
+            service: announcement.service.clone(),
+            warmup: announcement.warmup,
             limits,
         };
         self.destination.on_announce(now, endpoint);
