Send children elsewhere while the leader is silent

Ruled out: the delay of the delta itself (70 ms on the other side).

A member of an open group now dismisses its children once the leader has been silent for 900 ms and admits none until it is heard again.

--- a/crates/kumquatlock/src/agreement/joining.rs
+++ b/crates/kumquatlock/src/agreement/joining.rs
@@ -45,6 +45,14 @@
         contacts.into_iter().take(MAX_MEMBERS).collect()
     }
 
+    /// Time since the leader was heard; zero on the leader itself.
+    pub fn leader_silence(&self, now: Timestamp) -> Duration {
+        match self.leading {
+            Some(_) => Duration::ZERO,
+            None => now.since(self.leader_heard.unwrap_or_default()),
+        }
+    }
+
     /// The other voters of all sets, and on a leader also the learners.
     pub(super) fn members(&self) -> Vec<SharedName> {
         let own = &self.settings.name;
--- a/crates/kumquatlock/src/distribution/parent.rs
+++ b/crates/kumquatlock/src/distribution/parent.rs
@@ -52,6 +52,8 @@
     CatalogAdvanced,
     /// The path towards the leader is a new one.
     UplinkChanged,
+    /// The leader has been silent for long (true), or is heard again (false).
+    LeaderSilent(bool),
     /// The process is about to exit.
     Shutdown,
 }
@@ -95,6 +97,8 @@
     pub(super) deltas: DeltaFrames,
     /// Addresses that children are told to turn to. Empty if they know them from their settings.
     offered_parents: Vec<String>,
+    /// The leader is silent, so children would learn of nothing new here.
+    is_stale: bool,
     is_leaving: bool,
 }
 
@@ -123,6 +127,7 @@
             encoded: IndexMap::new(),
             deltas: DeltaFrames::default(),
             offered_parents: Vec::new(),
+            is_stale: false,
             is_leaving: false,
         }
     }
@@ -190,7 +195,16 @@
             }
             ParentEvent::CatalogAdvanced => self.serve_all(now, catalog, &mut steps),
             ParentEvent::UplinkChanged => self.reporter.restart(),
-            ParentEvent::Shutdown => self.leave(&mut steps),
+            ParentEvent::LeaderSilent(is_silent) => {
+                self.is_stale = is_silent;
+                if is_silent {
+                    self.dismiss(RetryReason::NotCurrent, &mut steps);
+                }
+            }
+            ParentEvent::Shutdown => {
+                self.is_leaving = true;
+                self.dismiss(RetryReason::Leaving, &mut steps);
+            }
         }
         let verdict = self.proof.poll(now, catalog.applied_index());
         self.settle(now, verdict, catalog, random, &mut steps);
@@ -295,7 +309,7 @@
         if self.is_leaving {
             return Err((RetryReason::Leaving, Duration::ZERO));
         }
-        if self.group == GroupId(0) {
+        if self.group == GroupId(0) || self.is_stale {
             let delay = random.random_range(NOT_CURRENT_DELAY_MS);
             return Err((RetryReason::NotCurrent, Duration::from_millis(delay.into())));
         }
@@ -494,15 +508,14 @@
     }
 
     /// Sends the children to other parents.
-    fn leave(&mut self, steps: &mut Vec<ParentStep>) {
-        self.is_leaving = true;
+    fn dismiss(&mut self, reason: RetryReason, steps: &mut Vec<ParentStep>) {
         let children: Vec<ChildId> = self.children.keys().copied().collect();
         if children.is_empty() {
             return;
         }
         let retry = RetryAfter {
             delay_ms: 0,
-            reason: RetryReason::Leaving as i32,
+            reason: reason as i32,
         };
         steps.push(ParentStep::Send {
             children: children.clone(),
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -73,6 +73,8 @@
     /// Children to which a snapshot chunk was sent whose successor has not been asked for.
     pub(super) transfers: IndexSet<LinkId>,
     pub(super) leader_view: LeaderView,
+    /// The leader of an open group has been silent for long.
+    pub(super) is_leader_silent: bool,
     pub(super) requests: RequestTable,
     /// Reads that wait until what was proved current is applied here.
     pub(super) reads: Vec<WaitingRead>,
@@ -128,6 +130,7 @@
             has_catalog_moved: false,
             transfers: IndexSet::new(),
             leader_view: LeaderView::default(),
+            is_leader_silent: false,
             requests: RequestTable::default(),
             reads: Vec::new(),
             random: SmallRng::seed_from_u64(random_seed()),
--- a/crates/kumquatlock/src/ops/control/links.rs
+++ b/crates/kumquatlock/src/ops/control/links.rs
@@ -18,6 +18,10 @@
 /// An accepted link that says nothing for this long is closed.
 const UNKNOWN_LINK_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Silence of the leader after which a member sends its children to others. Several heartbeats, and
+/// short enough that a change is in force at them within two seconds of a partition.
+const LEADER_SILENCE_LIMIT: Duration = Duration::from_millis(900);
+
 /// What a link is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum LinkRole {
@@ -59,6 +63,27 @@
         let addresses = voters.iter().filter_map(|voter| named_address(&voter.name));
         let parents = addresses.map(|address| address.to_string()).collect();
         self.parent.set_offered_parents(parents);
+        self.follow_leader(now);
+    }
+
+    /// Sends the children elsewhere while the leader is silent. A member that is cut off from it
+    /// still answers them, so they would not notice.
+    fn follow_leader(&mut self, now: Timestamp) {
+        let silence = self
+            .voter
+            .as_ref()
+            .map(|voter| voter.agreement.leader_silence(now));
+        let is_silent = silence.is_some_and(|silence| silence >= LEADER_SILENCE_LIMIT);
+        if is_silent != self.is_leader_silent {
+            self.is_leader_silent = is_silent;
+            log::info!(
+                silent = is_silent,
+                children = self.parent.child_count();
+                "leader_silence_changed"
+            );
+            let event = ParentEvent::LeaderSilent(is_silent);
+            self.work.push_back(Work::Parent(event));
+        }
     }
 
     pub(super) fn close_unknown_links(&mut self, now: Timestamp) {
