Choose upstreams by expected time within the target; order work by rank and reachable target

Cause: rings spilled as soon as the zone's upstream would queue, so bytes between zones were paid for waits that kept the target; work of all ranks shared one queue by deadline, so late calls made those behind them late.

The queue is ordered by rank, then calls that can meet their target, then the others.

--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -135,6 +135,12 @@
     /// Set when the upstream drains or leaves.
     #[prost(bool, tag = "4")]
     pub draining: bool,
+    /// Time that a call of the lowest rank would wait for a slot, in microseconds.
+    #[prost(uint32, tag = "5")]
+    pub wait_us: u32,
+    /// Mean time that the upstream takes for a call, in microseconds; zero if unknown.
+    #[prost(uint32, tag = "6")]
+    pub service_us: u32,
 }
 
 /// Answers a [`CallRequest`].
--- a/crates/kumquatlock/src/admission/lanes.rs
+++ b/crates/kumquatlock/src/admission/lanes.rs
@@ -22,12 +22,13 @@
 }
 
 impl WorkLane {
-    const ALL: [WorkLane; 3] = [WorkLane::Internal, WorkLane::Waiting, WorkLane::Deferred];
-
     /// The lower bound of the lane's keys.
     fn first_key(self) -> QueueKey {
         QueueKey {
             lane: self,
+            rank: 0,
+            is_late: false,
+            due: Timestamp(0),
             deadline: Timestamp(0),
             ticket: AdmissionTicket(0),
         }
@@ -44,14 +45,69 @@
     }
 }
 
-/// Position of queued work: within a lane, the earliest deadline runs first.
+/// What the route of a call says about its urgency.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkRank {
+    /// Zero is served first.
+    pub rank: u32,
+    /// When the answer is late; none if the route has no target.
+    pub target: Option<Timestamp>,
+}
+
+/// Position of queued work: within a lane, the lower rank runs first; within a rank, calls that can
+/// still meet their target, the earliest first, and then the others by deadline.
+///
+/// Serving late calls by their place in the queue would make those behind them late as well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct QueueKey {
     pub(super) lane: WorkLane,
+    pub(super) rank: u32,
+    pub(super) is_late: bool,
+    /// Target of a call that can meet it, deadline of others.
+    pub(super) due: Timestamp,
     pub(super) deadline: Timestamp,
     pub(super) ticket: AdmissionTicket,
 }
 
+impl QueueKey {
+    /// A call that would be answered at `earliest` if it ran now.
+    pub(super) fn new(
+        class: RequestClass,
+        rank: WorkRank,
+        deadline: Timestamp,
+        ticket: AdmissionTicket,
+        earliest: Timestamp,
+    ) -> Self {
+        let target = rank.target.filter(|target| *target >= earliest);
+        QueueKey {
+            lane: class.into(),
+            rank: rank.rank,
+            is_late: rank.target.is_some() && target.is_none(),
+            due: target.unwrap_or(deadline),
+            deadline,
+            ticket,
+        }
+    }
+
+    /// Order in which places in a full queue are given up.
+    pub(super) fn precedence(&self) -> (WorkLane, u32, bool) {
+        (self.lane, self.rank, self.is_late)
+    }
+
+    /// Whether the call was queued in time and cannot meet its target any more.
+    fn became_late(&self, earliest: Timestamp) -> bool {
+        !self.is_late && self.due < self.deadline && self.due < earliest
+    }
+
+    fn into_late(self) -> Self {
+        QueueKey {
+            is_late: true,
+            due: self.deadline,
+            ..self
+        }
+    }
+}
+
 /// Queued work by lane and deadline. The owner bounds its length.
 #[derive(Clone, Debug, Default)]
 pub(super) struct WorkLanes {
@@ -104,6 +160,15 @@
         Some(key)
     }
 
+    /// Moves calls that cannot meet their target any more behind those of their rank that can.
+    pub(super) fn move_late(&mut self, earliest: Timestamp) {
+        let late = self.queued.iter().filter(|key| key.became_late(earliest));
+        for key in late.copied().collect::<Vec<_>>() {
+            self.queued.remove(&key);
+            self.queued.insert(key.into_late());
+        }
+    }
+
     /// Takes the work to run next.
     ///
     /// One in eight starts goes to deferred work whose deadline is near, or else to a waiting
@@ -123,10 +188,7 @@
 
     /// The earliest deadline of all lanes.
     pub(super) fn earliest(&self) -> Option<QueueKey> {
-        WorkLane::ALL
-            .into_iter()
-            .filter_map(|lane| self.first(lane))
-            .min_by_key(|key| key.deadline)
+        self.queued.iter().min_by_key(|key| key.deadline).copied()
     }
 
     fn first(&self, lane: WorkLane) -> Option<QueueKey> {
--- a/crates/kumquatlock/src/admission/mod.rs
+++ b/crates/kumquatlock/src/admission/mod.rs
@@ -14,6 +14,7 @@
 mod limit;
 mod queue;
 
+pub use lanes::WorkRank;
 pub use limit::{AdmissionLimits, ConcurrencyLimit};
 pub use queue::{
     AdmissionDecision, AdmissionQueue, AdmissionTicket, CancelOutcome, QueueStep, ServiceOutcome,
--- a/crates/kumquatlock/src/admission/queue.rs
+++ b/crates/kumquatlock/src/admission/queue.rs
@@ -6,7 +6,7 @@
 use kumquatlock_wire::call::{CallReason, LoadReport};
 
 use super::estimate::ServiceEstimate;
-use super::lanes::{QueueKey, WorkLane, WorkLanes};
+use super::lanes::{QueueKey, WorkLane, WorkLanes, WorkRank};
 use super::limit::{AdmissionLimits, ConcurrencyLimit};
 use crate::core::{RequestClass, Timestamp};
 
@@ -83,7 +83,8 @@
 /// Bounds the calls that run on one upstream and orders those that wait.
 ///
 /// Internal checks run first, then at-most-once calls and lookups, then deferred work; within
-/// these, the earliest deadline. Against starvation, one in eight starts goes to deferred work
+/// these, the lower rank, then calls that can still meet their target, then the earliest target or
+/// deadline. Against starvation, one in eight starts goes to deferred work
 /// whose deadline is near, or else to a waiting caller, and one in eight queue places is kept for
 /// deferred work, the earliest deadlines first.
 #[derive(Clone, Debug)]
@@ -144,6 +145,17 @@
         now: Timestamp,
         class: RequestClass,
         deadline: Timestamp,
+    ) -> AdmissionDecision {
+        self.offer_ranked(now, class, WorkRank::default(), deadline)
+    }
+
+    /// The same for a call of a route with a rank and a target.
+    pub fn offer_ranked(
+        &mut self,
+        now: Timestamp,
+        class: RequestClass,
+        rank: WorkRank,
+        deadline: Timestamp,
     ) -> AdmissionDecision {
         if self.draining {
             return AdmissionDecision::Refused(CallReason::Draining);
@@ -158,11 +170,7 @@
             self.running.insert(ticket, now);
             return AdmissionDecision::Start(ticket);
         }
-        let key = QueueKey {
-            lane: class.into(),
-            deadline,
-            ticket,
-        };
+        let key = QueueKey::new(class, rank, deadline, ticket, now + self.estimate.service());
         let wait = self.estimate.wait(self.lanes.ahead_of(&key), limit);
         if now + wait + self.estimate.service() > deadline {
             return AdmissionDecision::Refused(CallReason::Overloaded);
@@ -184,7 +192,9 @@
         let deferred = key.lane == WorkLane::Deferred;
         let prompt_full = self.lanes.prompt_len() >= self.queue_bound - self.deferred_seats;
         let victim = if !deferred && prompt_full {
-            self.lanes.last_prompt().filter(|last| last.lane > key.lane)
+            self.lanes
+                .last_prompt()
+                .filter(|last| last.precedence() > key.precedence())
         } else if self.lanes.len() < self.queue_bound {
             return QueueSeat::Free;
         } else {
@@ -233,6 +243,7 @@
         if self.running.len() >= limit as usize {
             return QueueStep::Idle;
         }
+        self.lanes.move_late(now + self.estimate.service());
         match self.lanes.pop_next(now) {
             Some(key) => {
                 self.running.insert(key.ticket, now);
@@ -261,11 +272,20 @@
 
     /// The load to carry on answers and refusals.
     pub fn load(&self, now: Timestamp) -> LoadReport {
+        let slots = self.limit.current(now);
+        let (running, queued) = (self.running.len() as u32, self.lanes.len() as u32);
+        let wait = match running < slots && queued == 0 {
+            true => Duration::ZERO,
+            false => self.estimate.wait(self.lanes.len(), slots),
+        };
+        let micros = |time: Duration| u32::try_from(time.as_micros()).unwrap_or(u32::MAX);
         LoadReport {
-            running: self.running.len() as u32,
-            queued: self.lanes.len() as u32,
-            slots: self.limit.current(now),
+            running,
+            queued,
+            slots,
             draining: self.draining,
+            wait_us: micros(wait),
+            service_us: micros(self.estimate.service()),
         }
     }
 
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -17,7 +17,9 @@
 use kumquatlock_wire::distribution::WireClass;
 
 use super::{CallNames, MAX_DEPTH};
-use crate::admission::{AdmissionDecision, AdmissionLimits, AdmissionQueue, AdmissionTicket};
+use crate::admission::{
+    AdmissionDecision, AdmissionLimits, AdmissionQueue, AdmissionTicket, WorkRank,
+};
 use crate::claim::{
     AttemptGate, ClaimAcquirer, ClaimSettings, KeptAnswer, OutcomeTable, PlacementTable,
     QueryAnswer, QueryStep,
@@ -447,7 +449,13 @@
         let Some(admission) = &mut self.admission else {
             return;
         };
-        let decision = admission.offer(now, class, deadline);
+        let rank = WorkRank {
+            rank: request.rank,
+            target: request
+                .target_us
+                .map(|left| now + Duration::from_micros(left)),
+        };
+        let decision = admission.offer_ranked(now, class, rank, deadline);
         let ticket = match decision {
             AdmissionDecision::Start(ticket) | AdmissionDecision::Queued { ticket, .. } => ticket,
             AdmissionDecision::Refused(reason) => {
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -13,7 +13,7 @@
 use crate::call::answer::{CallerAnswer, RejectReason};
 use crate::core::{RequestClass, Timestamp};
 use crate::retry::{AttemptFailure, HedgeDecision, RetryDecision, reached_upstream};
-use crate::routing::{ChosenUpstream, UpstreamChoice, UpstreamOutcome};
+use crate::routing::{CallUrgency, ChosenUpstream, NoChoice, UpstreamChoice, UpstreamOutcome};
 
 /// Interval at which a waiting call looks again.
 const UPSTREAM_RETRY: Duration = Duration::from_millis(50);
@@ -25,6 +25,12 @@
     pub(super) fn send_attempt(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
         match self.choose(now, id) {
             Some(UpstreamChoice::Chosen(chosen)) => self.send_to(now, id, chosen, steps),
+            Some(UpstreamChoice::None(NoChoice::AllOverloaded)) => {
+                if let Some(call) = self.calls.get_mut(&id) {
+                    call.reason = CallReason::Overloaded;
+                }
+                self.answer_not_run(now, id, steps);
+            }
             Some(UpstreamChoice::None(_)) | None => self.wait_for_upstream(now, id, steps),
         }
         self.reschedule(now, id);
@@ -34,6 +40,21 @@
         let call = self.calls.get_mut(&id)?;
         let snapshot = self.snapshot.as_ref()?;
         let balancer = self.balancers.balancer(snapshot, &call.service, now)?;
+        if let Some(target) = call.route.target {
+            // Calls that every upstream refused are refused; asking again would only repeat it.
+            let urgency = CallUrgency {
+                target_left: (call.opened_at + target).since(now),
+                deadline_left: call.deadline.since(now),
+            };
+            let random = &mut self.random;
+            let choice = balancer.choose_prompt(now, random, &call.tried, urgency);
+            return Some(match choice {
+                UpstreamChoice::None(NoChoice::AllExcluded) => {
+                    UpstreamChoice::None(NoChoice::AllOverloaded)
+                }
+                choice => choice,
+            });
+        }
         let choice = balancer.choose(now, &mut self.random, &call.tried);
         if matches!(choice, UpstreamChoice::None(_)) && !call.tried.is_empty() {
             // Every upstream refused once; the earliest refusals may no longer hold.
--- a/crates/kumquatlock/src/routing/balancer.rs
+++ b/crates/kumquatlock/src/routing/balancer.rs
@@ -48,6 +48,8 @@
     AllDraining,
     /// Every upstream that could take the attempt is excluded by the caller.
     AllExcluded,
+    /// No upstream is expected to answer in time.
+    AllOverloaded,
 }
 
 /// How the choice came about.
@@ -307,7 +309,18 @@
         live.cost(now, self.ring_mean(live.ring))
     }
 
-    fn ring_mean(&self, ring: RingDistance) -> f32 {
+    pub(super) fn upstreams(&self) -> &[LiveUpstream] {
+        &self.upstreams
+    }
+
+    /// Whether the upstream takes no attempts for now, or its whole ring is silent.
+    pub(super) fn is_avoided(&self, now: Timestamp, live: &LiveUpstream) -> bool {
+        let mean_us = self.silence_mean(live.ring);
+        live.is_ejected(now, mean_us)
+            || self.ring_silence[live.ring as usize].is_silent(now, mean_us)
+    }
+
+    pub(super) fn ring_mean(&self, ring: RingDistance) -> f32 {
         self.ring_latency_us[ring as usize].unwrap_or(UNKNOWN_LATENCY_US)
     }
 
--- a/crates/kumquatlock/src/routing/mod.rs
+++ b/crates/kumquatlock/src/routing/mod.rs
@@ -11,6 +11,7 @@
 mod balancer;
 mod balancer_set;
 mod live;
+mod promptness;
 mod silence;
 mod split;
 mod subset;
@@ -22,6 +23,7 @@
 };
 pub use balancer_set::BalancerSet;
 pub use live::{HealthHint, UpstreamOutcome, UpstreamToken};
+pub use promptness::CallUrgency;
 pub use split::SplitChooser;
 pub use subset::{EntryLocation, RingDistance, SUBSET_SIZE};
 pub use table::RouteTable;
