Notice silent peers and stalled upstreams; go back to the ring walk for upstreams

Conclusion: the choice by expected time is reverted; the loss after the last fault and in overload stays.

--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -75,6 +75,9 @@
     /// Service that runs beside the entry.
     #[prost(string, tag = "18")]
     pub origin: String,
+    /// Whether an upstream made the call while it ran another one.
+    #[prost(bool, tag = "19")]
+    pub inner: bool,
 }
 
 /// What became of one try.
@@ -135,9 +138,6 @@
     /// Set when the upstream drains or leaves.
     #[prost(bool, tag = "4")]
     pub draining: bool,
-    /// Time that a call of the lowest rank would wait for a slot, in microseconds.
-    #[prost(uint32, tag = "5")]
-    pub wait_us: u32,
     /// Mean time that the upstream takes for a call, in microseconds; zero if unknown.
     #[prost(uint32, tag = "6")]
     pub service_us: u32,
--- a/crates/kumquatlock/src/admission/lanes.rs
+++ b/crates/kumquatlock/src/admission/lanes.rs
@@ -160,6 +160,11 @@
         Some(key)
     }
 
+    /// Takes any work.
+    pub(super) fn pop_any(&mut self) -> Option<QueueKey> {
+        self.queued.pop_first()
+    }
+
     /// Moves calls that cannot meet their target any more behind those of their rank that can.
     pub(super) fn move_late(&mut self, earliest: Timestamp) {
         let late = self.queued.iter().filter(|key| key.became_late(earliest));
--- a/crates/kumquatlock/src/admission/queue.rs
+++ b/crates/kumquatlock/src/admission/queue.rs
@@ -18,6 +18,14 @@
 /// until its deadline nears would meet a queue that is full of waiting callers.
 const DEFERRED_SEAT_DIVISOR: usize = 8;
 
+/// Usual service times without any answer after which an upstream that runs several calls counts as
+/// stalled. An upstream that is only slow answers some of its calls in that time.
+const STALL_SERVICES: u32 = 4;
+/// The same at least.
+const STALL_LEAST: Duration = Duration::from_millis(300);
+/// Calls that have to run for it; a single long one is no sign.
+const STALL_CALLS: usize = 3;
+
 /// Identifies admitted work. Never reused within a queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct AdmissionTicket(pub(super) u64);
@@ -99,6 +107,11 @@
     limit: ConcurrencyLimit,
     estimate: ServiceEstimate,
     draining: bool,
+    /// When the upstream last answered.
+    answered_at: Timestamp,
+    detects_stalls: bool,
+    /// Time that the refusal of queued work needs to reach its caller.
+    refusal_time: Duration,
     next_ticket: u64,
 }
 
@@ -114,6 +127,9 @@
             limit: ConcurrencyLimit::new(limits, now),
             estimate: ServiceEstimate::default(),
             draining: false,
+            answered_at: now,
+            detects_stalls: false,
+            refusal_time: Duration::ZERO,
             next_ticket: 0,
         }
     }
@@ -163,6 +179,9 @@
         if deadline <= self.least_deadline(now) {
             return AdmissionDecision::Refused(CallReason::DeadlineTooShort);
         }
+        if self.is_stalled(now) {
+            return AdmissionDecision::Refused(CallReason::UpstreamUnreachable);
+        }
         let limit = self.limit.current(now);
         let ticket = AdmissionTicket(self.next_ticket + 1);
         if self.running.len() < limit as usize && self.lanes.len() == 0 {
@@ -213,6 +232,9 @@
     ) -> QueueStep {
         let running = self.running.len() as u32;
         if let Some(started) = self.running.swap_remove(&ticket) {
+            if outcome != ServiceOutcome::Ended {
+                self.answered_at = now;
+            }
             match outcome {
                 ServiceOutcome::Answered => self.estimate.observe(now.since(started)),
                 ServiceOutcome::Shed => self.limit.upstream_shed(now, running),
@@ -238,6 +260,11 @@
         if let Some(expired) = self.lanes.pop_expired(self.least_deadline(now)) {
             return QueueStep::Refuse(expired.ticket, CallReason::DeadlineTooShort);
         }
+        if self.is_stalled(now)
+            && let Some(waiting) = self.lanes.pop_any()
+        {
+            return QueueStep::Refuse(waiting.ticket, CallReason::UpstreamUnreachable);
+        }
         self.limit.advance(now);
         let limit = self.limit.current(now);
         if self.running.len() >= limit as usize {
@@ -256,6 +283,13 @@
     /// When to call [`AdmissionQueue::poll`] if no event comes first.
     pub fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
         let expiry = self.lanes.earliest()?.deadline;
+        let expiry = Timestamp(
+            expiry
+                .0
+                .saturating_sub(self.refusal_time.as_micros() as u64),
+        );
+        let stall = self.stalls_at().unwrap_or(expiry);
+        let expiry = expiry.min(stall.max(now));
         let raise = self.limit.next_raise(now).unwrap_or(expiry);
         Some(expiry.min(raise))
     }
@@ -274,25 +308,53 @@
     pub fn load(&self, now: Timestamp) -> LoadReport {
         let slots = self.limit.current(now);
         let (running, queued) = (self.running.len() as u32, self.lanes.len() as u32);
-        let wait = match running < slots && queued == 0 {
-            true => Duration::ZERO,
-            false => self.estimate.wait(self.lanes.len(), slots),
-        };
-        let micros = |time: Duration| u32::try_from(time.as_micros()).unwrap_or(u32::MAX);
+        let service = self.estimate.service().as_micros();
         LoadReport {
             running,
             queued,
             slots,
             draining: self.draining,
-            wait_us: micros(wait),
-            service_us: micros(self.estimate.service()),
+            service_us: u32::try_from(service).unwrap_or(u32::MAX),
         }
     }
 
     /// Work with this deadline or an earlier one is not started: it would occupy a slot and most likely
     /// answer too late.
     fn least_deadline(&self, now: Timestamp) -> Timestamp {
-        let half: Duration = self.estimate.service() / 2;
-        now + half
+        now + self.least_time()
+    }
+
+    /// Least time for which work is started. The refusal of work that has less must still reach the
+    /// caller before it gives up.
+    fn least_time(&self) -> Duration {
+        (self.estimate.service() / 2).max(self.refusal_time)
+    }
+
+    /// Lets an upstream that answers nothing for long get no work until it does.
+    pub fn detect_stalls(&mut self) {
+        self.detects_stalls = true;
+    }
+
+    /// Lets refusals of queued work leave this long before its deadline.
+    pub fn set_refusal_time(&mut self, refusal_time: Duration) {
+        self.refusal_time = refusal_time;
+    }
+
+    /// When the upstream counts as stalled if it does not answer before: calls run, and none was
+    /// answered for several usual service times.
+    fn stalls_at(&self) -> Option<Timestamp> {
+        let oldest = self.running.values().min().copied()?;
+        if !self.detects_stalls
+            || self.running.len() < STALL_CALLS
+            || self.estimate.service().is_zero()
+        {
+            return None;
+        }
+        let silence = (self.estimate.service() * STALL_SERVICES).max(STALL_LEAST);
+        Some(oldest.max(self.answered_at) + silence)
+    }
+
+    fn is_stalled(&self, now: Timestamp) -> bool {
+        self.stalls_at().is_some_and(|at| now >= at)
     }
 }
--- /dev/null
+++ b/crates/kumquatlock/src/call/destination/log.rs
@@ -0,0 +1,78 @@
+//! One log line for each call that ended at its upstream or was refused, with what decided it.
+
+use std::time::Duration;
+
+use kumquatlock_wire::call::{CallOutcome, CallReason, CallRequest};
+
+use super::DestinationCalls;
+use crate::call::answer::reason_label;
+use crate::core::Timestamp;
+use crate::util::log_quota::{LogQuota, QuotaStep};
+
+/// Lines per second for runs that the upstream answered.
+const ANSWERED_PER_SECOND: u64 = 30;
+/// Lines per second for all other calls.
+const OTHERS_PER_SECOND: u64 = 60;
+
+/// Quotas of a destination.
+#[derive(Debug)]
+pub(super) struct DestinationLog {
+    answered: LogQuota,
+    others: LogQuota,
+}
+
+impl Default for DestinationLog {
+    fn default() -> Self {
+        DestinationLog {
+            answered: LogQuota::new(ANSWERED_PER_SECOND),
+            others: LogQuota::new(OTHERS_PER_SECOND),
+        }
+    }
+}
+
+impl DestinationCalls {
+    /// Logs what became of a call. `held` is the time since it arrived, `ran` that since the
+    /// upstream got it.
+    pub(super) fn log_end(
+        &mut self,
+        now: Timestamp,
+        request: &CallRequest,
+        outcome: CallOutcome,
+        reason: CallReason,
+        held: Duration,
+    ) {
+        let quota = match outcome {
+            CallOutcome::Answered => &mut self.log.answered,
+            _ => &mut self.log.others,
+        };
+        let QuotaStep::Write { left_out } = quota.take(now) else {
+            return;
+        };
+        let load = self.load(now);
+        let name = self.names.request;
+        let id = request
+            .headers
+            .iter()
+            .find(|field| name.is_some_and(|name| field.name.eq_ignore_ascii_case(name)));
+        log::info!(
+            request = id.map_or("", |field| field.value.as_str()),
+            entry = request.id.entry.as_str(),
+            attempt = request.id.attempt,
+            service = request.service.as_str(),
+            rank = request.rank,
+            inner = request.inner,
+            version = request.config_version,
+            instance = self.endpoint.as_ref().map_or("", |endpoint| &*endpoint.instance),
+            outcome:? = outcome,
+            reason = reason_label(reason),
+            held_ms = held.as_millis() as u64,
+            running = load.running,
+            queued = load.queued,
+            slots = load.slots,
+            service_ms = load.service_us / 1_000,
+            draining = load.draining,
+            left_out;
+            "run_ended"
+        );
+    }
+}
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -1,6 +1,7 @@
 //! Calls at the node beside the upstream that runs them.
 
 mod claims;
+mod log;
 mod run;
 
 use std::collections::BTreeSet;
@@ -30,6 +31,7 @@
 use crate::http::{HttpRequest, HttpResponse, UpstreamFailure};
 use crate::transport::LinkId;
 use crate::util::trace::{HopSpan, SeededIds};
+use log::DestinationLog;
 use run::{CallRun, RunPhase};
 
 /// Interval at which claims that wait for holders are checked.
@@ -125,6 +127,9 @@
     names: CallNames,
     /// Whether calls that were meant for an earlier run are taken.
     takes_earlier_runs: bool,
+    detects_stalls: bool,
+    /// Time that a refusal needs to reach the caller.
+    refusal_time: Duration,
     endpoint: Option<UpstreamEndpoint>,
     /// Present once the upstream has announced itself.
     admission: Option<AdmissionQueue>,
@@ -147,6 +152,7 @@
     ids: SeededIds,
     /// When kept outcomes are checked next.
     outcomes_due: Timestamp,
+    log: DestinationLog,
 }
 
 impl DestinationCalls {
@@ -160,6 +166,8 @@
             settings,
             names: CallNames::default(),
             takes_earlier_runs: false,
+            detects_stalls: false,
+            refusal_time: Duration::ZERO,
             endpoint: None,
             admission: None,
             draining: false,
@@ -172,6 +180,7 @@
             busy_claims: BTreeSet::new(),
             next_run: 1,
             outcomes_due: Timestamp::default(),
+            log: DestinationLog::default(),
         }
     }
 
@@ -180,6 +189,16 @@
         self.names = names;
     }
 
+    /// Lets an upstream that answers nothing for long get no work until it does.
+    pub fn detect_stalls(&mut self) {
+        self.detects_stalls = true;
+    }
+
+    /// Lets calls that wait be refused this long before their deadline.
+    pub fn set_refusal_time(&mut self, refusal_time: Duration) {
+        self.refusal_time = refusal_time;
+    }
+
     /// Lets calls without a key run that were meant for an earlier run of this node.
     pub fn take_earlier_runs(&mut self) {
         self.takes_earlier_runs = true;
@@ -224,7 +243,14 @@
         self.endpoint = Some(endpoint);
         let is_new = self.admission.is_none() || self.draining || is_other_run;
         match &mut self.admission {
-            None => self.admission = Some(AdmissionQueue::new(limits, now)),
+            None => {
+                let mut admission = AdmissionQueue::new(limits, now);
+                admission.set_refusal_time(self.refusal_time);
+                if self.detects_stalls {
+                    admission.detect_stalls();
+                }
+                self.admission = Some(admission);
+            }
             // The calls of the queue go on, so it is kept.
             Some(admission) if is_new => admission.reopen(limits, now),
             Some(admission) if changed => admission.set_limits(limits),
@@ -455,7 +481,12 @@
                 .target_us
                 .map(|left| now + Duration::from_micros(left)),
         };
-        let decision = admission.offer_ranked(now, class, rank, deadline);
+        // The call that an upstream waits for holds a slot there.
+        let lane = match request.inner {
+            true => RequestClass::Internal,
+            false => class,
+        };
+        let decision = admission.offer_ranked(now, lane, rank, deadline);
         let ticket = match decision {
             AdmissionDecision::Start(ticket) | AdmissionDecision::Queued { ticket, .. } => ticket,
             AdmissionDecision::Refused(reason) => {
@@ -492,6 +523,7 @@
         reason: CallReason,
         steps: &mut Vec<DestinationStep>,
     ) {
+        self.log_end(now, request, CallOutcome::NotRun, reason, Duration::ZERO);
         let repeatable = WireClass::try_from(request.class)
             .is_ok_and(|class| RequestClass::from(class).is_repeatable());
         let refusal = match repeatable || self.fence(now, &request.id, steps) {
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -243,7 +243,7 @@
         }
         let outcome = CallOutcome::NotRun;
         let response = self.response(now, run.request.id.clone(), outcome, reason);
-        self.finish_response(&run, response, outcome, steps);
+        self.finish_response(now, &run, response, outcome, steps);
     }
 
     /// Answers a call that did not run with something else than a plain refusal.
@@ -262,7 +262,7 @@
         self.fence(now, &run.request.id, steps);
         let mut response = self.response(now, run.request.id.clone(), outcome, reason);
         response.owner = owner;
-        self.finish_response(&run, response, outcome, steps);
+        self.finish_response(now, &run, response, outcome, steps);
     }
 
     /// Ends a call that the upstream had.
@@ -321,7 +321,7 @@
             self.finish_claim(now, id, steps);
         }
         let response = self.answer_response(now, run.request.id.clone(), answer);
-        self.finish_response(run, response, CallOutcome::Answered, steps);
+        self.finish_response(now, run, response, CallOutcome::Answered, steps);
     }
 
     /// No connection to the upstream could be made, or it says that it did not run the request.
@@ -339,7 +339,7 @@
             self.abandon_claim(now, id, steps);
         }
         let response = self.response(now, run.request.id.clone(), CallOutcome::NotRun, reason);
-        self.finish_response(run, response, CallOutcome::NotRun, steps);
+        self.finish_response(now, run, response, CallOutcome::NotRun, steps);
     }
 
     fn end_failed(
@@ -363,7 +363,7 @@
             self.drop_claim(id);
         }
         let response = self.response(now, run.request.id.clone(), CallOutcome::Unknown, reason);
-        self.finish_response(run, response, CallOutcome::Unknown, steps);
+        self.finish_response(now, run, response, CallOutcome::Unknown, steps);
     }
 
     pub(super) fn cancel_run(
@@ -452,11 +452,15 @@
 
     fn finish_response(
         &mut self,
+        now: Timestamp,
         run: &CallRun,
         mut response: kumquatlock_wire::call::CallResponse,
         outcome: CallOutcome,
         steps: &mut Vec<DestinationStep>,
     ) {
+        let reason = CallReason::try_from(response.reason).unwrap_or(CallReason::None);
+        let held = now.since(run.arrived_at);
+        self.log_end(now, &run.request, outcome, reason, held);
         // The upstream may have come back under another incarnation since the call was sent.
         response.incarnation = run.request.incarnation;
         steps.push(DestinationStep::Respond {
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -13,7 +13,7 @@
 use crate::call::answer::{CallerAnswer, RejectReason};
 use crate::core::{RequestClass, Timestamp};
 use crate::retry::{AttemptFailure, HedgeDecision, RetryDecision, reached_upstream};
-use crate::routing::{CallUrgency, ChosenUpstream, NoChoice, UpstreamChoice, UpstreamOutcome};
+use crate::routing::{ChosenUpstream, UpstreamChoice, UpstreamOutcome};
 
 /// Interval at which a waiting call looks again.
 const UPSTREAM_RETRY: Duration = Duration::from_millis(50);
@@ -25,12 +25,6 @@
     pub(super) fn send_attempt(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
         match self.choose(now, id) {
             Some(UpstreamChoice::Chosen(chosen)) => self.send_to(now, id, chosen, steps),
-            Some(UpstreamChoice::None(NoChoice::AllOverloaded)) => {
-                if let Some(call) = self.calls.get_mut(&id) {
-                    call.reason = CallReason::Overloaded;
-                }
-                self.answer_not_run(now, id, steps);
-            }
             Some(UpstreamChoice::None(_)) | None => self.wait_for_upstream(now, id, steps),
         }
         self.reschedule(now, id);
@@ -40,21 +34,6 @@
         let call = self.calls.get_mut(&id)?;
         let snapshot = self.snapshot.as_ref()?;
         let balancer = self.balancers.balancer(snapshot, &call.service, now)?;
-        if let Some(target) = call.route.target {
-            // Calls that every upstream refused are refused; asking again would only repeat it.
-            let urgency = CallUrgency {
-                target_left: (call.opened_at + target).since(now),
-                deadline_left: call.deadline.since(now),
-            };
-            let random = &mut self.random;
-            let choice = balancer.choose_prompt(now, random, &call.tried, urgency);
-            return Some(match choice {
-                UpstreamChoice::None(NoChoice::AllExcluded) => {
-                    UpstreamChoice::None(NoChoice::AllOverloaded)
-                }
-                choice => choice,
-            });
-        }
         let choice = balancer.choose(now, &mut self.random, &call.tried);
         if matches!(choice, UpstreamChoice::None(_)) && !call.tried.is_empty() {
             // Every upstream refused once; the earliest refusals may no longer hold.
@@ -89,6 +68,8 @@
         call.sent_at = now;
         call.phase = CallPhase::Attempting;
         call.tried.push(chosen.token);
+        call.last_upstream = Some(chosen.entry.name.clone());
+        call.load_age = chosen.load_age.unwrap_or_default();
         let mut request = build_request(call, &chosen, now, version);
         request.origin = self.settings.origin.to_string();
         call.outstanding.push(SentAttempt {
@@ -498,6 +479,7 @@
         body: request.body.clone(),
         request_digest: request.digest,
         rank: call.route.rank,
+        inner: request.is_inner,
         target_us: call.route.target.map(|target| {
             let left = (call.opened_at + target).since(now);
             micros(left)
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Calls at the node where they entered.
 
 mod attempt;
+mod log;
 mod resolve;
 mod state;
 
@@ -22,6 +23,7 @@
 use crate::retry::{BudgetScope, BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy};
 use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
+use log::EntryLog;
 use state::{CallPhase, EntryCall};
 
 /// Calls of one entry in progress. Each holds a worker thread, so this is above any sane number
@@ -35,6 +37,8 @@
     pub deferred_limit: usize,
     /// Longest wait for a configuration that names an upstream.
     pub upstream_wait: Duration,
+    /// Longest search for the outcome of a lost attempt, within the caller's time.
+    pub search_limit: Duration,
     /// Whether late lookups get a second attempt.
     pub hedges: bool,
     /// Bounds of further attempts for each service.
@@ -54,6 +58,7 @@
         EntrySettings {
             deferred_limit,
             upstream_wait: UPSTREAM_WAIT,
+            search_limit: crate::call::MAX_TIMEOUT,
             hedges: true,
             budget: BudgetSettings::default(),
             scope: BudgetScope::default(),
@@ -152,6 +157,7 @@
     random: SmallRng,
     ids: SeededIds,
     counters: EntryCounters,
+    log: EntryLog,
 }
 
 impl EntryCalls {
@@ -185,6 +191,7 @@
             ids: SeededIds::new(random.clone().random()),
             random,
             counters: EntryCounters::default(),
+            log: EntryLog::default(),
         }
     }
 
@@ -230,19 +237,24 @@
             Ok(call) => {
                 let service = self.splitter.choose(&call.route, &mut self.random);
                 let budget = budget_of(&mut self.budgets, &self.settings, now, &service);
-                budget.first_attempt(now);
+                if !request.is_inner {
+                    budget.first_attempt(now);
+                }
                 let call = EntryCall::new(request, span, call.route, service, now, call.deadline);
                 self.deferred += usize::from(call.is_deferred());
                 self.timers.insert((call.wake_at, id));
                 self.calls.insert(id, call);
                 self.send_attempt(now, id, &mut steps);
             }
-            Err(answer) => steps.push(EntryStep::Answer {
-                call: id,
-                answer,
-                span,
-                opened_at: now,
-            }),
+            Err(answer) => {
+                self.log_refusal(now, &request, &answer);
+                steps.push(EntryStep::Answer {
+                    call: id,
+                    answer,
+                    span,
+                    opened_at: now,
+                });
+            }
         }
         (id, steps)
     }
@@ -307,6 +319,25 @@
         steps
     }
 
+    /// A node has not answered for a while, although its link is open. Calls that may be repeated go
+    /// elsewhere; the others wait for the end of the link.
+    pub fn on_peer_silent(&mut self, now: Timestamp, peer: &str) -> Vec<EntryStep> {
+        let mut steps = Vec::new();
+        let waiting = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.route.class.is_repeatable() && call.awaits(peer));
+        for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.lose_attempts(now, id, peer, &mut steps);
+        }
+        steps
+    }
+
+    /// Tells which nodes are silent, so that new calls avoid them.
+    pub fn set_silent(&mut self, peers: &[SharedName]) {
+        self.balancers.set_silent(peers);
+    }
+
     /// Takes a holder's answer to a fence.
     pub fn on_claim_reply(
         &mut self,
@@ -334,6 +365,7 @@
     pub fn cancel(&mut self, now: Timestamp, id: CallId) -> Vec<EntryStep> {
         let mut steps = Vec::new();
         if let Some(mut call) = self.remove(id) {
+            self.log_end(now, &call, None);
             self.withdraw_attempts(now, id, &mut call, &mut steps);
         }
         steps
@@ -443,6 +475,7 @@
         let Some(mut call) = self.remove(id) else {
             return;
         };
+        self.log_end(now, &call, Some(&answer));
         self.withdraw_attempts(now, id, &mut call, steps);
         steps.push(EntryStep::Answer {
             call: id,
--- a/crates/kumquatlock/src/call/entry/resolve.rs
+++ b/crates/kumquatlock/src/call/entry/resolve.rs
@@ -76,6 +76,7 @@
             owner,
             destination,
             number: 0,
+            until: now + self.settings.search_limit,
             retry_at: Some(now),
             reason,
         };
@@ -91,6 +92,10 @@
         let CallPhase::Querying(search) = &mut call.phase else {
             return;
         };
+        if now >= search.until {
+            let answer = CallerAnswer::Unknown(search.reason);
+            return self.answer(now, id, answer, steps);
+        }
         if search.retry_at.is_none_or(|at| at > now) {
             return;
         }
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -35,6 +35,10 @@
     pub(super) arrived: u32,
     pub(super) tried: Vec<UpstreamToken>,
     pub(super) phase: CallPhase,
+    /// Upstream of the latest attempt.
+    pub(super) last_upstream: Option<SharedName>,
+    /// Age of the load report by which it was chosen; zero if there was none.
+    pub(super) load_age: Duration,
     /// Whole answer of a failed attempt, passed on if no attempt does better.
     pub(super) failed_answer: Option<CallerAnswer>,
     /// Why the latest attempt did not run.
@@ -74,6 +78,8 @@
     pub(super) destination: SharedName,
     /// Number of the query that is outstanding.
     pub(super) number: u32,
+    /// The search ends then without an answer.
+    pub(super) until: Timestamp,
     /// When to ask again; none while a query is outstanding.
     pub(super) retry_at: Option<Timestamp>,
     /// Answered if the search fails.
@@ -102,6 +108,8 @@
             arrived: 0,
             tried: Vec::new(),
             phase: CallPhase::Attempting,
+            last_upstream: None,
+            load_age: Duration::ZERO,
             failed_answer: None,
             reason: CallReason::None,
             sent_at: now,
@@ -174,7 +182,10 @@
             CallPhase::Attempting => None,
             CallPhase::Backoff(at) => Some(*at),
             CallPhase::WaitingUpstream { until, retry_at } => Some(*retry_at.min(until)),
-            CallPhase::Querying(search) => search.retry_at,
+            CallPhase::Querying(search) => {
+                let retry_at = search.retry_at.unwrap_or(search.until);
+                Some(retry_at.min(search.until))
+            }
             CallPhase::Fencing(_) => return now + FENCE_INTERVAL,
         };
         due.map_or(self.deadline, |at| at.min(self.deadline))
--- a/crates/kumquatlock/src/call/request.rs
+++ b/crates/kumquatlock/src/call/request.rs
@@ -69,6 +69,8 @@
     pub depth: u32,
     /// The caller's own name of its attempt, for logs.
     pub id: Option<String>,
+    /// Whether an upstream made the request while it ran another one.
+    pub is_inner: bool,
     /// Hash of method, target and body.
     pub digest: u64,
 }
@@ -109,6 +111,7 @@
             trace,
             depth,
             id,
+            is_inner: depth > 0,
             digest,
         })
     }
--- a/crates/kumquatlock/src/http/exchange.rs
+++ b/crates/kumquatlock/src/http/exchange.rs
@@ -29,7 +29,7 @@
 /// forget a connection without a word, and what is sent on it then has an unknown outcome.
 const FRESH_IDLE_AGE: Duration = Duration::from_secs(1);
 /// Time for a connect. The upstream is on the same machine.
-const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Idle connections that are kept.
 const MAX_IDLE: usize = 64;
 /// Bytes read from a socket at once.
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -15,21 +15,21 @@
 
 use super::local::{NodeDialect, NodePort};
 use super::metrics::AnswerCounters;
-use super::peers::{DepartedNodes, PeerLinks};
+use super::peers::{DepartedNodes, LostNodes, PeerLinks};
 use super::steps::NodeStep;
 use super::stop::NodeStop;
 use super::{NodeError, NodeSettings, claim_settings};
 use crate::admission::AdmissionLimits;
 use crate::call::{CallId, DestinationCalls, EntryCalls, EntrySettings, RunId, UpstreamEndpoint};
 use crate::claim::ClaimHolder;
-use crate::core::{ConfigSnapshot, GroupId, IncarnationId, Timestamp};
+use crate::core::{ConfigSnapshot, GroupId, IncarnationId, SharedName, Timestamp};
 use crate::distribution::{self, ChildEvent, ChildIdentity, ChildState};
 use crate::http::{
     ExchangeReady, ExchangeTable, HttpLimits, HttpReady, HttpTable, MAX_BODY_BYTES, RequestId,
 };
 use crate::membership::{AnnouncerEvent, NodePlace, UpstreamAnnouncer};
 use crate::routing::EntryLocation;
-use crate::transport::{LinkEvent, LinkId, LinkReady, LinkTable, TrafficCounters};
+use crate::transport::{LinkError, LinkEvent, LinkId, LinkReady, LinkTable, TrafficCounters};
 use kumquatlock_wire::claim::ShardHolder;
 
 /// Interval of the duties that count time in steps.
@@ -86,6 +86,9 @@
     pub(super) links: LinkTable,
     pub(super) peers: PeerLinks,
     pub(super) departed: DepartedNodes,
+    pub(super) lost: LostNodes,
+    /// Nodes that are lost or whose links are silent.
+    silent_peers: Vec<SharedName>,
     /// Configuration that all duties have.
     pub(super) applied: Option<Arc<ConfigSnapshot>>,
     pub(super) child: ChildState,
@@ -160,12 +163,17 @@
         entry.budget = tuning.budget;
         entry.scope = tuning.scope;
         entry.origin = tuning.origin.clone();
+        entry.search_limit = tuning.search_limit.unwrap_or(entry.search_limit);
         entry.upstream_wait = tuning.upstream_wait.unwrap_or(entry.upstream_wait);
         let mut child = ChildState::new(identity, GroupId::default(), settings.parents.clone());
         child.set_timing(tuning.stream);
         let mut destination =
             DestinationCalls::new(settings.name.clone(), parts.incarnation, claims);
         destination.set_names(parts.dialect.names);
+        destination.set_refusal_time(tuning.refusal_time);
+        if tuning.detects_stalls {
+            destination.detect_stalls();
+        }
         if tuning.without_claims {
             destination.take_earlier_runs();
         }
@@ -204,6 +212,8 @@
             links,
             peers: PeerLinks::default(),
             departed: DepartedNodes::default(),
+            lost: LostNodes::default(),
+            silent_peers: Vec::new(),
             applied: None,
         })
     }
@@ -314,8 +324,30 @@
         if !self.settings.tuning.links.watches_only_awaited {
             return;
         }
+        for name in self.lost.take_due(now) {
+            let held = self.child.held().and_then(|held| held.upstreams.get(&name));
+            match held.map(|upstream| self.peer_of(upstream)) {
+                Some(peer) => self.peers.try_open(now, &mut self.links, &peer),
+                None => self.lost.remove(&name),
+            }
+        }
+        let mut silent: Vec<SharedName> = self.lost.names().cloned().collect();
         for (link, peer) in self.peers.iter() {
             self.links.watch(now, link, self.entry.awaits(peer));
+            if self.links.is_suspect(now, link) && !silent.contains(peer) {
+                silent.push(peer.clone());
+            }
+        }
+        if silent != self.silent_peers {
+            self.entry.set_silent(&silent);
+            for peer in &silent {
+                if !self.silent_peers.contains(peer) {
+                    log::info!(peer = &**peer; "peer_silent");
+                    let steps = self.entry.on_peer_silent(now, peer);
+                    self.steps.extend(steps.into_iter().map(NodeStep::Entry));
+                }
+            }
+            self.silent_peers = silent;
         }
     }
 
@@ -390,6 +422,9 @@
         match event {
             LinkEvent::Accepted(..) => {}
             LinkEvent::Connected(link) => {
+                if let Some(peer) = self.peers.name(link) {
+                    self.lost.remove(&peer);
+                }
                 if let Some(link) = self.child_link(link) {
                     let event = ChildEvent::Connected { link };
                     let steps = self.child.handle(now, event, &mut self.random);
@@ -410,12 +445,13 @@
                 unsent,
             } => {
                 log::debug!(link = link.0, error:% = error; "link_closed");
-                self.handle_closed(now, link, &unsent);
+                let is_lost = !matches!(error, LinkError::ClosedLocally);
+                self.handle_closed(now, link, &unsent, is_lost);
             }
         }
     }
 
-    fn handle_closed(&mut self, now: Timestamp, link: LinkId, unsent: &[u64]) {
+    fn handle_closed(&mut self, now: Timestamp, link: LinkId, unsent: &[u64], is_lost: bool) {
         for ticket in unsent {
             let steps = self.entry.on_unsent(now, *ticket);
             self.extend_entry(steps);
@@ -427,6 +463,9 @@
             self.extend_child(steps);
             self.parent_link_gone(now, link);
         } else if let Some(peer) = self.peers.remove(link) {
+            if is_lost && self.settings.tuning.links.suspect_after.is_some() {
+                self.lost.insert(now, peer.clone());
+            }
             let steps = self.entry.on_link_lost(now, &peer);
             self.extend_entry(steps);
         }
--- a/crates/kumquatlock/src/ops/node/peers.rs
+++ b/crates/kumquatlock/src/ops/node/peers.rs
@@ -46,6 +46,44 @@
     }
 }
 
+/// Interval at which a node that did not answer is tried again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Nodes whose links ended by silence or could not be opened. Until a link opens again, no call is
+/// sent there: one that must not run twice would have an unknown outcome.
+#[derive(Debug, Default)]
+pub(super) struct LostNodes {
+    /// With the time of the next try. At most one for each upstream of the configuration.
+    nodes: IndexMap<SharedName, Timestamp>,
+}
+
+impl LostNodes {
+    pub(super) fn insert(&mut self, now: Timestamp, name: SharedName) {
+        self.nodes.insert(name, now + RETRY_INTERVAL);
+    }
+
+    /// The node answers again, or is not known any more.
+    pub(super) fn remove(&mut self, name: &str) {
+        self.nodes.swap_remove(name);
+    }
+
+    pub(super) fn names(&self) -> impl Iterator<Item = &SharedName> {
+        self.nodes.keys()
+    }
+
+    /// Nodes to try now; each is due again after the interval.
+    pub(super) fn take_due(&mut self, now: Timestamp) -> Vec<SharedName> {
+        let mut due = Vec::new();
+        for (name, retry_at) in &mut self.nodes {
+            if *retry_at <= now {
+                *retry_at = now + RETRY_INTERVAL;
+                due.push(name.clone());
+            }
+        }
+        due
+    }
+}
+
 #[derive(Debug)]
 struct PeerLink {
     address: SocketAddr,
@@ -85,6 +123,14 @@
         table.send(link, body, ticket);
     }
 
+    /// Opens a link to a node unless there is one.
+    pub(super) fn try_open(&mut self, now: Timestamp, table: &mut LinkTable, to: &PeerNode) {
+        let held = self.by_address.get(&to.address);
+        if !held.is_some_and(|link| table.is_open(*link)) {
+            self.open(now, table, to);
+        }
+    }
+
     fn open(&mut self, now: Timestamp, table: &mut LinkTable, to: &PeerNode) -> LinkId {
         let link = table.connect(now, to.address);
         let scope = match to.cross_region {
--- a/crates/kumquatlock/src/ops/node/settings.rs
+++ b/crates/kumquatlock/src/ops/node/settings.rs
@@ -48,10 +48,17 @@
     pub origin: SharedName,
     /// Longest wait of a call for a configuration that names an upstream; none for the default.
     pub upstream_wait: Option<Duration>,
+    /// Longest search for the outcome of a lost attempt; none for the time of the caller.
+    pub search_limit: Option<Duration>,
     /// Whether late lookups get no second attempt.
     pub without_hedges: bool,
     /// Whether requests carry no keys, so that no claims are kept.
     pub without_claims: bool,
+    /// Whether an upstream that answers nothing for long gets no work until it does.
+    pub detects_stalls: bool,
+    /// Time before its deadline at which a call that waits is refused, so that the refusal reaches
+    /// the caller.
+    pub refusal_time: Duration,
     /// Bounds of further attempts.
     pub budget: BudgetSettings,
     /// Which attempts draw on the budget.
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -331,7 +331,7 @@
         self.peers.send(now, &mut self.links, &peer, body, None);
     }
 
-    fn peer_of(&self, upstream: &UpstreamEntry) -> PeerNode {
+    pub(super) fn peer_of(&self, upstream: &UpstreamEntry) -> PeerNode {
         PeerNode {
             name: upstream.name.clone(),
             address: upstream.address,
--- a/crates/kumquatlock/src/retry/budget.rs
+++ b/crates/kumquatlock/src/retry/budget.rs
@@ -28,7 +28,7 @@
 
 /// Part of the shared slack that the nodes use. The rest covers nodes that this one does not know
 /// of yet, and the calls that repeated runs make.
-const SLACK_SHARE: f64 = 0.5;
+const SLACK_SHARE: f64 = 0.7;
 
 impl Default for BudgetSettings {
     fn default() -> Self {
@@ -98,10 +98,15 @@
 
     /// Takes one token if more than `reserve` would stay.
     pub fn take(&mut self, now: Timestamp, reserve: f64) -> bool {
+        self.take_part(now, 1.0, reserve)
+    }
+
+    /// Takes a part of a token, for an attempt of which it is likely that it adds no load.
+    pub fn take_part(&mut self, now: Timestamp, part: f64, reserve: f64) -> bool {
         self.advance(now);
-        let enough = self.tokens >= 1.0 + reserve;
+        let enough = self.tokens >= part + reserve;
         if enough {
-            self.tokens -= 1.0;
+            self.tokens -= part;
         }
         enough
     }
--- a/crates/kumquatlock/src/retry/policy.rs
+++ b/crates/kumquatlock/src/retry/policy.rs
@@ -126,11 +126,13 @@
         if now + after + expected >= progress.deadline {
             return RetryDecision::GiveUp(GiveUpReason::DeadlineSpent);
         }
-        let costs_token = match self.scope {
-            BudgetScope::Attempts => !left_service(failure),
-            BudgetScope::Arrivals => progress.arrived > 0,
+        let cost = match self.scope {
+            BudgetScope::Attempts if left_service(failure) => 0.0,
+            BudgetScope::Attempts => 1.0,
+            BudgetScope::Arrivals if progress.arrived == 0 => 0.0,
+            BudgetScope::Arrivals => arrival_cost(failure),
         };
-        if costs_token && !budget.take(now, 0.0) {
+        if cost > 0.0 && !budget.take_part(now, cost, 0.0) {
             return if progress.class == RequestClass::Deferred {
                 RetryDecision::AskAgain { after }
             } else {
@@ -197,6 +199,15 @@
     )
 }
 
+/// Tokens for a further attempt of a call of which an earlier one may have reached an upstream. A node
+/// that has gone silent has most likely not passed the call on.
+fn arrival_cost(failure: AttemptFailure) -> f64 {
+    match failure {
+        AttemptFailure::Unknown(CallReason::LinkLost) => 0.25,
+        _ => 1.0,
+    }
+}
+
 fn backoff(rng: &mut SmallRng, progress: &CallProgress, failure: AttemptFailure) -> Duration {
     if left_service(failure) {
         return Duration::ZERO;
--- a/crates/kumquatlock/src/routing/balancer.rs
+++ b/crates/kumquatlock/src/routing/balancer.rs
@@ -10,7 +10,7 @@
 use super::live::{HealthHint, LiveUpstream, UpstreamOutcome, UpstreamToken};
 use super::silence::SilenceTracker;
 use super::subset::{EntryLocation, RingDistance, SUBSET_SIZE, pick_subset};
-use crate::core::{ServiceEntry, Timestamp, UpstreamEntry};
+use crate::core::{ServiceEntry, SharedName, Timestamp, UpstreamEntry};
 
 /// Fullness (work per slot) from which on a ring spills into the next one.
 ///
@@ -18,6 +18,11 @@
 /// regions only when the queue (2 × slots) is half full, since that traffic is paid.
 const SPILL_FULLNESS: [f32; 3] = [1.0, 2.0, 1.0];
 
+/// Fullness up to which an entry uses the upstream beside it before all others.
+const OWN_FULLNESS: f32 = 0.8;
+/// Share of failures up to which it does.
+const OWN_FAILING_SHARE: f32 = 0.1;
+
 /// Costs above this share of each other count as equal. Otherwise an estimate that fades towards
 /// the mean would never meet it, and an idle entry would never try a recovered upstream again.
 const EQUAL_COST: f32 = 0.9;
@@ -48,8 +53,6 @@
     AllDraining,
     /// Every upstream that could take the attempt is excluded by the caller.
     AllExcluded,
-    /// No upstream is expected to answer in time.
-    AllOverloaded,
 }
 
 /// How the choice came about.
@@ -75,6 +78,8 @@
     pub ring: RingDistance,
     /// How the choice came about.
     pub mode: ChoiceMode,
+    /// Age of the upstream's load report; none if it has given none.
+    pub load_age: Option<std::time::Duration>,
 }
 
 /// An attempt in flight. Each ticket goes to [`UpstreamBalancer::finished`] exactly once.
@@ -200,6 +205,9 @@
         rng: &mut SmallRng,
         excluded: &[UpstreamToken],
     ) -> UpstreamChoice {
+        if let Some(own) = self.own_upstream(now, excluded) {
+            return chosen_upstream(own, now, ChoiceMode::Normal);
+        }
         let mut usable = CandidateSet::default();
         let mut ring_start = 0;
         let mut failing_rings = 0;
@@ -248,6 +256,21 @@
         self.choose_nearest(now, rng, excluded, ChoiceMode::Saturated)
     }
 
+    /// The upstream beside the entry, while it has free slots. A call to it crosses no link.
+    fn own_upstream(&self, now: Timestamp, excluded: &[UpstreamToken]) -> Option<&LiveUpstream> {
+        let own = self
+            .upstreams
+            .iter()
+            .find(|live| live.entry.name == self.location.name)?;
+        let is_usable = !own.retired
+            && !excluded.contains(&own.token)
+            && !own.is_ejected(now, self.silence_mean(own.ring))
+            && own.weight(now) >= 1.0
+            && own.failing_share(now) < OWN_FAILING_SHARE
+            && own.fullness(now) < OWN_FULLNESS;
+        is_usable.then_some(own)
+    }
+
     /// Draws from the entry's region if it has any candidate, otherwise from the other regions.
     /// Ignores saturation, and in panic mode ejection as well.
     fn choose_nearest(
@@ -297,30 +320,20 @@
         {
             chosen = other;
         }
-        UpstreamChoice::Chosen(ChosenUpstream {
-            token: chosen.token,
-            entry: chosen.entry.clone(),
-            ring: chosen.ring,
-            mode,
-        })
+        chosen_upstream(chosen, now, mode)
     }
 
     fn cost(&self, live: &LiveUpstream, now: Timestamp) -> f32 {
         live.cost(now, self.ring_mean(live.ring))
     }
 
-    pub(super) fn upstreams(&self) -> &[LiveUpstream] {
-        &self.upstreams
-    }
-
-    /// Whether the upstream takes no attempts for now, or its whole ring is silent.
-    pub(super) fn is_avoided(&self, now: Timestamp, live: &LiveUpstream) -> bool {
-        let mean_us = self.silence_mean(live.ring);
-        live.is_ejected(now, mean_us)
-            || self.ring_silence[live.ring as usize].is_silent(now, mean_us)
+    pub(super) fn set_silent(&mut self, names: &[SharedName]) {
+        for live in &mut self.upstreams {
+            live.is_node_silent = names.contains(&live.entry.name);
+        }
     }
 
-    pub(super) fn ring_mean(&self, ring: RingDistance) -> f32 {
+    fn ring_mean(&self, ring: RingDistance) -> f32 {
         self.ring_latency_us[ring as usize].unwrap_or(UNKNOWN_LATENCY_US)
     }
 
@@ -402,6 +415,16 @@
     }
 }
 
+fn chosen_upstream(live: &LiveUpstream, now: Timestamp, mode: ChoiceMode) -> UpstreamChoice {
+    UpstreamChoice::Chosen(ChosenUpstream {
+        token: live.token,
+        entry: live.entry.clone(),
+        ring: live.ring,
+        mode,
+        load_age: live.load_age(now),
+    })
+}
+
 /// Whether `service` had the upstream's incarnation. Members are sorted by name.
 fn holds_incarnation(service: &ServiceEntry, upstream: &UpstreamEntry) -> bool {
     service
--- a/crates/kumquatlock/src/routing/balancer_set.rs
+++ b/crates/kumquatlock/src/routing/balancer_set.rs
@@ -59,6 +59,13 @@
         self.balancers.get_mut(service)
     }
 
+    /// Tells which upstreams' nodes are silent.
+    pub fn set_silent(&mut self, names: &[SharedName]) {
+        for balancer in self.balancers.values_mut() {
+            balancer.set_silent(names);
+        }
+    }
+
     /// Attempts over all services.
     pub fn counters(&self) -> RingCounters {
         let mut sum = self.removed;
--- a/crates/kumquatlock/src/routing/live.rs
+++ b/crates/kumquatlock/src/routing/live.rs
@@ -86,6 +86,8 @@
     pub(super) in_flight: u32,
     /// Takes no new work for the rest of its incarnation.
     pub(super) retired: bool,
+    /// The node beside the upstream has left a ping unanswered.
+    pub(super) is_node_silent: bool,
     /// When the incarnation joined the service, if this entry saw it join.
     cold_since: Option<Timestamp>,
     /// None until the first sample.
@@ -95,8 +97,6 @@
     failure_at: Timestamp,
     report: LoadReport,
     report_until: Timestamp,
-    /// `in_flight` when the report arrived.
-    report_in_flight: u32,
     silence: SilenceTracker,
     failures: u32,
     refusals: u32,
@@ -120,6 +120,7 @@
             ring,
             in_flight: 0,
             retired: false,
+            is_node_silent: false,
             cold_since,
             latency_us: None,
             latency_at: Timestamp::default(),
@@ -127,7 +128,6 @@
             failure_at: Timestamp::default(),
             report: LoadReport::default(),
             report_until: Timestamp::default(),
-            report_in_flight: 0,
             silence: SilenceTracker::default(),
             failures: 0,
             refusals: 0,
@@ -149,7 +149,7 @@
 
     /// Whether the upstream takes no attempts for now, after failures or while it is silent.
     pub(super) fn is_ejected(&self, now: Timestamp, mean_us: f32) -> bool {
-        now < self.ejected_until || self.silence.is_silent(now, mean_us)
+        self.is_node_silent || now < self.ejected_until || self.silence.is_silent(now, mean_us)
     }
 
     /// Records the start of an attempt.
@@ -202,18 +202,13 @@
         (self.in_flight + queued + 1) as f32 * latency * (1.0 + FAILURE_PENALTY * failures)
     }
 
-    /// Whether the upstream's node has told its load lately.
-    pub(super) fn has_report(&self, now: Timestamp) -> bool {
-        now < self.report_until
-    }
-
-    /// Expected time of a call that has a slot. `mean_us` is the mean latency of the ring.
-    pub(super) fn expected_service_us(&self, mean_us: f32) -> f32 {
-        match (self.report.service_us, self.latency_us) {
-            (0, None) => mean_us,
-            (0, Some(latency)) => latency,
-            (service, _) => service as f32,
-        }
+    /// Age of the last load report.
+    pub(super) fn load_age(&self, now: Timestamp) -> Option<Duration> {
+        let reported = self
+            .report_until
+            .0
+            .checked_sub(REPORT_VALID.as_micros() as u64)?;
+        (self.report_until > Timestamp::default()).then(|| now.since(Timestamp(reported)))
     }
 
     /// Share of the calls that failed lately, between 0 and 1.
@@ -221,27 +216,10 @@
         self.failure_share * half_life(now, self.failure_at, FAILURE_HALF_LIFE_US)
     }
 
-    /// Expected wait for a slot. Attempts that started since the last report come on top of it; with
-    /// no valid report only the entry's own attempts are known.
-    pub(super) fn predicted_wait_us(&self, now: Timestamp, service_us: f32) -> f32 {
-        let slots = self.entry.slots.max(1);
-        if !self.has_report(now) {
-            let ahead = (self.in_flight + 1).saturating_sub(slots);
-            return ahead as f32 * service_us / slots as f32;
-        }
-        let slots = self.report.slots.max(1);
-        let busy = self.report.running + self.report.queued;
-        let free = slots.saturating_sub(busy);
-        let since = (self.in_flight + 1).saturating_sub(self.report_in_flight);
-        let ahead = since.saturating_sub(free);
-        self.report.wait_us as f32 + ahead as f32 * service_us / slots as f32
-    }
-
     /// Records a load report. `draining` holds for the rest of the incarnation.
     pub(super) fn observe_report(&mut self, now: Timestamp, report: LoadReport) {
         self.report = report;
         self.report_until = now + REPORT_VALID;
-        self.report_in_flight = self.in_flight;
         self.retired |= report.draining;
     }
 
--- a/crates/kumquatlock/src/routing/mod.rs
+++ b/crates/kumquatlock/src/routing/mod.rs
@@ -11,7 +11,6 @@
 mod balancer;
 mod balancer_set;
 mod live;
-mod promptness;
 mod silence;
 mod split;
 mod subset;
@@ -23,7 +22,6 @@
 };
 pub use balancer_set::BalancerSet;
 pub use live::{HealthHint, UpstreamOutcome, UpstreamToken};
-pub use promptness::CallUrgency;
 pub use split::SplitChooser;
 pub use subset::{EntryLocation, RingDistance, SUBSET_SIZE};
 pub use table::RouteTable;
--- a/crates/kumquatlock/src/transport/link.rs
+++ b/crates/kumquatlock/src/transport/link.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Read};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::BytesMut;
 use kumquatlock_wire::distribution::{Ping, Pong};
@@ -12,7 +13,7 @@
 
 use super::counters::{LinkScope, TrafficCounters, TrafficDirection};
 use super::outbox::LinkOutbox;
-use super::table::{CONNECT_LIMIT, LinkError, LinkTiming, MAX_QUEUED_BYTES};
+use super::table::{LinkError, LinkTiming, MAX_QUEUED_BYTES};
 use crate::core::Timestamp;
 
 /// Bytes read from a socket at once.
@@ -199,7 +200,7 @@
     /// Decides whether the link needs a ping or has gone silent.
     pub(super) fn probe_step(&self, now: Timestamp, timing: &LinkTiming) -> ProbeStep {
         if self.phase == LinkPhase::Connecting {
-            return if now.since(self.heard_at) >= CONNECT_LIMIT {
+            return if now.since(self.heard_at) >= timing.connect_limit {
                 ProbeStep::Close
             } else {
                 ProbeStep::Wait
@@ -216,6 +217,15 @@
         }
     }
 
+    /// Time for which a ping or the connect has had no answer.
+    pub(super) fn unanswered_for(&self, now: Timestamp) -> Duration {
+        match (self.phase, self.probed_at) {
+            (LinkPhase::Connecting, _) => now.since(self.heard_at),
+            (LinkPhase::Open, Some(probed_at)) => now.since(probed_at),
+            (LinkPhase::Open, None) => Duration::ZERO,
+        }
+    }
+
     pub(super) fn probe(
         &mut self,
         now: Timestamp,
--- a/crates/kumquatlock/src/transport/table.rs
+++ b/crates/kumquatlock/src/transport/table.rs
@@ -41,6 +41,11 @@
     pub probe_after: Duration,
     /// Silence after which a watched link is given up.
     pub silence_limit: Duration,
+    /// Age of an unanswered ping or connect from which on a link counts as silent, though it is
+    /// still open; none if it never does.
+    pub suspect_after: Option<Duration>,
+    /// Time for a connect.
+    pub connect_limit: Duration,
     /// Whether a node watches only the links on which it waits for answers.
     pub watches_only_awaited: bool,
 }
@@ -50,6 +55,8 @@
         LinkTiming {
             probe_after: PROBE_AFTER,
             silence_limit: SILENCE_LIMIT,
+            suspect_after: None,
+            connect_limit: CONNECT_LIMIT,
             watches_only_awaited: false,
         }
     }
@@ -246,6 +253,15 @@
             .all(|link| link.outbox.buffer.is_empty())
     }
 
+    /// Whether an answer to a ping, or to the connect, is overdue.
+    pub fn is_suspect(&self, now: Timestamp, link: LinkId) -> bool {
+        let Some(limit) = self.timing.suspect_after else {
+            return false;
+        };
+        let link = self.links.get(&link);
+        link.is_some_and(|link| link.unanswered_for(now) >= limit)
+    }
+
     /// Bytes of one link that wait to be written; none if it is gone.
     pub fn queued_bytes(&self, link: LinkId) -> Option<usize> {
         self.links.get(&link).map(|link| link.outbox.buffer.len())
--- a/crates/kumquatlock/src/util/mod.rs
+++ b/crates/kumquatlock/src/util/mod.rs
@@ -4,6 +4,7 @@
 //! checked values, a [`cancel::CancelToken`] and the identifiers down to the parts it starts.
 
 pub mod cancel;
+pub mod log_quota;
 pub mod logging;
 pub mod metrics;
 pub mod settings;
