Test the adapter, open groups, differences of manifests, splits, shared budgets and quotas

Each test names the fault that it guards against; the random schedules now also run while voters of an open group are replaced.

--- a/crates/kumquatlock/src/agreement/tests.rs
+++ b/crates/kumquatlock/src/agreement/tests.rs
@@ -12,6 +12,7 @@
 use crate::journal::RecoveredState;
 
 mod group;
+mod open;
 mod schedule;
 
 use group::TestGroup;
--- a/crates/kumquatlock/src/agreement/tests/group.rs
+++ b/crates/kumquatlock/src/agreement/tests/group.rs
@@ -13,6 +13,9 @@
 use crate::core::{SharedName, Timestamp};
 use crate::journal::{JournalWrite, RecoveredState};
 
+/// Silence after which a member takes the place of a voter of an open group.
+pub(super) const REPLACE_AFTER: Duration = Duration::from_secs(3);
+
 /// The part of the journal that survives a crash.
 pub(super) fn write_to_disk(disk: &mut RecoveredState, write: JournalWrite) {
     match write {
@@ -65,9 +68,24 @@
 
 impl TestGroup {
     pub(super) fn new(names: &[&str], seed: u64) -> Self {
+        TestGroup::with_membership(names, GroupMembership::Fixed, seed)
+    }
+
+    /// A group that these founders form and that others may join.
+    pub(super) fn open(founders: &[&str], seed: u64) -> Self {
+        let membership = GroupMembership::Open {
+            founds: true,
+            size: 5,
+            replace_after: REPLACE_AFTER,
+        };
+        TestGroup::with_membership(founders, membership, seed)
+    }
+
+    fn with_membership(names: &[&str], membership: GroupMembership, seed: u64) -> Self {
         let names: Vec<SharedName> = names.iter().map(|name| (*name).into()).collect();
         let mut settings = AgreementSettings::new(names[0].clone(), names.clone());
         settings.compaction_entries = 4;
+        settings.membership = membership;
         let mut group = TestGroup {
             settings,
             now: Timestamp::default(),
@@ -88,6 +106,26 @@
         group
     }
 
+    /// Starts a member that does not found a group: its folder is empty and the group exists.
+    pub(super) fn start_joining(&mut self, name: &str) {
+        let GroupMembership::Open { founds, .. } = &mut self.settings.membership else {
+            panic!("the group is fixed");
+        };
+        *founds = false;
+        self.start(name, RecoveredState::default());
+    }
+
+    /// Names of the committed voters as the leader knows them.
+    pub(super) fn voter_names(&self) -> IndexSet<String> {
+        let leader = self.leader().expect("a leader");
+        let voters = self.voters[&leader].agreement.voters.committed();
+        voters
+            .voters
+            .iter()
+            .map(|voter| voter.name.clone())
+            .collect()
+    }
+
     /// Starts a voter; a state without disk identity is an empty folder.
     pub(super) fn start(&mut self, name: &str, mut disk: RecoveredState) {
         self.seed += 1;
--- a/crates/kumquatlock/src/agreement/tests/schedule.rs
+++ b/crates/kumquatlock/src/agreement/tests/schedule.rs
@@ -88,10 +88,9 @@
     RandomState::new().hash_one(0)
 }
 
-/// Guards against committed entries that differ or vanish under lost, doubled and reordered
-/// messages, crashes and a lost disk. `KUMQUATLOCK_TEST_SEED` repeats a run.
-#[test]
-fn committed_entries_never_differ_or_vanish() {
+/// Runs schedules against groups that `start` makes from a seed, then lets each recover.
+/// `KUMQUATLOCK_TEST_SEED` repeats a run.
+fn run_schedules(cases: u32, start: impl Fn(u64) -> TestGroup) {
     let given = std::env::var("KUMQUATLOCK_TEST_SEED").ok();
     let seed: u64 = given.map_or_else(fresh_seed, |seed| seed.parse().unwrap());
     println!("KUMQUATLOCK_TEST_SEED={seed}");
@@ -99,24 +98,22 @@
     bytes[..8].copy_from_slice(&seed.to_le_bytes());
     let generator = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
     let config = ProptestConfig {
-        cases: 200,
+        cases,
         failure_persistence: None,
         ..ProptestConfig::default()
     };
     let mut runner = TestRunner::new_with_rng(config, generator);
     let schedule = prop::collection::vec(schedule_step(), 200..1_500);
-    let size = prop_oneof![Just(3_usize), Just(5)];
-    let outcome = runner.run(&(schedule, size, any::<u32>()), |(steps, size, seed)| {
-        let names = &["a", "b", "c", "d", "e"][..size];
-        let mut group = TestGroup::new(names, u64::from(seed));
-        group.elect();
+    let outcome = runner.run(&(schedule, any::<u32>()), |(steps, seed)| {
+        let mut group = start(u64::from(seed));
         let mut is_disk_lost = false;
         for (number, step) in (1_000..).zip(steps) {
             group.run_step(step, number, &mut is_disk_lost);
         }
         group.cut.clear();
-        for name in names {
-            if !group.voters[*name].is_running {
+        let names: Vec<SharedName> = group.voters.keys().cloned().collect();
+        for name in &names {
+            if !group.voters[name].is_running {
                 group.restart(name);
             }
         }
@@ -130,3 +127,31 @@
     });
     outcome.unwrap();
 }
+
+/// Guards against committed entries that differ or vanish under lost, doubled and reordered
+/// messages, crashes and a lost disk.
+#[test]
+fn committed_entries_never_differ_or_vanish() {
+    for names in [&["a", "b", "c"][..], &["a", "b", "c", "d", "e"]] {
+        run_schedules(100, |seed| {
+            let mut group = TestGroup::new(names, seed);
+            group.elect();
+            group
+        });
+    }
+}
+
+/// Guards against the same in a group whose voters are replaced while all this happens.
+#[test]
+fn replaced_voters_lose_no_committed_entry() {
+    run_schedules(60, |seed| {
+        let mut group = TestGroup::open(&["a", "b", "c"], seed);
+        group.elect();
+        for joiner in ["d", "e", "f"] {
+            group.start_joining(joiner);
+            group.run(2_000);
+        }
+        group.elect();
+        group
+    });
+}
--- a/crates/kumquatlock/src/catalog/tests.rs
+++ b/crates/kumquatlock/src/catalog/tests.rs
@@ -8,6 +8,7 @@
 
 use super::*;
 use crate::core::{ConfigSnapshot, IncarnationId};
+use crate::manifest::ManifestDocument;
 
 fn manifest(version: u64, services: &[&str]) -> CatalogCommand {
     let list: Vec<String> = services
@@ -293,3 +294,76 @@
     // 100 times the catalog; linear cost would show as about 100.
     assert!(large < small * 20, "{small} ns -> {large} ns");
 }
+
+fn change_command(catalog: &Catalog, command: &CatalogCommand) -> CatalogCommand {
+    let Some(Kind::Manifest(text)) = &command.kind else {
+        panic!("not a manifest");
+    };
+    let document = ManifestDocument::parse(text).unwrap();
+    let kind = Some(Kind::Change(catalog.change_to(document)));
+    CatalogCommand { kind }
+}
+
+/// Guards against differences that leave a catalog elsewhere than the whole manifest would, so that
+/// two instances hold different configurations under one version.
+#[test]
+fn a_difference_leads_where_the_whole_manifest_does() {
+    let steps: [&[&str]; 5] = [&["a", "b"], &["b", "c", "d"], &["d"], &["a"], &["a", "e"]];
+    let (mut whole, mut different) = (Catalog::new(), Catalog::new());
+    for upstream in ["a-1", "c-1"] {
+        apply_all(&mut whole, &[serving(upstream)]);
+        apply_all(&mut different, &[serving(upstream)]);
+    }
+    for (version, services) in (1..).zip(steps) {
+        let command = manifest(version, services);
+        let change = change_command(&different, &command);
+        apply_all(&mut whole, &[command]);
+        apply_all(&mut different, &[change]);
+        let state = |catalog: &Catalog| catalog.encode_snapshot(SnapshotDetail::Full);
+        assert_eq!(state(&whole), state(&different), "at version {version}");
+    }
+}
+
+/// Guards against a difference that is applied to another manifest than it was taken from.
+#[test]
+fn an_overtaken_difference_changes_nothing() {
+    let mut catalog = Catalog::new();
+    apply_all(&mut catalog, &[manifest(1, &["a"])]);
+    let late = change_command(&catalog, &manifest(3, &["a", "late"]));
+    apply_all(&mut catalog, &[manifest(2, &["a", "b"])]);
+    let before = catalog.encode_snapshot(SnapshotDetail::Routing);
+    let outcome = catalog.apply(catalog.applied_index() + 1, &late);
+    assert_eq!(outcome, ApplyOutcome::Manifest(ManifestDecision::Overtaken));
+    assert_eq!(before, catalog.encode_snapshot(SnapshotDetail::Routing));
+    // The same content taken anew is accepted, and its repetition answered alike.
+    let anew = change_command(&catalog, &manifest(3, &["a", "late"]));
+    let first = catalog.apply(catalog.applied_index() + 1, &anew);
+    assert!(matches!(
+        first,
+        ApplyOutcome::Manifest(ManifestDecision::Accepted { .. })
+    ));
+    assert_eq!(catalog.apply(catalog.applied_index() + 1, &late), first);
+}
+
+/// Guards against an operator that overwrites a manifest that it has not seen.
+#[test]
+fn a_manifest_that_follows_another_one_is_refused() {
+    let mut catalog = Catalog::new();
+    apply_all(&mut catalog, &[manifest(1, &["a"]), manifest(2, &["b"])]);
+    let decision = |base: u64| {
+        let Some(Kind::Manifest(text)) = manifest(3, &["c"]).kind else {
+            panic!("not a manifest");
+        };
+        let mut text: serde_json::Value = serde_json::from_slice(&text).unwrap();
+        text["base_version"] = base.into();
+        let text = text.to_string();
+        let document = ManifestDocument::parse(text.as_bytes()).unwrap();
+        catalog.preview_manifest(&document)
+    };
+    assert_eq!(decision(2), None);
+    let refused = ManifestDecision::OtherBase {
+        manifest_version: 3,
+        accepted_version: 2,
+    };
+    assert_eq!(decision(1), Some(refused));
+}
--- a/crates/kumquatlock/src/distribution/tests/parents.rs
+++ b/crates/kumquatlock/src/distribution/tests/parents.rs
@@ -172,3 +172,22 @@
         assert_eq!(parent.progress(&catalog).current_nodes, 1);
     }
 }
+
+/// Guards against children that stay with a parent on the smaller side of a split: it still answers
+/// them, but what it has is no longer the accepted configuration.
+#[test]
+fn children_leave_a_parent_that_does_not_hear_the_leader() {
+    let mut bench = Bench::new(21, vec![catalog_of(3), catalog_of(3)], 5);
+    bench.run(500);
+    assert_eq!(bench.sources[0].parent.child_count(), 5);
+    bench.parent(0, ParentEvent::LeaderSilent(true));
+    bench.run(1_500);
+    assert_eq!(bench.sources[0].parent.child_count(), 0);
+    assert_eq!(bench.sources[1].parent.child_count(), 5);
+    bench.parent(1, ParentEvent::LeaderSilent(true));
+    bench.run(3_000);
+    assert_eq!(bench.sources[1].parent.child_count(), 0);
+    bench.parent(0, ParentEvent::LeaderSilent(false));
+    bench.run(6_000);
+    assert_eq!(bench.sources[0].parent.child_count(), 5);
+}
--- a/crates/kumquatlock/src/membership/tests.rs
+++ b/crates/kumquatlock/src/membership/tests.rs
@@ -383,3 +383,55 @@
     }
     assert!(again.announcer.is_confirmed(), "{:?}", again.last());
 }
+
+fn run_announcement(instance: &str, born_ms: u64, sequence: u64) -> UpstreamAnnouncement {
+    UpstreamAnnouncement {
+        name: "a-1".into(),
+        service: "a".into(),
+        address: ([127, 0, 0, 1], 8).into(),
+        slots: 4,
+        connections: 4,
+        instance: instance.into(),
+        born_ms,
+        sequence,
+        warmup: None,
+    }
+}
+
+/// Guards against a delayed announcement that undoes a later one, or brings back a run that has
+/// ended.
+#[test]
+fn a_delayed_announcement_changes_nothing() {
+    let mut node = Node::new(100);
+    let mut announce = |instance: &str, born_ms, sequence| {
+        let announcement = run_announcement(instance, born_ms, sequence);
+        let answer = node.handle(AnnouncerEvent::Announce(announcement));
+        (
+            answer.unwrap(),
+            node.announcer.announcement().unwrap().instance.clone(),
+        )
+    };
+    assert!(matches!(
+        announce("run-1", 10, 5).0,
+        AnnounceAnswer::Serving { .. }
+    ));
+    assert_eq!(announce("run-1", 10, 4).0, AnnounceAnswer::Late);
+    assert!(matches!(
+        announce("run-2", 20, 1).0,
+        AnnounceAnswer::Serving { .. }
+    ));
+    let (answer, instance) = announce("run-1", 10, 6);
+    assert_eq!(answer, AnnounceAnswer::Late);
+    assert_eq!(&*instance, "run-2");
+}
+
+/// Guards against the leave of an earlier run that takes the present one out of service.
+#[test]
+fn a_leave_ends_only_the_run_that_it_names() {
+    let mut node = Node::new(100);
+    node.handle(AnnouncerEvent::Announce(run_announcement("run-2", 20, 1)));
+    node.handle(AnnouncerEvent::LeaveOf("run-1".into()));
+    assert_eq!(node.last().1, WireState::Serving);
+    node.handle(AnnouncerEvent::LeaveOf("run-2".into()));
+    assert_eq!(node.last().1, WireState::Left);
+}
--- a/crates/kumquatlock/src/retry/tests.rs
+++ b/crates/kumquatlock/src/retry/tests.rs
@@ -232,3 +232,65 @@
         HedgeDecision::Skip(HedgeSkip::AlreadyRetried)
     );
 }
+
+/// Guards against nodes that together make more repeats than all of them are allowed, after the
+/// slack was divided among them.
+#[test]
+fn nodes_share_the_slack_of_a_service() {
+    const NODES: usize = 30;
+    let mut settings = BudgetSettings {
+        per_call: 0.16,
+        per_second: 0.0,
+        shared_slack: Some(60.0),
+        ..BudgetSettings::default()
+    };
+    settings.set_nodes(NODES);
+    let mut taken = 0;
+    for _ in 0..NODES {
+        let mut budget = RetryBudget::with_settings(settings, START);
+        for call in 0..100 {
+            let now = START + Duration::from_millis(call * 100);
+            budget.first_attempt(now);
+            taken += i32::from(budget.take(now, 0.0));
+        }
+    }
+    let allowed = 0.2 * (100 * NODES) as f64 + 60.0;
+    assert!(f64::from(taken) <= allowed, "{taken} repeats");
+    assert!(
+        f64::from(taken) >= 0.16 * (100 * NODES) as f64 * 0.9,
+        "{taken} repeats"
+    );
+}
+
+/// Guards against a node that keeps the share of a smaller fleet after others have come.
+#[test]
+fn tokens_above_a_smaller_share_are_lost() {
+    let mut settings = BudgetSettings {
+        shared_slack: Some(60.0),
+        ..BudgetSettings::default()
+    };
+    settings.set_nodes(4);
+    let mut budget = RetryBudget::with_settings(settings, START);
+    assert!(budget.tokens() > 5.0);
+    settings.set_nodes(40);
+    budget.set_settings(settings);
+    assert!(budget.tokens() <= 60.0 / 40.0);
+    settings.set_nodes(usize::MAX);
+    budget.set_settings(settings);
+    assert!(budget.take(START, 0.0), "an unknown fleet leaves one");
+    assert!(!budget.take(START, 0.0));
+}
+
+/// Guards against parts of a token that are free, or cost a whole one.
+#[test]
+fn parts_of_a_token_add_up() {
+    let settings = BudgetSettings {
+        per_call: 0.0,
+        per_second: 0.0,
+        most: 1.0,
+        shared_slack: None,
+    };
+    let mut budget = RetryBudget::with_settings(settings, START);
+    let taken = (0..10).filter(|_| budget.take_part(START, 0.25, 0.0));
+    assert_eq!(taken.count(), 4);
+}
--- a/crates/kumquatlock/src/routing/tests.rs
+++ b/crates/kumquatlock/src/routing/tests.rs
@@ -6,14 +6,15 @@
 use indexmap::IndexMap;
 use kumquatlock_wire::call::{CallReason, LoadReport};
 use kumquatlock_wire::distribution::{
-    CatalogState, RouteItem, ServiceItem, UpstreamItem, WireState,
+    CatalogState, RouteItem, ServiceItem, SplitItem, UpstreamItem, WireState,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use super::*;
 use crate::core::{
-    ConfigSnapshot, ServiceEntry, Timestamp, route_digest, service_digest, upstream_digest,
+    ConfigSnapshot, RouteEntry, ServiceEntry, Timestamp, route_digest, service_digest,
+    upstream_digest,
 };
 
 /// Time of the first choice in each test.
@@ -442,3 +443,70 @@
         UpstreamChoice::None(NoChoice::AllExcluded)
     ));
 }
+
+fn split_route(parts: &[(&str, u32)]) -> Arc<RouteEntry> {
+    let split = parts.iter().map(|(service, weight)| SplitItem {
+        service: (*service).into(),
+        weight: *weight,
+    });
+    let item = RouteItem {
+        name: "look".into(),
+        prefix: "/".into(),
+        service: parts[0].0.into(),
+        split: split.collect(),
+        ..RouteItem::default()
+    };
+    let services = parts.iter().map(|(name, _)| ServiceItem {
+        name: (*name).into(),
+        ..ServiceItem::default()
+    });
+    let services: Vec<ServiceItem> = services.collect();
+    let digests = services.iter().map(service_digest);
+    let digest = digests.fold(route_digest(&item), u64::wrapping_add);
+    let state = CatalogState {
+        version: 1,
+        services,
+        routes: vec![item],
+        ..CatalogState::default()
+    };
+    let snapshot = ConfigSnapshot::from_state(&state, digest).unwrap();
+    snapshot.routes[0].clone()
+}
+
+/// Guards against shares that are kept only over many calls: a node of little traffic must give
+/// each part its own.
+#[test]
+fn parts_of_a_split_get_their_share_within_few_calls() {
+    let route = split_route(&[("old", 900), ("new", 100), ("off", 0)]);
+    for seed in 0..20 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut split = SplitChooser::default();
+        for _ in 0..10 {
+            let chosen: Vec<_> = (0..20).map(|_| split.choose(&route, &mut random)).collect();
+            let new = chosen.iter().filter(|name| &***name == "new").count();
+            assert!((1..=3).contains(&new), "{new} of 20 calls");
+            assert!(chosen.iter().all(|name| &**name != "off"));
+        }
+    }
+}
+
+/// Guards against nodes that all send their first call to the same part, and against weights that
+/// take effect only after the credit of the former ones is spent.
+#[test]
+fn a_split_starts_anywhere_and_follows_new_weights() {
+    let route = split_route(&[("old", 500), ("new", 500)]);
+    let first = |seed| {
+        let mut random = SmallRng::seed_from_u64(seed);
+        SplitChooser::default().choose(&route, &mut random)
+    };
+    let old = (0..100).filter(|seed| &*first(*seed) == "old").count();
+    assert!(
+        (30..=70).contains(&old),
+        "{old} of 100 nodes start with the same part"
+    );
+    let moved = split_route(&[("old", 0), ("new", 1)]);
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut split = SplitChooser::default();
+    split.choose(&route, &mut random);
+    assert!((0..20).all(|_| &*split.choose(&moved, &mut random) == "new"));
+}
--- a/crates/kumquatlock/src/util/tests.rs
+++ b/crates/kumquatlock/src/util/tests.rs
@@ -13,11 +13,12 @@
 use log::{Level, Record};
 
 use super::cancel::CancelToken;
+use super::log_quota::{LogQuota, QuotaStep};
 use super::logging::{LogFilter, MAX_FIELD_BYTES, write_record};
 use super::settings::*;
 use super::signals::{StopSignal, install_stop_handler};
 use super::trace::{IdSource, SeededIds, TraceContext, TraceError};
-use crate::core::RequestClass;
+use crate::core::{RequestClass, Timestamp};
 
 fn refuse_all<T: SettingValue + Debug>(texts: &[&str]) {
     let spec = SettingSpec::<T>::new("some-flag", "flag under test");
@@ -327,3 +328,33 @@
     assert_eq!(signal, StopSignal::Terminate);
     drop(guard);
 }
+
+/// Guards against logs that grow with the load, and against left out lines that nobody learns of.
+#[test]
+fn a_quota_bounds_lines_and_tells_what_it_left_out() {
+    let mut quota = LogQuota::new(10);
+    let start = Timestamp::from_millis(5_000);
+    let mut written = 0;
+    let mut told = 0;
+    for millis in 0..10_000_u64 {
+        if let QuotaStep::Write { left_out } = quota.take(start + Duration::from_millis(millis)) {
+            written += 1;
+            told += left_out;
+        }
+    }
+    assert!((100..=120).contains(&written), "{written} lines in 10 s");
+    let QuotaStep::Write { left_out } = quota.take(start + Duration::from_secs(60)) else {
+        panic!("the quota did not recover");
+    };
+    assert_eq!(written + told + left_out, 10_000);
+}
+
+/// Guards against a clock that goes back and gives lines away.
+#[test]
+fn a_quota_gains_nothing_while_the_time_stands() {
+    let mut quota = LogQuota::new(3);
+    let now = Timestamp::from_millis(9_000);
+    let written = (0..100).filter(|_| quota.take(now) != QuotaStep::LeaveOut);
+    assert_eq!(written.count(), 6);
+    assert_eq!(quota.take(Timestamp::from_millis(1)), QuotaStep::LeaveOut);
+}
