Take changed settings over while a node runs; split files that had grown

Now a node looks at the file at each SIGHUP and every 2 s, logs settings_reloaded or settings_refused, and takes over parents, budget and times of the stop. A control instance needs its seeds only to join, so they count from its next start.

--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod log;
+mod queries;
 mod run;
 
 use std::collections::BTreeSet;
@@ -14,7 +15,7 @@
 use kumquatlock_wire::call::{
     AttemptId, CallOutcome, CallReason, CallRequest, CallResponse, LoadReport,
 };
-use kumquatlock_wire::claim::{ClaimReply, OutcomeQuery};
+use kumquatlock_wire::claim::ClaimReply;
 use kumquatlock_wire::distribution::WireClass;
 
 use super::{CallNames, MAX_DEPTH};
@@ -23,7 +24,6 @@
 };
 use crate::claim::{
     AttemptGate, ClaimAcquirer, ClaimSettings, KeptAnswer, OutcomeTable, PlacementTable,
-    QueryAnswer, QueryStep,
 };
 use crate::core::{
     ConfigSnapshot, IncarnationId, RequestClass, SharedName, Timestamp, stable_hash,
@@ -346,30 +346,6 @@
         steps
     }
 
-    /// Takes a question for the outcome of an attempt.
-    pub fn on_query(
-        &mut self,
-        now: Timestamp,
-        source: CallSource,
-        query: OutcomeQuery,
-    ) -> Vec<DestinationStep> {
-        let mut steps = Vec::new();
-        let deadline = now + Duration::from_micros(query.deadline_us);
-        match self.outcomes.query(now, &query.id, &query.owner, deadline) {
-            Some(answer) => {
-                if answer == QueryAnswer::NeverRuns && !query.key.is_empty() {
-                    // The holders may have granted the attempt before this node lost it.
-                    self.release_claim(now, &query, &mut steps);
-                }
-                steps.push(self.query_step(now, source, query.id, answer));
-            }
-            None => {
-                self.queries.insert(query.id, source);
-            }
-        }
-        steps
-    }
-
     /// Takes a holder's answer.
     pub fn on_claim_reply(
         &mut self,
@@ -583,41 +559,6 @@
         }
     }
 
-    fn query_step(
-        &self,
-        now: Timestamp,
-        to: CallSource,
-        query: AttemptId,
-        answer: QueryAnswer,
-    ) -> DestinationStep {
-        let (outcome, reason) = match answer {
-            QueryAnswer::Answered(answer) => {
-                let response = self.answer_response(now, query, answer);
-                return DestinationStep::Respond { to, response };
-            }
-            QueryAnswer::NeverRuns => (CallOutcome::NotRun, CallReason::Cancelled),
-            QueryAnswer::AnswerGone => (CallOutcome::Unknown, CallReason::AnswerGone),
-            QueryAnswer::Unknown => (CallOutcome::Unknown, CallReason::UpstreamFailed),
-            QueryAnswer::StillRunning => (CallOutcome::Unknown, CallReason::Timeout),
-            QueryAnswer::TooManyWaiters => (CallOutcome::Unknown, CallReason::Overloaded),
-        };
-        let response = self.response(now, query, outcome, reason);
-        DestinationStep::Respond { to, response }
-    }
-
-    fn answer_queries(
-        &mut self,
-        now: Timestamp,
-        due: Vec<QueryStep>,
-        steps: &mut Vec<DestinationStep>,
-    ) {
-        for QueryStep { query, answer } in due {
-            if let Some(source) = self.queries.swap_remove(&query) {
-                steps.push(self.query_step(now, source, query, answer));
-            }
-        }
-    }
-
     fn refuse_ticket(
         &mut self,
         now: Timestamp,
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -259,6 +259,13 @@
         (id, steps)
     }
 
+    /// Takes over other bounds of further attempts.
+    pub fn set_budget(&mut self, mut budget: BudgetSettings) {
+        let upstreams = self.snapshot.as_ref().map(|held| held.upstreams.len());
+        budget.set_nodes(upstreams.unwrap_or(usize::MAX));
+        self.settings.budget = budget;
+    }
+
     /// Takes over a newer configuration.
     pub fn on_snapshot(&mut self, now: Timestamp, snapshot: Arc<ConfigSnapshot>) -> Vec<EntryStep> {
         self.routes = RouteTable::new(&snapshot);
--- a/crates/kumquatlock/src/distribution/backoff.rs
+++ b/crates/kumquatlock/src/distribution/backoff.rs
@@ -93,6 +93,22 @@
         position.unwrap_or(0)
     }
 
+    /// Takes over parents of changed settings, as the last ones. Returns how many are new.
+    pub(super) fn add(&mut self, parents: &[SocketAddr]) -> usize {
+        let before = self.parents.len();
+        for &address in parents {
+            let is_known = self.parents.iter().any(|slot| slot.address == address);
+            if !is_known && self.parents.len() < MAX_PARENTS {
+                let not_before = Timestamp::default();
+                self.parents.push(ParentSlot {
+                    address,
+                    not_before,
+                });
+            }
+        }
+        self.parents.len() - before
+    }
+
     /// The parent to try now, as position and address.
     pub(super) fn choose(&mut self, now: Timestamp) -> Option<(usize, SocketAddr)> {
         if now < self.pause_until {
--- a/crates/kumquatlock/src/distribution/child.rs
+++ b/crates/kumquatlock/src/distribution/child.rs
@@ -15,7 +15,7 @@
 use super::assembly::{AssemblyProgress, ChunkError, SnapshotAssembly};
 use super::backoff::ParentChoice;
 use super::preference::PreferenceSearch;
-use super::{ATTACH_TIMEOUT, BACKOFF_LAST, PARENT_SILENCE, PING_INTERVAL};
+use super::timing::StreamTiming;
 use crate::core::{
     ConfigSnapshot, ConfigVersion, GroupId, IncarnationId, SharedName, SnapshotError, Timestamp,
     stable_hash,
@@ -29,30 +29,6 @@
 /// Every so many pings the child asks for the age of the parent's currency proof.
 const PINGS_PER_PROOF: u64 = 2;
 
-/// When a parent counts as silent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StreamTiming {
-    /// Interval between pings of an attached child.
-    pub ping_interval: Duration,
-    /// Silence after which the child leaves its parent.
-    pub parent_silence: Duration,
-    /// Time for a connection and its greeting.
-    pub attach_timeout: Duration,
-    /// Last bound of the jittered delay between connection attempts.
-    pub backoff_last: Duration,
-}
-
-impl Default for StreamTiming {
-    fn default() -> Self {
-        StreamTiming {
-            ping_interval: PING_INTERVAL,
-            parent_silence: PARENT_SILENCE,
-            attach_timeout: ATTACH_TIMEOUT,
-            backoff_last: BACKOFF_LAST,
-        }
-    }
-}
-
 /// One connection attempt. Events of earlier attempts are ignored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LinkId(pub u64);
@@ -227,6 +203,11 @@
         self.choice.set_backoff_last(timing.backoff_last);
     }
 
+    /// Takes over parents of changed settings. Returns how many are new.
+    pub fn add_parents(&mut self, parents: &[SocketAddr]) -> usize {
+        self.choice.add(parents)
+    }
+
     /// The applied configuration.
     pub fn held(&self) -> Option<&Arc<ConfigSnapshot>> {
         self.held.as_ref()
--- a/crates/kumquatlock/src/distribution/mod.rs
+++ b/crates/kumquatlock/src/distribution/mod.rs
@@ -21,17 +21,18 @@
 mod proof;
 mod record;
 mod serve;
+mod timing;
 
 use std::time::Duration;
 
 pub use admission::AdmissionLimits;
 pub use assembly::ChunkError;
 pub use child::{
-    AppliedSource, ChildEvent, ChildIdentity, ChildState, ChildStep, LinkId, StreamTiming,
-    UpdateRefusal,
+    AppliedSource, ChildEvent, ChildIdentity, ChildState, ChildStep, LinkId, UpdateRefusal,
 };
 pub use parent::{ChildId, ParentEvent, ParentState, ParentStep};
 pub use progress::{InForceCount, ProgressTable};
+pub use timing::StreamTiming;
 
 /// Interval between `Tick` events for both sides.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/kumquatlock/src/distribution/tests/parents.rs
+++ b/crates/kumquatlock/src/distribution/tests/parents.rs
@@ -191,3 +191,19 @@
     bench.run(6_000);
     assert_eq!(bench.sources[0].parent.child_count(), 5);
 }
+
+/// Guards against a child whose parents are all gone and that does not take the ones of changed
+/// settings.
+#[test]
+fn a_child_finds_a_parent_of_changed_settings() {
+    let mut bench = Bench::new(22, vec![catalog_of(3), catalog_of(3)], 1);
+    bench.proxies[0].state = child_state(0, &[0]);
+    bench.parent(0, ParentEvent::LeaderSilent(true));
+    bench.run(3_000);
+    assert!(!bench.proxies[0].state.is_attached());
+    let address = ([127, 0, 0, 1], 1).into();
+    assert_eq!(bench.proxies[0].state.add_parents(&[address]), 1);
+    assert_eq!(bench.proxies[0].state.add_parents(&[address]), 0);
+    bench.run(12_000);
+    assert!(bench.proxies[0].state.is_attached());
+}
--- a/crates/kumquatlock/src/http/head.rs
+++ b/crates/kumquatlock/src/http/head.rs
@@ -73,10 +73,7 @@
         Err(_) => return HeadStep::Invalid(HeadFault::Malformed),
     };
     let malformed = HeadStep::Invalid(HeadFault::Malformed);
-    let Some(fields) = owned_headers(parsed.headers) else {
-        return malformed;
-    };
-    let Some(framing) = framing_headers(&fields) else {
+    let Some((fields, framing)) = owned_fields(parsed.headers) else {
         return malformed;
     };
     let is_old = parsed.version == Some(0);
@@ -113,10 +110,7 @@
         Err(_) => return HeadStep::Invalid(HeadFault::Malformed),
     };
     let malformed = HeadStep::Invalid(HeadFault::Malformed);
-    let Some(fields) = owned_headers(parsed.headers) else {
-        return malformed;
-    };
-    let Some(framing) = framing_headers(&fields) else {
+    let Some((fields, framing)) = owned_fields(parsed.headers) else {
         return malformed;
     };
     let status = parsed.code.unwrap_or_default();
@@ -144,13 +138,18 @@
     }
 }
 
-/// Copies the headers; none if a value is not text.
-fn owned_headers(headers: &[httparse::Header<'_>]) -> Option<Vec<(String, String)>> {
+/// Copies the headers and reads what delimits the body; none if a value is not text or two headers
+/// disagree.
+fn owned_fields(
+    headers: &[httparse::Header<'_>],
+) -> Option<(Vec<(String, String)>, FramingHeaders)> {
     let owned = |header: &httparse::Header<'_>| {
         let value = std::str::from_utf8(header.value).ok()?;
         Some((header.name.to_owned(), value.trim().to_owned()))
     };
-    headers.iter().map(owned).collect()
+    let fields: Vec<(String, String)> = headers.iter().map(owned).collect::<Option<_>>()?;
+    let framing = framing_headers(&fields)?;
+    Some((fields, framing))
 }
 
 /// Reads what delimits the body. None if two headers disagree: one of the two ends would then take
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -218,6 +218,11 @@
         })
     }
 
+    /// Takes over settings that have changed.
+    pub(super) fn reload(&mut self, _cx: CX![], changed: NodeSettings) {
+        self.apply_settings(changed);
+    }
+
     /// Ends an iteration of the loop. After a freeze, deadlines of messages that are read from now
     /// on may count again.
     pub(super) fn end_iteration(&mut self, _cx: CX![]) {
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -10,6 +10,7 @@
 mod local;
 mod metrics;
 mod peers;
+mod reload;
 mod settings;
 mod steps;
 mod stop;
@@ -28,6 +29,7 @@
 pub use local::{
     LocalAnnouncement, LocalAnswer, LocalRequest, NodeDialect, NodePort, check_announcement,
 };
+pub use reload::{FixedSettings, SettingsSource};
 pub use settings::{NodeSettings, NodeTuning};
 
 use crate::call::MAX_TIMEOUT;
@@ -62,6 +64,7 @@
 pub fn run_node(
     settings: NodeSettings,
     dialect: NodeDialect,
+    mut source: impl SettingsSource,
     cancel: &CancelToken,
 ) -> Result<(), NodeError> {
     let started = Instant::now();
@@ -101,6 +104,9 @@
             stopping = true;
             call!([node], begin_stop());
         }
+        if let Some(changed) = source.take_changed() {
+            call!([node], reload(changed));
+        }
         let now = Instant::now();
         let due = started + Duration::from_micros(wakeup.get().0);
         let sleep = due.saturating_duration_since(now).min(MAX_SLEEP);
--- a/crates/kumquatlock/src/ops/node/settings.rs
+++ b/crates/kumquatlock/src/ops/node/settings.rs
@@ -41,6 +41,26 @@
     pub tuning: NodeTuning,
 }
 
+impl NodeSettings {
+    /// Whether both describe the same node at the same addresses.
+    pub(super) fn has_identity_of(&self, other: &NodeSettings) -> bool {
+        let place = |settings: &NodeSettings| {
+            let NodeSettings {
+                name, zone, region, ..
+            } = settings;
+            (name.clone(), zone.clone(), region.clone())
+        };
+        let addresses = |settings: &NodeSettings| {
+            (
+                [settings.listen, settings.advertise],
+                [settings.http, settings.upstream_http],
+                [settings.ready_http, settings.metrics_http],
+            )
+        };
+        place(self) == place(other) && addresses(self) == addresses(other)
+    }
+}
+
 /// Bounds that an environment sets. The defaults are those of the product on its own.
 #[derive(Clone, Debug, Default)]
 pub struct NodeTuning {
--- a/crates/kumquatlock/src/util/signals.rs
+++ b/crates/kumquatlock/src/util/signals.rs
@@ -35,10 +35,11 @@
 #[error("failed to install the handlers of SIGTERM and SIGINT")]
 pub struct SignalError(#[from] io::Error);
 
-/// Keeps SIGHUP from ending the process.
-pub fn ignore_hangup() -> Result<(), SignalError> {
-    flag::register(SIGHUP, Arc::new(AtomicBool::new(false)))?;
-    Ok(())
+/// Keeps SIGHUP from ending the process. The flag is set at each one.
+pub fn watch_hangup() -> Result<Arc<AtomicBool>, SignalError> {
+    let hangup = Arc::new(AtomicBool::new(false));
+    flag::register(SIGHUP, Arc::clone(&hangup))?;
+    Ok(hangup)
 }
 
 /// Ends the thread that waits for signals when it is dropped.
