Write logs through a bounded queue so that no decision waits for their reader

Cause: env_logger wrote to standard output in the thread that decides; a reader that hangs stopped the process.

Lines now go through a queue of 2,048 to a thread that writes them; lost lines are counted and told by log_lines_lost. The test with a hanging reader fails on the former code by construction (a write waits).

--- a/crates/kumquatlock-control/src/commands/serve.rs
+++ b/crates/kumquatlock-control/src/commands/serve.rs
@@ -113,7 +113,7 @@
             replace_ms: self.replace_ms,
         };
         let settings = ControlSettings::resolve(&flags, &ProcessEnvironment)?;
-        init_logging(&settings.log)?;
+        let _log = init_logging(&settings.log)?;
         run_control(settings, OperatorDialect::default()).wrap_err("control instance failed")?;
         Ok(EXIT_DONE)
     }
--- a/crates/kumquatlock-node/src/commands/serve.rs
+++ b/crates/kumquatlock-node/src/commands/serve.rs
@@ -121,7 +121,7 @@
     pub(crate) fn exec(self) -> eyre::Result<()> {
         let filter = LOG.resolve(self.log.as_deref(), &ProcessEnvironment)?;
         let settings = self.settings()?;
-        init_logging(&filter).wrap_err("failed to start logging")?;
+        let _log = init_logging(&filter).wrap_err("failed to start logging")?;
         let cancel = CancelToken::new();
         let stop = cancel.clone();
         let _signals = install_stop_handler(move |_| stop.cancel())
--- a/crates/kumquatlock-testkit/examples/upstream.rs
+++ b/crates/kumquatlock-testkit/examples/upstream.rs
@@ -105,7 +105,7 @@
         "--cold-factor must be a number of at least 0"
     );
     let filter: LogFilter = command.log.parse().wrap_err("invalid --log")?;
-    init_logging(&filter)?;
+    let _log = init_logging(&filter)?;
     let (sender, stop) = std::sync::mpsc::channel();
     let _signals = install_stop_handler(move |signal| {
         // The receiver is gone only when the process is already ending.
--- a/crates/kumquatlock/src/util/logging.rs
+++ b/crates/kumquatlock/src/util/logging.rs
@@ -15,6 +15,9 @@
 use serde::ser::{SerializeMap, Serializer};
 use thiserror::Error;
 
+use super::log_writer::LineQueue;
+pub use super::log_writer::LogGuard;
+
 /// Bound on the length of one text field in bytes. Longer fields are cut, so that a value taken
 /// from a request cannot flood the log.
 pub const MAX_FIELD_BYTES: usize = 4_096;
@@ -28,6 +31,9 @@
     /// A directive is neither a level nor `target=level`.
     #[error("log filter directive `{0}` is neither `<level>` nor `<target>=<level>`")]
     BadDirective(String),
+    /// The thread that writes cannot be started.
+    #[error("failed to start the thread of the log")]
+    NoThread(#[source] io::Error),
     /// Another logger is already installed.
     #[error("a logger is already installed")]
     AlreadyInstalled(#[from] log::SetLoggerError),
@@ -58,15 +64,17 @@
     }
 }
 
-/// Sends the log of this process to standard output as JSON lines.
-pub fn init_logging(filter: &LogFilter) -> Result<(), LoggingError> {
+/// Sends the log of this process to standard output as JSON lines, without waiting for its reader.
+pub fn init_logging(filter: &LogFilter) -> Result<LogGuard, LoggingError> {
     let mut builder = env_logger::Builder::new();
     for (target, level) in &filter.directives {
         builder.filter(target.as_deref(), *level);
     }
-    builder.target(env_logger::Target::Stdout);
+    let (queue, guard) = LineQueue::start(io::stdout()).map_err(LoggingError::NoThread)?;
+    builder.target(env_logger::Target::Pipe(Box::new(queue)));
     builder.format(|buffer, record| write_record(buffer, record, SystemTime::now()));
-    Ok(builder.try_init()?)
+    builder.try_init()?;
+    Ok(guard)
 }
 
 /// Writes `record` as one JSON line.
--- a/crates/kumquatlock/src/util/mod.rs
+++ b/crates/kumquatlock/src/util/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod cancel;
 pub mod log_quota;
+pub mod log_writer;
 pub mod logging;
 pub mod metrics;
 pub mod settings;
--- a/crates/kumquatlock/src/util/tests.rs
+++ b/crates/kumquatlock/src/util/tests.rs
@@ -2,6 +2,7 @@
 
 use std::ffi::OsString;
 use std::fmt::Debug;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::os::unix::ffi::OsStringExt;
 use std::path::PathBuf;
@@ -14,6 +15,7 @@
 
 use super::cancel::CancelToken;
 use super::log_quota::{LogQuota, QuotaStep};
+use super::log_writer::LineQueue;
 use super::logging::{LogFilter, MAX_FIELD_BYTES, write_record};
 use super::settings::*;
 use super::signals::{StopSignal, install_stop_handler};
@@ -358,3 +360,68 @@
     assert_eq!(written.count(), 6);
     assert_eq!(quota.take(Timestamp::from_millis(1)), QuotaStep::LeaveOut);
 }
+
+/// A reader that takes nothing until it is let go.
+struct HangingReader {
+    release: mpsc::Receiver<()>,
+    read: mpsc::Sender<Vec<u8>>,
+}
+
+impl Write for HangingReader {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let _ = self.release.recv();
+        self.read.send(line.to_vec()).map_err(io::Error::other)?;
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a process that waits for the reader of its log, and against lost lines that
+/// nobody learns of.
+#[test]
+fn a_reader_that_hangs_delays_nobody() {
+    const LINES: usize = 10_000;
+    let (let_go, release) = mpsc::channel();
+    let (read, lines) = mpsc::channel();
+    let (mut queue, guard) = LineQueue::start(HangingReader { release, read }).unwrap();
+    let started = Instant::now();
+    for _ in 0..LINES {
+        queue.write_all(b"line\n").unwrap();
+    }
+    assert!(started.elapsed() < Duration::from_secs(2));
+    drop(let_go);
+    let mut written = 0;
+    let mut lost = 0;
+    // The queue empties, then one more line brings the count of those that were lost.
+    while written + lost < LINES {
+        let line = lines.recv_timeout(Duration::from_secs(5));
+        match line {
+            Ok(line) if line == b"line\n" => written += 1,
+            Ok(line) => {
+                let line: serde_json::Value = serde_json::from_slice(&line).unwrap();
+                assert_eq!(line["event"], "log_lines_lost");
+                lost += line["lost"].as_u64().unwrap() as usize;
+            }
+            Err(error) => panic!("{error}: {written} written, {lost} lost"),
+        }
+    }
+    assert!(lost > 0 && written + lost == LINES);
+    drop(guard);
+}
+
+/// Guards against the last lines of a process that are never written: those tell why it ended.
+#[test]
+fn the_guard_lets_the_last_lines_out() {
+    let (let_go, release) = mpsc::channel();
+    let (read, lines) = mpsc::channel();
+    let (mut queue, guard) = LineQueue::start(HangingReader { release, read }).unwrap();
+    drop(let_go);
+    for _ in 0..100 {
+        queue.write_all(b"line\n").unwrap();
+    }
+    drop(guard);
+    assert_eq!(lines.try_iter().count(), 100);
+}
