--- a/crates/kumquatlock/src/admission/tests.rs
+++ b/crates/kumquatlock/src/admission/tests.rs
@@ -262,3 +262,89 @@
     assert_eq!(step, QueueStep::Idle);
     assert_eq!(queue.load(now).running, 0);
 }
+
+fn ranked(
+    queue: &mut AdmissionQueue,
+    now: Timestamp,
+    rank: u32,
+    target_ms: u64,
+) -> AdmissionTicket {
+    let rank = WorkRank {
+        rank,
+        target: Some(now + Duration::from_millis(target_ms)),
+    };
+    match queue.offer_ranked(now, RequestClass::Lookup, rank, now + SECOND * 3) {
+        AdmissionDecision::Queued { ticket, .. } => ticket,
+        other => panic!("not queued: {other:?}"),
+    }
+}
+
+/// Guards against urgent work behind work that may wait, and against late work that makes the work
+/// behind it late as well.
+#[test]
+fn urgent_work_runs_first_and_late_work_behind_what_is_in_time() {
+    let (mut queue, running, now) = full_slots(8, 100);
+    let late = ranked(&mut queue, now, 1, 50);
+    let last = ranked(&mut queue, now, 1, 900);
+    let soon = ranked(&mut queue, now, 1, 600);
+    let urgent = ranked(&mut queue, now, 0, 900);
+    for (ticket, expected) in running.into_iter().zip([urgent, soon, last, late]) {
+        let step = queue.finished(now, ticket, ServiceOutcome::Ended);
+        assert_eq!(step, QueueStep::Start(expected));
+    }
+}
+
+/// Guards against a call that could meet its target when it came, cannot any more, and still goes
+/// before one that can.
+#[test]
+fn work_that_becomes_late_gives_way() {
+    let (mut queue, running, now) = full_slots(8, 100);
+    let missed = ranked(&mut queue, now, 1, 300);
+    let in_time = ranked(&mut queue, now, 1, 900);
+    let later = now + Duration::from_millis(400);
+    let step = queue.finished(later, running[0], ServiceOutcome::Ended);
+    assert_eq!(step, QueueStep::Start(in_time));
+    let step = queue.finished(later, running[1], ServiceOutcome::Ended);
+    assert_eq!(step, QueueStep::Start(missed));
+}
+
+/// Guards against a refusal that its caller does not wait for any more.
+#[test]
+fn a_refusal_leaves_before_the_caller_gives_up() {
+    let mut queue = queue(1);
+    let refusal_time = Duration::from_millis(50);
+    queue.set_refusal_time(refusal_time);
+    let _ = started(&mut queue, WARM);
+    let (waiting, _) = queued(&mut queue, WARM, RequestClass::Lookup, WARM + SECOND);
+    let wakeup = queue.next_wakeup(WARM).unwrap();
+    assert_eq!(wakeup + refusal_time, WARM + SECOND);
+    let refuse = QueueStep::Refuse(waiting, CallReason::DeadlineTooShort);
+    assert_eq!(queue.poll(wakeup), refuse);
+    let short = queue.offer(WARM, RequestClass::Lookup, WARM + refusal_time);
+    assert_eq!(
+        short,
+        AdmissionDecision::Refused(CallReason::DeadlineTooShort)
+    );
+}
+
+/// Guards against calls that wait behind an upstream that has stopped answering, and against one
+/// that gets no work for good because of it.
+#[test]
+fn an_upstream_that_answers_nothing_gets_no_work_until_it_does() {
+    let (mut queue, running, now) = full_slots(4, 100);
+    queue.detect_stalls();
+    let (waiting, _) = queued(&mut queue, now, RequestClass::Lookup, now + SECOND * 9);
+    let stalled = now + SECOND;
+    assert!(queue.next_wakeup(now).unwrap() <= stalled);
+    let refuse = QueueStep::Refuse(waiting, CallReason::UpstreamUnreachable);
+    assert_eq!(queue.poll(stalled), refuse);
+    let offer = queue.offer(stalled, RequestClass::Lookup, stalled + SECOND * 9);
+    assert_eq!(
+        offer,
+        AdmissionDecision::Refused(CallReason::UpstreamUnreachable)
+    );
+    let step = queue.finished(stalled, running[0], ServiceOutcome::Answered);
+    assert_eq!(step, QueueStep::Idle);
+    let offer = queue.offer(stalled, RequestClass::Lookup, stalled + SECOND * 9);
+    assert!(matches!(offer, AdmissionDecision::Start(_)));
+}
--- a/crates/kumquatlock/src/agreement/tests/open.rs
+++ b/crates/kumquatlock/src/agreement/tests/open.rs
@@ -1,5 +1,9 @@
 //! Groups whose members come and go.
 
+use kumquatlock_wire::agreement::{EntryKind, LogEntry, VoterIdentity, VoterSet};
+use prost::Message;
+
+use super::super::voters::VoterState;
 use super::group::{REPLACE_AFTER, TestGroup};
 use super::*;
 
@@ -186,3 +190,42 @@
     assert!(silence(&group, &others[0]) >= std::time::Duration::from_millis(2_500));
     assert!(silence(&group, &others[1]) < group.settings.election_timeout_min);
 }
+
+/// Guards against two disjoint majorities while one voter takes the place of another: one of the
+/// old set that elects a leader, and one of the new set that commits beside it.
+#[test]
+fn a_replacement_needs_majorities_of_the_old_and_the_new_set() {
+    let identity = |name: &str| VoterIdentity {
+        name: name.into(),
+        disk_id: 1,
+    };
+    let voters: Vec<VoterIdentity> = ["a", "b", "c", "d", "e"].map(identity).into();
+    let mut state = VoterState::new(VoterSet { voters }, 0);
+    let entry = LogEntry {
+        index: 5,
+        term: 1,
+        kind: EntryKind::VoterSet as i32,
+        payload: state
+            .extended(identity("f"), Some("a"))
+            .encode_to_vec()
+            .into(),
+    };
+    state.note_appended(&entry);
+    let is_quorum = |names: [&str; 3]| state.is_quorum(&names.map(identity));
+    assert!(!is_quorum(["a", "b", "c"]), "two of the new set");
+    assert!(!is_quorum(["d", "e", "f"]), "two of the old set");
+    assert!(is_quorum(["b", "c", "d"]));
+    let reached = |names: [&'static str; 3]| {
+        let synced = move |voter: &VoterIdentity| match names.contains(&voter.name.as_str()) {
+            true => 7,
+            false => 4,
+        };
+        state.quorum_value(synced)
+    };
+    assert_eq!(reached(["a", "b", "c"]), 4);
+    assert_eq!(reached(["d", "e", "f"]), 4);
+    assert_eq!(reached(["b", "c", "d"]), 7);
+    state.note_committed(&entry);
+    assert!(state.is_quorum(&["d", "e", "f"].map(identity)));
+    assert!(!state.is_quorum(&["a", "b", "c"].map(identity)));
+}
--- a/crates/kumquatlock/src/http/tests.rs
+++ b/crates/kumquatlock/src/http/tests.rs
@@ -11,6 +11,8 @@
 use stakker_mio::MioPoll;
 use stakker_mio::mio::{Events, Poll};
 
+mod heads;
+
 use crate::core::Timestamp;
 
 use super::*;
--- a/crates/kumquatlock/src/routing/tests.rs
+++ b/crates/kumquatlock/src/routing/tests.rs
@@ -510,3 +510,36 @@
     split.choose(&route, &mut random);
     assert!((0..20).all(|_| &*split.choose(&moved, &mut random) == "new"));
 }
+
+/// Guards against calls that cross a link although the upstream beside the entry is free, and
+/// against an entry that fills its own upstream while others are free.
+#[test]
+fn the_upstream_beside_the_entry_is_used_while_it_has_room() {
+    let upstreams = zone_of(&["entry", "b-1", "b-2"], "north-1");
+    let mut driver = CallDriver::new(&upstreams);
+    driver.now = START + Duration::from_secs(60);
+    let counts = driver.run(50, answered);
+    assert_eq!(counts.get("entry"), Some(&50));
+    // The calls stay open now: eight of ten slots are its own, the others go elsewhere.
+    let mut open = IndexMap::<String, u32>::new();
+    for _ in 0..20 {
+        let chosen = driver.choose();
+        let _ = driver.balancer.started(driver.now, &chosen);
+        *open.entry(chosen.entry.name.to_string()).or_default() += 1;
+    }
+    assert!(open["entry"] >= 8, "{open:?}");
+    assert!(open.values().all(|count| *count <= 10), "{open:?}");
+}
+
+/// Guards against an entry that goes on using its own upstream although that one fails.
+#[test]
+fn a_failing_upstream_beside_the_entry_is_left() {
+    let upstreams = zone_of(&["entry", "b-1", "b-2"], "north-1");
+    let mut driver = CallDriver::new(&upstreams);
+    driver.now = START + Duration::from_secs(60);
+    let counts = driver.run(200, |name| match name {
+        "entry" => (UpstreamOutcome::Failed, 1_000, None),
+        _ => answered(name),
+    });
+    assert!(counts["entry"] < 100, "{counts:?}");
+}
