Never say 'not run' of a lookup after an attempt that may have run

Cause: a lookup whose first attempt was lost with its link is sent again; when the repetition was refused everywhere, the caller heard 'not run' although the first attempt may have run, or had.

Ruled out: refusals by a backend that had run (the mark of the platform is checked), bookings (they are never repeated without a proof).

The entry now remembers that an attempt ended without an answer or a proof, and such a call ends as 'unknown'. The new test failed before with not_run.

--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -343,6 +343,7 @@
         if let AttemptFailure::NotRun(reason) | AttemptFailure::Unknown(reason) = failure {
             call.reason = reason;
         }
+        call.may_have_run |= matches!(failure, AttemptFailure::Unknown(_));
         if matches!(failure, AttemptFailure::NotRun(reason) if !reached_upstream(reason)) {
             call.arrived = call.arrived.saturating_sub(1);
         }
--- a/crates/kumquatlock/src/call/entry/resolve.rs
+++ b/crates/kumquatlock/src/call/entry/resolve.rs
@@ -187,7 +187,7 @@
         }
     }
 
-    /// Answers "not run". With a key, only after a majority of the holders has fenced it.
+    /// Answers "not run", unless an earlier attempt may have run. With a key, only after a majority of the holders has fenced it.
     pub(super) fn answer_not_run(
         &mut self,
         now: Timestamp,
@@ -198,6 +198,10 @@
             return;
         };
         let reason = call.reason;
+        if call.may_have_run {
+            self.answer(now, id, CallerAnswer::Unknown(reason), steps);
+            return;
+        }
         let Some(key) = call.claim_key() else {
             self.answer(now, id, CallerAnswer::NotRun(reason), steps);
             return;
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -43,6 +43,9 @@
     pub(super) failed_answer: Option<CallerAnswer>,
     /// Why the latest attempt did not run.
     pub(super) reason: CallReason,
+    /// Whether an attempt has ended without an answer or a proof that it did not run. What becomes of
+    /// later attempts then proves nothing.
+    pub(super) may_have_run: bool,
     /// When the latest attempt was sent.
     pub(super) sent_at: Timestamp,
     /// The call is in the timer set at this time.
@@ -112,6 +115,7 @@
             load_age: Duration::ZERO,
             failed_answer: None,
             reason: CallReason::None,
+            may_have_run: false,
             sent_at: now,
             wake_at: deadline,
         }
--- a/crates/kumquatlock/src/call/tests/failures.rs
+++ b/crates/kumquatlock/src/call/tests/failures.rs
@@ -5,7 +5,7 @@
 use kumquatlock_wire::Body;
 use kumquatlock_wire::distribution::WireClass;
 
-use super::world::{CallWorld, ENTRY, Parcel};
+use super::world::{CallWorld, ENTRY, Parcel, UPSTREAMS};
 use crate::call::CallerAnswer;
 use crate::http::{HttpResponse, UpstreamFailure};
 
@@ -56,6 +56,29 @@
     assert_eq!(world.runs, [destination]);
 }
 
+/// Guards against "not run" for a lookup whose first attempt may have run: its repetition is refused
+/// everywhere, which says nothing of the first.
+#[test]
+fn a_refused_repetition_does_not_prove_that_the_first_attempt_did_not_run() {
+    let mut world = CallWorld::new(WireClass::Lookup);
+    let call = world.open(None);
+    let first = world.called();
+    world.hold(&first);
+    let request = world.queue.pop_front().unwrap();
+    world.deliver(request);
+    world.settle();
+    assert_eq!(world.runs, [first.clone()]);
+    for other in UPSTREAMS {
+        if other != first {
+            world.drain(other);
+        }
+    }
+    world.set_reachable(&first, false);
+    world.break_link(&first);
+    world.advance(Duration::from_secs(6));
+    assert_eq!(world.outcome(call), "unknown");
+}
+
 /// Guards against a call that fails although no byte of it was sent.
 #[test]
 fn an_unreachable_destination_is_passed_over() {
--- a/crates/kumquatlock/src/call/tests/world.rs
+++ b/crates/kumquatlock/src/call/tests/world.rs
@@ -22,7 +22,7 @@
 use crate::transport::LinkId;
 
 pub(super) const ENTRY: &str = "front-1";
-const UPSTREAMS: [&str; 3] = ["booking-1", "booking-2", "booking-3"];
+pub(super) const UPSTREAMS: [&str; 3] = ["booking-1", "booking-2", "booking-3"];
 
 /// A message on its way.
 #[derive(Debug)]
