--- a/crates/kumquatlock/src/call/tests/failures.rs
+++ b/crates/kumquatlock/src/call/tests/failures.rs
@@ -67,7 +67,7 @@
     let request = world.queue.pop_front().unwrap();
     world.deliver(request);
     world.settle();
-    assert_eq!(world.runs, [first.clone()]);
+    assert_eq!(world.runs, std::slice::from_ref(&first));
     for other in UPSTREAMS {
         if other != first {
             world.drain(other);
