Read the change once more: one place for shared budgets, one clock reading a turn, a name of our own

Found by reading the whole diff. The look at the settings file read the clock a second time in every turn; it gets the turn's time. A comment ran beyond the line.

--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -260,19 +260,27 @@
     }
 
     /// Takes over other bounds of further attempts.
-    pub fn set_budget(&mut self, mut budget: BudgetSettings) {
-        let upstreams = self.snapshot.as_ref().map(|held| held.upstreams.len());
-        budget.set_nodes(upstreams.unwrap_or(usize::MAX));
+    pub fn set_budget(&mut self, budget: BudgetSettings) {
         self.settings.budget = budget;
+        let upstreams = self.snapshot.as_ref().map(|held| held.upstreams.len());
+        self.share_budgets(upstreams.unwrap_or(usize::MAX));
+    }
+
+    /// Divides what all nodes may do together among `nodes`.
+    fn share_budgets(&mut self, nodes: usize) {
+        self.settings.budget.set_nodes(nodes);
+        for budget in self.budgets.values_mut() {
+            budget.set_settings(self.settings.budget);
+        }
     }
 
     /// Takes over a newer configuration.
     pub fn on_snapshot(&mut self, now: Timestamp, snapshot: Arc<ConfigSnapshot>) -> Vec<EntryStep> {
         self.routes = RouteTable::new(&snapshot);
         self.balancers.apply(&snapshot, now);
-        self.settings.budget.set_nodes(snapshot.upstreams.len());
         self.budgets
             .retain(|name, _| snapshot.services.contains_key(name));
+        self.share_budgets(snapshot.upstreams.len());
         self.placement.update(snapshot.clone());
         self.snapshot = Some(snapshot);
         let mut steps = Vec::new();
@@ -501,9 +509,7 @@
     service: &SharedName,
 ) -> &'a mut RetryBudget {
     let budget = budgets.entry(service.clone());
-    let budget = budget.or_insert_with(|| RetryBudget::with_settings(settings.budget, now));
-    budget.set_settings(settings.budget);
-    budget
+    budget.or_insert_with(|| RetryBudget::with_settings(settings.budget, now))
 }
 
 struct AdmittedCall {
--- a/crates/kumquatlock/src/call/entry/resolve.rs
+++ b/crates/kumquatlock/src/call/entry/resolve.rs
@@ -187,7 +187,8 @@
         }
     }
 
-    /// Answers "not run", unless an earlier attempt may have run. With a key, only after a majority of the holders has fenced it.
+    /// Answers "not run", unless an earlier attempt may have run. With a key, only after a majority
+    /// of the holders has fenced it.
     pub(super) fn answer_not_run(
         &mut self,
         now: Timestamp,
--- a/crates/kumquatlock/src/catalog/apply.rs
+++ b/crates/kumquatlock/src/catalog/apply.rs
@@ -135,7 +135,7 @@
                 accepted_digest: record.digest,
             }),
             None if document
-                .base_version
+                .follows
                 .is_some_and(|base| base != self.manifest_version) =>
             {
                 Some(ManifestDecision::OtherBase {
--- a/crates/kumquatlock/src/catalog/tests.rs
+++ b/crates/kumquatlock/src/catalog/tests.rs
@@ -355,7 +355,7 @@
             panic!("not a manifest");
         };
         let mut text: serde_json::Value = serde_json::from_slice(&text).unwrap();
-        text["base_version"] = base.into();
+        text["follows"] = base.into();
         let text = text.to_string();
         let document = ManifestDocument::parse(text.as_bytes()).unwrap();
         catalog.preview_manifest(&document)
--- a/crates/kumquatlock/src/manifest/mod.rs
+++ b/crates/kumquatlock/src/manifest/mod.rs
@@ -46,7 +46,7 @@
     /// Version that the operator gave; at least 1.
     pub version: u64,
     /// Version that the manifest must follow; none if it may follow any.
-    pub base_version: Option<u64>,
+    pub follows: Option<u64>,
     /// Limits of callers; none if the manifest states none.
     pub limits: Option<LimitsItem>,
     /// Text from which the pipeline made the manifest, beside the texts of its items; returned as
@@ -64,7 +64,7 @@
 #[serde(deny_unknown_fields)]
 struct ManifestText {
     version: u64,
-    base_version: Option<u64>,
+    follows: Option<u64>,
     limits: Option<LimitsText>,
     source: Option<String>,
     #[serde(deserialize_with = "object::read_objects")]
@@ -179,16 +179,16 @@
         });
         let source = Bytes::from(text.source.unwrap_or_default());
         let mut digest = content_digest(&services, &routes);
-        if limits.is_some() || text.base_version.is_some() || !source.is_empty() {
+        if limits.is_some() || text.follows.is_some() || !source.is_empty() {
             let mut content = digest.to_le_bytes().to_vec();
-            content.extend(text.base_version.map_or(0, |base| base + 1).to_le_bytes());
+            content.extend(text.follows.map_or(0, |base| base + 1).to_le_bytes());
             content.extend(limits.unwrap_or_default().encode_length_delimited_to_vec());
             content.extend(&source);
             digest = stable_hash(&content);
         }
         ManifestDocument {
             version: text.version,
-            base_version: text.base_version,
+            follows: text.follows,
             limits,
             source,
             services,
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -104,10 +104,10 @@
             stopping = true;
             call!([node], begin_stop());
         }
-        if let Some(changed) = source.take_changed() {
+        let now = Instant::now();
+        if let Some(changed) = source.take_changed(now) {
             call!([node], reload(changed));
         }
-        let now = Instant::now();
         let due = started + Duration::from_micros(wakeup.get().0);
         let sleep = due.saturating_duration_since(now).min(MAX_SLEEP);
         let sleep = stakker.next_wait_max(now, sleep, idle);
--- a/crates/kumquatlock/src/ops/node/reload.rs
+++ b/crates/kumquatlock/src/ops/node/reload.rs
@@ -1,12 +1,14 @@
 //! Settings that change while a node runs.
 
+use std::time::Instant;
+
 use super::actor::NodeActor;
 use super::settings::NodeSettings;
 
 /// Where a running node learns of changed settings.
 pub trait SettingsSource {
-    /// The settings, if they have changed since the last look. Called often; must not wait.
-    fn take_changed(&mut self) -> Option<NodeSettings>;
+    /// The settings, if they have changed since the last look. Called in each turn; must not wait.
+    fn take_changed(&mut self, now: Instant) -> Option<NodeSettings>;
 }
 
 /// Settings that stay as they are while the process runs.
@@ -14,7 +16,7 @@
 pub struct FixedSettings;
 
 impl SettingsSource for FixedSettings {
-    fn take_changed(&mut self) -> Option<NodeSettings> {
+    fn take_changed(&mut self, _now: Instant) -> Option<NodeSettings> {
         None
     }
 }
