--- a/crates/kumquatlock-testkit/src/relay.rs
+++ b/crates/kumquatlock-testkit/src/relay.rs
@@ -66,7 +66,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct RelayMode {
     delay: Duration,
-    new_are_silent: bool,
+    /// Directions in which new connections carry nothing.
+    new_are_silent: SilentFlows,
     new_are_refused: bool,
 }
 
@@ -85,9 +86,30 @@
     changed: Condvar,
 }
 
+/// Directions in which nothing is forwarded.
+#[derive(Clone, Copy, Debug, Default)]
+struct SilentFlows {
+    to_target: bool,
+    to_client: bool,
+}
+
+impl SilentFlows {
+    const BOTH: SilentFlows = SilentFlows {
+        to_target: true,
+        to_client: true,
+    };
+
+    fn covers(self, direction: FlowDirection) -> bool {
+        match direction {
+            FlowDirection::ToTarget => self.to_target,
+            FlowDirection::ToClient => self.to_client,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct LinkGate {
-    silent: bool,
+    silent: SilentFlows,
     closed: bool,
     /// The whole connection ends once the target's last bytes are forwarded.
     closes_after_target: bool,
@@ -98,9 +120,12 @@
     bytes: Vec<u8>,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum FlowDirection {
+/// Where bytes go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlowDirection {
+    /// From the client to the target.
     ToTarget,
+    /// From the target to the client.
     ToClient,
 }
 
@@ -157,20 +182,26 @@
 
     /// Makes open and new connections silent: they stay open and nothing is forwarded.
     pub fn silence(&self) {
-        lock(&self.shared.mode).new_are_silent = true;
-        self.set_silent(true);
+        self.silence_flows(SilentFlows::BOTH);
+    }
+
+    /// Forwards nothing more in one direction on open and new connections, which stay open.
+    pub fn mute(&self, direction: FlowDirection) {
+        self.silence_flows(SilentFlows {
+            to_target: direction == FlowDirection::ToTarget,
+            to_client: direction == FlowDirection::ToClient,
+        });
     }
 
     /// Makes open connections silent while new ones work.
     pub fn silence_open(&self) {
-        lock(&self.shared.mode).new_are_silent = false;
-        self.set_silent(true);
+        lock(&self.shared.mode).new_are_silent = SilentFlows::default();
+        self.set_silent(SilentFlows::BOTH);
     }
 
     /// Forwards again on all connections, beginning with the bytes that were held.
     pub fn resume(&self) {
-        lock(&self.shared.mode).new_are_silent = false;
-        self.set_silent(false);
+        self.silence_flows(SilentFlows::default());
     }
 
     /// Closes all open connections. New ones work.
@@ -201,7 +232,12 @@
         true
     }
 
-    fn set_silent(&self, silent: bool) {
+    fn silence_flows(&self, silent: SilentFlows) {
+        lock(&self.shared.mode).new_are_silent = silent;
+        self.set_silent(silent);
+    }
+
+    fn set_silent(&self, silent: SilentFlows) {
         for connection in lock(&self.shared.connections).iter() {
             lock(&connection.link.gate).silent = silent;
             connection.link.changed.notify_all();
@@ -321,7 +357,7 @@
             FlowDirection::ToClient => (&link.client, &self.to_client),
         };
         while let Ok(chunk) = receiver.recv() {
-            if !link.wait_open_at(chunk.due) {
+            if !link.wait_open_at(chunk.due, direction) {
                 return;
             }
             if sink.write_all(&chunk.bytes).is_err() {
@@ -329,7 +365,7 @@
             }
             counter.fetch_add(chunk.bytes.len() as u64, Ordering::Relaxed);
         }
-        if !link.wait_open_at(Instant::now()) {
+        if !link.wait_open_at(Instant::now(), direction) {
             return;
         }
         let closes = lock(&link.gate).closes_after_target;
@@ -342,18 +378,20 @@
 }
 
 impl RelayLink {
-    /// Waits until `due` has come and the gate is open; false if the link was closed.
-    fn wait_open_at(&self, due: Instant) -> bool {
+    /// Waits until `due` has come and the gate is open in this direction; false if the link was
+    /// closed.
+    fn wait_open_at(&self, due: Instant, direction: FlowDirection) -> bool {
         let mut gate = lock(&self.gate);
         loop {
             let rest = due.saturating_duration_since(Instant::now());
             if gate.closed {
                 return false;
             }
-            if !gate.silent && rest.is_zero() {
+            let silent = gate.silent.covers(direction);
+            if !silent && rest.is_zero() {
                 return true;
             }
-            gate = if gate.silent {
+            gate = if silent {
                 let waited = self.changed.wait(gate);
                 waited.unwrap_or_else(PoisonError::into_inner)
             } else {
--- a/crates/kumquatlock-testkit/src/upstream/ledger.rs
+++ b/crates/kumquatlock-testkit/src/upstream/ledger.rs
@@ -40,7 +40,7 @@
 
 /// One run that began.
 #[derive(Clone, Debug)]
-pub(super) struct LedgerRun {
+pub(crate) struct LedgerRun {
     key: Option<String>,
     body: Option<u64>,
 }
@@ -76,7 +76,7 @@
         repeated.count()
     }
 
-    pub(super) fn start(&self, key: Option<&str>, body: &[u8]) -> Result<LedgerRun, LedgerFull> {
+    pub(crate) fn start(&self, key: Option<&str>, body: &[u8]) -> Result<LedgerRun, LedgerFull> {
         let run = LedgerRun {
             key: key.map(str::to_owned),
             body: (!body.is_empty()).then(|| stable_hash(body)),
