Elect a leader as soon as the links are up after a power loss

A link dialed while the other machine was still down waits for a second, though the other has connected meanwhile.

Votes are asked for again after half to one heartbeat until they come; a link that is not connected 150 ms after its peer was heard is dialed again.

--- a/crates/kumquatlock/src/agreement/election.rs
+++ b/crates/kumquatlock/src/agreement/election.rs
@@ -12,11 +12,14 @@
 const FIRST_TIMEOUT_DIVISOR: u32 = 4;
 
 /// Votes received in one election or pre-vote.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct VoteTally {
     votes: IndexSet<VoterIdentity>,
     /// Write that makes the candidate's own vote durable; the vote counts after it.
     own_vote: PersistTicket,
+    /// When those who have not voted are asked again: after a start of the whole group the links
+    /// to some of them come up later than the first question.
+    ask_again_at: Timestamp,
 }
 
 impl Agreement {
@@ -36,7 +39,7 @@
 
     pub(super) fn on_election_tick(&mut self, now: Timestamp) {
         if now < self.election_deadline {
-            return;
+            return self.repeat_vote_request(now);
         }
         self.leader = None;
         self.reset_election_deadline(now);
@@ -46,13 +49,38 @@
     }
 
     fn start_pre_vote(&mut self, now: Timestamp) {
-        let mut tally = VoteTally::default();
-        tally.votes.insert(self.identity.clone());
-        self.role = RoleState::PreCandidate(tally);
+        let mut votes = IndexSet::new();
+        votes.insert(self.identity.clone());
+        self.role = RoleState::PreCandidate(VoteTally {
+            votes,
+            own_vote: PersistTicket::default(),
+            ask_again_at: self.next_vote_request(now),
+        });
         self.request_votes(true, false);
         self.check_tally(now);
     }
 
+    /// Drawn, so that two who are asking at once do not go on so.
+    fn next_vote_request(&mut self, now: Timestamp) -> Timestamp {
+        let interval = self.settings.heartbeat_interval;
+        now + self.generator.random_range(interval / 2..=interval)
+    }
+
+    fn repeat_vote_request(&mut self, now: Timestamp) {
+        let (RoleState::PreCandidate(tally) | RoleState::Candidate(tally)) = &self.role else {
+            return;
+        };
+        if now < tally.ask_again_at {
+            return;
+        }
+        let is_pre_vote = matches!(self.role, RoleState::PreCandidate(_));
+        let again = self.next_vote_request(now);
+        if let RoleState::PreCandidate(tally) | RoleState::Candidate(tally) = &mut self.role {
+            tally.ask_again_at = again;
+        }
+        self.request_votes(is_pre_vote, false);
+    }
+
     /// Campaigns in the next term.
     pub(super) fn start_election(&mut self, now: Timestamp, is_transfer: bool) {
         self.metadata.term += 1;
@@ -62,6 +90,7 @@
         self.role = RoleState::Candidate(VoteTally {
             votes: IndexSet::new(),
             own_vote,
+            ask_again_at: self.next_vote_request(now),
         });
         self.reset_election_deadline(now);
         self.request_votes(false, is_transfer);
@@ -75,8 +104,14 @@
             last_term: self.log.last_term(),
             leadership_transfer,
         };
+        let (RoleState::PreCandidate(tally) | RoleState::Candidate(tally)) = &self.role else {
+            return;
+        };
+        let voted: Vec<String> = tally.votes.iter().map(|voter| voter.name.clone()).collect();
         for peer in self.peers() {
-            self.post_with_term(&peer, term, Kind::VoteRequest(request.clone()));
+            if !voted.iter().any(|name| **name == *peer) {
+                self.post_with_term(&peer, term, Kind::VoteRequest(request.clone()));
+            }
         }
     }
 
--- a/crates/kumquatlock/src/agreement/tests.rs
+++ b/crates/kumquatlock/src/agreement/tests.rs
@@ -294,6 +294,29 @@
     group.assert_nothing_lost();
 }
 
+/// Guards against a group without a leader for another election timeout, because its first questions
+/// were sent before the links were up: after a power loss nobody is served until there is one.
+#[test]
+fn a_group_that_starts_anew_elects_as_soon_as_its_links_are_up() {
+    let names = ["a", "b", "c", "d", "e"];
+    for seed in 0..20 {
+        let mut group = TestGroup::new(&names, seed);
+        group.elect();
+        for name in names {
+            group.crash(name);
+        }
+        group.queue.clear();
+        for name in names {
+            group.restart(name);
+            group.cut.insert(name.into());
+        }
+        group.run(group.settings.election_timeout_min.as_millis() as u64);
+        group.cut.clear();
+        group.run(2 * group.settings.heartbeat_interval.as_millis() as u64);
+        assert!(group.leader().is_some(), "seed {seed}");
+    }
+}
+
 /// Guards against a handover that loses proposals or waits for an election timeout.
 #[test]
 fn leadership_is_handed_over_within_a_round_trip() {
--- a/crates/kumquatlock/src/ops/control/links.rs
+++ b/crates/kumquatlock/src/ops/control/links.rs
@@ -40,9 +40,12 @@
 impl ControlActor {
     /// Opens the links to other voters that are due.
     pub(super) fn connect_peers(&mut self, now: Timestamp) {
+        for link in self.peers.take_stuck(now) {
+            self.links.close(link);
+        }
         for (name, address) in self.peers.due(now) {
             let link = self.links.connect(now, address);
-            self.peers.set_connecting(&name, link);
+            self.peers.set_connecting(now, &name, link);
             self.link_roles.insert(link, LinkRole::ToVoter(name));
         }
     }
--- a/crates/kumquatlock/src/ops/control/mod.rs
+++ b/crates/kumquatlock/src/ops/control/mod.rs
@@ -33,3 +33,6 @@
 pub use settings::{
     ControlFlags, ControlSettings, ControlSettingsError, FoundingChoice, InstanceRole, RoleSettings,
 };
+
+#[cfg(test)]
+mod tests;
--- a/crates/kumquatlock/src/ops/control/peers.rs
+++ b/crates/kumquatlock/src/ops/control/peers.rs
@@ -14,11 +14,18 @@
 /// election timeout, so that a restarted voter is heard before it disturbs the group.
 const RECONNECT_DELAY_MS: std::ops::RangeInclusive<u64> = 50..=250;
 
+/// Time after which an attempt to connect to a peer that is known to be up went to it before it was.
+/// Twice a round trip between regions, and some.
+const STUCK_AFTER: Duration = Duration::from_millis(150);
+
 #[derive(Debug)]
 struct PeerLink {
     address: SocketAddr,
     link: Option<LinkId>,
     is_connected: bool,
+    dialed_at: Timestamp,
+    /// When the peer connected to this instance, while the link to it is not connected.
+    heard_at: Option<Timestamp>,
     retry_at: Timestamp,
     /// Region by the peer's own word; none before its first greeting.
     region: Option<SharedName>,
@@ -32,6 +39,8 @@
             address,
             link: None,
             is_connected: false,
+            dialed_at: Timestamp::default(),
+            heard_at: None,
             retry_at: Timestamp::default(),
             region: None,
             guest_until: Timestamp::default(),
@@ -98,16 +107,36 @@
             .collect()
     }
 
-    pub(super) fn set_connecting(&mut self, name: &str, link: LinkId) {
+    pub(super) fn set_connecting(&mut self, now: Timestamp, name: &str, link: LinkId) {
         if let Some(peer) = self.peers.get_mut(name) {
             peer.link = Some(link);
             peer.is_connected = false;
+            peer.dialed_at = now;
+        }
+    }
+
+    /// Gives up the links to peers that are up and have not answered: a first packet to a machine
+    /// that is down is repeated only after a second.
+    pub(super) fn take_stuck(&mut self, now: Timestamp) -> Vec<LinkId> {
+        let mut stuck = Vec::new();
+        for peer in self.peers.values_mut().filter(|peer| !peer.is_connected) {
+            let Some(heard_at) = peer.heard_at else {
+                continue;
+            };
+            if now.since(heard_at.max(peer.dialed_at)) >= STUCK_AFTER {
+                stuck.extend(peer.link.take());
+                peer.retry_at = now;
+            }
         }
+        stuck
     }
 
     pub(super) fn set_connected(&mut self, name: &str, link: LinkId) {
         if let Some(peer) = self.peers.get_mut(name) {
             peer.is_connected = peer.link == Some(link);
+            if peer.is_connected {
+                peer.heard_at = None;
+            }
         }
     }
 
@@ -131,6 +160,7 @@
     pub(super) fn set_heard(&mut self, now: Timestamp, name: &str) {
         if let Some(peer) = self.peers.get_mut(name) {
             peer.retry_at = now;
+            peer.heard_at = (!peer.is_connected).then_some(now);
         }
     }
 
