Give an upstream all its slots from its start

Cause: after the same power loss nodes refused 139 calls and answered 21 in half a second (11 nodes of one zone), with 13 waiting and 4 of 7 slots in use: a new run began with a quarter of its slots and got the rest over its warm-up. All were cold at once, so nobody else had room, and a run took about as long as ever (100 to 200 ms).

What keeps a cold upstream from attracting work is its weight at the entries, which stays. The destination now uses all slots; it knows the time of a run from its answers, and shed answers still lower the limit. The announced warm-up is no longer read beyond its form.

--- a/crates/kumquatlock/examples/policy/run.rs
+++ b/crates/kumquatlock/examples/policy/run.rs
@@ -379,7 +379,7 @@
 
     fn reply(&mut self, index: usize, outcome: UpstreamOutcome) {
         let Attempt { call, upstream, .. } = self.attempts[index];
-        let load = self.upstreams[upstream].queue.load(self.now);
+        let load = self.upstreams[upstream].queue.load();
         let delay = one_way(self.calls[call].entry, upstream);
         self.after(delay, Event::Answer(index, outcome, Some(load)));
     }
--- a/crates/kumquatlock/src/admission/limit.rs
+++ b/crates/kumquatlock/src/admission/limit.rs
@@ -4,10 +4,6 @@
 
 use crate::core::Timestamp;
 
-/// Time over which a new incarnation's limit grows to its slots.
-const COLD_START: Duration = Duration::from_secs(10);
-/// Divisor of the slots that a new incarnation starts with.
-const COLD_DIVISOR: u32 = 4;
 /// Share of the limit that is kept when the upstream sheds load.
 const SHED_KEEP: f32 = 0.75;
 /// Divisor of the slots below which shed answers do not lower the limit. An upstream that sheds with
@@ -34,14 +30,11 @@
     }
 }
 
-/// Bound of the running calls: the announced capacity, less while the upstream is cold, and
-/// lowered while it sheds load.
+/// Bound of the running calls: the announced capacity, lowered while the upstream sheds load. A cold
+/// upstream has all its slots: what has come to it would only wait or be refused beside free ones.
 #[derive(Clone, Debug)]
 pub struct ConcurrencyLimit {
     limits: AdmissionLimits,
-    started_at: Timestamp,
-    /// Time from `started_at` over which the limit grows to the slots.
-    cold_start: Duration,
     /// At least the slots by [`SHED_DIVISOR`], at most the slots.
     learned: u32,
     /// When `learned` was last changed.
@@ -53,18 +46,11 @@
     pub fn new(limits: AdmissionLimits, now: Timestamp) -> Self {
         ConcurrencyLimit {
             limits,
-            started_at: now,
-            cold_start: COLD_START,
             learned: limits.most(),
             changed_at: now,
         }
     }
 
-    /// Takes over how long the upstream says that it is slow after its start.
-    pub fn set_cold_start(&mut self, cold_start: Duration) {
-        self.cold_start = cold_start;
-    }
-
     /// Changes the announced capacity. A lowered limit stays, but for the new capacity.
     pub fn set_limits(&mut self, limits: AdmissionLimits) {
         let is_lowered = self.learned < self.limits.most();
@@ -76,8 +62,8 @@
     }
 
     /// Calls that may run at once; at least 1.
-    pub fn current(&self, now: Timestamp) -> u32 {
-        self.learned.min(self.cold_bound(now))
+    pub fn current(&self) -> u32 {
+        self.learned
     }
 
     /// Lowers the limit after the upstream shed load. `running` calls ran when it did.
@@ -85,7 +71,7 @@
         if now.since(self.changed_at) < SHED_HOLD && self.learned < self.limits.most() {
             return;
         }
-        let used = self.current(now).min(running.max(1));
+        let used = self.learned.min(running.max(1));
         let least = self.limits.most().div_ceil(SHED_DIVISOR);
         self.learned = ((used as f32 * SHED_KEEP) as u32).max(least);
         self.changed_at = now;
@@ -101,22 +87,7 @@
     }
 
     /// When the limit next grows without any event; none if it is at its most.
-    pub fn next_raise(&self, now: Timestamp) -> Option<Timestamp> {
-        let most = self.limits.most();
-        let learned = (self.learned < most).then(|| self.changed_at + RAISE_INTERVAL);
-        let cold = self.cold_bound(now) < most;
-        let warmer = cold.then(|| now + self.cold_start / (most * 2));
-        learned.into_iter().chain(warmer).min()
-    }
-
-    fn cold_bound(&self, now: Timestamp) -> u32 {
-        let most = self.limits.most();
-        let age = now.since(self.started_at);
-        if age >= self.cold_start {
-            return most;
-        }
-        let first = most.div_ceil(COLD_DIVISOR);
-        let grown = u64::from(most - first) * age.as_millis() as u64;
-        first + (grown / (self.cold_start.as_millis() as u64).max(1)) as u32
+    pub fn next_raise(&self) -> Option<Timestamp> {
+        (self.learned < self.limits.most()).then(|| self.changed_at + RAISE_INTERVAL)
     }
 }
--- a/crates/kumquatlock/src/admission/queue.rs
+++ b/crates/kumquatlock/src/admission/queue.rs
@@ -134,11 +134,6 @@
         }
     }
 
-    /// Takes over how long the upstream says that it is slow after its start.
-    pub fn set_cold_start(&mut self, cold_start: Duration) {
-        self.limit.set_cold_start(cold_start);
-    }
-
     /// Changes what the upstream takes. Queued and running calls go on.
     pub fn set_limits(&mut self, limits: AdmissionLimits) {
         self.queue_bound = (limits.slots.max(1) * QUEUE_PER_SLOT) as usize;
@@ -182,7 +177,7 @@
         if self.is_stalled(now) {
             return AdmissionDecision::Refused(CallReason::UpstreamUnreachable);
         }
-        let limit = self.limit.current(now);
+        let limit = self.limit.current();
         let ticket = AdmissionTicket(self.next_ticket + 1);
         if self.running.len() < limit as usize && self.lanes.len() == 0 {
             self.next_ticket += 1;
@@ -266,7 +261,7 @@
             return QueueStep::Refuse(waiting.ticket, CallReason::UpstreamUnreachable);
         }
         self.limit.advance(now);
-        let limit = self.limit.current(now);
+        let limit = self.limit.current();
         if self.running.len() >= limit as usize {
             return QueueStep::Idle;
         }
@@ -290,7 +285,7 @@
         );
         let stall = self.stalls_at().unwrap_or(expiry);
         let expiry = expiry.min(stall.max(now));
-        let raise = self.limit.next_raise(now).unwrap_or(expiry);
+        let raise = self.limit.next_raise().unwrap_or(expiry);
         Some(expiry.min(raise))
     }
 
@@ -305,8 +300,8 @@
     }
 
     /// The load to carry on answers and refusals.
-    pub fn load(&self, now: Timestamp) -> LoadReport {
-        let slots = self.limit.current(now);
+    pub fn load(&self) -> LoadReport {
+        let slots = self.limit.current();
         let (running, queued) = (self.running.len() as u32, self.lanes.len() as u32);
         let service = self.estimate.service().as_micros();
         LoadReport {
--- a/crates/kumquatlock/src/call/destination/log.rs
+++ b/crates/kumquatlock/src/call/destination/log.rs
@@ -48,7 +48,7 @@
         let QuotaStep::Write { left_out } = quota.take(now) else {
             return;
         };
-        let load = self.load(now);
+        let load = self.load();
         let name = self.names.request;
         let id = request
             .headers
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -61,8 +61,6 @@
     pub instance: SharedName,
     /// Service that it serves.
     pub service: SharedName,
-    /// How much longer it is slow after its start, by its own word.
-    pub warmup: Option<Duration>,
     /// Requests and connections that it takes at once.
     pub limits: AdmissionLimits,
 }
@@ -239,7 +237,6 @@
             .as_ref()
             .is_some_and(|held| held.instance != endpoint.instance);
         let limits = endpoint.limits;
-        let warmup = endpoint.warmup;
         self.endpoint = Some(endpoint);
         let is_new = self.admission.is_none() || self.draining || is_other_run;
         match &mut self.admission {
@@ -256,9 +253,6 @@
             Some(admission) if changed => admission.set_limits(limits),
             Some(_) => {}
         }
-        if let (true, Some(warmup), Some(admission)) = (is_new, warmup, &mut self.admission) {
-            admission.set_cold_start(warmup);
-        }
         self.draining = false;
     }
 
@@ -286,9 +280,9 @@
     }
 
     /// Load that answers carry.
-    pub fn load(&self, now: Timestamp) -> LoadReport {
+    pub fn load(&self) -> LoadReport {
         match &self.admission {
-            Some(admission) => admission.load(now),
+            Some(admission) => admission.load(),
             None => LoadReport {
                 draining: true,
                 ..LoadReport::default()
@@ -382,7 +376,7 @@
         if now >= self.outcomes_due {
             self.outcomes_due = now + OUTCOME_INTERVAL;
             let due = self.outcomes.on_tick(now);
-            self.answer_queries(now, due, &mut steps);
+            self.answer_queries(due, &mut steps);
         }
         steps
     }
@@ -437,12 +431,12 @@
                 AttemptGate::Duplicate => return,
                 AttemptGate::Fenced => {
                     let reason = CallReason::Cancelled;
-                    steps.push(self.refusal(now, source, request.id, reason));
+                    steps.push(self.refusal(source, request.id, reason));
                     return;
                 }
                 AttemptGate::Full => {
                     let reason = CallReason::Overloaded;
-                    steps.push(self.refusal(now, source, request.id, reason));
+                    steps.push(self.refusal(source, request.id, reason));
                     return;
                 }
             }
@@ -503,7 +497,7 @@
         let repeatable = WireClass::try_from(request.class)
             .is_ok_and(|class| RequestClass::from(class).is_repeatable());
         let refusal = match repeatable || self.fence(now, &request.id, steps) {
-            true => self.refusal(now, source, request.id.clone(), reason),
+            true => self.refusal(source, request.id.clone(), reason),
             // The first delivery of this attempt has started; it is answered when it ends.
             false => return,
         };
@@ -517,45 +511,33 @@
         steps: &mut Vec<DestinationStep>,
     ) -> bool {
         let (fenced, due) = self.outcomes.fence(now, attempt);
-        self.answer_queries(now, due, steps);
+        self.answer_queries(due, steps);
         fenced
     }
 
-    fn refusal(
-        &self,
-        now: Timestamp,
-        to: CallSource,
-        id: AttemptId,
-        reason: CallReason,
-    ) -> DestinationStep {
-        let response = self.response(now, id, CallOutcome::NotRun, reason);
+    fn refusal(&self, to: CallSource, id: AttemptId, reason: CallReason) -> DestinationStep {
+        let response = self.response(id, CallOutcome::NotRun, reason);
         DestinationStep::Respond { to, response }
     }
 
-    fn response(
-        &self,
-        now: Timestamp,
-        id: AttemptId,
-        outcome: CallOutcome,
-        reason: CallReason,
-    ) -> CallResponse {
+    fn response(&self, id: AttemptId, outcome: CallOutcome, reason: CallReason) -> CallResponse {
         CallResponse {
             id,
             incarnation: self.incarnation.0,
             outcome: outcome as i32,
             reason: reason as i32,
-            load: Some(self.load(now)),
+            load: Some(self.load()),
             ..CallResponse::default()
         }
     }
 
-    fn answer_response(&self, now: Timestamp, id: AttemptId, answer: KeptAnswer) -> CallResponse {
+    fn answer_response(&self, id: AttemptId, answer: KeptAnswer) -> CallResponse {
         CallResponse {
             status: answer.status,
             headers: answer.headers,
             body_len: answer.body.len() as u64,
             body: answer.body,
-            ..self.response(now, id, CallOutcome::Answered, CallReason::None)
+            ..self.response(id, CallOutcome::Answered, CallReason::None)
         }
     }
 
--- a/crates/kumquatlock/src/call/destination/queries.rs
+++ b/crates/kumquatlock/src/call/destination/queries.rs
@@ -25,7 +25,7 @@
                     // The holders may have granted the attempt before this node lost it.
                     self.release_claim(now, &query, &mut steps);
                 }
-                steps.push(self.query_step(now, source, query.id, answer));
+                steps.push(self.query_step(source, query.id, answer));
             }
             None => {
                 self.queries.insert(query.id, source);
@@ -34,16 +34,10 @@
         steps
     }
 
-    fn query_step(
-        &self,
-        now: Timestamp,
-        to: CallSource,
-        query: AttemptId,
-        answer: QueryAnswer,
-    ) -> DestinationStep {
+    fn query_step(&self, to: CallSource, query: AttemptId, answer: QueryAnswer) -> DestinationStep {
         let (outcome, reason) = match answer {
             QueryAnswer::Answered(answer) => {
-                let response = self.answer_response(now, query, answer);
+                let response = self.answer_response(query, answer);
                 return DestinationStep::Respond { to, response };
             }
             QueryAnswer::NeverRuns => (CallOutcome::NotRun, CallReason::Cancelled),
@@ -52,19 +46,14 @@
             QueryAnswer::StillRunning => (CallOutcome::Unknown, CallReason::Timeout),
             QueryAnswer::TooManyWaiters => (CallOutcome::Unknown, CallReason::Overloaded),
         };
-        let response = self.response(now, query, outcome, reason);
+        let response = self.response(query, outcome, reason);
         DestinationStep::Respond { to, response }
     }
 
-    pub(super) fn answer_queries(
-        &mut self,
-        now: Timestamp,
-        due: Vec<QueryStep>,
-        steps: &mut Vec<DestinationStep>,
-    ) {
+    pub(super) fn answer_queries(&mut self, due: Vec<QueryStep>, steps: &mut Vec<DestinationStep>) {
         for QueryStep { query, answer } in due {
             if let Some(source) = self.queries.swap_remove(&query) {
-                steps.push(self.query_step(now, source, query, answer));
+                steps.push(self.query_step(source, query, answer));
             }
         }
     }
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -242,7 +242,7 @@
             self.abandon_claim(now, id, steps);
         }
         let outcome = CallOutcome::NotRun;
-        let response = self.response(now, run.request.id.clone(), outcome, reason);
+        let response = self.response(run.request.id.clone(), outcome, reason);
         self.finish_response(now, &run, response, outcome, steps);
     }
 
@@ -260,7 +260,7 @@
             return;
         };
         self.fence(now, &run.request.id, steps);
-        let mut response = self.response(now, run.request.id.clone(), outcome, reason);
+        let mut response = self.response(run.request.id.clone(), outcome, reason);
         response.owner = owner;
         self.finish_response(now, &run, response, outcome, steps);
     }
@@ -317,10 +317,10 @@
         };
         if !run.class.is_repeatable() {
             let due = self.outcomes.finish(now, &run.request.id, answer.clone());
-            self.answer_queries(now, due, steps);
+            self.answer_queries(due, steps);
             self.finish_claim(now, id, steps);
         }
-        let response = self.answer_response(now, run.request.id.clone(), answer);
+        let response = self.answer_response(run.request.id.clone(), answer);
         self.finish_response(now, run, response, CallOutcome::Answered, steps);
     }
 
@@ -335,10 +335,10 @@
     ) {
         if !run.class.is_repeatable() {
             let due = self.outcomes.withdraw(now, &run.request.id);
-            self.answer_queries(now, due, steps);
+            self.answer_queries(due, steps);
             self.abandon_claim(now, id, steps);
         }
-        let response = self.response(now, run.request.id.clone(), CallOutcome::NotRun, reason);
+        let response = self.response(run.request.id.clone(), CallOutcome::NotRun, reason);
         self.finish_response(now, run, response, CallOutcome::NotRun, steps);
     }
 
@@ -358,11 +358,11 @@
         };
         if !run.class.is_repeatable() {
             let due = self.outcomes.lose(now, &run.request.id);
-            self.answer_queries(now, due, steps);
+            self.answer_queries(due, steps);
             // The claim stays with the attempt, so that no resend runs.
             self.drop_claim(id);
         }
-        let response = self.response(now, run.request.id.clone(), CallOutcome::Unknown, reason);
+        let response = self.response(run.request.id.clone(), CallOutcome::Unknown, reason);
         self.finish_response(now, run, response, CallOutcome::Unknown, steps);
     }
 
--- a/crates/kumquatlock/src/membership/announcer.rs
+++ b/crates/kumquatlock/src/membership/announcer.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use kumquatlock_wire::distribution::{UpstreamItem, UpstreamReport, WireState};
 
@@ -48,8 +47,6 @@
     pub born_ms: u64,
     /// Orders the announcements of one run; zero if they are not numbered.
     pub sequence: u64,
-    /// How much longer the upstream is slow after its start, if it says so.
-    pub warmup: Option<Duration>,
 }
 
 impl UpstreamAnnouncement {
--- a/crates/kumquatlock/src/membership/tests.rs
+++ b/crates/kumquatlock/src/membership/tests.rs
@@ -271,7 +271,6 @@
             instance: crate::core::SharedName::default(),
             born_ms: 0,
             sequence: 0,
-            warmup: None,
         };
         self.handle(AnnouncerEvent::Announce(announcement)).unwrap()
     }
@@ -394,7 +393,6 @@
         instance: instance.into(),
         born_ms,
         sequence,
-        warmup: None,
     }
 }
 
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -378,7 +378,6 @@
             address: announcement.address,
             instance: announcement.instance.clone(),
             service: announcement.service.clone(),
-            warmup: announcement.warmup,
             limits,
         };
         self.destination.on_announce(now, endpoint);
--- a/crates/kumquatlock/src/ops/node/front.rs
+++ b/crates/kumquatlock/src/ops/node/front.rs
@@ -53,7 +53,7 @@
 
     fn answer_local(&mut self, now: Timestamp, request: LocalRequest) -> HttpResponse {
         let answer = match request {
-            LocalRequest::Metrics => return self.metrics_response(now),
+            LocalRequest::Metrics => return self.metrics_response(),
             LocalRequest::Ready => LocalAnswer::Ready(self.is_ready()),
             LocalRequest::Announce(body) => self.announce(now, body),
             LocalRequest::Drain => self.tell_announcer(now, AnnouncerEvent::Drain),
@@ -87,7 +87,6 @@
             instance: body.instance,
             born_ms: body.born_ms,
             sequence: body.sequence,
-            warmup: body.warmup,
         };
         let answer = self.tell_announcer(now, AnnouncerEvent::Announce(announcement));
         let is_current = matches!(
--- a/crates/kumquatlock/src/ops/node/local.rs
+++ b/crates/kumquatlock/src/ops/node/local.rs
@@ -1,7 +1,6 @@
 //! Requests to the node itself: of the upstream beside it, and of those who watch the node.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -46,8 +45,6 @@
     pub born_ms: u64,
     /// Number of the announcement within the run; zero if it is not numbered.
     pub sequence: u64,
-    /// How much longer the upstream is slow after its start, if it says so.
-    pub warmup: Option<Duration>,
     /// The upstream takes no new work any more.
     pub is_draining: bool,
 }
@@ -206,7 +203,6 @@
         instance: SharedName::default(),
         born_ms: 0,
         sequence: 0,
-        warmup: None,
         is_draining: false,
     };
     match refuse_announcement(&announcement) {
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -4,7 +4,6 @@
 
 use super::actor::NodeActor;
 use crate::call::CallerAnswer;
-use crate::core::Timestamp;
 use crate::http::HttpResponse;
 use crate::util::metrics::{METRICS_CONTENT_TYPE, MetricsPage};
 
@@ -39,12 +38,12 @@
         self.answers.record(answer, duration);
     }
 
-    pub(super) fn metrics_response(&self, now: Timestamp) -> HttpResponse {
+    pub(super) fn metrics_response(&self) -> HttpResponse {
         let mut page = MetricsPage::default();
         page.traffic(&self.counters);
         self.add_configuration(&mut page);
         self.add_calls(&mut page);
-        self.add_destination(now, &mut page);
+        self.add_destination(&mut page);
         match page.encode() {
             Ok(text) => HttpResponse {
                 status: 200,
@@ -148,8 +147,8 @@
         }
     }
 
-    fn add_destination(&self, now: Timestamp, page: &mut MetricsPage) {
-        let load = self.destination.load(now);
+    fn add_destination(&self, page: &mut MetricsPage) {
+        let load = self.destination.load();
         page.gauge(
             "running",
             "Calls running on the upstream",
