--- a/crates/kumquatlock/src/agreement/election.rs
+++ b/crates/kumquatlock/src/agreement/election.rs
@@ -1,12 +1,15 @@
 //! Pre-votes, votes and election timeouts.
 
+use std::time::Duration;
+
 use indexmap::IndexSet;
 use kumquatlock_wire::agreement::{VoteReply, VoteRequest, VoterIdentity, peer_message::Kind};
 use rand::Rng;
+use rand::rngs::SmallRng;
 
 use super::machine::{Agreement, RoleState};
 use super::types::PersistTicket;
-use crate::core::Timestamp;
+use crate::core::{SharedName, Timestamp};
 
 /// Divisor of the shortest election timeout, for the first deadline after a start.
 const FIRST_TIMEOUT_DIVISOR: u32 = 4;
@@ -54,31 +57,28 @@
         self.role = RoleState::PreCandidate(VoteTally {
             votes,
             own_vote: PersistTicket::default(),
-            ask_again_at: self.next_vote_request(now),
+            ask_again_at: now + self.draw_vote_pause(),
         });
         self.request_votes(true, false);
         self.check_tally(now);
     }
 
-    /// Drawn, so that two who are asking at once do not go on so.
-    fn next_vote_request(&mut self, now: Timestamp) -> Timestamp {
-        let interval = self.settings.heartbeat_interval;
-        now + self.generator.random_range(interval / 2..=interval)
+    fn draw_vote_pause(&mut self) -> Duration {
+        vote_pause(&mut self.generator, self.settings.heartbeat_interval)
     }
 
+    /// Asks those who have not voted once more, if it is time.
     fn repeat_vote_request(&mut self, now: Timestamp) {
-        let (RoleState::PreCandidate(tally) | RoleState::Candidate(tally)) = &self.role else {
-            return;
+        let (is_pre_vote, tally) = match &mut self.role {
+            RoleState::PreCandidate(tally) => (true, tally),
+            RoleState::Candidate(tally) => (false, tally),
+            _ => return,
         };
-        if now < tally.ask_again_at {
-            return;
+        if now >= tally.ask_again_at {
+            let interval = self.settings.heartbeat_interval;
+            tally.ask_again_at = now + vote_pause(&mut self.generator, interval);
+            self.request_votes(is_pre_vote, false);
         }
-        let is_pre_vote = matches!(self.role, RoleState::PreCandidate(_));
-        let again = self.next_vote_request(now);
-        if let RoleState::PreCandidate(tally) | RoleState::Candidate(tally) = &mut self.role {
-            tally.ask_again_at = again;
-        }
-        self.request_votes(is_pre_vote, false);
     }
 
     /// Campaigns in the next term.
@@ -90,7 +90,7 @@
         self.role = RoleState::Candidate(VoteTally {
             votes: IndexSet::new(),
             own_vote,
-            ask_again_at: self.next_vote_request(now),
+            ask_again_at: now + self.draw_vote_pause(),
         });
         self.reset_election_deadline(now);
         self.request_votes(false, is_transfer);
@@ -107,11 +107,11 @@
         let (RoleState::PreCandidate(tally) | RoleState::Candidate(tally)) = &self.role else {
             return;
         };
-        let voted: Vec<String> = tally.votes.iter().map(|voter| voter.name.clone()).collect();
-        for peer in self.peers() {
-            if !voted.iter().any(|name| **name == *peer) {
-                self.post_with_term(&peer, term, Kind::VoteRequest(request.clone()));
-            }
+        let has_voted = |peer: &SharedName| tally.votes.iter().any(|voter| *voter.name == **peer);
+        let mut peers = self.peers();
+        peers.retain(|peer| !has_voted(peer));
+        for peer in peers {
+            self.post_with_term(&peer, term, Kind::VoteRequest(request.clone()));
         }
     }
 
@@ -235,3 +235,9 @@
         }
     }
 }
+
+/// Time until those who have not voted are asked again. Drawn, so that two who are asking at once do
+/// not go on so.
+fn vote_pause(generator: &mut SmallRng, heartbeat_interval: Duration) -> Duration {
+    generator.random_range(heartbeat_interval / 2..=heartbeat_interval)
+}
