Give the tests of decisions a group that outlasts a stall

Trace: in both groups, which share nothing but the machine, the only leader of term 1 stepped down without a quorum within 50 ms of each other (39.03 and 39.08 s), 0.43 s after its election, and no other candidate had come up. The groups have an election timeout of 400 ms. These two tests ask what is decided, not how leaders change; they now use 2 s. Nothing that they assert changed.

--- a/crates/kumquatlock-control/tests/control/decisions.rs
+++ b/crates/kumquatlock-control/tests/control/decisions.rs
@@ -8,13 +8,21 @@
 use kumquatlock_testkit::process::{Mesh, ProgramName};
 use serde_json::{Value, json};
 
-use crate::group::{builder, manifest, other_manifest, show, start, status, wait_status};
+use crate::group::{
+    builder, builder_with_election, manifest, other_manifest, show, start, status, wait_status,
+};
+
+/// A group that keeps its leader while the machine stalls for some time. What is decided is tested
+/// here, and a leader that lost its quorum decides nothing.
+fn start_steady() -> Mesh {
+    start(builder_with_election("2000"))
+}
 
 /// Guards against an answer that depends on the instance that was asked, and against an accepted
 /// manifest that another instance does not know.
 #[test]
 fn every_voter_accepts_and_shows_a_manifest() {
-    let mesh = start(builder());
+    let mesh = start_steady();
     for (index, instance) in mesh.controls.iter().enumerate() {
         let version = index as u64 + 1;
         let answer = instance.submit(&manifest(version)).unwrap();
@@ -38,7 +46,7 @@
 /// Guards against two manifests of one version in force, and against a step back.
 #[test]
 fn conflicting_and_stale_manifests_are_refused() {
-    let mesh = start(builder());
+    let mesh = start_steady();
     let submit = |index: usize, manifest: &Value| {
         let answer = mesh.controls[index].submit(manifest).unwrap();
         (answer.status, answer.json())
