Send large updates to nodes in small acknowledged chunks

Cause: a delta of 1,700 routes (up to 170 KB) was sent as one message, and a first configuration in chunks of 256 KiB. On a link of 2.5 to 3 Mbit/s it occupied the link for half a second, and pings and calls of all peers waited behind it. Ruled out: the parent's own link (170 Mbit/s) is not filled by it; TCP alone does not help, because its window is longer than the 150 ms after which a peer counts as silent. Change: a node announces in its Hello that it acknowledges chunks.

Before: the tests in distribution/tests/pacing.rs fail with the announcement switched off (168,022 and 241,763 bytes waited for the link at once). After: at most 24 KiB and the headers, in force within 2.5 s.

--- a/crates/kumquatlock-wire/src/distribution.rs
+++ b/crates/kumquatlock-wire/src/distribution.rs
@@ -372,6 +372,9 @@
     /// Digest of the applied state, so that a delta is never applied to a different base.
     #[prost(uint64, tag = "8")]
     pub applied_digest: u64,
+    /// Whether the child answers chunks with [`ChunkReceived`] and assembles deltas from chunks.
+    #[prost(bool, tag = "9")]
+    pub accepts_paced_updates: bool,
 }
 
 /// Answers a [`Hello`] after a currency proof.
@@ -411,7 +414,7 @@
     WrongGroup = 3,
 }
 
-/// One chunk of a [`CatalogState`].
+/// One chunk of an update: of a [`CatalogState`], or of a [`Delta`] too large for one message.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct SnapshotChunk {
     #[prost(uint64, tag = "1")]
@@ -424,6 +427,24 @@
     pub digest: u64,
     #[prost(bytes = "bytes", tag = "5")]
     pub data: Bytes,
+    /// Version to which the assembled update applies if it is an encoded [`Delta`]; zero if it is a
+    /// [`CatalogState`].
+    #[prost(uint64, tag = "6")]
+    pub base: u64,
+    /// Whether the parent waits for [`ChunkReceived`] before it sends more than a window of chunks.
+    #[prost(bool, tag = "7")]
+    pub is_paced: bool,
+}
+
+/// Acknowledges the chunks of a paced update.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct ChunkReceived {
+    /// Version of the update.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Number of bytes of the update received so far, without gaps.
+    #[prost(uint64, tag = "2")]
+    pub received_bytes: u64,
 }
 
 /// Changes from version `base` to `version`. Can be applied to `base` only.
--- a/crates/kumquatlock-wire/src/envelope.rs
+++ b/crates/kumquatlock-wire/src/envelope.rs
@@ -5,7 +5,7 @@
 pub struct Envelope {
     #[prost(
         oneof = "body::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 20, 21, 22, 23, 24, 25, 26, 27"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 24, 25, 26, 27"
     )]
     pub body: Option<body::Body>,
 }
@@ -52,6 +52,8 @@
         /// Carries currency proofs and operator requests between a replica and its parent.
         #[prost(message, tag = "14")]
         Forward(agreement::Forward),
+        #[prost(message, tag = "16")]
+        ChunkReceived(distribution::ChunkReceived),
         #[prost(message, tag = "20")]
         Call(call::CallRequest),
         #[prost(message, tag = "21")]
@@ -84,7 +86,7 @@
     Snapshot,
     /// Deltas.
     Delta,
-    /// `Applied`, `Rejected`, `Progress` and `Attachment`.
+    /// `ChunkReceived`, `Applied`, `Rejected`, `Progress` and `Attachment`.
     Progress,
     /// Upstream reports.
     Report,
@@ -144,9 +146,11 @@
             Body::Hello(_) | Body::Welcome(_) | Body::RetryAfter(_) => MessageKind::Attach,
             Body::Snapshot(_) => MessageKind::Snapshot,
             Body::Delta(_) => MessageKind::Delta,
-            Body::Applied(_) | Body::Rejected(_) | Body::Progress(_) | Body::Attachment(_) => {
-                MessageKind::Progress
-            }
+            Body::ChunkReceived(_)
+            | Body::Applied(_)
+            | Body::Rejected(_)
+            | Body::Progress(_)
+            | Body::Attachment(_) => MessageKind::Progress,
             Body::Report(_) => MessageKind::Report,
             Body::Claim(_)
             | Body::ClaimReply(_)
--- a/crates/kumquatlock/src/distribution/assembly.rs
+++ b/crates/kumquatlock/src/distribution/assembly.rs
@@ -1,11 +1,11 @@
-//! Assembly of a snapshot from the chunks that a parent sends.
+//! Assembly of an update, a snapshot or a large delta, from the chunks that a parent sends.
 
-use kumquatlock_wire::distribution::{CatalogState, SnapshotChunk};
+use kumquatlock_wire::distribution::{CatalogState, Delta, SnapshotChunk};
 use prost::Message;
 
 use super::MAX_SNAPSHOT_BYTES;
 
-/// Why received chunks could not be assembled into a snapshot.
+/// Why received chunks could not be assembled into an update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ChunkError {
     /// The chunk does not start where the previous one ended.
@@ -18,17 +18,19 @@
     },
     /// The chunks add up to more than the announced size, or the announced size exceeds
     /// [`MAX_SNAPSHOT_BYTES`].
-    #[error("snapshot exceeds its announced size or the maximum of {MAX_SNAPSHOT_BYTES} bytes")]
+    #[error("update exceeds its announced size or the maximum of {MAX_SNAPSHOT_BYTES} bytes")]
     Oversized,
-    /// The assembled bytes do not decode to a state of the announced version.
-    #[error("snapshot cannot be decoded or has another version than announced")]
+    /// The assembled bytes do not decode to a state or delta of the announced versions.
+    #[error("update cannot be decoded or has another version than announced")]
     Malformed,
 }
 
-/// A partially received snapshot.
+/// A partially received update.
 #[derive(Debug)]
-pub(super) struct SnapshotAssembly {
+pub(super) struct UpdateAssembly {
     version: u64,
+    /// Base of a delta; zero for a snapshot.
+    base: u64,
     digest: u64,
     total: u64,
     data: Vec<u8>,
@@ -38,27 +40,34 @@
 #[derive(Debug, PartialEq)]
 pub(super) enum AssemblyProgress {
     /// More chunks are needed.
-    Partial,
+    Partial {
+        /// Number of bytes received without a gap.
+        received_bytes: u64,
+    },
     /// The decoded state, and the digest that the sender computed for it.
-    Complete(Box<CatalogState>, u64),
+    State(Box<CatalogState>, u64),
+    /// The decoded delta.
+    Delta(Box<Delta>),
 }
 
-impl SnapshotAssembly {
-    /// Adds a chunk to the snapshot in `slot`. A chunk of a different snapshot discards the current
+impl UpdateAssembly {
+    /// Adds a chunk to the update in `slot`. A chunk of a different update discards the current
     /// one and starts a new one. After the last chunk and after an error, the slot is empty.
     pub(super) fn accept(
-        slot: &mut Option<SnapshotAssembly>,
+        slot: &mut Option<UpdateAssembly>,
         chunk: &SnapshotChunk,
     ) -> Result<AssemblyProgress, ChunkError> {
         let assembly = match slot.take() {
-            Some(assembly) if assembly.is_same_snapshot(chunk) => assembly,
-            _ => SnapshotAssembly::start(chunk)?,
+            Some(assembly) if assembly.is_same_update(chunk) => assembly,
+            _ => UpdateAssembly::start(chunk)?,
         };
         let received = assembly.data.len() as u64;
         if chunk.offset < received {
             // The chunk is a duplicate.
             *slot = Some(assembly);
-            return Ok(AssemblyProgress::Partial);
+            return Ok(AssemblyProgress::Partial {
+                received_bytes: received,
+            });
         }
         if chunk.offset > received {
             let offset = chunk.offset;
@@ -72,21 +81,23 @@
             return Err(ChunkError::Oversized);
         }
         // No memory is reserved for the announced size: the buffer grows as chunks arrive.
-        Ok(SnapshotAssembly {
+        Ok(UpdateAssembly {
             version: chunk.version,
+            base: chunk.base,
             digest: chunk.digest,
             total: chunk.total_bytes,
             data: Vec::new(),
         })
     }
 
-    fn is_same_snapshot(&self, chunk: &SnapshotChunk) -> bool {
-        (self.version, self.digest, self.total) == (chunk.version, chunk.digest, chunk.total_bytes)
+    fn is_same_update(&self, chunk: &SnapshotChunk) -> bool {
+        (self.version, self.base) == (chunk.version, chunk.base)
+            && (self.digest, self.total) == (chunk.digest, chunk.total_bytes)
     }
 
     fn extend(
         mut self,
-        slot: &mut Option<SnapshotAssembly>,
+        slot: &mut Option<UpdateAssembly>,
         chunk: &SnapshotChunk,
     ) -> Result<AssemblyProgress, ChunkError> {
         self.data.extend_from_slice(&chunk.data);
@@ -96,12 +107,29 @@
         }
         if received < self.total {
             *slot = Some(self);
-            return Ok(AssemblyProgress::Partial);
+            return Ok(AssemblyProgress::Partial {
+                received_bytes: received,
+            });
+        }
+        match self.base {
+            0 => self.decode_state(),
+            _ => self.decode_delta(),
         }
+    }
+
+    fn decode_state(&self) -> Result<AssemblyProgress, ChunkError> {
         let state = CatalogState::decode(&self.data[..]).map_err(|_| ChunkError::Malformed)?;
         if state.version != self.version {
             return Err(ChunkError::Malformed);
         }
-        Ok(AssemblyProgress::Complete(Box::new(state), self.digest))
+        Ok(AssemblyProgress::State(Box::new(state), self.digest))
+    }
+
+    fn decode_delta(&self) -> Result<AssemblyProgress, ChunkError> {
+        let delta = Delta::decode(&self.data[..]).map_err(|_| ChunkError::Malformed)?;
+        if (delta.base, delta.version, delta.digest) != (self.base, self.version, self.digest) {
+            return Err(ChunkError::Malformed);
+        }
+        Ok(AssemblyProgress::Delta(Box::new(delta)))
     }
 }
--- a/crates/kumquatlock/src/distribution/child.rs
+++ b/crates/kumquatlock/src/distribution/child/mod.rs
@@ -1,5 +1,7 @@
 //! The child side of the configuration stream.
 
+mod update;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,12 +9,12 @@
 use kumquatlock_wire::Body;
 use kumquatlock_wire::agreement::Forward;
 use kumquatlock_wire::distribution::{
-    Applied, Attachment, CatalogState, ChildRole, Delta, Hello, Ping, Pong, Rejected, RetryAfter,
-    RetryReason, SnapshotChunk, UpstreamIncarnation, UpstreamReport, Welcome, WireState,
+    Attachment, CatalogState, ChildRole, Delta, Hello, Ping, Pong, RetryAfter, RetryReason,
+    UpstreamIncarnation, UpstreamReport, Welcome, WireState,
 };
 use rand::rngs::SmallRng;
 
-use super::assembly::{AssemblyProgress, ChunkError, SnapshotAssembly};
+use super::assembly::{ChunkError, UpdateAssembly};
 use super::backoff::ParentSelector;
 use super::preference::FailbackSearch;
 use super::timing::StreamTiming;
@@ -162,7 +164,7 @@
     floor: ConfigVersion,
     /// The applied configuration. Its version never decreases.
     applied: Option<Arc<ConfigSnapshot>>,
-    assembly: Option<SnapshotAssembly>,
+    assembly: Option<UpdateAssembly>,
     last_heard: Timestamp,
     last_ping: Timestamp,
     ping_number: u64,
@@ -406,6 +408,8 @@
             role: self.identity.role as i32,
             applied_version: applied.map_or(0, |applied| applied.version.0),
             applied_digest: applied.map_or(0, |applied| applied.digest),
+            // Control instances have wide links, on which pacing would only delay updates.
+            accepts_paced_updates: self.identity.role == ChildRole::Node,
         };
         vec![self.send(Body::Hello(hello))]
     }
@@ -496,82 +500,6 @@
         vec![self.close()]
     }
 
-    fn accept_chunk(&mut self, chunk: &SnapshotChunk) -> Vec<ChildStep> {
-        let version = ConfigVersion(chunk.version);
-        if let Some(steps) = self.acknowledge_old(version) {
-            return steps;
-        }
-        match SnapshotAssembly::accept(&mut self.assembly, chunk) {
-            Ok(AssemblyProgress::Partial) => Vec::new(),
-            Ok(AssemblyProgress::Complete(state, digest)) => {
-                match ConfigSnapshot::from_state(&state, digest) {
-                    Ok(snapshot) => self.apply_snapshot(snapshot, AppliedSource::State(state)),
-                    Err(error) => self.reject_update(version, error.into()),
-                }
-            }
-            Err(error) => self.reject_update(version, error.into()),
-        }
-    }
-
-    fn accept_delta(&mut self, delta: Delta) -> Vec<ChildStep> {
-        let version = ConfigVersion(delta.version);
-        if let Some(steps) = self.acknowledge_old(version) {
-            return steps;
-        }
-        let Some(applied) = &self.applied else {
-            return self.reject_update(version, UpdateRefusal::NoBase);
-        };
-        match applied.apply(&delta) {
-            Ok(snapshot) => self.apply_snapshot(snapshot, AppliedSource::Delta(Box::new(delta))),
-            Err(error) => self.reject_update(version, error.into()),
-        }
-    }
-
-    /// Answers a duplicate or outdated update with the version that is applied.
-    fn acknowledge_old(&self, offered: ConfigVersion) -> Option<Vec<ChildStep>> {
-        let applied = self.applied.as_deref()?;
-        if offered > applied.version {
-            return None;
-        }
-        let version = applied.version.0;
-        Some(vec![self.send(Body::Applied(Applied { version }))])
-    }
-
-    fn apply_snapshot(
-        &mut self,
-        snapshot: ConfigSnapshot,
-        source: AppliedSource,
-    ) -> Vec<ChildStep> {
-        let version = snapshot.version;
-        if self.applied.is_none() && version < self.floor {
-            let floor = self.floor;
-            return self.reject_update(version, UpdateRefusal::BelowFloor { floor });
-        }
-        self.group = self.offered_group;
-        self.assembly = None;
-        let snapshot = Arc::new(snapshot);
-        self.applied = Some(snapshot.clone());
-        self.apply_welcome_proof();
-        let version = version.0;
-        vec![
-            ChildStep::Apply { snapshot, source },
-            self.send(Body::Applied(Applied { version })),
-        ]
-    }
-
-    /// Rejects an update. The parent answers with a snapshot.
-    fn reject_update(&mut self, version: ConfigVersion, refusal: UpdateRefusal) -> Vec<ChildStep> {
-        self.assembly = None;
-        let rejected = Rejected {
-            version: version.0,
-            reason: refusal.to_string(),
-        };
-        vec![
-            self.send(Body::Rejected(rejected)),
-            ChildStep::Refused { version, refusal },
-        ]
-    }
-
     fn handle_report(&mut self, report: UpstreamReport) -> Vec<ChildStep> {
         let item = &report.upstream;
         let is_present = item.state != WireState::Left as i32;
--- a/crates/kumquatlock/src/distribution/mod.rs
+++ b/crates/kumquatlock/src/distribution/mod.rs
@@ -28,6 +28,7 @@
 mod record;
 mod serve;
 mod timing;
+mod transfer;
 
 use std::time::Duration;
 
@@ -56,6 +57,11 @@
 pub const MAX_DELTA_FRAMES: usize = 16;
 /// Size of one snapshot chunk, in bytes.
 pub const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
+/// Size of one chunk of a paced update, in bytes.
+pub const PACED_CHUNK_BYTES: usize = 8 * 1024;
+/// Maximum number of unacknowledged bytes of a paced update. They occupy a link of 2.5 Mbit/s for
+/// 80 ms, which is less than the time after which nodes take a peer for silent.
+pub const PACED_WINDOW_BYTES: usize = 3 * PACED_CHUNK_BYTES;
 /// Maximum size of a snapshot that a child assembles, in bytes.
 pub const MAX_SNAPSHOT_BYTES: u64 = 64 * 1024 * 1024;
 /// Timeout of a currency proof.
--- a/crates/kumquatlock/src/distribution/parent.rs
+++ b/crates/kumquatlock/src/distribution/parent.rs
@@ -193,7 +193,7 @@
                 }
                 self.receive(now, child, body, catalog, random, &mut steps);
             }
-            ParentEvent::Writable { child } => self.send_chunk(now, child, &mut steps),
+            ParentEvent::Writable { child } => self.handle_writable(now, child, &mut steps),
             ParentEvent::Disconnected { child } => self.remove(now, child, catalog, &mut steps),
             ParentEvent::ProofResult { round, index } => {
                 let outcome = self.proofs.record_result(round, index);
@@ -253,6 +253,9 @@
                 record.applied = record.applied.max(version);
                 self.finish_update(now, child, version, catalog, steps);
             }
+            Body::ChunkReceived(received) => {
+                self.handle_chunk_received(now, child, received, steps);
+            }
             Body::Rejected(rejected) => {
                 self.handle_rejection(now, child, ConfigVersion(rejected.version), catalog, steps);
             }
--- a/crates/kumquatlock/src/distribution/record.rs
+++ b/crates/kumquatlock/src/distribution/record.rs
@@ -1,78 +1,20 @@
 //! State that a parent keeps for each child.
 
 use indexmap::IndexSet;
-use kumquatlock_wire::distribution::{
-    ChildRole, Hello, Progress, SnapshotChunk, UpstreamIncarnation,
-};
+use kumquatlock_wire::distribution::{ChildRole, Hello, Progress, UpstreamIncarnation};
 
-use super::SNAPSHOT_CHUNK_BYTES;
-use crate::catalog::{EncodedSnapshot, SnapshotDetail};
+use super::transfer::OutstandingUpdate;
+use crate::catalog::SnapshotDetail;
 use crate::core::{ConfigVersion, SharedName, Timestamp};
 
-/// An update that was sent to a child and that the child has not answered yet.
-#[derive(Debug)]
-pub(super) enum OutstandingUpdate {
-    Delta {
-        version: ConfigVersion,
-        since: Timestamp,
-    },
-    Snapshot(SnapshotTransfer),
-}
-
-/// A snapshot transfer to one child.
-#[derive(Debug)]
-pub(super) struct SnapshotTransfer {
-    pub(super) snapshot: EncodedSnapshot,
-    pub(super) sent_bytes: usize,
-    pub(super) started_at: Timestamp,
-    /// Time at which the latest chunk was sent.
-    pub(super) last_chunk_at: Timestamp,
-}
-
-impl SnapshotTransfer {
-    /// Returns the next chunk, or `None` after the last one. Chunks share the memory of the encoded
-    /// snapshot.
-    pub(super) fn next_chunk(&mut self) -> Option<SnapshotChunk> {
-        let total = self.snapshot.bytes.len();
-        if self.sent_bytes >= total {
-            return None;
-        }
-        let end = total.min(self.sent_bytes + SNAPSHOT_CHUNK_BYTES);
-        let chunk = SnapshotChunk {
-            version: self.snapshot.version.0,
-            offset: self.sent_bytes as u64,
-            total_bytes: total as u64,
-            digest: self.snapshot.digest,
-            data: self.snapshot.bytes.slice(self.sent_bytes..end),
-        };
-        self.sent_bytes = end;
-        Some(chunk)
-    }
-}
-
-impl OutstandingUpdate {
-    pub(super) fn version(&self) -> ConfigVersion {
-        match self {
-            OutstandingUpdate::Delta { version, .. } => *version,
-            OutstandingUpdate::Snapshot(transfer) => transfer.snapshot.version,
-        }
-    }
-
-    /// Returns the time at which the latest part of the update was sent.
-    pub(super) fn sent_at(&self) -> Timestamp {
-        match self {
-            OutstandingUpdate::Delta { since, .. } => *since,
-            OutstandingUpdate::Snapshot(transfer) => transfer.last_chunk_at,
-        }
-    }
-}
-
 /// State of one admitted child.
 #[derive(Debug)]
 pub(super) struct ChildRecord {
     pub(super) name: SharedName,
     pub(super) incarnation: u64,
     pub(super) role: ChildRole,
+    /// Whether large updates are sent in small chunks that the child acknowledges.
+    pub(super) is_paced: bool,
     /// Whether the `Welcome` was sent. The child receives no updates before.
     pub(super) is_welcomed: bool,
     /// Version that the child has applied; zero without a configuration. Never decreases.
@@ -103,6 +45,7 @@
             name: hello.name.as_str().into(),
             incarnation: hello.incarnation,
             role: child_role(hello),
+            is_paced: hello.accepts_paced_updates,
             is_welcomed: false,
             applied: ConfigVersion(hello.applied_version),
             floor: ConfigVersion(0),
@@ -125,8 +68,9 @@
         self.diverged != Some(self.applied)
     }
 
+    /// Returns whether a snapshot is being sent to the child.
     pub(super) fn is_in_transfer(&self) -> bool {
-        matches!(self.outstanding, Some(OutstandingUpdate::Snapshot(_)))
+        matches!(&self.outstanding, Some(OutstandingUpdate::Chunked(transfer)) if transfer.is_snapshot())
     }
 
     /// Returns the detail of the child's snapshots. Snapshots for replicas include the history, so
--- a/crates/kumquatlock/src/distribution/serve.rs
+++ b/crates/kumquatlock/src/distribution/serve.rs
@@ -1,11 +1,15 @@
 //! Selection of the next update for each child: a delta or a snapshot.
 
+use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
+use kumquatlock_wire::distribution::ChunkReceived;
 use kumquatlock_wire::{Body, EncodedFrame};
+use prost::Message;
 
-use super::MAX_DELTA_FRAMES;
 use super::parent::{ChildId, ParentState, ParentStep, send};
-use super::record::{OutstandingUpdate, SnapshotTransfer};
+use super::record::ChildRecord;
+use super::transfer::{OutstandingUpdate, UpdateTransfer};
+use super::{MAX_DELTA_FRAMES, PACED_WINDOW_BYTES};
 use crate::catalog::{Catalog, CatalogUpdate, EncodedSnapshot, SnapshotDetail};
 use crate::core::{ConfigVersion, Timestamp};
 
@@ -46,6 +50,31 @@
     }
 }
 
+/// A delta, encoded once for all children at its base.
+#[derive(Clone, Debug)]
+struct EncodedDelta {
+    frame: EncodedFrame,
+    /// The delta without the envelope. Shares the memory of the frame.
+    bytes: Bytes,
+}
+
+impl EncodedDelta {
+    fn new(delta: kumquatlock_wire::distribution::Delta) -> Option<Self> {
+        let len = delta.encoded_len();
+        let frame = EncodedFrame::new(Body::Delta(delta)).ok()?;
+        // The delta is the only field of the envelope, so its encoding ends the frame.
+        let start = frame.bytes().len() - len;
+        let bytes = frame.bytes().slice(start..);
+        Some(EncodedDelta { frame, bytes })
+    }
+
+    /// Returns whether the delta fits into the window of a paced transfer, so that it can be sent
+    /// in one message.
+    fn fits_window(&self) -> bool {
+        self.bytes.len() <= PACED_WINDOW_BYTES
+    }
+}
+
 /// Cache of encoded deltas to the current state, by base version. Children acknowledge updates one
 /// by one, most of them at the same version; without the cache, each of them would need its own
 /// merge and encoding.
@@ -54,29 +83,29 @@
     /// Version and digest of the state that the cached deltas produce.
     target: (ConfigVersion, u64),
     /// At most [`MAX_DELTA_FRAMES`].
-    frames: IndexMap<ConfigVersion, EncodedFrame>,
+    deltas: IndexMap<ConfigVersion, EncodedDelta>,
 }
 
 impl DeltaCache {
     /// Returns the delta from `base` to the current state, or `None` if the child needs a snapshot.
-    fn get(&mut self, base: ConfigVersion, catalog: &Catalog) -> Option<EncodedFrame> {
+    fn get(&mut self, base: ConfigVersion, catalog: &Catalog) -> Option<EncodedDelta> {
         let target = (catalog.version(), catalog.digest());
         if self.target != target {
             self.target = target;
-            self.frames.clear();
+            self.deltas.clear();
         }
-        if let Some(frame) = self.frames.get(&base) {
-            return Some(frame.clone());
+        if let Some(delta) = self.deltas.get(&base) {
+            return Some(delta.clone());
         }
         let CatalogUpdate::Delta(delta) = catalog.delta_since(base) else {
             return None;
         };
-        let frame = EncodedFrame::new(Body::Delta(delta)).ok()?;
-        if self.frames.len() >= MAX_DELTA_FRAMES {
-            self.frames.shift_remove_index(0);
+        let delta = EncodedDelta::new(delta)?;
+        if self.deltas.len() >= MAX_DELTA_FRAMES {
+            self.deltas.shift_remove_index(0);
         }
-        self.frames.insert(base, frame.clone());
-        Some(frame)
+        self.deltas.insert(base, delta.clone());
+        Some(delta)
     }
 }
 
@@ -129,20 +158,38 @@
         catalog: &Catalog,
         steps: &mut Vec<ParentStep>,
     ) {
-        let Some(frame) = self.deltas.get(base, catalog) else {
+        let Some(delta) = self.deltas.get(base, catalog) else {
             for child in children {
                 self.snapshot_queue.push(child, true);
             }
             return;
         };
         let version = catalog.version();
-        for child in &children {
-            if let Some(record) = self.children.get_mut(child) {
+        let is_chunked = |record: &ChildRecord| record.is_paced && !delta.fits_window();
+        let mut whole = Vec::new();
+        for child in children {
+            let Some(record) = self.children.get_mut(&child) else {
+                continue;
+            };
+            if is_chunked(record) {
+                let range = (base, version);
+                let bytes = delta.bytes.clone();
+                let transfer = UpdateTransfer::of_delta(now, range, catalog.digest(), bytes);
+                record.outstanding = Some(OutstandingUpdate::Chunked(transfer));
+                self.send_chunks(now, child, steps);
+            } else {
                 let since = now;
                 record.outstanding = Some(OutstandingUpdate::Delta { version, since });
+                whole.push(child);
             }
         }
-        steps.push(ParentStep::SendDelta { children, frame });
+        if !whole.is_empty() {
+            let frame = delta.frame;
+            steps.push(ParentStep::SendDelta {
+                children: whole,
+                frame,
+            });
+        }
     }
 
     /// Starts snapshot transfers for waiting children, up to the limit of concurrent transfers.
@@ -183,14 +230,10 @@
         ));
         let snapshot = self.snapshot(record.detail(), lowest, catalog);
         if let Some(record) = self.children.get_mut(&child) {
-            record.outstanding = Some(OutstandingUpdate::Snapshot(SnapshotTransfer {
-                snapshot,
-                sent_bytes: 0,
-                started_at: now,
-                last_chunk_at: now,
-            }));
+            let transfer = UpdateTransfer::of_snapshot(now, snapshot, record.is_paced);
+            record.outstanding = Some(OutstandingUpdate::Chunked(transfer));
         }
-        self.send_chunk(now, child, steps);
+        self.send_chunks(now, child, steps);
         true
     }
 
@@ -214,22 +257,50 @@
         encoded
     }
 
-    /// Sends the next chunk of a transfer. The output buffer holds at most one chunk per child,
-    /// which bounds the memory of all transfers however slow the children are.
-    pub(super) fn send_chunk(
+    /// Sends the next chunks of a transfer: one, or as many as the window of a paced transfer
+    /// allows. The output buffer holds at most one chunk or window per child, which bounds the
+    /// memory of all transfers however slow the children are.
+    fn send_chunks(&mut self, now: Timestamp, child: ChildId, steps: &mut Vec<ParentStep>) {
+        let record = self.children.get_mut(&child);
+        let outstanding = record.and_then(|record| record.outstanding.as_mut());
+        let Some(OutstandingUpdate::Chunked(transfer)) = outstanding else {
+            return;
+        };
+        while let Some(chunk) = transfer.next_chunk(now) {
+            steps.push(send(child, Body::Snapshot(chunk)));
+            if !transfer.is_paced() {
+                return;
+            }
+        }
+    }
+
+    /// Continues a transfer whose latest chunk has left the output buffer. A paced transfer
+    /// continues when the child acknowledges a chunk instead.
+    pub(super) fn handle_writable(
         &mut self,
         now: Timestamp,
         child: ChildId,
         steps: &mut Vec<ParentStep>,
     ) {
-        let Some(record) = self.children.get_mut(&child) else {
-            return;
-        };
-        if let Some(OutstandingUpdate::Snapshot(transfer)) = &mut record.outstanding
-            && let Some(chunk) = transfer.next_chunk()
-        {
-            transfer.last_chunk_at = now;
-            steps.push(send(child, Body::Snapshot(chunk)));
+        let record = self.children.get(&child);
+        if record.is_some_and(|record| !record.is_paced) {
+            self.send_chunks(now, child, steps);
+        }
+    }
+
+    /// Continues a paced transfer after the child has acknowledged a chunk.
+    pub(super) fn handle_chunk_received(
+        &mut self,
+        now: Timestamp,
+        child: ChildId,
+        received: ChunkReceived,
+        steps: &mut Vec<ParentStep>,
+    ) {
+        let record = self.children.get_mut(&child);
+        let outstanding = record.and_then(|record| record.outstanding.as_mut());
+        if let Some(OutstandingUpdate::Chunked(transfer)) = outstanding {
+            transfer.record_received(ConfigVersion(received.version), received.received_bytes);
+            self.send_chunks(now, child, steps);
         }
     }
 
@@ -247,7 +318,7 @@
         };
         match &record.outstanding {
             Some(update) if version < update.version() => return,
-            Some(OutstandingUpdate::Snapshot(transfer)) => {
+            Some(OutstandingUpdate::Chunked(transfer)) if transfer.is_snapshot() => {
                 self.admission
                     .record_transfer(now.since(transfer.started_at));
                 record.needs_snapshot = false;
--- a/crates/kumquatlock/src/distribution/tests.rs
+++ b/crates/kumquatlock/src/distribution/tests.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 mod measure;
+mod pacing;
 mod parents;
 
 use std::hash::BuildHasher;
@@ -16,7 +17,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::assembly::{AssemblyProgress, SnapshotAssembly};
+use super::assembly::{AssemblyProgress, UpdateAssembly};
 use super::*;
 use crate::core::{ConfigVersion, GroupId, Timestamp};
 use harness::*;
@@ -187,11 +188,12 @@
         total_bytes: 6,
         digest: 9,
         data: data.into(),
+        ..SnapshotChunk::default()
     };
     // Protobuf fields 1 and 2, and an unknown field 15.
     let bytes: &'static [u8] = &[8, 1, 16, 1, 0x78, 1];
     let mut slot = None;
-    let mut accept = |chunk| SnapshotAssembly::accept(&mut slot, &chunk);
+    let mut accept = |chunk| UpdateAssembly::accept(&mut slot, &chunk);
     assert!(accept(chunk(0, &bytes[..2])).is_ok());
     assert!(accept(chunk(0, &bytes[..2])).is_ok(), "duplicate chunk");
     let gap = ChunkError::Gap {
@@ -201,7 +203,7 @@
     assert_eq!(accept(chunk(4, &bytes[4..])).unwrap_err(), gap);
     assert!(accept(chunk(0, &bytes[..2])).is_ok());
     let complete = accept(chunk(2, &bytes[2..])).unwrap();
-    assert!(matches!(complete, AssemblyProgress::Complete(_, 9)));
+    assert!(matches!(complete, AssemblyProgress::State(_, 9)));
     assert_eq!(
         accept(chunk(0, &[0; 7])).unwrap_err(),
         ChunkError::Oversized
--- a/crates/kumquatlock/src/distribution/tests/harness.rs
+++ b/crates/kumquatlock/src/distribution/tests/harness.rs
@@ -395,7 +395,12 @@
             let reason = RetryReason::try_from(retry.reason).unwrap();
             format!("retry after, {reason:?}")
         }
+        Body::Snapshot(chunk) if chunk.offset > 0 => format!("next chunk of {}", chunk.version),
+        Body::Snapshot(chunk) if chunk.base > 0 => {
+            format!("delta {} to {} in chunks", chunk.base, chunk.version)
+        }
         Body::Snapshot(chunk) => format!("snapshot {}", chunk.version),
+        Body::ChunkReceived(received) => format!("received {}", received.received_bytes),
         Body::Delta(delta) => {
             let changes = delta.changes.len();
             format!(
