Accept manifests of more than 10,000 routes and parse them on HTTP threads

Behind it stood further bounds: 5,000 routes, bodies of 1 MiB, entries of 1.5 MiB and frames of 2 MiB. Change: 8 MiB and 20,000 routes for a manifest, 10 MiB for an entry, 12 MiB for a frame between control instances. Links of nodes keep 2 MiB. The receiving instance's HTTP thread parses a manifest once, and the leader reuses the result; it was parsed three times, twice on the actor. With the larger test manifest the leader's heartbeats stopped for so long that a child was refused as NotCurrent (seen in the test of the largest manifest).

--- a/crates/kumquatlock-wire/src/codec.rs
+++ b/crates/kumquatlock-wire/src/codec.rs
@@ -6,10 +6,14 @@
 
 use crate::{Body, Envelope, MessageKind};
 
-/// Maximum size of a frame, in bytes. A call body is at most 1 MiB and a snapshot chunk 256 KiB;
-/// the remainder leaves room for headers and for an accepted manifest with its changes.
+/// Maximum size of a frame on a link of a node, in bytes. A call body is at most 1 MiB, a delta
+/// 1.5 MiB and a snapshot chunk 256 KiB; the remainder leaves room for headers.
 pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
 
+/// Maximum size of a frame on a link between control instances, in bytes. Room for the largest log
+/// entry, which holds a manifest of 8 MiB and the names of the items that it removes.
+pub const MAX_CONTROL_FRAME_BYTES: usize = 12 * 1024 * 1024;
+
 /// Size of the length prefix of each frame, in bytes.
 pub const FRAME_HEADER_BYTES: usize = 4;
 
@@ -17,8 +21,8 @@
 /// because the position of the next frame in the byte stream is unknown.
 #[derive(Debug, thiserror::Error)]
 pub enum FrameError {
-    /// The length prefix or the message to send exceeds [`MAX_FRAME_BYTES`].
-    #[error("frame exceeds the maximum size of {MAX_FRAME_BYTES} bytes")]
+    /// The length prefix or the message to send exceeds the maximum size of the link.
+    #[error("frame exceeds the maximum size of the link")]
     TooLarge,
     /// The payload is not a valid envelope.
     #[error("frame payload is not a valid message: {0}")]
@@ -39,9 +43,16 @@
 
 impl Default for EnvelopeCodec {
     fn default() -> Self {
+        EnvelopeCodec::with_limit(MAX_FRAME_BYTES)
+    }
+}
+
+impl EnvelopeCodec {
+    /// Returns a codec for frames of at most `max_frame_bytes`.
+    pub fn with_limit(max_frame_bytes: usize) -> Self {
         let frames = LengthDelimitedCodec::builder()
             .length_field_length(FRAME_HEADER_BYTES)
-            .max_frame_length(MAX_FRAME_BYTES)
+            .max_frame_length(max_frame_bytes)
             .new_codec();
         EnvelopeCodec { frames }
     }
--- a/crates/kumquatlock-wire/src/lib.rs
+++ b/crates/kumquatlock-wire/src/lib.rs
@@ -13,7 +13,9 @@
 pub mod distribution;
 mod envelope;
 
-pub use codec::{EncodedFrame, EnvelopeCodec, FrameError, MAX_FRAME_BYTES};
+pub use codec::{
+    EncodedFrame, EnvelopeCodec, FrameError, MAX_CONTROL_FRAME_BYTES, MAX_FRAME_BYTES,
+};
 pub use envelope::{Envelope, MessageKind, body::Body};
 
 #[cfg(test)]
--- a/crates/kumquatlock/src/agreement/mod.rs
+++ b/crates/kumquatlock/src/agreement/mod.rs
@@ -64,9 +64,9 @@
 /// Maximum number of read-index requests that wait for a heartbeat round on a leader.
 pub const MAX_READ_INDEX_TICKETS: usize = 4_096;
 
-/// Maximum payload of one entry, in bytes. A manifest is at most 1 MiB, so it fits, and its entry
-/// still fits into one frame.
-pub const MAX_ENTRY_BYTES: usize = 1_536 * 1024;
+/// Maximum payload of one entry, in bytes. Room for the largest manifest and the names of all items
+/// that it removes, and its entry still fits into one frame.
+pub const MAX_ENTRY_BYTES: usize = 10 * 1024 * 1024;
 
 /// Maximum number of entries in one append.
 pub const MAX_BATCH_ENTRIES: usize = 512;
--- a/crates/kumquatlock/src/catalog/apply.rs
+++ b/crates/kumquatlock/src/catalog/apply.rs
@@ -203,9 +203,9 @@
     }
 
     /// Returns the difference between the accepted manifest and a new one.
-    pub fn diff_manifest(&self, document: ManifestDocument) -> ManifestChange {
-        let (services, removed_services) = self.diff_items(document.services);
-        let (routes, removed_routes) = self.diff_items(document.routes);
+    pub fn diff_manifest(&self, document: &ManifestDocument) -> ManifestChange {
+        let (services, removed_services) = self.diff_items(&document.services);
+        let (routes, removed_routes) = self.diff_items(&document.routes);
         ManifestChange {
             manifest_version: document.version,
             from_version: self.manifest_version,
@@ -215,12 +215,12 @@
             removed_services,
             removed_routes,
             limits: document.limits,
-            source: document.source,
+            source: document.source.clone(),
         }
     }
 
     /// Returns the items that are new or different, and the names of the items that are removed.
-    fn diff_items<I: CatalogItem>(&self, items: Vec<I>) -> (Vec<I>, Vec<String>) {
+    fn diff_items<I: CatalogItem>(&self, items: &[I]) -> (Vec<I>, Vec<String>) {
         let current_items = I::map(&self.store);
         let mut removed: std::collections::BTreeSet<SharedName> =
             current_items.keys().cloned().collect();
@@ -229,9 +229,9 @@
             removed.remove(item.name());
             if current_items
                 .get(item.name())
-                .is_none_or(|stored| stored.item != item)
+                .is_none_or(|stored| stored.item != *item)
             {
-                changed.push(item);
+                changed.push(item.clone());
             }
         }
         let removed = removed.iter().map(ToString::to_string).collect();
--- a/crates/kumquatlock/src/catalog/mod.rs
+++ b/crates/kumquatlock/src/catalog/mod.rs
@@ -36,7 +36,7 @@
 /// holders of a service grant no claims until all earlier claims would be past their retention
 /// time.
 pub const MAX_SEEN_REGIONS: usize = 20_000;
-/// Maximum encoded size of a delta, in bytes. Leaves room for the envelope in a frame of 2 MiB.
+/// Maximum encoded size of a delta, in bytes. A child that is further behind gets a snapshot.
 pub const MAX_DELTA_BYTES: usize = 1_536 * 1024;
 
 /// Record of an accepted manifest.
--- a/crates/kumquatlock/src/catalog/tests.rs
+++ b/crates/kumquatlock/src/catalog/tests.rs
@@ -315,7 +315,7 @@
         panic!("the command is not a manifest");
     };
     let document = ManifestDocument::parse(text).unwrap();
-    let kind = Some(Kind::Change(catalog.diff_manifest(document)));
+    let kind = Some(Kind::Change(catalog.diff_manifest(&document)));
     CatalogCommand { kind }
 }
 
--- a/crates/kumquatlock/src/http/message.rs
+++ b/crates/kumquatlock/src/http/message.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use serde::Serialize;
 
-/// Maximum size of a request or response body, in bytes.
+/// Maximum size of the body of a call or of its response, in bytes.
 pub const MAX_BODY_BYTES: usize = 1024 * 1024;
 /// Maximum number of headers of a request or response.
 pub const MAX_HEADERS: usize = 100;
@@ -17,7 +17,7 @@
     pub target: String,
     /// Header names and values, in order.
     pub headers: Vec<(String, String)>,
-    /// Complete body, at most [`MAX_BODY_BYTES`] long.
+    /// Complete body, no longer than the limit of the listener.
     pub body: Bytes,
 }
 
--- a/crates/kumquatlock/src/http/server.rs
+++ b/crates/kumquatlock/src/http/server.rs
@@ -13,7 +13,7 @@
 use tiny_http::{Header, Request, Response, Server, StatusCode};
 
 use super::accept_waker::{AcceptWaker, WakerSignals};
-use super::message::{HttpRequest, HttpResponse, MAX_BODY_BYTES, MAX_HEADERS};
+use super::message::{HttpRequest, HttpResponse, MAX_HEADERS};
 
 /// Reason why a server could not start.
 #[derive(Debug, thiserror::Error)]
@@ -82,10 +82,12 @@
 }
 
 impl HttpServer {
-    /// Listens on `address` and handles at most `workers` requests at once. Further requests wait.
+    /// Listens on `address` and handles at most `workers` requests at once. Further requests wait. A
+    /// body of more than `body_bytes` is refused.
     pub fn start<H: RequestHandler>(
         address: SocketAddr,
         workers: usize,
+        body_bytes: usize,
         handler: H,
     ) -> Result<Self, ServerError> {
         let listen_error = |reason: String| ServerError::Listen { address, reason };
@@ -102,7 +104,8 @@
         for _ in 0..workers {
             let (server, stopping, handler) = (server.clone(), stopping.clone(), handler.clone());
             let signals = waker.signals();
-            let worker = move || serve_requests(&server, &stopping, &signals, &*handler);
+            let worker =
+                move || serve_requests(&server, &stopping, &signals, body_bytes, &*handler);
             threads.push(
                 thread::Builder::new()
                     .name("http-server".into())
@@ -149,13 +152,14 @@
     server: &Server,
     stopping: &AtomicBool,
     signals: &WakerSignals,
+    body_bytes: usize,
     handler: &H,
 ) {
     loop {
         match server.recv() {
             Ok(request) => {
                 signals.mark_active();
-                serve_request(request, handler);
+                serve_request(request, body_bytes, handler);
             }
             Err(_) if stopping.load(Ordering::Acquire) => return,
             Err(error) => log::warn!(error:% = error; "http_receive_failed"),
@@ -163,8 +167,8 @@
     }
 }
 
-fn serve_request<H: RequestHandler>(mut request: Request, handler: &H) {
-    let response = match read_request(&mut request) {
+fn serve_request<H: RequestHandler>(mut request: Request, body_bytes: usize, handler: &H) {
+    let response = match read_request(&mut request, body_bytes) {
         Ok(request) => handler.handle(request),
         Err(refusal) => refusal.response(),
     };
@@ -208,17 +212,17 @@
     }
 }
 
-fn read_request(request: &mut Request) -> Result<HttpRequest, RequestRefusal> {
+fn read_request(request: &mut Request, body_bytes: usize) -> Result<HttpRequest, RequestRefusal> {
     if request.headers().len() > MAX_HEADERS {
         return Err(RequestRefusal::TooManyHeaders);
     }
     if request
         .body_length()
-        .is_some_and(|length| length > MAX_BODY_BYTES)
+        .is_some_and(|length| length > body_bytes)
     {
         return Err(RequestRefusal::BodyTooLarge);
     }
-    let body = read_body(request)?;
+    let body = read_body(request, body_bytes)?;
     let headers = request.headers().iter();
     Ok(HttpRequest {
         method: request.method().as_str().to_owned(),
@@ -230,14 +234,14 @@
     })
 }
 
-fn read_body(request: &mut Request) -> Result<Bytes, RequestRefusal> {
+fn read_body(request: &mut Request, body_bytes: usize) -> Result<Bytes, RequestRefusal> {
     let expected = request.body_length();
     let mut body = Vec::with_capacity(expected.unwrap_or_default());
-    let mut reader = request.as_reader().take(MAX_BODY_BYTES as u64 + 1);
+    let mut reader = request.as_reader().take(body_bytes as u64 + 1);
     reader
         .read_to_end(&mut body)
         .map_err(|_| RequestRefusal::TruncatedBody)?;
-    if body.len() > MAX_BODY_BYTES {
+    if body.len() > body_bytes {
         return Err(RequestRefusal::BodyTooLarge);
     }
     if expected.is_some_and(|expected| expected != body.len()) {
--- a/crates/kumquatlock/src/manifest/mod.rs
+++ b/crates/kumquatlock/src/manifest/mod.rs
@@ -19,8 +19,8 @@
 
 use crate::core::{RequestClass, stable_hash};
 
-/// Maximum size of a manifest text, in bytes.
-pub const MAX_MANIFEST_BYTES: usize = 1024 * 1024;
+/// Maximum size of a manifest text, in bytes. Room for more than 10,000 routes with their sources.
+pub const MAX_MANIFEST_BYTES: usize = 8 * 1024 * 1024;
 /// Maximum timeout of a route, in milliseconds: ten minutes.
 pub const MAX_ROUTE_TIMEOUT_MS: u32 = 600_000;
 /// A manifest is refused if a route's target latency exceeds its timeout by this many milliseconds
@@ -31,7 +31,7 @@
 /// Maximum number of services in a manifest.
 pub const MAX_SERVICES: usize = 1_000;
 /// Maximum number of routes in a manifest.
-pub const MAX_ROUTES: usize = 5_000;
+pub const MAX_ROUTES: usize = 20_000;
 /// Maximum number of upstream patterns of one service.
 pub const MAX_PATTERNS: usize = 64;
 /// Maximum length of the name of a service, route, upstream, zone or region, in bytes.
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
+use kumquatlock_wire::MAX_CONTROL_FRAME_BYTES;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use stakker::{CX, after, fwd_to};
@@ -100,6 +101,7 @@
         let poll: MioPoll = cx.anymap_get();
         let ready = fwd_to!([cx], on_ready() as (LinkReady));
         let mut links = LinkTable::new(poll, ready, metrics.traffic.clone());
+        links.set_max_frame_bytes(MAX_CONTROL_FRAME_BYTES);
         if let Err(source) = links.listen(settings.listen) {
             let address = settings.listen;
             cx.fail(ControlError::Listen { address, source });
--- a/crates/kumquatlock/src/ops/control/operator.rs
+++ b/crates/kumquatlock/src/ops/control/operator.rs
@@ -18,7 +18,7 @@
 use crate::catalog::Catalog;
 use crate::core::Timestamp;
 use crate::http::{HttpRequest, HttpResponse, ReplySender};
-use crate::manifest::ManifestDocument;
+use crate::manifest::{ManifestDocument, ManifestError};
 
 /// Maximum wait of an HTTP thread for the actor's answer. Longer than the timeout of a request,
 /// because the answer at that timeout is more specific.
@@ -39,6 +39,8 @@
 /// A request that an HTTP thread passes to the actor.
 pub(super) struct OperatorCall {
     request: OperatorRequest,
+    /// The manifest of a submission, as parsed by the HTTP thread.
+    document: Option<Arc<ManifestDocument>>,
     reply: ReplySender,
 }
 
@@ -97,14 +99,45 @@
             Ok(request) => request,
             Err(response) => return response,
         };
-        let response = send_to_actor(&calls, request.clone());
+        let response = match parse_manifest(&request) {
+            Ok(document) => send_to_actor(&calls, request.clone(), document),
+            Err(error) => {
+                let response = answer::response(answer::invalid_manifest(&error));
+                metrics.count_submission(response.status);
+                response
+            }
+        };
         (adapter.write)(&request, response)
     }
 }
 
-fn send_to_actor(calls: &Channel<OperatorCall>, request: OperatorRequest) -> HttpResponse {
+/// Parses the manifest of a submission. The receiving instance does this, so that an invalid
+/// manifest puts no load on the leader, and its HTTP threads do it, so that a large one does not
+/// delay the actor.
+fn parse_manifest(
+    request: &OperatorRequest,
+) -> Result<Option<Arc<ManifestDocument>>, ManifestError> {
+    match request {
+        OperatorRequest::Submit(text) => {
+            let document = ManifestDocument::parse(text)?;
+            Ok(Some(Arc::new(document)))
+        }
+        _ => Ok(None),
+    }
+}
+
+fn send_to_actor(
+    calls: &Channel<OperatorCall>,
+    request: OperatorRequest,
+    document: Option<Arc<ManifestDocument>>,
+) -> HttpResponse {
     let (reply, answer) = ReplySender::new();
-    if !calls.send(OperatorCall { request, reply }) {
+    let call = OperatorCall {
+        request,
+        document,
+        reply,
+    };
+    if !calls.send(call) {
         return answer::response(answer::not_run("leaving"));
     }
     match answer.recv_timeout(ANSWER_TIMEOUT) {
@@ -216,7 +249,11 @@
 
 impl ControlActor {
     pub(super) fn answer_operator(&mut self, now: Timestamp, call: OperatorCall) {
-        let OperatorCall { request, reply } = call;
+        let OperatorCall {
+            request,
+            document,
+            reply,
+        } = call;
         match request {
             OperatorRequest::Metrics => reply.send(self.metrics.response()),
             OperatorRequest::Status => reply.send(self.status_response(now)),
@@ -228,7 +265,7 @@
                 let content = Content::ConfirmRequest(Default::default());
                 self.route_request(now, Requester::Reader(reply), content);
             }
-            OperatorRequest::Submit(text) => self.submit_manifest(now, text, reply),
+            OperatorRequest::Submit(text) => self.submit_manifest(now, text, document, reply),
         }
     }
 
@@ -263,21 +300,22 @@
         }
     }
 
-    fn submit_manifest(&mut self, now: Timestamp, text: Bytes, reply: ReplySender) {
-        let refused = if self.stop.is_some() {
-            Some(answer::not_run("leaving"))
-        } else {
-            // Validated by the instance that receives it, so that an invalid manifest puts no load
-            // on the leader.
-            let checked = ManifestDocument::parse(&text);
-            checked.err().map(|error| answer::invalid_manifest(&error))
-        };
-        if let Some(refused) = refused {
-            let response = answer::response(refused);
+    fn submit_manifest(
+        &mut self,
+        now: Timestamp,
+        text: Bytes,
+        document: Option<Arc<ManifestDocument>>,
+        reply: ReplySender,
+    ) {
+        if self.stop.is_some() {
+            let response = answer::response(answer::not_run("leaving"));
             self.metrics.count_submission(response.status);
             return reply.send(response);
         }
-        self.route_request(now, Requester::Operator(reply), Content::Submit(text));
+        match document.filter(|_| self.is_leader()) {
+            Some(document) => self.submit_as_leader(now, reply, document),
+            None => self.route_request(now, Requester::Operator(reply), Content::Submit(text)),
+        }
     }
 
     fn status_response(&self, now: Timestamp) -> HttpResponse {
--- a/crates/kumquatlock/src/ops/control/process.rs
+++ b/crates/kumquatlock/src/ops/control/process.rs
@@ -22,6 +22,7 @@
 use crate::core::ConfigVersion;
 use crate::http::{HttpServer, ServerError};
 use crate::journal::JournalError;
+use crate::manifest::MAX_MANIFEST_BYTES;
 use crate::transport::POLL_PRIORITY;
 use crate::util::signals::{SignalError, install_stop_handler};
 
@@ -129,7 +130,7 @@
     let forward = fwd_to!([actor], on_stop() as (()));
     let (stop, _stop_guard) = Channel::new(&mut stakker, forward);
     let handler = operator::handler(adapter, calls, metrics);
-    let server = HttpServer::start(settings.http, HTTP_WORKERS, handler)?;
+    let server = HttpServer::start(settings.http, HTTP_WORKERS, MAX_MANIFEST_BYTES, handler)?;
     let _signals = install_stop_handler(move |signal| {
         log::info!(signal = <&str>::from(signal); "signal_received");
         stop.send(());
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -1,6 +1,7 @@
 //! Routing of requests: the leader answers them, other instances forward them towards the leader.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use indexmap::IndexMap;
 use kumquatlock_wire::Body;
@@ -15,6 +16,7 @@
 use crate::agreement::{AgreementEvent, ProposalTicket, ReadIndexTicket};
 use crate::core::{ConfigVersion, SharedName, Timestamp, address_from_name};
 use crate::distribution::{ChildEvent, InForceCount, ParentEvent, ProgressTable, REPORTER_TIMEOUT};
+use crate::http::ReplySender;
 use crate::manifest::ManifestDocument;
 use crate::membership::{AttachmentTracker, ExpiryDecision, ExpiryTiming, RecordOutcome};
 use crate::transport::{LinkError, LinkId};
@@ -126,10 +128,10 @@
     /// Answers a request as the leader.
     fn answer_as_leader(&mut self, now: Timestamp, id: u64, content: Content) {
         match content {
-            Content::Submit(text) => {
-                self.requests.set_text(id, text.clone());
-                self.decide_submission(now, id, &text);
-            }
+            Content::Submit(text) => match ManifestDocument::parse(&text) {
+                Ok(document) => self.decide_submission(now, id, Arc::new(document)),
+                Err(error) => self.finish_request(now, id, answer::invalid_manifest(&error)),
+            },
             Content::StatusRequest(request) => {
                 let answer = self.manifest_status(now, request.manifest_version);
                 self.finish_request(now, id, answer);
@@ -142,26 +144,40 @@
         }
     }
 
+    /// Decides on an operator's submission as the leader. The manifest was parsed by the thread that
+    /// received it: parsing thousands of routes here would delay the leader's heartbeats.
+    pub(super) fn submit_as_leader(
+        &mut self,
+        now: Timestamp,
+        reply: ReplySender,
+        document: Arc<ManifestDocument>,
+    ) {
+        let kind = RequestKind::Submit;
+        match self.requests.insert(now, Requester::Operator(reply), kind) {
+            Ok(id) => self.decide_submission(now, id, document),
+            Err(requester) => {
+                self.deliver_answer(now, requester, kind, answer::unavailable(kind, "busy"));
+            }
+        }
+    }
+
     /// Answers a submission if the applied catalog already decides it; otherwise proposes the
     /// change that the manifest makes.
-    fn decide_submission(&mut self, now: Timestamp, id: u64, text: &[u8]) {
-        let document = match ManifestDocument::parse(text) {
-            Ok(document) => document,
-            Err(error) => return self.finish_request(now, id, answer::invalid_manifest(&error)),
-        };
+    fn decide_submission(&mut self, now: Timestamp, id: u64, document: Arc<ManifestDocument>) {
         if let Some(decision) = self.catalog.preview_manifest(&document) {
             // A decision on the applied catalog is final.
             return self.finish_request(now, id, answer::decided_manifest(&decision));
         }
-        let change = self.catalog.diff_manifest(document);
+        let change = self.catalog.diff_manifest(&document);
+        self.requests.set_document(id, document);
         self.propose_with(ProposalTicket(id), catalog_command::Kind::Change(change));
     }
 
     /// Decides again on a submission after another manifest was accepted first, with the difference
     /// to that manifest.
     pub(super) fn retry_submission(&mut self, now: Timestamp, id: u64) {
-        if let Some(text) = self.requests.text(id) {
-            self.decide_submission(now, id, &text);
+        if let Some(document) = self.requests.document(id) {
+            self.decide_submission(now, id, document);
         }
     }
 
--- a/crates/kumquatlock/src/ops/control/requests.rs
+++ b/crates/kumquatlock/src/ops/control/requests.rs
@@ -1,9 +1,9 @@
 //! Requests that wait for an answer of this instance or of the leader.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use indexmap::IndexMap;
 use kumquatlock_wire::agreement::forward::Content;
 use kumquatlock_wire::agreement::{ConfirmReply, Forward};
@@ -12,6 +12,7 @@
 use crate::core::{SharedName, Timestamp};
 use crate::distribution::ChildId;
 use crate::http::ReplySender;
+use crate::manifest::ManifestDocument;
 use crate::transport::LinkId;
 
 /// Maximum number of requests that wait at the same time. Further ones are refused as not run.
@@ -75,9 +76,9 @@
     pub(super) kind: RequestKind,
     pub(super) route: RequestRoute,
     pub(super) deadline: Timestamp,
-    /// Manifest text of a submission that this instance decides. Needed to compute the difference
-    /// again if another manifest is accepted first.
-    pub(super) text: Option<Bytes>,
+    /// Manifest of a submission that this instance decides. Needed to compute the difference again
+    /// if another manifest is accepted first.
+    pub(super) document: Option<Arc<ManifestDocument>>,
 }
 
 /// The answer to a request.
@@ -151,7 +152,7 @@
             kind,
             route: RequestRoute::Local,
             deadline: now + REQUEST_TIMEOUT,
-            text: None,
+            document: None,
         };
         self.pending.insert(self.last_id, request);
         Ok(self.last_id)
@@ -167,14 +168,14 @@
         }
     }
 
-    pub(super) fn set_text(&mut self, id: u64, text: Bytes) {
+    pub(super) fn set_document(&mut self, id: u64, document: Arc<ManifestDocument>) {
         if let Some(request) = self.pending.get_mut(&id) {
-            request.text = Some(text);
+            request.document = Some(document);
         }
     }
 
-    pub(super) fn text(&self, id: u64) -> Option<Bytes> {
-        self.pending.get(&id)?.text.clone()
+    pub(super) fn document(&self, id: u64) -> Option<Arc<ManifestDocument>> {
+        self.pending.get(&id)?.document.clone()
     }
 
     pub(super) fn kind(&self, id: u64) -> Option<RequestKind> {
--- a/crates/kumquatlock/src/transport/link.rs
+++ b/crates/kumquatlock/src/transport/link.rs
@@ -65,6 +65,7 @@
         remote: SocketAddr,
         phase: LinkPhase,
         now: Timestamp,
+        max_frame_bytes: usize,
     ) -> Self {
         FramedLink {
             socket,
@@ -74,7 +75,7 @@
             scope: LinkScope::Region,
             watched: false,
             outbox: LinkOutbox::default(),
-            codec: EnvelopeCodec::default(),
+            codec: EnvelopeCodec::with_limit(max_frame_bytes),
             inbox: BytesMut::new(),
             heard_at: now,
             probed_at: None,
--- a/crates/kumquatlock/src/transport/table.rs
+++ b/crates/kumquatlock/src/transport/table.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use kumquatlock_wire::{Body, EncodedFrame, FrameError};
+use kumquatlock_wire::{Body, EncodedFrame, FrameError, MAX_CONTROL_FRAME_BYTES, MAX_FRAME_BYTES};
 use stakker::Fwd;
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::{TcpListener, TcpStream};
@@ -17,8 +17,9 @@
 use super::link::{FramedLink, LinkId, LinkPhase, ProbeStep};
 use crate::core::Timestamp;
 
-/// Maximum number of bytes queued on one link. Above it, further messages are refused.
-pub const MAX_QUEUED_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum number of bytes queued on one link, room for two of the largest frames. Above it, further
+/// messages are refused.
+pub const MAX_QUEUED_BYTES: usize = 2 * MAX_CONTROL_FRAME_BYTES;
 /// Maximum number of links that one process accepts from others.
 const MAX_ACCEPTED_LINKS: usize = 4_096;
 /// Time without received bytes after which a ping is sent on a watched link.
@@ -126,6 +127,8 @@
     links: IndexMap<LinkId, FramedLink>,
     accepted_count: usize,
     timing: LinkTiming,
+    /// Maximum size of a frame, in bytes; applies to links opened from now on.
+    max_frame_bytes: usize,
     next_id: u64,
     events: VecDeque<LinkEvent>,
     received: Vec<Body>,
@@ -142,6 +145,7 @@
             links: IndexMap::new(),
             accepted_count: 0,
             timing: LinkTiming::default(),
+            max_frame_bytes: MAX_FRAME_BYTES,
             next_id: 1,
             events: VecDeque::new(),
             received: Vec::new(),
@@ -154,6 +158,11 @@
         self.timing = timing;
     }
 
+    /// Replaces the maximum size of a frame, [`MAX_FRAME_BYTES`] by default.
+    pub fn set_max_frame_bytes(&mut self, max_frame_bytes: usize) {
+        self.max_frame_bytes = max_frame_bytes;
+    }
+
     /// Starts accepting links from other processes. Returns the address of the listener.
     pub fn listen(&mut self, address: SocketAddr) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind(address)?;
@@ -178,7 +187,7 @@
         let added = TcpStream::connect(address).and_then(|stream| self.add(id, stream));
         match added {
             Ok(socket) => {
-                let link = FramedLink::new(socket, address, LinkPhase::Connecting, now);
+                let link = self.new_link(socket, address, LinkPhase::Connecting, now);
                 self.links.insert(id, link);
             }
             Err(error) => {
@@ -334,8 +343,8 @@
         match added {
             Ok(socket) => {
                 self.accepted_count += 1;
-                self.links
-                    .insert(id, FramedLink::new(socket, remote, LinkPhase::Open, now));
+                let link = self.new_link(socket, remote, LinkPhase::Open, now);
+                self.links.insert(id, link);
                 self.events.push_back(LinkEvent::Accepted(id, remote));
             }
             Err(error) => log::warn!(error:% = error; "link_register_failed"),
@@ -394,6 +403,16 @@
         });
     }
 
+    fn new_link(
+        &self,
+        socket: MioSource<TcpStream>,
+        remote: SocketAddr,
+        phase: LinkPhase,
+        now: Timestamp,
+    ) -> FramedLink {
+        FramedLink::new(socket, remote, phase, now, self.max_frame_bytes)
+    }
+
     fn add(&self, id: LinkId, stream: TcpStream) -> io::Result<MioSource<TcpStream>> {
         let interest = Interest::READABLE | Interest::WRITABLE;
         self.poll.add(
