Bound what a peer may send without end and cut no request at a stop

Cause 1: an upstream's interim heads and trailers were read until the route's timeout (400 MiB in 5 s), chunk extensions and a caller's empty lines without any bound. Change 1: at most 16 interim heads, 16 KiB of extensions and trailers and 8 empty lines; then the exchange fails as garbled, or the request is refused. The head timeout runs from the first byte of a head, not from the last idle moment. Cause 2: at a stop the listener was dropped with connections in its backlog, and the process ended while requests were arriving on open connections (3 to 16 of 2,000 requests without an answer). Change 2: a stopping listener ignores new handshakes (packet filter on SYN), accepts what is established, and closes 100 ms later. Open connections get an answer with Connection: close to their next request, or close after a second without one. The process waits for that, for at most 3 s.

--- a/crates/kumquatlock/src/http/body.rs
+++ b/crates/kumquatlock/src/http/body.rs
@@ -6,6 +6,12 @@
 
 /// Maximum length of a chunk size line or trailer line, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 4 * 1024;
+/// Length of the lines around each chunk that does not count as excess: the digits of its size and
+/// two line breaks.
+const CHUNK_FRAMING_BYTES: usize = 20;
+/// Maximum number of excess bytes of one body, which are neither content nor the framing of chunks:
+/// chunk extensions and trailers. Both are ignored, and a peer could send them without end.
+const MAX_EXCESS_BYTES: usize = 16 * 1024;
 
 /// Reason why a body cannot be read to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,6 +49,8 @@
     /// Never longer than `limit` bytes.
     body: BytesMut,
     limit: u64,
+    /// Number of excess bytes read so far, at most [`MAX_EXCESS_BYTES`].
+    excess_bytes: usize,
 }
 
 impl BodyReader {
@@ -57,6 +65,7 @@
             state,
             body: BytesMut::new(),
             limit,
+            excess_bytes: 0,
         }
     }
 
@@ -128,6 +137,13 @@
     }
 
     fn process_line(&mut self, line: &[u8]) -> Result<(), BodyError> {
+        self.excess_bytes += match self.state {
+            BodyState::Trailer => line.len(),
+            _ => line.len().saturating_sub(CHUNK_FRAMING_BYTES),
+        };
+        if self.excess_bytes > MAX_EXCESS_BYTES {
+            return Err(BodyError::Malformed);
+        }
         self.state = match self.state {
             BodyState::ChunkEnd if line.is_empty() => BodyState::ChunkSize,
             BodyState::ChunkEnd => return Err(BodyError::Malformed),
--- a/crates/kumquatlock/src/http/connection.rs
+++ b/crates/kumquatlock/src/http/connection.rs
@@ -23,6 +23,8 @@
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Number of buffered, unparsed bytes at which a connection stops reading from its socket.
 const MAX_READ_BUF_BYTES: usize = 256 * 1024;
+/// Maximum number of empty lines before a request. Old clients send one after a body.
+const MAX_EMPTY_LINES: u32 = 8;
 /// Maximum wait for the caller to close the connection after the last response. If the node closed
 /// first while the caller was still sending, the connection would be reset and the response could
 /// be lost.
@@ -31,6 +33,10 @@
 /// connection is closed after it.
 const STALL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time for which an idle connection of a stopping process stays open. A request that its caller is
+/// sending meanwhile is answered.
+const CLOSING_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Limits on the size and duration of callers' requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HttpLimits {
@@ -82,9 +88,13 @@
     next_sequence: u64,
     /// Whether the socket may have unread bytes because the connection reached one of its limits.
     has_unread: bool,
-    /// When the connection last became ready for a new request. The head and idle timeouts start
-    /// here.
+    /// When the connection last became ready for a new request. The idle timeout starts here.
     waiting_since: Timestamp,
+    /// When the first byte of the head that is being read arrived. The head timeout starts here, or
+    /// at `waiting_since` if that is later.
+    head_since: Option<Timestamp>,
+    /// Number of empty lines since the last request.
+    empty_lines: u32,
     /// When bytes were last read or written, or a request body began.
     last_progress_at: Timestamp,
     /// When the last response had been written and the sending side was shut down.
@@ -102,6 +112,8 @@
             next_sequence: 0,
             has_unread: false,
             waiting_since: now,
+            head_since: None,
+            empty_lines: 0,
             last_progress_at: now,
             lingering_since: None,
         }
@@ -183,12 +195,19 @@
             match &mut self.state {
                 ReadState::Closing => return,
                 ReadState::Head => {
-                    while self.read_buf.starts_with(b"\r\n") {
-                        self.read_buf.advance(2);
-                    }
                     if self.read_buf.is_empty() {
+                        self.head_since = None;
                         return;
                     }
+                    self.head_since.get_or_insert(now);
+                    if self.read_buf.starts_with(b"\r\n") {
+                        self.read_buf.advance(2);
+                        self.empty_lines += 1;
+                        if self.empty_lines > MAX_EMPTY_LINES {
+                            return self.refuse(RequestRefusal::Malformed);
+                        }
+                        continue;
+                    }
                     match parse_request_head(&self.read_buf, limits.header_bytes) {
                         HeadProgress::Partial => return,
                         HeadProgress::Invalid(error) => return self.refuse_head(error),
@@ -221,6 +240,8 @@
                     .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
             }
         }
+        self.head_since = None;
+        self.empty_lines = 0;
         self.last_progress_at = now;
         let reader = BodyReader::new(head.framing, limits.body_bytes);
         self.state = ReadState::Body(Box::new((head, reader)));
@@ -312,6 +333,7 @@
     /// Writes buffered responses until the socket accepts no more bytes.
     pub(super) fn flush(&mut self, now: Timestamp) -> ConnectionStatus {
         self.encode_responses(false);
+        let has_response = !self.write_buf.is_empty();
         while !self.write_buf.is_empty() {
             match self.socket.write(&self.write_buf) {
                 Ok(0) => return ConnectionStatus::Closed,
@@ -333,23 +355,31 @@
                 return ConnectionStatus::Closed;
             }
         }
-        if self.pending.is_empty()
-            && matches!(self.state, ReadState::Head)
-            && self.read_buf.is_empty()
-        {
+        if has_response && self.pending.is_empty() {
             self.waiting_since = now;
         }
         ConnectionStatus::Open
     }
 
+    fn is_idle_too_long(
+        &self,
+        now: Timestamp,
+        limits: &HttpLimits,
+        stopped_at: Option<Timestamp>,
+    ) -> bool {
+        let is_over = stopped_at
+            .is_some_and(|since| now.since(since.max(self.waiting_since)) >= CLOSING_IDLE_TIMEOUT);
+        is_over || now.since(self.waiting_since) >= limits.idle_timeout
+    }
+
     /// Applies the timeouts. An incomplete head is refused with a response; an idle or stalled
     /// connection is closed.
     pub(super) fn check_timeouts(
         &mut self,
         now: Timestamp,
         limits: &HttpLimits,
+        stopped_at: Option<Timestamp>,
     ) -> ConnectionStatus {
-        let waited = now.since(self.waiting_since);
         if let Some(since) = self.lingering_since {
             return closed_if(now.since(since) >= LINGER_TIMEOUT);
         }
@@ -357,13 +387,16 @@
             return closed_if(now.since(self.last_progress_at) >= STALL_TIMEOUT);
         }
         match &self.state {
-            ReadState::Head if self.pending.is_empty() && self.read_buf.is_empty() => {
-                closed_if(waited >= limits.idle_timeout)
-            }
-            ReadState::Head if self.pending.is_empty() && waited >= limits.header_timeout => {
-                self.refuse(RequestRefusal::HeadTimeout);
-                self.flush(now)
-            }
+            ReadState::Head if self.pending.is_empty() => match self.head_since {
+                None => closed_if(self.is_idle_too_long(now, limits, stopped_at)),
+                Some(since)
+                    if now.since(since.max(self.waiting_since)) >= limits.header_timeout =>
+                {
+                    self.refuse(RequestRefusal::HeadTimeout);
+                    self.flush(now)
+                }
+                Some(_) => ConnectionStatus::Open,
+            },
             ReadState::Body(_) => closed_if(now.since(self.last_progress_at) >= STALL_TIMEOUT),
             _ => ConnectionStatus::Open,
         }
--- a/crates/kumquatlock/src/http/exchange.rs
+++ b/crates/kumquatlock/src/http/exchange.rs
@@ -37,6 +37,9 @@
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Maximum number of responses to other requests that one exchange skips before it fails.
 const MAX_MISMATCHED_RESPONSES: u32 = 4;
+/// Maximum number of interim (1xx) responses that one exchange skips before it fails. An upstream
+/// could send them without end.
+const MAX_INTERIM_RESPONSES: u32 = 16;
 
 /// A request to be sent to the upstream.
 #[derive(Debug)]
@@ -117,6 +120,8 @@
     response: Option<(ResponseHead, BodyReader)>,
     /// Number of skipped responses to other requests.
     mismatched_responses: u32,
+    /// Number of skipped interim responses.
+    interim_responses: u32,
 }
 
 struct UpstreamConnection<T> {
@@ -181,6 +186,7 @@
             is_sent: false,
             response: None,
             mismatched_responses: 0,
+            interim_responses: 0,
         };
         match self.select_idle(now, job.address, job.is_repeatable) {
             Some(id) => {
@@ -506,6 +512,10 @@
                     HeadProgress::Complete { head, bytes } => {
                         self.read_buf.advance(bytes);
                         if head.status < 200 {
+                            exchange.interim_responses += 1;
+                            if exchange.interim_responses > MAX_INTERIM_RESPONSES {
+                                return ExchangeProgress::Failed(UpstreamFailure::Garbled);
+                            }
                             continue;
                         }
                         let body = BodyReader::new(head.framing, MAX_BODY_BYTES as u64);
--- a/crates/kumquatlock/src/http/mod.rs
+++ b/crates/kumquatlock/src/http/mod.rs
@@ -11,6 +11,7 @@
 mod encode;
 mod exchange;
 mod head;
+mod listener;
 mod message;
 mod server;
 mod table;
@@ -20,7 +21,7 @@
 pub use exchange::{ExchangeReady, ExchangeTable, UpstreamFailure, UpstreamJob, UpstreamResult};
 pub use message::{HttpRequest, HttpResponse, MAX_BODY_BYTES, MAX_HEADERS};
 pub use server::{HttpServer, ReplySender, RequestHandler, ServerError};
-pub use table::{HttpEvent, HttpReady, HttpTable, RequestId};
+pub use table::{CloseStep, HttpEvent, HttpReady, HttpTable, RequestId};
 
 #[cfg(test)]
 mod tests;
--- a/crates/kumquatlock/src/http/table.rs
+++ b/crates/kumquatlock/src/http/table.rs
@@ -3,14 +3,16 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use stakker::Fwd;
 use stakker_mio::mio::Interest;
-use stakker_mio::mio::net::{TcpListener, TcpStream};
-use stakker_mio::{MioPoll, MioSource, Ready};
+use stakker_mio::mio::net::TcpStream;
+use stakker_mio::{MioPoll, Ready};
 
 use super::connection::{CallerConnection, ConnectionStatus, HttpLimits};
+use super::listener::{AcceptStep, HttpListener};
 use super::message::{HttpRequest, HttpResponse};
 use crate::core::Timestamp;
 use crate::transport::POLL_PRIORITY;
@@ -18,6 +20,13 @@
 /// Maximum number of open connections of one process. Further connections are closed at once.
 const MAX_CONNECTIONS: usize = 3_000;
 
+/// Time for which handshakes in progress are awaited before the listeners close. Longer than a round
+/// trip between regions.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(100);
+/// Maximum time for which a table that has stopped listening waits for connections on which no
+/// response is pending.
+const MAX_CLOSE_TIME: Duration = Duration::from_secs(3);
+
 /// Identifies a request of a caller. Never reused within a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestId {
@@ -56,10 +65,13 @@
     Connection(u64),
 }
 
-struct HttpListener<P> {
-    port: P,
-    /// `None` once the table has stopped listening.
-    socket: Option<MioSource<TcpListener>>,
+/// Progress of closing a table, see [`HttpTable::poll_close`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseStep {
+    /// A connection is open.
+    Waiting,
+    /// All connections have ended, or the time for closing them is over.
+    Closed,
 }
 
 /// Listeners and connections for callers. `P` identifies a listener.
@@ -67,7 +79,8 @@
     poll: MioPoll,
     ready: Fwd<HttpReady>,
     limits: HttpLimits,
-    listeners: Vec<HttpListener<P>>,
+    /// Listeners with their ports; `None` once the table has stopped listening.
+    listeners: Vec<(P, Option<HttpListener>)>,
     connections: IndexMap<u64, (P, CallerConnection)>,
     next_connection: u64,
     events: VecDeque<HttpEvent<P>>,
@@ -75,6 +88,8 @@
     closed: Vec<u64>,
     /// Whether each connection closes after its last response.
     is_closing: bool,
+    /// When the table stopped listening.
+    stopped_at: Option<Timestamp>,
 }
 
 impl<P: Copy> HttpTable<P> {
@@ -91,21 +106,15 @@
             events: VecDeque::new(),
             closed: Vec::new(),
             is_closing: false,
+            stopped_at: None,
         }
     }
 
     /// Starts to accept connections on `address` and returns the bound address.
     pub fn listen(&mut self, address: SocketAddr, port: P) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind(address)?;
-        let bound = listener.local_addr()?;
         let forward = self.forward_ready(ReadySource::Listener(self.listeners.len()));
-        let socket = self
-            .poll
-            .add(listener, Interest::READABLE, POLL_PRIORITY, forward)?;
-        self.listeners.push(HttpListener {
-            port,
-            socket: Some(socket),
-        });
+        let (listener, bound) = HttpListener::bind(&self.poll, address, forward)?;
+        self.listeners.push((port, Some(listener)));
         Ok(bound)
     }
 
@@ -119,10 +128,49 @@
         self.is_closing = true;
     }
 
-    /// Stops accepting connections. Open connections stay open.
-    pub fn stop_listening(&mut self) {
-        for listener in &mut self.listeners {
-            listener.socket = None;
+    /// Stops accepting connections. Connections that were established before are accepted first.
+    /// Each connection closes after the response to its last pending request, or after a second
+    /// without a request: its caller may be sending one, which still gets a response.
+    pub fn stop_listening(&mut self, now: Timestamp) {
+        self.is_closing = true;
+        self.stopped_at.get_or_insert(now);
+        for (_, listener) in &self.listeners {
+            if let Some(listener) = listener {
+                listener.refuse_handshakes();
+            }
+        }
+    }
+
+    /// Closes the listeners after the handshakes in progress have ended and their connections are
+    /// accepted.
+    fn close_listeners(&mut self, now: Timestamp) {
+        let is_due = self
+            .stopped_at
+            .is_some_and(|stopped_at| now.since(stopped_at) >= HANDSHAKE_TIME);
+        if !is_due {
+            return;
+        }
+        for index in 0..self.listeners.len() {
+            self.accept(now, index);
+        }
+        for (_, listener) in &mut self.listeners {
+            *listener = None;
+        }
+    }
+
+    /// Returns whether all connections have ended after [`HttpTable::stop_listening`].
+    pub fn poll_close(&self, now: Timestamp) -> CloseStep {
+        let is_over = self
+            .stopped_at
+            .is_some_and(|since| now.since(since) >= MAX_CLOSE_TIME);
+        let is_listening = self
+            .listeners
+            .iter()
+            .any(|(_, listener)| listener.is_some());
+        let has_ended = self.connections.is_empty() || is_over && self.is_flushed();
+        match has_ended && !is_listening {
+            true => CloseStep::Closed,
+            false => CloseStep::Waiting,
         }
     }
 
@@ -168,10 +216,12 @@
 
     /// Applies the timeouts of all connections. Called several times a second.
     pub fn handle_tick(&mut self, now: Timestamp) {
+        self.close_listeners(now);
         let limits = self.limits;
+        let stopped_at = self.stopped_at;
         let mut closed = Vec::new();
         for (id, (_, connection)) in &mut self.connections {
-            if connection.check_timeouts(now, &limits) == ConnectionStatus::Closed {
+            if connection.check_timeouts(now, &limits, stopped_at) == ConnectionStatus::Closed {
                 closed.push(*id);
             }
         }
@@ -187,16 +237,13 @@
 
     fn accept(&mut self, now: Timestamp, index: usize) {
         loop {
-            let Some(listener) = self.listeners.get(index) else {
-                return;
-            };
-            let Some(socket) = &listener.socket else {
+            let Some((port, Some(listener))) = self.listeners.get(index) else {
                 return;
             };
-            let port = listener.port;
-            match socket.accept() {
-                Ok((stream, _)) => self.add_connection(now, port, stream),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+            let port = *port;
+            match listener.accept() {
+                Ok(AcceptStep::Accepted(stream)) => self.add_connection(now, port, stream),
+                Ok(AcceptStep::Empty) => return,
                 Err(error) => {
                     log::warn!(error:% = error; "connection_accept_failed");
                     return;
--- a/crates/kumquatlock/src/http/tests.rs
+++ b/crates/kumquatlock/src/http/tests.rs
@@ -11,7 +11,9 @@
 use stakker_mio::MioPoll;
 use stakker_mio::mio::{Events, Poll};
 
+mod endless;
 mod heads;
+mod stops;
 
 use crate::core::Timestamp;
 
@@ -130,7 +132,8 @@
 #[test]
 fn an_oversized_body_is_refused_with_a_typed_response() {
     let echo = |request: HttpRequest| HttpResponse::json(200, &request.body.len());
-    let server = HttpServer::start("127.0.0.1:0".parse().unwrap(), 2, echo).unwrap();
+    let server =
+        HttpServer::start("127.0.0.1:0".parse().unwrap(), 2, MAX_BODY_BYTES, echo).unwrap();
     let send = |body: Vec<u8>| {
         let job = job(server.address(), "POST", body);
         ExchangeLoop::new().run(job).unwrap()
@@ -149,7 +152,7 @@
 #[test]
 fn connections_that_arrive_together_are_all_served() {
     let handler = |_: HttpRequest| HttpResponse::json(200, &"served");
-    let server = HttpServer::start(([127, 0, 0, 1], 0).into(), 8, handler).unwrap();
+    let server = HttpServer::start(([127, 0, 0, 1], 0).into(), 8, MAX_BODY_BYTES, handler).unwrap();
     let address = server.address();
     let mut streams: Vec<_> = (0..24)
         .map(|_| std::net::TcpStream::connect(address).unwrap())
--- a/crates/kumquatlock/src/ops/node/stop.rs
+++ b/crates/kumquatlock/src/ops/node/stop.rs
@@ -9,6 +9,7 @@
 use super::actor::NodeActor;
 use crate::claim::HandoverStep;
 use crate::core::Timestamp;
+use crate::http::CloseStep;
 use crate::membership::AnnouncerEvent;
 
 /// Maximum time that a leaving node waits for other holders to take over its claims. The other
@@ -79,7 +80,7 @@
             if elapsed < self.settings.tuning.shutdown_grace {
                 return;
             }
-            self.http.stop_listening();
+            self.http.stop_listening(now);
             self.drain_entry(now);
         }
         let is_idle = self.entry.in_progress() == 0
@@ -98,7 +99,8 @@
         };
         let handed_over = self.announcer.is_confirmed() && self.hand_over_claims(now);
         let is_over = handed_over || now.since(leaving_at) >= HANDOVER_TIMEOUT;
-        if is_over && self.links.is_flushed() && self.http.is_flushed() {
+        let is_closed = self.http.poll_close(now) == CloseStep::Closed;
+        if is_over && is_closed && self.links.is_flushed() {
             self.finish_stop(handed_over);
         }
     }
