Keep a lookup's attempt at a silent node open, and retry after an own late release

Cause 1: a lookup at a node that had not answered for 150 ms was given up: its attempt was dropped as if the link were lost, and without a retry budget the caller got unknown link_lost although the answer was on its way. Change 1: the attempt stays open. If the budget allows, another one is sent beside it, and the first answer counts. Change 2: an entry remembers its refused attempts. A claim of one of them is waited for (50 ms, until the deadline), and the attempt that met it counts neither as an attempt nor as an arrival.

--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -168,6 +168,35 @@
         }
     }
 
+    /// Sends another attempt of a call whose only attempt waits for a silent node.
+    pub(super) fn send_beside_silent(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        if call.outstanding.len() != 1 {
+            return;
+        }
+        let Some(balancer) = self.balancers.get_mut(&call.service) else {
+            return;
+        };
+        let UpstreamChoice::Chosen(chosen) = balancer.choose(now, &mut self.random, &call.tried)
+        else {
+            return;
+        };
+        let progress = call.progress();
+        let budget = budget_of(&mut self.budgets, &self.settings, now, &call.service);
+        if self.policy.allows_duplicate(now, budget, &progress) {
+            self.counters.retries += 1;
+            self.send_to(now, id, chosen, steps);
+            self.reschedule(now, id);
+        }
+    }
+
     /// Handles the answer to an attempt.
     pub(super) fn finish_attempt(
         &mut self,
@@ -217,13 +246,21 @@
                 self.answer_not_run(now, id, steps);
             }
             AttemptResult::NotRun(reason) => {
+                self.record_refused(id, response.id.attempt);
                 self.handle_failure(now, id, AttemptFailure::NotRun(reason), steps);
             }
             AttemptResult::Unknown(reason) => {
                 self.handle_failure(now, id, AttemptFailure::Unknown(reason), steps);
             }
             AttemptResult::ClaimedElsewhere => match response.owner {
-                Some(owner) => self.search_claim_owner(now, id, owner, steps),
+                Some(owner) => {
+                    // The destination did not run an attempt whose claim another one holds.
+                    self.record_refused(id, response.id.attempt);
+                    if let Some(call) = self.calls.get_mut(&id) {
+                        call.possibly_arrived = call.possibly_arrived.saturating_sub(1);
+                    }
+                    self.search_claim_owner(now, id, owner, steps);
+                }
                 None => {
                     let failure = AttemptFailure::Unknown(CallReason::ClaimUnavailable);
                     self.handle_failure(now, id, failure, steps);
@@ -232,6 +269,13 @@
         }
     }
 
+    /// Records that an attempt is proved not to have run.
+    pub(super) fn record_refused(&mut self, id: CallId, number: u32) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.refused_attempts.push(number);
+        }
+    }
+
     fn record_outcome(
         &mut self,
         now: Timestamp,
@@ -288,10 +332,11 @@
             return;
         };
         self.finish_ticket(now, &service, sent, UpstreamOutcome::Unreachable, None);
+        self.record_refused(id, number);
         self.handle_failure(now, id, AttemptFailure::NotRun(CallReason::LinkLost), steps);
     }
 
-    /// Handles, for one call, a peer whose link was lost or that has stopped answering.
+    /// Handles, for one call, a peer whose link was lost.
     pub(super) fn on_peer_lost(
         &mut self,
         now: Timestamp,
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -345,8 +345,9 @@
         steps
     }
 
-    /// Handles a node that has stopped answering although its link is open. Repeatable calls are
-    /// sent elsewhere; all others wait until the link closes.
+    /// Handles a node that has stopped answering although its link is not closed. It may be slow
+    /// rather than lost, so its attempts stay open. Repeatable calls get another attempt elsewhere
+    /// if the budget allows it; the first answer counts.
     pub fn on_peer_silent(&mut self, now: Timestamp, peer: &str) -> Vec<EntryStep> {
         let mut steps = Vec::new();
         let waiting = self
@@ -354,7 +355,7 @@
             .iter()
             .filter(|(_, call)| call.route.class.is_repeatable() && call.awaits(peer));
         for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
-            self.on_peer_lost(now, id, peer, &mut steps);
+            self.send_beside_silent(now, id, &mut steps);
         }
         steps
     }
--- a/crates/kumquatlock/src/call/entry/resolve.rs
+++ b/crates/kumquatlock/src/call/entry/resolve.rs
@@ -7,7 +7,7 @@
 use kumquatlock_wire::call::{CallOutcome, CallReason, CallResponse};
 use kumquatlock_wire::claim::{ClaimOwner, ClaimReply, OutcomeQuery};
 
-use super::state::{CallPhase, OutcomeSearch};
+use super::state::{CallPhase, EntryCall, OutcomeSearch};
 use super::{CallId, EntryCalls, EntryStep, PeerNode, micros, ticket_of};
 use crate::call::answer::{CallerAnswer, RejectReason};
 use crate::claim::{ClaimAcquirer, ClaimFencer, ClaimMessage, FenceDecision, FenceSteps};
@@ -16,6 +16,8 @@
 
 /// Interval between queries to a destination node that could not be reached.
 const QUERY_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval between attempts while the claim of a refused attempt is not released yet.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum time for recording a fence. Fencing may start as late as the caller's deadline.
 const FENCE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -54,6 +56,9 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
+        if self.is_refused_attempt(call, id, &owner) {
+            return self.await_release(now, id);
+        }
         if owner.request_digest != call.request.digest {
             let answer = CallerAnswer::Rejected(RejectReason::KeyReused);
             self.answer(now, id, answer, steps);
@@ -62,6 +67,27 @@
         self.start_search(now, id, owner, CallReason::ClaimUnavailable, steps);
     }
 
+    /// Returns whether the claim belongs to an attempt of this call that is proved not to have run.
+    fn is_refused_attempt(&self, call: &EntryCall, id: CallId, owner: &ClaimOwner) -> bool {
+        let attempt = &owner.attempt;
+        self.is_own_attempt(attempt)
+            && CallId(attempt.call_id) == id
+            && call.refused_attempts.contains(&attempt.attempt)
+    }
+
+    /// Tries again shortly, because the destination of a refused attempt has not released its claim
+    /// at the holders yet. Asking that destination for the outcome would add nothing, and would
+    /// make the outcome unknown if its incarnation has ended.
+    fn await_release(&mut self, now: Timestamp, id: CallId) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.reason = CallReason::ClaimUnavailable;
+            call.phase = CallPhase::Backoff(now + RELEASE_INTERVAL);
+            // The attempt that met the claim used up none of the call's chances.
+            call.attempts_sent = call.attempts_sent.saturating_sub(1);
+            self.reschedule(now, id);
+        }
+    }
+
     fn start_search(
         &mut self,
         now: Timestamp,
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -48,6 +48,9 @@
     /// Whether any attempt has ended with neither an answer nor a proof that it did not run. If so,
     /// the results of later attempts can't prove that the request did not run.
     pub(super) may_have_run: bool,
+    /// Numbers of the attempts that are proved not to have run and never will. A claim of one of
+    /// them is about to be released.
+    pub(super) refused_attempts: Vec<u32>,
     /// When the latest attempt was sent.
     pub(super) sent_at: Timestamp,
     /// Time of the call's entry in the timer set.
@@ -118,6 +121,7 @@
             failed_answer: None,
             reason: CallReason::None,
             may_have_run: false,
+            refused_attempts: Vec::new(),
             sent_at: now,
             wake_at: deadline,
         }
--- a/crates/kumquatlock/src/call/tests/keyed.rs
+++ b/crates/kumquatlock/src/call/tests/keyed.rs
@@ -4,9 +4,10 @@
 
 use kumquatlock_wire::Body;
 use kumquatlock_wire::call::CallReason;
+use kumquatlock_wire::claim::ClaimAction;
 use kumquatlock_wire::distribution::WireClass;
 
-use super::simulation::CallSimulation;
+use super::simulation::{CallSimulation, QueuedMessage};
 use crate::call::{CallerAnswer, RejectReason};
 use crate::http::UpstreamFailure;
 
@@ -109,6 +110,38 @@
     assert_eq!(simulation.outcome(refused), "unknown");
 }
 
+/// A caller must not be told "unknown" because of the claim of its own refused attempt: the entry
+/// node knows that this attempt did not run. The release of its claim is late here, and the node
+/// that could tell the outcome has been replaced.
+#[test]
+fn the_late_release_of_a_refused_attempt_does_not_make_the_outcome_unknown() {
+    let class = WireClass::AtMostOnce;
+    let mut simulation = CallSimulation::new(class);
+    let call = simulation.open(KEY);
+    let first = simulation.called_destination();
+    simulation.queue_result(&first, Err(UpstreamFailure::Unreachable));
+    let is_release = |message: &QueuedMessage| matches!(&message.body, Body::Claim(request) if request.action == ClaimAction::Release as i32);
+    let mut late = Vec::new();
+    while let Some(message) = simulation.queue.pop_front() {
+        match is_release(&message) {
+            true => late.push(message),
+            false => simulation.deliver(message),
+        }
+    }
+    assert!(!late.is_empty(), "the claim was not released");
+    simulation.end_incarnation(class, &first);
+    simulation.is_lost = is_release;
+    simulation.advance(Duration::from_millis(90));
+    assert_eq!(simulation.outcome(call), "open");
+    simulation.is_lost = |_| false;
+    for message in late {
+        simulation.deliver(message);
+    }
+    simulation.advance(Duration::from_millis(500));
+    assert_eq!(simulation.outcome(call), "answered");
+    assert_eq!(simulation.runs.len(), 2);
+}
+
 /// If the upstream finishes after the caller's deadline, a resend must get the answer instead of
 /// "unknown".
 #[test]
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -3,4 +3,5 @@
 
 mod failures;
 mod keyed;
+mod silence;
 mod simulation;
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -354,6 +354,24 @@
         self.apply_entry_steps(steps);
     }
 
+    /// Replaces the node beside an upstream by one of a later incarnation, in the configuration of
+    /// the entry node.
+    pub(super) fn end_incarnation(&mut self, class: WireClass, name: &str) {
+        let mut upstreams = upstreams();
+        let upstream = upstreams.iter_mut().find(|item| item.name == name);
+        upstream.expect("an upstream").incarnation += 1;
+        let snapshot = Arc::new(snapshot_of(6, class, upstreams));
+        let steps = self.entry.on_snapshot(self.now, snapshot);
+        self.apply_entry_steps(steps);
+    }
+
+    /// Lets the entry node notice that a node has stopped answering.
+    pub(super) fn silence(&mut self, name: &str) {
+        self.record(format!("{name} is silent"));
+        let steps = self.entry.on_peer_silent(self.now, name);
+        self.apply_entry_steps(steps);
+    }
+
     pub(super) fn set_reachable(&mut self, name: &str, reachable: bool) {
         self.destinations[name].reachable = reachable;
     }
@@ -426,8 +444,27 @@
 }
 
 fn snapshot(class: WireClass) -> ConfigSnapshot {
-    let mut state = CatalogState {
-        version: 5,
+    snapshot_of(5, class, upstreams())
+}
+
+fn upstreams() -> Vec<UpstreamItem> {
+    let item = |(index, name): (usize, &str)| UpstreamItem {
+        name: name.into(),
+        service: "booking".into(),
+        zone: "osrednja-1".into(),
+        region: "osrednja".into(),
+        node_address: format!("127.0.0.1:{}", index + 1),
+        incarnation: 1,
+        slots: 10,
+        first_in_region: index == 0,
+        ..UpstreamItem::default()
+    };
+    UPSTREAMS.into_iter().enumerate().map(item).collect()
+}
+
+fn snapshot_of(version: u64, class: WireClass, upstreams: Vec<UpstreamItem>) -> ConfigSnapshot {
+    let state = CatalogState {
+        version,
         manifest_version: 1,
         services: vec![ServiceItem {
             name: "booking".into(),
@@ -441,21 +478,9 @@
             service: "booking".into(),
             ..RouteItem::default()
         }],
+        upstreams,
         ..CatalogState::default()
     };
-    for (index, name) in UPSTREAMS.into_iter().enumerate() {
-        state.upstreams.push(UpstreamItem {
-            name: name.into(),
-            service: "booking".into(),
-            zone: "osrednja-1".into(),
-            region: "osrednja".into(),
-            node_address: format!("127.0.0.1:{}", index + 1),
-            incarnation: 1,
-            slots: 10,
-            first_in_region: index == 0,
-            ..UpstreamItem::default()
-        });
-    }
     let digests = state.upstreams.iter().map(upstream_digest);
     let digest = digests
         .chain(state.services.iter().map(service_digest))
--- a/crates/kumquatlock/src/retry/policy.rs
+++ b/crates/kumquatlock/src/retry/policy.rs
@@ -147,6 +147,21 @@
     }
 }
 
+impl RetryPolicy {
+    /// Decides whether a call gets another attempt while an earlier one is open at a node that has
+    /// stopped answering. If so, the attempt's share of a token has been taken.
+    pub fn allows_duplicate(
+        &self,
+        now: Timestamp,
+        budget: &mut RetryBudget,
+        progress: &CallProgress,
+    ) -> bool {
+        let failure = AttemptFailure::Unknown(CallReason::LinkLost);
+        give_up_reason(progress, failure).is_none()
+            && budget.try_take_fraction(now, token_cost(failure), 0.0)
+    }
+}
+
 fn give_up_reason(progress: &CallProgress, failure: AttemptFailure) -> Option<GiveUpReason> {
     let proved_not_run = match failure {
         AttemptFailure::NotRun(reason) if is_final(reason) => return Some(GiveUpReason::Final),
