Compress updates for nodes, hold hellos during an election and prefer near parents

A first configuration is 240 KB and takes 0.6 s on a node's link; 32 transfers ran at a time although each is limited by its child's link; all nodes started at the first of three seeds; nodes that came before the leader were refused and returned 150 to 450 ms later. Parents were chosen regardless of their region, so most updates crossed regions. Hello rate 500/s, burst 50. One literal test of the rate now sets the limits it names.

--- a/crates/kumquatlock-wire/src/agreement.rs
+++ b/crates/kumquatlock-wire/src/agreement.rs
@@ -96,11 +96,14 @@
     }
 }
 
-/// First message on a link between voters. The region tells whether traffic on the link is billed.
+/// First message on a link between voters. The region tells whether traffic on the link is billed;
+/// both names tell children which parents are near.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct VoterGreeting {
     #[prost(string, tag = "1")]
     pub region: String,
+    #[prost(string, tag = "2")]
+    pub zone: String,
 }
 
 /// Requests a vote, or with `pre_vote` asks whether a vote would be granted.
--- a/crates/kumquatlock-wire/src/distribution.rs
+++ b/crates/kumquatlock-wire/src/distribution.rs
@@ -372,7 +372,8 @@
     /// Digest of the applied state, so that a delta is never applied to a different base.
     #[prost(uint64, tag = "8")]
     pub applied_digest: u64,
-    /// Whether the child answers chunks with [`ChunkReceived`] and assembles deltas from chunks.
+    /// Whether the child answers chunks with [`ChunkReceived`], assembles deltas from chunks and
+    /// decompresses updates.
     #[prost(bool, tag = "9")]
     pub accepts_paced_updates: bool,
 }
@@ -389,6 +390,18 @@
     /// they are in the child's settings.
     #[prost(string, repeated, tag = "3")]
     pub parents: Vec<String>,
+    /// Locations of `parents`, in the same order.
+    #[prost(message, repeated, tag = "4")]
+    pub locations: Vec<ParentLocation>,
+}
+
+/// Location of a control instance. Both names are empty if it is not known.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ParentLocation {
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    #[prost(string, tag = "2")]
+    pub region: String,
 }
 
 /// Asks a child to retry later or to attach to another parent.
@@ -434,6 +447,10 @@
     /// Whether the parent waits for [`ChunkReceived`] before it sends more than a window of chunks.
     #[prost(bool, tag = "7")]
     pub is_paced: bool,
+    /// Whether the update is compressed with DEFLATE. `offset` and `total_bytes` then count
+    /// compressed bytes.
+    #[prost(bool, tag = "8")]
+    pub is_compressed: bool,
 }
 
 /// Acknowledges the chunks of a paced update.
--- a/crates/kumquatlock/src/distribution/admission.rs
+++ b/crates/kumquatlock/src/distribution/admission.rs
@@ -22,9 +22,10 @@
     /// Number of `Hello` messages admitted in a burst. Half of the burst is reserved for children
     /// without a configuration.
     pub hello_burst: u64,
-    /// Maximum number of concurrent snapshot transfers.
+    /// Maximum cost of concurrent snapshot transfers. A paced transfer costs 1, any other as much
+    /// as the memory of its chunk relative to a paced window.
     pub transfers: usize,
-    /// Maximum number of children without a configuration that wait for a snapshot transfer.
+    /// Maximum cost of the transfers for which children without a configuration wait.
     pub queue: usize,
 }
 
@@ -101,8 +102,8 @@
         Err(add_jitter(until - now.0, random))
     }
 
-    /// Returns the retry delay for a child that needs a snapshot while `ahead` other transfers come
-    /// before its own.
+    /// Returns the retry delay for a child that needs a snapshot while transfers of the cost `ahead`
+    /// come before its own.
     pub(super) fn snapshot_delay(&self, ahead: usize, random: &mut SmallRng) -> Duration {
         let queue = self.mean_transfer_micros * (1 + ahead / self.limits.transfers.max(1)) as u64;
         add_jitter(random.random_range(0..=queue), random)
--- a/crates/kumquatlock/src/distribution/assembly.rs
+++ b/crates/kumquatlock/src/distribution/assembly.rs
@@ -4,6 +4,7 @@
 use prost::Message;
 
 use super::MAX_SNAPSHOT_BYTES;
+use super::compression::decompress_update;
 
 /// Why received chunks could not be assembled into an update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -31,6 +32,7 @@
     version: u64,
     /// Base of a delta; zero for a snapshot.
     base: u64,
+    is_compressed: bool,
     digest: u64,
     total: u64,
     data: Vec<u8>,
@@ -84,6 +86,7 @@
         Ok(UpdateAssembly {
             version: chunk.version,
             base: chunk.base,
+            is_compressed: chunk.is_compressed,
             digest: chunk.digest,
             total: chunk.total_bytes,
             data: Vec::new(),
@@ -92,6 +95,7 @@
 
     fn is_same_update(&self, chunk: &SnapshotChunk) -> bool {
         (self.version, self.base) == (chunk.version, chunk.base)
+            && self.is_compressed == chunk.is_compressed
             && (self.digest, self.total) == (chunk.digest, chunk.total_bytes)
     }
 
@@ -111,6 +115,9 @@
                 received_bytes: received,
             });
         }
+        if self.is_compressed {
+            self.data = decompress_update(&self.data).map_err(|_| ChunkError::Malformed)?;
+        }
         match self.base {
             0 => self.decode_state(),
             _ => self.decode_delta(),
--- a/crates/kumquatlock/src/distribution/backoff.rs
+++ b/crates/kumquatlock/src/distribution/backoff.rs
@@ -3,24 +3,40 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use kumquatlock_wire::distribution::{ParentLocation, Welcome};
 use rand::Rng;
 use rand::rngs::SmallRng;
-
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::child::ChildIdentity;
 use super::{INITIAL_BACKOFF, MAX_BACKOFF};
-use crate::core::Timestamp;
+use crate::core::{SharedName, Timestamp, stable_hash};
 
 /// Maximum number of parents that a child keeps in its list.
 const MAX_PARENTS: usize = 64;
 
+/// Distance of a parent from a child. A parent without a known location counts as distant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ParentDistance {
+    SameZone,
+    SameRegion,
+    OtherRegion,
+}
+
+fn shuffled_key(address: SocketAddr, seed: u64) -> u64 {
+    xxh3_64_with_seed(address.to_string().as_bytes(), seed)
+}
+
 /// The parents in order of preference, each with the earliest time of the next attempt.
 #[derive(Debug)]
 pub(super) struct ParentSelector {
     /// At most [`MAX_PARENTS`], unless the initial settings list more.
     parents: Vec<ParentEntry>,
-    /// Seed of the pseudorandom order into which offered parents are sorted.
+    /// Seed of the pseudorandom order of parents at the same distance. Differs between children, so
+    /// that they spread over the parents.
     order_seed: u64,
+    zone: SharedName,
+    region: SharedName,
     max_backoff: Duration,
     /// Number of failed attempts since the last `Welcome`.
     failures: u32,
@@ -38,16 +54,17 @@
 }
 
 impl ParentSelector {
-    /// Creates a selector for `parents`, which are in order of preference. `order_seed` should
-    /// differ between children.
-    pub(super) fn new(parents: Vec<SocketAddr>, order_seed: u64) -> Self {
+    /// Creates a selector for `parents`, which are in order of preference.
+    pub(super) fn new(parents: Vec<SocketAddr>, child: &ChildIdentity) -> Self {
         let entry = |address| ParentEntry {
             address,
             not_before: Timestamp::default(),
         };
         ParentSelector {
             parents: parents.into_iter().map(entry).collect(),
-            order_seed,
+            order_seed: stable_hash(child.name.as_bytes()),
+            zone: child.zone.clone(),
+            region: child.region.clone(),
             max_backoff: MAX_BACKOFF,
             failures: 0,
             pause_until: Timestamp::default(),
@@ -59,20 +76,33 @@
         self.max_backoff = max_backoff;
     }
 
-    /// Replaces the list by the parents that the parent at position `current` offers. The order
-    /// depends on this child's seed, so that children spread over the parents. Parents that are no
-    /// longer offered move to the end of the list: if all offered parents are lost, one of these
-    /// may offer others. Returns the new position of the current parent.
-    pub(super) fn update_parents(&mut self, offered: &[String], current: usize) -> usize {
-        let addresses = offered.iter().filter_map(|address| address.parse().ok());
-        let mut ordered: Vec<SocketAddr> = addresses.take(MAX_PARENTS).collect();
-        if ordered.is_empty() {
+    /// Sorts the parents into the pseudorandom order of this child.
+    pub(super) fn shuffle(&mut self) {
+        let seed = self.order_seed;
+        self.parents
+            .sort_by_cached_key(|entry| shuffled_key(entry.address, seed));
+    }
+
+    /// Replaces the list by the parents that the parent at position `current` offers: those of this
+    /// child's zone first, then those of its region, which cost no traffic between regions. The
+    /// order among equals depends on this child's seed. Parents that are no longer offered move to
+    /// the end of the list: if all offered parents are lost, one of these may offer others. Returns
+    /// the new position of the current parent.
+    pub(super) fn update_parents(&mut self, welcome: &Welcome, current: usize) -> usize {
+        let mut offered: Vec<(ParentDistance, SocketAddr)> = Vec::new();
+        for (index, address) in welcome.parents.iter().enumerate().take(MAX_PARENTS) {
+            if let Ok(address) = address.parse() {
+                offered.push((self.distance(welcome.locations.get(index)), address));
+            }
+        }
+        if offered.is_empty() {
             return current;
         }
         let current_address = self.parents.get(current).map(|entry| entry.address);
-        ordered.sort_by_cached_key(|address| {
-            xxh3_64_with_seed(address.to_string().as_bytes(), self.order_seed)
-        });
+        let seed = self.order_seed;
+        offered.sort_by_cached_key(|(distance, address)| (*distance, shuffled_key(*address, seed)));
+        let mut ordered: Vec<SocketAddr> =
+            offered.into_iter().map(|(_, address)| address).collect();
         let no_longer_offered = self.parents.iter().map(|entry| entry.address);
         let no_longer_offered: Vec<SocketAddr> = no_longer_offered
             .filter(|address| !ordered.contains(address))
@@ -95,6 +125,15 @@
         position.unwrap_or(0)
     }
 
+    fn distance(&self, location: Option<&ParentLocation>) -> ParentDistance {
+        match location {
+            Some(location) if *location.region != *self.region => ParentDistance::OtherRegion,
+            Some(location) if *location.zone != *self.zone => ParentDistance::SameRegion,
+            Some(_) => ParentDistance::SameZone,
+            None => ParentDistance::OtherRegion,
+        }
+    }
+
     /// Appends the parents of reloaded settings to the list. Returns the number of new parents.
     pub(super) fn add_parents(&mut self, parents: &[SocketAddr]) -> usize {
         let before = self.parents.len();
--- a/crates/kumquatlock/src/distribution/child/mod.rs
+++ b/crates/kumquatlock/src/distribution/child/mod.rs
@@ -20,7 +20,6 @@
 use super::timing::StreamTiming;
 use crate::core::{
     ConfigSnapshot, ConfigVersion, GroupId, IncarnationId, SharedName, SnapshotError, Timestamp,
-    stable_hash,
 };
 
 /// Minimum delay before a child retries a parent that belongs to another group.
@@ -179,11 +178,11 @@
 impl ChildState {
     /// Creates a child without a configuration. `parents` are in order of preference.
     pub fn new(identity: ChildIdentity, group: GroupId, parents: Vec<SocketAddr>) -> Self {
-        let order = stable_hash(identity.name.as_bytes());
+        let selector = ParentSelector::new(parents, &identity);
         ChildState {
             identity,
             timing: StreamTiming::default(),
-            selector: ParentSelector::new(parents, order),
+            selector,
             failback: FailbackSearch::default(),
             phase: LinkPhase::Idle,
             link: LinkId(0),
@@ -209,6 +208,12 @@
         self.selector.set_max_backoff(timing.max_backoff);
     }
 
+    /// Tries the parents of the settings in a pseudorandom order instead of the order of preference.
+    /// Called before the first event.
+    pub fn shuffle_parents(&mut self) {
+        self.selector.shuffle();
+    }
+
     /// Adds the parents of reloaded settings. Returns the number of new parents.
     pub fn add_parents(&mut self, parents: &[SocketAddr]) -> usize {
         self.selector.add_parents(parents)
@@ -474,7 +479,7 @@
         self.phase = LinkPhase::Attached;
         self.welcome_proof = Some(since);
         self.apply_welcome_proof();
-        self.parent = self.selector.update_parents(&welcome.parents, self.parent);
+        self.parent = self.selector.update_parents(&welcome, self.parent);
         self.selector.record_welcome();
         self.failback.record_welcome(now, self.parent, random);
         let (link, floor) = (self.link, self.floor);
--- a/crates/kumquatlock/src/distribution/mod.rs
+++ b/crates/kumquatlock/src/distribution/mod.rs
@@ -21,6 +21,7 @@
 mod assembly;
 mod backoff;
 mod child;
+mod compression;
 mod parent;
 mod preference;
 mod progress;
@@ -46,13 +47,14 @@
 /// Maximum number of children of one parent. The design target is 594 children.
 pub const MAX_CHILDREN: usize = 2_000;
 /// Maximum rate of `Hello` messages that a parent admits, per second.
-pub const HELLO_RATE: u64 = 200;
+pub const HELLO_RATE: u64 = 500;
 /// Number of `Hello` messages admitted in a burst: a tenth of a second at [`HELLO_RATE`].
-pub const HELLO_BURST: u64 = 20;
-/// Maximum number of concurrent snapshot transfers of one parent.
-pub const MAX_SNAPSHOT_TRANSFERS: usize = 32;
-/// Maximum number of admitted children without a configuration that wait for a snapshot transfer.
-pub const MAX_SNAPSHOT_QUEUE: usize = 64;
+pub const HELLO_BURST: u64 = 50;
+/// Maximum cost of the concurrent snapshot transfers of one parent, in units of a paced transfer.
+/// Bounds the memory of the chunks in its output buffers to 8 MiB.
+pub const MAX_SNAPSHOT_TRANSFERS: usize = 8 * 1024 * 1024 / PACED_WINDOW_BYTES;
+/// Maximum cost of the transfers for which admitted children without a configuration wait.
+pub const MAX_SNAPSHOT_QUEUE: usize = 2 * MAX_SNAPSHOT_TRANSFERS;
 /// Maximum number of encoded deltas that a parent caches, one for each base version.
 pub const MAX_DELTA_FRAMES: usize = 16;
 /// Size of one snapshot chunk, in bytes.
@@ -64,6 +66,10 @@
 pub const PACED_WINDOW_BYTES: usize = 3 * PACED_CHUNK_BYTES;
 /// Maximum size of a snapshot that a child assembles, in bytes.
 pub const MAX_SNAPSHOT_BYTES: u64 = 64 * 1024 * 1024;
+/// Maximum time for which a child without a configuration waits for a leader at one parent. Covers
+/// most of an election, and is short for a child that has reached a parent on the minority side of a
+/// partition.
+pub const HELLO_HOLD_TIME: Duration = Duration::from_secs(1);
 /// Timeout of a currency proof.
 pub const PROOF_TIMEOUT: Duration = Duration::from_secs(2);
 /// Age at which a parent renews the currency proof that it reports in its pongs. One proof serves
--- a/crates/kumquatlock/src/distribution/parent.rs
+++ b/crates/kumquatlock/src/distribution/parent.rs
@@ -6,8 +6,8 @@
 use kumquatlock_wire::agreement::forward::Content;
 use kumquatlock_wire::agreement::{ConfirmReply, Forward};
 use kumquatlock_wire::distribution::{
-    Attachment, ChildRole, Hello, Pong, Progress, RetryAfter, RetryReason, UpstreamIncarnation,
-    Welcome,
+    Attachment, ChildRole, Hello, ParentLocation, Pong, Progress, RetryAfter, RetryReason,
+    UpstreamIncarnation, Welcome,
 };
 use kumquatlock_wire::{Body, EncodedFrame};
 use rand::Rng;
@@ -17,9 +17,9 @@
 use super::progress::{UplinkReporter, add_progress, replace_upstreams};
 use super::proof::{ProofBatch, ProofOutcome, ProofWaiter};
 use super::record::ChildRecord;
-use super::serve::{DeltaCache, SnapshotQueue};
-use super::{CHILD_TIMEOUT, MAX_CHILDREN, MAX_UPSTREAMS_PER_NODE, UPDATE_TIMEOUT};
-use crate::catalog::{Catalog, EncodedSnapshot, SnapshotDetail};
+use super::serve::{DeltaCache, ServedSnapshot, SnapshotQueue};
+use super::{CHILD_TIMEOUT, HELLO_HOLD_TIME, MAX_CHILDREN, MAX_UPSTREAMS_PER_NODE, UPDATE_TIMEOUT};
+use crate::catalog::{Catalog, SnapshotDetail};
 use crate::core::{ConfigVersion, GroupId, SharedName, Timestamp};
 
 /// Maximum number of currency proofs that one child may wait for at the same time.
@@ -96,11 +96,14 @@
     pub(super) snapshot_queue: SnapshotQueue,
     /// Latest encoded snapshot for each detail. Reused while the catalog can supply a delta from
     /// it.
-    pub(super) encoded_snapshots: IndexMap<SnapshotDetail, EncodedSnapshot>,
+    pub(super) snapshots: IndexMap<SnapshotDetail, ServedSnapshot>,
     pub(super) deltas: DeltaCache,
-    /// Addresses of the parents that children are told to use. Empty if the addresses are in the
-    /// children's settings.
-    offered_parents: Vec<String>,
+    /// Children without a configuration that wait for a leader. Each is also in `children` and has
+    /// not been welcomed.
+    held: IndexSet<ChildId>,
+    /// Addresses and locations of the parents that children are told to use. Empty if the addresses
+    /// are in the children's settings.
+    offered_parents: Vec<(String, ParentLocation)>,
     /// Whether the leader is silent. Children are then refused, because this parent gets no
     /// updates.
     is_leader_silent: bool,
@@ -130,8 +133,9 @@
             proofs: ProofBatch::new(),
             reporter: UplinkReporter::new(name, started_ms.saturating_mul(1_000)),
             snapshot_queue: SnapshotQueue::default(),
-            encoded_snapshots: IndexMap::new(),
+            snapshots: IndexMap::new(),
             deltas: DeltaCache::default(),
+            held: IndexSet::new(),
             offered_parents: Vec::new(),
             is_leader_silent: false,
             is_shutting_down: false,
@@ -143,9 +147,9 @@
         self.group = group;
     }
 
-    /// Sets the addresses of the parents that children are told to use. Attached children learn of
+    /// Sets the addresses and locations of the parents that children are told to use. Attached children learn of
     /// a change with their next `Welcome`.
-    pub fn set_offered_parents(&mut self, parents: Vec<String>) {
+    pub fn set_offered_parents(&mut self, parents: Vec<(String, ParentLocation)>) {
         self.offered_parents = parents;
     }
 
@@ -154,12 +158,11 @@
         self.children.len()
     }
 
-    /// Returns the number of snapshot transfers in progress.
-    pub fn transfer_count(&self) -> usize {
-        self.children
-            .values()
-            .filter(|record| record.is_in_transfer())
-            .count()
+    /// Returns the cost of the snapshot transfers in progress.
+    pub fn transfer_cost(&self) -> usize {
+        let transfers = self.children.values();
+        let transfers = transfers.filter(|record| record.is_in_transfer());
+        transfers.map(ChildRecord::transfer_cost).sum()
     }
 
     /// Returns the progress of the whole subtree towards the catalog's version.
@@ -203,8 +206,9 @@
             ParentEvent::UplinkChanged => self.reporter.restart(),
             ParentEvent::LeaderSilent(is_silent) => {
                 self.is_leader_silent = is_silent;
-                if is_silent {
-                    self.redirect_children(RetryReason::NotCurrent, &mut steps);
+                match is_silent {
+                    true => self.redirect_children(RetryReason::NotCurrent, &mut steps),
+                    false => self.prove_held(now, &mut steps),
                 }
             }
             ParentEvent::Shutdown => {
@@ -307,11 +311,41 @@
         }
         self.child_by_name.insert(record.name.clone(), child);
         self.children.insert(child, record);
+        match self.is_leader_silent {
+            true => _ = self.held.insert(child),
+            false => self.prove(now, child, steps),
+        }
+    }
+
+    /// Requests the proof that must precede the `Welcome` of a child.
+    fn prove(&mut self, now: Timestamp, child: ChildId, steps: &mut Vec<ParentStep>) {
         if let Some(round) = self.proofs.request(now, ProofWaiter::Hello(child)) {
             steps.push(ParentStep::RequestProof { round });
         }
     }
 
+    /// Requests proofs again for the children that wait for a leader.
+    fn prove_held(&mut self, now: Timestamp, steps: &mut Vec<ParentStep>) {
+        for child in std::mem::take(&mut self.held) {
+            self.prove(now, child, steps);
+        }
+    }
+
+    /// Refuses the children that have waited for a leader for [`HELLO_HOLD_TIME`]. They may try
+    /// another parent at once, because they have waited here.
+    fn expire_held(&mut self, now: Timestamp, steps: &mut Vec<ParentStep>) {
+        let children = &self.children;
+        let is_over = |child: &ChildId| {
+            let record = children.get(child);
+            record.is_none_or(|record| now.since(record.hello_at) >= HELLO_HOLD_TIME)
+        };
+        let expired: Vec<ChildId> = self.held.iter().copied().filter(is_over).collect();
+        for child in expired {
+            self.remove_record(child);
+            refuse_child(child, RetryReason::NotCurrent, Duration::ZERO, steps);
+        }
+    }
+
     fn admit(
         &mut self,
         now: Timestamp,
@@ -321,14 +355,14 @@
         if self.is_shutting_down {
             return Err((RetryReason::Leaving, Duration::ZERO));
         }
-        if self.group == GroupId(0) || self.is_leader_silent {
+        let holds_config = hello.applied_version != 0;
+        if self.group == GroupId(0) || self.is_leader_silent && holds_config {
             let delay = random.random_range(NOT_CURRENT_DELAY_MS);
             return Err((RetryReason::NotCurrent, Duration::from_millis(delay.into())));
         }
         if hello.group_id != 0 && hello.group_id != self.group.0 {
             return Err((RetryReason::WrongGroup, Duration::ZERO));
         }
-        let holds_config = hello.applied_version != 0;
         let ahead = self.expected_transfers();
         // The limit does not apply to children that hold a configuration: they rarely need a
         // snapshot, and can wait for one at another parent.
@@ -343,13 +377,17 @@
             .map_err(|delay| (RetryReason::Busy, delay))
     }
 
-    /// Returns the number of snapshot transfers that are in progress, queued or expected for
+    /// Returns the cost of the snapshot transfers that are in progress, queued or expected for
     /// children that have not been welcomed yet.
     fn expected_transfers(&self) -> usize {
         let needs_first_snapshot =
             |record: &&ChildRecord| !record.is_welcomed && !record.holds_config();
-        let unwelcomed = self.children.values().filter(needs_first_snapshot).count();
-        self.transfer_count() + self.snapshot_queue.len() + unwelcomed
+        let unwelcomed = self.children.values().filter(needs_first_snapshot);
+        let unwelcomed: usize = unwelcomed.map(ChildRecord::transfer_cost).sum();
+        let queued = self.snapshot_queue.iter();
+        let queued = queued.filter_map(|child| self.children.get(child));
+        let queued: usize = queued.map(ChildRecord::transfer_cost).sum();
+        self.transfer_cost() + queued + unwelcomed
     }
 
     fn handle_proof_outcome(
@@ -362,7 +400,9 @@
     ) {
         match outcome {
             Some(ProofOutcome::Current(waiters)) => self.welcome(now, &waiters, catalog, steps),
-            Some(ProofOutcome::NotCurrent(waiters)) => self.reject_waiters(&waiters, random, steps),
+            Some(ProofOutcome::NotCurrent(waiters)) => {
+                self.reject_waiters(now, &waiters, random, steps);
+            }
             None => {}
         }
     }
@@ -395,11 +435,12 @@
             return;
         }
         let group_id = self.group.0;
-        let parents = self.offered_parents.clone();
+        let (parents, locations) = self.offered_parents.iter().cloned().unzip();
         let body = Body::Welcome(Welcome {
             group_id,
             floor,
             parents,
+            locations,
         });
         steps.push(ParentStep::Send {
             children: children.clone(),
@@ -410,12 +451,16 @@
 
     fn reject_waiters(
         &mut self,
+        now: Timestamp,
         waiters: &[ProofWaiter],
         random: &mut SmallRng,
         steps: &mut Vec<ParentStep>,
     ) {
         for &waiter in waiters {
             match waiter {
+                ProofWaiter::Hello(child) if self.may_hold(now, child) => {
+                    self.held.insert(child);
+                }
                 ProofWaiter::Hello(child) => {
                     self.remove_record(child);
                     let delay = random.random_range(NOT_CURRENT_DELAY_MS);
@@ -430,6 +475,14 @@
         }
     }
 
+    /// Returns whether a child may wait for a leader. A child that holds a configuration serves
+    /// meanwhile, and should find a parent that is current.
+    fn may_hold(&self, now: Timestamp, child: ChildId) -> bool {
+        self.children.get(&child).is_some_and(|record| {
+            !record.holds_config() && now.since(record.hello_at) < HELLO_HOLD_TIME
+        })
+    }
+
     /// Handles a request of a replica. Requests for proofs are handled here; all others are passed
     /// on with [`ParentStep::HandleRequest`].
     fn handle_request(
@@ -476,6 +529,10 @@
     }
 
     fn tick(&mut self, now: Timestamp, catalog: &Catalog, steps: &mut Vec<ParentStep>) {
+        self.expire_held(now, steps);
+        if !self.is_leader_silent {
+            self.prove_held(now, steps);
+        }
         let is_lost = |record: &ChildRecord| {
             let outstanding = record.outstanding.as_ref();
             now.since(record.last_heard) >= CHILD_TIMEOUT
@@ -521,6 +578,7 @@
 
     fn remove_record(&mut self, child: ChildId) {
         self.proofs.remove(child);
+        self.held.swap_remove(&child);
         self.snapshot_queue.remove(child);
         let Some(mut record) = self.children.swap_remove(&child) else {
             return;
@@ -531,9 +589,13 @@
         replace_upstreams(&mut record.upstreams, IndexSet::new(), &mut self.reporter);
     }
 
-    /// Tells all children to attach to other parents, and closes their connections.
+    /// Tells children to attach to other parents, and closes their connections. Children that wait
+    /// for a leader stay, unless this parent is leaving.
     fn redirect_children(&mut self, reason: RetryReason, steps: &mut Vec<ParentStep>) {
-        let children: Vec<ChildId> = self.children.keys().copied().collect();
+        let is_leaving = reason == RetryReason::Leaving;
+        let is_redirected = |child: &ChildId| is_leaving || !self.held.contains(child);
+        let children = self.children.keys().copied();
+        let children: Vec<ChildId> = children.filter(is_redirected).collect();
         if children.is_empty() {
             return;
         }
--- a/crates/kumquatlock/src/distribution/record.rs
+++ b/crates/kumquatlock/src/distribution/record.rs
@@ -4,6 +4,7 @@
 use kumquatlock_wire::distribution::{ChildRole, Hello, Progress, UpstreamIncarnation};
 
 use super::transfer::OutstandingUpdate;
+use super::{PACED_WINDOW_BYTES, SNAPSHOT_CHUNK_BYTES};
 use crate::catalog::SnapshotDetail;
 use crate::core::{ConfigVersion, SharedName, Timestamp};
 
@@ -17,6 +18,8 @@
     pub(super) is_paced: bool,
     /// Whether the `Welcome` was sent. The child receives no updates before.
     pub(super) is_welcomed: bool,
+    /// When the `Hello` arrived.
+    pub(super) hello_at: Timestamp,
     /// Version that the child has applied; zero without a configuration. Never decreases.
     pub(super) applied: ConfigVersion,
     /// Floor of the `Welcome` that was sent to the child.
@@ -47,6 +50,7 @@
             role: child_role(hello),
             is_paced: hello.accepts_paced_updates,
             is_welcomed: false,
+            hello_at: now,
             applied: ConfigVersion(hello.applied_version),
             floor: ConfigVersion(0),
             needs_snapshot: false,
@@ -73,6 +77,15 @@
         matches!(&self.outstanding, Some(OutstandingUpdate::Chunked(transfer)) if transfer.is_snapshot())
     }
 
+    /// Returns the share of the parent's memory that a transfer to the child occupies, in units of
+    /// a paced transfer.
+    pub(super) fn transfer_cost(&self) -> usize {
+        match self.is_paced {
+            true => 1,
+            false => SNAPSHOT_CHUNK_BYTES.div_ceil(PACED_WINDOW_BYTES),
+        }
+    }
+
     /// Returns the detail of the child's snapshots. Snapshots for replicas include the history, so
     /// that replicas can compute deltas from earlier versions.
     pub(super) fn detail(&self) -> SnapshotDetail {
--- a/crates/kumquatlock/src/distribution/serve.rs
+++ b/crates/kumquatlock/src/distribution/serve.rs
@@ -6,6 +6,7 @@
 use kumquatlock_wire::{Body, EncodedFrame};
 use prost::Message;
 
+use super::compression::compress_update;
 use super::parent::{ChildId, ParentState, ParentStep, send};
 use super::record::ChildRecord;
 use super::transfer::{OutstandingUpdate, UpdateTransfer};
@@ -22,8 +23,13 @@
 }
 
 impl SnapshotQueue {
-    pub(super) fn len(&self) -> usize {
-        self.unconfigured.len() + self.configured.len()
+    fn first(&self) -> Option<ChildId> {
+        self.iter().next().copied()
+    }
+
+    /// Returns the waiting children, the next one first.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &ChildId> {
+        self.unconfigured.iter().chain(&self.configured)
     }
 
     fn push(&mut self, child: ChildId, holds_config: bool) {
@@ -35,15 +41,6 @@
         queue.insert(child);
     }
 
-    fn pop(&mut self) -> Option<ChildId> {
-        let queue = if self.unconfigured.is_empty() {
-            &mut self.configured
-        } else {
-            &mut self.unconfigured
-        };
-        queue.shift_remove_index(0)
-    }
-
     pub(super) fn remove(&mut self, child: ChildId) {
         self.unconfigured.shift_remove(&child);
         self.configured.shift_remove(&child);
@@ -54,8 +51,8 @@
 #[derive(Clone, Debug)]
 struct EncodedDelta {
     frame: EncodedFrame,
-    /// The delta without the envelope. Shares the memory of the frame.
-    bytes: Bytes,
+    /// The compressed delta, if it does not fit into the window of a paced transfer in one message.
+    compressed: Option<Bytes>,
 }
 
 impl EncodedDelta {
@@ -64,14 +61,31 @@
         let frame = EncodedFrame::new(Body::Delta(delta)).ok()?;
         // The delta is the only field of the envelope, so its encoding ends the frame.
         let start = frame.bytes().len() - len;
-        let bytes = frame.bytes().slice(start..);
-        Some(EncodedDelta { frame, bytes })
+        let compressed =
+            (len > PACED_WINDOW_BYTES).then(|| compress_update(&frame.bytes()[start..]));
+        Some(EncodedDelta { frame, compressed })
     }
+}
+
+/// A snapshot, encoded once for all children.
+#[derive(Clone, Debug)]
+pub(super) struct ServedSnapshot {
+    encoded: EncodedSnapshot,
+    /// The compressed snapshot; `None` until a paced transfer needs it.
+    compressed: Option<Bytes>,
+}
 
-    /// Returns whether the delta fits into the window of a paced transfer, so that it can be sent
-    /// in one message.
-    fn fits_window(&self) -> bool {
-        self.bytes.len() <= PACED_WINDOW_BYTES
+impl ServedSnapshot {
+    fn start_transfer(&mut self, now: Timestamp, is_paced: bool) -> UpdateTransfer {
+        if !is_paced {
+            return UpdateTransfer::of_snapshot(now, self.encoded.clone());
+        }
+        let encoded = &self.encoded;
+        let compressed = self
+            .compressed
+            .get_or_insert_with(|| compress_update(&encoded.bytes));
+        let range = (ConfigVersion(0), encoded.version);
+        UpdateTransfer::of_compressed(now, range, encoded.digest, compressed.clone())
     }
 }
 
@@ -165,16 +179,14 @@
             return;
         };
         let version = catalog.version();
-        let is_chunked = |record: &ChildRecord| record.is_paced && !delta.fits_window();
         let mut whole = Vec::new();
         for child in children {
             let Some(record) = self.children.get_mut(&child) else {
                 continue;
             };
-            if is_chunked(record) {
+            if let Some(bytes) = delta.compressed.clone().filter(|_| record.is_paced) {
                 let range = (base, version);
-                let bytes = delta.bytes.clone();
-                let transfer = UpdateTransfer::of_delta(now, range, catalog.digest(), bytes);
+                let transfer = UpdateTransfer::of_compressed(now, range, catalog.digest(), bytes);
                 record.outstanding = Some(OutstandingUpdate::Chunked(transfer));
                 self.send_chunks(now, child, steps);
             } else {
@@ -199,16 +211,19 @@
         catalog: &Catalog,
         steps: &mut Vec<ParentStep>,
     ) {
-        if self.snapshot_queue.len() == 0 {
-            return;
-        }
-        let free = self.admission.limits.transfers;
-        let mut free = free.saturating_sub(self.transfer_count());
-        while free > 0 {
-            let Some(child) = self.snapshot_queue.pop() else {
+        let limit = self.admission.limits.transfers;
+        let mut used = self.transfer_cost();
+        while let Some(child) = self.snapshot_queue.first() {
+            let record = self.children.get(&child);
+            let cost = record.map_or(0, ChildRecord::transfer_cost);
+            // A transfer that exceeds the limit on its own still gets its turn.
+            if used > 0 && used + cost > limit {
                 return;
-            };
-            free -= usize::from(self.start_transfer(now, child, catalog, steps));
+            }
+            self.snapshot_queue.remove(child);
+            if self.start_transfer(now, child, catalog, steps) {
+                used += cost;
+            }
         }
     }
 
@@ -228,9 +243,10 @@
         let lowest = record.floor.max(ConfigVersion(
             record.applied.max(record.rejected_up_to).0 + 1,
         ));
-        let snapshot = self.snapshot(record.detail(), lowest, catalog);
+        let (detail, is_paced) = (record.detail(), record.is_paced);
+        let snapshot = self.snapshot(detail, lowest, catalog);
+        let transfer = snapshot.start_transfer(now, is_paced);
         if let Some(record) = self.children.get_mut(&child) {
-            let transfer = UpdateTransfer::of_snapshot(now, snapshot, record.is_paced);
             record.outstanding = Some(OutstandingUpdate::Chunked(transfer));
         }
         self.send_chunks(now, child, steps);
@@ -245,16 +261,19 @@
         detail: SnapshotDetail,
         lowest: ConfigVersion,
         catalog: &Catalog,
-    ) -> EncodedSnapshot {
-        if let Some(encoded) = self.encoded_snapshots.get(&detail)
-            && encoded.version >= lowest
-            && catalog.delta_since(encoded.version) != CatalogUpdate::Snapshot
-        {
-            return encoded.clone();
+    ) -> &mut ServedSnapshot {
+        let is_usable = |served: &ServedSnapshot| {
+            let version = served.encoded.version;
+            version >= lowest && catalog.delta_since(version) != CatalogUpdate::Snapshot
+        };
+        if !self.snapshots.get(&detail).is_some_and(is_usable) {
+            let served = ServedSnapshot {
+                encoded: catalog.encode_snapshot(detail),
+                compressed: None,
+            };
+            self.snapshots.insert(detail, served);
         }
-        let encoded = catalog.encode_snapshot(detail);
-        self.encoded_snapshots.insert(detail, encoded.clone());
-        encoded
+        &mut self.snapshots[&detail]
     }
 
     /// Sends the next chunks of a transfer: one, or as many as the window of a paced transfer
--- a/crates/kumquatlock/src/distribution/tests.rs
+++ b/crates/kumquatlock/src/distribution/tests.rs
@@ -429,7 +429,12 @@
 #[test]
 fn children_without_a_configuration_are_admitted_first() {
     let mut random = SmallRng::seed_from_u64(13);
-    let mut admission = super::admission::HelloAdmission::new(AdmissionLimits::default());
+    let limits = AdmissionLimits {
+        hello_rate: 200,
+        hello_burst: 20,
+        ..AdmissionLimits::default()
+    };
+    let mut admission = super::admission::HelloAdmission::new(limits);
     let now = Timestamp::from_millis(60_000);
     let mut admitted = |holds_config, count: usize| {
         let admit = |_| admission.admit(now, holds_config, &mut random);
--- a/crates/kumquatlock/src/distribution/tests/parents.rs
+++ b/crates/kumquatlock/src/distribution/tests/parents.rs
@@ -1,7 +1,7 @@
 //! Tests of children that select among several parents.
 
 use kumquatlock_wire::Body;
-use kumquatlock_wire::distribution::{Applied, Hello};
+use kumquatlock_wire::distribution::{Applied, Hello, ParentLocation};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -211,3 +211,96 @@
     harness.run(12_000);
     assert!(harness.proxies[0].state.is_attached());
 }
+
+/// Guards against restarted nodes that are refused while a leader is being elected and return one by
+/// one only after it, although they could have waited.
+#[test]
+fn a_node_without_a_configuration_waits_for_a_leader() {
+    let mut harness = StreamHarness::new(23, vec![catalog_of(3)], 5);
+    harness.handle_parent_event(0, ParentEvent::LeaderSilent(true));
+    harness.run(500);
+    assert_eq!(harness.sources[0].state.child_count(), 5);
+    harness.handle_parent_event(0, ParentEvent::LeaderSilent(false));
+    harness.run(50);
+    assert!(harness.is_converged());
+    assert!(!harness.transcript.contains("retry after"));
+}
+
+/// Guards against nodes that wait at a parent which stays without a leader, or which cannot prove
+/// that it is current.
+#[test]
+fn a_node_without_a_configuration_tries_another_parent_soon() {
+    for is_silent in [true, false] {
+        let mut harness = StreamHarness::new(24, vec![catalog_of(3), catalog_of(3)], 5);
+        harness.sources[0].proof = ProofMode::Unreachable;
+        harness.handle_parent_event(0, ParentEvent::LeaderSilent(is_silent));
+        harness.run(u64::try_from(HELLO_HOLD_TIME.as_millis()).unwrap() + 800);
+        assert_eq!(harness.sources[0].state.child_count(), 0);
+        assert!(harness.is_converged());
+    }
+}
+
+/// Guards against a node that holds a configuration and waits at a parent without a leader, where
+/// it learns of no change.
+#[test]
+fn a_node_with_a_configuration_is_refused_by_a_parent_without_a_leader() {
+    let mut harness = StreamHarness::new(25, vec![catalog_of(3)], 1);
+    harness.run(300);
+    harness.disconnect(0);
+    harness.handle_parent_event(0, ParentEvent::LeaderSilent(true));
+    harness.transcript.clear();
+    harness.run(8_000);
+    assert!(harness.transcript.contains("retry after, NotCurrent"));
+    assert_eq!(harness.sources[0].state.child_count(), 0);
+}
+
+/// Guards against a node that stays with a parent in another region although its own zone or region
+/// has one, so that each change crosses the link between the regions once for each such node.
+#[test]
+fn a_node_prefers_the_parents_of_its_zone_and_then_of_its_region() {
+    let location = |zone: &str, region: &str| ParentLocation {
+        zone: zone.into(),
+        region: region.into(),
+    };
+    let near = location("osrednja-1", "osrednja");
+    let in_region = location("osrednja-2", "osrednja");
+    let distant = location("stajerska-1", "stajerska");
+    for locations in [
+        [&distant, &in_region, &near],
+        [&near, &distant, &in_region],
+        [&in_region, &near, &distant],
+    ] {
+        let mut harness = StreamHarness::new(26, vec![catalog_of(3); 3], 8);
+        let offered: Vec<_> = locations
+            .iter()
+            .enumerate()
+            .map(|(port, location)| (format!("127.0.0.1:{port}"), (*location).clone()))
+            .collect();
+        for source in &mut harness.sources {
+            source.state.set_offered_parents(offered.clone());
+        }
+        harness.run(40_000);
+        let position = |wanted| locations.iter().position(|location| *location == wanted);
+        let parents = [&near, &in_region].map(|wanted| position(wanted).unwrap());
+        for parent in parents {
+            assert_eq!(harness.sources[parent].state.child_count(), 8);
+            harness.set_reachable(parent, false);
+            harness.run(3_000);
+        }
+    }
+}
+
+/// Guards against a fleet that starts at the first of a few seeds, which then serves all first
+/// configurations alone.
+#[test]
+fn nodes_without_preferred_parents_spread_over_them() {
+    let mut harness = StreamHarness::new(27, vec![catalog_of(3); 3], 90);
+    for proxy in &mut harness.proxies {
+        proxy.state.shuffle_parents();
+    }
+    harness.run(1_000);
+    for source in &harness.sources {
+        let children = source.state.child_count();
+        assert!((15..=45).contains(&children), "{children} of 90 children");
+    }
+}
--- a/crates/kumquatlock/src/distribution/transfer.rs
+++ b/crates/kumquatlock/src/distribution/transfer.rs
@@ -29,7 +29,7 @@
     /// Base of a delta; zero for a snapshot.
     base: ConfigVersion,
     digest: u64,
-    /// The encoded update, shared by all transfers.
+    /// The encoded update, shared by all transfers. Compressed if the transfer is paced.
     bytes: Bytes,
     is_paced: bool,
     /// At most the length of `bytes`.
@@ -42,33 +42,40 @@
 }
 
 impl UpdateTransfer {
-    pub(super) fn of_snapshot(now: Timestamp, snapshot: EncodedSnapshot, is_paced: bool) -> Self {
-        UpdateTransfer {
-            version: snapshot.version,
-            base: ConfigVersion(0),
-            digest: snapshot.digest,
-            bytes: snapshot.bytes,
-            is_paced,
-            sent_bytes: 0,
-            received_bytes: 0,
-            started_at: now,
-            last_chunk_at: now,
-        }
+    /// Returns the transfer of an encoded snapshot to a child that accepts no paced updates.
+    pub(super) fn of_snapshot(now: Timestamp, snapshot: EncodedSnapshot) -> Self {
+        let EncodedSnapshot {
+            version,
+            digest,
+            bytes,
+        } = snapshot;
+        UpdateTransfer::new(now, (ConfigVersion(0), version), digest, bytes, false)
     }
 
-    /// Returns the paced transfer of an encoded delta.
-    pub(super) fn of_delta(
+    /// Returns the paced transfer of a compressed update from version `base`, or of a snapshot if
+    /// `base` is zero, to `version`.
+    pub(super) fn of_compressed(
         now: Timestamp,
         (base, version): (ConfigVersion, ConfigVersion),
         digest: u64,
         bytes: Bytes,
+    ) -> Self {
+        UpdateTransfer::new(now, (base, version), digest, bytes, true)
+    }
+
+    fn new(
+        now: Timestamp,
+        (base, version): (ConfigVersion, ConfigVersion),
+        digest: u64,
+        bytes: Bytes,
+        is_paced: bool,
     ) -> Self {
         UpdateTransfer {
             version,
             base,
             digest,
             bytes,
-            is_paced: true,
+            is_paced,
             sent_bytes: 0,
             received_bytes: 0,
             started_at: now,
@@ -113,6 +120,7 @@
             data: self.bytes.slice(self.sent_bytes..end),
             base: self.base.0,
             is_paced: self.is_paced,
+            is_compressed: self.is_paced,
         };
         self.sent_bytes = end;
         self.last_chunk_at = now;
--- a/crates/kumquatlock/src/ops/control/links.rs
+++ b/crates/kumquatlock/src/ops/control/links.rs
@@ -4,7 +4,7 @@
 
 use kumquatlock_wire::Body;
 use kumquatlock_wire::agreement::{PeerMessage, peer_message::Kind};
-use kumquatlock_wire::distribution::{Hello, Pong};
+use kumquatlock_wire::distribution::{Hello, ParentLocation, Pong};
 
 use super::actor::{ControlActor, QueuedEvent};
 use super::answer;
@@ -66,14 +66,26 @@
             self.links.close(link);
         }
         let voters = voter.agreement.status().voters.voters;
-        let addresses = voters
-            .iter()
-            .filter_map(|voter| address_from_name(&voter.name));
-        let parents = addresses.map(|address| address.to_string()).collect();
-        self.parent.set_offered_parents(parents);
+        let parents = voters.iter().filter_map(|voter| {
+            let address = address_from_name(&voter.name)?;
+            Some((address.to_string(), self.location_of(&voter.name)))
+        });
+        self.parent.set_offered_parents(parents.collect());
         self.check_leader_silence(now);
     }
 
+    /// Returns the location of a voter; without names if it has not reported it yet.
+    fn location_of(&self, voter: &str) -> ParentLocation {
+        if *voter == *self.settings.name {
+            return ParentLocation {
+                zone: self.settings.zone.to_string(),
+                region: self.settings.region.to_string(),
+            };
+        }
+        let location = self.peers.location(voter);
+        location.cloned().unwrap_or_default()
+    }
+
     /// Redirects the children to other instances while the leader is silent. The children cannot
     /// notice the silence themselves, because a member that is cut off from the leader still
     /// answers them.
@@ -141,7 +153,7 @@
                 self.links.watch(now, link, true);
                 self.set_voter_link_scope(&name, link);
                 if let Some(voter) = &self.voter {
-                    let greeting = voter.greeting(&self.settings.region);
+                    let greeting = voter.greeting(&self.settings.zone, &self.settings.region);
                     self.links.send(link, Body::Peer(greeting), None);
                 }
             }
@@ -223,8 +235,8 @@
     /// Counts the traffic of a link to or from a voter as cross-region if the voter is in another
     /// region.
     fn set_voter_link_scope(&mut self, name: &str, link: LinkId) {
-        let region = self.peers.region(name);
-        if region.is_some_and(|region| *region != self.settings.region) {
+        let location = self.peers.location(name);
+        if location.is_some_and(|location| *location.region != *self.settings.region) {
             self.links.set_scope(link, LinkScope::CrossRegion);
         }
     }
@@ -236,7 +248,11 @@
         match message.kind {
             Some(Kind::Greeting(greeting)) => {
                 let name = message.from.name.as_str();
-                self.peers.set_region(name, &greeting.region);
+                let location = ParentLocation {
+                    zone: greeting.zone,
+                    region: greeting.region,
+                };
+                self.peers.set_location(name, location);
                 self.set_voter_link_scope(name, link);
                 if let Some(outbound_link) = self.peers.link(name) {
                     self.set_voter_link_scope(name, outbound_link);
--- a/crates/kumquatlock/src/ops/control/peers.rs
+++ b/crates/kumquatlock/src/ops/control/peers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use kumquatlock_wire::distribution::ParentLocation;
 use rand::Rng;
 use rand::rngs::SmallRng;
 
@@ -28,8 +29,8 @@
     /// connected.
     reachable_at: Option<Timestamp>,
     retry_at: Timestamp,
-    /// Region that the peer has reported; `None` before its first greeting.
-    region: Option<SharedName>,
+    /// Location that the peer has reported; `None` before its first greeting.
+    location: Option<ParentLocation>,
     /// Time until which a peer that contacted this instance is kept even if it is not a link
     /// target.
     kept_until: Timestamp,
@@ -44,7 +45,7 @@
             dialed_at: Timestamp::default(),
             reachable_at: None,
             retry_at: Timestamp::default(),
-            region: None,
+            location: None,
             kept_until: Timestamp::default(),
         }
     }
@@ -173,15 +174,15 @@
         }
     }
 
-    pub(super) fn set_region(&mut self, name: &str, region: &str) {
+    pub(super) fn set_location(&mut self, name: &str, location: ParentLocation) {
         if let Some(peer) = self.peers.get_mut(name) {
-            peer.region = Some(region.into());
+            peer.location = Some(location);
         }
     }
 
-    /// Returns the region of the peer, if it is known.
-    pub(super) fn region(&self, name: &str) -> Option<&SharedName> {
-        self.peers.get(name)?.region.as_ref()
+    /// Returns the location of the peer, if it is known.
+    pub(super) fn location(&self, name: &str) -> Option<&ParentLocation> {
+        self.peers.get(name)?.location.as_ref()
     }
 
     /// Returns the link to a peer, if it is connected.
--- a/crates/kumquatlock/src/ops/control/voter.rs
+++ b/crates/kumquatlock/src/ops/control/voter.rs
@@ -154,9 +154,9 @@
     }
 
     /// Returns the first message on a link to another voter.
-    pub(super) fn greeting(&self, region: &str) -> PeerMessage {
-        let region = region.to_owned();
-        self.message(Kind::Greeting(VoterGreeting { region }))
+    pub(super) fn greeting(&self, zone: &str, region: &str) -> PeerMessage {
+        let (zone, region) = (zone.to_owned(), region.to_owned());
+        self.message(Kind::Greeting(VoterGreeting { region, zone }))
     }
 
     fn message(&self, kind: Kind) -> PeerMessage {
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -174,6 +174,9 @@
         entry.upstream_wait = tuning.upstream_wait.unwrap_or(entry.upstream_wait);
         let mut child = ChildState::new(identity, GroupId::default(), settings.parents.clone());
         child.set_timing(tuning.stream);
+        if tuning.shuffles_parents {
+            child.shuffle_parents();
+        }
         let mut destination =
             DestinationCalls::new(settings.name.clone(), parts.incarnation, claims);
         destination.set_header_names(parts.adapter.names);
--- a/crates/kumquatlock/src/ops/node/settings.rs
+++ b/crates/kumquatlock/src/ops/node/settings.rs
@@ -96,4 +96,7 @@
     pub links: LinkTiming,
     /// Timeouts of the configuration stream from a parent.
     pub stream: StreamTiming,
+    /// Whether the parents of the settings are in no order of preference. All nodes get the same
+    /// few, and would otherwise start at the same one.
+    pub shuffles_parents: bool,
 }
