Keep an upstream's capacity when it sheds load regardless of its running calls

Ruled out: load. The upstreams are reached through their own node only, which keeps to their slots. Change: if the upstream still sheds load at half of its slots, the limit returns to all of them, and shed answers are ignored for 2 s.

--- a/crates/kumquatlock/src/admission/limit.rs
+++ b/crates/kumquatlock/src/admission/limit.rs
@@ -10,12 +10,15 @@
 /// Factor by which the limit is multiplied when the upstream sheds load.
 const SHED_DECREASE_FACTOR: f32 = 0.75;
 /// Shed answers never lower the limit below the announced capacity divided by this number. An
-/// upstream that sheds load while most of its slots are free does so regardless of the running
-/// calls.
+/// upstream that sheds load while it runs no more calls than that does so regardless of them, and
+/// the limit returns to the announced capacity: a lower one would only refuse further calls.
 const MIN_LIMIT_DIVISOR: u32 = 2;
 /// Minimum time between two decreases. Shed answers within this time belong to calls that ran under
 /// the earlier limit.
 const MIN_DECREASE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which shed answers are ignored after they have turned out not to depend on the running
+/// calls. Longer than the limit would need to fall again.
+const IGNORED_SHED_TIME: Duration = Duration::from_secs(2);
 /// Time without shed answers after which the limit grows by one.
 const RAISE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -44,6 +47,8 @@
     current: u32,
     /// When `current` was last changed.
     changed_at: Timestamp,
+    /// Until when shed answers are ignored.
+    ignored_until: Timestamp,
 }
 
 impl ConcurrencyLimit {
@@ -53,6 +58,7 @@
             limits,
             current: limits.max_running(),
             changed_at: now,
+            ignored_until: Timestamp::default(),
         }
     }
 
@@ -74,13 +80,20 @@
 
     /// Lowers the limit after the upstream shed load while `running` calls ran.
     pub fn record_shed(&mut self, now: Timestamp, running: u32) {
-        if now.since(self.changed_at) < MIN_DECREASE_INTERVAL
-            && self.current < self.limits.max_running()
-        {
+        let min_limit = self.limits.max_running().div_ceil(MIN_LIMIT_DIVISOR);
+        let is_recent = now.since(self.changed_at) < MIN_DECREASE_INTERVAL;
+        if self.current == min_limit && running <= min_limit && !is_recent {
+            self.current = self.limits.max_running();
+            self.changed_at = now;
+            self.ignored_until = now + IGNORED_SHED_TIME;
+        }
+        if now < self.ignored_until {
+            return;
+        }
+        if is_recent && self.current < self.limits.max_running() {
             return;
         }
         let used = self.current.min(running.max(1));
-        let min_limit = self.limits.max_running().div_ceil(MIN_LIMIT_DIVISOR);
         self.current = ((used as f32 * SHED_DECREASE_FACTOR) as u32).max(min_limit);
         self.changed_at = now;
     }
--- a/crates/kumquatlock/src/admission/tests.rs
+++ b/crates/kumquatlock/src/admission/tests.rs
@@ -227,6 +227,48 @@
     assert_eq!(queue.load().slots, 8);
 }
 
+/// Load pattern: all upstreams of a service refuse a share of their calls, however few they run.
+/// Guards against destinations that halve their capacity because of that, and refuse as many calls
+/// again, until seconds after the upstreams have recovered.
+#[test]
+fn shed_answers_that_do_not_depend_on_the_load_leave_the_capacity() {
+    const SLOTS: u32 = 18;
+    const STEP: Duration = Duration::from_millis(20);
+    const STEPS: u32 = 500;
+    let (mut queue, running, mut now) = queue_with_full_slots(SLOTS, 330);
+    let mut running: std::collections::VecDeque<_> = running.into();
+    let mut full_steps = 0;
+    for step in 0..STEPS {
+        now = now + STEP;
+        // Two calls are shed at once and one is answered in each step.
+        for outcome in [
+            ServiceOutcome::Shed,
+            ServiceOutcome::Shed,
+            ServiceOutcome::Answered,
+        ] {
+            let ticket = match outcome {
+                ServiceOutcome::Shed => running.pop_back(),
+                _ => running.pop_front(),
+            };
+            if let Some(ticket) = ticket {
+                let _ = queue.finished(now, ticket, outcome);
+            }
+        }
+        while running.len() < queue.load().slots as usize {
+            let deadline = now + SECOND * 5;
+            match queue.offer(now, RequestClass::Lookup, deadline) {
+                AdmissionDecision::Start(ticket) => running.push_back(ticket),
+                other => panic!("step {step}: {other:?}"),
+            }
+        }
+        full_steps += u32::from(queue.load().slots == SLOTS);
+    }
+    assert!(
+        full_steps >= STEPS * 3 / 4,
+        "full capacity in {full_steps} of {STEPS} steps"
+    );
+}
+
 /// Guards against calls that wait or are refused although the upstream has free slots, because it
 /// has just started. After a power loss all upstreams start at the same time, so no other upstream
 /// would run these calls.
