Refuse calls at once while all upstreams of a service are known to be full

The balancer forgot each refusal: three in a row ejected an upstream for 50 ms, and when most were ejected its panic mode sent calls to them again. Change: a refusal as overloaded marks the upstream as full for calls of that rank and of later ones, for half of the time in which its queue drains (50 to 500 ms); in another region from 250 ms, doubling up to 4 s. If every upstream that could take a call is full, the entry answers not_run overloaded at once. Other regions are tried only with known or assumed room, no longer because the own region is full. Deferred calls try again each second. Tests: routing/tests/full.rs and call/tests/full.rs name the load; without the change the choice never ends as AllFull.

--- a/crates/kumquatlock-testkit/examples/measure/slopes.rs
+++ b/crates/kumquatlock-testkit/examples/measure/slopes.rs
@@ -337,7 +337,7 @@
     let now = Timestamp::from_millis(60_000);
     let balancer = UpstreamBalancer::new(entry_location(), service, now);
     let samples = time_rounds(REPEATS, 500_000, || {
-        black_box(balancer.choose(now, random, &[]));
+        black_box(balancer.choose(now, random, &[], 0));
     });
     let nanos: Vec<f64> = samples.iter().map(|micros| micros * 1e3).collect();
     recorder.record_samples(scope, "one choice of an upstream", &nanos, "ns")
--- a/crates/kumquatlock/examples/policy/main.rs
+++ b/crates/kumquatlock/examples/policy/main.rs
@@ -45,7 +45,7 @@
     let started = Instant::now();
     for round in 0..ROUNDS {
         let now = START + Duration::from_micros(u64::from(round));
-        std::hint::black_box(entry.balancer.choose(now, &mut rng, &[]));
+        std::hint::black_box(entry.balancer.choose(now, &mut rng, &[], 0));
     }
     started.elapsed().as_nanos() as f64 / f64::from(ROUNDS)
 }
--- a/crates/kumquatlock/examples/policy/run.rs
+++ b/crates/kumquatlock/examples/policy/run.rs
@@ -213,10 +213,10 @@
                 let mut choice =
                     entry
                         .balancer
-                        .choose(self.now, &mut self.rng, &call.tried_upstreams);
+                        .choose(self.now, &mut self.rng, &call.tried_upstreams, 0);
                 if let UpstreamChoice::None(NoChoiceReason::AllExcluded) = choice {
                     call.tried_upstreams.clear();
-                    choice = entry.balancer.choose(self.now, &mut self.rng, &[]);
+                    choice = entry.balancer.choose(self.now, &mut self.rng, &[], 0);
                 }
                 let UpstreamChoice::Chosen(chosen) = choice else {
                     return None;
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -13,10 +13,12 @@
 use crate::call::answer::{CallerAnswer, RejectReason};
 use crate::core::{RequestClass, Timestamp};
 use crate::retry::{AttemptFailure, HedgeDecision, RetryDecision, reached_upstream};
-use crate::routing::{ChosenUpstream, UpstreamChoice, UpstreamOutcome};
+use crate::routing::{ChosenUpstream, NoChoiceReason, UpstreamChoice, UpstreamOutcome};
 
 /// Interval at which a call without an upstream tries again to choose one.
 const UPSTREAM_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which a deferred call whose service is full tries again.
+const FULL_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Lowest HTTP status that counts as a failure of the upstream.
 const MIN_SERVER_ERROR_STATUS: u32 = 500;
 
@@ -26,6 +28,9 @@
     pub(super) fn send_attempt(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
         match self.choose(now, id) {
             Some(UpstreamChoice::Chosen(chosen)) => self.send_to(now, id, chosen, steps),
+            Some(UpstreamChoice::None(NoChoiceReason::AllFull)) => {
+                self.refuse_overloaded(now, id, steps);
+            }
             Some(UpstreamChoice::None(_)) | None => self.wait_for_upstream(now, id, steps),
         }
         self.reschedule(now, id);
@@ -35,15 +40,34 @@
         let call = self.calls.get_mut(&id)?;
         let snapshot = self.snapshot.as_ref()?;
         let balancer = self.balancers.get_or_create(snapshot, &call.service, now)?;
-        let choice = balancer.choose(now, &mut self.random, &call.tried);
-        if matches!(choice, UpstreamChoice::None(_)) && !call.tried.is_empty() {
+        let rank = call.route.rank;
+        let choice = balancer.choose(now, &mut self.random, &call.tried, rank);
+        let is_exhausted =
+            matches!(choice, UpstreamChoice::None(reason) if reason != NoChoiceReason::AllFull);
+        if is_exhausted && !call.tried.is_empty() {
             // Every upstream has been tried; the earliest refusals may no longer apply.
             call.tried.clear();
-            return Some(balancer.choose(now, &mut self.random, &[]));
+            return Some(balancer.choose(now, &mut self.random, &[], rank));
         }
         Some(choice)
     }
 
+    /// Ends a call whose service is known to be full, unless an earlier attempt is still open. A
+    /// deferred call can wait and tries again later.
+    fn refuse_overloaded(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if !call.outstanding.is_empty() {
+            return;
+        }
+        call.reason = CallReason::Overloaded;
+        match call.route.class {
+            RequestClass::Deferred => call.phase = CallPhase::Backoff(now + FULL_RETRY_INTERVAL),
+            _ => self.give_up(now, id, steps),
+        }
+    }
+
     fn send_to(
         &mut self,
         now: Timestamp,
@@ -184,7 +208,8 @@
         let Some(balancer) = self.balancers.get_mut(&call.service) else {
             return;
         };
-        let UpstreamChoice::Chosen(chosen) = balancer.choose(now, &mut self.random, &call.tried)
+        let UpstreamChoice::Chosen(chosen) =
+            balancer.choose(now, &mut self.random, &call.tried, call.route.rank)
         else {
             return;
         };
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -2,6 +2,7 @@
 //! their claim holders.
 
 mod failures;
+mod full;
 mod keyed;
 mod silence;
 mod simulation;
--- a/crates/kumquatlock/src/routing/balancer.rs
+++ b/crates/kumquatlock/src/routing/balancer.rs
@@ -56,6 +56,8 @@
     AllDraining,
     /// The caller excluded every upstream that could take the attempt.
     AllExcluded,
+    /// Every upstream that could take the attempt has just refused a call as overloaded.
+    AllFull,
 }
 
 /// Circumstances of a choice.
@@ -84,6 +86,8 @@
     pub mode: ChoiceMode,
     /// Age of the upstream's load report; `None` if it has sent none.
     pub load_age: Option<std::time::Duration>,
+    /// Rank of the call.
+    pub rank: u32,
 }
 
 /// An attempt in flight. Each ticket must be passed to [`UpstreamBalancer::finish_attempt`] exactly
@@ -92,6 +96,7 @@
 #[must_use = "an attempt that is never finished counts as in flight forever"]
 pub struct AttemptTicket {
     token: UpstreamToken,
+    rank: u32,
     started_at: Timestamp,
 }
 
@@ -203,7 +208,9 @@
         }
     }
 
-    /// Chooses an upstream for one attempt. `excluded` contains those that the call already tried.
+    /// Chooses an upstream for one attempt of a call of this rank. `excluded` contains those that
+    /// the call already tried. Upstreams that are known to be full are left out: a call sent to them
+    /// would come back, and if all of them are, its caller can be told at once.
     ///
     /// The tiers are visited from the nearest outwards. If a tier is silent, has more than half of
     /// its upstreams ejected, or has no capacity left, its usable upstreams become candidates and
@@ -214,9 +221,10 @@
         now: Timestamp,
         rng: &mut SmallRng,
         excluded: &[UpstreamToken],
+        rank: u32,
     ) -> UpstreamChoice {
-        if let Some(local) = self.local_upstream(now, excluded) {
-            return chosen_upstream(local, now, ChoiceMode::Normal);
+        if let Some(local) = self.local_upstream(now, excluded, rank) {
+            return chosen_upstream(local, now, ChoiceMode::Normal, rank);
         }
         let mut usable = CandidateSet::default();
         let mut tier_start = 0;
@@ -239,6 +247,7 @@
                         ejected += 1;
                     } else if tracked.load_per_slot(now) < SPILL_LOAD_PER_SLOT[tier as usize]
                         && !excluded.contains(&tracked.token)
+                        && !tracked.is_full(now, rank)
                     {
                         usable.push(index);
                         added += 1;
@@ -249,7 +258,7 @@
             tier_start = index;
             let failing = ejected * 2 > serving;
             if added > 0 && !failing {
-                return self.draw_candidate(now, rng, &usable, ChoiceMode::Normal);
+                return self.draw_candidate(now, rng, &usable, ChoiceMode::Normal, rank);
             }
             serving_tiers += usize::from(serving > 0);
             failing_tiers += usize::from(failing);
@@ -262,12 +271,12 @@
             });
         }
         if failing_tiers == serving_tiers {
-            return self.choose_nearest(now, rng, excluded, ChoiceMode::Panic);
+            return self.choose_nearest(now, rng, excluded, ChoiceMode::Panic, rank);
         }
         if usable.len > 0 {
-            return self.draw_candidate(now, rng, &usable, ChoiceMode::Normal);
+            return self.draw_candidate(now, rng, &usable, ChoiceMode::Normal, rank);
         }
-        self.choose_nearest(now, rng, excluded, ChoiceMode::Saturated)
+        self.choose_nearest(now, rng, excluded, ChoiceMode::Saturated, rank)
     }
 
     /// Returns the upstream beside the entry node, as long as it has free slots. A call to it
@@ -276,6 +285,7 @@
         &self,
         now: Timestamp,
         excluded: &[UpstreamToken],
+        rank: u32,
     ) -> Option<&TrackedUpstream> {
         let local = self
             .upstreams
@@ -283,6 +293,7 @@
             .find(|tracked| tracked.entry.name == self.location.name)?;
         let is_usable = !local.is_retired
             && !excluded.contains(&local.token)
+            && !local.is_full(now, rank)
             && !local.is_ejected(now, self.silence_latency_us(local.tier))
             && local.weight(now) >= 1.0
             && local.current_failure_rate(now) < LOCAL_MAX_FAILURE_RATE
@@ -298,19 +309,28 @@
         rng: &mut SmallRng,
         excluded: &[UpstreamToken],
         mode: ChoiceMode,
+        rank: u32,
     ) -> UpstreamChoice {
+        let mut is_any_full = false;
         let mut set = CandidateSet::default();
         for (index, tracked) in self.upstreams.iter().enumerate() {
-            if tracked.tier == LocalityTier::CrossRegion && set.len > 0 {
+            if tracked.tier == LocalityTier::CrossRegion && (set.len > 0 || is_any_full) {
                 break;
             }
             let allowed = mode == ChoiceMode::Panic
                 || !tracked.is_ejected(now, self.silence_latency_us(tracked.tier));
-            if allowed && !tracked.is_retired && !excluded.contains(&tracked.token) {
-                set.push(index);
+            if !allowed || tracked.is_retired || excluded.contains(&tracked.token) {
+                continue;
             }
+            match tracked.is_full(now, rank) {
+                true => is_any_full = true,
+                false => set.push(index),
+            }
+        }
+        if set.len == 0 && is_any_full {
+            return UpstreamChoice::None(NoChoiceReason::AllFull);
         }
-        self.draw_candidate(now, rng, &set, mode)
+        self.draw_candidate(now, rng, &set, mode, rank)
     }
 
     fn draw_candidate(
@@ -319,6 +339,7 @@
         rng: &mut SmallRng,
         set: &CandidateSet,
         mode: ChoiceMode,
+        rank: u32,
     ) -> UpstreamChoice {
         let mut weights = [0.0f32; SUBSET_SIZE];
         let mut total = 0.0;
@@ -339,7 +360,7 @@
         {
             chosen = other;
         }
-        chosen_upstream(chosen, now, mode)
+        chosen_upstream(chosen, now, mode, rank)
     }
 
     fn cost(&self, tracked: &TrackedUpstream, now: Timestamp) -> f32 {
@@ -371,6 +392,7 @@
         self.counters.saturated += u64::from(chosen.mode == ChoiceMode::Saturated);
         AttemptTicket {
             token: chosen.token,
+            rank: chosen.rank,
             started_at: now,
         }
     }
@@ -395,7 +417,7 @@
         if let Some(report) = load {
             tracked.observe_report(now, report);
         }
-        tracked.observe_outcome(now, outcome, latency, mean_us);
+        tracked.observe_outcome(now, outcome, ticket.rank, latency, mean_us);
         self.tier_silence[tier as usize].observe_outcome(outcome, latency, mean_us);
         if outcome == UpstreamOutcome::Answered {
             self.observe_tier_latency(tier, latency);
@@ -438,13 +460,19 @@
     }
 }
 
-fn chosen_upstream(tracked: &TrackedUpstream, now: Timestamp, mode: ChoiceMode) -> UpstreamChoice {
+fn chosen_upstream(
+    tracked: &TrackedUpstream,
+    now: Timestamp,
+    mode: ChoiceMode,
+    rank: u32,
+) -> UpstreamChoice {
     UpstreamChoice::Chosen(ChosenUpstream {
         token: tracked.token,
         entry: tracked.entry.clone(),
         tier: tracked.tier,
         mode,
         load_age: tracked.load_age(now),
+        rank,
     })
 }
 
--- a/crates/kumquatlock/src/routing/tests.rs
+++ b/crates/kumquatlock/src/routing/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of route matching and of the choice of an upstream.
 
+mod full;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -90,7 +92,7 @@
     }
 
     fn choose(&mut self) -> ChosenUpstream {
-        match self.balancer.choose(self.now, &mut self.rng, &[]) {
+        match self.balancer.choose(self.now, &mut self.rng, &[], 0) {
             UpstreamChoice::Chosen(chosen) => chosen,
             UpstreamChoice::None(reason) => panic!("no upstream was chosen: {reason:?}"),
         }
@@ -439,11 +441,13 @@
     for _ in 0..50 {
         let choice = driver
             .balancer
-            .choose(driver.now, &mut driver.rng, &[first]);
+            .choose(driver.now, &mut driver.rng, &[first], 0);
         assert!(matches!(choice, UpstreamChoice::Chosen(chosen) if chosen.token != first));
     }
     let tokens = [UpstreamToken(1), UpstreamToken(2)];
-    let choice = driver.balancer.choose(driver.now, &mut driver.rng, &tokens);
+    let choice = driver
+        .balancer
+        .choose(driver.now, &mut driver.rng, &tokens, 0);
     assert!(matches!(
         choice,
         UpstreamChoice::None(NoChoiceReason::AllExcluded)
--- a/crates/kumquatlock/src/routing/tracked.rs
+++ b/crates/kumquatlock/src/routing/tracked.rs
@@ -17,6 +17,14 @@
 /// Duration of the first ejection after failures; doubles with each further ejection.
 const FAILURE_EJECTION: Duration = Duration::from_secs(1);
 const FAILURE_EJECTION_MAX: Duration = Duration::from_secs(30);
+/// Time for which an upstream that refused a call as overloaded counts as full: half of the time in
+/// which its queue drains, within these limits.
+const MIN_FULL_TIME: Duration = Duration::from_millis(50);
+const MAX_FULL_TIME: Duration = Duration::from_millis(500);
+/// Limits of that time for an upstream in another region, where each refusal costs billed traffic.
+/// It starts at the minimum and doubles with each refusal until the next answer.
+const MIN_DISTANT_FULL_TIME: Duration = Duration::from_millis(250);
+const MAX_DISTANT_FULL_TIME: Duration = Duration::from_secs(4);
 /// Duration of the first ejection after refusals. Short, because a full queue drains within a few
 /// service times.
 const REFUSAL_EJECTION: Duration = Duration::from_millis(50);
@@ -105,6 +113,9 @@
     /// Ejections since the last answer; determines the duration of the next one.
     ejections: u32,
     ejected_until: Timestamp,
+    /// Until when the upstream counts as full for calls of rank `full_rank` and higher.
+    full_until: Timestamp,
+    full_rank: u32,
     hint_weight: f32,
     hint_until: Timestamp,
 }
@@ -135,6 +146,8 @@
             consecutive_refusals: 0,
             ejections: 0,
             ejected_until: Timestamp::default(),
+            full_until: Timestamp::default(),
+            full_rank: 0,
             hint_weight: 1.0,
             hint_until: Timestamp::default(),
         }
@@ -154,6 +167,36 @@
         self.is_node_silent || now < self.ejected_until || self.silence.is_silent(now, mean_us)
     }
 
+    /// Whether the upstream has recently refused a call of this rank, or of one that is served
+    /// before it, because it was full.
+    pub(super) fn is_full(&self, now: Timestamp, rank: u32) -> bool {
+        now < self.full_until && rank >= self.full_rank
+    }
+
+    fn observe_full(&mut self, now: Timestamp, rank: u32) {
+        self.full_rank = match now < self.full_until {
+            true => self.full_rank.min(rank),
+            false => rank,
+        };
+        let LoadReport {
+            queued,
+            slots,
+            service_us,
+            ..
+        } = self.report;
+        let time = match self.tier {
+            LocalityTier::CrossRegion => MIN_DISTANT_FULL_TIME
+                .saturating_mul(1 << self.consecutive_refusals.min(16))
+                .min(MAX_DISTANT_FULL_TIME),
+            LocalityTier::Zone | LocalityTier::Region => {
+                let drain_us = u64::from(queued) * u64::from(service_us) / u64::from(slots.max(1));
+                Duration::from_micros(drain_us / 2).clamp(MIN_FULL_TIME, MAX_FULL_TIME)
+            }
+        };
+        self.full_until = now + time;
+        self.consecutive_refusals += 1;
+    }
+
     /// Records the start of an attempt.
     pub(super) fn observe_start(&mut self, now: Timestamp) {
         self.in_flight += 1;
@@ -235,12 +278,13 @@
         };
     }
 
-    /// Records the outcome of an attempt that took `latency`. `mean_us` is the mean latency of the
+    /// Records the outcome of an attempt of a call of this rank that took `latency`. `mean_us` is the mean latency of the
     /// tier.
     pub(super) fn observe_outcome(
         &mut self,
         now: Timestamp,
         outcome: UpstreamOutcome,
+        rank: u32,
         latency: Duration,
         mean_us: f32,
     ) {
@@ -253,10 +297,15 @@
                 self.consecutive_failures = 0;
                 self.consecutive_refusals = 0;
                 self.ejections = 0;
+                self.full_until = now;
             }
             UpstreamOutcome::Refused(CallReason::Draining | CallReason::WrongIncarnation) => {
                 self.is_retired = true;
             }
+            UpstreamOutcome::Refused(CallReason::Overloaded) => {
+                self.observe_failure_rate(now, 1.0);
+                self.observe_full(now, rank);
+            }
             UpstreamOutcome::Refused(reason) if counts_against_upstream(reason) => {
                 self.observe_failure_rate(now, 1.0);
                 self.consecutive_refusals += 1;
