Tell refused callers to return later while most calls are refused

Cause: Retry-After was 150 to 450 ms for every refusal. Change: the entry knows the share of refused calls of a service (half-life 0.5 s). The delay grows with it from 150 to 450 ms up to a tenth to three tenths of the caller's remaining time. A node without a configuration says when it usually has one after a start. Tests: retry/tests/pacing.rs, for a lasting overload, a short peak and callers with little time.

--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -20,7 +20,9 @@
 use super::request::CallerRequest;
 use crate::claim::PlacementTable;
 use crate::core::{ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamEntry};
-use crate::retry::{BudgetScope, BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy};
+use crate::retry::{
+    BudgetScope, BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing,
+};
 use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
 use log::EntryLog;
@@ -53,6 +55,15 @@
     pub origin: SharedName,
 }
 
+/// Time in which a node that has started usually gets its first configuration.
+const CONFIG_TIME: Duration = Duration::from_millis(1_500);
+/// Minimum delay, and its jitter, for callers of a node without a configuration.
+const MIN_CONFIG_DELAY: Duration = Duration::from_millis(300);
+const CONFIG_JITTER: Duration = Duration::from_millis(400);
+/// Delay for callers of a service without an upstream.
+const NO_UPSTREAM_DELAY: std::ops::RangeInclusive<Duration> =
+    Duration::from_millis(500)..=Duration::from_millis(1_000);
+
 /// Covers a restart of a service's only upstream. With a longer wait, callers would only pile up.
 const UPSTREAM_WAIT: Duration = Duration::from_secs(2);
 
@@ -109,6 +120,8 @@
         call: CallId,
         /// Answer for the caller.
         answer: CallerAnswer,
+        /// Time after which the caller should try again, if the call did not run.
+        retry_after: Option<Duration>,
         /// Span of the call, if the caller sent a trace context.
         span: Option<HopSpan>,
         /// When the call arrived from the caller.
@@ -151,6 +164,8 @@
     budgets: IndexMap<SharedName, RetryBudget>,
     split_chooser: SplitChooser,
     policy: RetryPolicy,
+    /// Share of refused calls of each service that was called.
+    pacings: IndexMap<SharedName, ReturnPacing>,
     /// Hedge policy of each service that was called.
     hedge_policies: IndexMap<SharedName, HedgePolicy>,
     calls: IndexMap<CallId, EntryCall>,
@@ -188,6 +203,7 @@
             settings,
             budgets: IndexMap::new(),
             split_chooser: SplitChooser::default(),
+            pacings: IndexMap::new(),
             hedge_policies: IndexMap::new(),
             calls: IndexMap::new(),
             deferred_calls: 0,
@@ -256,9 +272,12 @@
             }
             Err(answer) => {
                 self.log_refusal(now, &request, &answer);
+                let left = request.timeout.unwrap_or(self.settings.longest_timeout);
+                let retry_after = self.retry_after(now, &answer, None, left);
                 steps.push(EntryStep::Answer {
                     call: id,
                     answer,
+                    retry_after,
                     span,
                     opened_at: now,
                 });
@@ -291,6 +310,8 @@
         self.balancers.apply(&snapshot, now);
         self.budgets
             .retain(|name, _| snapshot.services.contains_key(name));
+        self.pacings
+            .retain(|name, _| snapshot.services.contains_key(name));
         self.divide_budgets(snapshot.upstreams.len());
         self.placement.update(snapshot.clone());
         self.snapshot = Some(snapshot);
@@ -377,15 +398,31 @@
         steps
     }
 
-    /// Returns how long a caller that was refused for this reason should wait before it retries.
-    ///
-    /// The time includes jitter, so that callers that were refused together don't retry together.
-    pub fn retry_after(&mut self, reason: CallReason) -> Duration {
-        let (min_ms, max_ms) = match reason {
-            CallReason::ConfigUnavailable | CallReason::NoUpstream => (500, 1_000),
-            _ => (150, 450),
+    /// Returns the time after which a caller whose call did not run should try again; it has `left`
+    /// until its deadline. The time is jittered, so that callers that were refused together don't
+    /// return together.
+    fn retry_after(
+        &mut self,
+        now: Timestamp,
+        answer: &CallerAnswer,
+        service: Option<&SharedName>,
+        left: Duration,
+    ) -> Option<Duration> {
+        let CallerAnswer::NotRun(reason) = answer else {
+            return None;
         };
-        Duration::from_millis(self.random.random_range(min_ms..=max_ms))
+        let pacing = service.and_then(|service| self.pacings.get(service));
+        let pacing = pacing.copied().unwrap_or_default();
+        Some(match reason {
+            CallReason::ConfigUnavailable => {
+                // A node that has just started gets its configuration soon.
+                let uptime = Duration::from_micros(now.0);
+                let soonest = CONFIG_TIME.saturating_sub(uptime).max(MIN_CONFIG_DELAY);
+                self.random.random_range(soonest..=soonest + CONFIG_JITTER)
+            }
+            CallReason::NoUpstream => self.random.random_range(NO_UPSTREAM_DELAY),
+            _ => pacing.delay(&mut self.random, left),
+        })
     }
 
     /// Ends a call whose caller has disconnected: cancels its attempts and sends no answer.
@@ -512,9 +549,17 @@
         };
         self.log_end(now, &call, Some(&answer));
         self.cancel_attempts(now, id, &mut call, steps);
+        let pacing = self.pacings.entry(call.service.clone()).or_default();
+        pacing.record(now, matches!(answer, CallerAnswer::NotRun(_)));
+        let elapsed = now.since(call.opened_at);
+        let timeout = call.request.timeout;
+        let left = timeout.map(|timeout| timeout.saturating_sub(elapsed));
+        let left = left.unwrap_or(call.deadline.since(now));
+        let retry_after = self.retry_after(now, &answer, Some(&call.service), left);
         steps.push(EntryStep::Answer {
             call: id,
             answer,
+            retry_after,
             span: call.span,
             opened_at: call.opened_at,
         });
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -67,10 +67,11 @@
             NodeStep::Entry(EntryStep::Answer {
                 call,
                 answer,
+                retry_after,
                 span,
                 opened_at,
             }) => {
-                self.answer_caller(now, call, answer, span, opened_at);
+                self.answer_caller(now, call, answer, retry_after, span, opened_at);
             }
             NodeStep::Destination(step) => self.execute_destination(now, step),
             NodeStep::Claim(message) => self.send_by_name(now, &message.to, message.body),
@@ -402,6 +403,7 @@
         now: Timestamp,
         call: CallId,
         answer: CallerAnswer,
+        retry_after: Option<Duration>,
         span: Option<HopSpan>,
         opened_at: Timestamp,
     ) {
@@ -410,17 +412,13 @@
         }
         self.count_answer(&answer, now.since(opened_at));
         if let Some(id) = self.waiting_requests.swap_remove(&call) {
-            let response = self.build_response(answer);
+            let response = self.build_response(answer, retry_after);
             self.http.respond(now, id, response);
         }
     }
 
     /// Builds the HTTP response for an answer, with `Retry-After` if the call was not run.
-    fn build_response(&mut self, answer: CallerAnswer) -> HttpResponse {
-        let retry_after = match &answer {
-            CallerAnswer::NotRun(reason) => Some(self.entry.retry_after(*reason)),
-            _ => None,
-        };
+    fn build_response(&self, answer: CallerAnswer, retry_after: Option<Duration>) -> HttpResponse {
         let response = answer.into_http(&self.adapter.names);
         match retry_after {
             Some(after) => {
--- a/crates/kumquatlock/src/retry/mod.rs
+++ b/crates/kumquatlock/src/retry/mod.rs
@@ -6,10 +6,12 @@
 
 mod budget;
 mod hedge;
+mod pacing;
 mod policy;
 
 pub use budget::{BudgetSettings, RetryBudget};
 pub use hedge::{HedgeDecision, HedgePolicy, SkipReason};
+pub use pacing::ReturnPacing;
 pub use policy::{
     AttemptFailure, BudgetScope, CallProgress, GiveUpReason, RetryDecision, RetryPolicy,
     reached_upstream,
--- a/crates/kumquatlock/src/retry/tests.rs
+++ b/crates/kumquatlock/src/retry/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of retries, hedges and their budget.
 
+mod pacing;
+
 use std::time::Duration;
 
 use kumquatlock_wire::call::CallReason;
