Let a stopping node's upstream run the calls that end before the node

Cause: from SIGTERM on a node refused calls for its upstream, although the upstream stays when only the node is replaced and the node lives for 4.2 to 5.5 s more. Change: a stopping node accepts calls whose deadline is before its own end, and refuses the others as draining; after the time for its callers to switch it drains as before. An upstream that says it is draining to a stopping node is heard and acknowledged; other announcements are refused as before, now with a log line (announcement_refused). Test: a_stopping_destination_runs_the_calls_that_end_in_time (without the change no call runs that late).

--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -134,6 +134,8 @@
     /// Present once the upstream has announced itself.
     admission: Option<AdmissionQueue>,
     draining: bool,
+    /// When the process ends at the latest. Calls that may last longer are refused.
+    ends_at: Option<Timestamp>,
     placement: PlacementTable,
     /// Attempts that must not run twice, with their answers.
     outcomes: OutcomeTable,
@@ -171,6 +173,7 @@
             endpoint: None,
             admission: None,
             draining: false,
+            ends_at: None,
             placement: PlacementTable::default(),
             runs: IndexMap::new(),
             tickets: IndexMap::new(),
@@ -267,6 +270,12 @@
         }
     }
 
+    /// Refuses, from now on, calls whose deadline is later than the end of the process. All others
+    /// still run.
+    pub fn set_end(&mut self, ends_at: Timestamp) {
+        self.ends_at = Some(ends_at);
+    }
+
     /// Whether no call is queued or running.
     pub fn is_idle(&self) -> bool {
         self.runs.is_empty()
@@ -315,7 +324,7 @@
         frozen: bool,
     ) -> Vec<DestinationStep> {
         let mut steps = Vec::new();
-        match self.check_request(&request, frozen) {
+        match self.check_request(now, &request, frozen) {
             Ok(class) => self.admit(now, source, request, class, &mut steps),
             Err(reason) => self.refuse(now, source, &request, reason, &mut steps),
         }
@@ -386,6 +395,7 @@
 
     fn check_request(
         &self,
+        now: Timestamp,
         request: &CallRequest,
         frozen: bool,
     ) -> Result<RequestClass, CallReason> {
@@ -398,7 +408,9 @@
         if request.depth >= MAX_DEPTH {
             return Err(CallReason::DepthExceeded);
         }
-        if self.draining || self.endpoint.is_none() {
+        let deadline = now + Duration::from_micros(request.deadline_us);
+        let outlasts_process = self.ends_at.is_some_and(|ends_at| deadline > ends_at);
+        if self.draining || self.endpoint.is_none() || outlasts_process {
             return Err(CallReason::Draining);
         }
         let class = WireClass::try_from(request.class).map_err(|_| CallReason::NoRoute)?;
--- a/crates/kumquatlock/src/call/tests/failures.rs
+++ b/crates/kumquatlock/src/call/tests/failures.rs
@@ -105,6 +105,28 @@
     assert!(simulation.runs.iter().all(|name| name == "booking-3"));
 }
 
+/// The upstream of a stopping node must not stand idle while its node could still return the answers
+/// of short calls, and a call that may outlast the node must go elsewhere.
+#[test]
+fn a_stopping_destination_runs_the_calls_that_end_in_time() {
+    for (timeout_ms, is_run) in [("900", true), ("1100", false)] {
+        let mut simulation = CallSimulation::new(WireClass::AtMostOnce);
+        simulation.timeout_ms = Some(timeout_ms);
+        for name in UPSTREAMS {
+            simulation.end_after(name, Duration::from_secs(1));
+        }
+        let call = simulation.open(None);
+        simulation.deliver_all();
+        simulation.advance(Duration::from_millis(100));
+        assert_eq!(
+            simulation.outcome(call) == "answered",
+            is_run,
+            "{timeout_ms}"
+        );
+        assert_eq!(simulation.runs.len(), usize::from(is_run));
+    }
+}
+
 /// An answer must reach neither a call that it doesn't belong to nor its own call twice.
 #[test]
 fn mismatched_and_duplicate_answers_are_dropped() {
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -385,6 +385,12 @@
         self.destinations[name].calls.drain();
     }
 
+    /// Lets the node beside an upstream refuse calls that may last beyond `after` from now.
+    pub(super) fn end_after(&mut self, name: &str, after: Duration) {
+        let ends_at = self.now + after;
+        self.destinations[name].calls.set_end(ends_at);
+    }
+
     pub(super) fn queue_result(
         &mut self,
         name: &str,
--- a/crates/kumquatlock/src/ops/node/front.rs
+++ b/crates/kumquatlock/src/ops/node/front.rs
@@ -78,7 +78,11 @@
         if name != *self.settings.name {
             return LocalAnswer::WrongName;
         }
+        if self.stopping && body.is_draining {
+            return self.notify_announcer(now, AnnouncerEvent::Drain);
+        }
         if self.stopping {
+            log::info!(instance = &*body.instance; "announcement_refused");
             return LocalAnswer::Stopping;
         }
         let announcement = UpstreamAnnouncement {
--- a/crates/kumquatlock/src/ops/node/stop.rs
+++ b/crates/kumquatlock/src/ops/node/stop.rs
@@ -1,8 +1,9 @@
 //! Graceful stop of a node.
 //!
-//! The node tells other nodes at once to send no more calls. Local callers notice the stop when the
-//! node reports that it is not ready, and need a while to switch to another node. The node serves
-//! them for that time, so that it does not refuse calls that another node would have served.
+//! Local callers notice the stop when the node reports that it is not ready, and need a while to
+//! switch to another node. The node serves them for that time, so that it does not refuse calls that
+//! another node would have served. It also lets its upstream run the calls that end in time. Then it
+//! tells other nodes to send no more calls, and ends when everything in progress has ended.
 
 use std::time::Duration;
 
@@ -16,11 +17,14 @@
 /// holders can do without them, as they have to when a node is lost.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time for the answers of the last calls to reach their callers before the process ends.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+
 /// State of a graceful stop.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct NodeStop {
     started_at: Timestamp,
-    /// Whether new calls are refused.
+    /// Whether new calls are refused, both of callers and for the local upstream.
     is_refusing_calls: bool,
     /// Time at which the node reported that its upstream leaves.
     leaving_at: Option<Timestamp>,
@@ -36,24 +40,29 @@
             leaving_at: None,
         });
         self.http.close_after_responses();
-        self.destination.drain();
-        let steps = self.announcer.handle(now, AnnouncerEvent::Drain);
-        self.queue_announcer(steps);
+        // The upstream may stay. Its capacity is used as long as its calls end before the process.
+        if let Some(limit) = self.settings.tuning.shutdown_timeout {
+            self.destination
+                .set_end(now + limit.saturating_sub(ANSWER_TIME));
+        }
         log::info!(
             calls = self.entry.in_progress(),
             runs = self.destination.in_progress();
             "drain_started"
         );
         if self.settings.tuning.shutdown_grace.is_zero() {
-            self.drain_entry(now);
+            self.refuse_calls(now);
         }
     }
 
     /// Refuses new calls from now on.
-    fn drain_entry(&mut self, now: Timestamp) {
+    fn refuse_calls(&mut self, now: Timestamp) {
         if let Some(stop) = &mut self.stop {
             stop.is_refusing_calls = true;
         }
+        self.destination.drain();
+        let steps = self.announcer.handle(now, AnnouncerEvent::Drain);
+        self.queue_announcer(steps);
         let steps = self.entry.drain(now);
         self.queue_entry(steps);
     }
@@ -81,7 +90,7 @@
                 return;
             }
             self.http.stop_listening(now);
-            self.drain_entry(now);
+            self.refuse_calls(now);
         }
         let is_idle = self.entry.in_progress() == 0
             && self.destination.is_idle()
