Serve operators on the event loop, and keep the upstream's port open until a stopping node ends

Cause: control instances served operators by tiny_http, which reads a head line without a bound, holds a thread for each connection and drops its backlog at a stop. At nodes with default flags the listener for the upstream closed with the one for callers. Change: a control instance uses the same event-driven HTTP table as a node, with its limits, timeouts and clean stop. Two threads translate and parse requests and render responses, so that manifests of thousands of routes do not delay the actor's heartbeats; at most 64 requests are open. A stopping node closes its callers' port first, and the ports of its upstream, probes and metrics when everything in progress has ended. Metrics of a control instance are now served by its event loop. tiny_http stays in the test kit only.

--- a/crates/kumquatlock/src/http/accept_waker.rs
+++ b/crates/kumquatlock-testkit/src/upstream/accept_waker.rs
@@ -21,21 +21,21 @@
 const INTERVALS_PER_IDLE_WAKE: u32 = 10;
 
 /// Connects to a tiny_http server periodically. Dropping the waker stops its thread.
-pub struct AcceptWaker {
+pub(super) struct AcceptWaker {
     signals: Arc<WakerSignals>,
     thread: Option<JoinHandle<()>>,
 }
 
 /// Flags shared between the threads of a server and the waker.
 #[derive(Debug, Default)]
-pub struct WakerSignals {
+pub(super) struct WakerSignals {
     is_active: AtomicBool,
     stopping: AtomicBool,
 }
 
 impl WakerSignals {
     /// Records that a request arrived.
-    pub fn mark_active(&self) {
+    pub(super) fn mark_active(&self) {
         // Checked first, so that a busy server does not write to a shared cache line on each
         // request.
         if !self.is_active.load(Ordering::Relaxed) {
@@ -46,7 +46,7 @@
 
 impl AcceptWaker {
     /// Starts a waker for the server at `address`.
-    pub fn start(address: SocketAddr) -> io::Result<Self> {
+    pub(super) fn start(address: SocketAddr) -> io::Result<Self> {
         let signals = Arc::new(WakerSignals::default());
         let shared = signals.clone();
         let thread = thread::Builder::new()
@@ -59,7 +59,7 @@
     }
 
     /// Returns the flags through which the server reports requests.
-    pub fn signals(&self) -> Arc<WakerSignals> {
+    pub(super) fn signals(&self) -> Arc<WakerSignals> {
         self.signals.clone()
     }
 }
--- a/crates/kumquatlock-testkit/src/upstream/mod.rs
+++ b/crates/kumquatlock-testkit/src/upstream/mod.rs
@@ -23,6 +23,7 @@
 //! | 504 | `deadline` | started |
 //! | 502 | `chain` | started |
 
+mod accept_waker;
 mod announce;
 mod faults;
 mod gate;
@@ -36,7 +37,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use kumquatlock::http::AcceptWaker;
+use accept_waker::AcceptWaker;
 use kumquatlock::util::cancel::CancelToken;
 use thiserror::Error;
 
--- a/crates/kumquatlock/src/http/connection.rs
+++ b/crates/kumquatlock/src/http/connection.rs
@@ -13,7 +13,7 @@
 use super::encode::encode_response;
 use super::head::{BodyFraming, HeadError, HeadProgress, RequestHead, parse_request_head};
 use super::message::{HttpRequest, HttpResponse};
-use super::server::RequestRefusal;
+use super::refusal::RequestRefusal;
 use crate::core::Timestamp;
 
 /// Maximum number of requests of one connection that wait for their responses. Further requests
--- a/crates/kumquatlock/src/http/table.rs
+++ b/crates/kumquatlock/src/http/table.rs
@@ -74,22 +74,28 @@
     Closed,
 }
 
+struct PortListener<P> {
+    port: P,
+    /// `None` once the table has stopped listening and all connections are accepted.
+    listener: Option<HttpListener>,
+    /// When the table stopped listening on the port.
+    stopped_at: Option<Timestamp>,
+}
+
 /// Listeners and connections for callers. `P` identifies a listener.
 pub struct HttpTable<P> {
     poll: MioPoll,
     ready: Fwd<HttpReady>,
     limits: HttpLimits,
-    /// Listeners with their ports; `None` once the table has stopped listening.
-    listeners: Vec<(P, Option<HttpListener>)>,
-    connections: IndexMap<u64, (P, CallerConnection)>,
+    listeners: Vec<PortListener<P>>,
+    /// Connections, each with the index of its listener.
+    connections: IndexMap<u64, (usize, CallerConnection)>,
     next_connection: u64,
     events: VecDeque<HttpEvent<P>>,
     /// Connections that have ended. They are dropped once the events before their end are handled.
     closed: Vec<u64>,
     /// Whether each connection closes after its last response.
     is_closing: bool,
-    /// When the table stopped listening.
-    stopped_at: Option<Timestamp>,
 }
 
 impl<P: Copy> HttpTable<P> {
@@ -106,7 +112,6 @@
             events: VecDeque::new(),
             closed: Vec::new(),
             is_closing: false,
-            stopped_at: None,
         }
     }
 
@@ -114,7 +119,11 @@
     pub fn listen(&mut self, address: SocketAddr, port: P) -> io::Result<SocketAddr> {
         let forward = self.forward_ready(ReadySource::Listener(self.listeners.len()));
         let (listener, bound) = HttpListener::bind(&self.poll, address, forward)?;
-        self.listeners.push((port, Some(listener)));
+        self.listeners.push(PortListener {
+            port,
+            listener: Some(listener),
+            stopped_at: None,
+        });
         Ok(bound)
     }
 
@@ -128,45 +137,47 @@
         self.is_closing = true;
     }
 
-    /// Stops accepting connections. Connections that were established before are accepted first.
-    /// Each connection closes after the response to its last pending request, or after a second
-    /// without a request: its caller may be sending one, which still gets a response.
-    pub fn stop_listening(&mut self, now: Timestamp) {
+    /// Stops accepting connections on the selected ports. Connections that were established before
+    /// are accepted first. Each connection of these ports closes after the response to its last
+    /// pending request, or after a second without a request: its caller may be sending one, which
+    /// still gets a response.
+    pub fn stop_listening(&mut self, now: Timestamp, is_selected: impl Fn(P) -> bool) {
         self.is_closing = true;
-        self.stopped_at.get_or_insert(now);
-        for (_, listener) in &self.listeners {
-            if let Some(listener) = listener {
+        for entry in &mut self.listeners {
+            if let Some(listener) = &entry.listener
+                && entry.stopped_at.is_none()
+                && is_selected(entry.port)
+            {
                 listener.refuse_handshakes();
+                entry.stopped_at = Some(now);
             }
         }
     }
 
-    /// Closes the listeners after the handshakes in progress have ended and their connections are
-    /// accepted.
+    /// Closes the listeners whose handshakes in progress have ended, after accepting their
+    /// connections.
     fn close_listeners(&mut self, now: Timestamp) {
-        let is_due = self
-            .stopped_at
-            .is_some_and(|stopped_at| now.since(stopped_at) >= HANDSHAKE_TIME);
-        if !is_due {
-            return;
-        }
         for index in 0..self.listeners.len() {
-            self.accept(now, index);
-        }
-        for (_, listener) in &mut self.listeners {
-            *listener = None;
+            let entry = &self.listeners[index];
+            let is_due = entry
+                .stopped_at
+                .is_some_and(|stopped_at| now.since(stopped_at) >= HANDSHAKE_TIME);
+            if is_due && entry.listener.is_some() {
+                self.accept(now, index);
+                self.listeners[index].listener = None;
+            }
         }
     }
 
-    /// Returns whether all connections have ended after [`HttpTable::stop_listening`].
+    /// Returns whether all connections have ended after the table stopped listening on all ports.
     pub fn poll_close(&self, now: Timestamp) -> CloseStep {
-        let is_over = self
-            .stopped_at
-            .is_some_and(|since| now.since(since) >= MAX_CLOSE_TIME);
-        let is_listening = self
+        let is_listening = self.listeners.iter().any(|entry| entry.listener.is_some());
+        let stopped_at = self
             .listeners
             .iter()
-            .any(|(_, listener)| listener.is_some());
+            .filter_map(|entry| entry.stopped_at)
+            .max();
+        let is_over = stopped_at.is_some_and(|stopped_at| now.since(stopped_at) >= MAX_CLOSE_TIME);
         let has_ended = self.connections.is_empty() || is_over && self.is_flushed();
         match has_ended && !is_listening {
             true => CloseStep::Closed,
@@ -218,9 +229,9 @@
     pub fn handle_tick(&mut self, now: Timestamp) {
         self.close_listeners(now);
         let limits = self.limits;
-        let stopped_at = self.stopped_at;
         let mut closed = Vec::new();
-        for (id, (_, connection)) in &mut self.connections {
+        for (id, (index, connection)) in &mut self.connections {
+            let stopped_at = self.listeners[*index].stopped_at;
             if connection.check_timeouts(now, &limits, stopped_at) == ConnectionStatus::Closed {
                 closed.push(*id);
             }
@@ -237,12 +248,12 @@
 
     fn accept(&mut self, now: Timestamp, index: usize) {
         loop {
-            let Some((port, Some(listener))) = self.listeners.get(index) else {
+            let entry = self.listeners.get(index);
+            let Some(listener) = entry.and_then(|entry| entry.listener.as_ref()) else {
                 return;
             };
-            let port = *port;
             match listener.accept() {
-                Ok(AcceptStep::Accepted(stream)) => self.add_connection(now, port, stream),
+                Ok(AcceptStep::Accepted(stream)) => self.add_connection(now, index, stream),
                 Ok(AcceptStep::Empty) => return,
                 Err(error) => {
                     log::warn!(error:% = error; "connection_accept_failed");
@@ -252,7 +263,7 @@
         }
     }
 
-    fn add_connection(&mut self, now: Timestamp, port: P, stream: TcpStream) {
+    fn add_connection(&mut self, now: Timestamp, index: usize, stream: TcpStream) {
         if self.connections.len() >= MAX_CONNECTIONS {
             log::warn!(open = MAX_CONNECTIONS; "connection_refused");
             return;
@@ -267,7 +278,7 @@
         match registered {
             Ok(socket) => {
                 let connection = CallerConnection::new(socket, now);
-                self.connections.insert(id, (port, connection));
+                self.connections.insert(id, (index, connection));
             }
             Err(error) => log::warn!(error:% = error; "connection_register_failed"),
         }
@@ -296,10 +307,10 @@
         status: ConnectionStatus,
         requests: Vec<(u64, HttpRequest)>,
     ) {
-        let Some((port, connection)) = self.connections.get(&id) else {
+        let Some((index, connection)) = self.connections.get(&id) else {
             return;
         };
-        let port = *port;
+        let port = self.listeners[*index].port;
         for (sequence, request) in requests {
             let id = RequestId {
                 connection: id,
--- a/crates/kumquatlock/src/http/tests.rs
+++ b/crates/kumquatlock/src/http/tests.rs
@@ -131,11 +131,9 @@
 /// Guards against oversized bodies that exhaust the memory of the process.
 #[test]
 fn an_oversized_body_is_refused_with_a_typed_response() {
-    let echo = |request: HttpRequest| HttpResponse::json(200, &request.body.len());
-    let server =
-        HttpServer::start("127.0.0.1:0".parse().unwrap(), 2, MAX_BODY_BYTES, echo).unwrap();
+    let server = stops::TableServer::start();
     let send = |body: Vec<u8>| {
-        let job = job(server.address(), "POST", body);
+        let job = job(server.address, "POST", body);
         ExchangeLoop::new().run(job).unwrap()
     };
     assert_eq!(send(vec![0; MAX_BODY_BYTES]).status, 200);
@@ -151,9 +149,8 @@
 /// This happened to some of the connections that arrived together.
 #[test]
 fn connections_that_arrive_together_are_all_served() {
-    let handler = |_: HttpRequest| HttpResponse::json(200, &"served");
-    let server = HttpServer::start(([127, 0, 0, 1], 0).into(), 8, MAX_BODY_BYTES, handler).unwrap();
-    let address = server.address();
+    let server = stops::TableServer::start();
+    let address = server.address;
     let mut streams: Vec<_> = (0..24)
         .map(|_| std::net::TcpStream::connect(address).unwrap())
         .collect();
--- a/crates/kumquatlock/src/http/tests/stops.rs
+++ b/crates/kumquatlock/src/http/tests/stops.rs
@@ -24,7 +24,7 @@
 const LOAD_TIME: Duration = Duration::from_millis(60);
 const LIMITS: HttpLimits = HttpLimits {
     header_bytes: 4_096,
-    body_bytes: 1 << 20,
+    body_bytes: MAX_BODY_BYTES as u64,
     header_timeout: Duration::from_millis(400),
     idle_timeout: Duration::from_secs(5),
 };
@@ -71,7 +71,7 @@
     while !is_stopping || table.poll_close(now()) == CloseStep::Waiting {
         if !is_stopping && stopped.try_recv() != Err(TryRecvError::Empty) {
             is_stopping = true;
-            table.stop_listening(now());
+            table.stop_listening(now(), |()| true);
         }
         poll.poll(Duration::from_millis(5)).unwrap();
         stakker.run(Instant::now(), false);
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -1,6 +1,7 @@
 //! The actor that owns the components of the process.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,14 +9,16 @@
 use kumquatlock_wire::MAX_CONTROL_FRAME_BYTES;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use stakker::sync::{Channel, ChannelGuard};
 use stakker::{CX, after, fwd_to};
 use stakker_mio::MioPoll;
 
 use super::children::UplinkState;
 use super::clock::{ProcessClock, random_seed, wall_clock_ms};
+use super::http::{OPERATOR_LIMITS, OperatorWorkers, WorkerResult};
 use super::links::LinkRole;
 use super::metrics::ControlMetrics;
-use super::operator::{OperatorCall, WaitingRead};
+use super::operator::{OperatorAdapter, WaitingRead};
 use super::peers::PeerLinks;
 use super::process::ControlError;
 use super::relay::LeaderView;
@@ -27,6 +30,7 @@
 use crate::catalog::Catalog;
 use crate::core::{GroupId, Timestamp};
 use crate::distribution::{self, ChildEvent, ParentEvent, ParentState};
+use crate::http::{HttpReady, HttpTable};
 use crate::transport::{LinkId, LinkReady, LinkTable};
 
 /// Interval between ticks of the actor, in milliseconds.
@@ -54,6 +58,7 @@
     pub(super) clock: ProcessClock,
     pub(super) voter: Option<VoterState>,
     pub(super) metrics: Arc<ControlMetrics>,
+    pub(super) adapter: OperatorAdapter,
 }
 
 /// Actor that owns all components of a control instance.
@@ -78,6 +83,12 @@
     /// Whether the leader of an open group has been silent for so long that the children are
     /// redirected.
     pub(super) is_leader_silent: bool,
+    pub(super) http: HttpTable<()>,
+    /// Address at which operators are served.
+    pub(super) http_address: SocketAddr,
+    pub(super) workers: OperatorWorkers,
+    /// Keeps the channel open on which the workers send their results.
+    _results_guard: ChannelGuard,
     pub(super) requests: RequestTable,
     /// Reads that wait until this instance has applied the index that makes them current.
     pub(super) waiting_reads: Vec<WaitingRead>,
@@ -97,16 +108,36 @@
             clock,
             voter,
             metrics,
+            adapter,
         } = parts;
         let poll: MioPoll = cx.anymap_get();
         let ready = fwd_to!([cx], on_ready() as (LinkReady));
-        let mut links = LinkTable::new(poll, ready, metrics.traffic.clone());
+        let mut links = LinkTable::new(poll.clone(), ready, metrics.traffic.clone());
         links.set_max_frame_bytes(MAX_CONTROL_FRAME_BYTES);
         if let Err(source) = links.listen(settings.listen) {
             let address = settings.listen;
             cx.fail(ControlError::Listen { address, source });
             return None;
         }
+        let ready = fwd_to!([cx], on_http_ready() as (HttpReady));
+        let mut http = HttpTable::new(poll, ready, OPERATOR_LIMITS);
+        let http_address = match http.listen(settings.http, ()) {
+            Ok(address) => address,
+            Err(source) => {
+                let address = settings.http;
+                cx.fail(ControlError::Listen { address, source });
+                return None;
+            }
+        };
+        let forward = fwd_to!([cx], on_worker() as (WorkerResult));
+        let (results, results_guard) = Channel::new(cx, forward);
+        let workers = match OperatorWorkers::start(adapter, &metrics, &results) {
+            Ok(workers) => workers,
+            Err(source) => {
+                cx.fail(ControlError::Thread(source));
+                return None;
+            }
+        };
         let name = settings.name.clone();
         let (peers, uplink) = match &settings.role {
             RoleSettings::Voter { voters, .. } => {
@@ -135,6 +166,10 @@
             transfers: IndexSet::new(),
             leader_view: LeaderView::default(),
             is_leader_silent: false,
+            http,
+            http_address,
+            workers,
+            _results_guard: results_guard,
             requests: RequestTable::default(),
             waiting_reads: Vec::new(),
             random: SmallRng::seed_from_u64(random_seed()),
@@ -158,6 +193,12 @@
         self.finish_turn(cx, now);
     }
 
+    fn on_http_ready(&mut self, cx: CX![], ready: HttpReady) {
+        let now = self.clock.now();
+        self.http.handle_ready(now, ready);
+        self.finish_turn(cx, now);
+    }
+
     fn on_tick(&mut self, cx: CX![]) {
         self.schedule_tick(cx);
         let now = self.clock.now();
@@ -178,6 +219,7 @@
         }
         if self.ticks.is_multiple_of(TICKS_PER_LINK_CHECK) {
             self.links.handle_tick(now);
+            self.http.handle_tick(now);
             self.close_unknown_links(now);
         }
         if self.ticks.is_multiple_of(TICKS_PER_EXPIRY_CHECK) {
@@ -191,10 +233,10 @@
         }
     }
 
-    /// Handles a request from an HTTP thread.
-    pub(super) fn on_operator(&mut self, cx: CX![], call: OperatorCall) {
+    /// Handles the result of a thread that translates requests and responses of operators.
+    pub(super) fn on_worker(&mut self, cx: CX![], result: WorkerResult) {
         let now = self.clock.now();
-        self.answer_operator(now, call);
+        self.handle_worker_result(now, result);
         self.finish_turn(cx, now);
     }
 
@@ -221,6 +263,8 @@
                 }
             } else if let Some(event) = self.links.next_event() {
                 self.handle_link_event(now, event);
+            } else if let Some(event) = self.http.next_event() {
+                self.handle_http_event(now, event);
             } else if std::mem::take(&mut self.has_catalog_changed) {
                 self.answer_applied_reads();
                 // Sent once for all entries of the turn, so that the children get one delta.
@@ -230,6 +274,7 @@
                 break;
             }
         }
+        self.http.drop_closed(now);
         if let Some(error) = self.failure.take() {
             cx.fail(error);
         }
--- /dev/null
+++ b/crates/kumquatlock/src/ops/control/http.rs
@@ -0,0 +1,219 @@
+//! HTTP requests of operators, between the event loop and the threads that translate them.
+//!
+//! The actor reads requests and writes responses in its event loop. Translating and parsing a
+//! manifest of thousands of routes, and rendering one, takes so long that the actor would miss its
+//! heartbeats meanwhile, so a few threads do that.
+
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use stakker::sync::Channel;
+
+use super::actor::ControlActor;
+use super::answer;
+use super::metrics::ControlMetrics;
+use super::operator::{OperatorAdapter, OperatorCall, OperatorRequest};
+use crate::core::Timestamp;
+use crate::http::{HttpEvent, HttpLimits, HttpRequest, HttpResponse, RequestId};
+use crate::manifest::{MAX_MANIFEST_BYTES, ManifestDocument, ManifestError};
+
+/// Number of threads that translate requests and responses.
+const WORKERS: usize = 2;
+/// Maximum number of requests that are being translated or answered. Further ones are refused.
+const MAX_OPERATOR_REQUESTS: usize = 64;
+/// Limits on the requests of operators and upstreams.
+pub(super) const OPERATOR_LIMITS: HttpLimits = HttpLimits {
+    header_bytes: 64 * 1024,
+    body_bytes: MAX_MANIFEST_BYTES as u64,
+    header_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_secs(60),
+};
+
+/// Work for one of the threads.
+enum WorkerJob {
+    /// Translates and checks a request.
+    Read { id: RequestId, request: HttpRequest },
+    /// Translates a response.
+    Write {
+        id: RequestId,
+        request: OperatorRequest,
+        response: HttpResponse,
+    },
+}
+
+/// Result of a [`WorkerJob`].
+pub(super) enum WorkerResult {
+    /// A request for the actor.
+    Call(OperatorCall),
+    /// A response to be sent.
+    Response {
+        id: RequestId,
+        response: HttpResponse,
+    },
+}
+
+/// Takes the response to one request of an operator.
+#[derive(Debug)]
+pub(super) struct ReplySender {
+    id: RequestId,
+    request: OperatorRequest,
+    jobs: Sender<WorkerJob>,
+}
+
+impl ReplySender {
+    /// Passes the response to a thread that translates it. Does nothing if the threads have ended.
+    pub(super) fn send(self, response: HttpResponse) {
+        let job = WorkerJob::Write {
+            id: self.id,
+            request: self.request,
+            response,
+        };
+        let _ = self.jobs.send(job);
+    }
+}
+
+/// The threads, and the requests that they and the actor are working on.
+pub(super) struct OperatorWorkers {
+    jobs: Sender<WorkerJob>,
+    /// Number of requests without a response; at most [`MAX_OPERATOR_REQUESTS`].
+    open_requests: usize,
+}
+
+impl OperatorWorkers {
+    /// Starts the threads. They send their results to `results` and end when the workers are
+    /// dropped.
+    pub(super) fn start(
+        adapter: OperatorAdapter,
+        metrics: &Arc<ControlMetrics>,
+        results: &Channel<WorkerResult>,
+    ) -> std::io::Result<Self> {
+        let (jobs, receiver) = channel();
+        let receiver = Arc::new(Mutex::new(receiver));
+        for _ in 0..WORKERS {
+            let worker = OperatorWorker {
+                adapter,
+                metrics: metrics.clone(),
+                jobs: receiver.clone(),
+                replies: jobs.clone(),
+                results: results.clone(),
+            };
+            thread::Builder::new()
+                .name("operator-http".into())
+                .spawn(move || worker.run())?;
+        }
+        Ok(OperatorWorkers {
+            jobs,
+            open_requests: 0,
+        })
+    }
+
+    /// Returns whether no request waits for its response.
+    pub(super) fn is_idle(&self) -> bool {
+        self.open_requests == 0
+    }
+}
+
+struct OperatorWorker {
+    adapter: OperatorAdapter,
+    metrics: Arc<ControlMetrics>,
+    jobs: Arc<Mutex<Receiver<WorkerJob>>>,
+    replies: Sender<WorkerJob>,
+    results: Channel<WorkerResult>,
+}
+
+impl OperatorWorker {
+    fn run(&self) {
+        loop {
+            let jobs = self.jobs.lock().unwrap_or_else(PoisonError::into_inner);
+            let Ok(job) = jobs.recv() else {
+                return;
+            };
+            drop(jobs);
+            let result = match job {
+                WorkerJob::Read { id, request } => self.read(id, request),
+                WorkerJob::Write {
+                    id,
+                    request,
+                    response,
+                } => WorkerResult::Response {
+                    id,
+                    response: (self.adapter.write)(&request, response),
+                },
+            };
+            if !self.results.send(result) {
+                return;
+            }
+        }
+    }
+
+    fn read(&self, id: RequestId, request: HttpRequest) -> WorkerResult {
+        let request = match (self.adapter.read)(request) {
+            Ok(OperatorRequest::Metrics) => {
+                let response = self.metrics.response();
+                return WorkerResult::Response { id, response };
+            }
+            Ok(request) => request,
+            Err(response) => return WorkerResult::Response { id, response },
+        };
+        match parse_manifest(&request) {
+            Ok(document) => WorkerResult::Call(OperatorCall {
+                document,
+                reply: ReplySender {
+                    id,
+                    request: request.clone(),
+                    jobs: self.replies.clone(),
+                },
+                request,
+            }),
+            Err(error) => {
+                let response = answer::response(answer::invalid_manifest(&error));
+                self.metrics.count_submission(response.status);
+                let response = (self.adapter.write)(&request, response);
+                WorkerResult::Response { id, response }
+            }
+        }
+    }
+}
+
+/// Parses the manifest of a submission. The receiving instance does this, so that an invalid
+/// manifest puts no load on the leader.
+fn parse_manifest(
+    request: &OperatorRequest,
+) -> Result<Option<Arc<ManifestDocument>>, ManifestError> {
+    match request {
+        OperatorRequest::Submit(text) => {
+            let document = ManifestDocument::parse(text)?;
+            Ok(Some(Arc::new(document)))
+        }
+        _ => Ok(None),
+    }
+}
+
+impl ControlActor {
+    pub(super) fn handle_http_event(&mut self, now: Timestamp, event: HttpEvent<()>) {
+        // An operator that disconnects does not cancel its request.
+        let HttpEvent::Request { id, request, .. } = event else {
+            return;
+        };
+        let workers = &mut self.workers;
+        if workers.open_requests >= MAX_OPERATOR_REQUESTS {
+            let busy = answer::response(answer::not_run("busy"));
+            return self.http.respond(now, id, busy);
+        }
+        workers.open_requests += 1;
+        // The threads end only after the actor.
+        let _ = workers.jobs.send(WorkerJob::Read { id, request });
+    }
+
+    pub(super) fn handle_worker_result(&mut self, now: Timestamp, result: WorkerResult) {
+        match result {
+            WorkerResult::Call(call) => self.answer_operator(now, call),
+            WorkerResult::Response { id, response } => {
+                self.workers.open_requests = self.workers.open_requests.saturating_sub(1);
+                self.http.respond(now, id, response);
+            }
+        }
+    }
+}
--- a/crates/kumquatlock/src/ops/control/mod.rs
+++ b/crates/kumquatlock/src/ops/control/mod.rs
@@ -19,6 +19,7 @@
 mod answer;
 mod children;
 mod clock;
+mod http;
 mod links;
 mod metrics;
 mod operator;
--- a/crates/kumquatlock/src/ops/control/operator.rs
+++ b/crates/kumquatlock/src/ops/control/operator.rs
@@ -1,7 +1,6 @@
 //! HTTP requests of operators.
 
 use std::sync::Arc;
-use std::sync::mpsc::RecvTimeoutError;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,20 +8,15 @@
 use kumquatlock_wire::agreement::forward::Content;
 use kumquatlock_wire::distribution::StatusRequest;
 use serde::Serialize;
-use stakker::sync::Channel;
 
 use super::actor::ControlActor;
 use super::answer;
-use super::metrics::ControlMetrics;
-use super::requests::{REQUEST_TIMEOUT, Requester};
+use super::http::ReplySender;
+use super::requests::Requester;
 use crate::catalog::Catalog;
 use crate::core::Timestamp;
-use crate::http::{HttpRequest, HttpResponse, ReplySender};
-use crate::manifest::{ManifestDocument, ManifestError};
-
-/// Maximum wait of an HTTP thread for the actor's answer. Longer than the timeout of a request,
-/// because the answer at that timeout is more specific.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(REQUEST_TIMEOUT.as_millis() as u64 + 1_000);
+use crate::http::{HttpRequest, HttpResponse};
+use crate::manifest::ManifestDocument;
 
 /// Maximum wait of a read for entries that are committed but that this instance has not applied
 /// yet.
@@ -36,12 +30,12 @@
 const METRICS_PATH: &str = "/metrics";
 const LATEST: &str = "latest";
 
-/// A request that an HTTP thread passes to the actor.
+/// A request that a thread has translated for the actor.
 pub(super) struct OperatorCall {
-    request: OperatorRequest,
-    /// The manifest of a submission, as parsed by the HTTP thread.
-    document: Option<Arc<ManifestDocument>>,
-    reply: ReplySender,
+    pub(super) request: OperatorRequest,
+    /// The parsed manifest of a submission.
+    pub(super) document: Option<Arc<ManifestDocument>>,
+    pub(super) reply: ReplySender,
 }
 
 /// Request of an operator.
@@ -86,67 +80,6 @@
     reply: ReplySender,
 }
 
-/// Returns the HTTP handler, which passes requests to the actor and waits for the answers. It reads
-/// metrics directly, so that they can be scraped while the actor is busy.
-pub(super) fn handler(
-    adapter: OperatorAdapter,
-    calls: Channel<OperatorCall>,
-    metrics: Arc<ControlMetrics>,
-) -> impl Fn(HttpRequest) -> HttpResponse + Send + Sync + 'static {
-    move |request| {
-        let request = match (adapter.read)(request) {
-            Ok(OperatorRequest::Metrics) => return metrics.response(),
-            Ok(request) => request,
-            Err(response) => return response,
-        };
-        let response = match parse_manifest(&request) {
-            Ok(document) => send_to_actor(&calls, request.clone(), document),
-            Err(error) => {
-                let response = answer::response(answer::invalid_manifest(&error));
-                metrics.count_submission(response.status);
-                response
-            }
-        };
-        (adapter.write)(&request, response)
-    }
-}
-
-/// Parses the manifest of a submission. The receiving instance does this, so that an invalid
-/// manifest puts no load on the leader, and its HTTP threads do it, so that a large one does not
-/// delay the actor.
-fn parse_manifest(
-    request: &OperatorRequest,
-) -> Result<Option<Arc<ManifestDocument>>, ManifestError> {
-    match request {
-        OperatorRequest::Submit(text) => {
-            let document = ManifestDocument::parse(text)?;
-            Ok(Some(Arc::new(document)))
-        }
-        _ => Ok(None),
-    }
-}
-
-fn send_to_actor(
-    calls: &Channel<OperatorCall>,
-    request: OperatorRequest,
-    document: Option<Arc<ManifestDocument>>,
-) -> HttpResponse {
-    let (reply, answer) = ReplySender::new();
-    let call = OperatorCall {
-        request,
-        document,
-        reply,
-    };
-    if !calls.send(call) {
-        return answer::response(answer::not_run("leaving"));
-    }
-    match answer.recv_timeout(ANSWER_TIMEOUT) {
-        Ok(response) => response,
-        Err(RecvTimeoutError::Timeout) => answer::response(answer::unknown("timeout")),
-        Err(RecvTimeoutError::Disconnected) => answer::response(answer::unknown("leaving")),
-    }
-}
-
 fn method_not_allowed(allowed: &str) -> HttpResponse {
     let detail = format!("this path takes {allowed}");
     answer::bad_request(405, "method_not_allowed", &detail).with_header("Allow", allowed)
--- a/crates/kumquatlock/src/ops/control/process.rs
+++ b/crates/kumquatlock/src/ops/control/process.rs
@@ -14,20 +14,16 @@
 use super::actor::{ActorParts, ControlActor};
 use super::clock::ProcessClock;
 use super::metrics::ControlMetrics;
-use super::operator::{self, OperatorAdapter, OperatorCall};
+use super::operator::OperatorAdapter;
 use super::settings::{ControlSettings, RoleSettings};
 use super::voter::VoterState;
 use crate::agreement::GroupMembership;
 use crate::catalog::CatalogError;
 use crate::core::ConfigVersion;
-use crate::http::{HttpServer, ServerError};
 use crate::journal::JournalError;
-use crate::manifest::MAX_MANIFEST_BYTES;
 use crate::transport::POLL_PRIORITY;
 use crate::util::signals::{SignalError, install_stop_handler};
 
-/// Number of operator requests that are served concurrently; further ones wait.
-const HTTP_WORKERS: usize = 8;
 /// Maximum number of events returned by one poll.
 const POLL_EVENTS: usize = 1_024;
 /// Maximum wait of one poll.
@@ -70,9 +66,9 @@
         /// Error of the operating system.
         source: io::Error,
     },
-    /// The HTTP server for operators could not start.
-    #[error(transparent)]
-    Http(#[from] ServerError),
+    /// A thread for operators' requests could not be started.
+    #[error("failed to start a thread: {0}")]
+    Thread(#[source] io::Error),
     /// The signal handlers could not be installed.
     #[error(transparent)]
     Signals(#[from] SignalError),
@@ -118,19 +114,17 @@
         settings: settings.clone(),
         clock,
         voter,
-        metrics: metrics.clone(),
+        metrics,
+        adapter,
     };
     let actor: ActorOwn<ControlActor> =
         actor!(stakker, ControlActor::init(parts), ret_shutdown!(stakker));
     stakker.run(Instant::now(), false);
     check_running(&mut stakker)?;
 
-    let forward = fwd_to!([actor], on_operator() as (OperatorCall));
-    let (calls, calls_guard) = Channel::new(&mut stakker, forward);
+    let http_address = actor.query(&mut stakker, |actor, _| actor.http_address);
     let forward = fwd_to!([actor], on_stop() as (()));
     let (stop, _stop_guard) = Channel::new(&mut stakker, forward);
-    let handler = operator::handler(adapter, calls, metrics);
-    let server = HttpServer::start(settings.http, HTTP_WORKERS, MAX_MANIFEST_BYTES, handler)?;
     let _signals = install_stop_handler(move |signal| {
         log::info!(signal = <&str>::from(signal); "signal_received");
         stop.send(());
@@ -138,7 +132,7 @@
     log::info!(
         instance = &*settings.name,
         listen = settings.listen.to_string().as_str(),
-        http = server.address().to_string().as_str();
+        http = http_address.map(|address| address.to_string()).unwrap_or_default().as_str();
         "started"
     );
     while stakker.not_shutdown() {
@@ -147,10 +141,6 @@
         stakker.run(Instant::now(), false);
     }
     let ended = check_running(&mut stakker);
-    // Order matters: closing the channel first fails requests that have not reached the actor, then
-    // the server still sends the answers that the actor has given.
-    drop(calls_guard);
-    drop(server);
     drop(actor);
     if ended.is_ok() {
         log::info!("stopped");
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -11,12 +11,12 @@
 
 use super::actor::{ControlActor, QueuedEvent};
 use super::answer;
+use super::http::ReplySender;
 use super::requests::{RequestAnswer, RequestKind, RequestRoute, Requester, forward_message};
 use super::voter::VoterState;
 use crate::agreement::{AgreementEvent, ProposalTicket, ReadIndexTicket};
 use crate::core::{ConfigVersion, SharedName, Timestamp, address_from_name};
 use crate::distribution::{ChildEvent, InForceCount, ParentEvent, ProgressTable, REPORTER_TIMEOUT};
-use crate::http::ReplySender;
 use crate::manifest::ManifestDocument;
 use crate::membership::{AttachmentTracker, ExpiryDecision, ExpiryTiming, RecordOutcome};
 use crate::transport::{LinkError, LinkId};
--- a/crates/kumquatlock/src/ops/control/requests.rs
+++ b/crates/kumquatlock/src/ops/control/requests.rs
@@ -9,9 +9,9 @@
 use kumquatlock_wire::agreement::{ConfirmReply, Forward};
 use kumquatlock_wire::distribution::{StatusReply, SubmitReply};
 
+use super::http::ReplySender;
 use crate::core::{SharedName, Timestamp};
 use crate::distribution::ChildId;
-use crate::http::ReplySender;
 use crate::manifest::ManifestDocument;
 use crate::transport::LinkId;
 
@@ -205,16 +205,6 @@
             .map(|(id, _)| *id)
             .collect()
     }
-
-    /// Returns whether an operator waits for an answer.
-    pub(super) fn has_operators(&self) -> bool {
-        self.pending.values().any(|request| {
-            matches!(
-                request.requester,
-                Requester::Operator(_) | Requester::Reader(_)
-            )
-        })
-    }
 }
 
 /// Wraps a request or answer for another instance.
--- a/crates/kumquatlock/src/ops/control/stop.rs
+++ b/crates/kumquatlock/src/ops/control/stop.rs
@@ -6,6 +6,7 @@
 use crate::agreement::AgreementEvent;
 use crate::core::Timestamp;
 use crate::distribution::ParentEvent;
+use crate::http::CloseStep;
 
 /// Maximum wait for another voter to take over the leadership. Longer than the election timeout,
 /// which bounds a transfer of the leadership.
@@ -33,6 +34,7 @@
             transfer_requested_at: now,
         });
         self.links.stop_listening();
+        self.http.stop_listening(now, |()| true);
         self.queue
             .push_back(QueuedEvent::Parent(ParentEvent::Shutdown));
         self.transfer_leadership();
@@ -62,6 +64,7 @@
         }
         let is_alone = self.peers.connected_count() == 0;
         let must_transfer = self.is_leader() && !is_alone && elapsed < HANDOVER_TIMEOUT;
-        !must_transfer && !self.requests.has_operators() && self.links.is_flushed()
+        let is_answered = self.workers.is_idle() && self.http.poll_close(now) == CloseStep::Closed;
+        !must_transfer && is_answered && self.links.is_flushed()
     }
 }
--- a/crates/kumquatlock/src/ops/node/stop.rs
+++ b/crates/kumquatlock/src/ops/node/stop.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use super::actor::NodeActor;
+use super::local::NodePort;
 use crate::claim::HandoverStep;
 use crate::core::Timestamp;
 use crate::http::CloseStep;
@@ -55,8 +56,10 @@
         }
     }
 
-    /// Refuses new calls from now on.
+    /// Refuses new calls and new connections of callers from now on.
     fn refuse_calls(&mut self, now: Timestamp) {
+        self.http
+            .stop_listening(now, |port| port == NodePort::Callers);
         if let Some(stop) = &mut self.stop {
             stop.is_refusing_calls = true;
         }
@@ -89,7 +92,6 @@
             if elapsed < self.settings.tuning.shutdown_grace {
                 return;
             }
-            self.http.stop_listening(now);
             self.refuse_calls(now);
         }
         let is_idle = self.entry.in_progress() == 0
@@ -108,6 +110,10 @@
         };
         let handed_over = self.announcer.is_confirmed() && self.hand_over_claims(now);
         let is_over = handed_over || now.since(leaving_at) >= HANDOVER_TIMEOUT;
+        if is_over {
+            // The upstream may still leave or drain until now.
+            self.http.stop_listening(now, |_| true);
+        }
         let is_closed = self.http.poll_close(now) == CloseStep::Closed;
         if is_over && is_closed && self.links.is_flushed() {
             self.finish_stop(handed_over);
