Send updates in chunks of a window, and dial a restarted voter again at once

A control instance with 7.5% of a core handles the chunks and acknowledgements of about 100 children meanwhile; eight chunks for each first configuration cost it more than its link. And a voter that was dialed while it was down was dialed again only 150 ms after it had been heard of. Change: one chunk of 24 KiB in flight instead of three of 8 KiB. An attempt that began 70 ms or more before its peer was heard of is abandoned at once. The test of the early repetition has both cases now, with the 150 ms where they still hold.

--- a/crates/kumquatlock/src/distribution/mod.rs
+++ b/crates/kumquatlock/src/distribution/mod.rs
@@ -59,11 +59,10 @@
 pub const MAX_DELTA_FRAMES: usize = 16;
 /// Size of one snapshot chunk, in bytes.
 pub const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
-/// Size of one chunk of a paced update, in bytes.
-pub const PACED_CHUNK_BYTES: usize = 8 * 1024;
-/// Maximum number of unacknowledged bytes of a paced update. They occupy a link of 2.5 Mbit/s for
-/// 80 ms, which is less than the time after which nodes take a peer for silent.
-pub const PACED_WINDOW_BYTES: usize = 3 * PACED_CHUNK_BYTES;
+/// Maximum number of unacknowledged bytes of a paced update, and size of its chunks. They occupy a
+/// link of 2.5 Mbit/s for 80 ms, which is less than the time after which nodes take a peer for
+/// silent. With smaller chunks, a parent would spend more CPU time on each child.
+pub const PACED_WINDOW_BYTES: usize = 24 * 1024;
 /// Maximum size of a snapshot that a child assembles, in bytes.
 pub const MAX_SNAPSHOT_BYTES: u64 = 64 * 1024 * 1024;
 /// Maximum time for which a child without a configuration waits for a leader at one parent. Covers
--- a/crates/kumquatlock/src/distribution/transfer.rs
+++ b/crates/kumquatlock/src/distribution/transfer.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use kumquatlock_wire::distribution::SnapshotChunk;
 
-use super::{PACED_CHUNK_BYTES, PACED_WINDOW_BYTES, SNAPSHOT_CHUNK_BYTES};
+use super::{PACED_WINDOW_BYTES, SNAPSHOT_CHUNK_BYTES};
 use crate::catalog::EncodedSnapshot;
 use crate::core::{ConfigVersion, Timestamp};
 
@@ -103,8 +103,8 @@
     /// the memory of the encoded update.
     pub(super) fn next_chunk(&mut self, now: Timestamp) -> Option<SnapshotChunk> {
         let chunk_bytes = match self.is_paced {
-            true if self.in_flight_bytes() + PACED_CHUNK_BYTES > PACED_WINDOW_BYTES => return None,
-            true => PACED_CHUNK_BYTES,
+            true if self.in_flight_bytes() > 0 => return None,
+            true => PACED_WINDOW_BYTES,
             false => SNAPSHOT_CHUNK_BYTES,
         };
         let total = self.bytes.len();
--- a/crates/kumquatlock/src/ops/control/peers.rs
+++ b/crates/kumquatlock/src/ops/control/peers.rs
@@ -15,6 +15,10 @@
 /// election timeout, so that a restarted voter is connected before it starts an election.
 const RECONNECT_DELAY_MS: std::ops::RangeInclusive<u64> = 50..=250;
 
+/// Time in which an attempt to connect to a peer that is up succeeds: slightly more than a round
+/// trip between regions.
+const CONNECT_TIME: Duration = Duration::from_millis(70);
+
 /// Time after which an attempt to connect to a peer that is known to be up is abandoned: it must
 /// have started before the peer was up. Slightly more than two round trips between regions.
 const CONNECT_STALL_TIMEOUT: Duration = Duration::from_millis(150);
@@ -133,7 +137,10 @@
             let Some(reachable_at) = peer.reachable_at else {
                 continue;
             };
-            if now.since(reachable_at.max(peer.dialed_at)) >= CONNECT_STALL_TIMEOUT {
+            // The peer would have answered an attempt that began so long before it was heard of.
+            let is_lost = peer.link.is_some() && reachable_at.since(peer.dialed_at) >= CONNECT_TIME;
+            let is_overdue = now.since(reachable_at.max(peer.dialed_at)) >= CONNECT_STALL_TIMEOUT;
+            if is_lost || is_overdue {
                 stalled.extend(peer.link.take());
                 peer.retry_at = now;
             }
--- a/crates/kumquatlock/src/ops/control/tests.rs
+++ b/crates/kumquatlock/src/ops/control/tests.rs
@@ -26,8 +26,16 @@
 /// power loss, that delays the election of a leader.
 #[test]
 fn a_connection_attempt_before_the_peer_is_up_is_repeated_early() {
+    // A peer that was up when the attempt began would have answered it before.
     let mut peers = connecting_links();
-    let reachable_at = Timestamp::from_millis(100);
+    let reachable_at = Timestamp::from_millis(70);
+    peers.set_reachable(reachable_at, PEER);
+    assert_eq!(peers.take_stalled(reachable_at), [LinkId(1)]);
+    assert_eq!(peers.due(reachable_at).len(), 1);
+
+    // The answer may still be on its way.
+    let mut peers = connecting_links();
+    let reachable_at = Timestamp::from_millis(69);
     peers.set_reachable(reachable_at, PEER);
     let soon = reachable_at + Duration::from_millis(149);
     assert_eq!(peers.take_stalled(soon), []);
