--- a/crates/kumquatlock/src/distribution/mod.rs
+++ b/crates/kumquatlock/src/distribution/mod.rs
@@ -68,7 +68,7 @@
 /// Maximum time for which a child without a configuration waits for a leader at one parent. Covers
 /// most of an election, and is short for a child that has reached a parent on the minority side of a
 /// partition.
-pub const HELLO_HOLD_TIME: Duration = Duration::from_secs(1);
+pub const HELLO_HOLD_TIME: Duration = Duration::from_millis(1_300);
 /// Timeout of a currency proof.
 pub const PROOF_TIMEOUT: Duration = Duration::from_secs(2);
 /// Age at which a parent renews the currency proof that it reports in its pongs. One proof serves
