Start the retention of lost claims once, not with each repeated question

Cause: while a join cannot complete, it asks holders that have answered again every 5 s, because they may have become active since. Until the new answer arrived, such a holder counted as one that is listed and missing, and a tick in that time set the start of the 17 s retention back. A shard whose two holders were lost one after the other could so stay closed for as long as ticks fell between a question and its answer.

Ruled out: counting such holders as answered. Their new answer may name a later view, so the join still waits for it before it becomes active; only the clock no longer restarts.

Change: a holder that has answered a join once has promised its target and grants nothing in an earlier view, so it does not restart the retention while it is asked again.

Tests: asking_a_holder_again_does_not_restart_the_retention and the_retention_starts_when_the_lost_holders_leave_the_list, without network; both failed before (the join never completed) and pass now. All tests of claims pass, the property test among them.

--- a/crates/kumquatlock/src/claim/joining.rs
+++ b/crates/kumquatlock/src/claim/joining.rs
@@ -121,18 +121,31 @@
     skipped: u64,
     /// Set once all records have arrived. Only then does the holder's answer count.
     report: Option<ViewReport>,
+    /// Whether all records had arrived once already. The holder has promised the target since then,
+    /// so it grants nothing in an earlier view while it is asked again.
+    has_promised: bool,
     /// When the fetch that is not answered yet was sent.
     outstanding_since: Option<Timestamp>,
     /// When the latest fetch was sent.
     last_fetch_at: Timestamp,
 }
 
+impl FetchProgress {
+    /// Starts the transfer again from its first record.
+    fn restart(&mut self) {
+        *self = FetchProgress {
+            has_promised: self.has_promised,
+            ..FetchProgress::default()
+        };
+    }
+}
+
 /// A view that a holder is joining.
 #[derive(Debug)]
 pub(super) struct JoiningView {
     /// The view to become active in.
     pub(super) target: ShardView,
-    /// Latest time at which the configuration still listed a holder whose answer is missing.
+    /// Latest time at which the configuration still listed a holder that had never answered.
     /// Initially the time at which this holder learned the target's holders.
     unlisted_since: Timestamp,
     /// Only answers with this id count, so answers to an earlier target are ignored.
@@ -243,7 +256,7 @@
         let is_same_transfer =
             chunk.generation == fetch.generation && chunk.skipped == fetch.skipped;
         if chunk.offset > 0 && !is_same_transfer {
-            *fetch = FetchProgress::default();
+            fetch.restart();
             return ChunkEffect::Continue;
         }
         fetch.generation = chunk.generation;
@@ -253,6 +266,7 @@
         if fetch.offset < chunk.total {
             return ChunkEffect::Continue;
         }
+        fetch.has_promised = true;
         fetch.report = Some(ViewReport {
             active: chunk.active.clone(),
             promised: chunk.promised.clone(),
@@ -287,7 +301,7 @@
             return None;
         }
         if is_answered {
-            *fetch = FetchProgress::default();
+            fetch.restart();
         }
         fetch.outstanding_since = Some(now);
         fetch.last_fetch_at = now;
@@ -308,7 +322,7 @@
         decision
     }
 
-    /// Like [`JoiningView::decide`], and also returns whether a holder whose answer is missing is
+    /// Like [`JoiningView::decide`], and also returns whether a holder that has never answered is
     /// still listed.
     fn assess(
         &self,
@@ -349,8 +363,9 @@
             }
         }
         let mut holders = required.iter().flat_map(|view| &view.holders);
-        let any_missing_listed =
-            holders.any(|holder| !answered(holder) && (context.is_listed)(holder));
+        let any_missing_listed = holders.any(|holder| {
+            !answered(holder) && !self.has_promised(holder) && (context.is_listed)(holder)
+        });
         let mut missing: Vec<ShardHolder> = Vec::new();
         let required_holders = required.iter().flat_map(|view| &view.holders);
         // Starting without the records of lost holders, which becomes possible once no missing
@@ -385,6 +400,13 @@
         (JoinDecision::Fetch(missing), any_missing_listed)
     }
 
+    /// Whether `holder` has answered this join at least once, even if it is being asked again.
+    fn has_promised(&self, holder: &ShardHolder) -> bool {
+        self.fetches
+            .get(holder)
+            .is_some_and(|fetch| fetch.has_promised)
+    }
+
     /// Returns a view with the target's holders in which another holder is active and unfenced.
     /// Only the very same view counts: a holder that is active in a later view of other holders
     /// proves nothing about this view, which may never have been fenced.
--- a/crates/kumquatlock/src/claim/tests/mod.rs
+++ b/crates/kumquatlock/src/claim/tests/mod.rs
@@ -3,6 +3,7 @@
 mod cluster;
 mod failures;
 mod golden;
+mod joining;
 mod measure;
 mod parts;
 mod property;
