Move the way from hello to welcome out of the parent's state machine

Change: admission, proofs before a welcome and held hellos are in welcome.rs. Functions are moved, none is changed. The tests of the module pass.

--- a/crates/kumquatlock/src/distribution/mod.rs
+++ b/crates/kumquatlock/src/distribution/mod.rs
@@ -30,6 +30,7 @@
 mod serve;
 mod timing;
 mod transfer;
+mod welcome;
 
 use std::time::Duration;
 
--- a/crates/kumquatlock/src/distribution/parent.rs
+++ b/crates/kumquatlock/src/distribution/parent.rs
@@ -1,33 +1,27 @@
 //! The parent side of the configuration stream.
 
-use std::time::Duration;
-
 use indexmap::{IndexMap, IndexSet};
 use kumquatlock_wire::agreement::forward::Content;
 use kumquatlock_wire::agreement::{ConfirmReply, Forward};
 use kumquatlock_wire::distribution::{
     Attachment, ChildRole, Hello, ParentLocation, Pong, Progress, RetryAfter, RetryReason,
-    UpstreamIncarnation, Welcome,
+    UpstreamIncarnation,
 };
 use kumquatlock_wire::{Body, EncodedFrame};
-use rand::Rng;
 use rand::rngs::SmallRng;
 
 use super::admission::{AdmissionLimits, HelloAdmission};
 use super::progress::{UplinkReporter, add_progress, replace_upstreams};
-use super::proof::{ProofBatch, ProofOutcome, ProofWaiter};
+use super::proof::{ProofBatch, ProofWaiter};
 use super::record::ChildRecord;
 use super::serve::{DeltaCache, ServedSnapshot, SnapshotQueue};
-use super::{CHILD_TIMEOUT, HELLO_HOLD_TIME, MAX_CHILDREN, MAX_UPSTREAMS_PER_NODE, UPDATE_TIMEOUT};
+use super::welcome::refuse_child;
+use super::{CHILD_TIMEOUT, MAX_UPSTREAMS_PER_NODE, UPDATE_TIMEOUT};
 use crate::catalog::{Catalog, SnapshotDetail};
 use crate::core::{ConfigVersion, GroupId, SharedName, Timestamp};
 
 /// Maximum number of currency proofs that one child may wait for at the same time.
 const MAX_PENDING_PROOFS: usize = 8;
-/// Range of the jittered retry delay after a failed proof, in milliseconds. A proof fails
-/// immediately while there is no leader; a child that waited as long as an election takes would
-/// often retry well after the end of the election.
-const NOT_CURRENT_DELAY_MS: std::ops::RangeInclusive<u32> = 150..=450;
 
 /// Identifies one connection of a child. Never reused by the same parent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -85,13 +79,13 @@
 #[derive(Debug)]
 pub struct ParentState {
     name: SharedName,
-    group: GroupId,
-    /// At most [`MAX_CHILDREN`].
+    pub(super) group: GroupId,
+    /// At most [`super::MAX_CHILDREN`].
     pub(super) children: IndexMap<ChildId, ChildRecord>,
     /// Current connection of each child, by name.
     child_by_name: IndexMap<SharedName, ChildId>,
     pub(super) admission: HelloAdmission,
-    proofs: ProofBatch,
+    pub(super) proofs: ProofBatch,
     reporter: UplinkReporter,
     pub(super) snapshot_queue: SnapshotQueue,
     /// Latest encoded snapshot for each detail. Reused while the catalog can supply a delta from
@@ -100,14 +94,14 @@
     pub(super) deltas: DeltaCache,
     /// Children without a configuration that wait for a leader. Each is also in `children` and has
     /// not been welcomed.
-    held: IndexSet<ChildId>,
+    pub(super) held: IndexSet<ChildId>,
     /// Addresses and locations of the parents that children are told to use. Empty if the addresses
     /// are in the children's settings.
-    offered_parents: Vec<(String, ParentLocation)>,
+    pub(super) offered_parents: Vec<(String, ParentLocation)>,
     /// Whether the leader is silent. Children are then refused, because this parent gets no
     /// updates.
-    is_leader_silent: bool,
-    is_shutting_down: bool,
+    pub(super) is_leader_silent: bool,
+    pub(super) is_shutting_down: bool,
 }
 
 impl ParentState {
@@ -147,8 +141,8 @@
         self.group = group;
     }
 
-    /// Sets the addresses and locations of the parents that children are told to use. Attached children learn of
-    /// a change with their next `Welcome`.
+    /// Sets the addresses and locations of the parents that children are told to use. Attached
+    /// children learn of a change with their next `Welcome`.
     pub fn set_offered_parents(&mut self, parents: Vec<(String, ParentLocation)>) {
         self.offered_parents = parents;
     }
@@ -317,172 +311,6 @@
         }
     }
 
-    /// Requests the proof that must precede the `Welcome` of a child.
-    fn prove(&mut self, now: Timestamp, child: ChildId, steps: &mut Vec<ParentStep>) {
-        if let Some(round) = self.proofs.request(now, ProofWaiter::Hello(child)) {
-            steps.push(ParentStep::RequestProof { round });
-        }
-    }
-
-    /// Requests proofs again for the children that wait for a leader.
-    fn prove_held(&mut self, now: Timestamp, steps: &mut Vec<ParentStep>) {
-        for child in std::mem::take(&mut self.held) {
-            self.prove(now, child, steps);
-        }
-    }
-
-    /// Refuses the children that have waited for a leader for [`HELLO_HOLD_TIME`]. They may try
-    /// another parent at once, because they have waited here.
-    fn expire_held(&mut self, now: Timestamp, steps: &mut Vec<ParentStep>) {
-        let children = &self.children;
-        let is_over = |child: &ChildId| {
-            let record = children.get(child);
-            record.is_none_or(|record| now.since(record.hello_at) >= HELLO_HOLD_TIME)
-        };
-        let expired: Vec<ChildId> = self.held.iter().copied().filter(is_over).collect();
-        for child in expired {
-            self.remove_record(child);
-            refuse_child(child, RetryReason::NotCurrent, Duration::ZERO, steps);
-        }
-    }
-
-    fn admit(
-        &mut self,
-        now: Timestamp,
-        hello: &Hello,
-        random: &mut SmallRng,
-    ) -> Result<(), (RetryReason, Duration)> {
-        if self.is_shutting_down {
-            return Err((RetryReason::Leaving, Duration::ZERO));
-        }
-        let holds_config = hello.applied_version != 0;
-        if self.group == GroupId(0) || self.is_leader_silent && holds_config {
-            let delay = random.random_range(NOT_CURRENT_DELAY_MS);
-            return Err((RetryReason::NotCurrent, Duration::from_millis(delay.into())));
-        }
-        if hello.group_id != 0 && hello.group_id != self.group.0 {
-            return Err((RetryReason::WrongGroup, Duration::ZERO));
-        }
-        let ahead = self.expected_transfers();
-        // The limit does not apply to children that hold a configuration: they rarely need a
-        // snapshot, and can wait for one at another parent.
-        let is_transfer_queue_full =
-            !holds_config && ahead >= self.admission.limits.transfers + self.admission.limits.queue;
-        if is_transfer_queue_full || self.children.len() >= MAX_CHILDREN {
-            let delay = self.admission.snapshot_delay(ahead, random);
-            return Err((RetryReason::Busy, delay));
-        }
-        self.admission
-            .admit(now, holds_config, random)
-            .map_err(|delay| (RetryReason::Busy, delay))
-    }
-
-    /// Returns the cost of the snapshot transfers that are in progress, queued or expected for
-    /// children that have not been welcomed yet.
-    fn expected_transfers(&self) -> usize {
-        let needs_first_snapshot =
-            |record: &&ChildRecord| !record.is_welcomed && !record.holds_config();
-        let unwelcomed = self.children.values().filter(needs_first_snapshot);
-        let unwelcomed: usize = unwelcomed.map(ChildRecord::transfer_cost).sum();
-        let queued = self.snapshot_queue.iter();
-        let queued = queued.filter_map(|child| self.children.get(child));
-        let queued: usize = queued.map(ChildRecord::transfer_cost).sum();
-        self.transfer_cost() + queued + unwelcomed
-    }
-
-    fn handle_proof_outcome(
-        &mut self,
-        now: Timestamp,
-        outcome: Option<ProofOutcome>,
-        catalog: &Catalog,
-        random: &mut SmallRng,
-        steps: &mut Vec<ParentStep>,
-    ) {
-        match outcome {
-            Some(ProofOutcome::Current(waiters)) => self.welcome(now, &waiters, catalog, steps),
-            Some(ProofOutcome::NotCurrent(waiters)) => {
-                self.reject_waiters(now, &waiters, random, steps);
-            }
-            None => {}
-        }
-    }
-
-    fn welcome(
-        &mut self,
-        now: Timestamp,
-        waiters: &[ProofWaiter],
-        catalog: &Catalog,
-        steps: &mut Vec<ParentStep>,
-    ) {
-        let floor = catalog.version().0;
-        let mut children = Vec::new();
-        for &waiter in waiters {
-            match waiter {
-                ProofWaiter::Hello(child) => children.push(child),
-                ProofWaiter::Confirm { child, request_id } => {
-                    steps.push(confirm_reply(child, request_id, Some(floor)));
-                }
-                ProofWaiter::Renewal => {}
-            }
-        }
-        for child in &children {
-            if let Some(record) = self.children.get_mut(child) {
-                record.is_welcomed = true;
-                record.floor = catalog.version();
-            }
-        }
-        if children.is_empty() {
-            return;
-        }
-        let group_id = self.group.0;
-        let (parents, locations) = self.offered_parents.iter().cloned().unzip();
-        let body = Body::Welcome(Welcome {
-            group_id,
-            floor,
-            parents,
-            locations,
-        });
-        steps.push(ParentStep::Send {
-            children: children.clone(),
-            body,
-        });
-        self.serve(now, &children, catalog, steps);
-    }
-
-    fn reject_waiters(
-        &mut self,
-        now: Timestamp,
-        waiters: &[ProofWaiter],
-        random: &mut SmallRng,
-        steps: &mut Vec<ParentStep>,
-    ) {
-        for &waiter in waiters {
-            match waiter {
-                ProofWaiter::Hello(child) if self.may_hold(now, child) => {
-                    self.held.insert(child);
-                }
-                ProofWaiter::Hello(child) => {
-                    self.remove_record(child);
-                    let delay = random.random_range(NOT_CURRENT_DELAY_MS);
-                    let delay = Duration::from_millis(delay.into());
-                    refuse_child(child, RetryReason::NotCurrent, delay, steps);
-                }
-                ProofWaiter::Confirm { child, request_id } => {
-                    steps.push(confirm_reply(child, request_id, None));
-                }
-                ProofWaiter::Renewal => {}
-            }
-        }
-    }
-
-    /// Returns whether a child may wait for a leader. A child that holds a configuration serves
-    /// meanwhile, and should find a parent that is current.
-    fn may_hold(&self, now: Timestamp, child: ChildId) -> bool {
-        self.children.get(&child).is_some_and(|record| {
-            !record.holds_config() && now.since(record.hello_at) < HELLO_HOLD_TIME
-        })
-    }
-
     /// Handles a request of a replica. Requests for proofs are handled here; all others are passed
     /// on with [`ParentStep::HandleRequest`].
     fn handle_request(
@@ -576,7 +404,7 @@
         self.fill_transfers(now, catalog, steps);
     }
 
-    fn remove_record(&mut self, child: ChildId) {
+    pub(super) fn remove_record(&mut self, child: ChildId) {
         self.proofs.remove(child);
         self.held.swap_remove(&child);
         self.snapshot_queue.remove(child);
@@ -619,7 +447,7 @@
     ParentStep::Send { children, body }
 }
 
-fn confirm_reply(child: ChildId, request_id: u64, index: Option<u64>) -> ParentStep {
+pub(super) fn confirm_reply(child: ChildId, request_id: u64, index: Option<u64>) -> ParentStep {
     let content = Some(Content::ConfirmReply(ConfirmReply { index }));
     let forward = Forward {
         request_id,
@@ -627,12 +455,3 @@
     };
     send(child, Body::Forward(forward))
 }
-
-fn refuse_child(child: ChildId, reason: RetryReason, delay: Duration, steps: &mut Vec<ParentStep>) {
-    let retry = RetryAfter {
-        delay_ms: u32::try_from(delay.as_millis()).unwrap_or(u32::MAX),
-        reason: reason as i32,
-    };
-    steps.push(send(child, Body::RetryAfter(retry)));
-    steps.push(ParentStep::Close { child });
-}
