--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod log;
 mod resolve;
+mod settings;
 mod state;
 
 use std::collections::BTreeSet;
@@ -20,41 +21,17 @@
 use super::request::CallerRequest;
 use crate::claim::PlacementTable;
 use crate::core::{ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamEntry};
-use crate::retry::{
-    BudgetScope, BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing,
-};
+use crate::retry::{BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing};
 use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
 use log::EntryLog;
+pub use settings::EntrySettings;
 use state::{CallPhase, EntryCall};
 
 /// Maximum number of calls in progress. Above any reasonable number of concurrent requests that a
 /// node is sized for.
 const MAX_CALLS: usize = 4_096;
 
-/// Settings for the calls that enter at a node.
-#[derive(Clone, Debug)]
-pub struct EntrySettings {
-    /// Maximum number of deferred calls in progress. They may wait for an hour and must leave room
-    /// for other calls.
-    pub max_deferred_calls: usize,
-    /// Maximum wait for a configuration that contains an upstream for the call.
-    pub upstream_wait: Duration,
-    /// Maximum time that a caller may wait. Claims are kept for the same time.
-    pub longest_timeout: Duration,
-    /// Maximum time spent on finding the outcome of a lost attempt; the caller's deadline also
-    /// applies.
-    pub search_limit: Duration,
-    /// Whether a lookup that is slow to answer gets a second attempt.
-    pub hedging_enabled: bool,
-    /// Limits on the additional attempts of each service.
-    pub budget: BudgetSettings,
-    /// Which attempts are charged to the retry budget.
-    pub scope: BudgetScope,
-    /// Service beside this node; sent to upstreams as the origin of calls.
-    pub origin: SharedName,
-}
-
 /// Time in which a node that has started usually gets its first configuration.
 const CONFIG_TIME: Duration = Duration::from_millis(1_500);
 /// Minimum delay, and its jitter, for callers of a node without a configuration.
@@ -64,25 +41,6 @@
 const NO_UPSTREAM_DELAY: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(500)..=Duration::from_millis(1_000);
 
-/// Covers a restart of a service's only upstream. With a longer wait, callers would only pile up.
-const UPSTREAM_WAIT: Duration = Duration::from_secs(2);
-
-impl EntrySettings {
-    /// Returns the default settings with the given limit on deferred calls.
-    pub fn new(max_deferred_calls: usize) -> Self {
-        EntrySettings {
-            max_deferred_calls,
-            upstream_wait: UPSTREAM_WAIT,
-            longest_timeout: crate::call::MAX_TIMEOUT,
-            search_limit: crate::call::MAX_TIMEOUT,
-            hedging_enabled: true,
-            budget: BudgetSettings::default(),
-            scope: BudgetScope::default(),
-            origin: SharedName::default(),
-        }
-    }
-}
-
 /// Identifies a call at its entry node. Never reused within an incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallId(pub u64);
