Add node counts of a subtree without overflow

Cause: a replica's progress message carries node counts. Two of them near the largest number ended the process of the parent with an arithmetic overflow in a build with checks, and gave a wrong count in a release build, which wraps.

Change: the counts saturate.

Messages between voters, of calls and of claims are not covered yet (docs/PROMISES.md says so).

--- a/crates/kumquatlock/src/distribution/progress.rs
+++ b/crates/kumquatlock/src/distribution/progress.rs
@@ -18,14 +18,14 @@
         0 => part.lowest_applied,
         _ => sum.lowest_applied.min(part.lowest_applied),
     };
-    sum.nodes += part.nodes;
+    sum.nodes = sum.nodes.saturating_add(part.nodes);
     // A node that holds a later version than `sum.current_version` counts too. If all nodes of
     // `part` have reached `sum.current_version`, all of them count. Otherwise the count in `part`
     // is used, unless it was taken at an earlier version.
     if part.lowest_applied >= sum.current_version {
-        sum.current_nodes += part.nodes;
+        sum.current_nodes = sum.current_nodes.saturating_add(part.nodes);
     } else if part.current_version >= sum.current_version {
-        sum.current_nodes += part.current_nodes;
+        sum.current_nodes = sum.current_nodes.saturating_add(part.current_nodes);
     }
 }
 
--- a/crates/kumquatlock/src/distribution/tests.rs
+++ b/crates/kumquatlock/src/distribution/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the configuration stream over a simulated network.
 
 mod harness;
+mod hostile;
 mod measure;
 mod pacing;
 mod parents;
