Drop messages of voters with terms or indices that no group reaches

Cause: a voter added to indices of the messages that it received. An append whose previous index was the largest number ended the process with an arithmetic overflow in a build with checks. In a release build the sum wraps. A term near the largest number would have become the voter's own, also in a release build, and no later election could have raised it.

Change: terms, indices and rounds above 2^62 are dropped with the log line peer_message_out_of_bounds, before anything else looks at the message.

--- a/crates/kumquatlock/src/agreement/machine.rs
+++ b/crates/kumquatlock/src/agreement/machine.rs
@@ -5,6 +5,7 @@
 use kumquatlock_wire::agreement::{PeerMessage, VoterIdentity, VoterSet, peer_message::Kind};
 use rand::rngs::SmallRng;
 
+use super::bounds::is_within_bounds;
 use super::election::VoteTally;
 use super::formation::FormationState;
 use super::joining::JoinState;
@@ -218,6 +219,10 @@
     }
 
     fn on_message(&mut self, now: Timestamp, message: PeerMessage) {
+        if !is_within_bounds(&message) {
+            log::error!(from = message.from.name.as_str(); "peer_message_out_of_bounds");
+            return;
+        }
         let PeerMessage {
             group_id,
             from,
--- a/crates/kumquatlock/src/agreement/mod.rs
+++ b/crates/kumquatlock/src/agreement/mod.rs
@@ -10,6 +10,7 @@
 //! votes and timeouts), `leader` and `follower` (append and commit), `read_index` (confirming
 //! that a commit index is current), `transfer` (leadership transfer), `snapshot` (log compaction,
 //! and snapshots for members that need compacted entries), `joining` (membership changes),
+//! `bounds` (numbers that are accepted from other members),
 //! `voters` (which votes and acknowledgements count) and `outbox` (ordering of messages after
 //! writes).
 //!
@@ -27,6 +28,7 @@
 //! is in the log, every decision needs a quorum of the committed set and of the new set, so the
 //! two sets may differ in any number of voters.
 
+mod bounds;
 mod election;
 mod follower;
 mod formation;
--- a/crates/kumquatlock/src/agreement/tests.rs
+++ b/crates/kumquatlock/src/agreement/tests.rs
@@ -12,6 +12,7 @@
 use crate::journal::RecoveredState;
 
 mod group;
+mod hostile;
 mod open;
 mod schedule;
 
