Bound the numbers of calls that are taken from a load report

Cause: an entry node adds its own calls to the numbers of a load report. A report with a number near the largest one ended the process with an arithmetic overflow in a build with checks; a release build wraps, and took the fullest upstream for an empty one.

Ruled out: an upstream that reports to be draining and is never used again.

Change: running, queued and slots are taken up to 2^20. Valid reports are not changed.

--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod failures;
 mod full;
+mod hostile;
 mod keyed;
 mod silence;
 mod simulation;
--- a/crates/kumquatlock/src/routing/tracked.rs
+++ b/crates/kumquatlock/src/routing/tracked.rs
@@ -46,6 +46,8 @@
 /// Initial weight of a new upstream; above zero, so that it gets samples.
 const COLD_START_MIN_WEIGHT: f32 = 0.05;
 
+/// Largest number of calls that is taken from a load report; leaves room for adding to it.
+const MAX_REPORTED_CALLS: u32 = 1 << 20;
 /// Time for which a load report is used. Queues of 2 × slots drain faster than this.
 const LOAD_REPORT_VALIDITY: Duration = Duration::from_millis(500);
 /// Time for which a health hint is used.
@@ -264,7 +266,12 @@
 
     /// Records a load report. The `draining` flag applies for the rest of the incarnation.
     pub(super) fn observe_report(&mut self, now: Timestamp, report: LoadReport) {
-        self.report = report;
+        self.report = LoadReport {
+            running: report.running.min(MAX_REPORTED_CALLS),
+            queued: report.queued.min(MAX_REPORTED_CALLS),
+            slots: report.slots.min(MAX_REPORTED_CALLS),
+            ..report
+        };
         self.report_until = now + LOAD_REPORT_VALIDITY;
         self.is_retired |= report.draining;
     }
@@ -278,8 +285,8 @@
         };
     }
 
-    /// Records the outcome of an attempt of a call of this rank that took `latency`. `mean_us` is the mean latency of the
-    /// tier.
+    /// Records the outcome of an attempt of a call of this rank that took `latency`. `mean_us` is
+    /// the mean latency of the tier.
     pub(super) fn observe_outcome(
         &mut self,
         now: Timestamp,
