--- a/crates/kumquatlock/src/journal/tests.rs
+++ b/crates/kumquatlock/src/journal/tests.rs
@@ -209,6 +209,42 @@
     ));
 }
 
+/// Guards against a damaged file that ends the process at its start, or that is used as if it were
+/// whole. Only the latest record may be taken for one that was not completely written.
+#[test]
+fn one_flipped_byte_is_noticed_wherever_it_is() {
+    let dir = TempDir::new().unwrap();
+    let (mut journal, _) = open(&dir).unwrap();
+    (1..=12).for_each(|index| journal.append(&entries(index..=index, 1)).unwrap());
+    let write = JournalWrite::SaveSnapshot {
+        snapshot: snapshot(6, 1),
+        keep_from: 7,
+    };
+    journal.write(&write).unwrap();
+    drop(journal);
+    let whole = recover(&dir);
+    let paths = fs::read_dir(dir.path()).unwrap();
+    let paths: Vec<PathBuf> = paths.map(|item| item.unwrap().path()).collect();
+    for path in &paths {
+        let bytes = fs::read(path).unwrap();
+        for position in 0..bytes.len() {
+            let mut damaged = bytes.clone();
+            damaged[position] ^= 1 << (position % 8);
+            fs::write(path, &damaged).unwrap();
+            if let Ok((_, recovered)) = open(&dir) {
+                assert_eq!(recovered.metadata, whole.metadata, "{path:?}, {position}");
+                assert_eq!(recovered.snapshot, whole.snapshot, "{path:?}, {position}");
+                let kept = recovered.entries.len();
+                assert!(kept + 1 >= whole.entries.len(), "{path:?}, {position}");
+                assert_eq!(recovered.entries, whole.entries[..kept]);
+            }
+            // Opening truncates an incomplete record.
+            fs::write(path, &bytes).unwrap();
+        }
+    }
+    assert_eq!(recover(&dir).entries, whole.entries);
+}
+
 /// Guards against two processes that write the same log.
 #[test]
 fn a_directory_in_use_is_refused() {
