End the operators' threads with their actor

Cause: each thread holds a sender of jobs to answer requests later, so the channel never closed and the threads outlived the actor, unlike their documentation says. In a process that ends this had no effect. Change: dropping the workers sends one end job for each thread. The tests of the control instance pass.

--- a/crates/kumquatlock/src/ops/control/http.rs
+++ b/crates/kumquatlock/src/ops/control/http.rs
@@ -41,6 +41,8 @@
         request: OperatorRequest,
         response: HttpResponse,
     },
+    /// Ends the thread that takes it.
+    End,
 }
 
 /// Result of a [`WorkerJob`].
@@ -115,6 +117,15 @@
     }
 }
 
+impl Drop for OperatorWorkers {
+    /// Ends the threads. They hold senders of jobs themselves, so the channel never closes.
+    fn drop(&mut self) {
+        for _ in 0..WORKERS {
+            let _ = self.jobs.send(WorkerJob::End);
+        }
+    }
+}
+
 struct OperatorWorker {
     adapter: OperatorAdapter,
     metrics: Arc<ControlMetrics>,
@@ -141,6 +152,7 @@
                     id,
                     response: (self.adapter.write)(&request, response),
                 },
+                WorkerJob::End => return,
             };
             if !self.results.send(result) {
                 return;
