Answer an operator's request that panics, and keep its thread

Cause: two threads translate the requests of operators. A panic in one request ended its thread and left the request open; after two of them an instance ran on and accepted no manifest any more. No request is known that does this; it is the guard against one malformed message.

Change: a panic ends the one request, with 503 (not run) before it was passed on and 504 (unknown) after, both with reason internal_error, and the log line operator_request_panicked.

Test: a_panic_in_a_request_leaves_the_threads_for_later_ones.

--- a/crates/kumquatlock/src/http/table.rs
+++ b/crates/kumquatlock/src/http/table.rs
@@ -28,7 +28,7 @@
 const MAX_CLOSE_TIME: Duration = Duration::from_secs(3);
 
 /// Identifies a request of a caller. Never reused within a process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
 pub struct RequestId {
     connection: u64,
     sequence: u64,
--- a/crates/kumquatlock/src/ops/control/http.rs
+++ b/crates/kumquatlock/src/ops/control/http.rs
@@ -4,6 +4,7 @@
 //! manifest of thousands of routes, and rendering one, takes so long that the actor would miss its
 //! heartbeats meanwhile, so a few threads do that.
 
+use std::panic::{self, AssertUnwindSafe};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -15,6 +16,7 @@
 use super::answer;
 use super::metrics::ControlMetrics;
 use super::operator::{OperatorAdapter, OperatorCall, OperatorRequest};
+use super::requests::RequestAnswer;
 use crate::core::Timestamp;
 use crate::http::{HttpEvent, HttpLimits, HttpRequest, HttpResponse, RequestId};
 use crate::manifest::{MAX_MANIFEST_BYTES, ManifestDocument, ManifestError};
@@ -111,6 +113,13 @@
         })
     }
 
+    /// Lets a thread translate a request.
+    pub(super) fn read(&mut self, id: RequestId, request: HttpRequest) {
+        self.open_requests += 1;
+        // The threads end only after the workers.
+        let _ = self.jobs.send(WorkerJob::Read { id, request });
+    }
+
     /// Returns whether no request waits for its response.
     pub(super) fn is_idle(&self) -> bool {
         self.open_requests == 0
@@ -143,15 +152,21 @@
             };
             drop(jobs);
             let result = match job {
-                WorkerJob::Read { id, request } => self.read(id, request),
+                WorkerJob::Read { id, request } => {
+                    let failed = answer::not_run("internal_error");
+                    isolate(id, failed, || self.read(id, request))
+                }
                 WorkerJob::Write {
                     id,
                     request,
                     response,
-                } => WorkerResult::Response {
-                    id,
-                    response: (self.adapter.write)(&request, response),
-                },
+                } => {
+                    let failed = answer::unknown("internal_error");
+                    isolate(id, failed, || {
+                        let response = (self.adapter.write)(&request, response);
+                        WorkerResult::Response { id, response }
+                    })
+                }
                 WorkerJob::End => return,
             };
             if !self.results.send(result) {
@@ -189,6 +204,21 @@
     }
 }
 
+/// Does the work for one request. A panic ends this request with `failed`, and not the thread: it
+/// would leave no thread for later requests.
+fn isolate(
+    id: RequestId,
+    failed: RequestAnswer,
+    work: impl FnOnce() -> WorkerResult,
+) -> WorkerResult {
+    // The work owns what it changes, apart from counters.
+    panic::catch_unwind(AssertUnwindSafe(work)).unwrap_or_else(|_| {
+        log::error!("operator_request_panicked");
+        let response = answer::response(failed);
+        WorkerResult::Response { id, response }
+    })
+}
+
 /// Parses the manifest of a submission. The receiving instance does this, so that an invalid
 /// manifest puts no load on the leader.
 fn parse_manifest(
@@ -214,9 +244,7 @@
             let busy = answer::response(answer::not_run("busy"));
             return self.http.respond(now, id, busy);
         }
-        workers.open_requests += 1;
-        // The threads end only after the actor.
-        let _ = workers.jobs.send(WorkerJob::Read { id, request });
+        workers.read(id, request);
     }
 
     pub(super) fn handle_worker_result(&mut self, now: Timestamp, result: WorkerResult) {
--- a/crates/kumquatlock/src/ops/control/tests.rs
+++ b/crates/kumquatlock/src/ops/control/tests.rs
@@ -1,13 +1,22 @@
-//! Tests of the links to other control instances.
+//! Tests of the links to other control instances, and of the threads for operators.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use stakker::sync::Channel;
+use stakker::{Fwd, Stakker};
 
+use super::http::{OperatorWorkers, WorkerResult};
+use super::metrics::ControlMetrics;
+use super::operator::{OperatorAdapter, OperatorRequest};
 use super::peers::PeerLinks;
 use crate::core::Timestamp;
+use crate::http::{HttpRequest, RequestId};
 use crate::transport::LinkId;
 
 const PEER: &str = "voter-2";
@@ -60,3 +69,49 @@
     peers.set_reachable(late, PEER);
     assert_eq!(peers.take_stalled(late + Duration::from_secs(1)), []);
 }
+
+/// Guards against a request that ends the threads for operators, so that the instance runs on but
+/// accepts no manifest any more.
+#[test]
+fn a_panic_in_a_request_leaves_the_threads_for_later_ones() {
+    const REQUESTS: usize = 8;
+    let adapter = OperatorAdapter {
+        read: |request| match request.target.as_str() {
+            "/panic" => panic!("expected by the test"),
+            _ => Ok(OperatorRequest::Metrics),
+        },
+        ..OperatorAdapter::default()
+    };
+    let mut stakker = Stakker::new(Instant::now());
+    stakker.set_poll_waker(|| {});
+    let statuses = Rc::new(RefCell::new(Vec::new()));
+    let received = statuses.clone();
+    let forward = Fwd::new(move |result: WorkerResult| match result {
+        WorkerResult::Response { response, .. } => received.borrow_mut().push(response.status),
+        WorkerResult::Call(_) => panic!("metrics are not passed to the actor"),
+    });
+    let (results, _guard) = Channel::new(&mut stakker, forward);
+    let metrics = Arc::new(ControlMetrics::new());
+    let mut workers = OperatorWorkers::start(adapter, &metrics, &results).unwrap();
+    for number in 0..REQUESTS {
+        let target = match number {
+            0..4 => "/panic",
+            _ => "/metrics",
+        };
+        let request = HttpRequest {
+            method: "GET".into(),
+            target: target.into(),
+            ..HttpRequest::default()
+        };
+        workers.read(RequestId::default(), request);
+    }
+    let start = Instant::now();
+    while statuses.borrow().len() < REQUESTS && start.elapsed() < Duration::from_secs(10) {
+        stakker.poll_wake();
+        stakker.run(Instant::now(), false);
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let mut statuses = statuses.take();
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 200, 200, 200, 503, 503, 503, 503]);
+}
