Share the arbitrary values of the tests with wrong messages

Cause: three test files each had a copy of the same functions for numbers at the edge of their range and for flags. They are in util/tests/arbitrary.rs now. Only test files change.

Looked at and left: the early return of a call that has ended (attempt.rs, resolve.rs) and the blocks of named constants are alike in shape only.

--- a/crates/kumquatlock/src/agreement/tests/hostile.rs
+++ b/crates/kumquatlock/src/agreement/tests/hostile.rs
@@ -10,25 +10,13 @@
 
 use super::*;
 use crate::core::Timestamp;
+use crate::util::tests::arbitrary::{flag, number};
 
 /// Number of sessions, each with other messages.
 const SESSIONS: u64 = 60;
 /// Number of messages in a session.
 const MESSAGES: usize = 300;
 
-/// Returns a number at the edge of its range, or close to a real index or term.
-fn number(random: &mut SmallRng) -> u64 {
-    match random.random_range(0..5) {
-        0 => u64::MAX - random.random_range(0..2u64),
-        1 => 1 << random.random_range(0..64),
-        _ => random.random_range(0..8),
-    }
-}
-
-fn flag(random: &mut SmallRng) -> bool {
-    random.random_range(0..2) == 0
-}
-
 fn voter_set(random: &mut SmallRng) -> VoterSet {
     let voters = (0..random.random_range(0..4)).map(|number: u8| VoterIdentity {
         name: format!("{}", char::from(b'a' + number)),
--- a/crates/kumquatlock/src/call/tests/hostile.rs
+++ b/crates/kumquatlock/src/call/tests/hostile.rs
@@ -13,6 +13,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::simulation::CallSimulation;
+use crate::util::tests::arbitrary::number;
 
 /// Number of sessions, each with other messages.
 const SESSIONS: u64 = 40;
@@ -21,15 +22,6 @@
 /// Longer than any call, claim or load report of a session stays in use.
 const RECOVERY: Duration = Duration::from_secs(60);
 
-/// Returns a number at the edge of its range, or a small one.
-fn number(random: &mut SmallRng) -> u64 {
-    match random.random_range(0..5) {
-        0 => u64::MAX - random.random_range(0..2u64),
-        1 => 1 << random.random_range(0..64),
-        _ => random.random_range(0..8),
-    }
-}
-
 fn small(random: &mut SmallRng) -> u32 {
     u32::try_from(number(random)).unwrap_or(u32::MAX)
 }
--- a/crates/kumquatlock/src/distribution/tests/hostile.rs
+++ b/crates/kumquatlock/src/distribution/tests/hostile.rs
@@ -9,25 +9,13 @@
 use super::super::compression::compress_update;
 use super::*;
 use crate::catalog::Catalog;
+use crate::util::tests::arbitrary::{flag, number};
 
 /// Number of sessions, each with other messages.
 const SESSIONS: u64 = 60;
 /// Number of messages in a session.
 const MESSAGES: usize = 300;
 
-/// Returns a number at the edge of its range, or close to a real version.
-fn number(random: &mut SmallRng) -> u64 {
-    match random.random_range(0..5) {
-        0 => u64::MAX - random.random_range(0..2u64),
-        1 => 1 << random.random_range(0..64),
-        _ => random.random_range(0..8),
-    }
-}
-
-fn flag(random: &mut SmallRng) -> bool {
-    random.random_range(0..2) == 0
-}
-
 /// Returns a byte string that decodes to nothing, or to an update without fields.
 fn data(random: &mut SmallRng) -> bytes::Bytes {
     match random.random_range(0..4) {
--- a/crates/kumquatlock/src/util/mod.rs
+++ b/crates/kumquatlock/src/util/mod.rs
@@ -14,4 +14,4 @@
 pub mod trace;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/kumquatlock/src/util/tests.rs
+++ b/crates/kumquatlock/src/util/tests.rs
@@ -1,4 +1,6 @@
-//! Tests of the utilities.
+//! Tests of the utilities, and values that the tests of other modules share.
+
+pub(crate) mod arbitrary;
 
 use std::ffi::OsString;
 use std::fmt::Debug;
