Log what an upstream states about itself in its answers

The node beside an upstream now logs each change of the limit that its answers state, and the notice that it leaves; run_ended and two gauges show the limit in force. No decision depends on it yet. A run that starts again under its old identifier is told apart by its start time, so that nothing is taken over from the one before.

--- a/crates/kumquatlock/src/call/destination/log.rs
+++ b/crates/kumquatlock/src/call/destination/log.rs
@@ -49,6 +49,7 @@
             return;
         };
         let load = self.load();
+        let limit = self.rate_limit().map(|rate| rate.to_string());
         let name = self.names.request_id;
         let id = request
             .headers
@@ -70,6 +71,7 @@
             queued = load.queued,
             slots = load.slots,
             service_ms = load.service_us / 1_000,
+            rate_limit = limit.as_deref().unwrap_or("none"),
             draining = load.draining,
             left_out;
             "run_ended"
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod log;
+mod notice;
 mod queries;
 mod run;
 
@@ -26,12 +27,13 @@
     AttemptAdmission, ClaimAcquirer, ClaimSettings, OutcomeTable, PlacementTable, StoredAnswer,
 };
 use crate::core::{
-    ConfigSnapshot, IncarnationId, RequestClass, SharedName, Timestamp, stable_hash,
+    ConfigSnapshot, IncarnationId, RequestClass, RequestRate, SharedName, Timestamp, stable_hash,
 };
 use crate::http::{HttpRequest, HttpResponse, UpstreamFailure};
 use crate::transport::LinkId;
 use crate::util::trace::{HopSpan, SeededIds};
 use log::DestinationLog;
+use notice::UpstreamNotice;
 use run::{CallRun, RunPhase};
 
 /// Interval at which claims that wait for holders are checked.
@@ -61,12 +63,20 @@
     /// Identifies the upstream's current process, as announced by the upstream; empty if it
     /// announced none.
     pub instance: SharedName,
+    /// Start of that process in milliseconds since 1970; zero if it announced none.
+    pub run_started_ms: u64,
     /// Service that the upstream provides.
     pub service: SharedName,
     /// Number of concurrent requests and connections that the upstream accepts.
     pub limits: AdmissionLimits,
 }
 
+impl UpstreamEndpoint {
+    fn is_same_run(&self, other: &UpstreamEndpoint) -> bool {
+        self.instance == other.instance && self.run_started_ms == other.run_started_ms
+    }
+}
+
 /// An action that [`DestinationCalls`] requests from its driver.
 #[derive(Debug)]
 pub enum DestinationStep {
@@ -131,6 +141,10 @@
     /// Time that a refusal needs to reach the caller.
     refusal_time: Duration,
     endpoint: Option<UpstreamEndpoint>,
+    /// Number of the upstream's current run; increases with each process that announces itself.
+    upstream_run: u64,
+    /// What the upstream's current run states about itself; `None` before its first answer.
+    notice: Option<UpstreamNotice>,
     /// Present once the upstream has announced itself.
     admission: Option<AdmissionQueue>,
     draining: bool,
@@ -171,6 +185,8 @@
             detects_stalls: false,
             refusal_time: Duration::ZERO,
             endpoint: None,
+            upstream_run: 0,
+            notice: None,
             admission: None,
             draining: false,
             ends_at: None,
@@ -229,6 +245,11 @@
         }
         self.incarnation = incarnation;
         self.outcomes = OutcomeTable::new(self.name.clone(), incarnation, &self.settings);
+        // An upstream that names no instance shows only by a new incarnation that it started again.
+        let has_instance = |endpoint: &UpstreamEndpoint| !endpoint.instance.is_empty();
+        if !self.endpoint.as_ref().is_some_and(has_instance) {
+            self.start_upstream_run();
+        }
         steps
     }
 
@@ -238,13 +259,16 @@
             .endpoint
             .as_ref()
             .is_none_or(|current| current.limits != endpoint.limits);
-        let is_other_instance = self
+        let is_other_run = self
             .endpoint
             .as_ref()
-            .is_some_and(|current| current.instance != endpoint.instance);
+            .is_some_and(|current| !current.is_same_run(&endpoint));
+        if is_other_run {
+            self.start_upstream_run();
+        }
         let limits = endpoint.limits;
         self.endpoint = Some(endpoint);
-        let needs_reopen = self.admission.is_none() || self.draining || is_other_instance;
+        let needs_reopen = self.admission.is_none() || self.draining || is_other_run;
         match &mut self.admission {
             None => {
                 let mut admission = AdmissionQueue::new(limits, now);
@@ -262,6 +286,17 @@
         self.draining = false;
     }
 
+    /// Forgets what an earlier run of the upstream stated about itself.
+    fn start_upstream_run(&mut self) {
+        self.upstream_run += 1;
+        self.notice = None;
+    }
+
+    /// Returns the requests per second that the upstream says it takes, if it states a limit.
+    pub fn rate_limit(&self) -> Option<RequestRate> {
+        self.notice?.rate_limit
+    }
+
     /// Refuses new calls from now on; queued and running calls finish.
     pub fn drain(&mut self) {
         self.draining = true;
--- /dev/null
+++ b/crates/kumquatlock/src/call/destination/notice.rs
@@ -0,0 +1,84 @@
+//! What the upstream beside this node states about itself in its answers: a limit on the requests
+//! that it takes, and that it is leaving.
+
+use super::DestinationCalls;
+use super::run::{CallRun, ResponseVerdict};
+use crate::core::{RequestRate, Timestamp};
+use crate::http::HttpResponse;
+
+/// What one run of an upstream has stated so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct UpstreamNotice {
+    /// Requests per second that the upstream takes from all nodes together; `None` for no limit.
+    pub(super) rate_limit: Option<RequestRate>,
+    /// When an answer last stated the limit.
+    limited_at: Timestamp,
+    /// Whether the upstream is leaving. Stays set for the rest of the run.
+    pub(super) is_leaving: bool,
+}
+
+impl DestinationCalls {
+    /// Reads what an answer or refusal of the upstream states. Those of an earlier run of the
+    /// upstream are ignored.
+    pub(super) fn observe_notice(
+        &mut self,
+        now: Timestamp,
+        run: &CallRun,
+        verdict: &ResponseVerdict,
+        response: &HttpResponse,
+    ) {
+        if *verdict == ResponseVerdict::Unsigned || run.upstream_run != self.upstream_run {
+            return;
+        }
+        let mut notice = self.notice.unwrap_or_default();
+        let may_end = *verdict == ResponseVerdict::Answered && run.sent_at > notice.limited_at;
+        self.read_rate_limit(now, may_end, response, &mut notice);
+        let leaving = self.names.leaving;
+        notice.is_leaving |= leaving.is_some_and(|name| response.header(name).is_some());
+        let previous = self.notice.replace(notice).unwrap_or_default();
+        self.log_notice(&previous, &notice);
+    }
+
+    /// Takes over a stated limit. It ends with an answer that states none, if the answer may end it:
+    /// its request was sent after the limit was last stated, because answers can overtake each
+    /// other, and the upstream ran it, because a refusal may come from an earlier stage.
+    fn read_rate_limit(
+        &self,
+        now: Timestamp,
+        may_end: bool,
+        response: &HttpResponse,
+        notice: &mut UpstreamNotice,
+    ) {
+        let value = self.names.rate_limit.and_then(|name| response.header(name));
+        match value.map(RequestRate::parse) {
+            Some(Some(rate)) => {
+                notice.rate_limit = Some(rate);
+                notice.limited_at = now;
+            }
+            // The upstream still states a limit, so the last one that could be read stays in force.
+            Some(None) => log::warn!(value = value.unwrap_or_default(); "rate_limit_unreadable"),
+            None if may_end => notice.rate_limit = None,
+            None => {}
+        }
+    }
+
+    fn log_notice(&self, previous: &UpstreamNotice, notice: &UpstreamNotice) {
+        let instance = self
+            .endpoint
+            .as_ref()
+            .map_or("", |endpoint| &*endpoint.instance);
+        if notice.rate_limit != previous.rate_limit {
+            let limit = notice.rate_limit.map(|rate| rate.to_string());
+            let from = previous.rate_limit.map(|rate| rate.to_string());
+            log::info!(
+                instance,
+                per_second = limit.as_deref().unwrap_or("none"),
+                previous = from.as_deref().unwrap_or("none");
+                "upstream_rate_limit_changed"
+            );
+        }
+        if notice.is_leaving && !previous.is_leaving {
+            log::info!(instance; "upstream_states_that_it_leaves");
+        }
+    }
+}
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -27,6 +27,10 @@
     pub(super) deadline: Timestamp,
     pub(super) ticket: AdmissionTicket,
     pub(super) arrived_at: Timestamp,
+    /// When the request was sent to the upstream; meaningful only in the phase `Running`.
+    pub(super) sent_at: Timestamp,
+    /// Run of the upstream that it was sent to.
+    pub(super) upstream_run: u64,
     /// Present if the call is traced.
     pub(super) span: Option<HopSpan>,
     pub(super) phase: RunPhase,
@@ -65,6 +69,8 @@
             deadline,
             ticket,
             arrived_at: now,
+            sent_at: now,
+            upstream_run: 0,
             span,
             phase,
         }
@@ -146,7 +152,8 @@
 }
 
 /// What a response from the upstream says about the request.
-enum ResponseVerdict {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ResponseVerdict {
     Answered,
     NotRun,
     /// A success without the upstream's signature header; something else may have sent it.
@@ -219,6 +226,8 @@
             return;
         }
         run.phase = RunPhase::Running;
+        run.sent_at = now;
+        run.upstream_run = self.upstream_run;
         steps.push(DestinationStep::Run {
             run: id,
             address: endpoint.address,
@@ -285,6 +294,9 @@
         let Some(run) = self.remove_run(now, id, service, steps) else {
             return;
         };
+        if let Ok((verdict, response)) = &verdict {
+            self.observe_notice(now, &run, verdict, response);
+        }
         match verdict {
             Ok((ResponseVerdict::Answered, response)) => {
                 self.end_answered(now, id, &run, response, steps);
--- a/crates/kumquatlock/src/call/mod.rs
+++ b/crates/kumquatlock/src/call/mod.rs
@@ -24,7 +24,8 @@
 pub use entry::{CallId, EntryCalls, EntryCounters, EntrySettings, EntryStep, PeerNode};
 pub use names::HeaderNames;
 pub use request::{
-    ATTEMPT_HEADER, CallerRequest, DEPTH_HEADER, KEY_HEADER, MAX_TIMEOUT, TIMEOUT_HEADER,
+    ATTEMPT_HEADER, CallerRequest, DEPTH_HEADER, KEY_HEADER, LEAVING_HEADER, MAX_TIMEOUT,
+    RATE_LIMIT_HEADER, TIMEOUT_HEADER,
 };
 
 /// Maximum depth of a chain of calls. The deepest chain in use has 14 levels.
--- a/crates/kumquatlock/src/call/names.rs
+++ b/crates/kumquatlock/src/call/names.rs
@@ -1,6 +1,8 @@
 //! Names of the headers that the mesh exchanges with callers and upstreams.
 
-use super::request::{ATTEMPT_HEADER, DEPTH_HEADER, KEY_HEADER, TIMEOUT_HEADER};
+use super::request::{
+    ATTEMPT_HEADER, DEPTH_HEADER, KEY_HEADER, LEAVING_HEADER, RATE_LIMIT_HEADER, TIMEOUT_HEADER,
+};
 
 /// Names of the headers that have a meaning for the mesh. `None` means that the mesh neither reads
 /// nor sets such a header; one sent by a caller is treated like any other header.
@@ -30,6 +32,11 @@
     pub not_executed: Option<&'static str>,
     /// Set by an upstream on every complete answer. A success status without it is not trusted.
     pub response_signature: Option<&'static str>,
+    /// Set by an upstream on its answers while it limits the requests per second that it takes from
+    /// all nodes together; a decimal number.
+    pub rate_limit: Option<&'static str>,
+    /// Set by an upstream on its answers once it is leaving.
+    pub leaving: Option<&'static str>,
 }
 
 impl Default for HeaderNames {
@@ -45,6 +52,8 @@
             origin: None,
             not_executed: None,
             response_signature: None,
+            rate_limit: Some(RATE_LIMIT_HEADER),
+            leaving: Some(LEAVING_HEADER),
         }
     }
 }
--- a/crates/kumquatlock/src/call/request.rs
+++ b/crates/kumquatlock/src/call/request.rs
@@ -19,6 +19,10 @@
 pub const DEPTH_HEADER: &str = "kumquatlock-depth";
 /// Identifies one attempt to the upstream, so that it can be cancelled.
 pub const ATTEMPT_HEADER: &str = "kumquatlock-attempt";
+/// Requests per second that an upstream takes, stated in its answers.
+pub const RATE_LIMIT_HEADER: &str = "kumquatlock-rate-limit";
+/// States in an upstream's answers that it is leaving.
+pub const LEAVING_HEADER: &str = "kumquatlock-leaving";
 
 /// Maximum length of an idempotency key.
 const MAX_KEY_BYTES: usize = 128;
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -526,6 +526,7 @@
     UpstreamEndpoint {
         address,
         instance: SharedName::default(),
+        run_started_ms: 0,
         service: SharedName::default(),
         limits,
     }
--- a/crates/kumquatlock/src/core/mod.rs
+++ b/crates/kumquatlock/src/core/mod.rs
@@ -4,6 +4,7 @@
 mod class;
 mod digest;
 mod ids;
+mod rate;
 mod snapshot;
 mod time;
 
@@ -12,6 +13,7 @@
 pub use ids::{
     ConfigVersion, GroupId, IncarnationId, SharedName, address_from_name, name_from_address,
 };
+pub use rate::RequestRate;
 pub use snapshot::{
     CallerLimits, ConfigSnapshot, RouteEntry, ServiceEntry, SnapshotError, SplitPart, UpstreamEntry,
 };
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -391,6 +391,7 @@
         let endpoint = UpstreamEndpoint {
             address: announcement.address,
             instance: announcement.instance.clone(),
+            run_started_ms: announcement.run_started_ms,
             service: announcement.service.clone(),
             limits,
         };
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -180,6 +180,19 @@
             &[],
             load.slots.into(),
         );
+        let limit = self.destination.rate_limit();
+        page.add_gauge(
+            "upstream_rate_limited",
+            "Whether the upstream states a limit on its requests per second",
+            &[],
+            limit.is_some().into(),
+        );
+        page.add_gauge(
+            "upstream_rate_limit_millis",
+            "Thousandths of a request per second that the upstream takes; 0 without a limit",
+            &[],
+            limit.map_or(0, |rate| rate.millis().into()),
+        );
         page.add_gauge(
             "claims_kept",
             "Keys for which this node holds claims",
