Test that an upstream gets no more requests than it says it takes

The test offers 100 calls/s to one destination node whose upstream states a limit of 10, 0.5 and 0 requests/s in its answers, and counts what reaches the upstream in each 4 s.

--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -5,5 +5,6 @@
 mod full;
 mod hostile;
 mod keyed;
+mod rate_limit;
 mod silence;
 mod simulation;
--- /dev/null
+++ b/crates/kumquatlock/src/call/tests/rate_limit.rs
@@ -0,0 +1,171 @@
+//! Load pattern: an upstream in need limits the requests per second that it takes, and more arrive.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use kumquatlock_wire::call::{AttemptId, CallRequest};
+use kumquatlock_wire::distribution::WireClass;
+
+use crate::admission::AdmissionLimits;
+use crate::call::{
+    CallSource, DestinationCalls, DestinationStep, RATE_LIMIT_HEADER, RunId, UpstreamEndpoint,
+};
+use crate::claim::ClaimSettings;
+use crate::core::{IncarnationId, Timestamp};
+use crate::http::HttpResponse;
+use crate::transport::LinkId;
+
+const NODE: &str = "booking-1";
+/// Time that the upstream needs for a request.
+const SERVICE_TIME: Duration = Duration::from_millis(50);
+/// Span over which arrivals at the upstream are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// One destination node and its upstream, which states a limit in its answers.
+struct LimitedUpstream {
+    now: Timestamp,
+    calls: DestinationCalls,
+    stated_limit: Option<&'static str>,
+    /// Requests that the upstream is running, by the time of their answer.
+    running: BTreeSet<(Timestamp, RunId)>,
+    /// Start of each request at the upstream.
+    starts: Vec<Timestamp>,
+    calls_sent: u64,
+}
+
+impl LimitedUpstream {
+    fn new(stated_limit: Option<&'static str>) -> Self {
+        let now = Timestamp::from_millis(1);
+        LimitedUpstream {
+            now,
+            calls: new_destination(now),
+            stated_limit,
+            running: BTreeSet::new(),
+            starts: Vec::new(),
+            calls_sent: 0,
+        }
+    }
+
+    fn send_call(&mut self) {
+        self.calls_sent += 1;
+        let request = call_request(self.calls_sent);
+        let source = CallSource::Link(LinkId(0));
+        let steps = self.calls.on_call(self.now, source, request, false);
+        self.apply(steps);
+    }
+
+    /// Advances by `time`, while calls arrive at the given interval.
+    fn advance(&mut self, time: Duration, interval: Duration) {
+        let end = self.now + time;
+        let mut next_call = self.now;
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(1);
+            while let Some((at, run)) = self.running.first().copied()
+                && at <= self.now
+            {
+                self.running.pop_first();
+                let steps = self.calls.on_result(self.now, run, Ok(self.answer()));
+                self.apply(steps);
+            }
+            if self.now >= self.calls.next_wakeup(self.now) {
+                let steps = self.calls.on_tick(self.now);
+                self.apply(steps);
+            }
+            if self.now >= next_call {
+                next_call = next_call + interval;
+                self.send_call();
+            }
+        }
+    }
+
+    fn answer(&self) -> HttpResponse {
+        let stated = self.stated_limit;
+        let stated = stated.map(|value| (RATE_LIMIT_HEADER.to_owned(), value.to_owned()));
+        HttpResponse {
+            status: 200,
+            headers: stated.into_iter().collect(),
+            ..HttpResponse::default()
+        }
+    }
+
+    fn apply(&mut self, steps: Vec<DestinationStep>) {
+        for step in steps {
+            if let DestinationStep::Run { run, .. } = step {
+                self.starts.push(self.now);
+                self.running.insert((self.now + SERVICE_TIME, run));
+            }
+        }
+    }
+
+    /// Returns the largest number of requests that the upstream got within a window that begins at
+    /// `from` or later.
+    fn most_starts(&self, from: Timestamp) -> usize {
+        let starts = self.starts.iter().filter(|start| **start >= from);
+        let in_window = |start: &Timestamp| {
+            let end = *start + WINDOW;
+            let later = self.starts.iter();
+            later.filter(|at| *at >= start && **at < end).count()
+        };
+        starts.map(in_window).max().unwrap_or(0)
+    }
+}
+
+fn new_destination(now: Timestamp) -> DestinationCalls {
+    let settings = ClaimSettings::default();
+    let mut calls = DestinationCalls::new(NODE.into(), IncarnationId(1), settings);
+    calls.on_announce(now, endpoint());
+    calls
+}
+
+fn endpoint() -> UpstreamEndpoint {
+    UpstreamEndpoint {
+        address: "127.0.0.1:9".parse().unwrap(),
+        instance: "run-1".into(),
+        run_started_ms: 1,
+        service: "booking".into(),
+        limits: AdmissionLimits {
+            slots: 12,
+            connections: 100,
+        },
+    }
+}
+
+fn call_request(call_id: u64) -> CallRequest {
+    CallRequest {
+        id: AttemptId {
+            entry: "front-1".to_owned(),
+            entry_incarnation: 1,
+            call_id,
+            attempt: 1,
+        },
+        incarnation: 1,
+        upstream: NODE.to_owned(),
+        service: "booking".to_owned(),
+        class: WireClass::Lookup as i32,
+        deadline_us: 1_000_000,
+        method: "GET".to_owned(),
+        path: "/booking/7".to_owned(),
+        ..CallRequest::default()
+    }
+}
+
+/// An upstream in need must not get more requests than it says it takes, from all nodes together.
+#[test]
+fn an_upstream_gets_no_more_requests_than_it_says_it_takes() {
+    // The bound of the users' rules: one and a half times the limit, and 5 requests.
+    for (stated, bound) in [("10", 65), ("0.5", 8), ("0", 5)] {
+        let mut upstream = LimitedUpstream::new(Some(stated));
+        upstream.advance(Duration::from_secs(4), Duration::from_millis(10));
+        let from = upstream.now;
+        upstream.advance(Duration::from_secs(20), Duration::from_millis(10));
+        let most = upstream.most_starts(from);
+        assert!(
+            most <= bound,
+            "{most} requests in 4 s with a limit of {stated}/s"
+        );
+        assert!(
+            most > 0,
+            "the end of a limit of {stated}/s would not be noticed"
+        );
+    }
+}
