Send an upstream no more requests a second than it says it takes

What callers saw: nothing, as long as other upstreams had room. An upstream in need got up to 2.6 times the requests that it says it takes.

Cause: no decision depended on what an upstream states about itself in its answers.

Change: a token bucket in the admission queue of the node beside the upstream, the one place that every request passes, so that first attempts, retries and hedges of all entry nodes share one count. The reported slots are those that the rate keeps busy, so entry nodes spill earlier, and the queue shrinks with it. The notice is read before the slot of the answered call is given away.

--- a/crates/kumquatlock/src/admission/lanes.rs
+++ b/crates/kumquatlock/src/admission/lanes.rs
@@ -172,6 +172,11 @@
         self.queued.pop_first()
     }
 
+    /// Removes the queued call that would run last.
+    pub(super) fn pop_last_queued(&mut self) -> Option<QueueKey> {
+        self.queued.pop_last()
+    }
+
     /// Moves calls that can no longer meet their target behind those of their rank that can.
     pub(super) fn demote_late(&mut self, earliest: Timestamp) {
         let late = self.queued.iter().filter(|key| key.became_late(earliest));
--- a/crates/kumquatlock/src/admission/mod.rs
+++ b/crates/kumquatlock/src/admission/mod.rs
@@ -14,6 +14,7 @@
 mod lanes;
 mod limit;
 mod queue;
+mod rate;
 
 pub use lanes::RoutePriority;
 pub use limit::{AdmissionLimits, ConcurrencyLimit};
--- a/crates/kumquatlock/src/admission/queue.rs
+++ b/crates/kumquatlock/src/admission/queue.rs
@@ -8,7 +8,8 @@
 use super::estimate::ServiceEstimate;
 use super::lanes::{CallLanes, PriorityLane, QueueKey, RoutePriority};
 use super::limit::{AdmissionLimits, ConcurrencyLimit};
-use crate::core::{RequestClass, Timestamp};
+use super::rate::RateLimiter;
+use crate::core::{RequestClass, RequestRate, Timestamp};
 
 /// Number of queue places per slot. Longer queues only add waiting time: with 2 places per slot a
 /// call waits about two service times.
@@ -101,14 +102,15 @@
 /// calls, with the earliest deadlines first.
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
-    /// Holds at most [`QUEUE_PLACES_PER_SLOT`] × slots calls.
+    /// Holds at most [`AdmissionQueue::max_queued`] calls after each poll.
     lanes: CallLanes,
-    max_queued: usize,
-    /// Number of queue places reserved for deferred calls; at least 1.
-    deferred_places: usize,
+    /// Announced slots; at least 1.
+    slots: u32,
     /// Start time of each running call.
     running: IndexMap<AdmissionTicket, Timestamp>,
     limit: ConcurrencyLimit,
+    /// Present while the upstream limits the requests per second that it takes.
+    rate: Option<RateLimiter>,
     estimate: ServiceEstimate,
     draining: bool,
     /// When the upstream last answered.
@@ -122,11 +124,10 @@
 impl AdmissionQueue {
     /// Creates the queue of an upstream that starts now.
     pub fn new(limits: AdmissionLimits, now: Timestamp) -> Self {
-        let max_queued = (limits.slots.max(1) * QUEUE_PLACES_PER_SLOT) as usize;
         AdmissionQueue {
             lanes: CallLanes::default(),
-            max_queued,
-            deferred_places: (max_queued / DEFERRED_PLACE_DIVISOR).max(1),
+            slots: limits.slots.max(1),
+            rate: None,
             running: IndexMap::new(),
             limit: ConcurrencyLimit::new(limits, now),
             estimate: ServiceEstimate::default(),
@@ -140,8 +141,7 @@
 
     /// Changes the announced capacity of the upstream. Queued and running calls continue.
     pub fn set_limits(&mut self, limits: AdmissionLimits) {
-        self.max_queued = (limits.slots.max(1) * QUEUE_PLACES_PER_SLOT) as usize;
-        self.deferred_places = (self.max_queued / DEFERRED_PLACE_DIVISOR).max(1);
+        self.slots = limits.slots.max(1);
         self.limit.set_limits(limits);
     }
 
@@ -150,10 +150,20 @@
     pub fn reopen(&mut self, limits: AdmissionLimits, now: Timestamp) {
         self.set_limits(limits);
         self.limit = ConcurrencyLimit::new(limits, now);
+        self.rate = None;
         self.estimate = ServiceEstimate::default();
         self.draining = false;
     }
 
+    /// Sets the requests per second that the upstream takes from all nodes together; `None` if it
+    /// states no limit.
+    pub fn set_rate(&mut self, now: Timestamp, rate: Option<RequestRate>) {
+        match (&mut self.rate, rate) {
+            (Some(limiter), Some(rate)) => limiter.set_rate(now, rate),
+            (limiter, rate) => *limiter = rate.map(|rate| RateLimiter::new(rate, now)),
+        }
+    }
+
     /// Decides on a new call that must be answered by `deadline`.
     pub fn offer(
         &mut self,
@@ -181,9 +191,8 @@
         if self.is_stalled(now) {
             return AdmissionDecision::Refused(CallReason::UpstreamUnreachable);
         }
-        let limit = self.limit.current();
         let ticket = AdmissionTicket(self.next_ticket + 1);
-        if self.running.len() < limit as usize && self.lanes.len() == 0 {
+        if self.lanes.len() == 0 && self.try_start(now) {
             self.next_ticket += 1;
             self.running.insert(ticket, now);
             return AdmissionDecision::Start(ticket);
@@ -195,10 +204,8 @@
             ticket,
             now + self.estimate.service_time(),
         );
-        let wait = self
-            .estimate
-            .queueing_time(self.lanes.ahead_of(&key), limit);
-        if now + wait + self.estimate.service_time() > deadline {
+        let start = self.start_time(now, self.lanes.ahead_of(&key));
+        if start + self.estimate.service_time() > deadline {
             return AdmissionDecision::Refused(CallReason::Overloaded);
         }
         let evicted = match self.find_place(&key) {
@@ -211,6 +218,38 @@
         AdmissionDecision::Queued { ticket, evicted }
     }
 
+    /// Whether a call may start now. If so, its share of the upstream's rate has been taken.
+    fn try_start(&mut self, now: Timestamp) -> bool {
+        let has_slot = self.running.len() < self.limit.current() as usize;
+        has_slot && self.rate.as_mut().is_none_or(|rate| rate.try_take(now))
+    }
+
+    /// Returns the expected start of a call that has `ahead` queued calls before it.
+    fn start_time(&self, now: Timestamp, ahead: usize) -> Timestamp {
+        let start = now + self.estimate.queueing_time(ahead, self.limit.current());
+        let rate = self.rate.as_ref();
+        rate.map_or(start, |rate| start.max(rate.start_time(now, ahead)))
+    }
+
+    /// Returns the number of calls that the upstream runs at the same time: the limit of the
+    /// running calls, or fewer if its rate keeps fewer of them running.
+    fn capacity(&self) -> u32 {
+        let limit = self.limit.current();
+        let rate = self.rate.as_ref();
+        rate.map_or(limit, |rate| {
+            limit.min(rate.concurrency(self.estimate.service_time()))
+        })
+    }
+
+    /// Returns the maximum number of queued calls.
+    fn max_queued(&self) -> usize {
+        let slots = match self.rate {
+            Some(_) => self.capacity(),
+            None => self.slots,
+        };
+        (slots * QUEUE_PLACES_PER_SLOT) as usize
+    }
+
     /// Finds a place in the queue.
     ///
     /// Interactive and internal calls may fill all places except those reserved for deferred calls.
@@ -219,13 +258,14 @@
     /// last deferred call if that one would run later.
     fn find_place(&self, key: &QueueKey) -> QueuePlace {
         let deferred = key.lane == PriorityLane::Deferred;
-        let non_deferred_full =
-            self.lanes.non_deferred_len() >= self.max_queued - self.deferred_places;
+        let max_queued = self.max_queued();
+        let deferred_places = (max_queued / DEFERRED_PLACE_DIVISOR).max(1);
+        let non_deferred_full = self.lanes.non_deferred_len() >= max_queued - deferred_places;
         let victim = if !deferred && non_deferred_full {
             self.lanes
                 .last_non_deferred()
                 .filter(|last| last.precedence() > key.precedence())
-        } else if self.lanes.len() < self.max_queued {
+        } else if self.lanes.len() < max_queued {
             return QueuePlace::Free;
         } else {
             self.lanes.last_deferred().filter(|last| last > key)
@@ -276,9 +316,15 @@
         {
             return QueueStep::Refuse(waiting.ticket, CallReason::UpstreamUnreachable);
         }
+        if self.rate.is_some()
+            && self.lanes.len() > self.max_queued()
+            && let Some(last) = self.lanes.pop_last_queued()
+        {
+            // The limit was lowered while the call waited.
+            return QueueStep::Refuse(last.ticket, CallReason::Overloaded);
+        }
         self.limit.advance(now);
-        let limit = self.limit.current();
-        if self.running.len() >= limit as usize {
+        if self.lanes.len() == 0 || !self.try_start(now) {
             return QueueStep::Idle;
         }
         self.lanes.demote_late(now + self.estimate.service_time());
@@ -303,7 +349,9 @@
         let stall = self.stalls_at().unwrap_or(expiry);
         let expiry = expiry.min(stall.max(now));
         let raise = self.limit.next_raise().unwrap_or(expiry);
-        Some(expiry.min(raise))
+        let start = self.rate.as_ref().map(|rate| rate.start_time(now, 0));
+        let start = start.filter(|_| self.running.len() < self.limit.current() as usize);
+        Some(expiry.min(raise).min(start.unwrap_or(expiry)))
     }
 
     /// Refuses new calls from now on. Queued and running calls finish.
@@ -318,7 +366,7 @@
 
     /// Returns the load report that is attached to answers and refusals.
     pub fn load(&self) -> LoadReport {
-        let slots = self.limit.current();
+        let slots = self.capacity();
         let (running, queued) = (self.running.len() as u32, self.lanes.len() as u32);
         let service = self.estimate.service_time().as_micros();
         LoadReport {
--- a/crates/kumquatlock/src/call/destination/notice.rs
+++ b/crates/kumquatlock/src/call/destination/notice.rs
@@ -2,7 +2,7 @@
 //! that it takes, and that it is leaving.
 
 use super::DestinationCalls;
-use super::run::{CallRun, ResponseVerdict};
+use super::run::{ResponseVerdict, SentRequest};
 use crate::core::{RequestRate, Timestamp};
 use crate::http::HttpResponse;
 
@@ -23,20 +23,25 @@
     pub(super) fn observe_notice(
         &mut self,
         now: Timestamp,
-        run: &CallRun,
-        verdict: &ResponseVerdict,
+        sent: SentRequest,
+        verdict: ResponseVerdict,
         response: &HttpResponse,
     ) {
-        if *verdict == ResponseVerdict::Unsigned || run.upstream_run != self.upstream_run {
+        if verdict == ResponseVerdict::Unsigned || sent.upstream_run != self.upstream_run {
             return;
         }
         let mut notice = self.notice.unwrap_or_default();
-        let may_end = *verdict == ResponseVerdict::Answered && run.sent_at > notice.limited_at;
+        let may_end = verdict == ResponseVerdict::Answered && sent.at > notice.limited_at;
         self.read_rate_limit(now, may_end, response, &mut notice);
         let leaving = self.names.leaving;
         notice.is_leaving |= leaving.is_some_and(|name| response.header(name).is_some());
         let previous = self.notice.replace(notice).unwrap_or_default();
         self.log_notice(&previous, &notice);
+        if notice.rate_limit != previous.rate_limit
+            && let Some(admission) = &mut self.admission
+        {
+            admission.set_rate(now, notice.rate_limit);
+        }
     }
 
     /// Takes over a stated limit. It ends with an answer that states none, if the answer may end it:
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -27,15 +27,21 @@
     pub(super) deadline: Timestamp,
     pub(super) ticket: AdmissionTicket,
     pub(super) arrived_at: Timestamp,
-    /// When the request was sent to the upstream; meaningful only in the phase `Running`.
-    pub(super) sent_at: Timestamp,
-    /// Run of the upstream that it was sent to.
-    pub(super) upstream_run: u64,
+    /// Present once the request was sent to the upstream.
+    pub(super) sent: Option<SentRequest>,
     /// Present if the call is traced.
     pub(super) span: Option<HopSpan>,
     pub(super) phase: RunPhase,
 }
 
+/// A request at the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct SentRequest {
+    pub(super) at: Timestamp,
+    /// Run of the upstream that it was sent to.
+    pub(super) upstream_run: u64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RunPhase {
     /// Waits for a slot of the upstream.
@@ -69,8 +75,7 @@
             deadline,
             ticket,
             arrived_at: now,
-            sent_at: now,
-            upstream_run: 0,
+            sent: None,
             span,
             phase,
         }
@@ -226,8 +231,10 @@
             return;
         }
         run.phase = RunPhase::Running;
-        run.sent_at = now;
-        run.upstream_run = self.upstream_run;
+        run.sent = Some(SentRequest {
+            at: now,
+            upstream_run: self.upstream_run,
+        });
         steps.push(DestinationStep::Run {
             run: id,
             address: endpoint.address,
@@ -291,12 +298,13 @@
             Ok((ResponseVerdict::Answered, _)) => ServiceOutcome::Answered,
             Ok(_) | Err(_) => ServiceOutcome::Ended,
         };
+        let sent = self.runs.get(&id).and_then(|run| run.sent);
+        if let (Some(sent), Ok((verdict, response))) = (sent, &verdict) {
+            self.observe_notice(now, sent, *verdict, response);
+        }
         let Some(run) = self.remove_run(now, id, service, steps) else {
             return;
         };
-        if let Ok((verdict, response)) = &verdict {
-            self.observe_notice(now, &run, verdict, response);
-        }
         match verdict {
             Ok((ResponseVerdict::Answered, response)) => {
                 self.end_answered(now, id, &run, response, steps);
--- a/crates/kumquatlock/src/call/tests/rate_limit.rs
+++ b/crates/kumquatlock/src/call/tests/rate_limit.rs
@@ -11,7 +11,7 @@
     CallSource, DestinationCalls, DestinationStep, RATE_LIMIT_HEADER, RunId, UpstreamEndpoint,
 };
 use crate::claim::ClaimSettings;
-use crate::core::{IncarnationId, Timestamp};
+use crate::core::{IncarnationId, RequestRate, Timestamp};
 use crate::http::HttpResponse;
 use crate::transport::LinkId;
 
@@ -169,3 +169,83 @@
         );
     }
 }
+
+/// A limit must not outlast the upstream's need, or callers are refused for nothing.
+#[test]
+fn a_limit_ends_with_the_first_later_answer_without_one() {
+    let mut upstream = LimitedUpstream::new(Some("5"));
+    upstream.advance(Duration::from_secs(5), Duration::from_millis(20));
+    upstream.stated_limit = None;
+    upstream.advance(Duration::from_secs(1), Duration::from_millis(20));
+    let before = upstream.starts.len();
+    upstream.advance(Duration::from_secs(1), Duration::from_millis(20));
+    let starts = upstream.starts.len() - before;
+    assert!(starts >= 50, "{starts} of 50 calls started");
+}
+
+/// An answer that was under way when the limit was stated, and one to a request sent before, must
+/// not end it.
+#[test]
+fn an_answer_to_an_earlier_request_does_not_end_a_limit() {
+    let mut upstream = LimitedUpstream::new(None);
+    for _ in 0..2 {
+        upstream.send_call();
+    }
+    let (limited, late) = (RunId(1), RunId(2));
+    upstream.stated_limit = Some("5");
+    let steps = upstream
+        .calls
+        .on_result(upstream.now, limited, Ok(upstream.answer()));
+    upstream.apply(steps);
+    upstream.stated_limit = None;
+    let steps = upstream
+        .calls
+        .on_result(upstream.now, late, Ok(upstream.answer()));
+    upstream.apply(steps);
+    assert_eq!(upstream.calls.rate_limit(), RequestRate::parse("5"));
+}
+
+/// A limit must not pass to the next run of the upstream, even under the same identifier.
+#[test]
+fn a_restarted_upstream_starts_without_a_limit() {
+    let mut upstream = LimitedUpstream::new(Some("5"));
+    upstream.advance(Duration::from_secs(2), Duration::from_millis(20));
+    assert!(upstream.calls.rate_limit().is_some());
+    let next_run = UpstreamEndpoint {
+        run_started_ms: 2,
+        ..endpoint()
+    };
+    upstream.calls.on_announce(upstream.now, next_run);
+    upstream.stated_limit = None;
+    let before = upstream.starts.len();
+    upstream.advance(Duration::from_millis(200), Duration::from_millis(20));
+    assert!(upstream.starts.len() - before >= 10);
+}
+
+/// Values that are no rate must be ignored, and none may stop the node.
+#[test]
+fn a_limit_that_cannot_be_read_changes_nothing() {
+    let mut upstream = LimitedUpstream::new(Some("5"));
+    upstream.advance(Duration::from_secs(1), Duration::from_millis(20));
+    for value in ["", "-1", "NaN", "inf", "many", "1e999"] {
+        upstream.stated_limit = Some(value);
+        upstream.advance(Duration::from_secs(1), Duration::from_millis(20));
+        assert_eq!(
+            upstream.calls.rate_limit(),
+            RequestRate::parse("5"),
+            "{value}"
+        );
+    }
+    upstream.stated_limit = Some("1e300");
+    upstream.advance(Duration::from_secs(1), Duration::from_millis(20));
+    assert_eq!(upstream.calls.rate_limit(), RequestRate::parse("1000000"));
+}
+
+/// Calls beyond the limit must be told at once that they do not run, not at their deadline.
+#[test]
+fn calls_beyond_the_limit_are_refused_at_once() {
+    let mut upstream = LimitedUpstream::new(Some("10"));
+    upstream.advance(Duration::from_secs(4), Duration::from_millis(10));
+    let waiting = upstream.calls.in_progress();
+    assert!(waiting <= 4, "{waiting} calls wait for a rate of 10/s");
+}
