Tell a node that has started again the limit of its upstream

Cause: the limit that an upstream states was known only to the node beside it.

Change: answers carry the limit and the run that stated it to the entry nodes, which repeat it with their next calls; a node that has heard nothing from that run takes it over. Nothing is sent while no upstream states a limit.

Ruled out: starting every restarted node slowly.

a_restarted_node_learns_the_limit_from_its_callers failed before the change.

--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -26,6 +26,21 @@
     pub attempt: u32,
 }
 
+/// What one run of an upstream has stated about itself in its answers. Entry nodes repeat it to the
+/// node beside the upstream, which may have started again since.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct UpstreamNotice {
+    /// Identifier of the run, as the upstream announced it.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Start of the run in milliseconds since 1970; zero if it announced none.
+    #[prost(uint64, tag = "2")]
+    pub run_started_ms: u64,
+    /// Requests that the upstream takes in 1,000 s. Absent if it states no limit.
+    #[prost(uint32, optional, tag = "3")]
+    pub rate_limit_millis: Option<u32>,
+}
+
 /// Asks the destination node to run a request on its upstream.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CallRequest {
@@ -80,6 +95,9 @@
     /// Whether an upstream made the call while it was running another call.
     #[prost(bool, tag = "19")]
     pub inner: bool,
+    /// What the upstream stated in the last answer that the entry node got from it.
+    #[prost(message, optional, tag = "20")]
+    pub notice: Option<UpstreamNotice>,
 }
 
 /// Outcome of one attempt.
@@ -171,6 +189,9 @@
     /// The attempt that holds the claim. Set with `ClaimedElsewhere`.
     #[prost(message, optional, tag = "10")]
     pub owner: Option<crate::claim::ClaimOwner>,
+    /// What the upstream states about itself, if it states anything.
+    #[prost(message, optional, tag = "11")]
+    pub notice: Option<UpstreamNotice>,
 }
 
 /// Tells the destination node that the entry node no longer waits for the attempt.
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -359,6 +359,9 @@
         frozen: bool,
     ) -> Vec<DestinationStep> {
         let mut steps = Vec::new();
+        if let Some(notice) = &request.notice {
+            self.adopt_notice(now, notice);
+        }
         match self.check_request(now, &request, frozen) {
             Ok(class) => self.admit(now, source, request, class, &mut steps),
             Err(reason) => self.refuse(now, source, &request, reason, &mut steps),
@@ -588,6 +591,7 @@
             outcome: outcome as i32,
             reason: reason as i32,
             load: Some(self.load()),
+            notice: self.notice_message(),
             ..CallResponse::default()
         }
     }
--- a/crates/kumquatlock/src/call/destination/notice.rs
+++ b/crates/kumquatlock/src/call/destination/notice.rs
@@ -1,6 +1,8 @@
 //! What the upstream beside this node states about itself in its answers: a limit on the requests
 //! that it takes, and that it is leaving.
 
+use kumquatlock_wire::call::UpstreamNotice as NoticeMessage;
+
 use super::DestinationCalls;
 use super::run::{ResponseVerdict, SentRequest};
 use crate::core::{RequestRate, Timestamp};
@@ -35,6 +37,41 @@
         self.read_rate_limit(now, may_end, response, &mut notice);
         let leaving = self.names.leaving;
         notice.is_leaving |= leaving.is_some_and(|name| response.header(name).is_some());
+        self.set_notice(now, notice);
+    }
+
+    /// Takes over what an entry node repeats, if this node has not heard from that run of the
+    /// upstream yet.
+    pub(super) fn adopt_notice(&mut self, now: Timestamp, message: &NoticeMessage) {
+        let is_same_run = self.endpoint.as_ref().is_some_and(|endpoint| {
+            *endpoint.instance == *message.instance
+                && endpoint.run_started_ms == message.run_started_ms
+        });
+        if self.notice.is_some() || !is_same_run {
+            return;
+        }
+        let notice = UpstreamNotice {
+            rate_limit: message.rate_limit_millis.map(RequestRate::from_millis),
+            limited_at: now,
+            is_leaving: false,
+        };
+        self.set_notice(now, notice);
+    }
+
+    /// Returns what entry nodes repeat to this node after a restart; `None` if the upstream states
+    /// nothing, or if a later run could not be told apart from this one.
+    pub(super) fn notice_message(&self) -> Option<NoticeMessage> {
+        let rate_limit = self.notice?.rate_limit?;
+        let endpoint = self.endpoint.as_ref();
+        let endpoint = endpoint.filter(|endpoint| !endpoint.instance.is_empty())?;
+        Some(NoticeMessage {
+            instance: endpoint.instance.to_string(),
+            run_started_ms: endpoint.run_started_ms,
+            rate_limit_millis: Some(rate_limit.millis()),
+        })
+    }
+
+    fn set_notice(&mut self, now: Timestamp, notice: UpstreamNotice) {
         let previous = self.notice.replace(notice).unwrap_or_default();
         self.log_notice(&previous, &notice);
         if notice.rate_limit != previous.rate_limit
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -11,7 +11,7 @@
 use super::state::{CallPhase, EntryCall, SentAttempt};
 use super::{CallId, EntryCalls, EntryStep, budget_of, micros, ticket_of};
 use crate::call::answer::{CallerAnswer, RejectReason};
-use crate::core::{RequestClass, Timestamp};
+use crate::core::{RequestClass, SharedName, Timestamp};
 use crate::retry::{AttemptFailure, HedgeDecision, RetryDecision, reached_upstream};
 use crate::routing::{ChosenUpstream, NoChoiceReason, UpstreamChoice, UpstreamOutcome};
 
@@ -97,6 +97,7 @@
         call.load_age = chosen.load_age.unwrap_or_default();
         let mut request = build_request(call, &chosen, now, version);
         request.origin = self.settings.origin.to_string();
+        request.notice = self.notices.get(&chosen.entry.name).cloned();
         call.outstanding.push(SentAttempt {
             number,
             chosen,
@@ -248,6 +249,7 @@
         let sent = call.and_then(|call| call.take_attempt(response.id.attempt));
         let Some(sent) = sent else { return };
         let outcome = classify_response(&response);
+        self.record_notice(&sent.chosen.entry.name, &response);
         self.record_outcome(now, id, sent, &outcome, response.load);
         match outcome {
             AttemptResult::Answer => {
@@ -294,6 +296,20 @@
         }
     }
 
+    /// Keeps what an upstream states about itself, to repeat it with further calls. It ends with an
+    /// answer that states nothing; a refusal may come from a node that has heard nothing yet.
+    fn record_notice(&mut self, upstream: &SharedName, response: &CallResponse) {
+        match &response.notice {
+            Some(notice) => {
+                self.notices.insert(upstream.clone(), notice.clone());
+            }
+            None if response.outcome == CallOutcome::Answered as i32 => {
+                self.notices.swap_remove(upstream);
+            }
+            None => {}
+        }
+    }
+
     /// Records that an attempt is proved not to have run.
     pub(super) fn record_refused(&mut self, id: CallId, number: u32) {
         if let Some(call) = self.calls.get_mut(&id) {
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -12,7 +12,7 @@
 
 use indexmap::IndexMap;
 use kumquatlock_wire::Body;
-use kumquatlock_wire::call::{AttemptId, CallReason, CallResponse};
+use kumquatlock_wire::call::{AttemptId, CallReason, CallResponse, UpstreamNotice};
 use kumquatlock_wire::claim::ClaimReply;
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -126,6 +126,8 @@
     pacings: IndexMap<SharedName, ReturnPacing>,
     /// Hedge policy of each service that was called.
     hedge_policies: IndexMap<SharedName, HedgePolicy>,
+    /// Latest notice of each upstream that states one, by upstream; only upstreams of the snapshot.
+    notices: IndexMap<SharedName, UpstreamNotice>,
     calls: IndexMap<CallId, EntryCall>,
     /// Number of deferred calls in `calls`, at most `max_deferred_calls` of the settings.
     deferred_calls: usize,
@@ -163,6 +165,7 @@
             split_chooser: SplitChooser::default(),
             pacings: IndexMap::new(),
             hedge_policies: IndexMap::new(),
+            notices: IndexMap::new(),
             calls: IndexMap::new(),
             deferred_calls: 0,
             timers: BTreeSet::new(),
@@ -270,6 +273,8 @@
             .retain(|name, _| snapshot.services.contains_key(name));
         self.pacings
             .retain(|name, _| snapshot.services.contains_key(name));
+        self.notices
+            .retain(|name, _| snapshot.upstreams.contains_key(name));
         self.divide_budgets(snapshot.upstreams.len());
         self.placement.update(snapshot.clone());
         self.snapshot = Some(snapshot);
--- a/crates/kumquatlock/src/call/tests/rate_limit.rs
+++ b/crates/kumquatlock/src/call/tests/rate_limit.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use kumquatlock_wire::call::{AttemptId, CallRequest};
+use kumquatlock_wire::Body;
+use kumquatlock_wire::call::{AttemptId, CallOutcome, CallRequest, CallResponse, UpstreamNotice};
 use kumquatlock_wire::distribution::WireClass;
 
+use super::simulation::{CallSimulation, ENTRY, QueuedMessage};
 use crate::admission::AdmissionLimits;
 use crate::call::{
     CallSource, DestinationCalls, DestinationStep, RATE_LIMIT_HEADER, RunId, UpstreamEndpoint,
@@ -30,6 +32,9 @@
     running: BTreeSet<(Timestamp, RunId)>,
     /// Start of each request at the upstream.
     starts: Vec<Timestamp>,
+    responses: Vec<CallResponse>,
+    /// Notice that the entry nodes repeat with their calls.
+    repeated_notice: Option<UpstreamNotice>,
     calls_sent: u64,
 }
 
@@ -42,13 +47,18 @@
             stated_limit,
             running: BTreeSet::new(),
             starts: Vec::new(),
+            responses: Vec::new(),
+            repeated_notice: None,
             calls_sent: 0,
         }
     }
 
     fn send_call(&mut self) {
         self.calls_sent += 1;
-        let request = call_request(self.calls_sent);
+        let request = CallRequest {
+            notice: self.repeated_notice.clone(),
+            ..call_request(self.calls_sent)
+        };
         let source = CallSource::Link(LinkId(0));
         let steps = self.calls.on_call(self.now, source, request, false);
         self.apply(steps);
@@ -90,13 +100,24 @@
 
     fn apply(&mut self, steps: Vec<DestinationStep>) {
         for step in steps {
-            if let DestinationStep::Run { run, .. } = step {
-                self.starts.push(self.now);
-                self.running.insert((self.now + SERVICE_TIME, run));
+            match step {
+                DestinationStep::Run { run, .. } => {
+                    self.starts.push(self.now);
+                    self.running.insert((self.now + SERVICE_TIME, run));
+                }
+                DestinationStep::Respond { response, .. } => self.responses.push(response),
+                _ => {}
             }
         }
     }
 
+    /// Starts the node again beside the running upstream.
+    fn restart_node(&mut self) {
+        self.calls = new_destination(self.now);
+        self.running.clear();
+        self.starts.clear();
+    }
+
     /// Returns the largest number of requests that the upstream got within a window that begins at
     /// `from` or later.
     fn most_starts(&self, from: Timestamp) -> usize {
@@ -249,3 +270,93 @@
     let waiting = upstream.calls.in_progress();
     assert!(waiting <= 4, "{waiting} calls wait for a rate of 10/s");
 }
+
+/// A node that has started again must keep to the limit from its first call on, because its callers
+/// still know it.
+#[test]
+fn a_restarted_node_learns_the_limit_from_its_callers() {
+    let mut upstream = LimitedUpstream::new(Some("1"));
+    upstream.advance(Duration::from_secs(5), Duration::from_millis(10));
+    upstream.repeated_notice = upstream
+        .responses
+        .last()
+        .and_then(|last| last.notice.clone());
+    upstream.restart_node();
+    upstream.advance(WINDOW, Duration::from_millis(2));
+    // One and a half times the limit, and 5 requests.
+    let most = upstream.most_starts(Timestamp::default());
+    assert!(
+        (1..=11).contains(&most),
+        "{most} requests in 4 s with a limit of 1/s"
+    );
+}
+
+/// A limit that an earlier run of the upstream stated must not bind the next one.
+#[test]
+fn a_repeated_limit_of_an_earlier_run_is_ignored() {
+    let mut upstream = LimitedUpstream::new(None);
+    upstream.repeated_notice = Some(UpstreamNotice {
+        instance: "run-0".to_owned(),
+        run_started_ms: 0,
+        rate_limit_millis: Some(1_000),
+    });
+    upstream.advance(Duration::from_secs(1), Duration::from_millis(10));
+    assert!(upstream.starts.len() >= 100);
+}
+
+/// An entry node must repeat what an upstream states, to that upstream only, and until it states
+/// nothing any more.
+#[test]
+fn an_entry_node_repeats_the_notice_of_an_upstream() {
+    let notice = UpstreamNotice {
+        instance: "run-1".to_owned(),
+        run_started_ms: 1,
+        rate_limit_millis: Some(1_000),
+    };
+    let mut simulation = CallSimulation::new(WireClass::Lookup);
+    let limited = answer_next_call(&mut simulation, Some(notice.clone()));
+    let mut repeated = 0;
+    while repeated == 0 {
+        simulation.open(None);
+        let message = simulation.queue.pop_front().unwrap();
+        let is_limited = message.to == limited;
+        let Body::Call(request) = message.body else {
+            continue;
+        };
+        assert_eq!(request.notice.is_some(), is_limited);
+        repeated += usize::from(is_limited);
+    }
+    while answer_next_call(&mut simulation, None) != limited {}
+    simulation.queue.clear();
+    for _ in 0..20 {
+        simulation.open(None);
+    }
+    let is_without = |message: &QueuedMessage| match &message.body {
+        Body::Call(request) => request.notice.is_none(),
+        _ => true,
+    };
+    assert!(simulation.queue.iter().all(is_without));
+}
+
+/// Opens a call and answers it in place of its upstream, whose name is returned.
+fn answer_next_call(simulation: &mut CallSimulation, notice: Option<UpstreamNotice>) -> String {
+    simulation.open(None);
+    let message = simulation.queue.pop_back().unwrap();
+    let Body::Call(request) = message.body else {
+        panic!("no call was sent");
+    };
+    let response = CallResponse {
+        id: request.id,
+        incarnation: request.incarnation,
+        outcome: CallOutcome::Answered as i32,
+        status: 200,
+        notice,
+        ..CallResponse::default()
+    };
+    simulation.deliver(QueuedMessage {
+        from: message.to.clone(),
+        to: ENTRY.to_owned(),
+        body: Body::Response(response),
+    });
+    message.to
+}
