Send no more calls to an upstream whose answers state that it leaves

Cause: an upstream that leaves says so in its answers, possibly before its announcement arrives or instead of it; nothing read that. The same class of fault as the rate limit: what an upstream states in its answers was not acted upon.

Change: the node beside it drains it at once and reports it as draining. Announcements of the same run that say it serves do not revive it; a later run starts afresh. Entry nodes repeat the notice to a node that has started again.

an_upstream_that_states_that_it_leaves_gets_no_more_calls failed before.

--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -39,6 +39,9 @@
     /// Requests that the upstream takes in 1,000 s. Absent if it states no limit.
     #[prost(uint32, optional, tag = "3")]
     pub rate_limit_millis: Option<u32>,
+    /// Whether it is leaving.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
 }
 
 /// Asks the destination node to run a request on its upstream.
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -118,6 +118,8 @@
         /// Identifier of the attempt; `None` if it is cancelled by closing its connection.
         attempt: Option<String>,
     },
+    /// Report that the upstream is draining: its answers state that it is leaving.
+    Leaving,
     /// Record the end of a run in its trace.
     Ended {
         /// Span of the run.
@@ -268,6 +270,10 @@
         }
         let limits = endpoint.limits;
         self.endpoint = Some(endpoint);
+        if self.is_upstream_leaving() {
+            // Announcements that were made before may still arrive.
+            return;
+        }
         let needs_reopen = self.admission.is_none() || self.draining || is_other_run;
         match &mut self.admission {
             None => {
@@ -360,7 +366,7 @@
     ) -> Vec<DestinationStep> {
         let mut steps = Vec::new();
         if let Some(notice) = &request.notice {
-            self.adopt_notice(now, notice);
+            self.adopt_notice(now, notice, &mut steps);
         }
         match self.check_request(now, &request, frozen) {
             Ok(class) => self.admit(now, source, request, class, &mut steps),
--- a/crates/kumquatlock/src/call/destination/notice.rs
+++ b/crates/kumquatlock/src/call/destination/notice.rs
@@ -3,8 +3,8 @@
 
 use kumquatlock_wire::call::UpstreamNotice as NoticeMessage;
 
-use super::DestinationCalls;
 use super::run::{ResponseVerdict, SentRequest};
+use super::{DestinationCalls, DestinationStep};
 use crate::core::{RequestRate, Timestamp};
 use crate::http::HttpResponse;
 
@@ -28,6 +28,7 @@
         sent: SentRequest,
         verdict: ResponseVerdict,
         response: &HttpResponse,
+        steps: &mut Vec<DestinationStep>,
     ) {
         if verdict == ResponseVerdict::Unsigned || sent.upstream_run != self.upstream_run {
             return;
@@ -37,12 +38,17 @@
         self.read_rate_limit(now, may_end, response, &mut notice);
         let leaving = self.names.leaving;
         notice.is_leaving |= leaving.is_some_and(|name| response.header(name).is_some());
-        self.set_notice(now, notice);
+        self.set_notice(now, notice, steps);
     }
 
     /// Takes over what an entry node repeats, if this node has not heard from that run of the
     /// upstream yet.
-    pub(super) fn adopt_notice(&mut self, now: Timestamp, message: &NoticeMessage) {
+    pub(super) fn adopt_notice(
+        &mut self,
+        now: Timestamp,
+        message: &NoticeMessage,
+        steps: &mut Vec<DestinationStep>,
+    ) {
         let is_same_run = self.endpoint.as_ref().is_some_and(|endpoint| {
             *endpoint.instance == *message.instance
                 && endpoint.run_started_ms == message.run_started_ms
@@ -53,25 +59,39 @@
         let notice = UpstreamNotice {
             rate_limit: message.rate_limit_millis.map(RequestRate::from_millis),
             limited_at: now,
-            is_leaving: false,
+            is_leaving: message.leaving,
         };
-        self.set_notice(now, notice);
+        self.set_notice(now, notice, steps);
     }
 
     /// Returns what entry nodes repeat to this node after a restart; `None` if the upstream states
     /// nothing, or if a later run could not be told apart from this one.
     pub(super) fn notice_message(&self) -> Option<NoticeMessage> {
-        let rate_limit = self.notice?.rate_limit?;
+        let notice = self.notice?;
+        if notice.rate_limit.is_none() && !notice.is_leaving {
+            return None;
+        }
         let endpoint = self.endpoint.as_ref();
         let endpoint = endpoint.filter(|endpoint| !endpoint.instance.is_empty())?;
         Some(NoticeMessage {
             instance: endpoint.instance.to_string(),
             run_started_ms: endpoint.run_started_ms,
-            rate_limit_millis: Some(rate_limit.millis()),
+            rate_limit_millis: notice.rate_limit.map(RequestRate::millis),
+            leaving: notice.is_leaving,
         })
     }
 
-    fn set_notice(&mut self, now: Timestamp, notice: UpstreamNotice) {
+    /// Whether the current run of the upstream has stated that it is leaving.
+    pub(super) fn is_upstream_leaving(&self) -> bool {
+        self.notice.is_some_and(|notice| notice.is_leaving)
+    }
+
+    fn set_notice(
+        &mut self,
+        now: Timestamp,
+        notice: UpstreamNotice,
+        steps: &mut Vec<DestinationStep>,
+    ) {
         let previous = self.notice.replace(notice).unwrap_or_default();
         self.log_notice(&previous, &notice);
         if notice.rate_limit != previous.rate_limit
@@ -79,6 +99,10 @@
         {
             admission.set_rate(now, notice.rate_limit);
         }
+        if notice.is_leaving && !previous.is_leaving {
+            self.drain();
+            steps.push(DestinationStep::Leaving);
+        }
     }
 
     /// Takes over a stated limit. It ends with an answer that states none, if the answer may end it:
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -300,7 +300,7 @@
         };
         let sent = self.runs.get(&id).and_then(|run| run.sent);
         if let (Some(sent), Ok((verdict, response))) = (sent, &verdict) {
-            self.observe_notice(now, sent, *verdict, response);
+            self.observe_notice(now, sent, *verdict, response, steps);
         }
         let Some(run) = self.remove_run(now, id, service, steps) else {
             return;
--- a/crates/kumquatlock/src/call/tests/rate_limit.rs
+++ b/crates/kumquatlock/src/call/tests/rate_limit.rs
@@ -4,13 +4,16 @@
 use std::time::Duration;
 
 use kumquatlock_wire::Body;
-use kumquatlock_wire::call::{AttemptId, CallOutcome, CallRequest, CallResponse, UpstreamNotice};
+use kumquatlock_wire::call::{
+    AttemptId, CallOutcome, CallReason, CallRequest, CallResponse, UpstreamNotice,
+};
 use kumquatlock_wire::distribution::WireClass;
 
 use super::simulation::{CallSimulation, ENTRY, QueuedMessage};
 use crate::admission::AdmissionLimits;
 use crate::call::{
-    CallSource, DestinationCalls, DestinationStep, RATE_LIMIT_HEADER, RunId, UpstreamEndpoint,
+    CallSource, DestinationCalls, DestinationStep, LEAVING_HEADER, RATE_LIMIT_HEADER, RunId,
+    UpstreamEndpoint,
 };
 use crate::claim::ClaimSettings;
 use crate::core::{IncarnationId, RequestRate, Timestamp};
@@ -28,6 +31,8 @@
     now: Timestamp,
     calls: DestinationCalls,
     stated_limit: Option<&'static str>,
+    /// Whether the upstream states that it is leaving.
+    states_leaving: bool,
     /// Requests that the upstream is running, by the time of their answer.
     running: BTreeSet<(Timestamp, RunId)>,
     /// Start of each request at the upstream.
@@ -45,6 +50,7 @@
             now,
             calls: new_destination(now),
             stated_limit,
+            states_leaving: false,
             running: BTreeSet::new(),
             starts: Vec::new(),
             responses: Vec::new(),
@@ -91,9 +97,11 @@
     fn answer(&self) -> HttpResponse {
         let stated = self.stated_limit;
         let stated = stated.map(|value| (RATE_LIMIT_HEADER.to_owned(), value.to_owned()));
+        let leaving = self.states_leaving;
+        let leaving = leaving.then(|| (LEAVING_HEADER.to_owned(), "1".to_owned()));
         HttpResponse {
             status: 200,
-            headers: stated.into_iter().collect(),
+            headers: stated.into_iter().chain(leaving).collect(),
             ..HttpResponse::default()
         }
     }
@@ -299,6 +307,7 @@
         instance: "run-0".to_owned(),
         run_started_ms: 0,
         rate_limit_millis: Some(1_000),
+        leaving: false,
     });
     upstream.advance(Duration::from_secs(1), Duration::from_millis(10));
     assert!(upstream.starts.len() >= 100);
@@ -312,6 +321,7 @@
         instance: "run-1".to_owned(),
         run_started_ms: 1,
         rate_limit_millis: Some(1_000),
+        leaving: false,
     };
     let mut simulation = CallSimulation::new(WireClass::Lookup);
     let limited = answer_next_call(&mut simulation, Some(notice.clone()));
@@ -360,3 +370,26 @@
     });
     message.to
 }
+
+/// An upstream that states that it is leaving must get no further call, although its announcements
+/// still say that it serves, and also after its node has started again.
+#[test]
+fn an_upstream_that_states_that_it_leaves_gets_no_more_calls() {
+    let mut upstream = LimitedUpstream::new(None);
+    upstream.advance(Duration::from_secs(1), Duration::from_millis(10));
+    upstream.states_leaving = true;
+    upstream.advance(Duration::from_secs(1), Duration::from_millis(10));
+    upstream.repeated_notice = upstream
+        .responses
+        .last()
+        .and_then(|last| last.notice.clone());
+    for _ in 0..2 {
+        upstream.starts.clear();
+        upstream.calls.on_announce(upstream.now, endpoint());
+        upstream.advance(Duration::from_secs(1), Duration::from_millis(10));
+        assert_eq!(upstream.starts, []);
+        let last = upstream.responses.last().unwrap();
+        assert_eq!(last.reason, CallReason::Draining as i32);
+        upstream.restart_node();
+    }
+}
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -282,7 +282,7 @@
                     self.run(name, run);
                 }
                 DestinationStep::Cancel { .. } => self.cancels += 1,
-                DestinationStep::Ended { .. } => {}
+                DestinationStep::Leaving | DestinationStep::Ended { .. } => {}
             }
         }
     }
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -137,6 +137,10 @@
                 };
                 self.exchanges.start(now, job);
             }
+            DestinationStep::Leaving => {
+                let steps = self.announcer.handle(now, AnnouncerEvent::Drain);
+                self.queue_announcer(steps);
+            }
             DestinationStep::Ended {
                 span,
                 arrived_at,
