Log the crash of an upstream with the requests that it was running

Cause of the change: a crash, a reset and a full upstream read alike in the logs, so the hypotheses of the deadly request could not be told apart. A refused connection is now a failure of its own. A node whose upstream is gone after runs broke logs upstream_crashed with their fingerprints; call_ended, call_refused and run_ended carry the fingerprint too, and a counter counts the crashes. No decision depends on it yet.

--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -101,6 +101,10 @@
     /// What the upstream stated in the last answer that the entry node got from it.
     #[prost(message, optional, tag = "20")]
     pub notice: Option<UpstreamNotice>,
+    /// Identifies requests that an upstream can't tell apart; zero if the sender, of an earlier
+    /// release, states none.
+    #[prost(fixed64, tag = "21")]
+    pub fingerprint: u64,
 }
 
 /// Outcome of one attempt.
--- a/crates/kumquatlock/src/call/destination/log.rs
+++ b/crates/kumquatlock/src/call/destination/log.rs
@@ -8,6 +8,7 @@
 use super::DestinationCalls;
 use crate::call::answer::reason_label;
 use crate::core::Timestamp;
+use crate::quarantine::RequestFingerprint;
 use crate::util::log_quota::{LogQuota, QuotaStep};
 
 /// Maximum log lines per second for runs that the upstream answered.
@@ -57,6 +58,7 @@
             .find(|field| name.is_some_and(|name| field.name.eq_ignore_ascii_case(name)));
         log::info!(
             request = id.map_or("", |field| field.value.as_str()),
+            fingerprint:% = RequestFingerprint(request.fingerprint),
             entry = request.id.entry.as_str(),
             attempt = request.id.attempt,
             service = request.service.as_str(),
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -1,6 +1,7 @@
 //! Calls at their destination node, the node beside the upstream that runs them.
 
 mod claims;
+mod crash;
 mod log;
 mod notice;
 mod queries;
@@ -30,6 +31,7 @@
     ConfigSnapshot, IncarnationId, RequestClass, RequestRate, SharedName, Timestamp, stable_hash,
 };
 use crate::http::{HttpRequest, HttpResponse, UpstreamFailure};
+use crate::quarantine::CrashDetector;
 use crate::transport::LinkId;
 use crate::util::trace::{HopSpan, SeededIds};
 use log::DestinationLog;
@@ -147,6 +149,9 @@
     upstream_run: u64,
     /// What the upstream's current run states about itself; `None` before its first answer.
     notice: Option<UpstreamNotice>,
+    crash_detector: CrashDetector,
+    /// Number of times that the upstream ended while it was running requests.
+    crashes: u64,
     /// Present once the upstream has announced itself.
     admission: Option<AdmissionQueue>,
     draining: bool,
@@ -189,6 +194,8 @@
             endpoint: None,
             upstream_run: 0,
             notice: None,
+            crash_detector: CrashDetector::default(),
+            crashes: 0,
             admission: None,
             draining: false,
             ends_at: None,
@@ -250,7 +257,7 @@
         // An upstream that names no instance shows only by a new incarnation that it started again.
         let has_instance = |endpoint: &UpstreamEndpoint| !endpoint.instance.is_empty();
         if !self.endpoint.as_ref().is_some_and(has_instance) {
-            self.start_upstream_run();
+            self.start_upstream_run(now);
         }
         steps
     }
@@ -266,7 +273,7 @@
             .as_ref()
             .is_some_and(|current| !current.is_same_run(&endpoint));
         if is_other_run {
-            self.start_upstream_run();
+            self.start_upstream_run(now);
         }
         let limits = endpoint.limits;
         self.endpoint = Some(endpoint);
@@ -293,7 +300,8 @@
     }
 
     /// Forgets what an earlier run of the upstream stated about itself.
-    fn start_upstream_run(&mut self) {
+    fn start_upstream_run(&mut self, now: Timestamp) {
+        self.record_gone(now);
         self.upstream_run += 1;
         self.notice = None;
     }
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -302,6 +302,8 @@
         if let (Some(sent), Ok((verdict, response))) = (sent, &verdict) {
             self.observe_notice(now, sent, *verdict, response, steps);
         }
+        let failure = verdict.as_ref().err().copied();
+        self.watch_for_crash(now, id, failure);
         let Some(run) = self.remove_run(now, id, service, steps) else {
             return;
         };
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -569,6 +569,7 @@
         headers: request.headers.clone(),
         body: request.body.clone(),
         request_digest: request.digest,
+        fingerprint: call.fingerprint.0,
         rank: call.route.rank,
         inner: request.is_nested,
         target_us: call.route.latency_target.map(|target| {
--- a/crates/kumquatlock/src/call/entry/log.rs
+++ b/crates/kumquatlock/src/call/entry/log.rs
@@ -59,6 +59,7 @@
         let waiting = waiting.map_or("", |sent| &*sent.chosen.entry.name);
         log::info!(
             request = call.request.id.as_deref().unwrap_or(""),
+            fingerprint:% = call.fingerprint,
             route = &*call.route.name,
             service = &*call.service,
             rank = call.route.rank,
@@ -92,6 +93,7 @@
         };
         log::info!(
             request = request.id.as_deref().unwrap_or(""),
+            fingerprint:% = self.fingerprint(request),
             host = request.host.as_str(),
             path = request.path(),
             version = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.version.0),
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -21,6 +21,7 @@
 use super::request::CallerRequest;
 use crate::claim::PlacementTable;
 use crate::core::{ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamEntry};
+use crate::quarantine::RequestFingerprint;
 use crate::retry::{BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing};
 use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
@@ -225,7 +226,16 @@
                 if !request.is_nested {
                     budget.record_first_attempt(now);
                 }
-                let call = EntryCall::new(request, span, call.route, service, now, call.deadline);
+                let fingerprint = self.fingerprint(&request);
+                let call = EntryCall::new(
+                    request,
+                    fingerprint,
+                    span,
+                    call.route,
+                    service,
+                    now,
+                    call.deadline,
+                );
                 self.deferred_calls += usize::from(call.is_deferred());
                 self.timers.insert((call.wake_at, id));
                 self.calls.insert(id, call);
@@ -446,6 +456,10 @@
         }
     }
 
+    fn fingerprint(&self, request: &CallerRequest) -> RequestFingerprint {
+        RequestFingerprint::new(&self.settings.origin, &request.host, request.digest)
+    }
+
     /// Decides whether a request becomes a call.
     fn admit(&self, now: Timestamp, request: &CallerRequest) -> Result<AdmittedCall, CallerAnswer> {
         let max_timeout = self.settings.longest_timeout;
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -10,6 +10,7 @@
 use crate::call::request::CallerRequest;
 use crate::claim::ClaimFencer;
 use crate::core::{RequestClass, RouteEntry, SharedName, Timestamp};
+use crate::quarantine::RequestFingerprint;
 use crate::retry::{CallProgress, HedgePolicy};
 use crate::routing::{AttemptTicket, ChosenUpstream, UpstreamToken};
 use crate::util::trace::HopSpan;
@@ -19,6 +20,7 @@
 
 pub(super) struct EntryCall {
     pub(super) request: CallerRequest,
+    pub(super) fingerprint: RequestFingerprint,
     pub(super) span: Option<HopSpan>,
     pub(super) route: Arc<RouteEntry>,
     /// Service that runs the call: the route's service, or the chosen part of a split route.
@@ -97,6 +99,7 @@
 impl EntryCall {
     pub(super) fn new(
         request: CallerRequest,
+        fingerprint: RequestFingerprint,
         span: Option<HopSpan>,
         route: Arc<RouteEntry>,
         service: SharedName,
@@ -105,6 +108,7 @@
     ) -> Self {
         EntryCall {
             request,
+            fingerprint,
             span,
             route,
             service,
--- a/crates/kumquatlock/src/http/exchange.rs
+++ b/crates/kumquatlock/src/http/exchange.rs
@@ -75,6 +75,8 @@
 pub enum UpstreamFailure {
     /// No connection could be made or nothing was sent, so the request did not reach the upstream.
     Unreachable,
+    /// The connection was refused: no process listens at the address.
+    NotListening,
     /// The exchange timed out after the request may have been sent.
     Timeout,
     /// The connection failed, or ended before a response, after the request may have been sent.
@@ -92,7 +94,10 @@
 impl UpstreamFailure {
     /// Whether the failure proves that the upstream did not receive the request.
     pub fn proves_not_run(self) -> bool {
-        self == UpstreamFailure::Unreachable
+        matches!(
+            self,
+            UpstreamFailure::Unreachable | UpstreamFailure::NotListening
+        )
     }
 }
 
@@ -327,7 +332,7 @@
                 log::debug!(error:% = error; "upstream_connect_failed");
                 self.events.push_back(UpstreamResult {
                     tag: exchange.tag,
-                    outcome: Err(UpstreamFailure::Unreachable),
+                    outcome: Err(connect_failure(&error)),
                 });
             }
         }
@@ -380,6 +385,7 @@
         // If no byte was written, the upstream cannot have received the request.
         let outcome = match exchange.is_sent {
             true => failure,
+            false if failure.proves_not_run() => failure,
             false => UpstreamFailure::Unreachable,
         };
         self.events.push_back(UpstreamResult {
@@ -404,7 +410,7 @@
             match self.finish_connect() {
                 Ok(true) => {}
                 Ok(false) => return ExchangeProgress::Pending,
-                Err(_) => return ExchangeProgress::Failed(UpstreamFailure::Unreachable),
+                Err(error) => return ExchangeProgress::Failed(connect_failure(&error)),
             }
         }
         if let Err(failure) = self.write() {
@@ -559,6 +565,13 @@
     }
 }
 
+fn connect_failure(error: &io::Error) -> UpstreamFailure {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => UpstreamFailure::NotListening,
+        _ => UpstreamFailure::Unreachable,
+    }
+}
+
 impl<T> UpstreamExchange<T> {
     /// Whether the response belongs to another request according to its echoed header.
     fn is_mismatched(&self, head: &ResponseHead) -> bool {
--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod manifest;
 pub mod membership;
 pub mod ops;
+pub mod quarantine;
 pub mod retry;
 pub mod routing;
 pub mod transport;
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -193,6 +193,12 @@
             &[],
             limit.map_or(0, |rate| rate.millis().into()),
         );
+        page.add_counter(
+            "upstream_crashes",
+            "Number of times that the upstream ended while it was running requests",
+            &[],
+            self.destination.crashes(),
+        );
         page.add_gauge(
             "claims_kept",
             "Keys for which this node holds claims",
