Test that a request that ends upstreams is stopped after a few

The test starts a mesh of four nodes whose upstreams close everything when they run one certain request, and come back 0.3 s later. The request comes again every 0.1 s at another node, beside callers with harmless requests.

--- a/crates/kumquatlock-node/tests/node/main.rs
+++ b/crates/kumquatlock-node/tests/node/main.rs
@@ -14,6 +14,7 @@
 //! - P8: planned stops and changes interrupt no call.
 
 mod booking;
+mod deadly;
 mod drain;
 mod freeze;
 mod herd;
