Quarantine requests that end upstreams

What callers saw: 60% of the lookups of a service were not served, because one request ended upstream after upstream, 38 in 20 s, and each took up to 12 calls with it.

Cause: nobody put the crashes together.

Change: the node beside an upstream reports what was running at a crash; the leader attributes crashes to requests and quarantines one that explains three, if it came from two entry nodes or in four calls and no other request was running at all of them; the quarantine is an entry of the log and part of the configuration. Entry nodes refuse such a request at once as not run. A node that has seen it completed objects. Crash reports travel inside a message that earlier releases know: they close the link on unknown messages. The list is not part of the digest, so that earlier releases stay in agreement.

--- a/crates/kumquatlock-wire/src/agreement.rs
+++ b/crates/kumquatlock-wire/src/agreement.rs
@@ -226,7 +226,7 @@
 pub struct Forward {
     #[prost(uint64, tag = "1")]
     pub request_id: u64,
-    #[prost(oneof = "forward::Content", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "forward::Content", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub content: Option<forward::Content>,
 }
 
@@ -254,6 +254,8 @@
         StatusRequest(crate::distribution::StatusRequest),
         #[prost(message, tag = "10")]
         StatusReply(crate::distribution::StatusReply),
+        #[prost(message, tag = "11")]
+        Crash(crate::distribution::CrashReport),
     }
 }
 
--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -151,6 +151,8 @@
     TooLarge = 21,
     /// The upstream says that it did not run the request.
     UpstreamRefused = 22,
+    /// The request has ended several upstreams and is in quarantine.
+    Quarantined = 23,
 }
 
 /// Load of the destination node's upstream, sent with every answer.
--- a/crates/kumquatlock-wire/src/envelope.rs
+++ b/crates/kumquatlock-wire/src/envelope.rs
@@ -49,7 +49,9 @@
         Report(distribution::UpstreamReport),
         #[prost(message, tag = "13")]
         Attachment(distribution::Attachment),
-        /// Carries currency proofs and operator requests between a replica and its parent.
+        /// Carries currency proofs and operator requests between a replica and its parent, and crash
+        /// reports of nodes. Earlier releases ignore a content that they don't know, whereas they
+        /// close the link on a message that they don't know.
         #[prost(message, tag = "14")]
         Forward(agreement::Forward),
         #[prost(message, tag = "16")]
--- a/crates/kumquatlock/src/call/answer.rs
+++ b/crates/kumquatlock/src/call/answer.rs
@@ -160,5 +160,6 @@
         CallReason::TruncatedAnswer => "truncated_answer",
         CallReason::TooLarge => "too_large",
         CallReason::UpstreamRefused => "upstream_refused",
+        CallReason::Quarantined => "quarantined",
     }
 }
--- a/crates/kumquatlock/src/call/destination/crash.rs
+++ b/crates/kumquatlock/src/call/destination/crash.rs
@@ -1,9 +1,14 @@
 //! Crashes of the upstream beside this node, and the requests that it was running.
 
-use super::{DestinationCalls, RunId};
-use crate::core::Timestamp;
+use indexmap::IndexSet;
+use kumquatlock_wire::call::CallReason;
+use kumquatlock_wire::distribution::CrashReport;
+
+use super::run::{CallRun, RunPhase};
+use super::{DestinationCalls, DestinationStep, RunId};
+use crate::core::{RequestFingerprint, Timestamp};
 use crate::http::UpstreamFailure;
-use crate::quarantine::RequestFingerprint;
+use crate::quarantine::{SuspectCall, to_wire};
 
 /// Maximum number of fingerprints in a log line.
 const MAX_LOGGED_FINGERPRINTS: usize = 32;
@@ -21,6 +26,7 @@
         now: Timestamp,
         id: RunId,
         failure: Option<UpstreamFailure>,
+        steps: &mut Vec<DestinationStep>,
     ) {
         let Some(run) = self.runs.get(&id) else {
             return;
@@ -31,37 +37,102 @@
         else {
             return;
         };
-        match failure {
-            None => self.crash_detector.on_answered(sent.at),
-            Some(UpstreamFailure::Broken | UpstreamFailure::Truncated) => {
-                if let Some(fingerprint) = RequestFingerprint::from_wire(run.request.fingerprint) {
-                    self.crash_detector.on_broken(now, fingerprint);
+        let suspect = SuspectCall::of_request(&run.request);
+        match (failure, suspect) {
+            (None, suspect) => {
+                self.crash_detector.on_answered(sent.at);
+                if let Some(suspect) = suspect {
+                    self.completed.insert(suspect.fingerprint);
                 }
             }
-            Some(UpstreamFailure::NotListening) => self.record_gone(now),
-            Some(_) => {}
+            (Some(UpstreamFailure::Broken | UpstreamFailure::Truncated), Some(suspect)) => {
+                self.crash_detector.on_broken(now, suspect);
+            }
+            (Some(UpstreamFailure::NotListening), _) => self.record_gone(now, steps),
+            (Some(_), _) => {}
         }
     }
 
-    /// Records that the process of the upstream has ended.
-    pub(super) fn record_gone(&mut self, now: Timestamp) {
-        let suspects = self.crash_detector.on_gone(now);
+    /// Records that the process of the upstream has ended. Requests that it has completed before are
+    /// not reported: they do not end it.
+    pub(super) fn record_gone(&mut self, now: Timestamp, steps: &mut Vec<DestinationStep>) {
+        let mut suspects = self.crash_detector.on_gone(now);
         if suspects.is_empty() {
             return;
         }
         self.crashes += 1;
+        self.log_crash(&suspects);
+        suspects.retain(|suspect| !self.completed.contains(suspect.fingerprint));
+        steps.push(DestinationStep::ReportCrash(CrashReport {
+            upstream: self.name.to_string(),
+            incarnation: self.incarnation.0,
+            number: self.crashes,
+            suspects: suspects.into_iter().map(SuspectCall::to_wire).collect(),
+            completed: Vec::new(),
+        }));
+    }
+
+    fn log_crash(&self, running: &[SuspectCall]) {
         let instance = self
             .endpoint
             .as_ref()
             .map_or("", |endpoint| &*endpoint.instance);
-        let listed = suspects.iter().take(MAX_LOGGED_FINGERPRINTS);
-        let fingerprints: Vec<String> = listed.map(ToString::to_string).collect();
+        let listed = running.iter().take(MAX_LOGGED_FINGERPRINTS);
+        let fingerprints: Vec<String> = listed
+            .map(|suspect| suspect.fingerprint.to_string())
+            .collect();
         log::warn!(
             instance,
             crashes = self.crashes,
-            running = suspects.len(),
+            running = running.len(),
             fingerprints = fingerprints.join(",");
             "upstream_crashed"
         );
     }
+
+    /// Switches to the quarantine of a newer configuration: refuses the calls that wait for a slot,
+    /// and objects if the upstream has completed one of the requests.
+    pub(super) fn apply_quarantine(
+        &mut self,
+        now: Timestamp,
+        quarantined: &IndexSet<RequestFingerprint>,
+        steps: &mut Vec<DestinationStep>,
+    ) {
+        if self.quarantined == *quarantined {
+            return;
+        }
+        let is_new = |fingerprint: &RequestFingerprint| !self.quarantined.contains(fingerprint);
+        let added = quarantined.iter().copied().filter(is_new);
+        let completed: Vec<_> = added
+            .filter(|fingerprint| self.completed.contains(*fingerprint))
+            .collect();
+        if !completed.is_empty() {
+            steps.push(DestinationStep::ReportCrash(CrashReport {
+                upstream: self.name.to_string(),
+                incarnation: self.incarnation.0,
+                completed: to_wire(&completed),
+                ..CrashReport::default()
+            }));
+        }
+        self.quarantined = quarantined.clone();
+        self.refuse_quarantined(now, steps);
+    }
+
+    fn refuse_quarantined(&mut self, now: Timestamp, steps: &mut Vec<DestinationStep>) {
+        let is_refused = |run: &CallRun| {
+            let fingerprint = RequestFingerprint(run.request.fingerprint);
+            run.phase != RunPhase::Running && self.quarantined.contains(&fingerprint)
+        };
+        let refused = self.runs.iter().filter(|(_, run)| is_refused(run));
+        for id in refused.map(|(id, _)| *id).collect::<Vec<_>>() {
+            // The call may have started in a slot that an earlier refusal in this loop freed.
+            if self
+                .runs
+                .get(&id)
+                .is_some_and(|run| run.phase != RunPhase::Running)
+            {
+                self.refuse_run(now, id, CallReason::Quarantined, steps);
+            }
+        }
+    }
 }
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -12,13 +12,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use kumquatlock_wire::Body;
 use kumquatlock_wire::call::{
     AttemptId, CallOutcome, CallReason, CallRequest, CallResponse, LoadReport,
 };
 use kumquatlock_wire::claim::ClaimReply;
-use kumquatlock_wire::distribution::WireClass;
+use kumquatlock_wire::distribution::{CrashReport, WireClass};
 
 use super::{HeaderNames, MAX_DEPTH};
 use crate::admission::{
@@ -28,10 +28,11 @@
     AttemptAdmission, ClaimAcquirer, ClaimSettings, OutcomeTable, PlacementTable, StoredAnswer,
 };
 use crate::core::{
-    ConfigSnapshot, IncarnationId, RequestClass, RequestRate, SharedName, Timestamp, stable_hash,
+    ConfigSnapshot, IncarnationId, RequestClass, RequestFingerprint, RequestRate, SharedName,
+    Timestamp, stable_hash,
 };
 use crate::http::{HttpRequest, HttpResponse, UpstreamFailure};
-use crate::quarantine::CrashDetector;
+use crate::quarantine::{CompletedRequests, CrashDetector};
 use crate::transport::LinkId;
 use crate::util::trace::{HopSpan, SeededIds};
 use log::DestinationLog;
@@ -122,6 +123,8 @@
     },
     /// Report that the upstream is draining: its answers state that it is leaving.
     Leaving,
+    /// Report a crash of the upstream, or that it has completed a request in quarantine.
+    ReportCrash(CrashReport),
     /// Record the end of a run in its trace.
     Ended {
         /// Span of the run.
@@ -150,6 +153,9 @@
     /// What the upstream's current run states about itself; `None` before its first answer.
     notice: Option<UpstreamNotice>,
     crash_detector: CrashDetector,
+    completed: CompletedRequests,
+    /// Requests that the configuration refuses.
+    quarantined: IndexSet<RequestFingerprint>,
     /// Number of times that the upstream ended while it was running requests.
     crashes: u64,
     /// Present once the upstream has announced itself.
@@ -195,6 +201,8 @@
             upstream_run: 0,
             notice: None,
             crash_detector: CrashDetector::default(),
+            completed: CompletedRequests::default(),
+            quarantined: IndexSet::new(),
             crashes: 0,
             admission: None,
             draining: false,
@@ -257,13 +265,18 @@
         // An upstream that names no instance shows only by a new incarnation that it started again.
         let has_instance = |endpoint: &UpstreamEndpoint| !endpoint.instance.is_empty();
         if !self.endpoint.as_ref().is_some_and(has_instance) {
-            self.start_upstream_run(now);
+            self.start_upstream_run(now, &mut steps);
         }
         steps
     }
 
     /// Handles an announcement of the upstream.
-    pub fn on_announce(&mut self, now: Timestamp, endpoint: UpstreamEndpoint) {
+    pub fn on_announce(
+        &mut self,
+        now: Timestamp,
+        endpoint: UpstreamEndpoint,
+    ) -> Vec<DestinationStep> {
+        let mut steps = Vec::new();
         let changed = self
             .endpoint
             .as_ref()
@@ -273,13 +286,13 @@
             .as_ref()
             .is_some_and(|current| !current.is_same_run(&endpoint));
         if is_other_run {
-            self.start_upstream_run(now);
+            self.start_upstream_run(now, &mut steps);
         }
         let limits = endpoint.limits;
         self.endpoint = Some(endpoint);
         if self.is_upstream_leaving() {
             // Announcements that were made before may still arrive.
-            return;
+            return steps;
         }
         let needs_reopen = self.admission.is_none() || self.draining || is_other_run;
         match &mut self.admission {
@@ -297,11 +310,12 @@
             Some(_) => {}
         }
         self.draining = false;
+        steps
     }
 
     /// Forgets what an earlier run of the upstream stated about itself.
-    fn start_upstream_run(&mut self, now: Timestamp) {
-        self.record_gone(now);
+    fn start_upstream_run(&mut self, now: Timestamp, steps: &mut Vec<DestinationStep>) {
+        self.record_gone(now, steps);
         self.upstream_run += 1;
         self.notice = None;
     }
@@ -357,8 +371,9 @@
         now: Timestamp,
         snapshot: Arc<ConfigSnapshot>,
     ) -> Vec<DestinationStep> {
-        self.placement.update(snapshot);
         let mut steps = Vec::new();
+        self.apply_quarantine(now, &snapshot.quarantined, &mut steps);
+        self.placement.update(snapshot);
         self.refresh_claims(now, &mut steps);
         steps
     }
@@ -457,6 +472,10 @@
         if frozen {
             return Err(CallReason::Frozen);
         }
+        let fingerprint = RequestFingerprint(request.fingerprint);
+        if self.quarantined.contains(&fingerprint) {
+            return Err(CallReason::Quarantined);
+        }
         if request.depth >= MAX_DEPTH {
             return Err(CallReason::DepthExceeded);
         }
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -303,7 +303,7 @@
             self.observe_notice(now, sent, *verdict, response, steps);
         }
         let failure = verdict.as_ref().err().copied();
-        self.watch_for_crash(now, id, failure);
+        self.watch_for_crash(now, id, failure, steps);
         let Some(run) = self.remove_run(now, id, service, steps) else {
             return;
         };
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -26,6 +26,12 @@
     /// Sends the next attempt of a call. If there is no usable upstream, the call waits for one for
     /// a limited time.
     pub(super) fn send_attempt(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
+        let call = self.calls.get_mut(&id);
+        if let Some(fingerprint) = call.map(|call| call.fingerprint)
+            && self.is_quarantined(fingerprint)
+        {
+            return self.refuse_quarantined(now, id, steps);
+        }
         match self.choose(now, id) {
             Some(UpstreamChoice::Chosen(chosen)) => self.send_to(now, id, chosen, steps),
             Some(UpstreamChoice::None(NoChoiceReason::AllFull)) => {
@@ -68,6 +74,14 @@
         }
     }
 
+    /// Ends a call whose request was quarantined after its arrival, instead of another attempt.
+    fn refuse_quarantined(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.reason = CallReason::Quarantined;
+            self.give_up(now, id, steps);
+        }
+    }
+
     fn send_to(
         &mut self,
         now: Timestamp,
@@ -184,7 +198,7 @@
         let progress = call.progress();
         let budget = budget_of(&mut self.budgets, &self.settings, now, &call.service);
         let decision = policy.decide(now, budget, &progress);
-        if decision != HedgeDecision::Send {
+        if decision != HedgeDecision::Send || self.is_quarantined(call.fingerprint) {
             return;
         }
         if let Some(UpstreamChoice::Chosen(chosen)) = self.choose(now, id) {
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -20,8 +20,8 @@
 use super::answer::{CallerAnswer, RejectReason};
 use super::request::CallerRequest;
 use crate::claim::PlacementTable;
+use crate::core::RequestFingerprint;
 use crate::core::{ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamEntry};
-use crate::quarantine::RequestFingerprint;
 use crate::retry::{BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing};
 use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
@@ -42,6 +42,9 @@
 const NO_UPSTREAM_DELAY: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(500)..=Duration::from_millis(1_000);
 
+/// Delay for callers of a request in quarantine, which lasts for minutes unless a node objects.
+const QUARANTINE_DELAY: Duration = Duration::from_secs(60);
+
 /// Identifies a call at its entry node. Never reused within an incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallId(pub u64);
@@ -394,6 +397,7 @@
                 self.random.random_range(soonest..=soonest + CONFIG_JITTER)
             }
             CallReason::NoUpstream => self.random.random_range(NO_UPSTREAM_DELAY),
+            CallReason::Quarantined => QUARANTINE_DELAY,
             _ => pacing.delay(&mut self.random, left),
         })
     }
@@ -460,6 +464,12 @@
         RequestFingerprint::new(&self.settings.origin, &request.host, request.digest)
     }
 
+    /// Whether the request is refused because it has ended several upstreams.
+    pub(super) fn is_quarantined(&self, fingerprint: RequestFingerprint) -> bool {
+        let snapshot = self.snapshot.as_ref();
+        snapshot.is_some_and(|snapshot| snapshot.quarantined.contains(&fingerprint))
+    }
+
     /// Decides whether a request becomes a call.
     fn admit(&self, now: Timestamp, request: &CallerRequest) -> Result<AdmittedCall, CallerAnswer> {
         let max_timeout = self.settings.longest_timeout;
@@ -485,6 +495,9 @@
         if self.draining {
             return Err(refuse(CallReason::Draining));
         }
+        if self.is_quarantined(self.fingerprint(request)) {
+            return Err(refuse(CallReason::Quarantined));
+        }
         let deferred = route.class == crate::core::RequestClass::Deferred;
         if self.calls.len() >= MAX_CALLS
             || (deferred && self.deferred_calls >= self.settings.max_deferred_calls)
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -5,6 +5,7 @@
 mod full;
 mod hostile;
 mod keyed;
+mod quarantine;
 mod rate_limit;
 mod silence;
 mod simulation;
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -8,7 +8,7 @@
 use kumquatlock_wire::Body;
 use kumquatlock_wire::claim::ShardHolder;
 use kumquatlock_wire::distribution::{
-    CatalogState, RouteItem, ServiceItem, UpstreamItem, WireClass,
+    CatalogState, CrashReport, RouteItem, ServiceItem, UpstreamItem, WireClass,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -61,6 +61,8 @@
     pub(super) traces: Vec<String>,
     /// Timeout that callers state in their requests.
     pub(super) timeout_ms: Option<&'static str>,
+    /// Reports that nodes sent towards the leader.
+    pub(super) crash_reports: Vec<CrashReport>,
     /// Transcript of all events.
     pub(super) transcript: Vec<String>,
     /// Messages for which this returns true are dropped.
@@ -94,6 +96,7 @@
             cancels: 0,
             traces: Vec::new(),
             timeout_ms: Some("4000"),
+            crash_reports: Vec::new(),
             transcript: Vec::new(),
             is_lost: |_| false,
         };
@@ -282,6 +285,7 @@
                     self.run(name, run);
                 }
                 DestinationStep::Cancel { .. } => self.cancels += 1,
+                DestinationStep::ReportCrash(report) => self.crash_reports.push(report),
                 DestinationStep::Leaving | DestinationStep::Ended { .. } => {}
             }
         }
@@ -365,6 +369,20 @@
         self.apply_entry_steps(steps);
     }
 
+    /// Quarantines requests in the configuration of all nodes.
+    pub(super) fn quarantine(&mut self, class: WireClass, requests: &[RequestFingerprint]) {
+        let mut snapshot = snapshot_of(6, class, upstreams());
+        snapshot.quarantined = requests.iter().copied().collect();
+        let snapshot = Arc::new(snapshot);
+        let steps = self.entry.on_snapshot(self.now, snapshot.clone());
+        self.apply_entry_steps(steps);
+        for name in UPSTREAMS {
+            let calls = &mut self.destinations[name].calls;
+            let steps = calls.on_snapshot(self.now, snapshot.clone());
+            self.apply_destination_steps(name, steps);
+        }
+    }
+
     /// Lets the entry node notice that a node has stopped answering.
     pub(super) fn silence(&mut self, name: &str) {
         self.record(format!("{name} is silent"));
--- a/crates/kumquatlock/src/catalog/apply.rs
+++ b/crates/kumquatlock/src/catalog/apply.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use kumquatlock_wire::distribution::{
-    CatalogCommand, ManifestChange, RouteItem, ServiceItem, UpstreamIncarnation, UpstreamItem,
-    UpstreamReport, WireState, catalog_command,
+    CatalogCommand, ManifestChange, QuarantineChange, RouteItem, ServiceItem, UpstreamIncarnation,
+    UpstreamItem, UpstreamReport, WireState, catalog_command,
 };
 
 use super::{
@@ -13,6 +13,7 @@
 };
 use crate::core::{ConfigVersion, IncarnationId, SharedName};
 use crate::manifest::{ManifestDocument, ManifestError, is_valid_name};
+use crate::quarantine::MAX_QUARANTINED;
 
 /// Outcome of applying a committed entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,6 +26,8 @@
     Expired,
     /// The upstream had already been removed, or has another incarnation.
     NotExpired,
+    /// Requests were quarantined or released; `false` if nothing changed.
+    Quarantine(bool),
     /// The entry's index is not above the last applied index, so the entry has already taken
     /// effect.
     AlreadyApplied,
@@ -120,6 +123,9 @@
             Some(Kind::Report(report)) => ApplyOutcome::Report(self.apply_report(index, report)),
             Some(Kind::Change(change)) => ApplyOutcome::Manifest(self.apply_change(index, change)),
             Some(Kind::Expire(expiry)) => self.apply_expiry(index, expiry),
+            Some(Kind::Quarantine(change)) => {
+                ApplyOutcome::Quarantine(self.apply_quarantine(index, change))
+            }
             None => ApplyOutcome::UnknownCommand,
         }
     }
@@ -421,6 +427,26 @@
     }
 }
 
+impl Catalog {
+    fn apply_quarantine(&mut self, index: u64, change: &QuarantineChange) -> bool {
+        let mut is_changed = false;
+        for fingerprint in &change.removed {
+            is_changed |= self.quarantined.shift_remove(fingerprint);
+        }
+        for fingerprint in &change.added {
+            is_changed |= self.quarantined.insert(*fingerprint);
+        }
+        while self.quarantined.len() > MAX_QUARANTINED {
+            self.quarantined.shift_remove_index(0);
+        }
+        if is_changed {
+            self.version = ConfigVersion(index);
+            self.quarantine_changed_at = self.version;
+        }
+        is_changed
+    }
+}
+
 /// Effect of a report on the catalog.
 enum ReportEffect {
     Unchanged,
--- a/crates/kumquatlock/src/catalog/mod.rs
+++ b/crates/kumquatlock/src/catalog/mod.rs
@@ -15,14 +15,14 @@
 use std::collections::BTreeSet;
 
 use bytes::Bytes;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use kumquatlock_wire::distribution::{LimitsItem, RouteItem, ServiceItem, UpstreamItem};
 
 pub use apply::{ApplyOutcome, ManifestDecision, ReportDecision, ReportRefusal};
 use store::ItemStore;
 pub use transfer::{CatalogError, CatalogUpdate, EncodedSnapshot, SnapshotDetail};
 
-use crate::core::{ConfigVersion, SharedName};
+use crate::core::{ConfigVersion, RequestFingerprint, SharedName};
 
 /// Maximum number of accepted manifests that are remembered to recognise resends.
 pub const MAX_ACCEPTED_MANIFESTS: usize = 1_000;
@@ -69,6 +69,9 @@
     /// a manifest admits. Never cleared, because a service that is removed and created again within
     /// the claim retention would otherwise start without claims while old claims are still in use.
     seen_regions: BTreeSet<(SharedName, SharedName)>,
+    /// Fingerprints of the requests in quarantine, oldest first. At most [`MAX_QUARANTINED`].
+    quarantined: IndexSet<u64>,
+    quarantine_changed_at: ConfigVersion,
     store: ItemStore,
 }
 
@@ -121,6 +124,12 @@
         self.accepted.get(&manifest_version).copied()
     }
 
+    /// Returns the requests in quarantine.
+    pub fn quarantined(&self) -> Vec<RequestFingerprint> {
+        let fingerprints = self.quarantined.iter();
+        fingerprints.copied().map(RequestFingerprint).collect()
+    }
+
     /// Returns the upstream of this name.
     pub fn upstream(&self, name: &str) -> Option<&UpstreamItem> {
         self.store.upstreams.get(name).map(|stored| &stored.item)
--- a/crates/kumquatlock/src/catalog/tests.rs
+++ b/crates/kumquatlock/src/catalog/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of the catalog.
 
 use kumquatlock_wire::distribution::{
-    CatalogCommand, CatalogState, Delta, UpstreamIncarnation, UpstreamItem, UpstreamReport,
-    WireState, catalog_command::Kind,
+    CatalogCommand, CatalogState, Delta, QuarantineChange, UpstreamIncarnation, UpstreamItem,
+    UpstreamReport, WireState, catalog_command::Kind,
 };
 use prost::Message;
 
@@ -384,3 +384,54 @@
     };
     assert_eq!(decision(1), Some(refused));
 }
+
+fn quarantine(added: &[u64], removed: &[u64]) -> CatalogCommand {
+    let (added, removed) = (added.to_vec(), removed.to_vec());
+    let change = QuarantineChange { added, removed };
+    CatalogCommand {
+        kind: Some(Kind::Quarantine(change)),
+    }
+}
+
+/// A quarantine must reach every child, by delta and by snapshot, and must survive the restart of
+/// all voters.
+#[test]
+fn a_quarantine_is_part_of_deltas_and_snapshots() {
+    let mut catalog = Catalog::new();
+    apply_all(
+        &mut catalog,
+        &[manifest(1, &["booking"]), quarantine(&[7, 8], &[])],
+    );
+    let (base, before) = (catalog.version(), node_snapshot(&catalog));
+    assert_eq!(before.quarantined.len(), 2);
+    let digest = catalog.digest();
+    let index = catalog.applied_index() + 1;
+    let outcome = catalog.apply(index, &quarantine(&[9], &[7]));
+    assert_eq!(outcome, ApplyOutcome::Quarantine(true));
+    let delta = delta(&catalog, base);
+    let after = before.apply(&delta).unwrap();
+    assert_eq!(after, node_snapshot(&catalog));
+    let expected = [8, 9].map(RequestFingerprint);
+    assert_eq!(
+        after.quarantined.iter().copied().collect::<Vec<_>>(),
+        expected
+    );
+    assert_eq!(catalog.digest(), digest, "earlier releases ignore the list");
+    let restarted = Catalog::from_state(&catalog.to_state()).unwrap();
+    assert_eq!(restarted, catalog);
+    let unchanged = catalog.apply(index + 1, &quarantine(&[9], &[7]));
+    assert_eq!(unchanged, ApplyOutcome::Quarantine(false));
+    assert_eq!(catalog.version().0, index);
+}
+
+/// The list of quarantined requests is bounded; the oldest is released first.
+#[test]
+fn the_number_of_quarantined_requests_is_bounded() {
+    let mut catalog = Catalog::new();
+    for number in 1..=1_000 {
+        apply_all(&mut catalog, &[quarantine(&[number], &[])]);
+    }
+    let quarantined = catalog.quarantined();
+    assert_eq!(quarantined.len(), crate::quarantine::MAX_QUARANTINED);
+    assert_eq!(quarantined.last(), Some(&RequestFingerprint(1_000)));
+}
--- a/crates/kumquatlock/src/catalog/transfer.rs
+++ b/crates/kumquatlock/src/catalog/transfer.rs
@@ -1,15 +1,17 @@
 //! Conversion of the catalog to and from deltas, snapshots for children and log snapshots.
 
 use bytes::Bytes;
+use indexmap::IndexSet;
 use kumquatlock_wire::distribution::{
-    AcceptedManifest, CatalogChange, CatalogHistory, CatalogState, Delta, ItemKind, RouteItem,
-    SeenRegion, ServiceItem, Tombstone, UpstreamItem, catalog_change::Kind,
+    AcceptedManifest, CatalogChange, CatalogHistory, CatalogState, Delta, ItemKind, QuarantineList,
+    RouteItem, SeenRegion, ServiceItem, Tombstone, UpstreamItem, catalog_change::Kind,
 };
 use prost::Message;
 
 use super::store::{CatalogItem, encoded_field_len};
 use super::{AcceptedRecord, Catalog, MAX_DELTA_BYTES};
 use crate::core::ConfigVersion;
+use crate::quarantine::MAX_QUARANTINED;
 
 /// How a child is brought from its version to the current one.
 #[derive(Clone, Debug, PartialEq)]
@@ -93,9 +95,16 @@
             version: self.version.0,
             changes,
             digest: self.digest(),
+            quarantine: (self.quarantine_changed_at > base).then(|| self.quarantine_list()),
         })
     }
 
+    fn quarantine_list(&self) -> QuarantineList {
+        QuarantineList {
+            fingerprints: self.quarantined.iter().copied().collect(),
+        }
+    }
+
     /// Returns the whole catalog, encoded for children.
     pub fn encode_snapshot(&self, detail: SnapshotDetail) -> EncodedSnapshot {
         let mut state = self.to_state();
@@ -153,6 +162,7 @@
                 .collect(),
             applied_index: self.applied_index,
             manifest_source: self.manifest_source.clone(),
+            quarantine_changed_at: self.quarantine_changed_at.0,
         };
         CatalogState {
             version: self.version.0,
@@ -162,6 +172,7 @@
             upstreams: self.upstreams().cloned().collect(),
             history: Some(history),
             limits: self.limits,
+            quarantine: (!self.quarantined.is_empty()).then(|| self.quarantine_list()),
         }
     }
 
@@ -174,6 +185,8 @@
             manifest_version: state.manifest_version,
             manifest_changed_at: ConfigVersion(state.version),
             limits: state.limits,
+            quarantined: quarantined_of(state.quarantine.as_ref()),
+            quarantine_changed_at: ConfigVersion(state.version),
             ..Catalog::default()
         };
         let history = state.history.as_ref();
@@ -221,6 +234,7 @@
         self.applied_index = history.applied_index.max(self.version.0);
         self.manifest_changed_at = ConfigVersion(history.manifest_changed_at);
         self.manifest_source = history.manifest_source.clone();
+        self.quarantine_changed_at = ConfigVersion(history.quarantine_changed_at);
         self.store.min_delta_base = history.tombstone_floor;
         for tombstone in &history.tombstones {
             let kind = ItemKind::try_from(tombstone.kind);
@@ -263,6 +277,10 @@
         }
         self.version = ConfigVersion(version);
         self.applied_index = version;
+        if delta.quarantine.is_some() {
+            self.quarantined = quarantined_of(delta.quarantine.as_ref());
+            self.quarantine_changed_at = self.version;
+        }
         Ok(())
     }
 
@@ -295,3 +313,8 @@
         }
     }
 }
+
+fn quarantined_of(list: Option<&QuarantineList>) -> IndexSet<u64> {
+    let fingerprints = list.into_iter().flat_map(|list| &list.fingerprints);
+    fingerprints.copied().take(MAX_QUARANTINED).collect()
+}
--- a/crates/kumquatlock/src/quarantine/fingerprint.rs
+++ b/crates/kumquatlock/src/core/fingerprint.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::core::stable_hash;
+use super::stable_hash;
 
 /// Identifies requests that an upstream can't tell apart: of the same service of origin, to the
 /// same host, with the same method, target and body. Two different requests have the same
--- a/crates/kumquatlock/src/core/mod.rs
+++ b/crates/kumquatlock/src/core/mod.rs
@@ -3,6 +3,7 @@
 
 mod class;
 mod digest;
+mod fingerprint;
 mod ids;
 mod rate;
 mod snapshot;
@@ -10,6 +11,7 @@
 
 pub use class::{RequestClass, UpstreamState};
 pub use digest::{change_digest, route_digest, service_digest, stable_hash, upstream_digest};
+pub use fingerprint::RequestFingerprint;
 pub use ids::{
     ConfigVersion, GroupId, IncarnationId, SharedName, address_from_name, name_from_address,
 };
--- a/crates/kumquatlock/src/core/snapshot.rs
+++ b/crates/kumquatlock/src/core/snapshot.rs
@@ -9,13 +9,13 @@
 
 use indexmap::{IndexMap, IndexSet};
 use kumquatlock_wire::distribution::{
-    CatalogState, Delta, LimitsItem, RouteItem, ServiceItem, SplitItem, UpstreamItem, WireClass,
-    WireState, catalog_change,
+    CatalogState, Delta, LimitsItem, QuarantineList, RouteItem, ServiceItem, SplitItem,
+    UpstreamItem, WireClass, WireState, catalog_change,
 };
 
 use super::{
-    ConfigVersion, IncarnationId, RequestClass, SharedName, UpstreamState, route_digest,
-    service_digest, upstream_digest,
+    ConfigVersion, IncarnationId, RequestClass, RequestFingerprint, SharedName, UpstreamState,
+    route_digest, service_digest, upstream_digest,
 };
 
 /// Why a configuration was rejected as a whole.
@@ -275,6 +275,8 @@
     pub upstreams: IndexMap<SharedName, Arc<UpstreamEntry>>,
     /// Limits on callers; `None` if the manifest states none.
     pub limits: Option<CallerLimits>,
+    /// Requests that are refused, because they have ended upstreams.
+    pub quarantined: IndexSet<RequestFingerprint>,
     /// Wrapping sum of the digests of all items.
     pub digest: u64,
 }
@@ -286,6 +288,7 @@
             version: ConfigVersion(state.version),
             manifest_version: state.manifest_version,
             limits: state.limits.as_ref().map(CallerLimits::from_item),
+            quarantined: quarantined_of(state.quarantine.as_ref()),
             ..ConfigSnapshot::default()
         };
         for item in &state.upstreams {
@@ -325,6 +328,9 @@
         for change in &delta.changes {
             snapshot.apply_change(change.kind.as_ref(), &mut affected)?;
         }
+        if delta.quarantine.is_some() {
+            snapshot.quarantined = quarantined_of(delta.quarantine.as_ref());
+        }
         snapshot.rebuild_members(&affected);
         snapshot.validate(delta.digest)?;
         Ok(snapshot)
@@ -446,3 +452,8 @@
         Ok(())
     }
 }
+
+fn quarantined_of(list: Option<&QuarantineList>) -> IndexSet<RequestFingerprint> {
+    let fingerprints = list.into_iter().flat_map(|list| &list.fingerprints);
+    fingerprints.copied().map(RequestFingerprint).collect()
+}
--- a/crates/kumquatlock/src/core/tests.rs
+++ b/crates/kumquatlock/src/core/tests.rs
@@ -66,6 +66,7 @@
         version: 6,
         changes,
         digest: 0,
+        quarantine: None,
     }
 }
 
--- a/crates/kumquatlock/src/distribution/parent.rs
+++ b/crates/kumquatlock/src/distribution/parent.rs
@@ -311,8 +311,8 @@
         }
     }
 
-    /// Handles a request of a replica. Requests for proofs are handled here; all others are passed
-    /// on with [`ParentStep::HandleRequest`].
+    /// Handles a request of a replica, or a crash report. Requests for proofs are handled here, crash
+    /// reports are forwarded to the leader; all others are passed on with [`ParentStep::HandleRequest`].
     fn handle_request(
         &mut self,
         now: Timestamp,
@@ -320,8 +320,12 @@
         request: Forward,
         steps: &mut Vec<ParentStep>,
     ) {
-        if !matches!(request.content, Some(Content::ConfirmRequest(_))) {
-            return steps.push(ParentStep::HandleRequest { child, request });
+        match request.content {
+            Some(Content::ConfirmRequest(_)) => {}
+            Some(Content::Crash(_)) => {
+                return steps.push(ParentStep::ForwardToLeader(Body::Forward(request)));
+            }
+            _ => return steps.push(ParentStep::HandleRequest { child, request }),
         }
         let request_id = request.request_id;
         if self.proofs.pending_count(child) >= MAX_PENDING_PROOFS {
--- a/crates/kumquatlock/src/distribution/tests/hostile.rs
+++ b/crates/kumquatlock/src/distribution/tests/hostile.rs
@@ -106,6 +106,7 @@
             version,
             changes: vec![CatalogChange::default(); random.random_range(0..2)],
             digest: number(random),
+            quarantine: None,
         }),
         3 => Body::Pong(Pong {
             number: version,
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -224,6 +224,7 @@
         }
         if self.ticks.is_multiple_of(TICKS_PER_EXPIRY_CHECK) {
             self.expire_upstreams(now);
+            self.expire_quarantine(now);
         }
         self.expire_requests(now);
         self.expire_reads(now);
--- a/crates/kumquatlock/src/ops/control/mod.rs
+++ b/crates/kumquatlock/src/ops/control/mod.rs
@@ -25,6 +25,7 @@
 mod operator;
 mod peers;
 mod process;
+mod quarantine;
 mod relay;
 mod requests;
 mod settings;
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -19,6 +19,7 @@
 use crate::distribution::{ChildEvent, InForceCount, ParentEvent, ProgressTable, REPORTER_TIMEOUT};
 use crate::manifest::ManifestDocument;
 use crate::membership::{AttachmentTracker, ExpiryDecision, ExpiryTiming, RecordOutcome};
+use crate::quarantine::CrashTally;
 use crate::transport::{LinkError, LinkId};
 
 /// State that only the leader has. Reset at each change of leadership.
@@ -31,6 +32,8 @@
     unheard_voters: IndexMap<String, Timestamp>,
     /// Present while this instance is the leader.
     attachments: Option<AttachmentTracker>,
+    /// Crashes of upstreams and the requests that may have caused them.
+    pub(super) crashes: CrashTally,
     /// Failure domain for which a withheld removal was last logged.
     withheld_domain: Option<SharedName>,
 }
@@ -304,6 +307,7 @@
         }
         match message.content {
             Some(Content::Report(report)) => self.handle_as_leader(now, Body::Report(report)),
+            Some(Content::Crash(report)) => self.handle_crash(now, &report),
             Some(Content::Progress(progress)) => {
                 self.handle_as_leader(now, Body::Progress(progress))
             }
@@ -331,6 +335,10 @@
         if let Some(link) = self.leader_link() {
             let content = match body {
                 Body::Report(report) => Content::Report(report),
+                Body::Forward(Forward {
+                    content: Some(content @ Content::Crash(_)),
+                    ..
+                }) => content,
                 Body::Progress(progress) => Content::Progress(progress),
                 Body::Attachment(attachment) => Content::Attachment(attachment),
                 _ => return,
@@ -350,6 +358,10 @@
         }
         match body {
             Body::Report(report) => self.handle_report(report),
+            Body::Forward(Forward {
+                content: Some(Content::Crash(report)),
+                ..
+            }) => self.handle_crash(now, &report),
             Body::Progress(progress) => self.handle_progress(now, progress),
             Body::Attachment(attachment) => self.handle_attachment(now, &attachment),
             _ => {}
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -28,6 +28,7 @@
     ExchangeReady, ExchangeTable, HttpLimits, HttpReady, HttpTable, MAX_BODY_BYTES, RequestId,
 };
 use crate::membership::{AnnouncerEvent, NodeLocation, UpstreamAnnouncer};
+use crate::quarantine::CrashReporter;
 use crate::routing::EntryLocation;
 use crate::transport::{LinkError, LinkEvent, LinkId, LinkReady, LinkTable, TrafficCounters};
 use kumquatlock_wire::claim::ShardHolder;
@@ -105,6 +106,7 @@
     pub(super) entry: EntryCalls,
     pub(super) destination: DestinationCalls,
     pub(super) holder: ClaimHolder,
+    pub(super) crash_reporter: CrashReporter,
     /// Incarnation of the upstream. The claim holder and the destination use the same one.
     pub(super) incarnation: IncarnationId,
     pub(super) answers: AnswerCounters,
@@ -199,6 +201,7 @@
             body_bytes: MAX_BODY_BYTES as u64,
             exchanges,
             holder: new_holder(&settings, parts.incarnation),
+            crash_reporter: CrashReporter::default(),
             incarnation: parts.incarnation,
             answers: AnswerCounters::default(),
             waiting_requests: IndexMap::new(),
@@ -321,6 +324,7 @@
         self.queue_child(steps);
         let steps = self.announcer.handle(now, AnnouncerEvent::Tick);
         self.queue_announcer(steps);
+        self.send_crash_reports(now);
         if now >= self.next_claim_tick && !self.settings.tuning.without_claims {
             self.next_claim_tick = now + CLAIM_TICK_INTERVAL;
             self.confirm_claim_config();
@@ -395,7 +399,8 @@
             service: announcement.service.clone(),
             limits,
         };
-        self.destination.on_announce(now, endpoint);
+        let steps = self.destination.on_announce(now, endpoint);
+        self.queue_destination(steps);
     }
 
     fn begin_turn(&mut self) -> Timestamp {
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -80,6 +80,13 @@
             &[],
             upstreams as u64,
         );
+        let quarantined = config.map_or(0, |config| config.quarantined.len());
+        page.add_gauge(
+            "quarantined_requests",
+            "Requests that are refused because they have ended upstreams",
+            &[],
+            quarantined as u64,
+        );
         let attached = u64::from(self.child.is_attached());
         page.add_gauge(
             "parent_attached",
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use kumquatlock_wire::Body;
+use kumquatlock_wire::agreement::Forward;
+use kumquatlock_wire::agreement::forward::Content;
 use kumquatlock_wire::claim::ClaimReply;
 
 use super::actor::{NodeActor, RunTag, new_holder};
@@ -137,6 +139,10 @@
                 };
                 self.exchanges.start(now, job);
             }
+            DestinationStep::ReportCrash(report) => {
+                self.crash_reporter.add(now, report);
+                self.send_crash_reports(now);
+            }
             DestinationStep::Leaving => {
                 let steps = self.announcer.handle(now, AnnouncerEvent::Drain);
                 self.queue_announcer(steps);
@@ -160,6 +166,19 @@
         }
     }
 
+    /// Sends the crash reports that are due towards the leader.
+    pub(super) fn send_crash_reports(&mut self, now: Timestamp) {
+        for report in self.crash_reporter.take_due(now) {
+            let forward = Forward {
+                request_id: 0,
+                content: Some(Content::Crash(report)),
+            };
+            let event = ChildEvent::Relay(Body::Forward(forward));
+            let steps = self.child.handle(now, event, &mut self.random);
+            self.queue_child(steps);
+        }
+    }
+
     fn execute_child(&mut self, now: Timestamp, step: ChildStep) {
         match step {
             ChildStep::Connect { link, address } | ChildStep::Probe { link, address } => {
@@ -186,7 +205,7 @@
             ChildStep::Refused { version, refusal } => {
                 log::warn!(version = version.0, reason:% = refusal; "configuration_refused");
             }
-            // The announcer repeats a report that was not sent, and nodes relay no messages.
+            // Reports that were not sent are repeated, and nodes pass nothing on to children.
             ChildStep::NotSent(_) | ChildStep::Relayed(_) => {}
         }
     }
--- a/crates/kumquatlock/src/quarantine/detector.rs
+++ b/crates/kumquatlock/src/quarantine/detector.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{MAX_SUSPECTS, RequestFingerprint};
+use super::{MAX_SUSPECTS, SuspectCall};
 use crate::core::Timestamp;
 
 /// Time after a broken run within which the end of the upstream must show. Upstreams announce a
@@ -22,16 +22,16 @@
 
 #[derive(Clone, Copy, Debug)]
 struct BrokenRun {
-    fingerprint: RequestFingerprint,
+    suspect: SuspectCall,
     at: Timestamp,
 }
 
 impl CrashDetector {
     /// Records a run whose connection broke without an answer.
-    pub fn on_broken(&mut self, now: Timestamp, fingerprint: RequestFingerprint) {
+    pub fn on_broken(&mut self, now: Timestamp, suspect: SuspectCall) {
         if self.broken.len() < MAX_SUSPECTS {
             let at = now;
-            self.broken.push(BrokenRun { fingerprint, at });
+            self.broken.push(BrokenRun { suspect, at });
         }
     }
 
@@ -42,17 +42,17 @@
     }
 
     /// Records the proof that the upstream has ended: nothing listens at its address, or another run
-    /// of it has started. Returns the fingerprints of the requests that it was running; none if it
-    /// ended without breaking a run.
-    pub fn on_gone(&mut self, now: Timestamp) -> Vec<RequestFingerprint> {
+    /// of it has started. Returns the requests that it was running; none if it ended without breaking a
+    /// run.
+    pub fn on_gone(&mut self, now: Timestamp) -> Vec<SuspectCall> {
         let broken = std::mem::take(&mut self.broken);
         let mut suspects: Vec<_> = broken
             .iter()
             .filter(|run| now.since(run.at) <= CONFIRM_TIME)
-            .map(|run| run.fingerprint)
+            .map(|run| run.suspect)
             .collect();
         suspects.sort_unstable();
-        suspects.dedup();
+        suspects.dedup_by_key(|suspect| suspect.fingerprint);
         suspects
     }
 }
--- a/crates/kumquatlock/src/retry/policy.rs
+++ b/crates/kumquatlock/src/retry/policy.rs
@@ -201,6 +201,7 @@
             | CallReason::NoUpstream
             | CallReason::NoRoute
             | CallReason::TooLarge
+            | CallReason::Quarantined
     )
 }
 
--- a/crates/kumquatlock/src/routing/tracked.rs
+++ b/crates/kumquatlock/src/routing/tracked.rs
@@ -383,6 +383,7 @@
             | CallReason::AnswerGone
             | CallReason::NoRoute
             | CallReason::TooLarge
+            | CallReason::Quarantined
     )
 }
 
