Keep an upstream's limit across a gap in announcements, and drop it with its run

Found while reading the change: the limit stood in two places, the notice and the admission queue, which could differ. After a gap in the announcements the reopened queue had no limit, while the notice still had it, so that later answers changed nothing: 202 requests in 4 s with a limit of 5/s. The other way round, the next incarnation of an upstream that names no run kept the limit of before for good: 1 of 50 calls started.

Change: the queue takes the limit of the notice whenever either may have changed. Both tests failed before.

--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -310,6 +310,7 @@
             Some(_) => {}
         }
         self.draining = false;
+        self.apply_rate_limit(now);
         steps
     }
 
@@ -318,6 +319,7 @@
         self.record_gone(now, steps);
         self.upstream_run += 1;
         self.notice = None;
+        self.apply_rate_limit(now);
     }
 
     /// Returns the requests per second that the upstream says it takes, if it states a limit.
--- a/crates/kumquatlock/src/call/destination/notice.rs
+++ b/crates/kumquatlock/src/call/destination/notice.rs
@@ -86,6 +86,14 @@
         self.notice.is_some_and(|notice| notice.is_leaving)
     }
 
+    /// Passes the limit of the upstream's current run to the admission queue.
+    pub(super) fn apply_rate_limit(&mut self, now: Timestamp) {
+        let rate_limit = self.rate_limit();
+        if let Some(admission) = &mut self.admission {
+            admission.set_rate(now, rate_limit);
+        }
+    }
+
     fn set_notice(
         &mut self,
         now: Timestamp,
@@ -94,10 +102,8 @@
     ) {
         let previous = self.notice.replace(notice).unwrap_or_default();
         self.log_notice(&previous, &notice);
-        if notice.rate_limit != previous.rate_limit
-            && let Some(admission) = &mut self.admission
-        {
-            admission.set_rate(now, notice.rate_limit);
+        if notice.rate_limit != previous.rate_limit {
+            self.apply_rate_limit(now);
         }
         if notice.is_leaving && !previous.is_leaving {
             self.drain();
--- a/crates/kumquatlock/src/call/tests/rate_limit.rs
+++ b/crates/kumquatlock/src/call/tests/rate_limit.rs
@@ -16,7 +16,7 @@
     UpstreamEndpoint,
 };
 use crate::claim::ClaimSettings;
-use crate::core::{IncarnationId, RequestRate, Timestamp};
+use crate::core::{IncarnationId, RequestRate, SharedName, Timestamp};
 use crate::http::HttpResponse;
 use crate::transport::LinkId;
 
@@ -393,3 +393,44 @@
         upstream.restart_node();
     }
 }
+
+/// A limit must survive a gap in the announcements, after which the same run serves again.
+#[test]
+fn a_limit_survives_a_gap_in_the_announcements() {
+    let mut upstream = LimitedUpstream::new(Some("5"));
+    upstream.advance(Duration::from_secs(2), Duration::from_millis(20));
+    upstream.calls.drain();
+    upstream.calls.on_announce(upstream.now, endpoint());
+    let from = upstream.now;
+    upstream.advance(WINDOW, Duration::from_millis(20));
+    // One and a half times the limit, and 5 requests.
+    let most = upstream.most_starts(from);
+    assert!(
+        (1..=35).contains(&most),
+        "{most} requests in 4 s with a limit of 5/s"
+    );
+}
+
+/// An upstream that names no run and starts again must not keep the limit of before.
+#[test]
+fn a_new_incarnation_of_an_unnamed_upstream_starts_without_a_limit() {
+    let mut upstream = LimitedUpstream::new(Some("1"));
+    let unnamed = UpstreamEndpoint {
+        instance: SharedName::default(),
+        run_started_ms: 0,
+        ..endpoint()
+    };
+    upstream.calls.on_announce(upstream.now, unnamed.clone());
+    upstream.advance(Duration::from_secs(3), Duration::from_millis(20));
+    assert!(upstream.calls.rate_limit().is_some());
+    let incarnation = IncarnationId(2);
+    let steps = upstream.calls.set_incarnation(upstream.now, incarnation);
+    upstream.apply(steps);
+    upstream.calls.on_announce(upstream.now, unnamed);
+    upstream.calls.accept_earlier_incarnations();
+    upstream.stated_limit = None;
+    let before = upstream.starts.len();
+    upstream.advance(Duration::from_secs(1), Duration::from_millis(20));
+    let starts = upstream.starts.len() - before;
+    assert!(starts >= 50, "{starts} of 50 calls started");
+}
