Count only requests that were run to an answer as harmless

Found while reading the change: any answer of an upstream, also a refusal because it is full, counted as a completion. A deadly request that was once refused would have been left out of later reports, and the node would have objected to its quarantine.

Change: only an answer with a status below 500 to a request that ran is a completion; what each result shows about the upstream is a type of its own. The entry computes the fingerprint of a request once.

a_request_that_was_refused_or_failed_is_not_completed failed before, for status 503 and 500.

--- a/crates/kumquatlock/src/call/destination/crash.rs
+++ b/crates/kumquatlock/src/call/destination/crash.rs
@@ -4,28 +4,68 @@
 use kumquatlock_wire::call::CallReason;
 use kumquatlock_wire::distribution::CrashReport;
 
-use super::run::{CallRun, RunPhase};
+use super::run::{CallRun, ResponseVerdict, RunPhase};
 use super::{DestinationCalls, DestinationStep, RunId};
 use crate::core::{RequestFingerprint, Timestamp};
 use crate::http::UpstreamFailure;
-use crate::quarantine::{SuspectCall, to_wire};
+use crate::quarantine::{SuspectCall, fingerprints_to_wire};
 
 /// Maximum number of fingerprints in a log line.
 const MAX_LOGGED_FINGERPRINTS: usize = 32;
 
+/// Statuses from here on say nothing about what the request does to the upstream: it may have been
+/// refused before it ran.
+const MIN_SERVER_ERROR_STATUS: u16 = 500;
+
+/// What the result of a run shows about the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LifeSign {
+    /// The upstream ran the request and lives.
+    Completed,
+    /// The upstream lives, but may not have run the request.
+    Answered,
+    /// The connection broke before the answer was complete.
+    Broken,
+    /// No process listens at the upstream's address.
+    Gone,
+    /// Nothing.
+    None,
+}
+
+impl LifeSign {
+    pub(super) fn of_response(verdict: ResponseVerdict, status: u16) -> Self {
+        match verdict {
+            ResponseVerdict::Answered if status < MIN_SERVER_ERROR_STATUS => LifeSign::Completed,
+            ResponseVerdict::Answered | ResponseVerdict::NotRun => LifeSign::Answered,
+            ResponseVerdict::Unsigned => LifeSign::None,
+        }
+    }
+
+    pub(super) fn of_failure(failure: UpstreamFailure) -> Self {
+        match failure {
+            UpstreamFailure::Broken | UpstreamFailure::Truncated => LifeSign::Broken,
+            UpstreamFailure::NotListening => LifeSign::Gone,
+            UpstreamFailure::Unreachable
+            | UpstreamFailure::Timeout
+            | UpstreamFailure::Garbled
+            | UpstreamFailure::TooLarge
+            | UpstreamFailure::Cancelled => LifeSign::None,
+        }
+    }
+}
+
 impl DestinationCalls {
     /// Returns the number of times that the upstream ended while it was running requests.
     pub fn crashes(&self) -> u64 {
         self.crashes
     }
 
-    /// Takes from the result of a run whether the upstream still runs. `failure` is `None` if it
-    /// answered.
+    /// Takes from the result of a run whether the upstream still runs.
     pub(super) fn watch_for_crash(
         &mut self,
         now: Timestamp,
         id: RunId,
-        failure: Option<UpstreamFailure>,
+        sign: LifeSign,
         steps: &mut Vec<DestinationStep>,
     ) {
         let Some(run) = self.runs.get(&id) else {
@@ -38,18 +78,17 @@
             return;
         };
         let suspect = SuspectCall::of_request(&run.request);
-        match (failure, suspect) {
-            (None, suspect) => {
+        match (sign, suspect) {
+            (LifeSign::Completed, Some(suspect)) => {
                 self.crash_detector.on_answered(sent.at);
-                if let Some(suspect) = suspect {
-                    self.completed.insert(suspect.fingerprint);
-                }
+                self.completed.insert(suspect.fingerprint);
             }
-            (Some(UpstreamFailure::Broken | UpstreamFailure::Truncated), Some(suspect)) => {
-                self.crash_detector.on_broken(now, suspect);
+            (LifeSign::Completed | LifeSign::Answered, _) => {
+                self.crash_detector.on_answered(sent.at);
             }
-            (Some(UpstreamFailure::NotListening), _) => self.record_gone(now, steps),
-            (Some(_), _) => {}
+            (LifeSign::Broken, Some(suspect)) => self.crash_detector.on_broken(now, suspect),
+            (LifeSign::Gone, _) => self.record_gone(now, steps),
+            (LifeSign::Broken, None) | (LifeSign::None, _) => {}
         }
     }
 
@@ -110,7 +149,7 @@
             steps.push(DestinationStep::ReportCrash(CrashReport {
                 upstream: self.name.to_string(),
                 incarnation: self.incarnation.0,
-                completed: to_wire(&completed),
+                completed: fingerprints_to_wire(&completed),
                 ..CrashReport::default()
             }));
         }
--- a/crates/kumquatlock/src/call/destination/log.rs
+++ b/crates/kumquatlock/src/call/destination/log.rs
@@ -7,8 +7,7 @@
 
 use super::DestinationCalls;
 use crate::call::answer::reason_label;
-use crate::core::RequestFingerprint;
-use crate::core::Timestamp;
+use crate::core::{RequestFingerprint, Timestamp};
 use crate::util::log_quota::{LogQuota, QuotaStep};
 
 /// Maximum log lines per second for runs that the upstream answered.
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -4,6 +4,7 @@
 
 use kumquatlock_wire::call::{CallOutcome, CallReason, CallRequest, HeaderField};
 
+use super::crash::LifeSign;
 use super::{CallSource, DestinationCalls, DestinationStep, RunId, UpstreamEndpoint};
 use crate::admission::{AdmissionTicket, CancelOutcome, QueueStep, ServiceOutcome};
 use crate::call::HeaderNames;
@@ -302,8 +303,11 @@
         if let (Some(sent), Ok((verdict, response))) = (sent, &verdict) {
             self.observe_notice(now, sent, *verdict, response, steps);
         }
-        let failure = verdict.as_ref().err().copied();
-        self.watch_for_crash(now, id, failure, steps);
+        let sign = match &verdict {
+            Ok((verdict, response)) => LifeSign::of_response(*verdict, response.status),
+            Err(failure) => LifeSign::of_failure(*failure),
+        };
+        self.watch_for_crash(now, id, sign, steps);
         let Some(run) = self.remove_run(now, id, service, steps) else {
             return;
         };
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -20,8 +20,9 @@
 use super::answer::{CallerAnswer, RejectReason};
 use super::request::CallerRequest;
 use crate::claim::PlacementTable;
-use crate::core::RequestFingerprint;
-use crate::core::{ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamEntry};
+use crate::core::{
+    ConfigSnapshot, IncarnationId, RequestFingerprint, SharedName, Timestamp, UpstreamEntry,
+};
 use crate::retry::{BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing};
 use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
@@ -229,10 +230,9 @@
                 if !request.is_nested {
                     budget.record_first_attempt(now);
                 }
-                let fingerprint = self.fingerprint(&request);
                 let call = EntryCall::new(
                     request,
-                    fingerprint,
+                    call.fingerprint,
                     span,
                     call.route,
                     service,
@@ -495,7 +495,8 @@
         if self.draining {
             return Err(refuse(CallReason::Draining));
         }
-        if self.is_quarantined(self.fingerprint(request)) {
+        let fingerprint = self.fingerprint(request);
+        if self.is_quarantined(fingerprint) {
             return Err(refuse(CallReason::Quarantined));
         }
         let deferred = route.class == crate::core::RequestClass::Deferred;
@@ -505,7 +506,11 @@
             return Err(refuse(CallReason::Overloaded));
         }
         let deadline = now + request.timeout_for(&route, max_timeout);
-        Ok(AdmittedCall { route, deadline })
+        Ok(AdmittedCall {
+            route,
+            fingerprint,
+            deadline,
+        })
     }
 
     fn reschedule(&mut self, now: Timestamp, id: CallId) {
@@ -569,6 +574,7 @@
 
 struct AdmittedCall {
     route: Arc<crate::core::RouteEntry>,
+    fingerprint: RequestFingerprint,
     deadline: Timestamp,
 }
 
--- a/crates/kumquatlock/src/call/tests/quarantine.rs
+++ b/crates/kumquatlock/src/call/tests/quarantine.rs
@@ -7,7 +7,7 @@
 use super::simulation::{CallSimulation, UPSTREAMS};
 use crate::call::CallerAnswer;
 use crate::core::RequestFingerprint;
-use crate::http::UpstreamFailure;
+use crate::http::{HttpResponse, UpstreamFailure};
 
 const QUARANTINED: CallerAnswer = CallerAnswer::NotRun(CallReason::Quarantined);
 const DEADLY_BODY: &str = "deadly";
@@ -155,3 +155,27 @@
     assert_eq!(report.completed, [harmless.0]);
     assert_eq!(report.upstream, destination);
 }
+
+/// An upstream that refuses a request without running it, or fails it, has not shown that the
+/// request is harmless.
+#[test]
+fn a_request_that_was_refused_or_failed_is_not_completed() {
+    for status in [503, 500] {
+        let class = WireClass::Lookup;
+        let mut simulation = CallSimulation::new(class);
+        let deadly = fingerprint_of(&mut simulation, DEADLY_BODY);
+        for name in UPSTREAMS {
+            let response = HttpResponse {
+                status,
+                ..HttpResponse::default()
+            };
+            simulation.queue_result(name, Ok(response));
+        }
+        simulation.deliver_all();
+        for name in UPSTREAMS {
+            simulation.clear_results(name);
+        }
+        simulation.quarantine(class, &[deadly]);
+        assert_eq!(simulation.crash_reports, [], "status {status}");
+    }
+}
--- a/crates/kumquatlock/src/ops/control/quarantine.rs
+++ b/crates/kumquatlock/src/ops/control/quarantine.rs
@@ -4,7 +4,10 @@
 
 use super::actor::ControlActor;
 use crate::core::{RequestFingerprint, Timestamp};
-use crate::quarantine::{CrashId, MAX_QUARANTINED, MAX_SUSPECTS, SuspectCall, from_wire, to_wire};
+use crate::quarantine::{
+    CrashId, MAX_QUARANTINED, MAX_SUSPECTS, SuspectCall, fingerprints_from_wire,
+    fingerprints_to_wire,
+};
 
 impl ControlActor {
     /// Handles a node's report on a crash. Drops it if this instance is not the leader any more.
@@ -13,7 +16,7 @@
             return;
         }
         self.follow_quarantine(now);
-        for fingerprint in from_wire(&report.completed, MAX_QUARANTINED) {
+        for fingerprint in fingerprints_from_wire(&report.completed, MAX_QUARANTINED) {
             if self.leader_view.crashes.clear(fingerprint) {
                 log::warn!(
                     fingerprint:% = fingerprint,
@@ -41,7 +44,7 @@
                 "request_quarantined"
             );
             self.propose(catalog_command::Kind::Quarantine(QuarantineChange {
-                added: to_wire(&[fingerprint]),
+                added: fingerprints_to_wire(&[fingerprint]),
                 removed: Vec::new(),
             }));
         }
@@ -68,7 +71,7 @@
     fn release(&mut self, fingerprints: &[RequestFingerprint]) {
         self.propose(catalog_command::Kind::Quarantine(QuarantineChange {
             added: Vec::new(),
-            removed: to_wire(fingerprints),
+            removed: fingerprints_to_wire(fingerprints),
         }));
     }
 }
--- a/crates/kumquatlock/src/quarantine/mod.rs
+++ b/crates/kumquatlock/src/quarantine/mod.rs
@@ -16,7 +16,7 @@
 
 pub use completed::CompletedRequests;
 pub use detector::CrashDetector;
-pub use reporter::{CrashReporter, from_wire, to_wire};
+pub use reporter::{CrashReporter, fingerprints_from_wire, fingerprints_to_wire};
 pub use suspect::SuspectCall;
 pub use tally::{CrashId, CrashTally, QUARANTINE_TIME};
 
--- a/crates/kumquatlock/src/quarantine/reporter.rs
+++ b/crates/kumquatlock/src/quarantine/reporter.rs
@@ -5,8 +5,7 @@
 
 use kumquatlock_wire::distribution::CrashReport;
 
-use crate::core::RequestFingerprint;
-use crate::core::Timestamp;
+use crate::core::{RequestFingerprint, Timestamp};
 
 /// Times after a crash at which its report is sent. Repeated because no one acknowledges it, and a
 /// new leader knows nothing of earlier crashes.
@@ -63,7 +62,7 @@
 }
 
 /// Converts fingerprints for a message.
-pub fn to_wire(fingerprints: &[RequestFingerprint]) -> Vec<u64> {
+pub fn fingerprints_to_wire(fingerprints: &[RequestFingerprint]) -> Vec<u64> {
     fingerprints
         .iter()
         .map(|fingerprint| fingerprint.0)
@@ -71,7 +70,7 @@
 }
 
 /// Converts fingerprints from a message; a sender may have made them up, so their number is limited.
-pub fn from_wire(fingerprints: &[u64], max: usize) -> Vec<RequestFingerprint> {
+pub fn fingerprints_from_wire(fingerprints: &[u64], max: usize) -> Vec<RequestFingerprint> {
     let valid = fingerprints.iter().take(max);
     valid
         .filter_map(|value| RequestFingerprint::from_wire(*value))
