--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -36,7 +36,7 @@
 use crate::transport::LinkId;
 use crate::util::trace::{HopSpan, SeededIds};
 use log::DestinationLog;
-use notice::UpstreamNotice;
+use notice::UpstreamStatement;
 use run::{CallRun, RunPhase};
 
 /// Interval at which claims that wait for holders are checked.
@@ -151,7 +151,7 @@
     /// Number of the upstream's current run; increases with each process that announces itself.
     upstream_run: u64,
     /// What the upstream's current run states about itself; `None` before its first answer.
-    notice: Option<UpstreamNotice>,
+    notice: Option<UpstreamStatement>,
     crash_detector: CrashDetector,
     completed: CompletedRequests,
     /// Requests that the configuration refuses.
--- a/crates/kumquatlock/src/call/destination/notice.rs
+++ b/crates/kumquatlock/src/call/destination/notice.rs
@@ -1,7 +1,7 @@
 //! What the upstream beside this node states about itself in its answers: a limit on the requests
 //! that it takes, and that it is leaving.
 
-use kumquatlock_wire::call::UpstreamNotice as NoticeMessage;
+use kumquatlock_wire::call::UpstreamNotice;
 
 use super::run::{ResponseVerdict, SentRequest};
 use super::{DestinationCalls, DestinationStep};
@@ -10,11 +10,13 @@
 
 /// What one run of an upstream has stated so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) struct UpstreamNotice {
+pub(super) struct UpstreamStatement {
     /// Requests per second that the upstream takes from all nodes together; `None` for no limit.
     pub(super) rate_limit: Option<RequestRate>,
     /// When an answer last stated the limit.
     limited_at: Timestamp,
+    /// Whether the last answer stated a limit that is no number.
+    is_limit_unreadable: bool,
     /// Whether the upstream is leaving. Stays set for the rest of the run.
     pub(super) is_leaving: bool,
 }
@@ -46,7 +48,7 @@
     pub(super) fn adopt_notice(
         &mut self,
         now: Timestamp,
-        message: &NoticeMessage,
+        message: &UpstreamNotice,
         steps: &mut Vec<DestinationStep>,
     ) {
         let is_same_run = self.endpoint.as_ref().is_some_and(|endpoint| {
@@ -56,9 +58,10 @@
         if self.notice.is_some() || !is_same_run {
             return;
         }
-        let notice = UpstreamNotice {
+        let notice = UpstreamStatement {
             rate_limit: message.rate_limit_millis.map(RequestRate::from_millis),
             limited_at: now,
+            is_limit_unreadable: false,
             is_leaving: message.leaving,
         };
         self.set_notice(now, notice, steps);
@@ -66,14 +69,14 @@
 
     /// Returns what entry nodes repeat to this node after a restart; `None` if the upstream states
     /// nothing, or if a later run could not be told apart from this one.
-    pub(super) fn notice_message(&self) -> Option<NoticeMessage> {
+    pub(super) fn notice_message(&self) -> Option<UpstreamNotice> {
         let notice = self.notice?;
         if notice.rate_limit.is_none() && !notice.is_leaving {
             return None;
         }
         let endpoint = self.endpoint.as_ref();
         let endpoint = endpoint.filter(|endpoint| !endpoint.instance.is_empty())?;
-        Some(NoticeMessage {
+        Some(UpstreamNotice {
             instance: endpoint.instance.to_string(),
             run_started_ms: endpoint.run_started_ms,
             rate_limit_millis: notice.rate_limit.map(RequestRate::millis),
@@ -97,7 +100,7 @@
     fn set_notice(
         &mut self,
         now: Timestamp,
-        notice: UpstreamNotice,
+        notice: UpstreamStatement,
         steps: &mut Vec<DestinationStep>,
     ) {
         let previous = self.notice.replace(notice).unwrap_or_default();
@@ -119,22 +122,28 @@
         now: Timestamp,
         may_end: bool,
         response: &HttpResponse,
-        notice: &mut UpstreamNotice,
+        notice: &mut UpstreamStatement,
     ) {
         let value = self.names.rate_limit.and_then(|name| response.header(name));
+        let was_unreadable = std::mem::take(&mut notice.is_limit_unreadable);
         match value.map(RequestRate::parse) {
             Some(Some(rate)) => {
                 notice.rate_limit = Some(rate);
                 notice.limited_at = now;
             }
             // The upstream still states a limit, so the last one that could be read stays in force.
-            Some(None) => log::warn!(value = value.unwrap_or_default(); "rate_limit_unreadable"),
+            Some(None) => {
+                notice.is_limit_unreadable = true;
+                if !was_unreadable {
+                    log::warn!(value = value.unwrap_or_default(); "rate_limit_unreadable");
+                }
+            }
             None if may_end => notice.rate_limit = None,
             None => {}
         }
     }
 
-    fn log_notice(&self, previous: &UpstreamNotice, notice: &UpstreamNotice) {
+    fn log_notice(&self, previous: &UpstreamStatement, notice: &UpstreamStatement) {
         let instance = self
             .endpoint
             .as_ref()
--- a/crates/kumquatlock/src/quarantine/tally.rs
+++ b/crates/kumquatlock/src/quarantine/tally.rs
@@ -11,15 +11,15 @@
 /// be a coincidence: a request that was lost in a crash is retried at the upstream that the deadly
 /// request ends next.
 const MIN_CRASHES: usize = 3;
-/// Number of entry nodes that these calls must have come from, or of calls from one. A caller that
-/// repeats a lost request does so at its entry node, and gives up after a few calls; a request that
-/// comes again and again from elsewhere does not.
+/// Number of entry nodes that these calls must have come from. A caller that repeats a lost request
+/// does so at its entry node, so calls from one entry node may be those of one caller.
 const MIN_ENTRIES: usize = 2;
+/// Number of calls from one entry node that are enough all the same: a caller gives up before.
 const MIN_CALLS: usize = 4;
 /// Time for which a crash is remembered. A request that ends upstreams at longer intervals does
 /// little harm.
 const CRASH_RETENTION: Duration = Duration::from_secs(600);
-/// Maximum number of remembered crashes; with [`super::MAX_SUSPECTS`] suspects each, they take 4 MB.
+/// Maximum number of remembered crashes; with [`super::MAX_SUSPECTS`] suspects each, they take 6 MB.
 const MAX_CRASHES: usize = 1_024;
 /// Maximum number of requests that are known to be harmless.
 const MAX_CLEARED: usize = 4_096;
