--- a/crates/kumquatlock-wire/src/agreement.rs
+++ b/crates/kumquatlock-wire/src/agreement.rs
@@ -255,7 +255,7 @@
         #[prost(message, tag = "10")]
         StatusReply(crate::distribution::StatusReply),
         #[prost(message, tag = "11")]
-        Crash(crate::distribution::CrashReport),
+        Crash(crate::quarantine::CrashReport),
     }
 }
 
--- a/crates/kumquatlock-wire/src/distribution.rs
+++ b/crates/kumquatlock-wire/src/distribution.rs
@@ -194,7 +194,7 @@
         #[prost(message, tag = "4")]
         Change(super::ManifestChange),
         #[prost(message, tag = "5")]
-        Quarantine(super::QuarantineChange),
+        Quarantine(crate::quarantine::QuarantineChange),
     }
 }
 
@@ -228,57 +228,6 @@
     pub source: Bytes,
 }
 
-/// Puts requests into quarantine, or releases them. Requests are named by their fingerprints.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct QuarantineChange {
-    #[prost(fixed64, repeated, tag = "1")]
-    pub added: Vec<u64>,
-    #[prost(fixed64, repeated, tag = "2")]
-    pub removed: Vec<u64>,
-}
-
-/// The fingerprints of all requests in quarantine. Not part of the digest of a state, so that
-/// releases that ignore the list agree with those that know it.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct QuarantineList {
-    #[prost(fixed64, repeated, tag = "1")]
-    pub fingerprints: Vec<u64>,
-}
-
-/// A request that was running when an upstream crashed.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct CrashSuspect {
-    #[prost(fixed64, tag = "1")]
-    pub fingerprint: u64,
-    /// Hash of the name of the entry node.
-    #[prost(fixed64, tag = "2")]
-    pub entry: u64,
-    /// Number of the call at the entry node.
-    #[prost(uint64, tag = "3")]
-    pub call_id: u64,
-}
-
-/// Report of a node on a crash of the upstream beside it. Idempotent by name, incarnation and
-/// number.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct CrashReport {
-    /// Name of the upstream.
-    #[prost(string, tag = "1")]
-    pub upstream: String,
-    /// Incarnation of the node.
-    #[prost(uint64, tag = "2")]
-    pub incarnation: u64,
-    /// Number of the crash within the incarnation; zero if the report is only about `completed`.
-    #[prost(uint64, tag = "3")]
-    pub number: u64,
-    /// Requests that were running.
-    #[prost(message, repeated, tag = "4")]
-    pub suspects: Vec<CrashSuspect>,
-    /// Fingerprints of quarantined requests that the upstream has completed.
-    #[prost(fixed64, repeated, tag = "5")]
-    pub completed: Vec<u64>,
-}
-
 /// Identifies one incarnation of an upstream.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct UpstreamIncarnation {
@@ -317,7 +266,7 @@
     pub limits: Option<LimitsItem>,
     /// Absent if no request is in quarantine.
     #[prost(message, optional, tag = "8")]
-    pub quarantine: Option<QuarantineList>,
+    pub quarantine: Option<crate::quarantine::QuarantineList>,
 }
 
 /// History of a catalog: the data beyond its current content.
@@ -537,7 +486,7 @@
     pub digest: u64,
     /// The whole list, if it has changed since `base`.
     #[prost(message, optional, tag = "5")]
-    pub quarantine: Option<QuarantineList>,
+    pub quarantine: Option<crate::quarantine::QuarantineList>,
 }
 
 /// Acknowledges that the child has applied a version.
--- a/crates/kumquatlock/src/call/destination/crash.rs
+++ b/crates/kumquatlock/src/call/destination/crash.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexSet;
 use kumquatlock_wire::call::CallReason;
-use kumquatlock_wire::distribution::CrashReport;
+use kumquatlock_wire::quarantine::CrashReport;
 
 use super::run::{CallRun, ResponseVerdict, RunPhase};
 use super::{DestinationCalls, DestinationStep, RunId};
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -74,14 +74,6 @@
         }
     }
 
-    /// Ends a call whose request was quarantined after its arrival, instead of another attempt.
-    fn refuse_quarantined(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
-        if let Some(call) = self.calls.get_mut(&id) {
-            call.reason = CallReason::Quarantined;
-            self.give_up(now, id, steps);
-        }
-    }
-
     fn send_to(
         &mut self,
         now: Timestamp,
@@ -495,7 +487,7 @@
     }
 
     /// Answers with the best available result: an upstream's failed answer, or else "not run".
-    fn give_up(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
+    pub(super) fn give_up(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod log;
+mod quarantine;
 mod resolve;
 mod settings;
 mod state;
@@ -460,16 +461,6 @@
         }
     }
 
-    fn fingerprint(&self, request: &CallerRequest) -> RequestFingerprint {
-        RequestFingerprint::new(&self.settings.origin, &request.host, request.digest)
-    }
-
-    /// Whether the request is refused because it has ended several upstreams.
-    pub(super) fn is_quarantined(&self, fingerprint: RequestFingerprint) -> bool {
-        let snapshot = self.snapshot.as_ref();
-        snapshot.is_some_and(|snapshot| snapshot.quarantined.contains(&fingerprint))
-    }
-
     /// Decides whether a request becomes a call.
     fn admit(&self, now: Timestamp, request: &CallerRequest) -> Result<AdmittedCall, CallerAnswer> {
         let max_timeout = self.settings.longest_timeout;
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -8,8 +8,9 @@
 use kumquatlock_wire::Body;
 use kumquatlock_wire::claim::ShardHolder;
 use kumquatlock_wire::distribution::{
-    CatalogState, CrashReport, RouteItem, ServiceItem, UpstreamItem, WireClass,
+    CatalogState, RouteItem, ServiceItem, UpstreamItem, WireClass,
 };
+use kumquatlock_wire::quarantine::CrashReport;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
--- a/crates/kumquatlock/src/catalog/apply.rs
+++ b/crates/kumquatlock/src/catalog/apply.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use kumquatlock_wire::distribution::{
-    CatalogCommand, ManifestChange, QuarantineChange, RouteItem, ServiceItem, UpstreamIncarnation,
-    UpstreamItem, UpstreamReport, WireState, catalog_command,
+    CatalogCommand, ManifestChange, RouteItem, ServiceItem, UpstreamIncarnation, UpstreamItem,
+    UpstreamReport, WireState, catalog_command,
 };
+use kumquatlock_wire::quarantine::QuarantineChange;
 
 use super::{
     AcceptedRecord, Catalog, MAX_ACCEPTED_MANIFESTS, MAX_SEEN_REGIONS, MAX_UPSTREAMS,
--- a/crates/kumquatlock/src/catalog/tests.rs
+++ b/crates/kumquatlock/src/catalog/tests.rs
@@ -1,9 +1,10 @@
 //! Tests of the catalog.
 
 use kumquatlock_wire::distribution::{
-    CatalogCommand, CatalogState, Delta, QuarantineChange, UpstreamIncarnation, UpstreamItem,
-    UpstreamReport, WireState, catalog_command::Kind,
+    CatalogCommand, CatalogState, Delta, UpstreamIncarnation, UpstreamItem, UpstreamReport,
+    WireState, catalog_command::Kind,
 };
+use kumquatlock_wire::quarantine::QuarantineChange;
 use prost::Message;
 
 use super::*;
--- a/crates/kumquatlock/src/catalog/transfer.rs
+++ b/crates/kumquatlock/src/catalog/transfer.rs
@@ -3,9 +3,10 @@
 use bytes::Bytes;
 use indexmap::IndexSet;
 use kumquatlock_wire::distribution::{
-    AcceptedManifest, CatalogChange, CatalogHistory, CatalogState, Delta, ItemKind, QuarantineList,
-    RouteItem, SeenRegion, ServiceItem, Tombstone, UpstreamItem, catalog_change::Kind,
+    AcceptedManifest, CatalogChange, CatalogHistory, CatalogState, Delta, ItemKind, RouteItem,
+    SeenRegion, ServiceItem, Tombstone, UpstreamItem, catalog_change::Kind,
 };
+use kumquatlock_wire::quarantine::QuarantineList;
 use prost::Message;
 
 use super::store::{CatalogItem, encoded_field_len};
--- a/crates/kumquatlock/src/core/snapshot.rs
+++ b/crates/kumquatlock/src/core/snapshot.rs
@@ -9,9 +9,10 @@
 
 use indexmap::{IndexMap, IndexSet};
 use kumquatlock_wire::distribution::{
-    CatalogState, Delta, LimitsItem, QuarantineList, RouteItem, ServiceItem, SplitItem,
-    UpstreamItem, WireClass, WireState, catalog_change,
+    CatalogState, Delta, LimitsItem, RouteItem, ServiceItem, SplitItem, UpstreamItem, WireClass,
+    WireState, catalog_change,
 };
+use kumquatlock_wire::quarantine::QuarantineList;
 
 use super::{
     ConfigVersion, IncarnationId, RequestClass, RequestFingerprint, SharedName, UpstreamState,
--- a/crates/kumquatlock/src/ops/control/quarantine.rs
+++ b/crates/kumquatlock/src/ops/control/quarantine.rs
@@ -1,6 +1,7 @@
 //! Quarantine of requests that end upstreams, decided by the leader.
 
-use kumquatlock_wire::distribution::{CrashReport, QuarantineChange, catalog_command};
+use kumquatlock_wire::distribution::catalog_command;
+use kumquatlock_wire::quarantine::{CrashReport, QuarantineChange};
 
 use super::actor::ControlActor;
 use crate::core::{RequestFingerprint, Timestamp};
--- a/crates/kumquatlock/src/quarantine/reporter.rs
+++ b/crates/kumquatlock/src/quarantine/reporter.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use kumquatlock_wire::distribution::CrashReport;
+use kumquatlock_wire::quarantine::CrashReport;
 
 use crate::core::{RequestFingerprint, Timestamp};
 
--- a/crates/kumquatlock/src/quarantine/suspect.rs
+++ b/crates/kumquatlock/src/quarantine/suspect.rs
@@ -1,7 +1,7 @@
 //! A request that was running when an upstream crashed.
 
 use kumquatlock_wire::call::CallRequest;
-use kumquatlock_wire::distribution::CrashSuspect;
+use kumquatlock_wire::quarantine::CrashSuspect;
 
 use crate::core::{RequestFingerprint, stable_hash};
 
--- a/crates/kumquatlock/src/quarantine/tests.rs
+++ b/crates/kumquatlock/src/quarantine/tests.rs
@@ -3,7 +3,7 @@
 
 use kumquatlock_wire::agreement::Forward;
 use kumquatlock_wire::agreement::forward::Content;
-use kumquatlock_wire::distribution::CrashReport;
+use kumquatlock_wire::quarantine::CrashReport;
 use prost::Message;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
