Show that a late second answer makes a booking run twice

TWICE: the attempts of one call carry the same Request-Id, so a late copy of the rejection of the first attempt counts as the answer to the second one on the same connection, while the backend runs it. With max_attempts 3 the booking is sent and run once more; with 2 it is answered 503 although it runs (REFUSED).

--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -51,8 +51,14 @@
     pub slots: u32,
     pub queue: u32,
     pub work: Duration,
+    /// A fault: this request is rejected when it comes for the first time, and the answer is sent a
+    /// second time somewhat later.
+    pub rejected_twice: Option<String>,
 }
 
+/// How late the second copy of an answer is sent.
+const LATE: Duration = Duration::from_millis(20);
+
 struct Shared {
     options: Options,
     record: Record,
@@ -65,6 +71,7 @@
     is_silent: AtomicBool,
     sequence: AtomicU64,
     born: u64,
+    has_rejected: AtomicBool,
 }
 
 #[derive(Clone)]
@@ -86,6 +93,7 @@
             is_silent: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
             born: born.map_or(0, |elapsed| elapsed.as_millis() as u64),
+            has_rejected: AtomicBool::new(false),
         });
         let accepting = shared.clone();
         thread::spawn(move || {
@@ -223,6 +231,13 @@
     if find(headers, "expected-instance").is_some_and(|id| id != options.id) {
         return Some(head("421 Misdirected Request", "Not-Executed: 1\r\n", ""));
     }
+    if options.rejected_twice.as_ref() == Some(&request)
+        && !shared.has_rejected.swap(true, Ordering::SeqCst)
+    {
+        let answer = head("503 Service Unavailable", "Not-Executed: 1\r\n", "");
+        send_again(shared, stream, request.clone(), answer.clone());
+        return Some(answer);
+    }
     let reached = shared.record.now();
     shared.record.line(format!(
         "backend {}: request {request} reaches it",
@@ -265,6 +280,25 @@
     is_done.then(|| head("200 OK", &signature, "done"))
 }
 
+/// Sends the answer a second time on the same connection, somewhat late.
+fn send_again(shared: &Shared, stream: &TcpStream, request: String, answer: String) {
+    let id = shared.options.id.clone();
+    let record = shared.record.clone();
+    record.line(format!(
+        "backend {id}: rejects {request} with 503 and Not-Executed"
+    ));
+    let Ok(mut stream) = stream.try_clone() else {
+        return;
+    };
+    thread::spawn(move || {
+        thread::sleep(LATE);
+        let is_sent = stream.write_all(answer.as_bytes()).is_ok();
+        record.line(format!(
+            "backend {id}: sends that answer a second time: {is_sent}"
+        ));
+    });
+}
+
 fn take_slot(shared: &Shared, deadline: Instant) -> bool {
     let options = &shared.options;
     let mut load = shared.load.lock().expect("the load should be usable");
--- a/review/standin/drain.rs
+++ b/review/standin/drain.rs
@@ -41,6 +41,7 @@
             slots: 4,
             queue: 16,
             work: WORK,
+            rejected_twice: None,
         };
         Backend::start(options, record, &runs)
     };
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod record;
 mod requests;
 mod stop;
+mod twice;
 
 use record::Record;
 
@@ -26,6 +27,7 @@
     let verdict = match case.as_str() {
         "stop" => stop::run(&record, has_trouble),
         "drain" => drain::run(&record, has_trouble),
+        "twice" => twice::run(&record, has_trouble),
         "orders" => orders::run(&record, has_trouble),
         _ => platform::stop_not_run("unknown case"),
     };
--- a/review/standin/orders.rs
+++ b/review/standin/orders.rs
@@ -28,7 +28,7 @@
         lost.wait();
         thread::sleep(Duration::from_secs(4));
     }
-    deployment.configure(&configuration_with(3, 1, "12s", ROUTES));
+    deployment.configure(&configuration_with(3, 1, "12s", 2, ROUTES));
     deployment.configure(&configuration(4, 3, "12s"));
     deployment.configure(&configuration(6, 4, "11s"));
     let last = configuration(9, 6, "10s");
--- a/review/standin/requests.rs
+++ b/review/standin/requests.rs
@@ -70,11 +70,17 @@
 
 /// A configuration with one route for bookings, which may not run twice.
 pub fn configuration(version: u64, base: u64, timeout: &str) -> String {
-    configuration_with(version, base, timeout, 0)
+    configuration_with(version, base, timeout, 2, 0)
 }
 
-/// The same with a number of further routes.
-pub fn configuration_with(version: u64, base: u64, timeout: &str, more: usize) -> String {
+/// The same with another `max_attempts` and a number of further routes.
+pub fn configuration_with(
+    version: u64,
+    base: u64,
+    timeout: &str,
+    attempts: u32,
+    more: usize,
+) -> String {
     let more: String = (0..more)
         .map(|number| {
             format!(
@@ -88,7 +94,7 @@
     format!(
         "{{\"version\":\"r{version}\",\"routes\":{{\"r-book\":{{\"hostname\":\"review.example\",\
          \"path_prefix\":\"/bookings/\",\"kind\":\"non_idempotent\",\"timeout\":\"{timeout}\",\
-         \"target_latency\":\"2500ms\",\"priority\":1,\"service\":\"booking\",\"max_attempts\":2}}{more}}},\
+         \"target_latency\":\"2500ms\",\"priority\":1,\"service\":\"booking\",\"max_attempts\":{attempts}}}{more}}},\
          \"services\":{{\"booking\":{{\"health_path\":\"/healthz\",\"max_connections\":530,\
          \"protocol\":\"h1\",\"tls\":false}},\"shop\":{{\"health_path\":\"/healthz\",\
          \"max_connections\":530,\"protocol\":\"h1\",\"tls\":false}}}},\
--- a/review/standin/stop.rs
+++ b/review/standin/stop.rs
@@ -34,6 +34,7 @@
             slots,
             queue: 4 * slots,
             work: WORK,
+            rejected_twice: None,
         };
         Backend::start(options, record, &runs)
     };
