Show that the loss of one founder at the first start hangs the system

Acks: if the founder with the lowest address loses its disk before the group is formed, it comes back without the right to form the group, and the others wait for it. No configuration is ever acknowledged.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 
 mod backend;
 mod drain;
+mod founder;
 mod http;
 mod orders;
 mod platform;
@@ -27,6 +28,7 @@
     let verdict = match case.as_str() {
         "stop" => stop::run(&record, has_trouble),
         "drain" => drain::run(&record, has_trouble),
+        "founder" => founder::run(&record, has_trouble),
         "twice" => twice::run(&record, has_trouble),
         "orders" => orders::run(&record, has_trouble),
         _ => platform::stop_not_run("unknown case"),
