--- a/review/standin/founder.rs
+++ b/review/standin/founder.rs
@@ -4,9 +4,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::backend::{Backend, Options, Runs};
 use crate::platform::{Deployment, SIGKILL};
 use crate::record::Record;
-use crate::requests::configuration;
+use crate::requests::{configuration, post};
+
+const BOOKING: u8 = 22;
+const REQUESTS: usize = 10;
 
 /// Time after the first start.
 const KILLED_AFTER: Duration = Duration::from_millis(100);
@@ -31,6 +35,18 @@
         thread::sleep(DOWN);
         processes[0] = deployment.start(host, None, false);
     }
+    let node = deployment.start(BOOKING, Some("booking"), true);
+    let options = Options {
+        service: "booking",
+        id: "i-booking".to_owned(),
+        address: deployment.socket(BOOKING, deployment.ports.app),
+        admin: deployment.socket(BOOKING, deployment.ports.admin),
+        slots: 4,
+        queue: 16,
+        work: Duration::from_millis(100),
+        rejected_twice: None,
+    };
+    Backend::start(options, record, &Runs::default());
     let body = configuration(1, 0, "12s");
     let started = Instant::now();
     let mut pause = Duration::from_millis(50);
@@ -49,13 +65,23 @@
         pause = (pause * 2).min(Duration::from_secs(1));
     }
     let took = started.elapsed();
-    drop(processes);
+    thread::sleep(Duration::from_secs(3));
+    let outbound = deployment.socket(BOOKING, deployment.ports.outbound);
+    let clients: Vec<_> = (0..REQUESTS)
+        .map(|number| post(record, outbound, format!("visit-{number}"), 5_000))
+        .collect();
+    let seen = clients.into_iter().filter_map(|client| client.join().ok());
+    let served = seen.filter(|seen| seen.status == Some(200)).count();
+    record.line(format!("{served} of {REQUESTS} requests were served"));
+    let are_running = processes.iter_mut().all(|process| !process.has_ended());
+    record.line(format!("all control processes run: {are_running}"));
+    drop((node, processes));
     deployment.remove_folder();
-    match status {
-        Some(200) if took <= CALM => Ok(()),
-        Some(200) => Err(format!("Acks, the first configuration took {took:?}")),
+    match (status, served) {
+        (Some(200), 1..) if took <= CALM => Ok(()),
         _ => Err(format!(
-            "Acks, the first configuration has no acknowledgement after {took:?}; all processes run"
+            "Fault, {served} requests were served; the first configuration was answered {status:?} \
+             after {took:.1?}"
         )),
     }
 }
