Show that a late heartbeat brings a backend back that has left

DRAIN: after a restart a node has forgotten that its backend left, so a heartbeat that was sent before and arrives late takes it into service again. It takes the place of the lost founder, whose script stays as target/review/standin founder.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,4 +2,4 @@
 # Runs the case; see claim.txt. Needs target/release/kumquatlock-platform and review/build.sh.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
-exec target/review/standin founder review/5
+exec target/review/standin late review/5
--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -147,8 +147,22 @@
         false
     }
 
-    /// Sends DELETE and exits: the listener and all connections are closed.
-    pub fn leave(&self) {
+    /// Takes a heartbeat that is on its way, and will arrive late.
+    pub fn take_heartbeat(&self) -> String {
+        heartbeat(&self.0)
+    }
+
+    /// Lets a heartbeat arrive.
+    pub fn deliver(&self, heartbeat: &str) {
+        let is_acknowledged = deliver(&self.0, heartbeat);
+        self.0.record.line(format!(
+            "backend {}: a late heartbeat arrives, acknowledged: {is_acknowledged}",
+            self.0.options.id
+        ));
+    }
+
+    /// Sends DELETE and sends no more heartbeats. Returns whether it is acknowledged.
+    pub fn delete(&self) -> bool {
         let options = &self.0.options;
         self.0.is_silent.store(true, Ordering::SeqCst);
         let path = format!("/-/instances/{}", options.id);
@@ -162,29 +176,52 @@
         );
         let status = answer.map_or(0, |answer| answer.status);
         self.0.record.line(format!(
-            "backend {}: DELETE is answered {status}; exits",
+            "backend {}: DELETE is answered {status}",
             options.id
         ));
+        (200..300).contains(&status)
+    }
+
+    /// Exits: the listener and all connections are closed.
+    pub fn exit(&self) {
+        let options = &self.0.options;
+        self.0.record.line(format!("backend {}: exits", options.id));
         self.0.has_ended.store(true, Ordering::SeqCst);
         let _ = TcpStream::connect(options.address);
     }
+
+    /// Sends DELETE and exits.
+    pub fn leave(&self) {
+        self.delete();
+        self.exit();
+    }
 }
 
 fn beat(shared: &Shared) -> bool {
+    deliver(shared, &heartbeat(shared))
+}
+
+/// Returns the body of the next heartbeat.
+fn heartbeat(shared: &Shared) -> String {
     let options = &shared.options;
     let sequence = shared.sequence.fetch_add(1, Ordering::SeqCst) + 1;
     let state = match shared.is_draining.load(Ordering::SeqCst) {
         true => "draining",
         false => "ready",
     };
-    let body = format!(
+    format!(
         "{{\"address\":\"{}\",\"born\":{},\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\
          \"zone\":\"north-a\",\"slots\":{}}},\"status\":{{\"state\":\"{state}\",\
          \"sequence\":{sequence},\"warmup_left\":\"0ms\"}}}}",
         options.address, shared.born, options.service, options.slots
-    );
+    )
+}
+
+/// Sends a heartbeat. Returns whether it is acknowledged.
+fn deliver(shared: &Shared, body: &str) -> bool {
+    let options = &shared.options;
     let path = format!("/-/instances/{}", options.id);
-    let answer = http::call(options.admin, "PUT", &path, &body, Duration::from_secs(1));
+    let answer = http::call(options.admin, "PUT", &path, body, Duration::from_secs(1));
     answer.is_ok_and(|answer| (200..300).contains(&answer.status))
 }
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,7 +7,9 @@
 mod backend;
 mod drain;
 mod founder;
+mod frame;
 mod http;
+mod late;
 mod orders;
 mod platform;
 mod record;
@@ -29,6 +31,8 @@
         "stop" => stop::run(&record, has_trouble),
         "drain" => drain::run(&record, has_trouble),
         "founder" => founder::run(&record, has_trouble),
+        "frame" => frame::run(&record, has_trouble),
+        "late" => late::run(&record, has_trouble),
         "twice" => twice::run(&record, has_trouble),
         "orders" => orders::run(&record, has_trouble),
         _ => platform::stop_not_run("unknown case"),
