Keep two attempts of a request off one upstream connection

Cause: an idle connection was chosen by its age alone. All attempts of a call bear the caller's id, which is all that the upstream repeats, so on one connection the late copy of an earlier attempt's answer passed for the next one's.

Ruled out: an id that is not compared (a copy for another caller is skipped, and the test of that held), and an entry node that counts one answer for two attempts (answers between nodes name their attempt).

Evidence: a_late_copy_of_a_refusal_does_not_answer_the_next_attempt got 503 in place of 200 before this change.

Change: a connection keeps the digests of the requests that it has carried until their deadlines (256 at most, then it is closed) and takes no other attempt of one of them. A request without an id takes no connection with named answers. On the product's own interface an upstream may repeat kumquatlock-attempt, which is checked the same way.

Cost: none on a sound upstream (requests_of_other_callers_reuse_a_connection_after_a_refusal); a call that is sent to the upstream again takes another connection.

--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -105,10 +105,12 @@
         )
     }
 
-    /// Returns the header that the upstream must repeat in its answer, if the caller identified its
-    /// attempt.
+    /// Returns the header that identifies the request in the upstream's answer: the caller's
+    /// identifier if the platform has one, or else the attempt, which an upstream may repeat.
     fn echoed(&self, names: &HeaderNames) -> Option<(&'static str, String)> {
-        let name = names.request_id?;
+        let Some(name) = names.request_id else {
+            return names.attempt.map(|name| (name, self.attempt_label()));
+        };
         let mut fields = self.request.headers.iter();
         let field = fields.find(|field| field.name.eq_ignore_ascii_case(name))?;
         Some((name, field.value.clone()))
--- a/crates/kumquatlock/src/http/exchange.rs
+++ b/crates/kumquatlock/src/http/exchange.rs
@@ -13,6 +13,7 @@
 use stakker_mio::{MioPoll, MioSource, Ready};
 
 use super::body::{BodyError, BodyProgress, BodyReader};
+use super::carried::CarriedRequests;
 use super::encode::encode_request;
 use super::head::{BodyFraming, HeadProgress, ResponseHead, parse_response_head};
 use super::message::{HttpRequest, HttpResponse, MAX_BODY_BYTES};
@@ -56,7 +57,8 @@
     /// on one that has been idle for at most a second.
     pub is_repeatable: bool,
     /// Name and value of a header that the upstream repeats in its response. A response with
-    /// another value belongs to another request and is skipped.
+    /// another value belongs to another request and is skipped. The request is not sent on a
+    /// connection that has carried another attempt with the same value.
     pub echoed: Option<(&'static str, String)>,
 }
 
@@ -138,6 +140,9 @@
     write_buf: BytesMut,
     /// Maximum time for which the connection may stay idle.
     idle_limit: Duration,
+    carried: CarriedRequests,
+    /// Whether a response on this connection has named its request. If so, all of them do.
+    names_requests: bool,
 }
 
 /// Result of reading from and writing to a connection.
@@ -193,11 +198,11 @@
             mismatched_responses: 0,
             interim_responses: 0,
         };
-        match self.select_idle(now, job.address, job.is_repeatable) {
+        match self.select_idle(now, job.address, job.is_repeatable, &exchange) {
             Some(id) => {
                 if let Some(connection) = self.connections.get_mut(&id) {
                     connection.write_buf = write_buf;
-                    connection.phase = ExchangePhase::Running(exchange);
+                    connection.begin(now, exchange);
                 }
                 self.advance(now, id, false);
             }
@@ -279,6 +284,7 @@
         now: Timestamp,
         address: SocketAddr,
         is_repeatable: bool,
+        exchange: &UpstreamExchange<T>,
     ) -> Option<u64> {
         self.connections.retain(|_, connection| {
             connection.address == address || connection.exchange().is_some()
@@ -289,7 +295,10 @@
         };
         let mut connections = self.connections.iter().rev();
         let idle = connections.find(|(_, connection)| match connection.phase {
-            ExchangePhase::Idle { since } => now.since(since) < max_age.min(connection.idle_limit),
+            ExchangePhase::Idle { since } => {
+                now.since(since) < max_age.min(connection.idle_limit)
+                    && connection.may_carry(now, exchange)
+            }
             _ => false,
         });
         idle.map(|(id, _)| *id)
@@ -317,6 +326,10 @@
             .and_then(|stream| self.poll.add(stream, interest, POLL_PRIORITY, forward));
         match registered {
             Ok(socket) => {
+                let mut carried = CarriedRequests::default();
+                if let Some((_, value)) = &exchange.echoed {
+                    carried.record(now, value, exchange.deadline);
+                }
                 let connection = UpstreamConnection {
                     socket,
                     address,
@@ -325,6 +338,8 @@
                     read_buf: BytesMut::new(),
                     write_buf,
                     idle_limit: MAX_IDLE_AGE,
+                    carried,
+                    names_requests: false,
                 };
                 self.connections.insert(id, connection);
             }
@@ -405,6 +420,22 @@
         }
     }
 
+    /// Whether the responses to the exchange can be told from those to earlier requests.
+    fn may_carry(&self, now: Timestamp, exchange: &UpstreamExchange<T>) -> bool {
+        match &exchange.echoed {
+            Some((_, value)) => self.carried.accepts(now, value),
+            None => !self.names_requests,
+        }
+    }
+
+    /// Begins an exchange on an idle connection.
+    fn begin(&mut self, now: Timestamp, exchange: UpstreamExchange<T>) {
+        if let Some((_, value)) = &exchange.echoed {
+            self.carried.record(now, value, exchange.deadline);
+        }
+        self.phase = ExchangePhase::Running(exchange);
+    }
+
     fn advance(&mut self, is_readable: bool) -> ExchangeProgress {
         if matches!(self.phase, ExchangePhase::Connecting(_)) {
             match self.finish_connect() {
@@ -545,18 +576,30 @@
             let Some((head, body)) = exchange.response.take() else {
                 return ExchangeProgress::Pending;
             };
-            if exchange.is_mismatched(&head) {
-                exchange.mismatched_responses += 1;
-                if !head.keep_alive || exchange.mismatched_responses > MAX_MISMATCHED_RESPONSES {
+            match exchange.attribution(&head) {
+                ResponseAttribution::Own => self.names_requests |= exchange.echoed.is_some(),
+                ResponseAttribution::Unnamed if !self.names_requests => {}
+                ResponseAttribution::Unnamed => {
                     return ExchangeProgress::Failed(UpstreamFailure::Garbled);
                 }
-                continue;
+                ResponseAttribution::OtherRequest => {
+                    self.names_requests = true;
+                    exchange.mismatched_responses += 1;
+                    if !head.keep_alive || exchange.mismatched_responses > MAX_MISMATCHED_RESPONSES
+                    {
+                        return ExchangeProgress::Failed(UpstreamFailure::Garbled);
+                    }
+                    continue;
+                }
             }
-            // The connection cannot be reused if it holds bytes that belong to no request, or if
-            // the response arrived before the whole request was written: the rest of the request
-            // would precede the next request.
-            let is_reusable =
-                head.keep_alive && self.read_buf.is_empty() && self.write_buf.is_empty();
+            // The connection cannot be reused if it holds bytes that belong to no request, if the
+            // upstream has sent a response twice, or if the response arrived before the whole
+            // request was written: the rest of the request would precede the next request.
+            let is_reusable = head.keep_alive
+                && exchange.mismatched_responses == 0
+                && self.read_buf.is_empty()
+                && self.write_buf.is_empty()
+                && !self.carried.is_full();
             let announced = head.idle_timeout_secs.map(Duration::from_secs);
             let announced = announced.map(|limit| limit.saturating_sub(IDLE_TIMEOUT_MARGIN));
             self.idle_limit = announced.unwrap_or(MAX_IDLE_AGE).min(MAX_IDLE_AGE);
@@ -572,17 +615,27 @@
     }
 }
 
+/// Which request a response belongs to, according to its echoed header.
+enum ResponseAttribution {
+    /// The current request.
+    Own,
+    OtherRequest,
+    /// The header is missing.
+    Unnamed,
+}
+
 impl<T> UpstreamExchange<T> {
-    /// Whether the response belongs to another request according to its echoed header.
-    fn is_mismatched(&self, head: &ResponseHead) -> bool {
+    fn attribution(&self, head: &ResponseHead) -> ResponseAttribution {
         let Some((name, expected)) = &self.echoed else {
-            return false;
+            return ResponseAttribution::Own;
         };
-        let named = head
-            .headers
-            .iter()
-            .find(|(header, _)| header.eq_ignore_ascii_case(name));
-        named.is_some_and(|(_, value)| value != expected)
+        let mut headers = head.headers.iter();
+        let named = headers.find(|(header, _)| header.eq_ignore_ascii_case(name));
+        match named {
+            Some((_, value)) if value == expected => ResponseAttribution::Own,
+            Some(_) => ResponseAttribution::OtherRequest,
+            None => ResponseAttribution::Unnamed,
+        }
     }
 }
 
--- a/crates/kumquatlock/src/http/mod.rs
+++ b/crates/kumquatlock/src/http/mod.rs
@@ -6,6 +6,7 @@
 //! and responses.
 
 mod body;
+mod carried;
 mod connection;
 mod encode;
 mod exchange;
--- a/crates/kumquatlock/src/http/tests.rs
+++ b/crates/kumquatlock/src/http/tests.rs
@@ -13,6 +13,7 @@
 
 mod endless;
 mod heads;
+mod late;
 mod stops;
 
 use crate::core::Timestamp;
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -126,7 +126,7 @@
                 let request = HttpRequest {
                     method: "POST".to_owned(),
                     target: "/cancel".to_owned(),
-                    headers: vec![(ATTEMPT_HEADER.to_owned(), attempt)],
+                    headers: vec![(ATTEMPT_HEADER.to_owned(), attempt.clone())],
                     ..HttpRequest::default()
                 };
                 let job = UpstreamJob {
@@ -135,7 +135,7 @@
                     request,
                     timeout: CANCEL_TIMEOUT,
                     is_repeatable: true,
-                    echoed: None,
+                    echoed: Some((ATTEMPT_HEADER, attempt)),
                 };
                 self.exchanges.start(now, job);
             }
