Answer the calls of a stopping node that wait at other nodes

Cause: the end of a node is a deadline for all calls in its hands, but it was held only against calls that it received later for its own upstream. The nodes that hold its calls were not told, and EntryCalls::drain skips each call with an attempt that is out.

Ruled out: answers that are ready and not written (the log names open calls, no answer to them existed).

Change: the stopping node states how long it can pass answers on, in a message for each attempt that is out and in later calls. A call that waits and is not expected to be answered by then is refused as not run; one at work continues. Calls in the stopping node's own queue are held against its end the same way. What is left 0.2 s before the end is answered. A deferred call that is refused during the stop is answered instead of waiting for up to an hour.

--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -105,6 +105,10 @@
     /// release, states none.
     #[prost(fixed64, tag = "21")]
     pub fingerprint: u64,
+    /// Time in which the entry node can still pass the answer on, in microseconds when the message
+    /// was sent. Present only if that ends before the deadline because the entry node stops.
+    #[prost(uint64, optional, tag = "22")]
+    pub answer_within_us: Option<u64>,
 }
 
 /// Outcome of one attempt.
@@ -203,9 +207,15 @@
     pub notice: Option<UpstreamNotice>,
 }
 
-/// Tells the destination node that the entry node no longer waits for the attempt.
+/// Tells the destination node that the entry node no longer waits for the attempt, or how long it
+/// still does.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CallCancel {
     #[prost(message, required, tag = "1")]
     pub id: AttemptId,
+    /// Time in which the entry node can still pass the answer on, in microseconds when the message
+    /// was sent. If present, an attempt that is running continues, and one that is waiting is
+    /// refused if it can't be answered within this time.
+    #[prost(uint64, optional, tag = "2")]
+    pub answer_within_us: Option<u64>,
 }
--- a/crates/kumquatlock/src/admission/lanes.rs
+++ b/crates/kumquatlock/src/admission/lanes.rs
@@ -102,6 +102,15 @@
         !self.is_late && self.due < self.deadline && self.due < earliest
     }
 
+    /// Returns the key of the same call with an earlier deadline.
+    pub(super) fn with_deadline(self, deadline: Timestamp) -> Self {
+        QueueKey {
+            due: self.due.min(deadline),
+            deadline,
+            ..self
+        }
+    }
+
     fn into_late(self) -> Self {
         QueueKey {
             is_late: true,
@@ -125,6 +134,11 @@
         self.queued.len()
     }
 
+    /// Returns the queued calls in their order.
+    pub(super) fn queued(&self) -> impl Iterator<Item = QueueKey> {
+        self.queued.iter().copied()
+    }
+
     pub(super) fn insert(&mut self, key: QueueKey) {
         self.queued.insert(key);
     }
--- a/crates/kumquatlock/src/admission/queue.rs
+++ b/crates/kumquatlock/src/admission/queue.rs
@@ -295,6 +295,35 @@
         self.poll(now)
     }
 
+    /// Requires queued calls to be answered by a time before their deadlines. Returns those that
+    /// are not expected to be, in their order; they are no longer queued.
+    pub fn limit_queued(
+        &mut self,
+        now: Timestamp,
+        answer_by: Timestamp,
+        is_limited: impl Fn(AdmissionTicket) -> bool,
+    ) -> Vec<AdmissionTicket> {
+        let mut refused = Vec::new();
+        let mut ahead = 0;
+        for key in self.lanes.queued().collect::<Vec<_>>() {
+            if is_limited(key.ticket) && key.deadline > answer_by {
+                self.lanes.remove(key.ticket);
+                if self.start_time(now, ahead) + self.service_time() > answer_by {
+                    refused.push(key.ticket);
+                    continue;
+                }
+                self.lanes.insert(key.with_deadline(answer_by));
+            }
+            ahead += 1;
+        }
+        refused
+    }
+
+    /// Returns the mean service time of a call; zero before the first answer.
+    pub fn service_time(&self) -> Duration {
+        self.estimate.service_time()
+    }
+
     /// Removes a queued call whose caller no longer waits for it.
     pub fn cancel(&mut self, ticket: AdmissionTicket) -> CancelOutcome {
         if self.lanes.remove(ticket).is_some() {
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod crash;
+mod limit;
 mod log;
 mod notice;
 mod queries;
@@ -14,7 +15,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use kumquatlock_wire::call::{
-    AttemptId, CallOutcome, CallReason, CallRequest, CallResponse, LoadReport,
+    AttemptId, CallCancel, CallOutcome, CallReason, CallRequest, CallResponse, LoadReport,
 };
 use kumquatlock_wire::claim::ClaimReply;
 use kumquatlock_wire::distribution::WireClass;
@@ -31,6 +32,7 @@
 use crate::http::{HttpResponse, UpstreamFailure};
 use crate::quarantine::{CompletedRequests, CrashDetector};
 use crate::util::trace::SeededIds;
+use limit::AnswerLimit;
 use log::DestinationLog;
 use notice::UpstreamStatement;
 use run::{CallRun, RunPhase};
@@ -240,12 +242,6 @@
         }
     }
 
-    /// Refuses, from now on, calls whose deadline is later than the end of the process. All others
-    /// still run.
-    pub fn set_end(&mut self, ends_at: Timestamp) {
-        self.ends_at = Some(ends_at);
-    }
-
     /// Whether no call is queued or running.
     pub fn is_idle(&self) -> bool {
         self.runs.is_empty()
@@ -305,11 +301,19 @@
         steps
     }
 
-    /// Handles the message that the entry node no longer waits for the call.
-    pub fn on_cancel(&mut self, now: Timestamp, attempt: &AttemptId) -> Vec<DestinationStep> {
+    /// Handles the message that the entry node no longer waits for the call, or will soon no longer
+    /// do so.
+    pub fn on_cancel(&mut self, now: Timestamp, cancel: &CallCancel) -> Vec<DestinationStep> {
         let mut steps = Vec::new();
-        if let Some(id) = self.attempts.get(attempt).copied() {
-            self.cancel_run(now, id, &mut steps);
+        let Some(id) = self.attempts.get(&cancel.id).copied() else {
+            return steps;
+        };
+        match cancel.answer_within_us {
+            None => self.cancel_run(now, id, &mut steps),
+            Some(within) => {
+                let limit = AnswerLimit::of_entry(now, within);
+                self.limit_waiting(now, limit, |run| run == id, &mut steps);
+            }
         }
         steps
     }
@@ -459,7 +463,9 @@
             true => RequestClass::Internal,
             false => class,
         };
-        let decision = admission.offer_with_priority(now, lane, rank, deadline);
+        let limit = AnswerLimit::of_request(now, &request);
+        let answer_by = limit.map_or(deadline, |limit| limit.at.min(deadline));
+        let decision = admission.offer_with_priority(now, lane, rank, answer_by);
         let ticket = match decision {
             AdmissionDecision::Start(ticket) | AdmissionDecision::Queued { ticket, .. } => ticket,
             AdmissionDecision::Refused(reason) => {
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -5,8 +5,9 @@
 use kumquatlock_wire::call::{CallOutcome, CallReason, CallRequest, HeaderField};
 
 use super::crash::LifeSign;
+use super::limit::AnswerLimit;
 use super::{CallSource, DestinationCalls, DestinationStep, RunId, UpstreamEndpoint};
-use crate::admission::{AdmissionTicket, CancelOutcome, QueueStep, ServiceOutcome};
+use crate::admission::{AdmissionQueue, AdmissionTicket, CancelOutcome, QueueStep, ServiceOutcome};
 use crate::call::HeaderNames;
 use crate::claim::StoredAnswer;
 use crate::core::{RequestClass, Timestamp};
@@ -26,6 +27,8 @@
     pub(super) request: CallRequest,
     pub(super) class: RequestClass,
     pub(super) deadline: Timestamp,
+    /// Present if the call must be answered before its deadline.
+    pub(super) limit: Option<AnswerLimit>,
     pub(super) ticket: AdmissionTicket,
     pub(super) arrived_at: Timestamp,
     /// Present once the request was sent to the upstream.
@@ -70,6 +73,7 @@
             .and_then(|value| value.parse().ok());
         let span = received.map(|received| HopSpan::child_of(&received, ids));
         CallRun {
+            limit: AnswerLimit::of_request(now, &request),
             source,
             request,
             class,
@@ -97,6 +101,12 @@
         }
     }
 
+    /// Returns why the call has too little time left.
+    fn short_time_reason(&self) -> CallReason {
+        let limit = self.limit.filter(|limit| limit.at < self.deadline);
+        limit.map_or(CallReason::DeadlineTooShort, |limit| limit.reason)
+    }
+
     fn attempt_label(&self) -> String {
         let id = &self.request.id;
         format!(
@@ -224,7 +234,9 @@
             self.refuse_run(now, id, CallReason::Draining, steps);
             return;
         };
-        if now >= run.deadline {
+        let service_time = self.admission.as_ref().map(AdmissionQueue::service_time);
+        let answered_at = now + service_time.unwrap_or_default();
+        if now >= run.deadline || run.limit.is_some_and(|limit| answered_at > limit.at) {
             self.refuse_run(now, id, CallReason::DeadlineTooShort, steps);
             return;
         }
@@ -263,6 +275,10 @@
             self.fence(now, &run.request.id, steps);
             self.abandon_claim(now, id, steps);
         }
+        let reason = match reason {
+            CallReason::DeadlineTooShort => run.short_time_reason(),
+            reason => reason,
+        };
         let outcome = CallOutcome::NotRun;
         let response = self.response(run.request.id.clone(), outcome, reason);
         self.send_response(now, &run, response, outcome, steps);
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -69,7 +69,9 @@
         }
         call.reason = CallReason::Overloaded;
         match call.route.class {
-            RequestClass::Deferred => call.phase = CallPhase::Backoff(now + FULL_RETRY_INTERVAL),
+            RequestClass::Deferred if !self.draining => {
+                call.phase = CallPhase::Backoff(now + FULL_RETRY_INTERVAL)
+            }
             _ => self.give_up(now, id, steps),
         }
     }
@@ -103,6 +105,8 @@
         call.load_age = chosen.load_age.unwrap_or_default();
         let mut request = build_request(call, &chosen, now, version);
         request.origin = self.settings.origin.to_string();
+        let ends_at = self.ends_at.filter(|ends_at| *ends_at < call.deadline);
+        request.answer_within_us = ends_at.map(|ends_at| micros(ends_at.since(now)));
         request.notice = self.notices.get(&chosen.entry.name).cloned();
         call.outstanding.push(SentAttempt {
             number,
@@ -448,12 +452,22 @@
         }
         let hedge = self.hedge_policies.get(&call.service);
         let expected = hedge.map_or(Duration::ZERO, |policy| policy.expected_latency());
-        let progress = call.progress();
+        let mut progress = call.progress();
+        if let Some(ends_at) = self.ends_at {
+            progress.deadline = progress.deadline.min(ends_at);
+        }
         let budget = budget_of(&mut self.budgets, &self.settings, now, &call.service);
         let decision =
             self.policy
                 .after_failure(now, &mut self.random, budget, &progress, failure, expected);
         match decision {
+            // A stopping node waits for no deferred call; its caller can use another node.
+            RetryDecision::Retry { .. } | RetryDecision::Postpone { .. }
+                if self.draining && call.is_deferred() =>
+            {
+                self.answer_failure(now, id, failure, steps);
+                return;
+            }
             RetryDecision::Retry { after } => {
                 self.counters.retries += 1;
                 call.phase = CallPhase::Backoff(now + after);
@@ -508,6 +522,7 @@
         for sent in std::mem::take(&mut call.outstanding) {
             let cancel = CallCancel {
                 id: self.attempt_id(id, sent.number),
+                answer_within_us: None,
             };
             let to = self.peer(&sent.chosen.entry);
             steps.push(EntryStep::Send {
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -6,6 +6,7 @@
 mod resolve;
 mod settings;
 mod state;
+mod stop;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -141,6 +142,8 @@
     timers: BTreeSet<(Timestamp, CallId)>,
     next_call: u64,
     draining: bool,
+    /// Until when answers of destination nodes can be passed on; set once the process stops.
+    ends_at: Option<Timestamp>,
     random: SmallRng,
     ids: SeededIds,
     counters: EntryCounters,
@@ -177,6 +180,7 @@
             timers: BTreeSet::new(),
             next_call: 1,
             draining: false,
+            ends_at: None,
             ids: SeededIds::new(random.clone().random()),
             random,
             counters: EntryCounters::default(),
@@ -199,22 +203,6 @@
         self.calls.len()
     }
 
-    /// Refuses new calls from now on and ends the calls that are only waiting for their next
-    /// attempt: deferred work may wait for an hour, and its caller can use another node. All other
-    /// calls continue.
-    pub fn drain(&mut self, now: Timestamp) -> Vec<EntryStep> {
-        self.draining = true;
-        let mut steps = Vec::new();
-        let waiting = self.calls.iter().filter(|(_, call)| call.is_waiting());
-        for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
-            if let Some(call) = self.calls.get_mut(&id) {
-                call.reason = CallReason::Draining;
-            }
-            self.answer_not_run(now, id, &mut steps);
-        }
-        steps
-    }
-
     /// Starts a call for a caller's request, or answers the caller at once if the request is
     /// refused.
     pub fn open(&mut self, now: Timestamp, request: CallerRequest) -> (CallId, Vec<EntryStep>) {
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -9,3 +9,4 @@
 mod rate_limit;
 mod silence;
 mod simulation;
+mod stop;
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -193,7 +193,7 @@
         let (name, sender) = (message.to, message.from);
         let steps = match message.body {
             Body::Call(request) => destination.calls.on_call(now, source, request, self.frozen),
-            Body::Cancel(cancel) => destination.calls.on_cancel(now, &cancel.id),
+            Body::Cancel(cancel) => destination.calls.on_cancel(now, &cancel),
             Body::OutcomeQuery(query) => destination.calls.on_query(now, source, query),
             Body::ClaimReply(reply) => destination.calls.on_claim_reply(now, &sender, &reply),
             Body::Claim(request) => {
@@ -321,6 +321,25 @@
         self.apply_destination_steps(name, steps);
     }
 
+    /// Lets the upstream that is running a request break off the connection before it is made.
+    pub(super) fn refuse_next_run(&mut self) {
+        let busy = UPSTREAMS.iter().find(|name| self.running(name) > 0);
+        let name = busy.expect("no request is running");
+        self.queue_result(name, Err(UpstreamFailure::Unreachable));
+        self.finish_next_run(name);
+        self.deliver_all();
+    }
+
+    /// Returns the number of requests that the upstream is running.
+    pub(super) fn running(&self, name: &str) -> usize {
+        self.destinations[name].running.len()
+    }
+
+    /// Returns the number of calls that wait or run at an upstream.
+    pub(super) fn in_progress(&self, name: &str) -> usize {
+        self.destinations[name].calls.in_progress()
+    }
+
     fn queue_claims(&mut self, from: &str, sends: Vec<ClaimMessage>) {
         for send in sends {
             let (to, body) = (send.to.to_string(), send.body);
@@ -407,7 +426,20 @@
     /// Lets the node beside an upstream refuse calls that may last beyond `after` from now.
     pub(super) fn end_after(&mut self, name: &str, after: Duration) {
         let ends_at = self.now + after;
-        self.destinations[name].calls.set_end(ends_at);
+        let steps = self.destinations[name].calls.set_end(self.now, ends_at);
+        self.apply_destination_steps(name, steps);
+    }
+
+    /// Tells the entry node that its process ends `after` from now.
+    pub(super) fn end_entry_after(&mut self, after: Duration) {
+        let steps = self.entry.set_end(self.now, self.now + after);
+        self.apply_entry_steps(steps);
+    }
+
+    /// Lets the process of the entry node end.
+    pub(super) fn end_entry(&mut self) {
+        let steps = self.entry.end_calls(self.now);
+        self.apply_entry_steps(steps);
     }
 
     pub(super) fn queue_result(
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -289,7 +289,7 @@
                 self.queue_entry(steps);
             }
             Body::Cancel(cancel) => {
-                let steps = self.destination.on_cancel(now, &cancel.id);
+                let steps = self.destination.on_cancel(now, &cancel);
                 self.queue_destination(steps);
             }
             Body::Claim(request) => {
@@ -396,7 +396,7 @@
                 self.queue_destination(steps);
             }
             Body::Cancel(cancel) => {
-                let steps = self.destination.on_cancel(now, &cancel.id);
+                let steps = self.destination.on_cancel(now, &cancel);
                 self.queue_destination(steps);
             }
             Body::Claim(request) => {
--- a/crates/kumquatlock/src/ops/node/stop.rs
+++ b/crates/kumquatlock/src/ops/node/stop.rs
@@ -20,6 +20,9 @@
 
 /// Time for the answers of the last calls to reach their callers before the process ends.
 const ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Time before the end of the process at which calls without an answer are answered as unknown.
+/// Lasts two ticks, so that a tick after that flushes the responses.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
 
 /// State of a graceful stop.
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +32,8 @@
     is_refusing_calls: bool,
     /// Time at which the node reported that its upstream leaves.
     leaving_at: Option<Timestamp>,
+    /// Whether all calls of callers have been answered because the process is about to end.
+    has_ended_calls: bool,
 }
 
 impl NodeActor {
@@ -39,12 +44,16 @@
             started_at: now,
             is_refusing_calls: false,
             leaving_at: None,
+            has_ended_calls: false,
         });
         self.http.close_after_responses();
         // The upstream may stay. Its capacity is used as long as its calls end before the process.
         if let Some(limit) = self.settings.tuning.shutdown_timeout {
-            self.destination
-                .set_end(now + limit.saturating_sub(ANSWER_TIME));
+            let ends_at = now + limit.saturating_sub(ANSWER_TIME);
+            let steps = self.destination.set_end(now, ends_at);
+            self.queue_destination(steps);
+            let steps = self.entry.set_end(now, ends_at);
+            self.queue_entry(steps);
         }
         log::info!(
             calls = self.entry.in_progress(),
@@ -78,15 +87,13 @@
             return;
         };
         let elapsed = now.since(stop.started_at);
-        if let Some(limit) = self.settings.tuning.shutdown_timeout
-            && elapsed >= limit
-        {
-            log::warn!(
-                calls = self.entry.in_progress(),
-                runs = self.destination.in_progress();
-                "drain_cut_short"
-            );
-            return self.finish_stop(false);
+        if let Some(limit) = self.settings.tuning.shutdown_timeout {
+            if elapsed >= limit {
+                return self.finish_stop(false);
+            }
+            if elapsed + FLUSH_TIME >= limit && !stop.has_ended_calls {
+                self.end_calls(now);
+            }
         }
         if !stop.is_refusing_calls {
             if elapsed < self.settings.tuning.shutdown_grace {
@@ -120,6 +127,20 @@
         }
     }
 
+    /// Answers the calls that have no answer shortly before the process ends.
+    fn end_calls(&mut self, now: Timestamp) {
+        if let Some(stop) = &mut self.stop {
+            stop.has_ended_calls = true;
+        }
+        log::warn!(
+            calls = self.entry.in_progress(),
+            runs = self.destination.in_progress();
+            "drain_cut_short"
+        );
+        let steps = self.entry.end_calls(now);
+        self.queue_entry(steps);
+    }
+
     fn hand_over_claims(&mut self, now: Timestamp) -> bool {
         if self.settings.tuning.without_claims {
             return true;
