Send calls that wait for a leaving upstream to other upstreams

Cause: a drain refused new calls only. "Queued and running calls finish" takes for granted that the upstream stays until then, and no limit but the caller's deadline ended the wait.

Ruled out: a drain that is forgotten (new calls are refused from the acknowledgement on), and calls that are sent later (all had arrived before it).

Change: when the upstream leaves, by an announcement, a deletion, a notice in an answer or silence, calls that wait run only if they are expected to be answered within the leave time (2 s, three quarters of what the platform states). The others are refused at once, in their order, and go elsewhere without drawing on the retry budget. A node that stops beside an upstream that stays uses the limit of its own end instead.

Evidence: module `leave` of the call tests; three of its four tests failed with the limit taken out (trial edit). The fourth holds either way and guards against a wave at the neighbours.

--- a/crates/kumquatlock/src/call/destination/limit.rs
+++ b/crates/kumquatlock/src/call/destination/limit.rs
@@ -8,6 +8,9 @@
 use super::{DestinationCalls, DestinationStep, RunId};
 use crate::core::Timestamp;
 
+/// Time for which a leaving upstream usually still answers requests.
+pub(super) const DEFAULT_LEAVE_TIME: Duration = Duration::from_secs(2);
+
 /// Time by which a call must be answered. The call is refused instead of started if it is not
 /// expected to be answered by then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +38,25 @@
 }
 
 impl DestinationCalls {
+    /// Refuses new calls from now on because the upstream leaves. It may end soon, so calls that
+    /// wait for it run only if they are expected to be answered before; the others can go to
+    /// another upstream. Running calls finish.
+    pub fn drain_upstream(&mut self, now: Timestamp) -> Vec<DestinationStep> {
+        let mut steps = Vec::new();
+        self.leave(now, &mut steps);
+        steps
+    }
+
+    /// Does the same as [`DestinationCalls::drain_upstream`].
+    pub(super) fn leave(&mut self, now: Timestamp, steps: &mut Vec<DestinationStep>) {
+        self.drain();
+        let limit = AnswerLimit {
+            at: now + self.leave_time,
+            reason: CallReason::Draining,
+        };
+        self.limit_waiting(now, limit, |_| true, steps);
+    }
+
     /// Sets when the process ends. Calls whose deadline is later are refused from now on, and calls
     /// that wait run only if they are expected to be answered by then.
     pub fn set_end(&mut self, now: Timestamp, ends_at: Timestamp) -> Vec<DestinationStep> {
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -32,7 +32,7 @@
 use crate::http::{HttpResponse, UpstreamFailure};
 use crate::quarantine::{CompletedRequests, CrashDetector};
 use crate::util::trace::SeededIds;
-use limit::AnswerLimit;
+use limit::{AnswerLimit, DEFAULT_LEAVE_TIME};
 use log::DestinationLog;
 use notice::UpstreamStatement;
 use run::{CallRun, RunPhase};
@@ -54,6 +54,8 @@
     detects_stalls: bool,
     /// Time that a refusal needs to reach the caller.
     refusal_time: Duration,
+    /// Time within which the calls that wait for a leaving upstream must be answered.
+    leave_time: Duration,
     endpoint: Option<UpstreamEndpoint>,
     /// Number of the upstream's current run; increases with each process that announces itself.
     upstream_run: u64,
@@ -104,6 +106,7 @@
             accepts_earlier_incarnations: false,
             detects_stalls: false,
             refusal_time: Duration::ZERO,
+            leave_time: DEFAULT_LEAVE_TIME,
             endpoint: None,
             upstream_run: 0,
             notice: None,
@@ -143,6 +146,11 @@
         self.refusal_time = refusal_time;
     }
 
+    /// Sets how long calls that wait for a leaving upstream may still take to be answered.
+    pub fn set_leave_time(&mut self, leave_time: Duration) {
+        self.leave_time = leave_time;
+    }
+
     /// Accepts calls without a key that are addressed to an earlier incarnation of this node.
     pub fn accept_earlier_incarnations(&mut self) {
         self.accepts_earlier_incarnations = true;
@@ -234,7 +242,7 @@
         self.notice?.rate_limit
     }
 
-    /// Refuses new calls from now on; queued and running calls finish.
+    /// Refuses new calls from now on because the node stops. Queued and running calls finish.
     pub fn drain(&mut self) {
         self.draining = true;
         if let Some(admission) = &mut self.admission {
--- a/crates/kumquatlock/src/call/destination/notice.rs
+++ b/crates/kumquatlock/src/call/destination/notice.rs
@@ -109,7 +109,7 @@
             self.apply_rate_limit(now);
         }
         if notice.is_leaving && !previous.is_leaving {
-            self.drain();
+            self.leave(now, steps);
             steps.push(DestinationStep::Leaving);
         }
     }
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -5,6 +5,8 @@
 mod full;
 mod hostile;
 mod keyed;
+mod leave;
+mod load;
 mod quarantine;
 mod rate_limit;
 mod silence;
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -423,6 +423,13 @@
         self.destinations[name].calls.drain();
     }
 
+    /// Lets the upstream announce that it leaves.
+    pub(super) fn leave(&mut self, name: &str) {
+        self.record(format!("{name} leaves"));
+        let steps = self.destinations[name].calls.drain_upstream(self.now);
+        self.apply_destination_steps(name, steps);
+    }
+
     /// Lets the node beside an upstream refuse calls that may last beyond `after` from now.
     pub(super) fn end_after(&mut self, name: &str, after: Duration) {
         let ends_at = self.now + after;
--- a/crates/kumquatlock/src/call/tests/stop.rs
+++ b/crates/kumquatlock/src/call/tests/stop.rs
@@ -4,53 +4,14 @@
 
 use kumquatlock_wire::distribution::WireClass;
 
+use super::load::{RETRY_TIME, SLOTS, count, open_calls, work};
 use super::simulation::{CallSimulation, UPSTREAMS};
-use crate::call::CallId;
 
-/// Slots of each upstream.
-const SLOTS: usize = 10;
 /// Time that the upstreams need for a request.
 const WORK_TIME: Duration = Duration::from_secs(1);
 /// Time from the stop signal until answers can no longer be passed on.
 const STOP_TIME: Duration = Duration::from_millis(1_500);
 
-/// Time in which a refused call has been offered to all upstreams.
-const RETRY_TIME: Duration = Duration::from_millis(50);
-
-/// Opens `calls` calls without a key at upstreams that work for [`WORK_TIME`].
-fn open_calls(simulation: &mut CallSimulation, calls: usize) -> Vec<CallId> {
-    simulation.timeout_ms = Some("10000");
-    for name in UPSTREAMS {
-        simulation.hold_answers(name);
-    }
-    let open = |_| {
-        let call = simulation.open(None);
-        simulation.deliver_all();
-        call
-    };
-    (0..calls).map(open).collect()
-}
-
-/// Lets all upstreams answer what they are running after each [`WORK_TIME`], and after `duration`.
-fn work(simulation: &mut CallSimulation, duration: Duration) {
-    let end = simulation.now + duration;
-    while simulation.now < end {
-        let left = end.since(simulation.now);
-        simulation.advance(left.min(WORK_TIME));
-        for name in UPSTREAMS {
-            for _ in 0..simulation.running(name) {
-                simulation.finish_next_run(name);
-            }
-        }
-        simulation.deliver_all();
-    }
-}
-
-fn count(simulation: &CallSimulation, calls: &[CallId], outcome: &str) -> usize {
-    let outcomes = calls.iter().map(|call| simulation.outcome(*call));
-    outcomes.filter(|found| *found == outcome).count()
-}
-
 /// Guards against calls that a stopping node cuts off without an answer while they wait in the
 /// queues of other nodes, and that run there afterwards for nobody.
 #[test]
@@ -58,7 +19,7 @@
     for class in [WireClass::AtMostOnce, WireClass::Lookup] {
         let mut simulation = CallSimulation::new(class);
         let calls = open_calls(&mut simulation, 4 * 3 * SLOTS);
-        work(&mut simulation, WORK_TIME);
+        work(&mut simulation, WORK_TIME, WORK_TIME);
         let refused = count(&simulation, &calls, "not_run");
         simulation.end_entry_after(STOP_TIME);
         simulation.advance(RETRY_TIME);
@@ -66,14 +27,14 @@
         assert_eq!(count(&simulation, &calls, "answered"), 3 * SLOTS);
         let withdrawn = count(&simulation, &calls, "not_run") - refused;
         assert!(withdrawn > 0, "calls wait that can't be answered in time");
-        work(&mut simulation, WORK_TIME);
+        work(&mut simulation, WORK_TIME, WORK_TIME);
         simulation.advance(RETRY_TIME);
         assert_eq!(count(&simulation, &calls, "open"), 0);
         assert_eq!(count(&simulation, &calls, "unknown"), 0);
         simulation.end_entry();
         let answered = count(&simulation, &calls, "answered");
         let runs = simulation.runs.len();
-        work(&mut simulation, 3 * WORK_TIME);
+        work(&mut simulation, WORK_TIME, 3 * WORK_TIME);
         assert_eq!((runs, simulation.runs.len()), (answered, answered));
     }
 }
@@ -95,13 +56,13 @@
 fn a_call_that_is_sent_during_the_stop_waits_no_longer_than_the_entry_node() {
     let mut simulation = CallSimulation::new(WireClass::AtMostOnce);
     let calls = open_calls(&mut simulation, 3 * SLOTS);
-    work(&mut simulation, WORK_TIME);
+    work(&mut simulation, WORK_TIME, WORK_TIME);
     assert_eq!(count(&simulation, &calls, "answered"), 3 * SLOTS);
     open_calls(&mut simulation, 3 * SLOTS);
     simulation.end_entry_after(STOP_TIME);
     let runs = simulation.runs.len();
     let late = open_calls(&mut simulation, 5);
-    work(&mut simulation, WORK_TIME);
+    work(&mut simulation, WORK_TIME, WORK_TIME);
     simulation.advance(RETRY_TIME);
     assert_eq!(count(&simulation, &late, "not_run"), 5);
     assert_eq!(simulation.runs.len(), runs);
@@ -113,14 +74,14 @@
 fn calls_that_wait_at_a_stopping_node_are_sent_to_another_one() {
     let mut simulation = CallSimulation::new(WireClass::AtMostOnce);
     let calls = open_calls(&mut simulation, 5 * 3 * SLOTS / 2);
-    work(&mut simulation, WORK_TIME);
+    work(&mut simulation, WORK_TIME, WORK_TIME);
     let stopping = UPSTREAMS[0];
     assert!(simulation.in_progress(stopping) > SLOTS, "no call waits");
     simulation.end_after(stopping, WORK_TIME + WORK_TIME / 20);
     simulation.advance(RETRY_TIME);
     assert_eq!(simulation.in_progress(stopping), SLOTS);
-    work(&mut simulation, WORK_TIME - RETRY_TIME);
-    work(&mut simulation, 2 * WORK_TIME);
+    work(&mut simulation, WORK_TIME, WORK_TIME - RETRY_TIME);
+    work(&mut simulation, WORK_TIME, 2 * WORK_TIME);
     assert_eq!(count(&simulation, &calls, "answered"), calls.len());
     assert_eq!(simulation.runs.len(), calls.len());
 }
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -183,6 +183,9 @@
             DestinationCalls::new(settings.name.clone(), parts.incarnation, claims);
         destination.set_header_names(parts.adapter.names);
         destination.set_refusal_time(tuning.refusal_time);
+        if let Some(leave_time) = tuning.leave_time {
+            destination.set_leave_time(leave_time);
+        }
         if tuning.detects_stalls {
             destination.detect_stalls();
         }
--- a/crates/kumquatlock/src/ops/node/settings.rs
+++ b/crates/kumquatlock/src/ops/node/settings.rs
@@ -84,6 +84,9 @@
     /// How long before its deadline a queued call is refused, so that the refusal still reaches the
     /// caller in time.
     pub refusal_time: Duration,
+    /// How long calls that wait for a leaving upstream may still take to be answered; `None` for the
+    /// default.
+    pub leave_time: Option<Duration>,
     /// Retry budget.
     pub budget: BudgetSettings,
     /// Which attempts consume the budget.
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -222,16 +222,26 @@
                 self.set_incarnation(now, incarnation);
                 match state {
                     UpstreamState::Serving => self.refresh_endpoint(now),
-                    UpstreamState::Draining => self.destination.drain(),
+                    UpstreamState::Draining => self.drain_upstream(now),
                 }
             }
-            AnnouncerStep::Removed => self.destination.drain(),
+            AnnouncerStep::Removed => self.drain_upstream(now),
             // Only requests of the upstream cause answers, and `notify_announcer` removes them from
             // the steps.
             AnnouncerStep::Answer(_) => {}
         }
     }
 
+    /// Refuses new calls for the upstream. If the node stops and its upstream stays, calls that wait
+    /// for the upstream may use all the time of the stop.
+    fn drain_upstream(&mut self, now: Timestamp) {
+        if self.stop.is_some() {
+            return self.destination.drain();
+        }
+        let steps = self.destination.drain_upstream(now);
+        self.queue_destination(steps);
+    }
+
     /// Sets the incarnation of the upstream. A new incarnation is a new run, whose claim holder
     /// starts empty and fetches its claims from the other holders.
     fn set_incarnation(&mut self, now: Timestamp, incarnation: IncarnationId) {
