Keep in the catalog which runs of upstreams have ended

Cause: that a run has ended was kept only in the memory of its node. The catalog knows the incarnation that the node gave the upstream, and a restarted node gives a new one.

Ruled out: a report of an ended incarnation (the tombstone refuses it), and nodes with an outdated configuration (the bookings were sent with the newest version).

A stop of the node and silence end no run.

--- a/crates/kumquatlock-control/tests/control/child.rs
+++ b/crates/kumquatlock-control/tests/control/child.rs
@@ -178,6 +178,9 @@
             }],
             ..Attachment::default()
         }));
-        self.send(Body::Report(UpstreamReport { upstream }));
+        self.send(Body::Report(UpstreamReport {
+            upstream,
+            ..UpstreamReport::default()
+        }));
     }
 }
--- a/crates/kumquatlock-testkit/examples/measure/fleet.rs
+++ b/crates/kumquatlock-testkit/examples/measure/fleet.rs
@@ -104,7 +104,10 @@
             state: state as i32,
             first_in_region: false,
         };
-        let kind = Some(Kind::Report(UpstreamReport { upstream: item }));
+        let kind = Some(Kind::Report(UpstreamReport {
+            upstream: item,
+            ..UpstreamReport::default()
+        }));
         CatalogCommand { kind }
     }
 
--- a/crates/kumquatlock-wire/src/distribution.rs
+++ b/crates/kumquatlock-wire/src/distribution.rs
@@ -242,6 +242,22 @@
 pub struct UpstreamReport {
     #[prost(message, required, tag = "1")]
     pub upstream: UpstreamItem,
+    /// Digest of the upstream's process run; zero if the upstream does not name its runs.
+    #[prost(fixed64, tag = "2")]
+    pub run: u64,
+    /// Whether the run itself has announced that it drains or leaves, so that its state is final.
+    #[prost(bool, tag = "3")]
+    pub is_run_ended: bool,
+}
+
+/// A run of an upstream that has announced that it drains or leaves.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct EndedRun {
+    /// Digest of the run.
+    #[prost(fixed64, tag = "1")]
+    pub run: u64,
+    #[prost(enumeration = "WireState", tag = "2")]
+    pub state: i32,
 }
 
 /// The complete catalog. Split into chunks for transfer.
@@ -301,6 +317,9 @@
     /// Version at which the quarantine last changed.
     #[prost(uint64, tag = "11")]
     pub quarantine_changed_at: u64,
+    /// Runs of upstreams that have ended, oldest first.
+    #[prost(message, repeated, tag = "12")]
+    pub ended_runs: Vec<EndedRun>,
 }
 
 /// A removed item.
--- a/crates/kumquatlock/src/catalog/apply.rs
+++ b/crates/kumquatlock/src/catalog/apply.rs
@@ -99,6 +99,9 @@
     /// again.
     #[error("incarnation has ended")]
     EndedIncarnation,
+    /// The run of the upstream has announced that it drains or leaves. Another run may serve.
+    #[error("run of the upstream has ended")]
+    EndedRun,
     /// The upstream is draining, and cannot serve again under the same incarnation.
     #[error("upstream is draining")]
     AlreadyDraining,
@@ -164,8 +167,9 @@
     /// Whether the report would change the catalog if it were applied now. A report that would not
     /// change it need not be proposed. Nodes repeat a report until they see its result.
     pub fn is_changed_by(&self, report: &UpstreamReport) -> bool {
-        let effect = self.decide_report(&report.upstream);
+        let effect = self.decide_report(report);
         matches!(effect, Ok(ReportEffect::Upsert(_) | ReportEffect::Remove))
+            || self.is_run_ended_by(report)
     }
 
     fn apply_manifest(&mut self, index: u64, text: &[u8]) -> ManifestDecision {
@@ -324,8 +328,30 @@
         self.seen_regions.insert(pair)
     }
 
+    /// Whether the report is refused because the run that it names has ended.
+    pub fn excludes_run_of(&self, report: &UpstreamReport) -> bool {
+        self.decide_report(report) == Err(ReportRefusal::EndedRun)
+    }
+
+    /// Whether the report shows, for the first time, that a run of an upstream ends.
+    fn is_run_ended_by(&self, report: &UpstreamReport) -> bool {
+        let state = WireState::try_from(report.upstream.state);
+        report.is_run_ended
+            && state.is_ok_and(|state| self.ended_runs.is_changed_by(report.run, state))
+    }
+
     fn apply_report(&mut self, index: u64, report: &UpstreamReport) -> ReportDecision {
-        match self.decide_report(&report.upstream) {
+        let decision = self.apply_report_state(index, report);
+        if report.is_run_ended
+            && let Ok(state) = WireState::try_from(report.upstream.state)
+        {
+            self.ended_runs.record(report.run, state);
+        }
+        decision
+    }
+
+    fn apply_report_state(&mut self, index: u64, report: &UpstreamReport) -> ReportDecision {
+        match self.decide_report(report) {
             Ok(ReportEffect::Unchanged) => ReportDecision::Unchanged,
             Ok(ReportEffect::Remove) => {
                 let name = &report.upstream.name;
@@ -351,11 +377,15 @@
         }
     }
 
-    fn decide_report(&self, item: &UpstreamItem) -> Result<ReportEffect, ReportRefusal> {
+    fn decide_report(&self, report: &UpstreamReport) -> Result<ReportEffect, ReportRefusal> {
+        let item = &report.upstream;
         let state = WireState::try_from(item.state).map_err(|_| ReportRefusal::Invalid)?;
         if !is_usable(item) {
             return Err(ReportRefusal::Invalid);
         }
+        if self.ended_runs.excludes(report.run, state) {
+            return Err(ReportRefusal::EndedRun);
+        }
         let Some(recorded) = self.upstream(&item.name) else {
             return self.decide_new_upstream(item, state);
         };
@@ -449,6 +479,7 @@
 }
 
 /// Effect of a report on the catalog.
+#[derive(PartialEq)]
 enum ReportEffect {
     Unchanged,
     Upsert(UpstreamItem),
--- a/crates/kumquatlock/src/catalog/mod.rs
+++ b/crates/kumquatlock/src/catalog/mod.rs
@@ -9,6 +9,7 @@
 //! by the version of their last change.
 
 mod apply;
+mod ended;
 mod store;
 mod transfer;
 
@@ -19,6 +20,8 @@
 use kumquatlock_wire::distribution::{LimitsItem, RouteItem, ServiceItem, UpstreamItem};
 
 pub use apply::{ApplyOutcome, ManifestDecision, ReportDecision, ReportRefusal};
+use ended::EndedRuns;
+pub use ended::MAX_ENDED_RUNS;
 use store::ItemStore;
 pub use transfer::{CatalogError, CatalogUpdate, EncodedSnapshot, SnapshotDetail};
 
@@ -72,6 +75,8 @@
     /// Fingerprints of the requests in quarantine, oldest first. At most [`MAX_QUARANTINED`].
     quarantined: IndexSet<u64>,
     quarantine_changed_at: ConfigVersion,
+    /// Runs of upstreams that must not serve again. Read replicas do not keep them.
+    ended_runs: EndedRuns,
     store: ItemStore,
 }
 
--- a/crates/kumquatlock/src/catalog/tests.rs
+++ b/crates/kumquatlock/src/catalog/tests.rs
@@ -44,7 +44,10 @@
         state: state as i32,
         first_in_region: false,
     };
-    let kind = Some(Kind::Report(UpstreamReport { upstream }));
+    let kind = Some(Kind::Report(UpstreamReport {
+        upstream,
+        ..UpstreamReport::default()
+    }));
     CatalogCommand { kind }
 }
 
--- a/crates/kumquatlock/src/catalog/transfer.rs
+++ b/crates/kumquatlock/src/catalog/transfer.rs
@@ -9,6 +9,7 @@
 use kumquatlock_wire::quarantine::QuarantineList;
 use prost::Message;
 
+use super::ended::EndedRuns;
 use super::store::{CatalogItem, encoded_field_len};
 use super::{AcceptedRecord, Catalog, MAX_DELTA_BYTES};
 use crate::core::ConfigVersion;
@@ -164,6 +165,7 @@
             applied_index: self.applied_index,
             manifest_source: self.manifest_source.clone(),
             quarantine_changed_at: self.quarantine_changed_at.0,
+            ended_runs: self.ended_runs.to_list(),
         };
         CatalogState {
             version: self.version.0,
@@ -236,6 +238,7 @@
         self.manifest_changed_at = ConfigVersion(history.manifest_changed_at);
         self.manifest_source = history.manifest_source.clone();
         self.quarantine_changed_at = ConfigVersion(history.quarantine_changed_at);
+        self.ended_runs = EndedRuns::from_list(&history.ended_runs);
         self.store.min_delta_base = history.tombstone_floor;
         for tombstone in &history.tombstones {
             let kind = ItemKind::try_from(tombstone.kind);
--- a/crates/kumquatlock/src/distribution/tests/harness.rs
+++ b/crates/kumquatlock/src/distribution/tests/harness.rs
@@ -31,7 +31,10 @@
         state: state as i32,
         first_in_region: false,
     };
-    UpstreamReport { upstream }
+    UpstreamReport {
+        upstream,
+        ..UpstreamReport::default()
+    }
 }
 
 pub(super) fn serving(name: &str) -> CatalogCommand {
--- a/crates/kumquatlock/src/membership/announcer.rs
+++ b/crates/kumquatlock/src/membership/announcer.rs
@@ -9,7 +9,9 @@
     ANNOUNCE_LEASE, INITIAL_REPORT_INTERVAL, LEAVE_TIMEOUT, MAX_REPORT_INTERVAL,
     REPORTS_BEFORE_RAISE,
 };
-use crate::core::{ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamState};
+use crate::core::{
+    ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamState, stable_hash,
+};
 use crate::manifest::is_valid_name;
 
 /// Initial increment by which an incarnation is raised after its reports had no effect. Each
@@ -56,6 +58,16 @@
         self.instance == other.instance && self.run_started_ms == other.run_started_ms
     }
 
+    /// Returns a digest that identifies the run in the whole mesh; zero if the upstream does not
+    /// name its runs.
+    fn run_digest(&self) -> u64 {
+        if self.instance.is_empty() {
+            return 0;
+        }
+        let run = format!("{}/{}/{}", self.name, self.run_started_ms, self.instance);
+        stable_hash(run.as_bytes())
+    }
+
     /// Returns whether this announcement was delayed: it was made before `other`, which has already
     /// been handled.
     fn is_outdated_by(&self, other: &UpstreamAnnouncement) -> bool {
@@ -73,8 +85,10 @@
     Tick,
     /// The upstream sent its first or a repeated announcement.
     Announce(UpstreamAnnouncement),
-    /// The upstream starts draining, or the node is shutting down.
+    /// The upstream starts draining.
     Drain,
+    /// The node is shutting down; its upstream may stay.
+    Stop,
     /// The upstream leaves.
     Leave,
     /// The named run of the upstream leaves. Other runs are not affected.
@@ -132,6 +146,9 @@
     is_drain_requested: bool,
     /// Whether the run announced that it leaves. Further announcements of this run are ignored.
     is_leave_requested: bool,
+    /// Whether the run itself announced that it drains or leaves. It must not serve again, also
+    /// after a restart of this node.
+    is_run_ended: bool,
     announced_at: Timestamp,
     /// Whether the configuration shows this incarnation in this state.
     is_confirmed: bool,
@@ -186,6 +203,14 @@
             AnnouncerEvent::Tick => self.check_leases(now, &mut steps),
             AnnouncerEvent::Announce(announcement) => self.announce(now, announcement, &mut steps),
             AnnouncerEvent::Drain => {
+                if let Some(upstream) = &mut self.upstream {
+                    upstream.is_drain_requested = true;
+                    upstream.end_run();
+                    upstream.advance_state(WireState::Draining, &mut steps);
+                }
+                steps.push(AnnouncerStep::Answer(self.answer()));
+            }
+            AnnouncerEvent::Stop => {
                 if let Some(upstream) = &mut self.upstream {
                     upstream.is_drain_requested = true;
                     upstream.advance_state(WireState::Draining, &mut steps);
@@ -203,6 +228,7 @@
                     && upstream.announcement.instance == instance
                 {
                     upstream.is_leave_requested = true;
+                    upstream.end_run();
                     upstream.advance_state(WireState::Left, &mut steps);
                 }
                 steps.push(AnnouncerStep::Answer(AnnounceAnswer::Left));
@@ -287,6 +313,7 @@
             state: WireState::Serving,
             is_drain_requested: false,
             is_leave_requested: false,
+            is_run_ended: false,
             announced_at: now,
             is_confirmed: false,
             was_seen: false,
@@ -402,6 +429,15 @@
         steps.push(self.state_step());
     }
 
+    /// Records that the run itself announced its end.
+    fn end_run(&mut self) {
+        if !self.is_run_ended {
+            self.is_run_ended = true;
+            self.is_confirmed = false;
+            self.restart_reports();
+        }
+    }
+
     fn restart_reports(&mut self) {
         self.reported_at = None;
         self.reports = 0;
@@ -436,6 +472,10 @@
             state: self.state as i32,
             first_in_region: false,
         };
-        UpstreamReport { upstream }
+        UpstreamReport {
+            upstream,
+            run: self.announcement.run_digest(),
+            is_run_ended: self.is_run_ended,
+        }
     }
 }
--- a/crates/kumquatlock/src/membership/tests.rs
+++ b/crates/kumquatlock/src/membership/tests.rs
@@ -8,6 +8,8 @@
 };
 use prost::Message;
 
+mod restart;
+
 use super::*;
 use crate::catalog::{Catalog, SnapshotDetail};
 use crate::core::{ConfigSnapshot, IncarnationId, Timestamp};
@@ -39,7 +41,13 @@
                 slots: 1,
                 ..UpstreamItem::default()
             };
-            apply(&mut catalog, Kind::Report(UpstreamReport { upstream }));
+            apply(
+                &mut catalog,
+                Kind::Report(UpstreamReport {
+                    upstream,
+                    ..UpstreamReport::default()
+                }),
+            );
         }
     }
     catalog
@@ -251,7 +259,7 @@
 struct Node {
     announcer: UpstreamAnnouncer,
     now: Timestamp,
-    reports: Vec<UpstreamItem>,
+    reports: Vec<UpstreamReport>,
 }
 
 impl Node {
@@ -274,7 +282,7 @@
         let mut answer = None;
         for step in self.announcer.handle(self.now, event) {
             match step {
-                AnnouncerStep::Report(report) => self.reports.push(report.upstream),
+                AnnouncerStep::Report(report) => self.reports.push(report),
                 AnnouncerStep::Answer(given) => answer = Some(given),
                 AnnouncerStep::SetState { .. } | AnnouncerStep::Removed => {}
             }
@@ -305,14 +313,14 @@
 
     /// Applies the latest report to the catalog and the resulting configuration to the node.
     fn commit(&mut self, catalog: &mut Catalog) {
-        if let Some(upstream) = self.reports.last().cloned() {
-            apply(catalog, Kind::Report(UpstreamReport { upstream }));
+        if let Some(report) = self.reports.last().cloned() {
+            apply(catalog, Kind::Report(report));
         }
         self.handle(AnnouncerEvent::ConfigApplied(snapshot_of(catalog)));
     }
 
     fn last_report(&self) -> (u64, WireState) {
-        let item = self.reports.last().unwrap();
+        let item = &self.reports.last().unwrap().upstream;
         (item.incarnation, WireState::try_from(item.state).unwrap())
     }
 }
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -370,7 +370,11 @@
 
     fn handle_report(&mut self, report: UpstreamReport) {
         if self.catalog.is_changed_by(&report) {
-            self.propose(catalog_command::Kind::Report(report));
+            return self.propose(catalog_command::Kind::Report(report));
+        }
+        if self.catalog.excludes_run_of(&report) {
+            let upstream = report.upstream.name.as_str();
+            log::info!(upstream, incarnation = report.upstream.incarnation; "ended_run_refused");
         }
     }
 
--- a/crates/kumquatlock/src/ops/node/stop.rs
+++ b/crates/kumquatlock/src/ops/node/stop.rs
@@ -73,7 +73,7 @@
             stop.is_refusing_calls = true;
         }
         self.destination.drain();
-        let steps = self.announcer.handle(now, AnnouncerEvent::Drain);
+        let steps = self.announcer.handle(now, AnnouncerEvent::Stop);
         self.queue_announcer(steps);
         let steps = self.entry.drain(now);
         self.queue_entry(steps);
