Acknowledge the end of an upstream's run once it is recorded

A node acknowledged a drain or leave at once; if it ended before control had recorded its report, nothing was left of the fact, and a late announcement brought the upstream back.

Cause: the acknowledgement binds, and a node keeps nothing over a restart, but the answer did not wait for anybody who does.

Change: a drain or leave of a named run is answered once the configuration shows it, or after 0.8 s if the report was sent; upstreams wait for a second. If control could not be reached until then, the answer is 503 `unrecorded` and the upstream asks again. New calls are refused from the request on, as before. Upstreams that don't name their runs are answered at once.

--- a/crates/kumquatlock/src/call/destination/limit.rs
+++ b/crates/kumquatlock/src/call/destination/limit.rs
@@ -47,7 +47,7 @@
         steps
     }
 
-    /// Does the same as [`DestinationCalls::drain_upstream`].
+    /// Like [`DestinationCalls::drain_upstream`], within the handling of another event.
     pub(super) fn leave(&mut self, now: Timestamp, steps: &mut Vec<DestinationStep>) {
         self.drain();
         let limit = AnswerLimit {
--- a/crates/kumquatlock/src/membership/announcer.rs
+++ b/crates/kumquatlock/src/membership/announcer.rs
@@ -137,6 +137,17 @@
     Invalid,
 }
 
+/// How far the end that a run of the upstream announced is known to control.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndProgress {
+    /// The configuration shows it, or the run has announced no end, or names no run.
+    Recorded,
+    /// It was reported; the configuration doesn't show it yet.
+    Reported,
+    /// It was not reported, because control can't be reached.
+    Unreported,
+}
+
 #[derive(Debug)]
 struct LocalUpstream {
     announcement: UpstreamAnnouncement,
@@ -196,6 +207,19 @@
             .is_none_or(|upstream| upstream.is_confirmed)
     }
 
+    /// Returns how far the announced end of the upstream's run is known to control.
+    pub fn end_progress(&self) -> EndProgress {
+        let upstream = self.upstream.as_ref();
+        let ended = upstream
+            .filter(|upstream| upstream.is_run_ended && upstream.announcement.run_digest() != 0);
+        match ended {
+            Some(upstream) if upstream.is_confirmed => EndProgress::Recorded,
+            Some(upstream) if upstream.reports > 0 => EndProgress::Reported,
+            Some(_) => EndProgress::Unreported,
+            None => EndProgress::Recorded,
+        }
+    }
+
     /// Handles one event and returns the actions to carry out.
     pub fn handle(&mut self, now: Timestamp, event: AnnouncerEvent) -> Vec<AnnouncerStep> {
         let mut steps = Vec::new();
--- a/crates/kumquatlock/src/membership/mod.rs
+++ b/crates/kumquatlock/src/membership/mod.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 pub use announcer::{
-    AnnounceAnswer, AnnouncerEvent, AnnouncerStep, NodeLocation, UpstreamAnnouncement,
+    AnnounceAnswer, AnnouncerEvent, AnnouncerStep, EndProgress, NodeLocation, UpstreamAnnouncement,
     UpstreamAnnouncer,
 };
 pub use tracker::{AttachmentTracker, ExpiryDecision, ExpiryTiming, RecordOutcome};
--- a/crates/kumquatlock/src/membership/tests/restart.rs
+++ b/crates/kumquatlock/src/membership/tests/restart.rs
@@ -5,7 +5,7 @@
 use super::{Node, run_announcement};
 use crate::catalog::{Catalog, MAX_ENDED_RUNS};
 use crate::core::SharedName;
-use crate::membership::AnnouncerEvent;
+use crate::membership::{AnnouncerEvent, EndProgress};
 
 /// A catalog, and a node of which each start is a new process.
 struct Mesh {
@@ -156,3 +156,21 @@
     mesh.announce("run-0", 10, 2);
     assert_eq!(mesh.state(), Some(WireState::Serving));
 }
+
+/// Guards against a leave that counts as known to control although no report of it has arrived.
+#[test]
+fn the_end_of_a_run_is_recorded_once_the_configuration_shows_it() {
+    let mut mesh = Mesh::new();
+    mesh.announce("run-1", 10, 1);
+    assert_eq!(mesh.node.announcer.end_progress(), EndProgress::Recorded);
+    let leave = AnnouncerEvent::LeaveRun("run-1".into());
+    mesh.node.handle(leave);
+    assert_eq!(mesh.node.announcer.end_progress(), EndProgress::Reported);
+    mesh.node.commit(&mut mesh.catalog);
+    assert_eq!(mesh.node.announcer.end_progress(), EndProgress::Recorded);
+    mesh.announce("run-2", 20, 1);
+    let detached = AnnouncerEvent::UplinkChanged { is_attached: false };
+    mesh.node.handle(detached);
+    mesh.node.handle(AnnouncerEvent::Drain);
+    assert_eq!(mesh.node.announcer.end_progress(), EndProgress::Unreported);
+}
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -13,6 +13,7 @@
 use stakker::{CX, fwd_to};
 use stakker_mio::MioPoll;
 
+use super::acknowledge::WaitingEnds;
 use super::local::{NodeAdapter, NodePort};
 use super::metrics::AnswerCounters;
 use super::peers::{DepartedNodes, PeerLinks, UnreachableNodes};
@@ -103,6 +104,7 @@
     /// Link on which the parent has accepted the child.
     pub(super) attached_link: Option<distribution::LinkId>,
     pub(super) announcer: UpstreamAnnouncer,
+    pub(super) waiting_ends: WaitingEnds,
     pub(super) entry: EntryCalls,
     pub(super) destination: DestinationCalls,
     pub(super) holder: ClaimHolder,
@@ -197,6 +199,7 @@
             parent_links: IndexMap::new(),
             attached_link: None,
             announcer,
+            waiting_ends: WaitingEnds::default(),
             entry: EntryCalls::new(location, parts.incarnation, entry, random.clone()),
             destination,
             adapter: parts.adapter,
@@ -327,6 +330,7 @@
         self.queue_child(steps);
         let steps = self.announcer.handle(now, AnnouncerEvent::Tick);
         self.queue_announcer(steps);
+        self.answer_ends(now);
         self.send_crash_reports(now);
         if now >= self.next_claim_tick && !self.settings.tuning.without_claims {
             self.next_claim_tick = now + CLAIM_TICK_INTERVAL;
--- a/crates/kumquatlock/src/ops/node/front.rs
+++ b/crates/kumquatlock/src/ops/node/front.rs
@@ -4,7 +4,7 @@
 use super::local::{LocalAnnouncement, LocalAnswer, LocalRequest, NodePort};
 use crate::call::{CallerAnswer, CallerRequest};
 use crate::core::Timestamp;
-use crate::http::{HttpEvent, HttpLimits, HttpRequest, HttpResponse, RequestId};
+use crate::http::{HttpEvent, HttpLimits, HttpRequest, RequestId};
 use crate::membership::{AnnounceAnswer, AnnouncerEvent, AnnouncerStep, UpstreamAnnouncement};
 
 impl NodeActor {
@@ -23,7 +23,7 @@
         request: HttpRequest,
     ) {
         let response = match (self.adapter.read)(port, &request) {
-            Some(Ok(local)) => self.answer_local(now, local),
+            Some(Ok(local)) => return self.handle_local(now, id, local),
             Some(Err(refusal)) => refusal,
             None => match CallerRequest::from_http(request, &self.adapter.names) {
                 Ok(request) => return self.open_call(now, request, id),
@@ -54,10 +54,16 @@
         self.queue_entry(steps);
     }
 
-    fn answer_local(&mut self, now: Timestamp, request: LocalRequest) -> HttpResponse {
+    fn handle_local(&mut self, now: Timestamp, id: RequestId, request: LocalRequest) {
         let answer = match request {
-            LocalRequest::Metrics => return self.metrics_response(),
-            LocalRequest::Ready => LocalAnswer::Ready(self.is_ready()),
+            LocalRequest::Metrics => {
+                let page = self.metrics_response();
+                return self.http.respond(now, id, page);
+            }
+            LocalRequest::Ready => {
+                let answer = LocalAnswer::Ready(self.is_ready());
+                return self.http.respond(now, id, (self.adapter.write)(answer));
+            }
             LocalRequest::Announce(body) => self.announce(now, body),
             LocalRequest::Drain => self.notify_announcer(now, AnnouncerEvent::Drain),
             LocalRequest::Leave(None) => self.notify_announcer(now, AnnouncerEvent::Leave),
@@ -65,7 +71,7 @@
                 self.notify_announcer(now, AnnouncerEvent::LeaveRun(instance))
             }
         };
-        (self.adapter.write)(answer)
+        self.answer_upstream(now, id, answer);
     }
 
     /// Returns whether callers may send requests: the node has a configuration and is not stopping.
--- a/crates/kumquatlock/src/ops/node/local.rs
+++ b/crates/kumquatlock/src/ops/node/local.rs
@@ -71,6 +71,9 @@
     Announced(AnnounceAnswer),
     /// The node is stopping and accepts no announcement.
     Stopping,
+    /// The upstream drains or leaves, and gets no new calls, but control is not known to have
+    /// recorded that.
+    Unrecorded,
     /// The announced name is not the name of this node.
     WrongName,
     /// Whether callers may send requests.
@@ -123,6 +126,7 @@
     InvalidSlots,
     WrongName,
     Stopping,
+    Unrecorded,
 }
 
 #[derive(Serialize)]
@@ -141,7 +145,7 @@
             LocalRefusal::UnknownPath => 404,
             LocalRefusal::WrongMethod => 405,
             LocalRefusal::WrongName => 409,
-            LocalRefusal::Stopping => 503,
+            LocalRefusal::Stopping | LocalRefusal::Unrecorded => 503,
             _ => 422,
         };
         HttpResponse::json(status, &RefusalBody { error: self.into() })
@@ -216,6 +220,7 @@
     match answer {
         LocalAnswer::Announced(answer) => announce_response(answer),
         LocalAnswer::Stopping => LocalRefusal::Stopping.response(),
+        LocalAnswer::Unrecorded => LocalRefusal::Unrecorded.response(),
         LocalAnswer::WrongName => LocalRefusal::WrongName.response(),
         LocalAnswer::Ready(true) => HttpResponse::json(200, &StateBody { state: "ready" }),
         LocalAnswer::Ready(false) => HttpResponse::json(503, &StateBody { state: "not_ready" }),
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -6,6 +6,7 @@
 //! that follows from one event happens in one turn of the actor. The links to other processes, the
 //! connections of callers and the connections to the upstream run in the same thread.
 
+mod acknowledge;
 mod actor;
 mod front;
 mod local;
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -277,6 +277,7 @@
             .announcer
             .handle(now, AnnouncerEvent::ConfigApplied(snapshot));
         self.queue_announcer(steps);
+        self.answer_ends(now);
     }
 
     /// Tells the claim holder at what time the configuration was last proved current.
