--- a/crates/kumquatlock-wire/src/tests.rs
+++ b/crates/kumquatlock-wire/src/tests.rs
@@ -1,9 +1,11 @@
 //! Tests of the framing.
 
 use bytes::BytesMut;
+use prost::Message;
 use tokio_util::codec::{Decoder, Encoder};
 
-use crate::distribution::{Applied, Ping};
+use crate::agreement::{Forward, PeerMessage};
+use crate::distribution::{Applied, CatalogChange, CatalogCommand, Ping};
 use crate::{Body, EncodedFrame, Envelope, EnvelopeCodec, FrameError, MessageKind};
 
 fn encode(envelopes: &[Envelope]) -> BytesMut {
@@ -84,3 +86,30 @@
         );
     }
 }
+
+/// Decodes a message that consists of one field, for each tag and each wire type, with several
+/// payloads. Any result but a panic is right.
+fn decode_single_fields<M: Message + Default>() {
+    let payloads: [&[u8]; 4] = [&[], &[0], &[2, 8, 1], &[0xff; 12]];
+    for tag in 1..=64u64 {
+        for wire_type in 0..8 {
+            for payload in payloads {
+                let mut bytes = BytesMut::new();
+                prost::encoding::encode_varint(tag << 3 | wire_type, &mut bytes);
+                bytes.extend_from_slice(payload);
+                let _ = M::decode(bytes);
+            }
+        }
+    }
+}
+
+/// Guards against a message that lists a tag which none of its variants has: a peer that sends a
+/// field with that tag ends the process.
+#[test]
+fn no_tag_of_any_message_ends_the_process() {
+    decode_single_fields::<Envelope>();
+    decode_single_fields::<PeerMessage>();
+    decode_single_fields::<Forward>();
+    decode_single_fields::<CatalogCommand>();
+    decode_single_fields::<CatalogChange>();
+}
