--- a/crates/kumquatlock-testkit/examples/measure/latency.rs
+++ b/crates/kumquatlock-testkit/examples/measure/latency.rs
@@ -63,6 +63,16 @@
     through_mesh: Histogram<u64>,
 }
 
+/// Parses the number of calls in a round, of which each caller sends an equal share.
+pub(crate) fn parse_calls(text: &str) -> Result<usize, String> {
+    let calls: usize = text.parse().map_err(|_| "not a number".to_owned())?;
+    let callers = CALLER_COUNTS.into_iter().max().unwrap_or_default();
+    match calls >= callers {
+        true => Ok(calls),
+        false => Err(format!("must be at least {callers}")),
+    }
+}
+
 /// Starts a mesh of 18 nodes and measures every kind of call.
 pub(crate) fn run(recorder: &mut ResultRecorder, calls: usize) -> Result<()> {
     recorder.print_heading("latency: 18 nodes, calls through the mesh alternate with direct calls");
--- a/crates/kumquatlock-testkit/examples/measure/main.rs
+++ b/crates/kumquatlock-testkit/examples/measure/main.rs
@@ -57,9 +57,9 @@
     #[argh(option)]
     election_timeout_ms: Option<u64>,
 
-    /// number of direct calls, and of calls through the mesh, in each round of `latency` (default
-    /// 1000)
-    #[argh(option, default = "1000")]
+    /// number of direct calls, and of calls through the mesh, in each round of `latency`, at least
+    /// one for each caller (default 1000)
+    #[argh(option, default = "1000", from_str_fn(latency::parse_calls))]
     calls: usize,
 
     /// file for the results, as lines of JSON (default target/measure.jsonl)
--- a/crates/kumquatlock/examples/policy/main.rs
+++ b/crates/kumquatlock/examples/policy/main.rs
@@ -33,10 +33,19 @@
     #[argh(option, default = "60")]
     entries: usize,
     /// simulated seconds per run (default 6)
-    #[argh(option, default = "6")]
+    #[argh(option, default = "6", from_str_fn(parse_seconds))]
     seconds: u64,
 }
 
+/// Parses the length of a run. A run of no length has no figures.
+fn parse_seconds(text: &str) -> Result<u64, String> {
+    let seconds: u64 = text.parse().map_err(|_| "not a number".to_owned())?;
+    match seconds {
+        0 => Err("must be at least 1".to_owned()),
+        seconds => Ok(seconds),
+    }
+}
+
 /// Returns the mean time to choose an upstream from the subset of a service, in nanoseconds.
 fn mean_choice_nanos(upstreams: usize) -> f64 {
     const ROUNDS: u32 = 2_000_000;
