--- a/crates/kumquatlock/src/http/mod.rs
+++ b/crates/kumquatlock/src/http/mod.rs
@@ -15,6 +15,7 @@
 mod message;
 mod refusal;
 mod table;
+mod upstream;
 
 pub use connection::HttpLimits;
 pub use exchange::{ExchangeReady, ExchangeTable, UpstreamFailure, UpstreamJob, UpstreamResult};
