--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -3,11 +3,9 @@
 use std::time::Duration;
 
 use kumquatlock_wire::Body;
-use kumquatlock_wire::call::{
-    CallCancel, CallOutcome, CallReason, CallRequest, CallResponse, LoadReport,
-};
-use kumquatlock_wire::distribution::WireClass;
+use kumquatlock_wire::call::{CallCancel, CallOutcome, CallReason, CallResponse, LoadReport};
 
+use super::message::{AttemptResult, build_request, classify_response};
 use super::state::{CallPhase, EntryCall, SentAttempt};
 use super::{CallId, EntryCalls, EntryStep, budget_of, micros, ticket_of};
 use crate::call::answer::{CallerAnswer, RejectReason};
@@ -19,8 +17,6 @@
 const UPSTREAM_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which a deferred call whose service is full tries again.
 const FULL_RETRY_INTERVAL: Duration = Duration::from_secs(1);
-/// Lowest HTTP status that counts as a failure of the upstream.
-const MIN_SERVER_ERROR_STATUS: u32 = 500;
 
 impl EntryCalls {
     /// Sends the next attempt of a call. If there is no usable upstream, the call waits for one for
@@ -540,63 +536,3 @@
         }
     }
 }
-
-/// What an answer means for the call.
-enum AttemptResult {
-    Answer,
-    ServerError,
-    NotRun(CallReason),
-    Unknown(CallReason),
-    ClaimedElsewhere,
-}
-
-fn classify_response(response: &CallResponse) -> AttemptResult {
-    let reason = CallReason::try_from(response.reason).unwrap_or(CallReason::UpstreamFailed);
-    match CallOutcome::try_from(response.outcome) {
-        Ok(CallOutcome::Answered) if response.body_len != response.body.len() as u64 => {
-            AttemptResult::Unknown(CallReason::TruncatedAnswer)
-        }
-        Ok(CallOutcome::Answered) if response.status >= MIN_SERVER_ERROR_STATUS => {
-            AttemptResult::ServerError
-        }
-        Ok(CallOutcome::Answered) => AttemptResult::Answer,
-        Ok(CallOutcome::NotRun) => AttemptResult::NotRun(reason),
-        Ok(CallOutcome::ClaimedElsewhere) => AttemptResult::ClaimedElsewhere,
-        Ok(CallOutcome::Unknown | CallOutcome::Unspecified) | Err(_) => {
-            AttemptResult::Unknown(reason)
-        }
-    }
-}
-
-fn build_request(
-    call: &EntryCall,
-    chosen: &ChosenUpstream,
-    now: Timestamp,
-    version: u64,
-) -> CallRequest {
-    let request = &call.request;
-    CallRequest {
-        incarnation: chosen.entry.incarnation.0,
-        upstream: chosen.entry.name.to_string(),
-        config_version: version,
-        service: call.service.to_string(),
-        class: WireClass::from(call.route.class) as i32,
-        key: request.key.clone(),
-        deadline_us: micros(call.deadline.since(now)),
-        traceparent: call.span.map(|span| span.context.to_string()),
-        depth: request.depth,
-        method: request.method.clone(),
-        path: request.target.clone(),
-        headers: request.headers.clone(),
-        body: request.body.clone(),
-        request_digest: request.digest,
-        fingerprint: call.fingerprint.0,
-        rank: call.route.rank,
-        inner: request.is_nested,
-        target_us: call.route.latency_target.map(|target| {
-            let left = (call.opened_at + target).since(now);
-            micros(left)
-        }),
-        ..CallRequest::default()
-    }
-}
--- /dev/null
+++ b/crates/kumquatlock/src/call/entry/message.rs
@@ -0,0 +1,74 @@
+//! Messages of attempts: the call that is sent, and the meaning of its answer.
+
+use kumquatlock_wire::call::{CallOutcome, CallReason, CallRequest, CallResponse};
+use kumquatlock_wire::distribution::WireClass;
+
+use super::micros;
+use super::state::EntryCall;
+use crate::core::Timestamp;
+use crate::routing::ChosenUpstream;
+
+/// Lowest HTTP status that counts as a failure of the upstream.
+const MIN_SERVER_ERROR_STATUS: u32 = 500;
+
+/// What an answer means for the call.
+pub(super) enum AttemptResult {
+    Answer,
+    ServerError,
+    NotRun(CallReason),
+    Unknown(CallReason),
+    ClaimedElsewhere,
+}
+
+/// Returns what an answer means for the call.
+pub(super) fn classify_response(response: &CallResponse) -> AttemptResult {
+    let reason = CallReason::try_from(response.reason).unwrap_or(CallReason::UpstreamFailed);
+    match CallOutcome::try_from(response.outcome) {
+        Ok(CallOutcome::Answered) if response.body_len != response.body.len() as u64 => {
+            AttemptResult::Unknown(CallReason::TruncatedAnswer)
+        }
+        Ok(CallOutcome::Answered) if response.status >= MIN_SERVER_ERROR_STATUS => {
+            AttemptResult::ServerError
+        }
+        Ok(CallOutcome::Answered) => AttemptResult::Answer,
+        Ok(CallOutcome::NotRun) => AttemptResult::NotRun(reason),
+        Ok(CallOutcome::ClaimedElsewhere) => AttemptResult::ClaimedElsewhere,
+        Ok(CallOutcome::Unknown | CallOutcome::Unspecified) | Err(_) => {
+            AttemptResult::Unknown(reason)
+        }
+    }
+}
+
+/// Builds the message that sends an attempt to the chosen upstream.
+pub(super) fn build_request(
+    call: &EntryCall,
+    chosen: &ChosenUpstream,
+    now: Timestamp,
+    version: u64,
+) -> CallRequest {
+    let request = &call.request;
+    CallRequest {
+        incarnation: chosen.entry.incarnation.0,
+        upstream: chosen.entry.name.to_string(),
+        config_version: version,
+        service: call.service.to_string(),
+        class: WireClass::from(call.route.class) as i32,
+        key: request.key.clone(),
+        deadline_us: micros(call.deadline.since(now)),
+        traceparent: call.span.map(|span| span.context.to_string()),
+        depth: request.depth,
+        method: request.method.clone(),
+        path: request.target.clone(),
+        headers: request.headers.clone(),
+        body: request.body.clone(),
+        request_digest: request.digest,
+        fingerprint: call.fingerprint.0,
+        rank: call.route.rank,
+        inner: request.is_nested,
+        target_us: call.route.latency_target.map(|target| {
+            let left = (call.opened_at + target).since(now);
+            micros(left)
+        }),
+        ..CallRequest::default()
+    }
+}
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod log;
+mod message;
 mod quarantine;
 mod resolve;
 mod settings;
