--- a/crates/kumquatlock-wire/src/lib.rs
+++ b/crates/kumquatlock-wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod codec;
 pub mod distribution;
 mod envelope;
+mod history;
 pub mod quarantine;
 
 pub use codec::{
--- a/crates/kumquatlock/src/catalog/apply.rs
+++ b/crates/kumquatlock/src/catalog/apply.rs
@@ -335,16 +335,12 @@
 
     /// Whether the report shows, for the first time, that a run of an upstream ends.
     fn is_run_ended_by(&self, report: &UpstreamReport) -> bool {
-        let state = WireState::try_from(report.upstream.state);
-        report.is_run_ended
-            && state.is_ok_and(|state| self.ended_runs.is_changed_by(report.run, state))
+        final_state(report).is_some_and(|state| self.ended_runs.is_changed_by(report.run, state))
     }
 
     fn apply_report(&mut self, index: u64, report: &UpstreamReport) -> ReportDecision {
         let decision = self.apply_report_state(index, report);
-        if report.is_run_ended
-            && let Ok(state) = WireState::try_from(report.upstream.state)
-        {
+        if let Some(state) = final_state(report) {
             self.ended_runs.record(report.run, state);
         }
         decision
@@ -486,6 +482,12 @@
     Remove,
 }
 
+/// Returns the state of a run that has announced its end.
+fn final_state(report: &UpstreamReport) -> Option<WireState> {
+    let state = WireState::try_from(report.upstream.state).ok();
+    state.filter(|_| report.is_run_ended)
+}
+
 /// Whether every node can build a routing entry from the item. An item that nodes cannot use would
 /// make all of them reject the whole configuration version.
 fn is_usable(item: &UpstreamItem) -> bool {
