Report the first index of the leader's term in the status of the agreement

A leader whose applied index is below the first index of its term may lack entries that earlier leaders committed. Neither logs nor decisions could see that from outside the engine. AgreementStatus gains term_start_index, 0 on all others. Decisions are unchanged.

--- a/crates/kumquatlock/src/agreement/machine.rs
+++ b/crates/kumquatlock/src/agreement/machine.rs
@@ -149,6 +149,10 @@
             commit_index: self.commit_index,
             applied_index: self.applied_index,
             snapshot_index: self.snapshot_index(),
+            term_start_index: self
+                .leader_state
+                .as_ref()
+                .map_or(0, |state| state.term_start_index),
             voters: self.voters.committed().clone(),
         }
     }
--- a/crates/kumquatlock/src/agreement/tests.rs
+++ b/crates/kumquatlock/src/agreement/tests.rs
@@ -132,6 +132,27 @@
     assert_ne!(group.role(&leader), AgreementRole::Leader);
 }
 
+/// Guards against a status that hides whether a leader may lack entries that earlier leaders
+/// committed.
+#[test]
+fn the_status_names_the_first_index_of_the_term_at_the_leader_only() {
+    let mut group = TestGroup::new(&["a", "b", "c"], 5);
+    let first_leader = group.elect();
+    (1..4).for_each(|number| group.propose(&first_leader, number));
+    group.run(500);
+    group.isolated.insert(first_leader.clone());
+    group.run(5_000);
+    let leader = group.elect();
+    assert_ne!(leader, first_leader);
+    let status = group.voters[&leader].engine.status();
+    // The entry that started the first term, and three proposals.
+    assert_eq!(status.term_start_index, 5);
+    assert!(status.term_start_index <= status.last_index);
+    for name in ["a", "b", "c"].into_iter().filter(|name| **name != *leader) {
+        assert_eq!(group.voters[name].engine.status().term_start_index, 0);
+    }
+}
+
 /// Guards against duplicate and late messages that undo the effect of newer messages.
 #[test]
 fn replayed_messages_change_nothing() {
--- a/crates/kumquatlock/src/agreement/types.rs
+++ b/crates/kumquatlock/src/agreement/types.rs
@@ -224,6 +224,11 @@
     pub commit_index: u64,
     pub applied_index: u64,
     pub snapshot_index: u64,
+    /// Index of the first entry of the current term if this instance is the leader, otherwise 0.
+    /// On the leader it is at least 1 and at most `last_index`. While `applied_index` is below it,
+    /// the leader's log may hold entries that earlier leaders committed and acknowledged but that
+    /// are not applied here yet.
+    pub term_start_index: u64,
     /// Committed voter set.
     pub voters: VoterSet,
 }
