Log each step of a submission with the state that its answer is based on

No line of a control instance named a submission that was not accepted, so the three hypotheses of the incident of a refused change in force could not be told apart.

- One line each for received, proposed, redirected, forwarded, answered and lost, with the manifest's version, base and digest, the sender, what the answer is based on, and the applied, committed and last index, the term and its first index at that time.
The id of a forwarded submission is the sender_id at the instance that receives it.
- At most 60 lines per second for refused and lost submissions and 60 for all other steps, so that a storm of accepted ones does not crowd out refusals.
- journal_opened gains last_index, which shows a voter that lost entries it had acknowledged.
- New metrics: kumquatlock_submission_refusals_total by reason, and kumquatlock_submission_seconds.
The test of the metrics page also causes a refusal, because a counter by label appears with its first value.

The request table hands out ids before a request is inserted, so that refused and redirected submissions have one, too. Decisions and answers are unchanged. Not logged as submissions: requests refused with busy before they are read, and those that end with internal_error.

--- a/crates/kumquatlock-control/tests/control/main.rs
+++ b/crates/kumquatlock-control/tests/control/main.rs
@@ -14,3 +14,4 @@
 mod settings;
 mod stop;
 mod stream;
+mod submissions;
--- a/crates/kumquatlock-control/tests/control/pages.rs
+++ b/crates/kumquatlock-control/tests/control/pages.rs
@@ -8,7 +8,7 @@
 use kumquatlock_wire::distribution::Hello;
 
 use crate::child::RawChild;
-use crate::group::{builder, manifest, start, submit_until_decided};
+use crate::group::{builder, conflicting_manifest, manifest, start, submit_until_decided};
 
 const PAGE: &str = include_str!("../../../../docs/OPERATIONS.md");
 
@@ -34,9 +34,10 @@
 #[test]
 fn the_operations_page_lists_every_metric() {
     let mesh = start(builder());
-    // Metric families with labels appear with their first value, so the test causes a submission
-    // and a refused child.
+    // Metric families with labels appear with their first value, so the test causes an accepted
+    // and a refused submission and a refused child.
     submit_until_decided(&mesh.controls[0], &manifest(1));
+    submit_until_decided(&mesh.controls[0], &conflicting_manifest(1));
     let mut child = RawChild::connect(mesh.controls[0].flags.listen);
     child.send(Body::Hello(Hello {
         group_id: UNKNOWN_GROUP_ID,
--- a/crates/kumquatlock/src/journal/state.rs
+++ b/crates/kumquatlock/src/journal/state.rs
@@ -77,3 +77,12 @@
     /// Size of the incomplete record that was truncated from the end of the log, in bytes.
     pub torn_bytes: u64,
 }
+
+impl RecoveredState {
+    /// Returns the index of the last entry, or the last index that the snapshot covers.
+    pub fn last_index(&self) -> u64 {
+        let snapshot_index = self.snapshot.as_ref().map(|snapshot| snapshot.last_index);
+        let entry_index = self.entries.last().map(|entry| entry.index);
+        entry_index.or(snapshot_index).unwrap_or(0)
+    }
+}
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -25,6 +25,7 @@
 use super::requests::RequestTable;
 use super::settings::{ControlSettings, RoleSettings};
 use super::stop::StopState;
+use super::submission_log::SubmissionLog;
 use super::voter::VoterState;
 use crate::agreement::{self, AgreementEvent};
 use crate::catalog::Catalog;
@@ -90,6 +91,7 @@
     /// Keeps the channel open on which the workers send their results.
     _results_guard: ChannelGuard,
     pub(super) requests: RequestTable,
+    pub(super) submission_log: SubmissionLog,
     /// Reads that wait until this instance has applied the index that makes them current.
     pub(super) waiting_reads: Vec<WaitingRead>,
     pub(super) random: SmallRng,
@@ -171,6 +173,7 @@
             workers,
             _results_guard: results_guard,
             requests: RequestTable::default(),
+            submission_log: SubmissionLog::default(),
             waiting_reads: Vec::new(),
             random: SmallRng::seed_from_u64(random_seed()),
             metrics,
--- a/crates/kumquatlock/src/ops/control/http.rs
+++ b/crates/kumquatlock/src/ops/control/http.rs
@@ -17,6 +17,7 @@
 use super::metrics::ControlMetrics;
 use super::operator::{OperatorAdapter, OperatorCall, OperatorRequest};
 use super::requests::RequestAnswer;
+use super::submission_log::DocumentSummary;
 use crate::core::Timestamp;
 use crate::http::{HttpEvent, HttpLimits, HttpRequest, HttpResponse, RequestId};
 use crate::manifest::{MAX_MANIFEST_BYTES, ManifestDocument, ManifestError};
@@ -55,14 +56,28 @@
     Response {
         id: RequestId,
         response: HttpResponse,
+        /// Reason for which a submission was refused as invalid.
+        invalid_reason: Option<&'static str>,
     },
 }
 
+impl WorkerResult {
+    fn response(id: RequestId, response: HttpResponse) -> Self {
+        WorkerResult::Response {
+            id,
+            response,
+            invalid_reason: None,
+        }
+    }
+}
+
 /// Takes the response to one request of an operator.
 #[derive(Debug)]
 pub(super) struct ReplySender {
     id: RequestId,
     request: OperatorRequest,
+    /// Present for a submission.
+    pub(super) document: Option<DocumentSummary>,
     jobs: Sender<WorkerJob>,
 }
 
@@ -164,7 +179,7 @@
                     let failed = answer::unknown("internal_error");
                     isolate(id, failed, || {
                         let response = (self.adapter.write)(&request, response);
-                        WorkerResult::Response { id, response }
+                        WorkerResult::response(id, response)
                     })
                 }
                 WorkerJob::End => return,
@@ -179,26 +194,30 @@
         let request = match (self.adapter.read)(request) {
             Ok(OperatorRequest::Metrics) => {
                 let response = self.metrics.response();
-                return WorkerResult::Response { id, response };
+                return WorkerResult::response(id, response);
             }
             Ok(request) => request,
-            Err(response) => return WorkerResult::Response { id, response },
+            Err(response) => return WorkerResult::response(id, response),
         };
         match parse_manifest(&request) {
             Ok(document) => WorkerResult::Call(OperatorCall {
-                document,
                 reply: ReplySender {
                     id,
                     request: request.clone(),
+                    document: document.as_deref().map(DocumentSummary::from),
                     jobs: self.replies.clone(),
                 },
+                document,
                 request,
             }),
             Err(error) => {
                 let response = answer::response(answer::invalid_manifest(&error));
                 self.metrics.count_submission(response.status);
-                let response = (self.adapter.write)(&request, response);
-                WorkerResult::Response { id, response }
+                WorkerResult::Response {
+                    id,
+                    response: (self.adapter.write)(&request, response),
+                    invalid_reason: Some(error.reason()),
+                }
             }
         }
     }
@@ -215,7 +234,7 @@
     panic::catch_unwind(AssertUnwindSafe(work)).unwrap_or_else(|_| {
         log::error!("operator_request_panicked");
         let response = answer::response(failed);
-        WorkerResult::Response { id, response }
+        WorkerResult::response(id, response)
     })
 }
 
@@ -250,7 +269,14 @@
     pub(super) fn handle_worker_result(&mut self, now: Timestamp, result: WorkerResult) {
         match result {
             WorkerResult::Call(call) => self.answer_operator(now, call),
-            WorkerResult::Response { id, response } => {
+            WorkerResult::Response {
+                id,
+                response,
+                invalid_reason,
+            } => {
+                if let Some(reason) = invalid_reason {
+                    self.invalid_submission_received(now, reason);
+                }
                 self.workers.open_requests = self.workers.open_requests.saturating_sub(1);
                 self.http.respond(now, id, response);
             }
--- a/crates/kumquatlock/src/ops/control/metrics.rs
+++ b/crates/kumquatlock/src/ops/control/metrics.rs
@@ -17,6 +17,7 @@
 use strum::IntoEnumIterator;
 
 use super::actor::ControlActor;
+use super::submission_log::RefusalReason;
 use crate::http::HttpResponse;
 use crate::transport::{LinkScope, TrafficCounters, TrafficDirection};
 
@@ -44,6 +45,8 @@
     children: Gauge,
     journal_sync: Histogram,
     submissions: Family<OutcomeLabel, Counter>,
+    submission_refusals: Family<ReasonLabel, Counter>,
+    submission_time: Histogram,
     snapshots: Counter,
     deltas: Counter,
     retry_after: Family<ReasonLabel, Counter>,
@@ -62,6 +65,9 @@
             // Buckets from 25 us to 50 ms.
             journal_sync: Histogram::new(exponential_buckets(0.000_025, 2.0, 12)),
             submissions: Family::default(),
+            submission_refusals: Family::default(),
+            // Buckets from 1 ms to 8.2 s; a request ends after 4 s.
+            submission_time: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
             snapshots: Counter::default(),
             deltas: Counter::default(),
             retry_after: Family::default(),
@@ -100,6 +106,16 @@
             "Answered submissions by outcome",
             self.submissions.clone(),
         );
+        registry.register(
+            "submission_refusals",
+            "Submissions that were not accepted, by reason",
+            self.submission_refusals.clone(),
+        );
+        registry.register(
+            "submission_seconds",
+            "Time from the receipt of a submission to its answer",
+            self.submission_time.clone(),
+        );
         registry.register(
             "snapshots_sent",
             "Snapshot transfers started",
@@ -148,6 +164,18 @@
         self.submissions.get_or_create(&outcome).inc();
     }
 
+    /// Counts a submission that was not accepted.
+    pub(super) fn count_refusal(&self, reason: RefusalReason) {
+        let reason = reason.into();
+        self.submission_refusals
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
+    pub(super) fn observe_submission(&self, elapsed: Duration) {
+        self.submission_time.observe(elapsed.as_secs_f64());
+    }
+
     pub(super) fn count_snapshots(&self, children: usize) {
         self.snapshots.inc_by(children as u64);
     }
--- a/crates/kumquatlock/src/ops/control/mod.rs
+++ b/crates/kumquatlock/src/ops/control/mod.rs
@@ -13,6 +13,7 @@
 //!   replica, towards the parent.
 //! - [`requests`] is the table of requests that wait for an answer; [`relay`] answers requests
 //!   locally or forwards them towards the leader.
+//! - [`submission_log`] logs each step of a submission.
 //! - [`operator`] parses HTTP requests of operators, and [`answer`] builds the answers.
 
 mod actor;
@@ -30,6 +31,7 @@
 mod requests;
 mod settings;
 mod stop;
+mod submission_log;
 mod voter;
 
 pub use operator::{OperatorAdapter, OperatorRequest, SUBMIT_PATH};
--- a/crates/kumquatlock/src/ops/control/operator.rs
+++ b/crates/kumquatlock/src/ops/control/operator.rs
@@ -12,7 +12,7 @@
 use super::actor::ControlActor;
 use super::answer;
 use super::http::ReplySender;
-use super::requests::Requester;
+use super::requests::{RequestKind, Requester};
 use crate::catalog::Catalog;
 use crate::core::Timestamp;
 use crate::http::{HttpRequest, HttpResponse};
@@ -241,9 +241,12 @@
         reply: ReplySender,
     ) {
         if self.stop.is_some() {
-            let response = answer::response(answer::not_run("leaving"));
-            self.metrics.count_submission(response.status);
-            return reply.send(response);
+            let answer = answer::not_run("leaving");
+            let requester = Requester::Operator(reply);
+            let id = self.requests.next_id();
+            self.submission_received(now, id, &requester, RequestKind::Submit);
+            self.submission_answered(now, id, &answer);
+            return self.deliver_answer(now, requester, RequestKind::Submit, answer);
         }
         match document.filter(|_| self.is_leader()) {
             Some(document) => self.submit_as_leader(now, reply, document),
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -13,6 +13,7 @@
 use super::answer;
 use super::http::ReplySender;
 use super::requests::{RequestAnswer, RequestKind, RequestRoute, Requester, forward_message};
+use super::submission_log::AnswerBasis;
 use super::voter::VoterState;
 use crate::agreement::{AgreementEvent, ProposalTicket, ReadIndexTicket};
 use crate::core::{ConfigVersion, SharedName, Timestamp, address_from_name};
@@ -92,32 +93,35 @@
         let Some(kind) = RequestKind::of(&content) else {
             return;
         };
+        let id = self.requests.next_id();
+        self.submission_received(now, id, &requester, kind);
         if let (Requester::Operator(_), RequestKind::Submit, false) =
             (&requester, kind, self.is_leader())
             && let Some(address) = self.leader_http_address()
         {
             // The operator is redirected instead of forwarding the manifest, because a manifest is
             // large and the traffic to the leader may be charged by volume.
+            self.submission_redirected(now, id, address);
             let answer = RequestAnswer::Redirect(address);
             return self.deliver_answer(now, requester, kind, answer);
         }
         // A voter forwards a request only to the instance that it believes to be the leader.
         // Forwarding it again could create a loop.
         let is_last_hop = matches!(requester, Requester::Voter { .. });
-        let id = match self.requests.insert(now, requester, kind) {
-            Ok(id) => id,
-            Err(requester) => {
-                let answer = answer::unavailable(kind, "busy");
-                return self.deliver_answer(now, requester, kind, answer);
-            }
-        };
+        if let Err(requester) = self.requests.insert(now, id, requester, kind) {
+            let answer = answer::unavailable(kind, "busy");
+            self.submission_answered(now, id, &answer);
+            return self.deliver_answer(now, requester, kind, answer);
+        }
         if self.is_leader() {
             self.answer_as_leader(now, id, content);
         } else if let (Some(link), false) = (self.leader_link(), is_last_hop) {
             self.requests.set_route(id, RequestRoute::Link(link));
+            self.submission_forwarded(now, id, RequestRoute::Link(link));
             self.send_to_voter(link, forward_message(id, content), Some(id));
         } else if self.uplink.is_some() {
             self.requests.set_route(id, RequestRoute::Parent);
+            self.submission_forwarded(now, id, RequestRoute::Parent);
             let body = Body::Forward(forward_message(id, content));
             self.queue
                 .push_back(QueuedEvent::Child(ChildEvent::Relay(body)));
@@ -156,10 +160,15 @@
         document: Arc<ManifestDocument>,
     ) {
         let kind = RequestKind::Submit;
-        match self.requests.insert(now, Requester::Operator(reply), kind) {
-            Ok(id) => self.decide_submission(now, id, document),
+        let requester = Requester::Operator(reply);
+        let id = self.requests.next_id();
+        self.submission_received(now, id, &requester, kind);
+        match self.requests.insert(now, id, requester, kind) {
+            Ok(()) => self.decide_submission(now, id, document),
             Err(requester) => {
-                self.deliver_answer(now, requester, kind, answer::unavailable(kind, "busy"));
+                let answer = answer::unavailable(kind, "busy");
+                self.submission_answered(now, id, &answer);
+                self.deliver_answer(now, requester, kind, answer);
             }
         }
     }
@@ -167,12 +176,15 @@
     /// Answers a submission if the applied catalog already decides it; otherwise proposes the
     /// change that the manifest makes.
     fn decide_submission(&mut self, now: Timestamp, id: u64, document: Arc<ManifestDocument>) {
+        self.submission_log.set_document(id, (&*document).into());
         if let Some(decision) = self.catalog.preview_manifest(&document) {
+            self.submission_log.set_basis(id, AnswerBasis::AppliedState);
             // A decision on the applied catalog is final.
             return self.finish_request(now, id, answer::decided_manifest(&decision));
         }
         let change = self.catalog.diff_manifest(&document);
         self.requests.set_document(id, document);
+        self.submission_proposed(now, id);
         self.propose_with(ProposalTicket(id), catalog_command::Kind::Change(change));
     }
 
@@ -236,11 +248,12 @@
     /// Ends a request with this answer. Later answers to it are ignored.
     pub(super) fn finish_request(&mut self, now: Timestamp, id: u64, answer: RequestAnswer) {
         if let Some(request) = self.requests.take(id) {
+            self.submission_answered(now, id, &answer);
             self.deliver_answer(now, request.requester, request.kind, answer);
         }
     }
 
-    fn deliver_answer(
+    pub(super) fn deliver_answer(
         &mut self,
         now: Timestamp,
         requester: Requester,
--- a/crates/kumquatlock/src/ops/control/requests.rs
+++ b/crates/kumquatlock/src/ops/control/requests.rs
@@ -10,6 +10,7 @@
 use kumquatlock_wire::distribution::{StatusReply, SubmitReply};
 
 use super::http::ReplySender;
+use super::submission_log::DocumentSummary;
 use crate::core::{SharedName, Timestamp};
 use crate::distribution::ChildId;
 use crate::manifest::ManifestDocument;
@@ -38,6 +39,16 @@
     LocalProof { round: u64 },
 }
 
+impl Requester {
+    /// Returns the summary of an operator's submission, which was parsed when it was received.
+    pub(super) fn document_summary(&self) -> Option<DocumentSummary> {
+        match self {
+            Requester::Operator(reply) => reply.document,
+            _ => None,
+        }
+    }
+}
+
 /// Kind of a request; determines the answer when the leader gives none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RequestKind {
@@ -135,18 +146,24 @@
 }
 
 impl RequestTable {
+    /// Returns an id that no other request of this process has or had.
+    pub(super) fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+
     /// Adds a request with the route [`RequestRoute::Local`] until another route is set. Returns
-    /// the requester if the table is full.
+    /// the requester if the table is full. `id` comes from [`RequestTable::next_id`].
     pub(super) fn insert(
         &mut self,
         now: Timestamp,
+        id: u64,
         requester: Requester,
         kind: RequestKind,
-    ) -> Result<u64, Requester> {
+    ) -> Result<(), Requester> {
         if self.pending.len() >= MAX_PENDING_REQUESTS {
             return Err(requester);
         }
-        self.last_id += 1;
         let request = PendingRequest {
             requester,
             kind,
@@ -154,8 +171,8 @@
             deadline: now + REQUEST_TIMEOUT,
             document: None,
         };
-        self.pending.insert(self.last_id, request);
-        Ok(self.last_id)
+        self.pending.insert(id, request);
+        Ok(())
     }
 
     pub(super) fn len(&self) -> usize {
--- a/crates/kumquatlock/src/ops/control/tests.rs
+++ b/crates/kumquatlock/src/ops/control/tests.rs
@@ -1,4 +1,5 @@
-//! Tests of the links to other control instances, and of the threads for operators.
+//! Tests of the links to other control instances, of the threads for operators, and of the log
+//! lines of submissions.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -15,6 +16,10 @@
 use super::metrics::ControlMetrics;
 use super::operator::{OperatorAdapter, OperatorRequest};
 use super::peers::PeerLinks;
+use super::submission_log::{
+    AnswerBasis, DocumentSummary, KnownState, SubmissionLine, SubmissionLog, SubmissionSender,
+    SubmissionStep, SubmissionVerdict,
+};
 use crate::core::Timestamp;
 use crate::http::{HttpRequest, RequestId};
 use crate::transport::LinkId;
@@ -115,3 +120,108 @@
     statuses.sort_unstable();
     assert_eq!(statuses, [200, 200, 200, 200, 503, 503, 503, 503]);
 }
+
+const SUMMARY: DocumentSummary = DocumentSummary {
+    manifest_version: 7,
+    base: 6,
+    digest: 0xd1,
+};
+
+fn refusal() -> SubmissionVerdict {
+    SubmissionVerdict {
+        outcome: "refused".to_owned(),
+        reason: "other_base".to_owned(),
+        status: 409,
+    }
+}
+
+fn open_submission(log: &mut SubmissionLog, now: Timestamp, id: u64) -> Option<SubmissionLine> {
+    log.open(now, id, SubmissionSender::Operator, SUMMARY);
+    let state = KnownState::default();
+    log.record(now, id, SubmissionStep::Received, String::new(), state)
+}
+
+/// Guards against a refusal from which one can't tell which state of the log it was based on, and
+/// against a redirected or lost submission without a line.
+#[test]
+fn the_lines_of_a_submission_name_its_steps_and_the_known_state() {
+    let mut log = SubmissionLog::default();
+    let later = Timestamp::from_millis(30);
+    // A leader that has not yet applied the first entry of its term.
+    let state = KnownState {
+        newest_version: 5,
+        applied: 9,
+        committed: 9,
+        last: 12,
+        term: 4,
+        term_start: 12,
+    };
+    let received = open_submission(&mut log, Timestamp(0), 1).unwrap();
+    assert_eq!(
+        (received.step, received.document),
+        (SubmissionStep::Received, SUMMARY)
+    );
+    log.set_basis(1, AnswerBasis::AppliedState);
+    let answered = log.record_answer(later, 1, refusal(), state).unwrap();
+    let expected = SubmissionLine {
+        step: SubmissionStep::Answered,
+        id: 1,
+        sender: SubmissionSender::Operator,
+        document: SUMMARY,
+        basis: AnswerBasis::AppliedState,
+        to: String::new(),
+        verdict: refusal(),
+        state,
+        elapsed: Duration::from_millis(30),
+        left_out: 0,
+    };
+    assert_eq!(answered, expected);
+    assert_eq!(log.record_answer(later, 1, refusal(), state), None);
+
+    open_submission(&mut log, later, 2).unwrap();
+    let (step, to) = (SubmissionStep::Redirected, "10.0.0.1:80".to_owned());
+    let redirected = log.record(later, 2, step, to, state).unwrap();
+    assert_eq!(
+        (<&str>::from(redirected.step), redirected.to.as_str()),
+        ("submission_redirected", "10.0.0.1:80")
+    );
+    log.set_basis(2, AnswerBasis::Forwarded);
+    let unknown = SubmissionVerdict {
+        outcome: "unknown".to_owned(),
+        reason: "leader_lost".to_owned(),
+        status: 504,
+    };
+    let lost = log.record_answer(later, 2, unknown, state).unwrap();
+    assert_eq!(
+        (<&str>::from(lost.step), <&str>::from(lost.basis)),
+        ("submission_lost", "forwarded")
+    );
+}
+
+/// Guards against a storm of submissions that fills the log, and against refusals whose lines are
+/// left out because of it.
+#[test]
+fn a_storm_of_submissions_is_bounded_and_leaves_room_for_refusals() {
+    let mut log = SubmissionLog::default();
+    let accepted = SubmissionVerdict {
+        outcome: "accepted".to_owned(),
+        status: 200,
+        ..SubmissionVerdict::default()
+    };
+    let now = Timestamp::from_millis(5_000);
+    let state = KnownState::default();
+    let mut written = 0;
+    for id in 1..=1_000 {
+        let received = open_submission(&mut log, now, id);
+        let answered = log.record_answer(now, id, accepted.clone(), state);
+        written += usize::from(received.is_some()) + usize::from(answered.is_some());
+    }
+    // 60 lines per second, for the two seconds of a burst.
+    assert_eq!(written, 120);
+    assert_eq!(open_submission(&mut log, now, 1_001), None);
+    let refused = log.record_answer(now, 1_001, refusal(), state).unwrap();
+    assert_eq!(refused.left_out, 0);
+    let second_later = now + Duration::from_secs(1);
+    let received = open_submission(&mut log, second_later, 1_002).unwrap();
+    assert_eq!(received.left_out, 2_001 - 120);
+}
--- a/crates/kumquatlock/src/ops/control/voter.rs
+++ b/crates/kumquatlock/src/ops/control/voter.rs
@@ -84,6 +84,7 @@
             folder = directory.display().to_string().as_str(),
             disk_id = format!("{:016x}", identity.disk_id).as_str(),
             entries = recovered.entries.len(),
+            last_index = recovered.last_index(),
             torn_bytes = recovered.torn_bytes;
             "journal_opened"
         );
