--- a/crates/kumquatlock-control/tests/control/group.rs
+++ b/crates/kumquatlock-control/tests/control/group.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use kumquatlock_testkit::process::{ControlInstance, Mesh, MeshBuilder, ProcessError, wait_for};
+use kumquatlock_testkit::relay::TcpRelay;
 use serde_json::{Value, json};
 
 /// Timeout of each wait; far above the usual time, so that tests also pass on a busy host.
@@ -29,6 +30,23 @@
     mesh
 }
 
+/// Relays, each with the indices of the voter that connects to it and of the voter behind it.
+pub(crate) type VoterRelays = Vec<((usize, usize), TcpRelay)>;
+
+/// Starts a group whose voters reach each other through relays only.
+pub(crate) fn start_with_relays() -> (Mesh, VoterRelays) {
+    let mut plan = builder().build().unwrap();
+    let mut relays = Vec::new();
+    for from in 0..3 {
+        for to in (0..3).filter(|to| *to != from) {
+            let relay = TcpRelay::start(plan.controls[to].flags.listen).unwrap();
+            plan.controls[from].flags.voters[to].1 = relay.address();
+            relays.push(((from, to), relay));
+        }
+    }
+    (plan.start().unwrap(), relays)
+}
+
 pub(crate) fn manifest(version: u64) -> Value {
     json!({
         "version": version,
--- a/crates/kumquatlock-control/tests/control/partition.rs
+++ b/crates/kumquatlock-control/tests/control/partition.rs
@@ -1,6 +1,5 @@
 //! Network paths between voters that stop delivering bytes without closing.
 
-use kumquatlock_testkit::process::Mesh;
 use kumquatlock_testkit::relay::TcpRelay;
 use kumquatlock_wire::Body;
 use kumquatlock_wire::distribution::RetryReason;
@@ -8,26 +7,10 @@
 
 use crate::child::RawChild;
 use crate::group::{
-    builder, manifest, show, submit_until_decided, wait_in_force, wait_leader, wait_status,
+    VoterRelays, manifest, show, start_with_relays, submit_until_decided, wait_in_force,
+    wait_leader, wait_status,
 };
 
-/// Relays, each with the indices of the voter that connects to it and of the voter behind it.
-type VoterRelays = Vec<((usize, usize), TcpRelay)>;
-
-/// Starts a group whose voters reach each other through relays only.
-fn start_with_relays() -> (Mesh, VoterRelays) {
-    let mut plan = builder().build().unwrap();
-    let mut relays = Vec::new();
-    for from in 0..3 {
-        for to in (0..3).filter(|to| *to != from) {
-            let relay = TcpRelay::start(plan.controls[to].flags.listen).unwrap();
-            plan.controls[from].flags.voters[to].1 = relay.address();
-            relays.push(((from, to), relay));
-        }
-    }
-    (plan.start().unwrap(), relays)
-}
-
 /// Returns the relays from and to a voter.
 fn relays_of(relays: &VoterRelays, voter: usize) -> impl Iterator<Item = &TcpRelay> {
     let connects_voter =
