Test that a change is not refused after a restart of all voters

Three voters are 30 ms apart. A follower is down while a change is acknowledged, a second change is sent on top of it, all voters are killed, and the former leader and the follower come back. The operator sends the second change again.

The refusal is from the leader of the new term, before it applied any entry: version 0 was its applied manifest, and its log lines of accepted manifests, the refused one included, follow about 0.2 s after the line of its election.

--- /dev/null
+++ b/crates/kumquatlock-control/tests/control/leader_change.rs
@@ -0,0 +1,305 @@
+//! Answers to a resent change while the leadership changes, between voters in distant regions.
+//!
+//! A leader that has just been elected may hold committed entries in its log that it has not
+//! applied. It learns that they are committed with the first entry of its own term, which takes at
+//! least one round trip.
+
+use std::fmt::Write as _;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime};
+
+use kumquatlock_testkit::caller::{HttpRequest, HttpResponse};
+use kumquatlock_testkit::process::{ControlInstance, Mesh, wait_for};
+use serde_json::{Value, json};
+
+use crate::group::{
+    VoterRelays, WAIT_TIMEOUT, manifest, start_with_relays, status, submit_until_decided,
+    wait_leader, wait_status,
+};
+
+/// Delay in each direction between two voters in different regions.
+const REGION_DELAY: Duration = Duration::from_millis(30);
+
+/// Time after which an operator that got no answer sends its change again.
+const RESEND_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Times from sending a change to the kill. The shortest ones end the leader before another voter
+/// has the change, the longest one about when the change is accepted.
+const KILL_DELAYS: [Duration; 5] = [
+    Duration::from_millis(1),
+    Duration::from_millis(3),
+    Duration::from_millis(8),
+    Duration::from_millis(20),
+    Duration::from_millis(60),
+];
+
+/// Starts three voters with [`REGION_DELAY`] between each two of them.
+fn start_in_regions() -> (Mesh, VoterRelays) {
+    let (mesh, relays) = start_with_relays();
+    for (_, relay) in &relays {
+        relay.set_delay(REGION_DELAY);
+    }
+    wait_leader(&mesh, &[0, 1, 2]);
+    (mesh, relays)
+}
+
+/// Returns a manifest that must follow the accepted version `base`. It has a source, without which
+/// the newest manifest could not be read back.
+fn change(version: u64, base: u64) -> Value {
+    let mut change = manifest(version);
+    change["follows"] = json!(base);
+    change["source"] = json!(format!("change {version}"));
+    change["routes"][0]["prefix"] = json!(format!("/booking-{version}"));
+    change
+}
+
+fn accept(instance: &ControlInstance, change: &Value) {
+    let (code, answer) = submit_until_decided(instance, change);
+    assert_eq!(code, 200, "{answer}");
+}
+
+/// Kills the voters at the same moment.
+fn kill_all(mesh: &mut Mesh) {
+    thread::scope(|scope| {
+        for instance in &mut mesh.controls {
+            scope.spawn(|| instance.process.kill().unwrap());
+        }
+    });
+}
+
+/// An answer that decides on a change: any but 503 and 504.
+struct DecidedAnswer {
+    /// Index of the instance that the change was sent to.
+    instance: usize,
+    status: u16,
+    body: Value,
+    received: SystemTime,
+}
+
+/// An operator that sends one change again and again until it is decided. An answer that arrives
+/// after the resend counts as well.
+struct ResendingOperator {
+    request: HttpRequest,
+    sender: Sender<(usize, Option<HttpResponse>)>,
+    receiver: Receiver<(usize, Option<HttpResponse>)>,
+}
+
+impl ResendingOperator {
+    fn new(change: &Value) -> Self {
+        let (sender, receiver) = channel();
+        ResendingOperator {
+            request: HttpRequest::post("/v1/manifests", change.to_string()),
+            sender,
+            receiver,
+        }
+    }
+
+    /// Sends the change without waiting for the answer.
+    fn send(&self, mesh: &Mesh, instance: usize) {
+        let caller = mesh.controls[instance].caller();
+        let request = self.request.clone();
+        let sender = self.sender.clone();
+        thread::spawn(move || {
+            // Fails only if the operator has stopped waiting for answers.
+            let _ = sender.send((instance, caller.send(&request).ok()));
+        });
+    }
+
+    /// Waits for an answer that decides on the change. Returns `None` if the next answer does not,
+    /// or if there is none in time.
+    fn receive(&self, timeout: Duration) -> Option<DecidedAnswer> {
+        let (instance, response) = match self.receiver.recv_timeout(timeout) {
+            Ok(received) => received,
+            Err(RecvTimeoutError::Timeout) => return None,
+            Err(RecvTimeoutError::Disconnected) => unreachable!("the operator keeps a sender"),
+        };
+        let response = response.filter(|response| !matches!(response.status, 503 | 504))?;
+        Some(DecidedAnswer {
+            instance,
+            status: response.status,
+            body: response.json(),
+            received: SystemTime::now(),
+        })
+    }
+
+    /// Waits for a decision until `deadline`, without sending again.
+    fn receive_until(&self, deadline: Instant) -> Option<DecidedAnswer> {
+        loop {
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            let answer = self.receive(remaining);
+            if answer.is_some() || remaining.is_zero() {
+                return answer;
+            }
+        }
+    }
+
+    /// Sends the change to the instances in turn until each of them has accepted it, or until an
+    /// answer refuses it, which ends the call of an operator.
+    fn resend_until_decided(&self, mesh: &Mesh, instances: &[usize]) -> DecidedAnswer {
+        let mut next_instances = instances.iter().cycle();
+        let mut accepting = Vec::new();
+        wait_for("decision at each instance", WAIT_TIMEOUT, || {
+            let instance = next_instances.next().unwrap();
+            self.send(mesh, *instance);
+            let Some(answer) = self.receive(RESEND_TIMEOUT) else {
+                return Err(format!("accepted at {accepting:?}"));
+            };
+            if answer.status != 200 {
+                return Ok(answer);
+            }
+            if !accepting.contains(&answer.instance) {
+                accepting.push(answer.instance);
+            }
+            match accepting.len() == instances.len() {
+                true => Ok(answer),
+                false => Err(format!("accepted at {accepting:?}")),
+            }
+        })
+        .unwrap()
+    }
+}
+
+/// Waits until all voters have applied the same configuration, which the leader has confirmed to be
+/// the newest one, and returns its manifest version.
+fn wait_newest_version(mesh: &Mesh) -> u64 {
+    let leader = wait_leader(mesh, &[0, 1, 2]);
+    wait_for("confirmed source", WAIT_TIMEOUT, || {
+        let answer = mesh.controls[leader].caller().get("/v1/source");
+        match answer.map_err(|error| error.to_string())? {
+            answer if answer.status == 200 => Ok(()),
+            answer => Err(answer.text()),
+        }
+    })
+    .unwrap();
+    let newest = status(&mesh.controls[leader]).unwrap()["manifest_version"].clone();
+    for instance in &mesh.controls {
+        wait_status(instance, "manifest_version", &newest);
+    }
+    newest.as_u64().unwrap()
+}
+
+/// Returns the time of day in UTC, as it is in the time stamps of the logs.
+fn time_of_day(time: SystemTime) -> String {
+    let since_epoch = time.duration_since(SystemTime::UNIX_EPOCH).unwrap();
+    let seconds = since_epoch.as_secs() % 86_400;
+    let (hours, minutes) = (seconds / 3_600, seconds / 60 % 60);
+    let micros = since_epoch.subsec_micros();
+    format!("{hours:02}:{minutes:02}:{:02}.{micros:06}", seconds % 60)
+}
+
+/// Returns the log lines of the last start of an instance that show when it led and when it applied
+/// the manifest.
+fn decision_log(instance: &ControlInstance, version: u64) -> Vec<Value> {
+    let records = instance.process.log_records();
+    let started = records
+        .iter()
+        .rposition(|record| record["event"] == "started");
+    let is_shown = |record: &Value| {
+        record["role"] == "leader"
+            || (record["event"] == "manifest_accepted" && record["manifest_version"] == version)
+    };
+    let records = records.into_iter().skip(started.unwrap_or(0));
+    records.filter(is_shown).collect()
+}
+
+/// Starts the voters that are not running, and returns what is wrong with the decision on the change
+/// `version`, which follows an acknowledged one: it must be accepted. A refused change must not be
+/// in force afterwards.
+fn check_decision(
+    mesh: &mut Mesh,
+    case: &str,
+    answer: &DecidedAnswer,
+    version: u64,
+) -> Option<String> {
+    for instance in &mut mesh.controls {
+        if instance.process.status().unwrap().is_some() {
+            instance.process.restart().unwrap();
+        }
+        instance.wait_ready().unwrap();
+    }
+    let newest = wait_newest_version(mesh);
+    if answer.status == 200 {
+        assert_eq!(newest, version, "{case}: an accepted change was lost");
+        return None;
+    }
+    let mut fault = format!(
+        "{case}: {} refused version {version} at {} with {} {}; afterwards version {newest} is in \
+         force at all voters\n",
+        mesh.controls[answer.instance].flags.name,
+        time_of_day(answer.received),
+        answer.status,
+        answer.body,
+    );
+    for instance in &mesh.controls {
+        for line in decision_log(instance, version) {
+            writeln!(fault, "    {}: {line}", instance.flags.name).unwrap();
+        }
+    }
+    Some(fault)
+}
+
+/// When the voters are killed.
+#[derive(Clone, Copy, Debug)]
+enum KillTime {
+    AfterSending(Duration),
+    AfterAcceptance,
+}
+
+/// Sends a change and waits until the voters are to be killed.
+fn send_until_kill(operator: &ResendingOperator, mesh: &Mesh, leader: usize, kill: KillTime) {
+    match kill {
+        KillTime::AfterSending(delay) => {
+            operator.send(mesh, leader);
+            let answer = operator.receive_until(Instant::now() + delay);
+            assert!(answer.is_none_or(|answer| answer.status == 200));
+        }
+        KillTime::AfterAcceptance => {
+            let answer = operator.resend_until_decided(mesh, &[leader]);
+            assert_eq!(answer.status, 200, "{}", answer.body);
+        }
+    }
+}
+
+/// For each kill time, kills all voters after a change was sent, starts the one that led and one that
+/// was down for the acknowledged change before it, and sends the change again. Fails unless it is
+/// accepted each time.
+fn check_restarts_of_all_voters(kill_times: &[KillTime]) {
+    let (mut mesh, _relays) = start_in_regions();
+    let mut version = 1;
+    accept(&mesh.controls[0], &change(version, 0));
+    let mut faults = Vec::new();
+    for kill in kill_times {
+        let leader = wait_leader(&mesh, &[0, 1, 2]);
+        let behind = (leader + 1) % 3;
+        mesh.controls[behind].process.kill().unwrap();
+        accept(&mesh.controls[leader], &change(version + 1, version));
+        let operator = ResendingOperator::new(&change(version + 2, version + 1));
+        send_until_kill(&operator, &mesh, leader, *kill);
+        kill_all(&mut mesh);
+        let started = [leader, behind];
+        for index in started {
+            mesh.controls[index].process.restart().unwrap();
+        }
+        let answer = operator.resend_until_decided(&mesh, &started);
+        let case = format!("killed {kill:?}");
+        faults.extend(check_decision(&mut mesh, &case, &answer, version + 2));
+        version = wait_newest_version(&mesh);
+    }
+    assert!(faults.is_empty(), "{}", faults.concat());
+}
+
+/// Guards against a new leader that refuses a change because it has not applied the entries of its
+/// own log, although the change, or the one that it follows, is committed: all voters were killed
+/// before the change was answered, and it is sent again.
+#[test]
+fn a_change_cut_off_by_a_restart_of_all_voters_is_not_refused() {
+    check_restarts_of_all_voters(&KILL_DELAYS.map(KillTime::AfterSending));
+}
+
+/// Guards against a new leader that refuses a change that was acknowledged: all voters were killed
+/// after that, and the change is sent again.
+#[test]
+fn an_acknowledged_change_is_not_refused_after_a_restart_of_all_voters() {
+    check_restarts_of_all_voters(&[KillTime::AfterAcceptance; 5]);
+}
--- a/crates/kumquatlock-control/tests/control/main.rs
+++ b/crates/kumquatlock-control/tests/control/main.rs
@@ -7,6 +7,7 @@
 mod disks;
 mod failover;
 mod group;
+mod leader_change;
 mod operate;
 mod pages;
 mod partition;
