Test that the next leader does not refuse a change after a kill

Only the leader is killed, right after it acknowledged a change, before the others heard that the change was committed. One of three voters is lost, so this needs no restart of the whole group.

--- a/crates/kumquatlock-control/tests/control/group.rs
+++ b/crates/kumquatlock-control/tests/control/group.rs
@@ -47,6 +47,13 @@
     (plan.start().unwrap(), relays)
 }
 
+/// Returns the relays from and to a voter.
+pub(crate) fn relays_of(relays: &VoterRelays, voter: usize) -> impl Iterator<Item = &TcpRelay> {
+    let connects_voter =
+        move |entry: &&((usize, usize), TcpRelay)| entry.0.0 == voter || entry.0.1 == voter;
+    relays.iter().filter(connects_voter).map(|(_, relay)| relay)
+}
+
 pub(crate) fn manifest(version: u64) -> Value {
     json!({
         "version": version,
