Test changes that are sent around a kill, a hand-over and a pause

Four tests of ways in which an old or a new leader could refuse a change wrongly.

- the leader is told to stop while a change is in progress, and the change after it is sent to both leaders;
- the leader is told to stop right after it acknowledged a change, and a change that follows is sent;
- the leader is paused while two changes are accepted without it, and receives one that follows them as its first request.

--- a/crates/kumquatlock-control/tests/control/leader_change.rs
+++ b/crates/kumquatlock-control/tests/control/leader_change.rs
@@ -6,6 +6,8 @@
 
 use std::cell::Cell;
 use std::fmt::Write as _;
+use std::io::{Read, Write as _};
+use std::net::TcpStream;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
@@ -347,6 +349,35 @@
     check_restarts_of_all_voters(&[KillTime::AfterAcceptance; 5]);
 }
 
+/// Guards against a new leader that refuses a change whose answer was lost because the leader was
+/// killed.
+#[test]
+fn a_change_cut_off_by_a_kill_of_the_leader_is_not_refused() {
+    let (mut mesh, _relays) = start_in_regions();
+    let mut version = 1;
+    accept(&mesh.controls[0], &change(version, 0));
+    let mut faults = Vec::new();
+    for delay in KILL_DELAYS {
+        let leader = wait_leader(&mesh, &[0, 1, 2]);
+        accept(&mesh.controls[leader], &change(version + 1, version));
+        let operator = ResendingOperator::new(&change(version + 2, version + 1));
+        send_until_kill(&operator, &mesh, leader, KillTime::AfterSending(delay));
+        mesh.controls[leader].process.kill().unwrap();
+        let others = [(leader + 1) % 3, (leader + 2) % 3];
+        let answer = operator.resend_until_decided(&mesh, &others);
+        let case = format!("leader killed after {delay:?}");
+        faults.extend(check_decision(
+            &mut mesh,
+            &case,
+            &operator,
+            answer,
+            version + 2,
+        ));
+        version = wait_newest_version(&mesh);
+    }
+    assert!(faults.is_empty(), "{}", faults.concat());
+}
+
 /// Guards against a new leader that refuses a change because the one that it follows is in its log
 /// but not applied: the leader was killed after it acknowledged that one, before the others heard
 /// that it was committed.
@@ -379,3 +410,123 @@
     }
     assert!(faults.is_empty(), "{}", faults.concat());
 }
+
+/// Guards against a new leader that refuses a change because the one that it follows is in its log
+/// but not applied: the old leader handed over right after it acknowledged that one.
+#[test]
+fn a_change_that_follows_the_last_one_before_a_hand_over_is_not_refused() {
+    let (mut mesh, _relays) = start_in_regions();
+    let mut version = 1;
+    accept(&mesh.controls[0], &change(version, 0));
+    let mut faults = Vec::new();
+    for case in 0..5 {
+        let leader = wait_leader(&mesh, &[0, 1, 2]);
+        let others = [(leader + 1) % 3, (leader + 2) % 3];
+        accept(&mesh.controls[leader], &change(version + 1, version));
+        mesh.controls[leader].process.terminate().unwrap();
+        let operator = ResendingOperator::new(&change(version + 2, version + 1));
+        let answer = operator.resend_until_decided(&mesh, &others);
+        let process = &mut mesh.controls[leader].process;
+        process.expect_success(WAIT_TIMEOUT).unwrap();
+        let case = format!("case {case}");
+        faults.extend(check_decision(
+            &mut mesh,
+            &case,
+            &operator,
+            answer,
+            version + 2,
+        ));
+        version = wait_newest_version(&mesh);
+    }
+    assert!(faults.is_empty(), "{}", faults.concat());
+}
+
+/// Guards against a refusal, by either leader, of a change that is sent while the leader hands over,
+/// or of the change after it, which the new leader accepts while the old one still stops.
+#[test]
+fn a_change_in_progress_during_a_hand_over_is_not_refused() {
+    let (mut mesh, _relays) = start_in_regions();
+    let mut version = 1;
+    accept(&mesh.controls[0], &change(version, 0));
+    let mut faults = Vec::new();
+    for delay in KILL_DELAYS {
+        let leader = wait_leader(&mesh, &[0, 1, 2]);
+        let others = [(leader + 1) % 3, (leader + 2) % 3];
+        accept(&mesh.controls[leader], &change(version + 1, version));
+        let operator = ResendingOperator::new(&change(version + 2, version + 1));
+        send_until_kill(&operator, &mesh, leader, KillTime::AfterSending(delay));
+        mesh.controls[leader].process.terminate().unwrap();
+        operator.send(&mesh, leader);
+        let answer = operator.resend_until_decided(&mesh, &others);
+        let next_operator = ResendingOperator::new(&change(version + 3, version + 2));
+        let next_answer = (answer.status == 200).then(|| {
+            next_operator.send(&mesh, leader);
+            next_operator.resend_until_decided(&mesh, &others)
+        });
+        let process = &mut mesh.controls[leader].process;
+        process.expect_success(WAIT_TIMEOUT).unwrap();
+        let case = format!("leader told to stop after {delay:?}");
+        let fault = check_decision(&mut mesh, &case, &operator, answer, version + 2);
+        faults.extend(fault);
+        if let Some(answer) = next_answer {
+            let fault = check_decision(&mut mesh, &case, &next_operator, answer, version + 3);
+            faults.extend(fault);
+        }
+        version = wait_newest_version(&mesh);
+    }
+    assert!(faults.is_empty(), "{}", faults.concat());
+}
+
+/// Sends a change to a paused instance, so that it is the first request that the instance receives
+/// once it resumes. The instance cannot accept the connection yet, but the operating system does.
+fn send_to_paused(instance: &ControlInstance, change: &Value) -> TcpStream {
+    let body = change.to_string();
+    let head = format!(
+        "POST /v1/manifests HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut connection = TcpStream::connect(instance.flags.http).unwrap();
+    connection.write_all((head + &body).as_bytes()).unwrap();
+    connection
+}
+
+/// Returns the status and the text of the response on a connection that is closed after it.
+fn receive_response(mut connection: TcpStream) -> (u16, String) {
+    connection.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    let mut response = String::new();
+    connection.read_to_string(&mut response).unwrap();
+    let status = response.split(' ').nth(1);
+    (status.unwrap().parse().unwrap(), response)
+}
+
+/// Guards against a leader that was paused, has been replaced without knowing it, and refuses a
+/// change that follows one which the new leader accepted. The links of the paused leader are down in
+/// every second case, so that it has received nothing from the new leader.
+#[test]
+fn a_replaced_leader_that_was_paused_refuses_nothing() {
+    let (mut mesh, relays) = start_in_regions();
+    let mut version = 1;
+    accept(&mesh.controls[0], &change(version, 0));
+    wait_newest_version(&mesh);
+    for is_cut_off in [true, false, true, false, true, false] {
+        let old = wait_leader(&mesh, &[0, 1, 2]);
+        let others = [(old + 1) % 3, (old + 2) % 3];
+        if is_cut_off {
+            relays_of(&relays, old).for_each(TcpRelay::stall);
+        }
+        mesh.controls[old].process.pause().unwrap();
+        let new = wait_leader(&mesh, &others);
+        for next in [version + 1, version + 2] {
+            accept(&mesh.controls[new], &change(next, next - 1));
+        }
+        let next_change = change(version + 3, version + 2);
+        let connection = send_to_paused(&mesh.controls[old], &next_change);
+        mesh.controls[old].process.resume().unwrap();
+        let (code, response) = receive_response(connection);
+        assert!(matches!(code, 200 | 503 | 504), "{response}");
+        relays_of(&relays, old).for_each(TcpRelay::resume);
+        accept(&mesh.controls[old], &next_change);
+        version = wait_newest_version(&mesh);
+    }
+}
