Measure the time from an election to the first decision

An ignored test prints it for a restart of all voters and for a kill of the leader, 9 elections each.

--- a/crates/kumquatlock-control/tests/control/leader_change.rs
+++ b/crates/kumquatlock-control/tests/control/leader_change.rs
@@ -530,3 +530,103 @@
         version = wait_newest_version(&mesh);
     }
 }
+
+/// Returns when the newest leader was elected, as its log says.
+fn election_time(mesh: &Mesh) -> String {
+    let logs = mesh.controls.iter();
+    let records = logs.flat_map(|instance| instance.process.log_records());
+    let elections = records.filter(|record| record["role"] == "leader");
+    let times = elections.map(|record| record["ts"].as_str().unwrap().to_owned());
+    times.max().unwrap()
+}
+
+/// Returns the milliseconds since midnight, of a time of the form `[<date>T]HH:MM:SS.ffffff[Z]`.
+fn day_millis(time: &str) -> f64 {
+    let time_of_day = time.rsplit('T').next().unwrap().trim_end_matches('Z');
+    let parts = time_of_day.split(':');
+    let seconds = parts.fold(0.0, |sum, part| sum * 60.0 + part.parse::<f64>().unwrap());
+    seconds * 1_000.0
+}
+
+/// Milliseconds from elections to the first decision and to the first acceptance.
+#[derive(Default)]
+struct DecisionTimes {
+    decided: Vec<f64>,
+    accepted: Vec<f64>,
+    refused: usize,
+}
+
+impl DecisionTimes {
+    /// Sends a change until it is accepted, also after a refusal.
+    fn measure(&mut self, mesh: &Mesh, instances: &[usize], change: &Value) {
+        let operator = ResendingOperator::new(change);
+        let first = operator.resend_until(mesh, instances, |_| true);
+        let accepted = match first.status {
+            200 => first.received,
+            _ => {
+                self.refused += 1;
+                let is_accepted = |answer: &DecidedAnswer| answer.status == 200;
+                let answer = operator.resend_until(mesh, instances, is_accepted);
+                answer.received
+            }
+        };
+        let elected = day_millis(&election_time(mesh));
+        let since_election = |time| day_millis(&time_of_day(time)) - elected;
+        self.decided.push(since_election(first.received));
+        self.accepted.push(since_election(accepted));
+    }
+
+    fn print(mut self, case: &str) {
+        for (what, times) in [
+            ("decision", &mut self.decided),
+            ("acceptance", &mut self.accepted),
+        ] {
+            times.sort_by(f64::total_cmp);
+            let (min, median) = (times[0], times[times.len() / 2]);
+            let max = times[times.len() - 1];
+            let runs = times.len();
+            println!(
+                "{case}: election to first {what}: median {median:.0} ms, {min:.0} to {max:.0} ms, \
+                 {runs} runs"
+            );
+        }
+        println!("{case}: refused first in {} runs", self.refused);
+    }
+}
+
+/// Number of elections that are measured in each case; odd, so that one of them is the median.
+const MEASURED_ELECTIONS: usize = 9;
+
+/// Prints how long an operator waits for a decision after the election of a leader.
+#[test]
+#[ignore = "measurement; run with --ignored --nocapture"]
+fn measure_the_time_from_election_to_decision() {
+    let (mut mesh, _relays) = start_in_regions();
+    let mut version = 1;
+    accept(&mesh.controls[0], &change(version, 0));
+    let mut after_restart = DecisionTimes::default();
+    let mut after_kill = DecisionTimes::default();
+    for _ in 0..MEASURED_ELECTIONS {
+        let leader = wait_leader(&mesh, &[0, 1, 2]);
+        let others = [(leader + 1) % 3, (leader + 2) % 3];
+        mesh.controls[others[0]].process.kill().unwrap();
+        accept(&mesh.controls[leader], &change(version + 1, version));
+        kill_all(&mut mesh);
+        for index in [leader, others[0]] {
+            mesh.controls[index].process.restart().unwrap();
+        }
+        let next = change(version + 2, version + 1);
+        after_restart.measure(&mesh, &[leader, others[0]], &next);
+        restart_stopped(&mut mesh);
+        version = wait_newest_version(&mesh);
+
+        let leader = wait_leader(&mesh, &[0, 1, 2]);
+        let others = [(leader + 1) % 3, (leader + 2) % 3];
+        mesh.controls[leader].process.kill().unwrap();
+        after_kill.measure(&mesh, &others, &change(version + 1, version));
+        restart_stopped(&mut mesh);
+        version = wait_newest_version(&mesh);
+    }
+    after_restart.print("restart of all voters, one behind");
+    after_kill.print("kill of the leader");
+}
