Move the decision on submissions into a module without I/O

SubmissionTable keeps the submissions that wait, takes events and the applied catalog and returns the next step. Behaviour is unchanged.

--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -6,8 +6,8 @@
 //! `http`, `ops`) connect the components with sockets and threads. The components can also be
 //! embedded without the runtime modules.
 //!
-//! A manifest is validated by `manifest`, ordered by `agreement`, which stores its log with
-//! `journal`, and applied by `catalog`. `distribution` sends the changes of the catalog from parent
+//! A manifest is validated by `manifest`, decided on by `submission`, ordered by `agreement`,
+//! which stores its log with `journal`, and applied by `catalog`. `distribution` sends the changes of the catalog from parent
 //! to child, where they are applied atomically as a new [`core::ConfigSnapshot`]. `membership`
 //! feeds the announcements and losses of upstreams back into the replicated log. A call is driven
 //! by `call`: `routing` selects its destination, `admission` and `retry` limit the load that it
@@ -28,5 +28,6 @@
 pub mod quarantine;
 pub mod retry;
 pub mod routing;
+pub mod submission;
 pub mod transport;
 pub mod util;
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -32,6 +32,7 @@
 use crate::core::{GroupId, Timestamp};
 use crate::distribution::{self, ChildEvent, ParentEvent, ParentState};
 use crate::http::{HttpReady, HttpTable};
+use crate::submission::SubmissionTable;
 use crate::transport::{LinkId, LinkReady, LinkTable};
 
 /// Interval between ticks of the actor, in milliseconds.
@@ -91,6 +92,7 @@
     /// Keeps the channel open on which the workers send their results.
     _results_guard: ChannelGuard,
     pub(super) requests: RequestTable,
+    pub(super) submissions: SubmissionTable,
     pub(super) submission_log: SubmissionLog,
     /// Reads that wait until this instance has applied the index that makes them current.
     pub(super) waiting_reads: Vec<WaitingRead>,
@@ -173,6 +175,7 @@
             workers,
             _results_guard: results_guard,
             requests: RequestTable::default(),
+            submissions: SubmissionTable::default(),
             submission_log: SubmissionLog::default(),
             waiting_reads: Vec::new(),
             random: SmallRng::seed_from_u64(random_seed()),
--- a/crates/kumquatlock/src/ops/control/answer.rs
+++ b/crates/kumquatlock/src/ops/control/answer.rs
@@ -9,6 +9,7 @@
 use crate::distribution::InForceCount;
 use crate::http::HttpResponse;
 use crate::manifest::ManifestError;
+use crate::submission::SubmissionAnswer;
 
 /// Body for a request that was provably not carried out or whose outcome is unknown.
 #[derive(Serialize)]
@@ -88,8 +89,17 @@
     }
 }
 
+/// Returns the answer to a submission.
+pub(super) fn submission(answer: &SubmissionAnswer) -> RequestAnswer {
+    match answer {
+        SubmissionAnswer::Decided { decision, .. } => decided_manifest(decision),
+        SubmissionAnswer::Failed(error) => failed_proposal(error),
+        SubmissionAnswer::Undecided => unknown("not_decided"),
+    }
+}
+
 /// Returns the answer to a submission whose proposal failed.
-pub(super) fn failed_proposal(error: &ProposalError) -> RequestAnswer {
+fn failed_proposal(error: &ProposalError) -> RequestAnswer {
     match error {
         ProposalError::NotLeader { .. } => not_run("no_leader"),
         ProposalError::LostLeadership => unknown("leadership_lost"),
@@ -101,7 +111,7 @@
 }
 
 /// Returns the answer for the catalog's decision on a manifest.
-pub(super) fn decided_manifest(decision: &ManifestDecision) -> RequestAnswer {
+fn decided_manifest(decision: &ManifestDecision) -> RequestAnswer {
     let refused = |reason, manifest_version, accepted_version| RefusedBody {
         state: "refused",
         reason,
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -13,7 +13,6 @@
 use super::answer;
 use super::http::ReplySender;
 use super::requests::{RequestAnswer, RequestKind, RequestRoute, Requester, forward_message};
-use super::submission_log::AnswerBasis;
 use super::voter::VoterState;
 use crate::agreement::{AgreementEvent, ProposalTicket, ReadIndexTicket};
 use crate::core::{ConfigVersion, SharedName, Timestamp, address_from_name};
@@ -21,6 +20,7 @@
 use crate::manifest::ManifestDocument;
 use crate::membership::{AttachmentTracker, ExpiryDecision, ExpiryTiming, RecordOutcome};
 use crate::quarantine::CrashTally;
+use crate::submission::{SubmissionAnswer, SubmissionEvent, SubmissionId, SubmissionStep};
 use crate::transport::{LinkError, LinkId};
 
 /// State that only the leader has. Reset at each change of leadership.
@@ -136,7 +136,7 @@
     fn answer_as_leader(&mut self, now: Timestamp, id: u64, content: Content) {
         match content {
             Content::Submit(text) => match ManifestDocument::parse(&text) {
-                Ok(document) => self.decide_submission(now, id, Arc::new(document)),
+                Ok(document) => self.receive_submission(now, id, Arc::new(document)),
                 Err(error) => self.finish_request(now, id, answer::invalid_manifest(&error)),
             },
             Content::StatusRequest(request) => {
@@ -164,7 +164,7 @@
         let id = self.requests.next_id();
         self.submission_received(now, id, &requester, kind);
         match self.requests.insert(now, id, requester, kind) {
-            Ok(()) => self.decide_submission(now, id, document),
+            Ok(()) => self.receive_submission(now, id, document),
             Err(requester) => {
                 let answer = answer::unavailable(kind, "busy");
                 self.submission_answered(now, id, &answer);
@@ -173,26 +173,29 @@
         }
     }
 
-    /// Answers a submission if the applied catalog already decides it; otherwise proposes the
-    /// change that the manifest makes.
-    fn decide_submission(&mut self, now: Timestamp, id: u64, document: Arc<ManifestDocument>) {
+    fn receive_submission(&mut self, now: Timestamp, id: u64, document: Arc<ManifestDocument>) {
         self.submission_log.set_document(id, (&*document).into());
-        if let Some(decision) = self.catalog.preview_manifest(&document) {
-            self.submission_log.set_basis(id, AnswerBasis::AppliedState);
-            // A decision on the applied catalog is final.
-            return self.finish_request(now, id, answer::decided_manifest(&decision));
-        }
-        let change = self.catalog.diff_manifest(&document);
-        self.requests.set_document(id, document);
-        self.submission_proposed(now, id);
-        self.propose_with(ProposalTicket(id), catalog_command::Kind::Change(change));
+        self.handle_submission(now, id, SubmissionEvent::Received(document));
     }
 
-    /// Decides again on a submission after another manifest was accepted first, with the difference
-    /// to that manifest.
-    pub(super) fn retry_submission(&mut self, now: Timestamp, id: u64) {
-        if let Some(document) = self.requests.document(id) {
-            self.decide_submission(now, id, document);
+    /// Passes an event to the submission that has the id of this request, and carries out the step
+    /// that follows.
+    pub(super) fn handle_submission(&mut self, now: Timestamp, id: u64, event: SubmissionEvent) {
+        match self
+            .submissions
+            .handle(SubmissionId(id), event, &self.catalog)
+        {
+            SubmissionStep::Answer(answer) => {
+                if let SubmissionAnswer::Decided { basis, .. } = &answer {
+                    self.submission_log.set_basis(id, (*basis).into());
+                }
+                self.finish_request(now, id, answer::submission(&answer));
+            }
+            SubmissionStep::Propose(change) => {
+                self.submission_proposed(now, id);
+                self.propose_with(ProposalTicket(id), catalog_command::Kind::Change(change));
+            }
+            SubmissionStep::Ignore => {}
         }
     }
 
@@ -247,6 +250,7 @@
 
     /// Ends a request with this answer. Later answers to it are ignored.
     pub(super) fn finish_request(&mut self, now: Timestamp, id: u64, answer: RequestAnswer) {
+        self.submissions.remove(SubmissionId(id));
         if let Some(request) = self.requests.take(id) {
             self.submission_answered(now, id, &answer);
             self.deliver_answer(now, request.requester, request.kind, answer);
--- a/crates/kumquatlock/src/ops/control/requests.rs
+++ b/crates/kumquatlock/src/ops/control/requests.rs
@@ -1,7 +1,6 @@
 //! Requests that wait for an answer of this instance or of the leader.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -13,7 +12,6 @@
 use super::submission_log::DocumentSummary;
 use crate::core::{SharedName, Timestamp};
 use crate::distribution::ChildId;
-use crate::manifest::ManifestDocument;
 use crate::transport::LinkId;
 
 /// Maximum number of requests that wait at the same time. Further ones are refused as not run.
@@ -87,9 +85,6 @@
     pub(super) kind: RequestKind,
     pub(super) route: RequestRoute,
     pub(super) deadline: Timestamp,
-    /// Manifest of a submission that this instance decides. Needed to compute the difference again
-    /// if another manifest is accepted first.
-    pub(super) document: Option<Arc<ManifestDocument>>,
 }
 
 /// The answer to a request.
@@ -169,7 +164,6 @@
             kind,
             route: RequestRoute::Local,
             deadline: now + REQUEST_TIMEOUT,
-            document: None,
         };
         self.pending.insert(id, request);
         Ok(())
@@ -185,16 +179,6 @@
         }
     }
 
-    pub(super) fn set_document(&mut self, id: u64, document: Arc<ManifestDocument>) {
-        if let Some(request) = self.pending.get_mut(&id) {
-            request.document = Some(document);
-        }
-    }
-
-    pub(super) fn document(&self, id: u64) -> Option<Arc<ManifestDocument>> {
-        self.pending.get(&id)?.document.clone()
-    }
-
     pub(super) fn kind(&self, id: u64) -> Option<RequestKind> {
         self.pending.get(&id).map(|request| request.kind)
     }
--- a/crates/kumquatlock/src/ops/control/submission_log.rs
+++ b/crates/kumquatlock/src/ops/control/submission_log.rs
@@ -13,6 +13,7 @@
 use super::requests::{RequestAnswer, RequestKind, RequestRoute, Requester};
 use crate::core::{SharedName, Timestamp};
 use crate::manifest::ManifestDocument;
+use crate::submission::DecisionBasis;
 use crate::util::log_quota::{LogQuota, QuotaStep};
 
 /// Maximum log lines per second for all steps of submissions except those below.
@@ -23,7 +24,7 @@
 /// Step of a submission. The name is the event of the log line.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case", prefix = "submission_")]
-pub(super) enum SubmissionStep {
+pub(super) enum LoggedStep {
     Received,
     Proposed,
     Redirected,
@@ -49,6 +50,15 @@
     Forwarded,
 }
 
+impl From<DecisionBasis> for AnswerBasis {
+    fn from(basis: DecisionBasis) -> Self {
+        match basis {
+            DecisionBasis::AppliedState => AnswerBasis::AppliedState,
+            DecisionBasis::Proposal => AnswerBasis::Proposal,
+        }
+    }
+}
+
 /// Who sent a submission to this instance.
 #[derive(Clone, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -161,10 +171,10 @@
         }
     }
 
-    fn step(&self) -> SubmissionStep {
+    fn step(&self) -> LoggedStep {
         match self.status {
-            200 | 409 | 422 | 503 => SubmissionStep::Answered,
-            _ => SubmissionStep::Lost,
+            200 | 409 | 422 | 503 => LoggedStep::Answered,
+            _ => LoggedStep::Lost,
         }
     }
 
@@ -226,7 +236,7 @@
 /// Content of one log line.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct SubmissionLine {
-    pub(super) step: SubmissionStep,
+    pub(super) step: LoggedStep,
     pub(super) id: u64,
     pub(super) sender: SubmissionSender,
     pub(super) document: DocumentSummary,
@@ -270,7 +280,7 @@
     }
 
     fn is_failure(&self) -> bool {
-        self.step == SubmissionStep::Lost || matches!(self.verdict.status, 409 | 422)
+        self.step == LoggedStep::Lost || matches!(self.verdict.status, 409 | 422)
     }
 }
 
@@ -330,7 +340,7 @@
         &mut self,
         now: Timestamp,
         id: u64,
-        step: SubmissionStep,
+        step: LoggedStep,
         to: String,
         state: KnownState,
     ) -> Option<SubmissionLine> {
@@ -370,13 +380,7 @@
 }
 
 impl OpenSubmission {
-    fn line(
-        &self,
-        now: Timestamp,
-        id: u64,
-        step: SubmissionStep,
-        state: KnownState,
-    ) -> SubmissionLine {
+    fn line(&self, now: Timestamp, id: u64, step: LoggedStep, state: KnownState) -> SubmissionLine {
         SubmissionLine {
             step,
             id,
@@ -407,7 +411,7 @@
         };
         let document = requester.document_summary().unwrap_or_default();
         self.submission_log.open(now, id, sender, document);
-        self.log_submission(now, id, SubmissionStep::Received, String::new());
+        self.log_submission(now, id, LoggedStep::Received, String::new());
     }
 
     /// Logs a submission that the thread that received it refused as invalid.
@@ -421,12 +425,12 @@
             reason: reason.to_owned(),
             status: 422,
         };
-        self.log_submission(now, id, SubmissionStep::Received, String::new());
+        self.log_submission(now, id, LoggedStep::Received, String::new());
         self.log_verdict(now, id, verdict);
     }
 
     pub(super) fn submission_redirected(&mut self, now: Timestamp, id: u64, address: SocketAddr) {
-        self.log_submission(now, id, SubmissionStep::Redirected, address.to_string());
+        self.log_submission(now, id, LoggedStep::Redirected, address.to_string());
         self.submission_log.close(id);
     }
 
@@ -437,12 +441,12 @@
             _ => "parent".to_owned(),
         };
         self.submission_log.set_basis(id, AnswerBasis::Forwarded);
-        self.log_submission(now, id, SubmissionStep::Forwarded, to);
+        self.log_submission(now, id, LoggedStep::Forwarded, to);
     }
 
     pub(super) fn submission_proposed(&mut self, now: Timestamp, id: u64) {
         self.submission_log.set_basis(id, AnswerBasis::Proposal);
-        self.log_submission(now, id, SubmissionStep::Proposed, String::new());
+        self.log_submission(now, id, LoggedStep::Proposed, String::new());
     }
 
     /// Logs the answer to a request if it is a submission, and counts it if an operator sent it.
@@ -469,7 +473,7 @@
         line.iter().for_each(SubmissionLine::write);
     }
 
-    fn log_submission(&mut self, now: Timestamp, id: u64, step: SubmissionStep, to: String) {
+    fn log_submission(&mut self, now: Timestamp, id: u64, step: LoggedStep, to: String) {
         let state = self.known_state();
         let line = self.submission_log.record(now, id, step, to, state);
         line.iter().for_each(SubmissionLine::write);
--- a/crates/kumquatlock/src/ops/control/tests.rs
+++ b/crates/kumquatlock/src/ops/control/tests.rs
@@ -17,8 +17,8 @@
 use super::operator::{OperatorAdapter, OperatorRequest};
 use super::peers::PeerLinks;
 use super::submission_log::{
-    AnswerBasis, DocumentSummary, KnownState, SubmissionLine, SubmissionLog, SubmissionSender,
-    SubmissionStep, SubmissionVerdict,
+    AnswerBasis, DocumentSummary, KnownState, LoggedStep, SubmissionLine, SubmissionLog,
+    SubmissionSender, SubmissionVerdict,
 };
 use crate::core::Timestamp;
 use crate::http::{HttpRequest, RequestId};
@@ -138,7 +138,7 @@
 fn open_submission(log: &mut SubmissionLog, now: Timestamp, id: u64) -> Option<SubmissionLine> {
     log.open(now, id, SubmissionSender::Operator, SUMMARY);
     let state = KnownState::default();
-    log.record(now, id, SubmissionStep::Received, String::new(), state)
+    log.record(now, id, LoggedStep::Received, String::new(), state)
 }
 
 /// Guards against a refusal from which one can't tell which state of the log it was based on, and
@@ -159,12 +159,12 @@
     let received = open_submission(&mut log, Timestamp(0), 1).unwrap();
     assert_eq!(
         (received.step, received.document),
-        (SubmissionStep::Received, SUMMARY)
+        (LoggedStep::Received, SUMMARY)
     );
     log.set_basis(1, AnswerBasis::AppliedState);
     let answered = log.record_answer(later, 1, refusal(), state).unwrap();
     let expected = SubmissionLine {
-        step: SubmissionStep::Answered,
+        step: LoggedStep::Answered,
         id: 1,
         sender: SubmissionSender::Operator,
         document: SUMMARY,
@@ -179,7 +179,7 @@
     assert_eq!(log.record_answer(later, 1, refusal(), state), None);
 
     open_submission(&mut log, later, 2).unwrap();
-    let (step, to) = (SubmissionStep::Redirected, "10.0.0.1:80".to_owned());
+    let (step, to) = (LoggedStep::Redirected, "10.0.0.1:80".to_owned());
     let redirected = log.record(later, 2, step, to, state).unwrap();
     assert_eq!(
         (<&str>::from(redirected.step), redirected.to.as_str()),
--- a/crates/kumquatlock/src/ops/control/voter.rs
+++ b/crates/kumquatlock/src/ops/control/voter.rs
@@ -12,7 +12,6 @@
 use rand::{Rng, SeedableRng};
 
 use super::actor::{ControlActor, QueuedEvent};
-use super::answer;
 use super::clock::random_seed;
 use super::process::ControlError;
 use super::requests::RequestAnswer;
@@ -27,6 +26,7 @@
 use crate::journal::{
     Journal, JournalError, JournalSettings, RecoveredState, StoredSnapshot, SystemIo,
 };
+use crate::submission::SubmissionEvent;
 use crate::transport::LinkId;
 
 /// Interval between attempts to reopen the journal after a failed write.
@@ -239,14 +239,9 @@
                     }));
             }
             AgreementAction::AnswerProposal { ticket, result } => {
-                if self.is_overtaken(&result) {
-                    self.retry_submission(now, ticket.0);
-                } else if ticket != UNTRACKED_TICKET {
-                    let answer = match result {
-                        Ok(index) => self.outcome_answer(index),
-                        Err(error) => answer::failed_proposal(&error),
-                    };
-                    self.finish_request(now, ticket.0, answer);
+                if ticket != UNTRACKED_TICKET {
+                    let event = self.proposal_event(result);
+                    self.handle_submission(now, ticket.0, event);
                 }
             }
             AgreementAction::AnswerReadIndex { ticket, result } => {
@@ -335,29 +330,18 @@
         }
     }
 
-    /// Returns whether the proposal was a manifest and another manifest was accepted first.
-    fn is_overtaken(&self, result: &Result<u64, ProposalError>) -> bool {
+    /// Returns what the result of a proposal means for its submission.
+    fn proposal_event(&self, result: Result<u64, ProposalError>) -> SubmissionEvent {
         let outcome = self
             .voter
             .as_ref()
             .and_then(|voter| voter.last_outcome.as_ref());
-        matches!(
-            (result, outcome),
-            (Ok(index), Some((applied, ApplyOutcome::Manifest(ManifestDecision::Overtaken))))
-                if index == applied
-        )
-    }
-
-    fn outcome_answer(&self, index: u64) -> RequestAnswer {
-        let outcome = self
-            .voter
-            .as_ref()
-            .and_then(|voter| voter.last_outcome.as_ref());
-        match outcome {
-            Some((applied, ApplyOutcome::Manifest(decision))) if *applied == index => {
-                answer::decided_manifest(decision)
+        match (result, outcome) {
+            (Err(error), _) => SubmissionEvent::ProposalFailed(error),
+            (Ok(index), Some((applied, ApplyOutcome::Manifest(decision)))) if *applied == index => {
+                SubmissionEvent::Applied(Some(decision.clone()))
             }
-            _ => answer::unknown("not_decided"),
+            (Ok(_), _) => SubmissionEvent::Applied(None),
         }
     }
 
