Test the answers to submissions in a simulated group

A group of control instances with engine, catalog, submission table and a disk each: 30 ms between regions, 1 ms inside one, writes that are durable after 0.5 to 20 ms, kills, power losses, pauses, cuts, and operators that follow redirects and send copies. It checks that a change is never both refused and in force, that what was acknowledged stays in force, and that two changes on the same base are never both acknowledged.

Each ends with "is refused and in force":

- a_new_leader_does_not_refuse_a_change_that_its_log_contains, the case of the record: the change is on two synced disks when all three processes are killed.
The next leader is asked at its election and refuses it with other_base, accepted version 0, because it has applied nothing since its start. 132 ms later its first entry is committed, and the change with it.
- a_new_leader_that_was_behind_does_not_refuse_a_change_before_it_accepts_a_copy: the new leader has not got the change, refuses it in the same way, and accepts a copy that arrives 2 s later.
- a_submission_that_waits_during_several_elections_is_not_refused: three leaders in turn refuse it before they are cut off, the next one commits it.
- a_leader_that_was_replaced_during_a_pause_does_not_refuse_a_newer_change: the old leader handles the request before anything else after the pause and refuses it with the version that it knows; the new leader accepts it.
- a_leader_that_is_cut_off_while_it_hands_over_does_not_refuse_a_newer_change: as before, without a pause.
The old leader still counts on its quorum 254 ms after it was asked to hand over.

--- a/crates/kumquatlock/src/agreement/tests.rs
+++ b/crates/kumquatlock/src/agreement/tests.rs
@@ -11,7 +11,7 @@
 use crate::core::SharedName;
 use crate::journal::RecoveredState;
 
-mod group;
+pub(crate) mod group;
 mod hostile;
 mod open;
 mod schedule;
--- a/crates/kumquatlock/src/agreement/tests/group.rs
+++ b/crates/kumquatlock/src/agreement/tests/group.rs
@@ -17,7 +17,7 @@
 pub(super) const REPLACE_AFTER: Duration = Duration::from_secs(3);
 
 /// Applies a write to the simulated disk, which survives a crash.
-pub(super) fn write_to_disk(disk: &mut RecoveredState, write: JournalWrite) {
+pub(crate) fn write_to_disk(disk: &mut RecoveredState, write: JournalWrite) {
     match write {
         JournalWrite::Metadata(metadata) => disk.metadata = metadata,
         JournalWrite::Append(entries) => {
--- a/crates/kumquatlock/src/submission/mod.rs
+++ b/crates/kumquatlock/src/submission/mod.rs
@@ -8,3 +8,6 @@
 pub use table::{
     DecisionBasis, SubmissionAnswer, SubmissionEvent, SubmissionId, SubmissionStep, SubmissionTable,
 };
+
+#[cfg(test)]
+mod tests;
