Test the answers to submissions under random schedules

Groups of three and five instances, with kills, losses of power, restarts, pauses, cuts and hand-overs at random, while operators send several copies of up to eight changes to any instance. Copies take up to 2 s, so that some arrive after the change was decided. At the end all faults end, every change is sent once more, and every instance must have what was acknowledged and nothing that was refused.

The operators' part of the group moves to a file of its own.

--- a/crates/kumquatlock/src/submission/tests.rs
+++ b/crates/kumquatlock/src/submission/tests.rs
@@ -4,11 +4,15 @@
 
 mod group;
 mod instance;
+mod operator;
+mod schedule;
 
 use group::TestGroup;
 
 const THREE_REGIONS: [&str; 3] = ["osr-a", "pri-a", "sta-a"];
 
+const FIVE_INSTANCES: [&str; 5] = ["osr-a", "osr-b", "pri-a", "pri-b", "sta-a"];
+
 /// Delay of a request that arrives at once.
 const NOW: Duration = Duration::ZERO;
 
--- a/crates/kumquatlock/src/submission/tests/group.rs
+++ b/crates/kumquatlock/src/submission/tests/group.rs
@@ -1,28 +1,23 @@
-//! A simulated group of control instances in several regions, the operators' requests, and the
-//! checks of the answers.
+//! A simulated group of control instances in several regions: time, links, disks and faults.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use kumquatlock_wire::agreement::LogEntry;
-use kumquatlock_wire::distribution::{CatalogCommand, catalog_command::Kind};
-use prost::Message;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::instance::{InstanceAnswer, InstanceInput, InstanceOutput, ProcessState, TestInstance};
+use super::instance::{InstanceInput, InstanceOutput, ProcessState, TestInstance};
+use super::operator::{SubmittedCopy, TestChange};
 use crate::agreement::{AgreementEvent, AgreementRole, AgreementSettings, TICK_INTERVAL_MS};
 use crate::core::{SharedName, Timestamp};
 use crate::journal::RecoveredState;
-use crate::manifest::ManifestDocument;
 use crate::submission::SubmissionId;
 
 const TICK_INTERVAL: Duration = Duration::from_millis(TICK_INTERVAL_MS);
 
 /// Delay of a message between two regions.
-const REGION_DELAY: Duration = Duration::from_millis(30);
+pub(super) const REGION_DELAY: Duration = Duration::from_millis(30);
 
 /// Delay of a message inside a region.
 const LOCAL_DELAY: Duration = Duration::from_millis(1);
@@ -30,33 +25,12 @@
 /// Range of the time until a write is durable, in microseconds.
 const WRITE_MICROS: std::ops::RangeInclusive<u64> = 500..=20_000;
 
-/// Number of redirects that an operator follows.
-const MAX_REDIRECTS: u32 = 2;
-
 /// Time within which a group without faults elects a leader or answers. Two rounds of elections
 /// with the default timeouts fit into it.
 const RECOVERY_TIME: Duration = Duration::from_secs(10);
 
-/// Position of a change in [`TestGroup::changes`].
-pub(super) type ChangeId = usize;
-
-/// A change that operators submit, and what became of it.
-pub(super) struct TestChange {
-    document: Arc<ManifestDocument>,
-    pub(super) is_acknowledged: bool,
-    pub(super) is_refused: bool,
-    /// Whether it has been in force at any instance.
-    is_accepted: bool,
-}
-
-/// A copy of a change on its way to a decision.
-struct SubmittedCopy {
-    change: ChangeId,
-    redirects: u32,
-}
-
 /// Something that happens at a set time.
-enum Occurrence {
+pub(super) enum Occurrence {
     Tick(SharedName),
     /// An input for a process of this instance, with the sender if it is another instance.
     Input {
@@ -76,13 +50,13 @@
     pub(super) rng: SmallRng,
     pub(super) instances: IndexMap<SharedName, TestInstance>,
     agenda: BTreeMap<(Timestamp, u64), Occurrence>,
-    /// Number of occurrences and runs so far. Makes the order of simultaneous occurrences fixed.
+    /// Number of occurrences so far. Makes the order of simultaneous occurrences fixed.
     sequence: u64,
     /// Pairs of instances that do not reach each other.
     cuts: IndexSet<(SharedName, SharedName)>,
     pub(super) changes: Vec<TestChange>,
-    copies: Vec<SubmittedCopy>,
-    transcript: Vec<String>,
+    pub(super) copies: Vec<SubmittedCopy>,
+    pub(super) transcript: Vec<String>,
 }
 
 impl TestGroup {
@@ -95,7 +69,7 @@
             rng: SmallRng::seed_from_u64(seed),
             instances: IndexMap::new(),
             agenda: BTreeMap::new(),
-            sequence: seed << 32,
+            sequence: 0,
             cuts: IndexSet::new(),
             changes: Vec::new(),
             copies: Vec::new(),
@@ -113,7 +87,7 @@
         group
     }
 
-    fn schedule(&mut self, delay: Duration, occurrence: Occurrence) {
+    pub(super) fn schedule(&mut self, delay: Duration, occurrence: Occurrence) {
         self.sequence += 1;
         let at = (self.now + delay, self.sequence);
         self.agenda.insert(at, occurrence);
@@ -131,10 +105,10 @@
     // Faults.
 
     fn start(&mut self, name: &str, disk: RecoveredState) {
-        self.sequence += 1;
         let mut settings = self.settings.clone();
         settings.name = name.into();
-        let instance = TestInstance::start(settings, disk, self.sequence, self.now);
+        let run = self.rng.random_range(1..=u64::MAX);
+        let instance = TestInstance::start(settings, disk, run, self.now);
         self.instances.insert(name.into(), instance);
     }
 
@@ -239,7 +213,7 @@
         }
         let end = self.now + RECOVERY_TIME;
         while !is_met(self) {
-            self.check(self.now < end, &format!("not reached: {what}"));
+            self.check(self.now < end, what);
             self.step();
         }
         self.note(what);
@@ -293,7 +267,7 @@
         self.schedule(delay, Occurrence::WriteEnd(name.into(), run));
     }
 
-    fn handle_if_running(&mut self, name: &str, input: InstanceInput) {
+    pub(super) fn handle_if_running(&mut self, name: &str, input: InstanceInput) {
         match self.instances[name].state {
             ProcessState::Running => self.handle(name, input),
             ProcessState::Paused => self.instances[name].inbox.push_back(input),
@@ -333,131 +307,6 @@
         }
     }
 
-    // Operators.
-
-    /// Adds a change that builds on another one. Some changes share a version.
-    pub(super) fn add_change(&mut self, base: Option<ChangeId>) -> ChangeId {
-        let id = self.changes.len();
-        let follows = base.map_or(0, |base| self.changes[base].document.version);
-        let version = follows + self.rng.random_range(1..=2);
-        let text = format!(
-            r#"{{"version":{version},"follows":{follows},"services":[{{"name":"s{id}","upstreams":["s{id}-*"]}}],"routes":[]}}"#
-        );
-        self.note(&format!("change {id}: version {version} on {follows}"));
-        self.changes.push(TestChange {
-            document: Arc::new(ManifestDocument::parse(text.as_bytes()).unwrap()),
-            is_acknowledged: false,
-            is_refused: false,
-            is_accepted: false,
-        });
-        id
-    }
-
-    /// Sends a copy of a change to an instance, where it arrives after `delay`.
-    pub(super) fn submit(&mut self, name: &str, change: ChangeId, delay: Duration) {
-        self.send_copy(name, change, delay, 0);
-    }
-
-    fn send_copy(&mut self, name: &str, change: ChangeId, delay: Duration, redirects: u32) {
-        let id = SubmissionId(self.copies.len() as u64);
-        self.copies.push(SubmittedCopy { change, redirects });
-        self.schedule(delay, Occurrence::Submit(name.into(), id));
-    }
-
-    fn deliver_copy(&mut self, name: &str, id: SubmissionId) {
-        let change = self.copies[id.0 as usize].change;
-        self.note(&format!("change {change}, copy {}, reaches {name}", id.0));
-        let document = self.changes[change].document.clone();
-        self.handle_if_running(name, InstanceInput::Submit(id, document));
-    }
-
-    // Records and checks.
-
-    fn record_answer(&mut self, name: &str, id: SubmissionId, answer: InstanceAnswer) {
-        let SubmittedCopy { change, redirects } = self.copies[id.0 as usize];
-        self.note(&format!(
-            "{name} answers copy {} of change {change}: {answer:?}",
-            id.0
-        ));
-        match answer {
-            InstanceAnswer::Accepted => self.record_acknowledged(change),
-            InstanceAnswer::Refused(_) => self.changes[change].is_refused = true,
-            InstanceAnswer::Redirect(leader) if redirects < MAX_REDIRECTS => {
-                self.send_copy(&leader, change, REGION_DELAY, redirects + 1);
-            }
-            InstanceAnswer::Redirect(_) | InstanceAnswer::Unclear(_) => {}
-        }
-        self.check_change(change);
-    }
-
-    fn record_acknowledged(&mut self, change: ChangeId) {
-        self.changes[change].is_acknowledged = true;
-        let base = self.changes[change].document.follows;
-        let rivals = self
-            .changes
-            .iter()
-            .filter(|other| other.is_acknowledged && other.document.follows == base);
-        let count = rivals.count();
-        self.check(count == 1, "two changes on the same base are acknowledged");
-    }
-
-    /// Notes the changes that this instance has accepted into its catalog.
-    fn record_accepted(&mut self, name: &str) {
-        for id in 0..self.changes.len() {
-            if !self.changes[id].is_accepted && self.has_accepted(name, id) {
-                self.note(&format!("change {id} is in force at {name}"));
-                self.changes[id].is_accepted = true;
-                self.check_change(id);
-            }
-        }
-    }
-
-    /// Whether the change is or was in force at this instance.
-    fn has_accepted(&self, name: &str, change: ChangeId) -> bool {
-        let document = &self.changes[change].document;
-        let record = self.instances[name].catalog.accepted(document.version);
-        record.is_some_and(|record| record.digest == document.digest)
-    }
-
-    fn check_change(&self, id: ChangeId) {
-        let change = &self.changes[id];
-        let is_contradiction = change.is_refused && (change.is_accepted || change.is_acknowledged);
-        self.check(
-            !is_contradiction,
-            &format!("change {id} is refused and in force"),
-        );
-    }
-
-    fn check(&self, is_met: bool, message: &str) {
-        assert!(is_met, "{message}\n{}", self.transcript.join("\n"));
-    }
-
-    /// Ends all faults, sends every change once more, and checks that every instance has what was
-    /// acknowledged and nothing that was refused.
-    pub(super) fn recover(&mut self) {
-        self.heal();
-        for name in self.names() {
-            self.resume(&name, false);
-            self.restart(&name);
-        }
-        self.run_for(RECOVERY_TIME);
-        let leader = self.elect();
-        for change in 0..self.changes.len() {
-            self.submit(&leader, change, Duration::ZERO);
-        }
-        self.run_for(Duration::from_secs(1));
-        for (id, change) in self.changes.iter().enumerate() {
-            let is_decided = change.is_acknowledged != change.is_refused;
-            self.check(is_decided, &format!("change {id} is not decided"));
-            for name in self.instances.keys() {
-                let is_kept = self.has_accepted(name, id) == change.is_acknowledged;
-                self.check(is_kept, &format!("change {id} at {name}"));
-            }
-        }
-    }
-
-    // Conditions to wait for.
-
     pub(super) fn elect(&mut self) -> SharedName {
         self.run_until("a leader is elected", |group| group.leader().is_some());
         self.leader().unwrap()
@@ -473,20 +322,6 @@
         latest.map(|(name, _)| name.clone())
     }
 
-    /// Returns how many disks hold the entry of a change.
-    pub(super) fn stored_count(&self, change: ChangeId) -> usize {
-        let digest = self.changes[change].document.digest;
-        let is_stored = |entry: &LogEntry| {
-            let command = CatalogCommand::decode(entry.payload.clone());
-            let kind = command.ok().and_then(|command| command.kind);
-            matches!(kind, Some(Kind::Change(stored)) if stored.digest == digest)
-        };
-        let disks = self.instances.values().map(|instance| &instance.disk);
-        disks
-            .filter(|disk| disk.entries.iter().any(is_stored))
-            .count()
-    }
-
     /// Waits for a leader of a later term than that of this instance.
     pub(super) fn elect_other_than(&mut self, name: &SharedName) -> SharedName {
         self.run_until("another leader is elected", |group| {
@@ -503,15 +338,4 @@
         let mut instances = self.instances.values();
         instances.any(|instance| instance.role == AgreementRole::Candidate)
     }
-
-    /// Adds a change, and submits it to the leader until it is acknowledged.
-    pub(super) fn accept_change(&mut self, base: Option<ChangeId>) -> (SharedName, ChangeId) {
-        let change = self.add_change(base);
-        let leader = self.elect();
-        self.submit(&leader, change, Duration::ZERO);
-        self.run_until("the change is acknowledged", |group| {
-            group.changes[change].is_acknowledged
-        });
-        (leader, change)
-    }
 }
--- a/crates/kumquatlock/src/submission/tests/instance.rs
+++ b/crates/kumquatlock/src/submission/tests/instance.rs
@@ -25,7 +25,7 @@
 };
 
 /// Time after which the daemon ends a request without a clear answer.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(4);
+pub(super) const REQUEST_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Input of an instance.
 #[derive(Clone, Debug)]
