Refuse a change with an unknown base only from a confirmed state

Operators saw a change refused with 409 other_base (412 on the platform) that was in force afterwards, or an acknowledged change refused when it was sent again (CONFIG).

Cause: the leader decided on a submission from its applied catalog as soon as it led.

A leader that had been replaced without knowing it decided in the same way. Class: an answer from a state that may be older than what the group has committed, or may yet commit.

Manifest versions only increase, so conflict, stale and other_base with an older base hold in every later state and are answered at once as before, and a change that would be accepted is proposed at once. Only a base above the accepted version depends on the age of the state: the submission waits for a read index, which a leader that was replaced doesn't get, and for the entries up to it. Without one it is answered 503 not_current, and nothing was proposed. ReadIndex and CurrentCatalog are types that only the engine and a state with these entries hand out, so a denial can't be written without them.

--- a/crates/kumquatlock/src/agreement/mod.rs
+++ b/crates/kumquatlock/src/agreement/mod.rs
@@ -49,7 +49,7 @@
 pub use types::{
     AgreementAction, AgreementEvent, AgreementRole, AgreementSettings, AgreementStatus,
     GroupMembership, PersistFailure, PersistRequest, PersistTicket, ProposalError, ProposalTicket,
-    ReadIndexError, ReadIndexTicket,
+    ReadIndex, ReadIndexError, ReadIndexTicket,
 };
 
 /// Interval at which the caller passes in [`AgreementEvent::Tick`], in milliseconds. It is a third
--- a/crates/kumquatlock/src/agreement/read_index.rs
+++ b/crates/kumquatlock/src/agreement/read_index.rs
@@ -5,7 +5,7 @@
 
 use super::MAX_READ_INDEX_TICKETS;
 use super::machine::AgreementEngine;
-use super::types::{AgreementAction, ReadIndexError, ReadIndexTicket};
+use super::types::{AgreementAction, ReadIndex, ReadIndexError, ReadIndexTicket};
 use crate::core::Timestamp;
 
 /// A read-index request and the heartbeat round that confirms it.
@@ -97,7 +97,7 @@
         });
         while let Some(read) = state.reads.pop_confirmed(round) {
             let PendingRead { ticket, index, .. } = read;
-            let result = Ok(index);
+            let result = Ok(ReadIndex(index));
             self.actions
                 .push(AgreementAction::AnswerReadIndex { ticket, result });
         }
--- a/crates/kumquatlock/src/agreement/tests.rs
+++ b/crates/kumquatlock/src/agreement/tests.rs
@@ -114,7 +114,7 @@
     assert!(
         group.reads[&1]
             .as_ref()
-            .is_ok_and(|index| *index >= committed)
+            .is_ok_and(|index| index.index() >= committed)
     );
 
     let delivered = group.delivered.clone();
--- a/crates/kumquatlock/src/agreement/tests/group.rs
+++ b/crates/kumquatlock/src/agreement/tests/group.rs
@@ -63,7 +63,7 @@
     /// For each index, the entry that any voter applied first.
     pub(super) committed: IndexMap<u64, LogEntry>,
     pub(super) proposals: IndexMap<u64, Result<u64, ProposalError>>,
-    pub(super) reads: IndexMap<u64, Result<u64, ReadIndexError>>,
+    pub(super) reads: IndexMap<u64, Result<ReadIndex, ReadIndexError>>,
 }
 
 impl TestGroup {
--- a/crates/kumquatlock/src/agreement/types.rs
+++ b/crates/kumquatlock/src/agreement/types.rs
@@ -82,6 +82,25 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ReadIndexTicket(pub u64);
 
+/// Log index at or above everything that was committed when a request arrived. A state that includes
+/// the entries up to it is current for that request.
+///
+/// Only the engine that leads creates one, after a quorum has confirmed after the request that it
+/// still leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ReadIndex(pub(super) u64);
+
+impl ReadIndex {
+    pub fn index(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the index that the leader has sent in its answer to a forwarded request.
+    pub(crate) fn from_leader(index: u64) -> Self {
+        ReadIndex(index)
+    }
+}
+
 /// Input of the [`AgreementEngine`](super::AgreementEngine).
 #[derive(Clone, Debug)]
 pub enum AgreementEvent {
@@ -148,11 +167,10 @@
         ticket: ProposalTicket,
         result: Result<u64, ProposalError>,
     },
-    /// Answer a read-index request. Everything that was committed before the request is at or
-    /// below the returned index.
+    /// Answer a read-index request.
     AnswerReadIndex {
         ticket: ReadIndexTicket,
-        result: Result<u64, ReadIndexError>,
+        result: Result<ReadIndex, ReadIndexError>,
     },
     RoleChanged {
         role: AgreementRole,
--- a/crates/kumquatlock/src/catalog/apply.rs
+++ b/crates/kumquatlock/src/catalog/apply.rs
@@ -134,36 +134,6 @@
         }
     }
 
-    /// Returns the answer that a manifest would get if it were applied now, without applying it.
-    /// Returns `None` if the manifest would be newly accepted.
-    pub fn preview_manifest(&self, document: &ManifestDocument) -> Option<ManifestDecision> {
-        let manifest_version = document.version;
-        match self.accepted.get(&manifest_version) {
-            Some(record) if record.digest == document.digest => Some(ManifestDecision::Accepted {
-                manifest_version,
-                config_version: record.config_version,
-            }),
-            Some(record) => Some(ManifestDecision::Conflict {
-                manifest_version,
-                accepted_digest: record.digest,
-            }),
-            None if document
-                .follows
-                .is_some_and(|base| base != self.manifest_version) =>
-            {
-                Some(ManifestDecision::OtherBase {
-                    manifest_version,
-                    accepted_version: self.manifest_version,
-                })
-            }
-            None if manifest_version <= self.manifest_version => Some(ManifestDecision::Stale {
-                manifest_version,
-                accepted_version: self.manifest_version,
-            }),
-            None => None,
-        }
-    }
-
     /// Whether the report would change the catalog if it were applied now. A report that would not
     /// change it need not be proposed. Nodes repeat a report until they see its result.
     pub fn is_changed_by(&self, report: &UpstreamReport) -> bool {
@@ -177,7 +147,7 @@
             Ok(document) => document,
             Err(error) => return ManifestDecision::Invalid(error),
         };
-        if let Some(decision) = self.preview_manifest(&document) {
+        if let Some(decision) = self.decide_manifest(&document) {
             return decision;
         }
         let accepted = self.record_accepted(index, document.version, document.digest);
--- a/crates/kumquatlock/src/catalog/mod.rs
+++ b/crates/kumquatlock/src/catalog/mod.rs
@@ -9,6 +9,7 @@
 //! by the version of their last change.
 
 mod apply;
+mod current;
 mod ended;
 mod store;
 mod transfer;
@@ -20,6 +21,7 @@
 use kumquatlock_wire::distribution::{LimitsItem, RouteItem, ServiceItem, UpstreamItem};
 
 pub use apply::{ApplyOutcome, ManifestDecision, ReportDecision, ReportRefusal};
+pub use current::{CurrentCatalog, ManifestVerdict};
 use ended::EndedRuns;
 pub use ended::MAX_ENDED_RUNS;
 use store::ItemStore;
--- a/crates/kumquatlock/src/catalog/tests.rs
+++ b/crates/kumquatlock/src/catalog/tests.rs
@@ -379,7 +379,7 @@
         text["follows"] = base.into();
         let text = text.to_string();
         let document = ManifestDocument::parse(text.as_bytes()).unwrap();
-        catalog.preview_manifest(&document)
+        catalog.decide_manifest(&document)
     };
     assert_eq!(decision(2), None);
     let refused = ManifestDecision::OtherBase {
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -274,6 +274,7 @@
                 self.handle_http_event(now, event);
             } else if std::mem::take(&mut self.has_catalog_changed) {
                 self.answer_applied_reads();
+                self.handle_applied_submissions(now);
                 // Sent once for all entries of the turn, so that the children get one delta.
                 self.queue
                     .push_back(QueuedEvent::Parent(ParentEvent::CatalogAdvanced));
--- a/crates/kumquatlock/src/ops/control/answer.rs
+++ b/crates/kumquatlock/src/ops/control/answer.rs
@@ -4,7 +4,7 @@
 
 use super::operator::SUBMIT_PATH;
 use super::requests::{RequestAnswer, RequestKind};
-use crate::agreement::ProposalError;
+use crate::agreement::{ProposalError, ReadIndexError};
 use crate::catalog::{Catalog, ManifestDecision};
 use crate::distribution::InForceCount;
 use crate::http::HttpResponse;
@@ -93,6 +93,8 @@
 pub(super) fn submission(answer: &SubmissionAnswer) -> RequestAnswer {
     match answer {
         SubmissionAnswer::Decided { decision, .. } => decided_manifest(decision),
+        SubmissionAnswer::Unconfirmed(ReadIndexError::QueueFull) => not_run("busy"),
+        SubmissionAnswer::Unconfirmed(_) => not_run("not_current"),
         SubmissionAnswer::Failed(error) => failed_proposal(error),
         SubmissionAnswer::Undecided => unknown("not_decided"),
     }
--- a/crates/kumquatlock/src/ops/control/operator.rs
+++ b/crates/kumquatlock/src/ops/control/operator.rs
@@ -13,7 +13,8 @@
 use super::answer;
 use super::http::ReplySender;
 use super::requests::{RequestKind, Requester};
-use crate::catalog::Catalog;
+use crate::agreement::ReadIndex;
+use crate::catalog::CurrentCatalog;
 use crate::core::Timestamp;
 use crate::http::{HttpRequest, HttpResponse};
 use crate::manifest::ManifestDocument;
@@ -75,7 +76,7 @@
 /// A read of the manifest source that waits until this instance has applied an index.
 #[derive(Debug)]
 pub(super) struct WaitingRead {
-    index: u64,
+    index: ReadIndex,
     deadline: Timestamp,
     reply: ReplySender,
 }
@@ -135,7 +136,8 @@
     routes: IndexMap<&'a str, &'a str>,
 }
 
-fn source_response(catalog: &Catalog) -> HttpResponse {
+fn source_response(current: &CurrentCatalog<'_>) -> HttpResponse {
+    let catalog = current.state();
     if catalog.manifest_source().is_empty() {
         return answer::response(answer::not_run("no_source"));
     }
@@ -204,7 +206,12 @@
 
     /// Answers a read once this instance has applied everything up to `index`, which makes the read
     /// current.
-    pub(super) fn wait_for_source_read(&mut self, now: Timestamp, index: u64, reply: ReplySender) {
+    pub(super) fn wait_for_source_read(
+        &mut self,
+        now: Timestamp,
+        index: ReadIndex,
+        reply: ReplySender,
+    ) {
         self.waiting_reads.push(WaitingRead {
             index,
             deadline: now + READ_TIMEOUT,
@@ -214,12 +221,12 @@
     }
 
     pub(super) fn answer_applied_reads(&mut self) {
-        let applied = self.catalog.applied_index();
-        for read in self
-            .waiting_reads
-            .extract_if(.., |read| read.index <= applied)
-        {
-            read.reply.send(source_response(&self.catalog));
+        let catalog = &self.catalog;
+        let is_applied = |read: &mut WaitingRead| catalog.current(read.index).is_some();
+        for read in self.waiting_reads.extract_if(.., is_applied) {
+            if let Some(current) = catalog.current(read.index) {
+                read.reply.send(source_response(&current));
+            }
         }
     }
 
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -14,13 +14,17 @@
 use super::http::ReplySender;
 use super::requests::{RequestAnswer, RequestKind, RequestRoute, Requester, forward_message};
 use super::voter::VoterState;
-use crate::agreement::{AgreementEvent, ProposalTicket, ReadIndexTicket};
+use crate::agreement::{
+    AgreementEvent, ProposalTicket, ReadIndex, ReadIndexError, ReadIndexTicket,
+};
 use crate::core::{ConfigVersion, SharedName, Timestamp, address_from_name};
 use crate::distribution::{ChildEvent, InForceCount, ParentEvent, ProgressTable, REPORTER_TIMEOUT};
 use crate::manifest::ManifestDocument;
 use crate::membership::{AttachmentTracker, ExpiryDecision, ExpiryTiming, RecordOutcome};
 use crate::quarantine::CrashTally;
-use crate::submission::{SubmissionAnswer, SubmissionEvent, SubmissionId, SubmissionStep};
+use crate::submission::{
+    SubmissionAnswer, SubmissionEvent, SubmissionId, SubmissionStage, SubmissionStep,
+};
 use crate::transport::{LinkError, LinkId};
 
 /// State that only the leader has. Reset at each change of leadership.
@@ -143,10 +147,7 @@
                 let answer = self.manifest_status(now, request.manifest_version);
                 self.finish_request(now, id, answer);
             }
-            Content::ConfirmRequest(_) => {
-                let event = AgreementEvent::RequestReadIndex(ReadIndexTicket(id));
-                self.queue.push_back(QueuedEvent::Agreement(event));
-            }
+            Content::ConfirmRequest(_) => self.request_read_index(id),
             _ => {}
         }
     }
@@ -181,21 +182,54 @@
     /// Passes an event to the submission that has the id of this request, and carries out the step
     /// that follows.
     pub(super) fn handle_submission(&mut self, now: Timestamp, id: u64, event: SubmissionEvent) {
-        match self
-            .submissions
-            .handle(SubmissionId(id), event, &self.catalog)
-        {
+        let id = SubmissionId(id);
+        let step = self.submissions.handle(id, event, &self.catalog);
+        self.execute_submission(now, id, step);
+    }
+
+    /// Decides on the submissions that waited for entries that are now applied.
+    pub(super) fn handle_applied_submissions(&mut self, now: Timestamp) {
+        for (id, step) in self.submissions.handle_applied(&self.catalog) {
+            self.execute_submission(now, id, step);
+        }
+    }
+
+    fn execute_submission(&mut self, now: Timestamp, id: SubmissionId, step: SubmissionStep) {
+        let SubmissionId(id) = id;
+        match step {
             SubmissionStep::Answer(answer) => {
                 if let SubmissionAnswer::Decided { basis, .. } = &answer {
                     self.submission_log.set_basis(id, (*basis).into());
                 }
                 self.finish_request(now, id, answer::submission(&answer));
             }
+            SubmissionStep::Confirm => self.request_read_index(id),
             SubmissionStep::Propose(change) => {
                 self.submission_proposed(now, id);
                 self.propose_with(ProposalTicket(id), catalog_command::Kind::Change(change));
             }
-            SubmissionStep::Ignore => {}
+            SubmissionStep::Wait => {}
+        }
+    }
+
+    fn request_read_index(&mut self, id: u64) {
+        let event = AgreementEvent::RequestReadIndex(ReadIndexTicket(id));
+        self.queue.push_back(QueuedEvent::Agreement(event));
+    }
+
+    /// Passes the result of a read-index request to the request that it was made for.
+    pub(super) fn read_index_answered(
+        &mut self,
+        now: Timestamp,
+        ticket: ReadIndexTicket,
+        result: Result<ReadIndex, ReadIndexError>,
+    ) {
+        let ReadIndexTicket(id) = ticket;
+        match self.requests.kind(id) {
+            Some(RequestKind::Submit) => {
+                self.handle_submission(now, id, SubmissionEvent::Confirmed(result));
+            }
+            _ => self.finish_request(now, id, RequestAnswer::ReadIndex(result.ok())),
         }
     }
 
@@ -295,6 +329,7 @@
                     RequestAnswer::ReadIndex(index) => index,
                     RequestAnswer::Operator { .. } | RequestAnswer::Redirect(_) => None,
                 };
+                let index = index.map(ReadIndex::index);
                 let event = ParentEvent::ProofResult { round, index };
                 self.queue.push_back(QueuedEvent::Parent(event));
             }
@@ -303,9 +338,16 @@
 
     pub(super) fn expire_requests(&mut self, now: Timestamp) {
         for id in self.requests.overdue(now) {
-            if let Some(kind) = self.requests.kind(id) {
-                self.finish_request(now, id, answer::uncertain(kind, "timeout"));
-            }
+            let Some(kind) = self.requests.kind(id) else {
+                continue;
+            };
+            let answer = match self.submissions.remove(SubmissionId(id)) {
+                Some(SubmissionStage::Confirming | SubmissionStage::Applying(_)) => {
+                    answer::not_run("not_current")
+                }
+                Some(SubmissionStage::Proposed) | None => answer::uncertain(kind, "timeout"),
+            };
+            self.finish_request(now, id, answer);
         }
     }
 
--- a/crates/kumquatlock/src/ops/control/requests.rs
+++ b/crates/kumquatlock/src/ops/control/requests.rs
@@ -10,6 +10,7 @@
 
 use super::http::ReplySender;
 use super::submission_log::DocumentSummary;
+use crate::agreement::ReadIndex;
 use crate::core::{SharedName, Timestamp};
 use crate::distribution::ChildId;
 use crate::transport::LinkId;
@@ -94,8 +95,8 @@
     Operator { status: u16, json: String },
     /// The operator is redirected to this HTTP address, the leader's.
     Redirect(SocketAddr),
-    /// Index at or above everything committed before the request; `None` if there is no proof.
-    ReadIndex(Option<u64>),
+    /// The index that confirms what was committed before the request; `None` without a proof.
+    ReadIndex(Option<ReadIndex>),
 }
 
 impl RequestAnswer {
@@ -104,7 +105,10 @@
         match (self, kind) {
             // Only operators are redirected; instances forward requests to the leader.
             (RequestAnswer::Redirect(_), _) => Content::ConfirmReply(ConfirmReply::default()),
-            (RequestAnswer::ReadIndex(index), _) => Content::ConfirmReply(ConfirmReply { index }),
+            (RequestAnswer::ReadIndex(index), _) => {
+                let index = index.map(ReadIndex::index);
+                Content::ConfirmReply(ConfirmReply { index })
+            }
             (RequestAnswer::Operator { status, json }, RequestKind::Submit) => {
                 let http_status = status.into();
                 Content::SubmitReply(SubmitReply { http_status, json })
@@ -126,7 +130,10 @@
         match content {
             Content::SubmitReply(reply) => Some(operator(reply.http_status, reply.json)),
             Content::StatusReply(reply) => Some(operator(reply.http_status, reply.json)),
-            Content::ConfirmReply(reply) => Some(RequestAnswer::ReadIndex(reply.index)),
+            Content::ConfirmReply(reply) => {
+                let index = reply.index.map(ReadIndex::from_leader);
+                Some(RequestAnswer::ReadIndex(index))
+            }
             _ => None,
         }
     }
--- a/crates/kumquatlock/src/ops/control/submission_log.rs
+++ b/crates/kumquatlock/src/ops/control/submission_log.rs
@@ -44,6 +44,8 @@
     Local,
     /// The catalog as far as this instance had applied the log. Nothing was proposed.
     AppliedState,
+    /// The catalog after a read index had confirmed that it was current. Nothing was proposed.
+    CurrentState,
     /// The outcome of the entry that was proposed for the submission.
     Proposal,
     /// The answer of another instance, or the loss of the path to it.
@@ -54,6 +56,7 @@
     fn from(basis: DecisionBasis) -> Self {
         match basis {
             DecisionBasis::AppliedState => AnswerBasis::AppliedState,
+            DecisionBasis::CurrentState => AnswerBasis::CurrentState,
             DecisionBasis::Proposal => AnswerBasis::Proposal,
         }
     }
@@ -220,6 +223,7 @@
     ParentLost,
     Timeout,
     NotDecided,
+    NotCurrent,
     /// A reason of an instance of another version.
     Other,
 }
--- a/crates/kumquatlock/src/ops/control/voter.rs
+++ b/crates/kumquatlock/src/ops/control/voter.rs
@@ -14,7 +14,6 @@
 use super::actor::{ControlActor, QueuedEvent};
 use super::clock::random_seed;
 use super::process::ControlError;
-use super::requests::RequestAnswer;
 use super::settings::ControlSettings;
 use crate::agreement::{
     AgreementAction, AgreementEngine, AgreementEvent, AgreementRole, AgreementSettings,
@@ -245,7 +244,7 @@
                 }
             }
             AgreementAction::AnswerReadIndex { ticket, result } => {
-                self.finish_request(now, ticket.0, RequestAnswer::ReadIndex(result.ok()));
+                self.read_index_answered(now, ticket, result);
             }
             AgreementAction::RoleChanged { role, term, leader } => {
                 self.change_role(now, role, term, leader);
--- a/crates/kumquatlock/src/submission/mod.rs
+++ b/crates/kumquatlock/src/submission/mod.rs
@@ -6,7 +6,8 @@
 mod table;
 
 pub use table::{
-    DecisionBasis, SubmissionAnswer, SubmissionEvent, SubmissionId, SubmissionStep, SubmissionTable,
+    DecisionBasis, SubmissionAnswer, SubmissionEvent, SubmissionId, SubmissionStage,
+    SubmissionStep, SubmissionTable,
 };
 
 #[cfg(test)]
--- a/crates/kumquatlock/src/submission/tests/instance.rs
+++ b/crates/kumquatlock/src/submission/tests/instance.rs
@@ -14,7 +14,7 @@
 use crate::agreement::tests::group::write_to_disk;
 use crate::agreement::{
     AgreementAction, AgreementEngine, AgreementEvent, AgreementRole, AgreementSettings,
-    PersistRequest, ProposalError, ProposalTicket,
+    PersistRequest, ProposalError, ProposalTicket, ReadIndexTicket,
 };
 use crate::catalog::{ApplyOutcome, Catalog, ManifestDecision};
 use crate::core::{SharedName, Timestamp};
@@ -129,6 +129,9 @@
             for action in self.engine.handle(now, event) {
                 self.execute(action);
             }
+            for (id, step) in self.submissions.handle_applied(&self.catalog) {
+                self.take_step(id, step);
+            }
         }
         self.expire_requests(now);
         std::mem::take(&mut self.outputs)
@@ -160,7 +163,12 @@
                     payload: CatalogCommand { kind }.encode_to_vec().into(),
                 });
             }
-            SubmissionStep::Ignore => {}
+            SubmissionStep::Confirm => {
+                let ticket = ReadIndexTicket(id.0);
+                self.events
+                    .push_back(AgreementEvent::RequestReadIndex(ticket));
+            }
+            SubmissionStep::Wait => {}
         }
     }
 
@@ -206,7 +214,10 @@
                 let event = self.proposal_event(result);
                 self.handle_submission(SubmissionId(ticket.0), event);
             }
-            AgreementAction::AnswerReadIndex { .. } => {}
+            AgreementAction::AnswerReadIndex { ticket, result } => {
+                let event = SubmissionEvent::Confirmed(result);
+                self.handle_submission(SubmissionId(ticket.0), event);
+            }
             AgreementAction::RoleChanged { role, leader, .. } => {
                 self.role = role;
                 self.leader = leader;
@@ -241,6 +252,7 @@
             ManifestDecision::Overtaken => InstanceAnswer::Unclear("overtaken"),
             decision => InstanceAnswer::Refused(decision),
         },
+        SubmissionAnswer::Unconfirmed(_) => InstanceAnswer::Unclear("not current"),
         SubmissionAnswer::Failed(_) => InstanceAnswer::Unclear("proposal failed"),
         SubmissionAnswer::Undecided => InstanceAnswer::Unclear("not decided"),
     }
--- a/testsuite/tests/support/session.rs
+++ b/testsuite/tests/support/session.rs
@@ -6,7 +6,7 @@
 
 use kumquatlock::agreement::{
     AgreementAction, AgreementEngine, AgreementEvent, AgreementRole, AgreementSettings,
-    ProposalTicket, ReadIndexTicket, TICK_INTERVAL_MS,
+    ProposalTicket, ReadIndex, ReadIndexTicket, TICK_INTERVAL_MS,
 };
 use kumquatlock::catalog::{ApplyOutcome, Catalog, ManifestDecision};
 use kumquatlock::core::{GroupId, IncarnationId, SharedName, Timestamp};
@@ -345,7 +345,7 @@
                 let (to, round) = self.tickets[ticket.0 as usize];
                 self.send(
                     Some(voter),
-                    PendingDelivery::ReadIndexResult(to, round, result.ok()),
+                    PendingDelivery::ReadIndexResult(to, round, result.ok().map(ReadIndex::index)),
                 );
             }
             AgreementAction::RoleChanged { role, term, leader } => {
