Answer the state of a manifest from a current catalog only

Operators who asked for the state of an accepted manifest right after a restart were told that it is unknown (404).

Cause: as for the refused changes, the leader answered from the catalog that it had applied. A leader that had been replaced without knowing it could also call an outdated manifest in force.

The leader now confirms with a read index what is committed and answers once it has applied that.

--- a/crates/kumquatlock-control/tests/control/leader_change.rs
+++ b/crates/kumquatlock-control/tests/control/leader_change.rs
@@ -630,3 +630,30 @@
     after_restart.print("restart of all voters, one behind");
     after_kill.print("kill of the leader");
 }
+
+/// Guards against a new leader that reports an accepted manifest as unknown because it has not
+/// applied the entries of its own log.
+#[test]
+fn an_accepted_manifest_is_not_unknown_after_a_restart_of_all_voters() {
+    let (mut mesh, _relays) = start_in_regions();
+    accept(&mesh.controls[0], &change(1, 0));
+    for restart in 1..=5 {
+        wait_leader(&mesh, &[0, 1, 2]);
+        kill_all(&mut mesh);
+        for instance in &mut mesh.controls {
+            instance.process.restart().unwrap();
+        }
+        let mut instances = [0, 1, 2].into_iter().cycle();
+        let shown = wait_for("state of the manifest", WAIT_TIMEOUT, || {
+            let caller = mesh.controls[instances.next().unwrap()].caller();
+            let answer = caller.get("/v1/manifests/1");
+            let answer = answer.map_err(|error| error.to_string())?;
+            match answer.status {
+                503 | 504 => Err(answer.text()),
+                _ => Ok(answer),
+            }
+        });
+        let shown = shown.unwrap();
+        assert_eq!(shown.status, 200, "restart {restart}: {}", shown.text());
+    }
+}
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -273,7 +273,7 @@
             } else if let Some(event) = self.http.next_event() {
                 self.handle_http_event(now, event);
             } else if std::mem::take(&mut self.has_catalog_changed) {
-                self.answer_applied_reads();
+                self.answer_applied_reads(now);
                 self.handle_applied_submissions(now);
                 // Sent once for all entries of the turn, so that the children get one delta.
                 self.queue
--- a/crates/kumquatlock/src/ops/control/answer.rs
+++ b/crates/kumquatlock/src/ops/control/answer.rs
@@ -5,7 +5,7 @@
 use super::operator::SUBMIT_PATH;
 use super::requests::{RequestAnswer, RequestKind};
 use crate::agreement::{ProposalError, ReadIndexError};
-use crate::catalog::{Catalog, ManifestDecision};
+use crate::catalog::{CurrentCatalog, ManifestDecision};
 use crate::distribution::InForceCount;
 use crate::http::HttpResponse;
 use crate::manifest::ManifestError;
@@ -74,7 +74,7 @@
 /// Returns the answer to a request that provably did not reach the leader.
 pub(super) fn unavailable(kind: RequestKind, reason: &str) -> RequestAnswer {
     match kind {
-        RequestKind::Submit | RequestKind::Status => not_run(reason),
+        RequestKind::Submit | RequestKind::Status { .. } => not_run(reason),
         RequestKind::ReadIndex => RequestAnswer::ReadIndex(None),
     }
 }
@@ -84,7 +84,7 @@
     match kind {
         RequestKind::Submit => unknown(reason),
         // A status request has no effect, so it counts as not run.
-        RequestKind::Status => not_run(reason),
+        RequestKind::Status { .. } => not_run(reason),
         RequestKind::ReadIndex => RequestAnswer::ReadIndex(None),
     }
 }
@@ -174,12 +174,13 @@
 /// Returns the state of a manifest as the leader knows it. `count` also returns whether the leader
 /// knows of every attached node; until then, no manifest is reported as in force.
 pub(super) fn manifest_status(
-    catalog: &Catalog,
+    current: &CurrentCatalog<'_>,
     requested_version: Option<u64>,
     count: impl Fn(crate::core::ConfigVersion) -> (InForceCount, bool),
 ) -> RequestAnswer {
-    let manifest_version = requested_version.unwrap_or(catalog.manifest_version());
-    let Some(record) = catalog.accepted(manifest_version) else {
+    let newest_version = current.state().manifest_version();
+    let manifest_version = requested_version.unwrap_or(newest_version);
+    let Some(record) = current.accepted(manifest_version) else {
         let body = ManifestStatusBody {
             state: "unknown",
             manifest_version,
@@ -190,7 +191,7 @@
         return json_answer(404, &body);
     };
     let (count, is_complete) = count(record.config_version);
-    let state = if manifest_version != catalog.manifest_version() {
+    let state = if manifest_version != newest_version {
         "superseded"
     } else if is_complete && count.is_in_force() {
         "in_force"
--- a/crates/kumquatlock/src/ops/control/operator.rs
+++ b/crates/kumquatlock/src/ops/control/operator.rs
@@ -73,12 +73,24 @@
     }
 }
 
-/// A read of the manifest source that waits until this instance has applied an index.
+/// What is answered from a current state.
+#[derive(Debug)]
+pub(super) enum ReadTarget {
+    /// An operator's read of the manifest source.
+    Source(ReplySender),
+    /// A request for the state of a manifest that this instance answers as the leader.
+    Status {
+        id: u64,
+        manifest_version: Option<u64>,
+    },
+}
+
+/// A read that waits until this instance has applied the index that makes it current.
 #[derive(Debug)]
 pub(super) struct WaitingRead {
     index: ReadIndex,
     deadline: Timestamp,
-    reply: ReplySender,
+    target: ReadTarget,
 }
 
 fn method_not_allowed(allowed: &str) -> HttpResponse {
@@ -206,37 +218,49 @@
 
     /// Answers a read once this instance has applied everything up to `index`, which makes the read
     /// current.
-    pub(super) fn wait_for_source_read(
-        &mut self,
-        now: Timestamp,
-        index: ReadIndex,
-        reply: ReplySender,
-    ) {
+    pub(super) fn wait_for_read(&mut self, now: Timestamp, index: ReadIndex, target: ReadTarget) {
         self.waiting_reads.push(WaitingRead {
             index,
             deadline: now + READ_TIMEOUT,
-            reply,
+            target,
         });
-        self.answer_applied_reads();
+        self.answer_applied_reads(now);
     }
 
-    pub(super) fn answer_applied_reads(&mut self) {
+    pub(super) fn answer_applied_reads(&mut self, now: Timestamp) {
         let catalog = &self.catalog;
         let is_applied = |read: &mut WaitingRead| catalog.current(read.index).is_some();
-        for read in self.waiting_reads.extract_if(.., is_applied) {
-            if let Some(current) = catalog.current(read.index) {
-                read.reply.send(source_response(&current));
+        let applied: Vec<_> = self.waiting_reads.extract_if(.., is_applied).collect();
+        for read in applied {
+            self.answer_read(now, read);
+        }
+    }
+
+    fn answer_read(&mut self, now: Timestamp, read: WaitingRead) {
+        let Some(current) = self.catalog.current(read.index) else {
+            return;
+        };
+        match read.target {
+            ReadTarget::Source(reply) => reply.send(source_response(&current)),
+            ReadTarget::Status {
+                id,
+                manifest_version,
+            } => {
+                let answer = self.manifest_status(now, &current, manifest_version);
+                self.finish_request(now, id, answer);
             }
         }
     }
 
     pub(super) fn expire_reads(&mut self, now: Timestamp) {
-        for read in self
-            .waiting_reads
-            .extract_if(.., |read| read.deadline <= now)
-        {
+        let is_overdue = |read: &mut WaitingRead| read.deadline <= now;
+        let overdue: Vec<_> = self.waiting_reads.extract_if(.., is_overdue).collect();
+        for read in overdue {
             let answer = answer::not_run("not_applied");
-            read.reply.send(answer::response(answer));
+            match read.target {
+                ReadTarget::Source(reply) => reply.send(answer::response(answer)),
+                ReadTarget::Status { id, .. } => self.finish_request(now, id, answer),
+            }
         }
     }
 
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -12,11 +12,13 @@
 use super::actor::{ControlActor, QueuedEvent};
 use super::answer;
 use super::http::ReplySender;
+use super::operator::ReadTarget;
 use super::requests::{RequestAnswer, RequestKind, RequestRoute, Requester, forward_message};
 use super::voter::VoterState;
 use crate::agreement::{
     AgreementEvent, ProposalTicket, ReadIndex, ReadIndexError, ReadIndexTicket,
 };
+use crate::catalog::CurrentCatalog;
 use crate::core::{ConfigVersion, SharedName, Timestamp, address_from_name};
 use crate::distribution::{ChildEvent, InForceCount, ParentEvent, ProgressTable, REPORTER_TIMEOUT};
 use crate::manifest::ManifestDocument;
@@ -143,11 +145,8 @@
                 Ok(document) => self.receive_submission(now, id, Arc::new(document)),
                 Err(error) => self.finish_request(now, id, answer::invalid_manifest(&error)),
             },
-            Content::StatusRequest(request) => {
-                let answer = self.manifest_status(now, request.manifest_version);
-                self.finish_request(now, id, answer);
-            }
-            Content::ConfirmRequest(_) => self.request_read_index(id),
+            // A status names a manifest as unknown or as the newest, so it needs a current state.
+            Content::StatusRequest(_) | Content::ConfirmRequest(_) => self.request_read_index(id),
             _ => {}
         }
     }
@@ -225,11 +224,21 @@
         result: Result<ReadIndex, ReadIndexError>,
     ) {
         let ReadIndexTicket(id) = ticket;
-        match self.requests.kind(id) {
-            Some(RequestKind::Submit) => {
+        match (self.requests.kind(id), result) {
+            (Some(RequestKind::Submit), result) => {
                 self.handle_submission(now, id, SubmissionEvent::Confirmed(result));
             }
-            _ => self.finish_request(now, id, RequestAnswer::ReadIndex(result.ok())),
+            (Some(RequestKind::Status { manifest_version }), Ok(index)) => {
+                let target = ReadTarget::Status {
+                    id,
+                    manifest_version,
+                };
+                self.wait_for_read(now, index, target);
+            }
+            (Some(kind @ RequestKind::Status { .. }), Err(_)) => {
+                self.finish_request(now, id, answer::unavailable(kind, "not_current"));
+            }
+            (_, result) => self.finish_request(now, id, RequestAnswer::ReadIndex(result.ok())),
         }
     }
 
@@ -241,10 +250,15 @@
         Some(SocketAddr::new(leader.ip(), self.settings.http.port()))
     }
 
-    fn manifest_status(&self, now: Timestamp, manifest_version: Option<u64>) -> RequestAnswer {
+    pub(super) fn manifest_status(
+        &self,
+        now: Timestamp,
+        current: &CurrentCatalog<'_>,
+        manifest_version: Option<u64>,
+    ) -> RequestAnswer {
         let is_complete = self.has_complete_view(now);
         let count = |version| (self.leader_view.progress.count(now, version), is_complete);
-        answer::manifest_status(&self.catalog, manifest_version, count)
+        answer::manifest_status(current, manifest_version, count)
     }
 
     /// Returns whether the leader knows the progress of all voters, except of those that have been
@@ -309,7 +323,7 @@
             }
             Requester::Reader(sender) => match answer {
                 RequestAnswer::ReadIndex(Some(index)) => {
-                    self.wait_for_source_read(now, index, sender)
+                    self.wait_for_read(now, index, ReadTarget::Source(sender));
                 }
                 _ => sender.send(answer::response(answer::not_run("not_current"))),
             },
--- a/crates/kumquatlock/src/ops/control/requests.rs
+++ b/crates/kumquatlock/src/ops/control/requests.rs
@@ -52,7 +52,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RequestKind {
     Submit,
-    Status,
+    /// Asks for the state of a manifest; `None` selects the newest one.
+    Status {
+        manifest_version: Option<u64>,
+    },
     ReadIndex,
 }
 
@@ -61,7 +64,9 @@
     pub(super) fn of(content: &Content) -> Option<Self> {
         match content {
             Content::Submit(_) => Some(RequestKind::Submit),
-            Content::StatusRequest(_) => Some(RequestKind::Status),
+            Content::StatusRequest(request) => Some(RequestKind::Status {
+                manifest_version: request.manifest_version,
+            }),
             Content::ConfirmRequest(_) => Some(RequestKind::ReadIndex),
             _ => None,
         }
