Give the test without a quorum time to send its submission

failover::without_a_quorum_no_manifest_is_accepted failed in 1 of 4 runs of its package beside other work: it got 503 not_run where it expects 504 unknown. Its log shows stepped_down_without_quorum before the submission: the shortest election timeout of 400 ms had passed between the kills and the submission, and a leader that has stepped down proposes nothing, so 503 is right.

--- a/crates/kumquatlock-control/tests/control/failover.rs
+++ b/crates/kumquatlock-control/tests/control/failover.rs
@@ -6,8 +6,8 @@
 use serde_json::json;
 
 use crate::group::{
-    builder, conflicting_manifest, manifest, show, start, submit_until_decided, wait_leader,
-    wait_status,
+    builder, builder_with_election_timeout, conflicting_manifest, manifest, show, start,
+    submit_until_decided, wait_leader, wait_status,
 };
 
 /// Guards against the loss of an accepted manifest with its leader, and against a resend that is
@@ -88,7 +88,8 @@
 /// that no quorum has stored.
 #[test]
 fn without_a_quorum_no_manifest_is_accepted() {
-    let mut mesh = start(builder());
+    // The leader must get the submission before it notices that the others are gone.
+    let mut mesh = start(builder_with_election_timeout("2000"));
     let leader = wait_leader(&mesh, &[0, 1, 2]);
     let others = [(leader + 1) % 3, (leader + 2) % 3];
     for other in others {
