--- a/crates/kumquatlock/src/journal/directory.rs
+++ b/crates/kumquatlock/src/journal/directory.rs
@@ -1,6 +1,6 @@
 //! File names in the data directory, and operations on whole files.
 
-use std::fs::{self, File};
+use std::fs::TryLockError;
 use std::io;
 use std::path::{Path, PathBuf};
 
@@ -21,41 +21,46 @@
 }
 
 /// Returns the sequence numbers of all segments in ascending order.
-pub(super) fn list_segments(dir: &Path) -> Result<Vec<u64>, JournalError> {
-    let listed = fs::read_dir(dir).map_err(|error| JournalError::io("list", dir, error))?;
-    let mut sequences = Vec::new();
-    for item in listed {
-        let item = item.map_err(|error| JournalError::io("list", dir, error))?;
-        let name = item.file_name();
-        let sequence: Option<u64> = name
-            .to_str()
-            .and_then(|name| name.strip_suffix(SEGMENT_SUFFIX))
-            .and_then(|stem| stem.parse().ok());
-        sequences.extend(sequence);
-    }
+pub(super) fn list_segments<F: JournalIo>(
+    io: &mut F,
+    dir: &Path,
+) -> Result<Vec<u64>, JournalError> {
+    let names = list_files(io, dir)?;
+    let mut sequences: Vec<u64> = names
+        .iter()
+        .filter_map(|name| name.strip_suffix(SEGMENT_SUFFIX)?.parse().ok())
+        .collect();
     sequences.sort_unstable();
     Ok(sequences)
 }
 
+pub(super) fn has_snapshot<F: JournalIo>(io: &mut F, dir: &Path) -> Result<bool, JournalError> {
+    let names = list_files(io, dir)?;
+    Ok(names.iter().any(|name| name == SNAPSHOT_FILE))
+}
+
+fn list_files<F: JournalIo>(io: &mut F, dir: &Path) -> Result<Vec<String>, JournalError> {
+    io.list(dir)
+        .map_err(|error| JournalError::io("list", dir, error))
+}
+
 /// Creates the directory if needed and locks it. Other processes cannot lock it until the returned
 /// file is dropped.
-pub(super) fn lock_dir(dir: &Path) -> Result<File, JournalError> {
-    fs::create_dir_all(dir).map_err(|error| JournalError::io("create", dir, error))?;
+pub(super) fn lock_dir<F: JournalIo>(io: &mut F, dir: &Path) -> Result<F::File, JournalError> {
+    io.create_dir(dir)
+        .map_err(|error| JournalError::io("create", dir, error))?;
     let path = dir.join(LOCK_FILE);
-    let lock = File::create(&path).map_err(|error| JournalError::io("create", &path, error))?;
-    match lock.try_lock() {
-        Ok(()) => Ok(lock),
-        Err(fs::TryLockError::WouldBlock) => Err(JournalError::DirectoryInUse {
+    io.lock(&path).map_err(|error| match error {
+        TryLockError::WouldBlock => JournalError::DirectoryInUse {
             dir: dir.to_path_buf(),
-        }),
-        Err(fs::TryLockError::Error(error)) => Err(JournalError::io("lock", &path, error)),
-    }
+        },
+        TryLockError::Error(error) => JournalError::io("lock", &path, error),
+    })
 }
 
 /// Makes the creation, renaming and removal of files in the directory durable.
 pub(super) fn sync_dir<F: JournalIo>(io: &mut F, dir: &Path) -> Result<(), JournalError> {
-    let handle = File::open(dir).map_err(|error| JournalError::io("open", dir, error))?;
-    io.sync(&handle)
+    io.sync_dir(dir)
         .map_err(|error| JournalError::io("sync", dir, error))
 }
 
@@ -70,23 +75,26 @@
     let record = encode_record(message)?;
     let path = dir.join(name);
     let temporary = dir.join(format!("{name}.new"));
-    let mut file =
-        File::create(&temporary).map_err(|error| JournalError::io("create", &temporary, error))?;
+    let mut file = io
+        .create(&temporary)
+        .map_err(|error| JournalError::io("create", &temporary, error))?;
     io.write_all(&mut file, &record)
         .map_err(|error| JournalError::io("write", &temporary, error))?;
     io.sync(&file)
         .map_err(|error| JournalError::io("sync", &temporary, error))?;
-    fs::rename(&temporary, &path).map_err(|error| JournalError::io("rename", &path, error))?;
+    io.rename(&temporary, &path)
+        .map_err(|error| JournalError::io("rename", &path, error))?;
     sync_dir(io, dir)
 }
 
 /// Reads a file that consists of one record. Returns `None` if the file does not exist.
-pub(super) fn load_file<M: Message + Default>(
+pub(super) fn load_file<F: JournalIo, M: Message + Default>(
+    io: &mut F,
     dir: &Path,
     name: &str,
 ) -> Result<Option<M>, JournalError> {
     let path = dir.join(name);
-    let bytes = match fs::read(&path) {
+    let bytes = match io.read(&path) {
         Ok(bytes) => bytes,
         Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
         Err(error) => return Err(JournalError::io("read", &path, error)),
--- a/crates/kumquatlock/src/journal/recovery.rs
+++ b/crates/kumquatlock/src/journal/recovery.rs
@@ -1,13 +1,13 @@
 //! Recovery of the log after a restart.
 
-use std::fs::{self, File};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use kumquatlock_wire::agreement::LogEntry;
 use prost::Message;
 
 use super::directory::{list_segments, segment_path};
 use super::error::JournalError;
+use super::files::JournalIo;
 use super::record::{EntryBatch, RECORD_HEADER_BYTES, read_record};
 use super::state::StoredSnapshot;
 
@@ -31,12 +31,17 @@
 
 /// Reads all segments. Truncates an incomplete record at the end of the last segment, and fails on
 /// any other corruption.
-pub(super) fn recover_log(dir: &Path) -> Result<RecoveredLog, JournalError> {
-    let sequences = list_segments(dir)?;
+pub(super) fn recover_log<F: JournalIo>(
+    io: &mut F,
+    dir: &Path,
+) -> Result<RecoveredLog, JournalError> {
+    let sequences = list_segments(io, dir)?;
     let mut log = RecoveredLog::default();
     for (position, sequence) in sequences.iter().enumerate() {
         let path = segment_path(dir, *sequence);
-        let bytes = fs::read(&path).map_err(|error| JournalError::io("read", &path, error))?;
+        let bytes = io
+            .read(&path)
+            .map_err(|error| JournalError::io("read", &path, error))?;
         let valid_bytes = read_segment(&path, *sequence, &bytes, &mut log)?;
         if valid_bytes == bytes.len() {
             continue;
@@ -47,7 +52,7 @@
             return Err(JournalError::CorruptRecord { path, offset });
         }
         log.torn_bytes = (bytes.len() - valid_bytes) as u64;
-        truncate_file(&path, valid_bytes as u64)?;
+        truncate_file(io, &path, valid_bytes as u64)?;
     }
     Ok(log)
 }
@@ -115,13 +120,13 @@
     })
 }
 
-fn truncate_file(path: &Path, bytes: u64) -> Result<(), JournalError> {
-    let truncate = |path: &PathBuf| {
-        let file = File::options().write(true).open(path)?;
-        file.set_len(bytes)?;
-        file.sync_data()
+fn truncate_file<F: JournalIo>(io: &mut F, path: &Path, length: u64) -> Result<(), JournalError> {
+    let mut truncate = || {
+        let mut file = io.open_at(path, length)?;
+        io.truncate(&mut file, length)?;
+        io.sync(&file)
     };
-    truncate(&path.to_path_buf()).map_err(|error| JournalError::io("truncate", path, error))
+    truncate().map_err(|error| JournalError::io("truncate", path, error))
 }
 
 /// Returns the entries after the snapshot.
--- a/crates/kumquatlock/src/journal/store.rs
+++ b/crates/kumquatlock/src/journal/store.rs
@@ -1,15 +1,13 @@
 //! The open journal: writes and compaction.
 
-use std::fs::{self, File};
-use std::io::{Seek, SeekFrom};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use kumquatlock_wire::agreement::LogEntry;
 
 use super::directory::{
-    METADATA_FILE, SNAPSHOT_FILE, list_segments, load_file, lock_dir, replace_file, segment_path,
-    sync_dir,
+    METADATA_FILE, SNAPSHOT_FILE, has_snapshot, list_segments, load_file, lock_dir, replace_file,
+    segment_path, sync_dir,
 };
 use super::error::JournalError;
 use super::files::{JournalIo, SystemIo};
@@ -44,10 +42,10 @@
     /// Segments of the log. Never empty; records are appended to the last segment.
     segments: Vec<SegmentInfo>,
     /// File of the last segment, positioned at the end of its synced records.
-    tail: File,
+    tail: F::File,
     /// Whether the durable state is unknown after a failed write. If so, every later write fails.
     closed: bool,
-    _lock: File,
+    _lock: F::File,
 }
 
 impl<F: JournalIo> Journal<F> {
@@ -62,14 +60,14 @@
         mut io: F,
         new_disk_id: u64,
     ) -> Result<(Self, RecoveredState), JournalError> {
-        let lock = lock_dir(dir)?;
+        let lock = lock_dir(&mut io, dir)?;
         let metadata = load_or_create_metadata(&mut io, dir, new_disk_id)?;
-        let snapshot: Option<StoredSnapshot> = load_file(dir, SNAPSHOT_FILE)?;
+        let snapshot: Option<StoredSnapshot> = load_file(&mut io, dir, SNAPSHOT_FILE)?;
         let RecoveredLog {
             mut segments,
             entries,
             torn_bytes,
-        } = recover_log(dir)?;
+        } = recover_log(&mut io, dir)?;
         let entry_count = entries.len();
         let entries = entries_after(dir, snapshot.as_ref(), entries)?;
         if entries.is_empty() && entry_count > 0 {
@@ -170,7 +168,7 @@
     /// crash between two removals leaves a log without gaps.
     fn remove_segments_below(&mut self, keep_from: u64) -> Result<(), JournalError> {
         while self.segments.len() > 1 && self.segments[0].highest_index < keep_from {
-            remove_segment(&self.dir, self.segments[0].sequence)?;
+            remove_segment(&mut self.io, &self.dir, self.segments[0].sequence)?;
             self.segments.remove(0);
         }
         sync_dir(&mut self.io, &self.dir)
@@ -205,10 +203,7 @@
     /// that fails.
     fn undo_append(&mut self) {
         let bytes = self.tail_segment().bytes;
-        let restored = self
-            .tail
-            .set_len(bytes)
-            .and_then(|()| self.tail.seek(SeekFrom::Start(bytes)));
+        let restored = self.io.truncate(&mut self.tail, bytes);
         self.closed |= restored.is_err();
     }
 
@@ -233,10 +228,10 @@
     dir: &Path,
     new_disk_id: u64,
 ) -> Result<StoredMetadata, JournalError> {
-    if let Some(metadata) = load_file(dir, METADATA_FILE)? {
+    if let Some(metadata) = load_file(io, dir, METADATA_FILE)? {
         return Ok(metadata);
     }
-    if !list_segments(dir)?.is_empty() || dir.join(SNAPSHOT_FILE).exists() {
+    if !list_segments(io, dir)?.is_empty() || has_snapshot(io, dir)? {
         return Err(JournalError::MetadataMissing {
             dir: dir.to_path_buf(),
         });
@@ -255,7 +250,8 @@
     sequence: u64,
 ) -> Result<SegmentInfo, JournalError> {
     let path = segment_path(dir, sequence);
-    File::create(&path).map_err(|error| JournalError::io("create", &path, error))?;
+    io.create(&path)
+        .map_err(|error| JournalError::io("create", &path, error))?;
     sync_dir(io, dir)?;
     Ok(SegmentInfo {
         sequence,
@@ -270,16 +266,13 @@
     io: &mut F,
     dir: &Path,
     segment: &SegmentInfo,
-) -> Result<File, JournalError> {
+) -> Result<F::File, JournalError> {
     let path = segment_path(dir, segment.sequence);
-    let mut tail = File::options()
-        .write(true)
-        .open(&path)
+    let tail = io
+        .open_at(&path, segment.bytes)
         .map_err(|error| JournalError::io("open", &path, error))?;
     io.sync(&tail)
         .map_err(|error| JournalError::io("sync", &path, error))?;
-    tail.seek(SeekFrom::Start(segment.bytes))
-        .map_err(|error| JournalError::io("open", &path, error))?;
     Ok(tail)
 }
 
@@ -291,13 +284,14 @@
     segments: &mut Vec<SegmentInfo>,
 ) -> Result<(), JournalError> {
     while let Some(segment) = segments.pop() {
-        remove_segment(dir, segment.sequence)?;
+        remove_segment(io, dir, segment.sequence)?;
         sync_dir(io, dir)?;
     }
     Ok(())
 }
 
-fn remove_segment(dir: &Path, sequence: u64) -> Result<(), JournalError> {
+fn remove_segment<F: JournalIo>(io: &mut F, dir: &Path, sequence: u64) -> Result<(), JournalError> {
     let path = segment_path(dir, sequence);
-    fs::remove_file(&path).map_err(|error| JournalError::io("remove", &path, error))
+    io.remove(&path)
+        .map_err(|error| JournalError::io("remove", &path, error))
 }
--- a/crates/kumquatlock/src/journal/tests.rs
+++ b/crates/kumquatlock/src/journal/tests.rs
@@ -1,10 +1,7 @@
 //! Tests of the journal under failures.
 
-use std::cell::RefCell;
-use std::fs::{self, File};
-use std::io;
+use std::fs;
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -13,40 +10,9 @@
 
 use super::*;
 
-/// File operations that fail on demand.
-#[derive(Clone, Default)]
-struct FaultyIo {
-    faults: Rc<RefCell<InjectedFaults>>,
-}
-
-#[derive(Default)]
-struct InjectedFaults {
-    /// Free space on the disk, in bytes; unlimited if `None`.
-    space: Option<usize>,
-    fail_sync: bool,
-}
+mod faulty;
 
-impl JournalIo for FaultyIo {
-    fn write_all(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<()> {
-        let Some(space) = &mut self.faults.borrow_mut().space else {
-            return SystemIo.write_all(file, bytes);
-        };
-        let written = bytes.len().min(*space);
-        *space -= written;
-        SystemIo.write_all(file, &bytes[..written])?;
-        match written == bytes.len() {
-            true => Ok(()),
-            false => Err(io::ErrorKind::StorageFull.into()),
-        }
-    }
-
-    fn sync(&mut self, file: &File) -> io::Result<()> {
-        match self.faults.borrow().fail_sync {
-            true => Err(io::Error::other("injected sync failure")),
-            false => SystemIo.sync(file),
-        }
-    }
-}
+use faulty::FaultyIo;
 
 fn entries(indices: std::ops::RangeInclusive<u64>, term: u64) -> Vec<LogEntry> {
     indices
@@ -260,7 +226,7 @@
 #[test]
 fn a_failed_append_on_a_full_disk_is_undone() {
     let dir = TempDir::new().unwrap();
-    let io = FaultyIo::default();
+    let io: FaultyIo = FaultyIo::default();
     let settings = JournalSettings::default();
     let opened = Journal::open(dir.path(), settings, io.clone(), 7);
     let (mut journal, recovered) = opened.unwrap();
@@ -292,7 +258,7 @@
 #[test]
 fn a_failed_sync_closes_the_journal() {
     let dir = TempDir::new().unwrap();
-    let io = FaultyIo::default();
+    let io: FaultyIo = FaultyIo::default();
     let settings = JournalSettings::default();
     let opened = Journal::open(dir.path(), settings, io.clone(), 7);
     let mut journal = opened.unwrap().0;
