Make a new data directory durable before anything is stored in it

Callers see an acknowledged configuration vanish: a control instance that created its data directory, acknowledged writes and then lost power may find no directory at all. It starts as an empty instance with a new disk identity, which counts as a lost disk; if that happens to a majority, everything acknowledged is lost.

Cause: the directory was created with create_dir_all, and its name was never synced in the directory above it. Syncs of the files and of the directory itself don't cover that name.

Each directory that the process creates is now synced in its parent at once, and before the first metadata is written all directories above are synced, because an earlier process may have been stopped between the two. Where a directory above is out of reach, the second step logs parent_not_synced and the start continues. A start on existing metadata does neither.

The test runs on a model of a disk that keeps, loses or tears each unsynced operation independently, and stops the process at each operation of the first start.

--- a/crates/kumquatlock/src/journal/directory.rs
+++ b/crates/kumquatlock/src/journal/directory.rs
@@ -47,8 +47,7 @@
 /// Creates the directory if needed and locks it. Other processes cannot lock it until the returned
 /// file is dropped.
 pub(super) fn lock_dir<F: JournalIo>(io: &mut F, dir: &Path) -> Result<F::File, JournalError> {
-    io.create_dir(dir)
-        .map_err(|error| JournalError::io("create", dir, error))?;
+    create_dir(io, dir).map_err(|error| JournalError::io("create", dir, error))?;
     let path = dir.join(LOCK_FILE);
     io.lock(&path).map_err(|error| match error {
         TryLockError::WouldBlock => JournalError::DirectoryInUse {
@@ -58,6 +57,39 @@
     })
 }
 
+/// Creates the directory and its missing parents, and makes the new names durable.
+fn create_dir<F: JournalIo>(io: &mut F, dir: &Path) -> io::Result<()> {
+    let parent = match dir.parent() {
+        None => return Ok(()),
+        Some(parent) if parent.as_os_str().is_empty() => Path::new("."),
+        Some(parent) => parent,
+    };
+    let is_new = match io.create_dir(dir) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => {
+            create_dir(io, parent)?;
+            io.create_dir(dir)?
+        }
+        created => created?,
+    };
+    match is_new {
+        true => io.sync_dir(parent),
+        false => Ok(()),
+    }
+}
+
+/// Syncs the directories above `dir`, because an earlier process may have created some of them and
+/// stopped before it synced them. Those above an instance's own directories may be out of reach for
+/// it, so a failure is only logged.
+pub(super) fn sync_parents<F: JournalIo>(io: &mut F, dir: &Path) {
+    let parents = dir.ancestors().skip(1);
+    for parent in parents.filter(|parent| !parent.as_os_str().is_empty()) {
+        if let Err(error) = io.sync_dir(parent) {
+            let parent = parent.display().to_string();
+            log::warn!(folder = parent.as_str(), error = error.to_string().as_str(); "parent_not_synced");
+        }
+    }
+}
+
 /// Makes the creation, renaming and removal of files in the directory durable.
 pub(super) fn sync_dir<F: JournalIo>(io: &mut F, dir: &Path) -> Result<(), JournalError> {
     io.sync_dir(dir)
--- a/crates/kumquatlock/src/journal/files.rs
+++ b/crates/kumquatlock/src/journal/files.rs
@@ -11,8 +11,8 @@
     /// A file that is open for writing at a position.
     type File: Debug;
 
-    /// Creates the directory and its missing parents, if it does not exist.
-    fn create_dir(&mut self, dir: &Path) -> io::Result<()>;
+    /// Creates the directory. Returns whether it is new.
+    fn create_dir(&mut self, dir: &Path) -> io::Result<bool>;
 
     /// Creates the file if needed and locks it until the returned file is dropped.
     fn lock(&mut self, path: &Path) -> Result<Self::File, TryLockError>;
@@ -54,8 +54,12 @@
 impl JournalIo for SystemIo {
     type File = File;
 
-    fn create_dir(&mut self, dir: &Path) -> io::Result<()> {
-        fs::create_dir_all(dir)
+    fn create_dir(&mut self, dir: &Path) -> io::Result<bool> {
+        match fs::create_dir(dir) {
+            Ok(()) => Ok(true),
+            Err(_) if dir.is_dir() => Ok(false),
+            Err(error) => Err(error),
+        }
     }
 
     fn lock(&mut self, path: &Path) -> Result<File, TryLockError> {
--- a/crates/kumquatlock/src/journal/store.rs
+++ b/crates/kumquatlock/src/journal/store.rs
@@ -7,7 +7,7 @@
 
 use super::directory::{
     METADATA_FILE, SNAPSHOT_FILE, has_snapshot, list_segments, load_file, lock_dir, replace_file,
-    segment_path, sync_dir,
+    segment_path, sync_dir, sync_parents,
 };
 use super::error::JournalError;
 use super::files::{JournalIo, SystemIo};
@@ -240,6 +240,7 @@
         disk_id: new_disk_id,
         ..StoredMetadata::default()
     };
+    sync_parents(io, dir);
     replace_file(io, dir, METADATA_FILE, &metadata)?;
     Ok(metadata)
 }
--- a/crates/kumquatlock/src/journal/tests.rs
+++ b/crates/kumquatlock/src/journal/tests.rs
@@ -10,7 +10,9 @@
 
 use super::*;
 
+mod disk;
 mod faulty;
+mod power_loss;
 
 use faulty::FaultyIo;
 
--- a/crates/kumquatlock/src/journal/tests/faulty.rs
+++ b/crates/kumquatlock/src/journal/tests/faulty.rs
@@ -11,7 +11,7 @@
 /// Passes operations on to `inner`, except those that are made to fail.
 #[derive(Clone, Debug, Default)]
 pub(super) struct FaultyIo<F = SystemIo> {
-    inner: F,
+    pub(super) inner: F,
     pub(super) faults: Rc<RefCell<InjectedFaults>>,
 }
 
@@ -57,7 +57,7 @@
         self.inner.sync_dir(dir)
     }
 
-    fn create_dir(&mut self, dir: &Path) -> io::Result<()> {
+    fn create_dir(&mut self, dir: &Path) -> io::Result<bool> {
         self.inner.create_dir(dir)
     }
 
--- /dev/null
+++ b/crates/kumquatlock/src/journal/tests/power_loss.rs
@@ -0,0 +1,43 @@
+//! Tests of the journal on a disk that loses unsynced operations.
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::disk::DiskModel;
+use super::*;
+
+const DIR: &str = "/data/node";
+
+/// Number of different losses of power that a test tries after each operation.
+const LOSSES: u64 = 20;
+
+fn open_on(
+    disk: &DiskModel,
+    disk_id: u64,
+) -> Result<(Journal<DiskModel>, RecoveredState), JournalError> {
+    let settings = JournalSettings { segment_bytes: 300 };
+    Journal::open(Path::new(DIR), settings, disk.clone(), disk_id)
+}
+
+fn recover_on(disk: &DiskModel) -> RecoveredState {
+    open_on(disk, 8).unwrap().1
+}
+
+fn lose_power(disk: &DiskModel, seed: u64) {
+    disk.lose_power(&mut SmallRng::seed_from_u64(seed));
+}
+
+/// Guards against an instance that creates its data directory, acknowledges writes and then starts
+/// as an empty one, with a new disk identity.
+#[test]
+fn a_new_data_directory_survives_a_loss_of_power() {
+    for (operations, seed) in (0..12).flat_map(|stop| (0..LOSSES).map(move |seed| (stop, seed))) {
+        let disk = DiskModel::default();
+        disk.stop_after(operations);
+        drop(open_on(&disk, 6));
+        disk.resume();
+        let recovered = open_on(&disk, 7).unwrap().1;
+        lose_power(&disk, seed);
+        assert_eq!(recover_on(&disk), recovered, "{operations}, {seed}");
+    }
+}
