Sync the data directory before its content is recovered

Callers see, after a restart of a control process and a later loss of power, an acknowledged change that is gone or a control instance that cannot start; a voter may vote twice in a term.

Cause: a write that replaces a file or rolls a segment ends with a sync of the directory. A process killed just before that sync leaves a name that the next process sees but that is not durable. A loss of power then takes the name back. Only the last segment's content was synced.

--- a/crates/kumquatlock/src/journal/store.rs
+++ b/crates/kumquatlock/src/journal/store.rs
@@ -61,6 +61,9 @@
         new_disk_id: u64,
     ) -> Result<(Self, RecoveredState), JournalError> {
         let lock = lock_dir(&mut io, dir)?;
+        // An earlier process may have stopped between a change of a name and the sync of the
+        // directory. What is recovered from that name counts as durable from here on.
+        sync_dir(&mut io, dir)?;
         let metadata = load_or_create_metadata(&mut io, dir, new_disk_id)?;
         let snapshot: Option<StoredSnapshot> = load_file(&mut io, dir, SNAPSHOT_FILE)?;
         let RecoveredLog {
--- a/crates/kumquatlock/src/journal/tests/power_loss.rs
+++ b/crates/kumquatlock/src/journal/tests/power_loss.rs
@@ -41,3 +41,38 @@
         assert_eq!(recover_on(&disk), recovered, "{operations}, {seed}");
     }
 }
+
+/// Guards against a vote, a snapshot or a segment that a restarted process recovers and relies on,
+/// and that is lost later because the process before it stopped before a sync of the directory.
+#[test]
+fn a_recovered_state_survives_a_loss_of_power() {
+    let metadata = StoredMetadata {
+        disk_id: 7,
+        term: 3,
+        ..StoredMetadata::default()
+    };
+    let writes = [
+        JournalWrite::Metadata(metadata),
+        JournalWrite::Append(entries(4..=4, 1)),
+        JournalWrite::InstallSnapshot(snapshot(20, 2)),
+    ];
+    for (operations, seed) in (0..12).flat_map(|stop| (0..LOSSES).map(move |seed| (stop, seed))) {
+        for write in &writes {
+            let disk = DiskModel::default();
+            let mut journal = open_on(&disk, 7).unwrap().0;
+            journal.append(&entries(1..=3, 1)).unwrap();
+            disk.stop_after(operations);
+            drop(journal.write(write));
+            disk.resume();
+            let (mut journal, mut recovered) = open_on(&disk, 7).unwrap();
+            if seed % 2 == 0 {
+                let last = recovered.entries.last().map_or(20, |entry| entry.index);
+                let next = entries(last + 1..=last + 1, 3);
+                journal.append(&next).unwrap();
+                recovered.entries.extend(next);
+            }
+            lose_power(&disk, seed);
+            assert_eq!(recover_on(&disk), recovered, "{operations}, {seed}");
+        }
+    }
+}
