Make each removal of a compacted segment durable before the next one

Operators see a control instance that does not start again after a loss of power: "log continues at index 7, but index 4 was expected". With several instances in that state, the group cannot answer at all, although the disks hold everything.

Cause: a compaction that removes several segments synced the directory once, after the last removal. After a loss of power each removal is kept or undone independently, so an older segment may be back while a newer one is gone, and the recovery refuses the gap. The order of the removals guarded only against the end of the process.

The directory is now synced after each removal, so at most one removal is open at a time and the segments that remain are always the newest ones. A compaction that removes one segment costs as many syncs as before, one that removes none costs one less.

The test loses power at each operation of a compaction that removes several segments. A data directory that an earlier version left with such a gap is still refused.

--- a/crates/kumquatlock/src/journal/store.rs
+++ b/crates/kumquatlock/src/journal/store.rs
@@ -167,14 +167,16 @@
         self.remove_segments_below(keep_from.min(snapshot.last_index + 1))
     }
 
-    /// Removes the segments that contain only entries below `keep_from`, oldest first, so that a
-    /// crash between two removals leaves a log without gaps.
+    /// Removes the segments that contain only entries below `keep_from`, oldest first. Each removal
+    /// is durable before the next one, because a loss of power may undo any of several unsynced
+    /// removals, which would leave a gap in the log.
     fn remove_segments_below(&mut self, keep_from: u64) -> Result<(), JournalError> {
         while self.segments.len() > 1 && self.segments[0].highest_index < keep_from {
             remove_segment(&mut self.io, &self.dir, self.segments[0].sequence)?;
             self.segments.remove(0);
+            sync_dir(&mut self.io, &self.dir)?;
         }
-        sync_dir(&mut self.io, &self.dir)
+        Ok(())
     }
 
     fn install_snapshot(&mut self, snapshot: &StoredSnapshot) -> Result<(), JournalError> {
--- a/crates/kumquatlock/src/journal/tests/power_loss.rs
+++ b/crates/kumquatlock/src/journal/tests/power_loss.rs
@@ -76,3 +76,25 @@
         }
     }
 }
+
+/// Guards against a voter that cannot start, because a loss of power undid the removal of some of
+/// the compacted segments and left a gap in the log.
+#[test]
+fn a_loss_of_power_during_a_compaction_leaves_no_gap() {
+    for (operations, seed) in (0..16).flat_map(|stop| (0..LOSSES).map(move |seed| (stop, seed))) {
+        let disk = DiskModel::default();
+        let mut journal = open_on(&disk, 7).unwrap().0;
+        (1..=20).for_each(|index| journal.append(&entries(index..=index, 1)).unwrap());
+        let write = JournalWrite::SaveSnapshot {
+            snapshot: snapshot(15, 1),
+            keep_from: 16,
+        };
+        disk.stop_after(operations);
+        drop(journal.write(&write));
+        disk.resume();
+        lose_power(&disk, seed);
+        let recovered = open_on(&disk, 7).map(|(_, recovered)| recovered.entries);
+        let recovered = recovered.unwrap_or_else(|error| panic!("{operations}, {seed}: {error}"));
+        assert!(recovered.ends_with(&entries(16..=20, 1)));
+    }
+}
