--- a/crates/kumquatlock/src/journal/recovery.rs
+++ b/crates/kumquatlock/src/journal/recovery.rs
@@ -129,19 +129,27 @@
     truncate().map_err(|error| JournalError::io("truncate", path, error))
 }
 
-/// Returns the entries after the snapshot.
-///
-/// A log that does not match the snapshot at the snapshot's last index, or that ends before that
-/// index, was superseded by a snapshot from the leader and is discarded.
-pub(super) fn entries_after(
+/// How the log relates to the snapshot.
+#[derive(Debug)]
+pub(super) enum SnapshotMatch {
+    /// The log contains the snapshot's last entry or starts after it. Holds the entries after the
+    /// snapshot, possibly none.
+    Continued(Vec<LogEntry>),
+    /// The log was superseded by a snapshot from the leader: it contains another entry at the
+    /// snapshot's last index, or ends before that index.
+    Superseded,
+}
+
+/// Compares the log with the snapshot.
+pub(super) fn match_snapshot(
     dir: &Path,
     snapshot: Option<&StoredSnapshot>,
     mut entries: Vec<LogEntry>,
-) -> Result<Vec<LogEntry>, JournalError> {
+) -> Result<SnapshotMatch, JournalError> {
     let (last_index, last_term) =
         snapshot.map_or((0, 0), |snapshot| (snapshot.last_index, snapshot.last_term));
     let Some(first) = entries.first().map(|first| first.index) else {
-        return Ok(entries);
+        return Ok(SnapshotMatch::Continued(entries));
     };
     if first > last_index + 1 {
         return Err(JournalError::MissingEntries {
@@ -151,14 +159,14 @@
         });
     }
     if first == last_index + 1 {
-        return Ok(entries);
+        return Ok(SnapshotMatch::Continued(entries));
     }
     let position = (last_index - first) as usize;
     let matches_snapshot = entries
         .get(position)
         .is_some_and(|entry| entry.term == last_term);
     if !matches_snapshot {
-        return Ok(Vec::new());
+        return Ok(SnapshotMatch::Superseded);
     }
-    Ok(entries.split_off(position + 1))
+    Ok(SnapshotMatch::Continued(entries.split_off(position + 1)))
 }
--- a/crates/kumquatlock/src/journal/store.rs
+++ b/crates/kumquatlock/src/journal/store.rs
@@ -12,7 +12,7 @@
 use super::error::JournalError;
 use super::files::{JournalIo, SystemIo};
 use super::record::{EntryBatch, encode_record};
-use super::recovery::{RecoveredLog, SegmentInfo, entries_after, recover_log};
+use super::recovery::{RecoveredLog, SegmentInfo, SnapshotMatch, match_snapshot, recover_log};
 use super::state::{JournalWrite, RecoveredState, StoredMetadata, StoredSnapshot};
 
 /// Default size at which a segment is closed and the next one is started, in bytes.
@@ -71,12 +71,16 @@
             entries,
             torn_bytes,
         } = recover_log(&mut io, dir)?;
-        let entry_count = entries.len();
-        let entries = entries_after(dir, snapshot.as_ref(), entries)?;
-        if entries.is_empty() && entry_count > 0 {
+        let entries = match match_snapshot(dir, snapshot.as_ref(), entries)? {
+            // The segments are kept even if no entry remains. The removal of some of them could
+            // bring back entries that a later segment replaced.
+            SnapshotMatch::Continued(entries) => entries,
             // The installation of a snapshot was interrupted before the old log was removed.
-            remove_segments(&mut io, dir, &mut segments)?;
-        }
+            SnapshotMatch::Superseded => {
+                remove_segments(&mut io, dir, &mut segments)?;
+                Vec::new()
+            }
+        };
         if segments.is_empty() {
             segments.push(create_segment(&mut io, dir, 1)?);
         }
--- a/crates/kumquatlock/src/journal/tests/power_loss.rs
+++ b/crates/kumquatlock/src/journal/tests/power_loss.rs
@@ -98,3 +98,27 @@
         assert!(recovered.ends_with(&entries(16..=20, 1)));
     }
 }
+
+/// Guards against replaced entries that come back after the snapshot, because a process was stopped
+/// while it recovered a log that ends at the snapshot.
+#[test]
+fn a_stop_during_recovery_brings_back_no_replaced_entry() {
+    for operations in 0..12 {
+        let disk = DiskModel::default();
+        let mut journal = open_on(&disk, 7).unwrap().0;
+        (1..=6).for_each(|index| journal.append(&entries(index..=index, 1)).unwrap());
+        journal.append(&entries(3..=3, 2)).unwrap();
+        // The first segment, which ends with the replaced entry 3, is removed. The second one holds
+        // the replaced entries 4 to 6.
+        let write = JournalWrite::SaveSnapshot {
+            snapshot: snapshot(3, 2),
+            keep_from: 4,
+        };
+        journal.write(&write).unwrap();
+        assert_eq!(journal.segment_count(), 2);
+        disk.stop_after(operations);
+        drop(open_on(&disk, 7));
+        disk.resume();
+        assert_eq!(recover_on(&disk).entries, [], "{operations}");
+    }
+}
