--- a/crates/kumquatlock/src/journal/mod.rs
+++ b/crates/kumquatlock/src/journal/mod.rs
@@ -26,4 +26,4 @@
 pub use store::{DEFAULT_SEGMENT_BYTES, Journal, JournalSettings};
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/kumquatlock/src/journal/tests.rs
+++ b/crates/kumquatlock/src/journal/tests.rs
@@ -10,8 +10,9 @@
 
 use super::*;
 
-mod disk;
+pub(crate) mod disk;
 mod faulty;
+pub(crate) mod history;
 mod power_loss;
 
 use faulty::FaultyIo;
--- a/crates/kumquatlock/src/journal/tests/disk.rs
+++ b/crates/kumquatlock/src/journal/tests/disk.rs
@@ -181,6 +181,11 @@
         self.state.borrow_mut().remaining = Some(operations);
     }
 
+    /// Whether an operation failed because the machine has stopped.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.state.borrow().remaining == Some(0)
+    }
+
     /// Lets operations succeed again. Nothing is lost, as after the end of a process.
     pub(crate) fn resume(&self) {
         self.state.borrow_mut().remaining = None;
--- a/crates/kumquatlock/src/journal/tests/power_loss.rs
+++ b/crates/kumquatlock/src/journal/tests/power_loss.rs
@@ -6,7 +6,7 @@
 use super::disk::DiskModel;
 use super::*;
 
-const DIR: &str = "/data/node";
+pub(super) const DIR: &str = "/data/node";
 
 /// Number of different losses of power that a test tries after each operation.
 const LOSSES: u64 = 20;
