Let members vote before they know that they are voters

Callers see no answer from the control plane for good: after a loss of power of all control instances and of one disk, while a fourth voter was being added to a group of three, the group never elects a leader again. The configuration that was acknowledged is still on the disks, but cannot be read or changed.

Cause: a member answered a vote request only if its own log made it a voter. A new voter set is in force for a candidate as soon as it is in its log, so with one disk lost it needs the vote of the new voter. If the entry had not reached that one before the loss of power, it considered itself a learner and ignored the request. It would have received the entry only from a leader.

A member of the group now answers every candidate. Which votes count is decided by the candidate's voter sets alone, by name and disk identity, so the vote of an empty disk or of a learner still counts for nothing; and the new voter had stored all committed entries before its set was proposed, so its vote, which compares the logs, is as safe as that of any voter.

The test here isolates the new voter when its set is proposed; on the code before it fails with "no leader after 10 s".

--- a/crates/kumquatlock/src/agreement/election.rs
+++ b/crates/kumquatlock/src/agreement/election.rs
@@ -128,7 +128,9 @@
         let Some(peer) = self.member_name(&from.name) else {
             return;
         };
-        if !self.is_voter() || !self.is_peer(&from.name) {
+        // A member that is not a voter in its own log answers, too. It may be one in the candidate's
+        // log, which alone determines whose votes count.
+        if !self.is_peer(&from.name) {
             return;
         }
         let has_recent_leader = self.has_recent_leader(now) && !request.leadership_transfer;
--- a/crates/kumquatlock/src/agreement/tests/open.rs
+++ b/crates/kumquatlock/src/agreement/tests/open.rs
@@ -127,6 +127,39 @@
     group.assert_nothing_lost();
 }
 
+/// Guards against a group that never elects a leader again after a loss of power and of one disk. The
+/// new voter, whose vote is needed, has not received the entry that made it a voter.
+#[test]
+fn a_new_voter_votes_before_it_knows_that_it_is_one() {
+    let mut group = open_group_with(&[], 39);
+    let leader = group.elect();
+    group.start_joining("d");
+    let names = ["a", "b", "c", "d"];
+    while !group.voters[&leader].engine.voters.has_pending_set() {
+        if names.iter().any(|name| group.write_next(name)) {
+            continue;
+        }
+        match group.queue.pop_front() {
+            Some((to, message)) => group.deliver(&to, message),
+            None => group.tick(),
+        }
+    }
+    group.isolated.insert("d".into());
+    group.run(300);
+    assert!(group.voter_names().contains("d"));
+    assert_eq!(group.role("d"), AgreementRole::Learner);
+    names.iter().for_each(|name| group.crash(name));
+    group.queue.clear();
+    group.isolated.clear();
+    names.iter().for_each(|name| group.restart(name));
+    let lost = names.iter().find(|name| ***name != *leader).unwrap();
+    group.start(lost, RecoveredState::default());
+    let leader = group.elect();
+    group.propose(&leader, 7);
+    group.run(500);
+    assert!(group.proposals[&7].is_ok());
+}
+
 /// Guards against two diverging configurations. The minority side of a network partition commits
 /// nothing, and the majority side continues.
 #[test]
