Test that final verdicts on a manifest hold in later states

A random log of 14 entries, proposed by leaders that have applied any part of it, some as whole manifests like those of earlier releases; for each pair of states and all 96 combinations of version, base and content, a final refusal must stay a refusal, a final acceptance must stay the same, and a change must lead to the same catalog as its whole manifest.

--- a/crates/kumquatlock/src/catalog/tests.rs
+++ b/crates/kumquatlock/src/catalog/tests.rs
@@ -7,6 +7,8 @@
 use kumquatlock_wire::quarantine::QuarantineChange;
 use prost::Message;
 
+mod verdicts;
+
 use super::*;
 use crate::core::{ConfigSnapshot, IncarnationId};
 use crate::manifest::ManifestDocument;
