Check that a change is refused only when a later version is known

A wrong refusal shows as a contradiction only if another copy of the change is accepted afterwards. The group now also notes each refusal by an instance that knows no version above the base of the change. The base was acknowledged before the change was sent, so such an instance lacks something committed, and a later copy could be accepted.

--- a/crates/kumquatlock/src/submission/tests/operator.rs
+++ b/crates/kumquatlock/src/submission/tests/operator.rs
@@ -28,6 +28,9 @@
     document: Arc<ManifestDocument>,
     pub(super) is_acknowledged: bool,
     pub(super) is_refused: bool,
+    /// Whether it was refused by an instance that knew no version above its base. Operators build on
+    /// acknowledged changes only, so a copy of it could still be accepted.
+    is_refused_early: bool,
     /// Whether it has been in force at any instance.
     is_accepted: bool,
 }
@@ -52,6 +55,7 @@
             document: Arc::new(ManifestDocument::parse(text.as_bytes()).unwrap()),
             is_acknowledged: false,
             is_refused: false,
+            is_refused_early: false,
             is_accepted: false,
         });
         id
@@ -83,7 +87,7 @@
         ));
         match answer {
             InstanceAnswer::Accepted => self.record_acknowledged(change),
-            InstanceAnswer::Refused(_) => self.changes[change].is_refused = true,
+            InstanceAnswer::Refused(_) => self.record_refused(name, change),
             InstanceAnswer::Redirect(leader) if redirects < MAX_REDIRECTS => {
                 self.send_copy(&leader, change, REGION_DELAY, redirects + 1);
             }
@@ -92,6 +96,13 @@
         self.check_change(change);
     }
 
+    fn record_refused(&mut self, name: &str, change: ChangeId) {
+        let known_version = self.instances[name].catalog.manifest_version();
+        let change = &mut self.changes[change];
+        change.is_refused = true;
+        change.is_refused_early |= known_version <= change.document.follows.unwrap_or(0);
+    }
+
     fn record_acknowledged(&mut self, change: ChangeId) {
         self.changes[change].is_acknowledged = true;
         let base = self.changes[change].document.follows;
@@ -151,6 +162,8 @@
         for (id, change) in self.changes.iter().enumerate() {
             let is_decided = change.is_acknowledged != change.is_refused;
             self.check(is_decided, &format!("change {id} is not decided"));
+            let is_late = !change.is_refused_early;
+            self.check(is_late, &format!("change {id} is refused early"));
             for name in self.instances.keys() {
                 let is_kept = self.has_accepted(name, id) == change.is_acknowledged;
                 self.check(is_kept, &format!("change {id} at {name}"));
