Do not refuse a change because its base is not accepted yet

A change on top of one that the leader had proposed, but that was not committed yet, was refused with other_base; a copy of it that arrived two seconds later was accepted. So a refused change came into force, for operators who build on a version before its acknowledgement.

Cause: the read index covers what is committed, not what is on its way. That a base does not exist is true only for a moment, so no refusal can be based on it. Class: an answer from a state that the group may yet change.

Such a change is now answered 503 unknown_base, which says that nothing was proposed for this submission and promises nothing about copies. An operator who names a version that never comes sees the reason instead of a refusal.

--- a/crates/kumquatlock/src/catalog/current.rs
+++ b/crates/kumquatlock/src/catalog/current.rs
@@ -4,7 +4,8 @@
 //! election, or if another voter leads meanwhile. Manifest versions only increase, so most decisions
 //! on a manifest hold in every later state once any committed state leads to them. That a manifest
 //! or version does not exist, or that one is the newest, can only be said from a state that is
-//! current for the request: [`CurrentCatalog`].
+//! current for the request: [`CurrentCatalog`]. Even then a version may be accepted right after, so
+//! no manifest is refused because the version that it follows does not exist.
 
 use super::{AcceptedRecord, Catalog, ManifestDecision};
 use crate::agreement::ReadIndex;
@@ -13,7 +14,8 @@
 /// What an applied state, however old, says about a submitted manifest.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ManifestVerdict {
-    /// Every later state leads to this decision, too.
+    /// Every later state accepts or refuses the manifest as this decision does. The reason for a
+    /// refusal may be another one.
     Final(ManifestDecision),
     /// The manifest would be accepted. A later state may have accepted another one.
     Acceptable,
@@ -70,7 +72,7 @@
     }
 
     /// Returns the decision that a manifest would get if it were applied now, or `None` if it would
-    /// be newly accepted. Not an answer to an operator, since this state may not be current.
+    /// be newly accepted. Not an answer to an operator, since an unknown base counts as refused.
     pub(super) fn decide_manifest(&self, document: &ManifestDocument) -> Option<ManifestDecision> {
         match self.assess_manifest(document) {
             ManifestVerdict::Final(decision) => Some(decision),
@@ -84,9 +86,9 @@
 }
 
 impl<'a> CurrentCatalog<'a> {
-    /// Returns the decision on a manifest, or `None` if it would be newly accepted.
-    pub fn decide_manifest(&self, document: &ManifestDocument) -> Option<ManifestDecision> {
-        self.catalog.decide_manifest(document)
+    /// Returns what this state says about a manifest, without applying it.
+    pub fn assess_manifest(&self, document: &ManifestDocument) -> ManifestVerdict {
+        self.catalog.assess_manifest(document)
     }
 
     /// Returns the record of an accepted manifest; `None` if no manifest of this version was
--- a/crates/kumquatlock/src/ops/control/answer.rs
+++ b/crates/kumquatlock/src/ops/control/answer.rs
@@ -95,6 +95,7 @@
         SubmissionAnswer::Decided { decision, .. } => decided_manifest(decision),
         SubmissionAnswer::Unconfirmed(ReadIndexError::QueueFull) => not_run("busy"),
         SubmissionAnswer::Unconfirmed(_) => not_run("not_current"),
+        SubmissionAnswer::UnknownBase => not_run("unknown_base"),
         SubmissionAnswer::Failed(error) => failed_proposal(error),
         SubmissionAnswer::Undecided => unknown("not_decided"),
     }
--- a/crates/kumquatlock/src/ops/control/submission_log.rs
+++ b/crates/kumquatlock/src/ops/control/submission_log.rs
@@ -224,6 +224,7 @@
     Timeout,
     NotDecided,
     NotCurrent,
+    UnknownBase,
     /// A reason of an instance of another version.
     Other,
 }
--- a/crates/kumquatlock/src/submission/table.rs
+++ b/crates/kumquatlock/src/submission/table.rs
@@ -52,6 +52,9 @@
     },
     /// Nothing was proposed, because this instance could not confirm that it still leads.
     Unconfirmed(ReadIndexError),
+    /// Nothing was proposed, because no manifest of the version that it follows has been accepted
+    /// yet. Not a refusal: that version may be on its way, and a copy of this submission behind it.
+    UnknownBase,
     /// The proposal failed; the error tells whether the change may still be accepted.
     Failed(ProposalError),
     /// The change may have been accepted.
@@ -188,9 +191,12 @@
         else {
             return SubmissionStep::Wait;
         };
-        match current.decide_manifest(&submission.document) {
-            Some(decision) => self.decide(id, decision, DecisionBasis::CurrentState),
-            None => self.propose(id, catalog),
+        match current.assess_manifest(&submission.document) {
+            ManifestVerdict::Final(decision) => {
+                self.decide(id, decision, DecisionBasis::CurrentState)
+            }
+            ManifestVerdict::Acceptable => self.propose(id, catalog),
+            ManifestVerdict::UnknownBase => self.answer(id, SubmissionAnswer::UnknownBase),
         }
     }
 
--- a/crates/kumquatlock/src/submission/tests.rs
+++ b/crates/kumquatlock/src/submission/tests.rs
@@ -140,3 +140,19 @@
     group.recover();
     assert!(group.changes[change].is_acknowledged);
 }
+
+/// Guards against a leader that refuses a change on top of one which it has proposed but which is not
+/// committed yet, and accepts a late copy of it.
+#[test]
+fn a_change_on_top_of_a_proposed_one_is_not_refused_before_a_copy_is_accepted() {
+    let mut group = TestGroup::new(&THREE_REGIONS, 6);
+    let (leader, base) = group.accept_change(None);
+    let first = group.add_change(Some(base));
+    let second = group.add_change(Some(first));
+    group.submit(&leader, first, NOW);
+    group.submit(&leader, second, NOW);
+    group.submit(&leader, second, LATER);
+    group.run_for(LATER);
+    group.recover();
+    assert!(group.changes[second].is_acknowledged);
+}
--- a/crates/kumquatlock/src/submission/tests/instance.rs
+++ b/crates/kumquatlock/src/submission/tests/instance.rs
@@ -252,6 +252,7 @@
             ManifestDecision::Overtaken => InstanceAnswer::Unclear("overtaken"),
             decision => InstanceAnswer::Refused(decision),
         },
+        SubmissionAnswer::UnknownBase => InstanceAnswer::Unclear("unknown base"),
         SubmissionAnswer::Unconfirmed(_) => InstanceAnswer::Unclear("not current"),
         SubmissionAnswer::Failed(_) => InstanceAnswer::Unclear("proposal failed"),
         SubmissionAnswer::Undecided => InstanceAnswer::Unclear("not decided"),
