Let a follower catch up after a failed write of committed entries

A voter whose disk was full for a moment accepted no further entry until its process was started again, although it answered heartbeats. The leader counted on it: in a trial with three voters, of which the third had stopped, it committed nothing and did not step down in 20 s, so operators got no answer.

Cause: a follower that catches up learns that entries are committed together with the entries, before they are written. The commit index now is at most the end of the recovered log.

--- a/crates/kumquatlock/src/agreement/machine.rs
+++ b/crates/kumquatlock/src/agreement/machine.rs
@@ -189,7 +189,9 @@
         self.written_index = self.synced_index;
         // A voter set is recorded in the metadata only after its entry was committed and synced.
         let recorded_index = self.metadata.voters_index.min(self.synced_index);
-        self.commit_index = self.commit_index.max(base_index).max(recorded_index);
+        // Entries may have been known to be committed before a write of them failed.
+        let known_index = self.commit_index.min(self.synced_index);
+        self.commit_index = known_index.max(base_index).max(recorded_index);
         if let Some(snapshot) = &snapshot
             && self.applied_index < snapshot.last_index
         {
--- a/crates/kumquatlock/src/agreement/tests.rs
+++ b/crates/kumquatlock/src/agreement/tests.rs
@@ -325,6 +325,39 @@
     group.assert_nothing_lost();
 }
 
+/// Guards against a follower that refuses all further entries after it failed to write entries that
+/// it already knew to be committed.
+#[test]
+fn a_follower_catches_up_after_a_failed_write_of_committed_entries() {
+    let mut group = TestGroup::new(&["a", "b", "c"], 7);
+    group.elect_named("a");
+    group.propose("a", 1);
+    group.run(300);
+    group.isolated.insert("b".into());
+    group.propose("a", 2);
+    group.settle();
+    assert!(group.proposals[&2].is_ok());
+    group.isolated.clear();
+    // The append that `b` lacks also says that its entries are committed.
+    for _ in 0..100 {
+        group.tick();
+        group.deliver_all();
+        if !group.voters["b"].writes.is_empty() {
+            break;
+        }
+        group.settle();
+    }
+    let ticket = group.voters["b"].writes[0].ticket;
+    group.voters["b"].writes.clear();
+    let reason = PersistFailure::StorageFull;
+    group.handle_event("b", AgreementEvent::PersistFailed { ticket, reason });
+    group.run(300);
+    let disk = group.voters["b"].disk.clone();
+    group.handle_event("b", AgreementEvent::StorageReopened(disk));
+    group.run(1_000);
+    group.assert_nothing_lost();
+}
+
 /// Guards against a restarted group that has no leader for another election timeout because its
 /// first vote requests were sent before its links were up. After a power loss, the group serves no
 /// requests until it has a leader.
