Keep no source of an earlier manifest at a replica

GET /v1/source at a read replica answered 200 with the source text of an older manifest beside the newest services and routes.

Voters and members apply the log and were not affected.

Sending the source in each difference would send it to every node.

--- a/crates/kumquatlock-control/tests/control/replica.rs
+++ b/crates/kumquatlock-control/tests/control/replica.rs
@@ -133,3 +133,29 @@
         &answer["config_version"],
     );
 }
+
+/// Guards against a replica that answers a read of the newest manifest with the source text of an
+/// earlier one, which it got before. A replica that does not have the source says so.
+#[test]
+fn a_replica_returns_no_source_of_an_earlier_manifest() {
+    let mesh = start(builder().replicas_per_region(1));
+    let replica = &mesh.controls[3];
+    for version in 1..=2 {
+        let source = format!("text {version}");
+        let mut sourced = manifest(version);
+        sourced["source"] = json!(source);
+        let (code, answer) = submit_until_decided(replica, &sourced);
+        assert_eq!(code, 200, "{answer}");
+        wait_status(replica, "config_version", &answer["config_version"]);
+        let read = replica.caller().get("/v1/source").unwrap();
+        let body = read.json();
+        match read.status {
+            200 => assert_eq!(body["source"], source, "{body}"),
+            status => assert_eq!(
+                (status, &body["reason"]),
+                (503, &json!("no_source")),
+                "{body}"
+            ),
+        }
+    }
+}
--- a/crates/kumquatlock/src/catalog/mod.rs
+++ b/crates/kumquatlock/src/catalog/mod.rs
@@ -65,7 +65,8 @@
     manifest_changed_at: ConfigVersion,
     /// Limits of the newest accepted manifest.
     limits: Option<LimitsItem>,
-    /// Source of the newest accepted manifest. Read replicas do not keep it.
+    /// Source of the newest accepted manifest. On a read replica it is empty unless that manifest came
+    /// with a snapshot.
     manifest_source: Bytes,
     /// Accepted manifests, keyed by the operator's version, oldest first. At most
     /// [`MAX_ACCEPTED_MANIFESTS`].
--- a/crates/kumquatlock/src/catalog/tests.rs
+++ b/crates/kumquatlock/src/catalog/tests.rs
@@ -441,3 +441,34 @@
     assert_eq!(quarantined.len(), crate::quarantine::MAX_QUARANTINED);
     assert_eq!(quarantined.last(), Some(&RequestFingerprint(1_000)));
 }
+
+/// Returns a manifest with a source text and, if `has_limits`, with limits.
+fn sourced_manifest(version: u64, has_limits: bool) -> CatalogCommand {
+    let limits = match has_limits {
+        true => {
+            r#""limits":{"header_bytes":16384,"body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000},"#
+        }
+        false => "",
+    };
+    let text = format!(
+        r#"{{"version":{version},{limits}"source":"text {version}","services":[{{"name":"a","upstreams":["a-*"]}}],"routes":[]}}"#
+    );
+    let kind = Some(Kind::Manifest(text.into()));
+    CatalogCommand { kind }
+}
+
+/// Guards against a read replica that answers a read of the newest manifest's sources with the
+/// source text of an earlier one.
+#[test]
+fn a_replica_keeps_no_source_of_an_earlier_manifest() {
+    let mut catalog = Catalog::new();
+    apply_all(&mut catalog, &[sourced_manifest(1, true)]);
+    let snapshot = catalog.encode_snapshot(SnapshotDetail::Full);
+    let state = CatalogState::decode(snapshot.bytes).unwrap();
+    let mut replica = Catalog::from_state(&state).unwrap();
+    apply_all(&mut catalog, &[sourced_manifest(2, true)]);
+    let delta = delta(&catalog, replica.version());
+    replica.apply_delta(&delta).unwrap();
+    assert_eq!(replica.manifest_version(), 2);
+    assert!(replica.manifest_source().is_empty());
+}
