Drop limits that a newer manifest does not have

Nodes and replicas that were attached before a manifest without limits kept the limits of the one before, while nodes that attached later had none. The digest of a configuration does not cover limits, so nothing noticed it. The users' platform always sends limits.

Cause: a difference says which limits are new, and has no way to say that there are none. A difference that names a new manifest now resets the limits before it sets those that follow.

--- a/crates/kumquatlock/src/catalog/tests.rs
+++ b/crates/kumquatlock/src/catalog/tests.rs
@@ -472,3 +472,14 @@
     assert_eq!(replica.manifest_version(), 2);
     assert!(replica.manifest_source().is_empty());
 }
+
+/// Guards against children that keep the limits of an earlier manifest.
+#[test]
+fn a_delta_removes_limits_that_the_manifest_does_not_have_any_more() {
+    let mut catalog = Catalog::new();
+    apply_all(&mut catalog, &[sourced_manifest(1, true)]);
+    let before = node_snapshot(&catalog);
+    apply_all(&mut catalog, &[sourced_manifest(2, false)]);
+    let delta = delta(&catalog, before.version);
+    assert_eq!(before.apply(&delta).unwrap(), node_snapshot(&catalog));
+}
--- a/crates/kumquatlock/src/catalog/transfer.rs
+++ b/crates/kumquatlock/src/catalog/transfer.rs
@@ -312,7 +312,8 @@
             Kind::ManifestVersion(manifest_version) => {
                 self.manifest_version = *manifest_version;
                 self.manifest_changed_at = ConfigVersion(version);
-                // A delta has no source.
+                // The limits follow in the same delta if the manifest has any; a delta has no source.
+                self.limits = None;
                 self.manifest_source = Bytes::new();
             }
             Kind::Limits(limits) => self.limits = Some(*limits),
--- a/crates/kumquatlock/src/core/snapshot.rs
+++ b/crates/kumquatlock/src/core/snapshot.rs
@@ -365,7 +365,11 @@
                     affected.insert(old.service.clone());
                 }
             }
-            Some(Kind::ManifestVersion(version)) => self.manifest_version = *version,
+            Some(Kind::ManifestVersion(version)) => {
+                self.manifest_version = *version;
+                // They follow in the same delta if the manifest has any.
+                self.limits = None;
+            }
             Some(Kind::Limits(item)) => self.limits = Some(CallerLimits::from_item(item)),
             None => {
                 return Err(SnapshotError::UnknownValue {
