Give request ids of a process and answers of a kind to one request only

An answer that a leader sent to a request of a voter's earlier process could end a request of its next process, whatever its kind, so that a submission could be answered as accepted by the state of another manifest. Shown are the shared ids only, not a wrong answer at a caller: the voter must restart while the leader still holds its request, and reuse its id within a round trip.

Cause: ids started at 1 in each process, and an answer was matched by its id alone. Ids now start at a random number, and an answer must be of the kind that the request asks for.

--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -393,8 +393,14 @@
 
     /// Handles the answer of another instance to a forwarded request.
     pub(super) fn answer_received(&mut self, now: Timestamp, message: Forward) {
-        let answer = message.content.and_then(RequestAnswer::from_content);
-        if let Some(answer) = answer {
+        let (Some(content), Some(kind)) = (message.content, self.requests.kind(message.request_id))
+        else {
+            return;
+        };
+        if !kind.is_answered_by(&content) {
+            return;
+        }
+        if let Some(answer) = RequestAnswer::from_content(content) {
             self.finish_request(now, message.request_id, answer);
         }
     }
--- a/crates/kumquatlock/src/ops/control/requests.rs
+++ b/crates/kumquatlock/src/ops/control/requests.rs
@@ -8,6 +8,7 @@
 use kumquatlock_wire::agreement::{ConfirmReply, Forward};
 use kumquatlock_wire::distribution::{StatusReply, SubmitReply};
 
+use super::clock::random_seed;
 use super::http::ReplySender;
 use super::submission_log::DocumentSummary;
 use crate::agreement::ReadIndex;
@@ -18,6 +19,10 @@
 /// Maximum number of requests that wait at the same time. Further ones are refused as not run.
 pub(super) const MAX_PENDING_REQUESTS: usize = 1_024;
 
+/// Number of high bits that are 0 in the first request id. The ids stay exact in readers of the logs
+/// that keep numbers as floating point.
+const RESERVED_ID_BITS: u32 = 16;
+
 /// Time after which a request without an answer ends with an unknown outcome. Longer than an
 /// election, so that a new leader has time to answer.
 pub(super) const REQUEST_TIMEOUT: Duration = Duration::from_secs(4);
@@ -71,6 +76,15 @@
             _ => None,
         }
     }
+
+    /// Returns whether the content is an answer to a request of this kind.
+    pub(super) fn is_answered_by(self, content: &Content) -> bool {
+        match self {
+            RequestKind::Submit => matches!(content, Content::SubmitReply(_)),
+            RequestKind::Status { .. } => matches!(content, Content::StatusReply(_)),
+            RequestKind::ReadIndex => matches!(content, Content::ConfirmReply(_)),
+        }
+    }
 }
 
 /// Where a request is answered.
@@ -145,13 +159,24 @@
 }
 
 /// Table of waiting requests, by request id.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct RequestTable {
+    /// Starts at a random number, so that a late answer to a request of an earlier process, which the
+    /// leader sends to the instance of that name, matches no request of this one.
     last_id: u64,
     /// At most [`MAX_PENDING_REQUESTS`].
     pending: IndexMap<u64, PendingRequest>,
 }
 
+impl Default for RequestTable {
+    fn default() -> Self {
+        RequestTable {
+            last_id: random_seed() >> RESERVED_ID_BITS,
+            pending: IndexMap::new(),
+        }
+    }
+}
+
 impl RequestTable {
     /// Returns an id that no other request of this process has or had.
     pub(super) fn next_id(&mut self) -> u64 {
--- a/crates/kumquatlock/src/ops/control/tests.rs
+++ b/crates/kumquatlock/src/ops/control/tests.rs
@@ -16,6 +16,7 @@
 use super::metrics::ControlMetrics;
 use super::operator::{OperatorAdapter, OperatorRequest};
 use super::peers::PeerLinks;
+use super::requests::RequestTable;
 use super::submission_log::{
     AnswerBasis, DocumentSummary, KnownState, LoggedStep, SubmissionLine, SubmissionLog,
     SubmissionSender, SubmissionVerdict,
@@ -225,3 +226,13 @@
     let received = open_submission(&mut log, second_later, 1_002).unwrap();
     assert_eq!(received.left_out, 2_001 - 120);
 }
+
+/// Guards against an answer to a request of an earlier process that is taken for the answer to one of
+/// this process. The leader sends an answer to the voter of that name, over its newest link.
+#[test]
+fn processes_do_not_share_request_ids() {
+    let [mut earlier, mut later] = [RequestTable::default(), RequestTable::default()];
+    let earlier: Vec<u64> = (0..100).map(|_| earlier.next_id()).collect();
+    let shared = (0..100).filter(|_| earlier.contains(&later.next_id()));
+    assert_eq!(shared.count(), 0);
+}
