Answer no state of a manifest after the leadership is lost

A request for the state of a manifest that waits for entries to be applied would be answered after the instance has lost its leadership and forgotten the progress of the nodes, and 0 of 0 nodes counts as in force. The request is answered 503 not_current instead.

--- a/crates/kumquatlock/src/ops/control/operator.rs
+++ b/crates/kumquatlock/src/ops/control/operator.rs
@@ -246,7 +246,11 @@
                 id,
                 manifest_version,
             } => {
-                let answer = self.manifest_status(now, &current, manifest_version);
+                // Only the leader knows the progress of the nodes.
+                let answer = match self.is_leader() {
+                    true => self.manifest_status(now, &current, manifest_version),
+                    false => answer::not_run("not_current"),
+                };
                 self.finish_request(now, id, answer);
             }
         }
