Parse forwarded submissions on the threads for operators

The threads that translate operators' requests now parse it, at most 64 at a time; further ones are answered busy.

--- a/crates/kumquatlock/src/ops/control/http.rs
+++ b/crates/kumquatlock/src/ops/control/http.rs
@@ -10,6 +10,7 @@
 use std::thread;
 use std::time::Duration;
 
+use bytes::Bytes;
 use stakker::sync::Channel;
 
 use super::actor::ControlActor;
@@ -26,6 +27,8 @@
 const WORKERS: usize = 2;
 /// Maximum number of requests that are being translated or answered. Further ones are refused.
 const MAX_OPERATOR_REQUESTS: usize = 64;
+/// Maximum number of forwarded submissions that wait to be parsed. Further ones are refused.
+const MAX_FORWARDED_PARSES: usize = 64;
 /// Limits on the requests of operators and upstreams.
 pub(super) const OPERATOR_LIMITS: HttpLimits = HttpLimits {
     header_bytes: 64 * 1024,
@@ -38,6 +41,8 @@
 enum WorkerJob {
     /// Translates and checks a request.
     Read { id: RequestId, request: HttpRequest },
+    /// Parses the manifest of a submission that another instance has forwarded.
+    Parse { request_id: u64, text: Bytes },
     /// Translates a response.
     Write {
         id: RequestId,
@@ -52,6 +57,12 @@
 pub(super) enum WorkerResult {
     /// A request for the actor.
     Call(OperatorCall),
+    /// A forwarded submission.
+    Parsed {
+        request_id: u64,
+        /// `None` after a panic.
+        parsed: Option<Result<Arc<ManifestDocument>, ManifestError>>,
+    },
     /// A response to be sent.
     Response {
         id: RequestId,
@@ -98,6 +109,8 @@
     jobs: Sender<WorkerJob>,
     /// Number of requests without a response; at most [`MAX_OPERATOR_REQUESTS`].
     open_requests: usize,
+    /// Number of forwarded submissions that are not parsed yet; at most [`MAX_FORWARDED_PARSES`].
+    open_parses: usize,
 }
 
 impl OperatorWorkers {
@@ -125,6 +138,7 @@
         Ok(OperatorWorkers {
             jobs,
             open_requests: 0,
+            open_parses: 0,
         })
     }
 
@@ -135,6 +149,17 @@
         let _ = self.jobs.send(WorkerJob::Read { id, request });
     }
 
+    /// Lets a thread parse the manifest of a forwarded submission. Returns `false` if too many wait.
+    pub(super) fn parse(&mut self, request_id: u64, text: Bytes) -> bool {
+        if self.open_parses >= MAX_FORWARDED_PARSES {
+            return false;
+        }
+        self.open_parses += 1;
+        // The threads end only after the workers.
+        let _ = self.jobs.send(WorkerJob::Parse { request_id, text });
+        true
+    }
+
     /// Returns whether no request waits for its response.
     pub(super) fn is_idle(&self) -> bool {
         self.open_requests == 0
@@ -171,6 +196,7 @@
                     let failed = answer::not_run("internal_error");
                     isolate(id, failed, || self.read(id, request))
                 }
+                WorkerJob::Parse { request_id, text } => parse_forwarded(request_id, &text),
                 WorkerJob::Write {
                     id,
                     request,
@@ -238,6 +264,18 @@
     })
 }
 
+/// Parses the manifest of a forwarded submission. A panic ends this submission, and not the thread.
+fn parse_forwarded(request_id: u64, text: &[u8]) -> WorkerResult {
+    let parse = || ManifestDocument::parse(text).map(Arc::new);
+    let parsed = panic::catch_unwind(parse).inspect_err(|_| {
+        log::error!("operator_request_panicked");
+    });
+    WorkerResult::Parsed {
+        request_id,
+        parsed: parsed.ok(),
+    }
+}
+
 /// Parses the manifest of a submission. The receiving instance does this, so that an invalid
 /// manifest puts no load on the leader.
 fn parse_manifest(
@@ -269,6 +307,10 @@
     pub(super) fn handle_worker_result(&mut self, now: Timestamp, result: WorkerResult) {
         match result {
             WorkerResult::Call(call) => self.answer_operator(now, call),
+            WorkerResult::Parsed { request_id, parsed } => {
+                self.workers.open_parses = self.workers.open_parses.saturating_sub(1);
+                self.handle_parsed(now, request_id, parsed);
+            }
             WorkerResult::Response {
                 id,
                 response,
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use indexmap::IndexMap;
 use kumquatlock_wire::Body;
 use kumquatlock_wire::agreement::Forward;
@@ -21,7 +22,7 @@
 use crate::catalog::CurrentCatalog;
 use crate::core::{ConfigVersion, SharedName, Timestamp, address_from_name};
 use crate::distribution::{ChildEvent, InForceCount, ParentEvent, ProgressTable, REPORTER_TIMEOUT};
-use crate::manifest::ManifestDocument;
+use crate::manifest::{ManifestDocument, ManifestError};
 use crate::membership::{AttachmentTracker, ExpiryDecision, ExpiryTiming, RecordOutcome};
 use crate::quarantine::CrashTally;
 use crate::submission::{
@@ -141,10 +142,7 @@
     /// Answers a request as the leader.
     fn answer_as_leader(&mut self, now: Timestamp, id: u64, content: Content) {
         match content {
-            Content::Submit(text) => match ManifestDocument::parse(&text) {
-                Ok(document) => self.receive_submission(now, id, Arc::new(document)),
-                Err(error) => self.finish_request(now, id, answer::invalid_manifest(&error)),
-            },
+            Content::Submit(text) => self.parse_submission(now, id, text),
             // A status names a manifest as unknown or as the newest, so it needs a current state.
             Content::StatusRequest(_) | Content::ConfirmRequest(_) => self.request_read_index(id),
             _ => {}
@@ -173,6 +171,32 @@
         }
     }
 
+    /// Lets a thread parse the manifest of a forwarded submission: parsing thousands of routes here
+    /// would delay the leader's heartbeats.
+    fn parse_submission(&mut self, now: Timestamp, id: u64, text: Bytes) {
+        if !self.workers.parse(id, text) {
+            self.finish_request(now, id, answer::not_run("busy"));
+        }
+    }
+
+    /// Handles a forwarded submission whose manifest has been parsed.
+    pub(super) fn handle_parsed(
+        &mut self,
+        now: Timestamp,
+        id: u64,
+        parsed: Option<Result<Arc<ManifestDocument>, ManifestError>>,
+    ) {
+        // The request may have ended meanwhile.
+        if self.requests.kind(id).is_none() {
+            return;
+        }
+        match parsed {
+            Some(Ok(document)) => self.receive_submission(now, id, document),
+            Some(Err(error)) => self.finish_request(now, id, answer::invalid_manifest(&error)),
+            None => self.finish_request(now, id, answer::not_run("internal_error")),
+        }
+    }
+
     fn receive_submission(&mut self, now: Timestamp, id: u64, document: Arc<ManifestDocument>) {
         self.submission_log.set_document(id, (&*document).into());
         self.handle_submission(now, id, SubmissionEvent::Received(document));
--- a/crates/kumquatlock/src/ops/control/tests.rs
+++ b/crates/kumquatlock/src/ops/control/tests.rs
@@ -94,7 +94,9 @@
     let received = statuses.clone();
     let forward = Fwd::new(move |result: WorkerResult| match result {
         WorkerResult::Response { response, .. } => received.borrow_mut().push(response.status),
-        WorkerResult::Call(_) => panic!("metrics are not passed to the actor"),
+        WorkerResult::Call(_) | WorkerResult::Parsed { .. } => {
+            panic!("metrics are not passed to the actor")
+        }
     });
     let (results, _guard) = Channel::new(&mut stakker, forward);
     let metrics = Arc::new(ControlMetrics::new());
