Let a platform node ignore a repeated SIGTERM while it stops

Callers saw their connections close without an answer when the node that held their requests got a second SIGTERM during its stop. The stop handler ends the process at once at the second signal, which is meant for a person who doesn't want to wait; a supervisor that repeats SIGTERM, or two rolling restarts that overlap, cut off every request that was in progress.

The platform sends SIGKILL after the grace period, so a process that hangs still ends. A second SIGINT still ends the process at once, and the product's own programs are unchanged.

--- a/crates/kumquatlock/src/util/signals.rs
+++ b/crates/kumquatlock/src/util/signals.rs
@@ -30,6 +30,23 @@
     }
 }
 
+/// What happens when a stop signal is repeated while the process stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatPolicy {
+    /// A second SIGTERM or SIGINT ends the process at once with status 128 + signal number.
+    Exit,
+    /// A further SIGTERM changes nothing, because the supervisor that sends it also sends SIGKILL
+    /// when the stop takes too long. A second SIGINT, or a SIGINT after SIGTERM, ends the process at
+    /// once.
+    IgnoreTerminate,
+}
+
+impl RepeatPolicy {
+    fn exits_on(self, signal: StopSignal) -> bool {
+        self == RepeatPolicy::Exit || signal != StopSignal::Terminate
+    }
+}
+
 /// The signal handlers could not be installed.
 #[derive(Debug, Error)]
 #[error("failed to install the signal handlers")]
@@ -52,6 +69,18 @@
 /// Calls `on_stop` on a separate thread at the first SIGTERM or SIGINT. A second signal of either
 /// kind ends the process at once with status 128 + signal number, even if `on_stop` hangs.
 pub fn install_stop_handler<F>(on_stop: F) -> Result<SignalGuard, SignalError>
+where
+    F: FnOnce(StopSignal) + Send + 'static,
+{
+    install_stop_handler_with(RepeatPolicy::Exit, on_stop)
+}
+
+/// Calls `on_stop` on a separate thread at the first SIGTERM or SIGINT. The policy decides about
+/// further signals, even if `on_stop` hangs.
+pub fn install_stop_handler_with<F>(
+    policy: RepeatPolicy,
+    on_stop: F,
+) -> Result<SignalGuard, SignalError>
 where
     F: FnOnce(StopSignal) + Send + 'static,
 {
@@ -60,7 +89,9 @@
         let number = signal.number();
         // Handlers run in the order of their registration. The conditional shutdown is registered
         // before the handler that sets the flag, so that the first signal does not end the process.
-        flag::register_conditional_shutdown(number, 128 + number, Arc::clone(&stopping))?;
+        if policy.exits_on(signal) {
+            flag::register_conditional_shutdown(number, 128 + number, Arc::clone(&stopping))?;
+        }
         flag::register(number, Arc::clone(&stopping))?;
     }
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
