Let schedules build on changes that are not decided

The schedules built on acknowledged changes only, so they could not find that a change was refused because its base was not accepted yet. One in four new changes now builds on an undecided one. A change whose base never comes may stay undecided.

--- a/crates/kumquatlock/src/submission/tests/schedule.rs
+++ b/crates/kumquatlock/src/submission/tests/schedule.rs
@@ -83,7 +83,8 @@
         self.submit(&name, change, delay);
     }
 
-    /// Returns a new change on top of the newest acknowledged one, or one that was sent before.
+    /// Returns a new change, or one that was sent before. A new one is mostly on top of the newest
+    /// acknowledged change, and sometimes on top of one that is not decided.
     fn pick_change(&mut self) -> ChangeId {
         let ids = 0..self.changes.len();
         let is_undecided = |id: &ChangeId| self.changes[*id].is_undecided();
@@ -92,6 +93,10 @@
         let is_new = undecided.len() < MAX_UNDECIDED && self.rng.random_ratio(1, 4);
         match newest {
             Some(newest) if self.rng.random_ratio(1, 10) => newest,
+            _ if is_new && !undecided.is_empty() && self.rng.random_ratio(1, 4) => {
+                let base = self.pick(&undecided);
+                self.add_change(Some(base))
+            }
             _ if undecided.is_empty() || is_new => self.add_change(newest),
             _ => self.pick(&undecided),
         }
