Move the leader's submissions out of the relay of requests

relay.rs routes requests between instances; carrying out the decisions on submissions is another job and moves to submissions.rs. Behaviour is unchanged.

--- a/crates/kumquatlock/src/ops/control/mod.rs
+++ b/crates/kumquatlock/src/ops/control/mod.rs
@@ -13,7 +13,8 @@
 //!   replica, towards the parent.
 //! - [`requests`] is the table of requests that wait for an answer; [`relay`] answers requests
 //!   locally or forwards them towards the leader.
-//! - [`submission_log`] logs each step of a submission.
+//! - [`submissions`] carries out the leader's decisions on submissions, and [`submission_log`] logs
+//!   each step of a submission.
 //! - [`operator`] parses HTTP requests of operators, and [`answer`] builds the answers.
 
 mod actor;
@@ -32,6 +33,7 @@
 mod settings;
 mod stop;
 mod submission_log;
+mod submissions;
 mod voter;
 
 pub use operator::{OperatorAdapter, OperatorRequest, SUBMIT_PATH};
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -1,9 +1,7 @@
 //! Routing of requests: the leader answers them, other instances forward them towards the leader.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
-use bytes::Bytes;
 use indexmap::IndexMap;
 use kumquatlock_wire::Body;
 use kumquatlock_wire::agreement::Forward;
@@ -12,22 +10,16 @@
 
 use super::actor::{ControlActor, QueuedEvent};
 use super::answer;
-use super::http::ReplySender;
 use super::operator::ReadTarget;
 use super::requests::{RequestAnswer, RequestKind, RequestRoute, Requester, forward_message};
 use super::voter::VoterState;
-use crate::agreement::{
-    AgreementEvent, ProposalTicket, ReadIndex, ReadIndexError, ReadIndexTicket,
-};
+use crate::agreement::{AgreementEvent, ReadIndex, ReadIndexError, ReadIndexTicket};
 use crate::catalog::CurrentCatalog;
 use crate::core::{ConfigVersion, SharedName, Timestamp, address_from_name};
 use crate::distribution::{ChildEvent, InForceCount, ParentEvent, ProgressTable, REPORTER_TIMEOUT};
-use crate::manifest::{ManifestDocument, ManifestError};
 use crate::membership::{AttachmentTracker, ExpiryDecision, ExpiryTiming, RecordOutcome};
 use crate::quarantine::CrashTally;
-use crate::submission::{
-    SubmissionAnswer, SubmissionEvent, SubmissionId, SubmissionStage, SubmissionStep,
-};
+use crate::submission::{SubmissionEvent, SubmissionId, SubmissionStage};
 use crate::transport::{LinkError, LinkId};
 
 /// State that only the leader has. Reset at each change of leadership.
@@ -149,93 +141,7 @@
         }
     }
 
-    /// Decides on an operator's submission as the leader. The manifest was parsed by the thread that
-    /// received it: parsing thousands of routes here would delay the leader's heartbeats.
-    pub(super) fn submit_as_leader(
-        &mut self,
-        now: Timestamp,
-        reply: ReplySender,
-        document: Arc<ManifestDocument>,
-    ) {
-        let kind = RequestKind::Submit;
-        let requester = Requester::Operator(reply);
-        let id = self.requests.next_id();
-        self.submission_received(now, id, &requester, kind);
-        match self.requests.insert(now, id, requester, kind) {
-            Ok(()) => self.receive_submission(now, id, document),
-            Err(requester) => {
-                let answer = answer::unavailable(kind, "busy");
-                self.submission_answered(now, id, &answer);
-                self.deliver_answer(now, requester, kind, answer);
-            }
-        }
-    }
-
-    /// Lets a thread parse the manifest of a forwarded submission: parsing thousands of routes here
-    /// would delay the leader's heartbeats.
-    fn parse_submission(&mut self, now: Timestamp, id: u64, text: Bytes) {
-        if !self.workers.parse(id, text) {
-            self.finish_request(now, id, answer::not_run("busy"));
-        }
-    }
-
-    /// Handles a forwarded submission whose manifest has been parsed.
-    pub(super) fn handle_parsed(
-        &mut self,
-        now: Timestamp,
-        id: u64,
-        parsed: Option<Result<Arc<ManifestDocument>, ManifestError>>,
-    ) {
-        // The request may have ended meanwhile.
-        if self.requests.kind(id).is_none() {
-            return;
-        }
-        match parsed {
-            Some(Ok(document)) => self.receive_submission(now, id, document),
-            Some(Err(error)) => self.finish_request(now, id, answer::invalid_manifest(&error)),
-            None => self.finish_request(now, id, answer::not_run("internal_error")),
-        }
-    }
-
-    fn receive_submission(&mut self, now: Timestamp, id: u64, document: Arc<ManifestDocument>) {
-        self.submission_log.set_document(id, (&*document).into());
-        self.handle_submission(now, id, SubmissionEvent::Received(document));
-    }
-
-    /// Passes an event to the submission that has the id of this request, and carries out the step
-    /// that follows.
-    pub(super) fn handle_submission(&mut self, now: Timestamp, id: u64, event: SubmissionEvent) {
-        let id = SubmissionId(id);
-        let step = self.submissions.handle(id, event, &self.catalog);
-        self.execute_submission(now, id, step);
-    }
-
-    /// Decides on the submissions that waited for entries that are now applied.
-    pub(super) fn handle_applied_submissions(&mut self, now: Timestamp) {
-        for (id, step) in self.submissions.handle_applied(&self.catalog) {
-            self.execute_submission(now, id, step);
-        }
-    }
-
-    fn execute_submission(&mut self, now: Timestamp, id: SubmissionId, step: SubmissionStep) {
-        let SubmissionId(id) = id;
-        match step {
-            SubmissionStep::Answer(answer) => {
-                if let SubmissionAnswer::Decided { basis, .. } = &answer {
-                    self.submission_log.set_basis(id, (*basis).into());
-                }
-                self.finish_request(now, id, answer::submission(&answer));
-            }
-            SubmissionStep::Confirm => self.request_read_index(id),
-            SubmissionStep::Propose(change) => {
-                self.submission_proposed(now, id);
-                self.propose_with(ProposalTicket(id), catalog_command::Kind::Change(change));
-            }
-            SubmissionStep::Wait => {}
-        }
-    }
-
-    fn request_read_index(&mut self, id: u64) {
+    pub(super) fn request_read_index(&mut self, id: u64) {
         let event = AgreementEvent::RequestReadIndex(ReadIndexTicket(id));
         self.queue.push_back(QueuedEvent::Agreement(event));
     }
--- a/crates/kumquatlock/src/submission/table.rs
+++ b/crates/kumquatlock/src/submission/table.rs
@@ -17,7 +17,7 @@
 /// What happened to a submission.
 #[derive(Clone, Debug)]
 pub enum SubmissionEvent {
-    /// This manifest was submitted. This instance is the leader.
+    /// This manifest was submitted to this instance, which led when it arrived.
     Received(Arc<ManifestDocument>),
     /// Result of the read-index request.
     Confirmed(Result<ReadIndex, ReadIndexError>),
