Test that a loss of power of all machines loses no acknowledged proposal

The members of the simulated group can now write to real journals on the disk model. A history forms a group of three to five voters and, three times, starts a change (a learner joins, a voter is replaced, a disk is replaced, a voter was out of touch, or none), carries out up to 500 random steps with slow disks, proposals and processes that end in the middle of a write, and then cuts the power of all machines at once. As many disks are lost as the voters before the change tolerate, often the leader's among them. The group must then elect a leader and commit, and every member must have applied each acknowledged proposal.

--- a/crates/kumquatlock/src/agreement/mod.rs
+++ b/crates/kumquatlock/src/agreement/mod.rs
@@ -94,4 +94,4 @@
 pub const MAX_HELD_MESSAGES: usize = 4_096;
 
 #[cfg(test)]
-pub(crate) mod tests;
+mod tests;
--- a/crates/kumquatlock/src/agreement/tests.rs
+++ b/crates/kumquatlock/src/agreement/tests.rs
@@ -11,9 +11,10 @@
 use crate::core::SharedName;
 use crate::journal::RecoveredState;
 
-pub(crate) mod group;
+mod group;
 mod hostile;
 mod open;
+mod power_loss;
 mod schedule;
 
 use group::TestGroup;
--- a/crates/kumquatlock/src/agreement/tests/group.rs
+++ b/crates/kumquatlock/src/agreement/tests/group.rs
@@ -1,6 +1,7 @@
 //! A simulated group of voters with an in-memory message queue and in-memory disks.
 
 use std::collections::VecDeque;
+use std::path::Path;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,35 +12,25 @@
 
 use super::super::*;
 use crate::core::{SharedName, Timestamp};
-use crate::journal::{JournalWrite, RecoveredState};
+use crate::journal::tests::disk::DiskModel;
+use crate::journal::tests::history::apply_write;
+use crate::journal::{Journal, JournalSettings, RecoveredState};
 
 /// Silence after which a voter of an open group is replaced by a learner.
 pub(super) const REPLACE_AFTER: Duration = Duration::from_secs(3);
 
-/// Applies a write to the simulated disk, which survives a crash.
-pub(crate) fn write_to_disk(disk: &mut RecoveredState, write: JournalWrite) {
-    match write {
-        JournalWrite::Metadata(metadata) => disk.metadata = metadata,
-        JournalWrite::Append(entries) => {
-            let first = entries[0].index;
-            disk.entries.retain(|entry| entry.index < first);
-            disk.entries.extend(entries);
-        }
-        JournalWrite::SaveSnapshot { snapshot, .. } => {
-            let last_index = snapshot.last_index;
-            disk.entries.retain(|entry| entry.index > last_index);
-            disk.snapshot = Some(snapshot);
-        }
-        JournalWrite::InstallSnapshot(snapshot) => {
-            disk.entries.clear();
-            disk.snapshot = Some(snapshot);
-        }
-    }
+/// A journal on a disk that loses unsynced operations with the power.
+pub(super) struct TestStorage {
+    pub(super) disk: DiskModel,
+    journal: Journal<DiskModel>,
 }
 
 pub(super) struct TestVoter {
     pub(super) engine: AgreementEngine,
+    /// Content of the disk. With `storage`, only what this process has written.
     pub(super) disk: RecoveredState,
+    /// Journal that a restart recovers from, in tests of a loss of power.
+    pub(super) storage: Option<TestStorage>,
     pub(super) writes: VecDeque<PersistRequest>,
     pub(super) is_running: bool,
     pub(super) applied: Vec<LogEntry>,
@@ -139,6 +130,7 @@
         let voter = TestVoter {
             engine,
             disk,
+            storage: None,
             writes: VecDeque::new(),
             is_running: true,
             applied: Vec::new(),
@@ -146,6 +138,16 @@
         self.voters.insert(name.into(), voter);
     }
 
+    /// Starts a voter with a journal on this disk.
+    pub(super) fn start_on(&mut self, name: &str, disk: DiskModel) {
+        let settings = JournalSettings { segment_bytes: 500 };
+        let dir = Path::new("/data");
+        let opened = Journal::open(dir, settings, disk.clone(), self.seed + 1);
+        let (journal, recovered) = opened.expect("the journal can be opened");
+        self.start(name, recovered);
+        self.voters[name].storage = Some(TestStorage { disk, journal });
+    }
+
     /// Stops a voter. Its pending writes are lost.
     pub(super) fn crash(&mut self, name: &str) {
         let voter = &mut self.voters[name];
@@ -154,8 +156,11 @@
     }
 
     pub(super) fn restart(&mut self, name: &str) {
-        let disk = self.voters[name].disk.clone();
-        self.start(name, disk);
+        let voter = &self.voters[name];
+        match &voter.storage {
+            Some(storage) => self.start_on(name, storage.disk.clone()),
+            None => self.start(name, voter.disk.clone()),
+        }
     }
 
     pub(super) fn handle_event(&mut self, name: &str, event: AgreementEvent) {
@@ -219,7 +224,13 @@
             return false;
         };
         for write in request.writes {
-            write_to_disk(&mut voter.disk, write);
+            if let Some(storage) = &mut voter.storage
+                && storage.journal.write(&write).is_err()
+            {
+                self.crash(name);
+                return true;
+            }
+            apply_write(&mut voter.disk, write);
         }
         self.handle_event(name, AgreementEvent::Persisted(request.ticket));
         true
--- a/crates/kumquatlock/src/submission/tests/instance.rs
+++ b/crates/kumquatlock/src/submission/tests/instance.rs
@@ -11,14 +11,13 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::agreement::tests::group::write_to_disk;
 use crate::agreement::{
     AgreementAction, AgreementEngine, AgreementEvent, AgreementRole, AgreementSettings,
     PersistRequest, ProposalError, ProposalTicket, ReadIndexTicket,
 };
 use crate::catalog::{ApplyOutcome, Catalog, ManifestDecision};
 use crate::core::{SharedName, Timestamp};
-use crate::journal::RecoveredState;
+use crate::journal::{JournalWrite, RecoveredState};
 use crate::manifest::ManifestDocument;
 use crate::submission::{
     SubmissionAnswer, SubmissionEvent, SubmissionId, SubmissionStep, SubmissionTable,
@@ -245,6 +244,27 @@
     }
 }
 
+/// Applies a write to the simulated disk, which survives a crash.
+fn write_to_disk(disk: &mut RecoveredState, write: JournalWrite) {
+    match write {
+        JournalWrite::Metadata(metadata) => disk.metadata = metadata,
+        JournalWrite::Append(entries) => {
+            let first = entries[0].index;
+            disk.entries.retain(|entry| entry.index < first);
+            disk.entries.extend(entries);
+        }
+        JournalWrite::SaveSnapshot { snapshot, .. } => {
+            let last_index = snapshot.last_index;
+            disk.entries.retain(|entry| entry.index > last_index);
+            disk.snapshot = Some(snapshot);
+        }
+        JournalWrite::InstallSnapshot(snapshot) => {
+            disk.entries.clear();
+            disk.snapshot = Some(snapshot);
+        }
+    }
+}
+
 fn instance_answer(answer: SubmissionAnswer) -> InstanceAnswer {
     match answer {
         SubmissionAnswer::Decided { decision, .. } => match decision {
