Log and count what decides whether an attempt may run

Cause: after the incident of the doubled request, the logs of a destination node could not tell a run under another incarnation from one after a fence. `run_ended` named neither the incarnations nor the link, and a fence made by a query left no line.

Change: `run_ended` names the call, the incarnation of the entry node, the incarnation that the attempt names, the node's own, and the link. New lines, each with its own quota: `run_started` for later attempts of requests that must not run twice, `attempt_fenced`, `attempt_after_fence` (warn) and `other_incarnation_accepted`. `incarnation_changed` and the incarnation in `node_started` show when fences are dropped. Counters for fences made by queries, attempts after their fence, and attempts accepted under another incarnation than they name. No decision changes; `OutcomeTable::contains` only reads.

--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -1,6 +1,7 @@
 //! Calls at their destination node, the node beside the upstream that runs them.
 
 mod claims;
+mod counters;
 mod crash;
 mod limit;
 mod log;
@@ -32,6 +33,7 @@
 use crate::http::{HttpResponse, UpstreamFailure};
 use crate::quarantine::{CompletedRequests, CrashDetector};
 use crate::util::trace::SeededIds;
+pub use counters::DestinationCounters;
 use limit::{AnswerLimit, DEFAULT_LEAVE_TIME};
 use log::DestinationLog;
 use notice::UpstreamStatement;
@@ -90,6 +92,7 @@
     ids: SeededIds,
     /// When stored outcomes are checked next.
     next_outcome_check: Timestamp,
+    counters: DestinationCounters,
     log: DestinationLog,
 }
 
@@ -126,6 +129,7 @@
             pending_claims: BTreeSet::new(),
             next_run: 1,
             next_outcome_check: Timestamp::default(),
+            counters: DestinationCounters::default(),
             log: DestinationLog::default(),
         }
     }
@@ -175,7 +179,8 @@
                 self.refuse_run(now, id, CallReason::WrongIncarnation, &mut steps);
             }
         }
-        self.incarnation = incarnation;
+        let previous = std::mem::replace(&mut self.incarnation, incarnation);
+        self.log_incarnation(previous);
         self.outcomes = OutcomeTable::new(self.name.clone(), incarnation, &self.settings);
         // An upstream that names no instance shows only by a new incarnation that it started again.
         let has_instance = |endpoint: &UpstreamEndpoint| !endpoint.instance.is_empty();
@@ -265,6 +270,11 @@
         self.runs.len()
     }
 
+    /// Returns the counters since the start.
+    pub fn counters(&self) -> DestinationCounters {
+        self.counters
+    }
+
     /// Returns the load report that answers carry.
     pub fn load(&self) -> LoadReport {
         match &self.admission {
@@ -441,9 +451,10 @@
                 None => self.outcomes.register_unkeyed(now, &request.id),
             };
             match registered {
-                AttemptAdmission::Admitted => {}
+                AttemptAdmission::Admitted => self.record_accepted(now, source, &request),
                 AttemptAdmission::Duplicate => return,
                 AttemptAdmission::Fenced => {
+                    self.record_late_attempt(now, source, &request);
                     let reason = CallReason::Cancelled;
                     steps.push(self.refusal(source, request.id, reason));
                     return;
@@ -511,7 +522,8 @@
         reason: CallReason,
         steps: &mut Vec<DestinationStep>,
     ) {
-        self.log_end(now, request, CallOutcome::NotRun, reason, Duration::ZERO);
+        let outcome = CallOutcome::NotRun;
+        self.log_end(now, source, request, outcome, reason, Duration::ZERO);
         let repeatable = WireClass::try_from(request.class)
             .is_ok_and(|class| RequestClass::from(class).is_repeatable());
         let refusal = match repeatable || self.fence(now, &request.id, steps) {
--- a/crates/kumquatlock/src/call/destination/queries.rs
+++ b/crates/kumquatlock/src/call/destination/queries.rs
@@ -19,8 +19,12 @@
     ) -> Vec<DestinationStep> {
         let mut steps = Vec::new();
         let deadline = now + Duration::from_micros(query.deadline_us);
+        let is_recorded = self.outcomes.contains(&query.owner.attempt);
         match self.outcomes.query(now, &query.id, &query.owner, deadline) {
             Some(answer) => {
+                if answer == QueryAnswer::NeverRuns && !is_recorded {
+                    self.record_query_fence(now, source, &query);
+                }
                 if answer == QueryAnswer::NeverRuns && !query.key.is_empty() {
                     // The holders may have granted the claim before this node lost track of the
                     // attempt.
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -258,6 +258,7 @@
             is_repeatable: run.class.is_repeatable(),
             echoed: run.echoed(&self.names),
         });
+        self.log_start(now, id);
     }
 
     /// Answers a call that has not reached the upstream with a final "not run".
@@ -514,7 +515,7 @@
     ) {
         let reason = CallReason::try_from(response.reason).unwrap_or(CallReason::None);
         let elapsed = now.since(run.arrived_at);
-        self.log_end(now, &run.request, outcome, reason, elapsed);
+        self.log_end(now, run.source, &run.request, outcome, reason, elapsed);
         // The node may have started a new incarnation since the call was sent.
         response.incarnation = run.request.incarnation;
         steps.push(DestinationStep::Respond {
--- a/crates/kumquatlock/src/call/mod.rs
+++ b/crates/kumquatlock/src/call/mod.rs
@@ -20,7 +20,9 @@
 mod request;
 
 pub use answer::{CallerAnswer, OUTCOME_HEADER, RejectReason, reason_label};
-pub use destination::{CallSource, DestinationCalls, DestinationStep, RunId, UpstreamEndpoint};
+pub use destination::{
+    CallSource, DestinationCalls, DestinationCounters, DestinationStep, RunId, UpstreamEndpoint,
+};
 pub use entry::{CallId, EntryCalls, EntryCounters, EntrySettings, EntryStep, PeerNode};
 pub use names::HeaderNames;
 pub use request::{
--- a/crates/kumquatlock/src/claim/outcome.rs
+++ b/crates/kumquatlock/src/claim/outcome.rs
@@ -153,6 +153,11 @@
         self.answer_bytes
     }
 
+    /// Whether the attempt has been delivered or fenced, and is remembered.
+    pub fn contains(&self, attempt: &AttemptId) -> bool {
+        self.attempts.contains_key(attempt)
+    }
+
     /// Registers a delivered attempt with a key, which needs a claim.
     pub fn register_keyed(&mut self, now: Timestamp, attempt: &AttemptId) -> AttemptAdmission {
         self.register(now, attempt, self.keyed_retention)
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -206,6 +206,7 @@
             &[],
             self.destination.crashes(),
         );
+        self.add_fences(page);
         page.add_gauge(
             "claims_kept",
             "Keys for which this node holds claims",
@@ -220,4 +221,26 @@
             joining,
         );
     }
+
+    fn add_fences(&self, page: &mut MetricsPage) {
+        let counters = self.destination.counters();
+        page.add_counter(
+            "attempts_after_fence",
+            "Attempts that arrived after they had been fenced, and were refused",
+            &[],
+            counters.attempts_after_fence,
+        );
+        page.add_counter(
+            "query_fences",
+            "Attempts that had not arrived and were fenced by a query for their outcome",
+            &[],
+            counters.query_fences,
+        );
+        page.add_counter(
+            "other_incarnation_attempts",
+            "Attempts accepted under another incarnation than they name",
+            &[],
+            counters.other_incarnation_attempts,
+        );
+    }
 }
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -76,10 +76,11 @@
     let wakeup = Rc::new(Cell::new(Timestamp::default()));
     let finished = Rc::new(Cell::new(false));
     let counters = Arc::new(TrafficCounters::default());
+    let incarnation = new_incarnation();
     let parts = ActorParts {
         settings: settings.clone(),
         adapter,
-        incarnation: new_incarnation(),
+        incarnation,
         started,
         poll: poll.clone(),
         counters,
@@ -95,7 +96,8 @@
     log::info!(
         name = &*settings.name,
         listen:% = settings.listen,
-        http:% = settings.http;
+        http:% = settings.http,
+        incarnation = incarnation.0;
         "node_started"
     );
     let mut stopping = false;
