Log the end of each attempt at its entry node, with the proof

Cause: `call_ended` gave only the number of attempts. On which proof the next attempt of a request that must not run twice was sent, and what a query for an outcome brought, left no line.

Change: `call_ended` names the call's number. `attempt_ended` is written for each attempt without an answer for the caller: upstream, incarnation addressed, incarnation that answered, outcome, reason and proof (`AttemptProof`). `outcome_queried` and `outcome_learned` cover queries. Refusals and repeatable requests have a quota of their own, so that overload does not push out the rare proofs. The metric `kumquatlock_attempts_ended_total` counts attempts by proof.

--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -255,6 +255,7 @@
         let sent = call.and_then(|call| call.take_attempt(response.id.attempt));
         let Some(sent) = sent else { return };
         let outcome = classify_response(&response);
+        self.record_answer(now, id, &sent, outcome, &response);
         self.record_notice(&sent.chosen.entry.name, &response);
         self.record_outcome(now, id, sent, &outcome, response.load);
         match outcome {
@@ -378,6 +379,7 @@
         let Some(sent) = call.take_attempt(number) else {
             return;
         };
+        self.record_unsent(now, id, &sent);
         self.finish_ticket(now, &service, sent, UpstreamOutcome::Unreachable, None);
         self.record_refused(id, number);
         self.handle_failure(now, id, AttemptFailure::NotRun(CallReason::LinkLost), steps);
@@ -413,6 +415,7 @@
         let entry = sent.chosen.entry.clone();
         self.finish_ticket(now, &service, sent, UpstreamOutcome::Lost, None);
         if repeatable {
+            self.record_lost(now, id, number, &entry);
             self.handle_failure(
                 now,
                 id,
@@ -516,6 +519,7 @@
         steps: &mut Vec<EntryStep>,
     ) {
         for sent in std::mem::take(&mut call.outstanding) {
+            self.record_cancelled(now, id, call, &sent);
             let cancel = CallCancel {
                 id: self.attempt_id(id, sent.number),
                 answer_within_us: None,
--- a/crates/kumquatlock/src/call/entry/log.rs
+++ b/crates/kumquatlock/src/call/entry/log.rs
@@ -1,22 +1,79 @@
 //! Log lines of calls at their entry node: one per call that ended or was refused, with the
-//! reasons.
+//! reasons, and one per attempt without an answer for the caller, with the proof that it did not
+//! run.
 
-use super::state::EntryCall;
-use super::{EntryCalls, Timestamp};
-use crate::call::answer::CallerAnswer;
+use kumquatlock_wire::call::{CallReason, CallResponse};
+
+use super::message::{AttemptResult, classify_response};
+use super::proof::AttemptProof;
+use super::state::{CallPhase, EntryCall, OutcomeSearch, SentAttempt};
+use super::{CallId, EntryCalls, Timestamp};
+use crate::call::answer::{CallerAnswer, reason_label};
 use crate::call::request::CallerRequest;
+use crate::core::UpstreamEntry;
 use crate::util::log_quota::{LogQuota, QuotaStep};
 
 /// Maximum log lines per second for calls that an upstream answered.
 const ANSWERED_PER_SECOND: u64 = 30;
 /// Maximum log lines per second for all other calls.
 const OTHERS_PER_SECOND: u64 = 60;
+/// Maximum log lines per second for attempts that were refused, or that may be repeated. They are
+/// frequent under overload.
+const COMMON_ATTEMPTS_PER_SECOND: u64 = 30;
+/// Maximum log lines per second for all other attempts, and for queries and their answers each.
+const RARE_ATTEMPTS_PER_SECOND: u64 = 30;
 
 /// Quotas for the log lines of calls at their entry node.
 #[derive(Debug)]
 pub(super) struct EntryLog {
     answered: LogQuota,
     others: LogQuota,
+    common_attempts: LogQuota,
+    rare_attempts: LogQuota,
+    queries: LogQuota,
+    query_answers: LogQuota,
+}
+
+/// How an attempt ended that gave no answer for the caller.
+#[derive(Clone, Copy, Debug)]
+struct AttemptEnd<'a> {
+    number: u32,
+    upstream: &'a str,
+    /// Incarnation that the attempt was addressed to.
+    incarnation: u64,
+    /// Incarnation that answered; zero if none did.
+    answered_by: u64,
+    outcome: &'static str,
+    reason: &'static str,
+    proof: AttemptProof,
+}
+
+impl<'a> AttemptEnd<'a> {
+    /// An attempt that ended without an answer from its destination node.
+    fn unanswered(number: u32, upstream: &'a UpstreamEntry, reason: CallReason) -> Self {
+        AttemptEnd {
+            number,
+            upstream: &upstream.name,
+            incarnation: upstream.incarnation.0,
+            answered_by: 0,
+            outcome: AttemptResult::Unknown(reason).into(),
+            reason: reason_label(reason),
+            proof: AttemptProof::None,
+        }
+    }
+
+    /// The attempt that a search was about.
+    fn of_search(search: &'a OutcomeSearch, reason: &'static str) -> Self {
+        AttemptEnd {
+            number: search.owner.attempt.attempt,
+            upstream: &search.destination,
+            incarnation: search.owner.destination_incarnation,
+            answered_by: 0,
+            outcome: AttemptResult::Unknown(search.reason).into(),
+            reason,
+            proof: AttemptProof::None,
+        }
+    }
 }
 
 impl Default for EntryLog {
@@ -24,6 +81,10 @@
         EntryLog {
             answered: LogQuota::new(ANSWERED_PER_SECOND),
             others: LogQuota::new(OTHERS_PER_SECOND),
+            common_attempts: LogQuota::new(COMMON_ATTEMPTS_PER_SECOND),
+            rare_attempts: LogQuota::new(RARE_ATTEMPTS_PER_SECOND),
+            queries: LogQuota::new(RARE_ATTEMPTS_PER_SECOND),
+            query_answers: LogQuota::new(RARE_ATTEMPTS_PER_SECOND),
         }
     }
 }
@@ -38,6 +99,34 @@
             false => self.others.take(now),
         }
     }
+
+    fn write_attempt(&mut self, now: Timestamp, id: CallId, call: &EntryCall, end: AttemptEnd<'_>) {
+        let is_common = call.route.class.is_repeatable() || end.proof == AttemptProof::Refused;
+        let quota = match is_common {
+            true => &mut self.common_attempts,
+            false => &mut self.rare_attempts,
+        };
+        let QuotaStep::Write { left_out } = quota.take(now) else {
+            return;
+        };
+        let proof: &'static str = end.proof.into();
+        log::info!(
+            request = call.request.id.as_deref().unwrap_or(""),
+            fingerprint:% = call.fingerprint,
+            call = id.0,
+            attempt = end.number,
+            route = &*call.route.name,
+            upstream = end.upstream,
+            incarnation = end.incarnation,
+            answered_by = end.answered_by,
+            outcome = end.outcome,
+            reason = end.reason,
+            proof,
+            elapsed_ms = now.since(call.opened_at).as_millis() as u64,
+            left_out;
+            "attempt_ended"
+        );
+    }
 }
 
 impl EntryCalls {
@@ -45,9 +134,11 @@
     pub(super) fn log_end(
         &mut self,
         now: Timestamp,
+        id: CallId,
         call: &EntryCall,
         answer: Option<&CallerAnswer>,
     ) {
+        self.record_open_search(now, id, call, answer);
         let QuotaStep::Write { left_out } = self.log.take(now, answer) else {
             return;
         };
@@ -60,6 +151,7 @@
         log::info!(
             request = call.request.id.as_deref().unwrap_or(""),
             fingerprint:% = call.fingerprint,
+            call = id.0,
             route = &*call.route.name,
             service = &*call.service,
             rank = call.route.rank,
@@ -104,4 +196,194 @@
             "call_refused"
         );
     }
+
+    /// Counts and logs an attempt whose answer is not passed to the caller at once.
+    pub(super) fn record_answer(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        sent: &SentAttempt,
+        result: AttemptResult,
+        response: &CallResponse,
+    ) {
+        if result == AttemptResult::Answer {
+            return;
+        }
+        let end = AttemptEnd {
+            answered_by: response.incarnation,
+            outcome: result.into(),
+            reason: reason_label(reason_of(response)),
+            proof: AttemptProof::of_result(&result, response.owner.is_some()),
+            ..AttemptEnd::unanswered(sent.number, &sent.chosen.entry, CallReason::None)
+        };
+        self.record_attempt(now, id, end);
+    }
+
+    /// Counts and logs an attempt of which no byte was written.
+    pub(super) fn record_unsent(&mut self, now: Timestamp, id: CallId, sent: &SentAttempt) {
+        let reason = CallReason::LinkLost;
+        let end = AttemptEnd {
+            outcome: AttemptResult::NotRun(reason).into(),
+            proof: AttemptProof::Unsent,
+            ..AttemptEnd::unanswered(sent.number, &sent.chosen.entry, reason)
+        };
+        self.record_attempt(now, id, end);
+    }
+
+    /// Counts and logs an attempt whose link was lost, and whose outcome is not queried.
+    pub(super) fn record_lost(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        number: u32,
+        upstream: &UpstreamEntry,
+    ) {
+        let end = AttemptEnd::unanswered(number, upstream, CallReason::LinkLost);
+        self.record_attempt(now, id, end);
+    }
+
+    /// Counts and logs an attempt that was outstanding at the end of its call.
+    pub(super) fn record_cancelled(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        call: &EntryCall,
+        sent: &SentAttempt,
+    ) {
+        let reason = match now >= call.deadline {
+            true => CallReason::Timeout,
+            false => CallReason::Cancelled,
+        };
+        let end = AttemptEnd::unanswered(sent.number, &sent.chosen.entry, reason);
+        self.counters.count_ended(end.proof);
+        self.log.write_attempt(now, id, call, end);
+    }
+
+    /// Counts and logs the attempt of a call that ends before the outcome of the attempt was found.
+    fn record_open_search(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        call: &EntryCall,
+        answer: Option<&CallerAnswer>,
+    ) {
+        let CallPhase::Querying(search) = &call.phase else {
+            return;
+        };
+        let is_answered = matches!(answer, Some(CallerAnswer::Answered { .. }));
+        if is_answered || !self.is_attempt_of(id, search) {
+            return;
+        }
+        let reason = answer.map_or("caller_left", CallerAnswer::reason);
+        let end = AttemptEnd::of_search(search, reason);
+        self.counters.count_ended(end.proof);
+        self.log.write_attempt(now, id, call, end);
+    }
+
+    fn record_attempt(&mut self, now: Timestamp, id: CallId, end: AttemptEnd<'_>) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        self.counters.count_ended(end.proof);
+        self.log.write_attempt(now, id, call, end);
+    }
+
+    /// Whether a search is about an attempt of the call itself, and not about the owner of its key.
+    fn is_attempt_of(&self, id: CallId, search: &OutcomeSearch) -> bool {
+        let attempt = &search.owner.attempt;
+        self.is_own_attempt(attempt) && attempt.call_id == id.0
+    }
+
+    /// Logs a query for the outcome of an attempt.
+    pub(super) fn log_query(&mut self, now: Timestamp, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let CallPhase::Querying(search) = &call.phase else {
+            return;
+        };
+        let QuotaStep::Write { left_out } = self.log.queries.take(now) else {
+            return;
+        };
+        let asked = &search.owner.attempt;
+        log::info!(
+            request = call.request.id.as_deref().unwrap_or(""),
+            call = id.0,
+            query = search.query_number,
+            owner = asked.entry.as_str(),
+            owner_incarnation = asked.entry_incarnation,
+            owner_call = asked.call_id,
+            attempt = asked.attempt,
+            upstream = &*search.destination,
+            incarnation = search.owner.destination_incarnation,
+            reason = reason_label(search.reason),
+            elapsed_ms = now.since(call.opened_at).as_millis() as u64,
+            left_out;
+            "outcome_queried"
+        );
+    }
+
+    /// Logs the answer to a query. If it proves that an attempt of this call did not run, the
+    /// attempt has ended.
+    pub(super) fn record_query_answer(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        response: &CallResponse,
+    ) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let CallPhase::Querying(search) = &call.phase else {
+            return;
+        };
+        let result = classify_response(response);
+        if let QuotaStep::Write { left_out } = self.log.query_answers.take(now) {
+            write_query_answer(id, call, search, result, response, left_out);
+        }
+        let is_proof = matches!(result, AttemptResult::NotRun(_))
+            && response.incarnation == search.owner.destination_incarnation;
+        if is_proof && self.is_attempt_of(id, search) {
+            let end = AttemptEnd {
+                answered_by: response.incarnation,
+                outcome: result.into(),
+                proof: AttemptProof::Fenced,
+                ..AttemptEnd::of_search(search, reason_label(reason_of(response)))
+            };
+            self.counters.count_ended(end.proof);
+            self.log.write_attempt(now, id, call, end);
+        }
+    }
+}
+
+fn write_query_answer(
+    id: CallId,
+    call: &EntryCall,
+    search: &OutcomeSearch,
+    result: AttemptResult,
+    response: &CallResponse,
+    left_out: u64,
+) {
+    let asked = &search.owner.attempt;
+    let outcome: &'static str = result.into();
+    log::info!(
+        request = call.request.id.as_deref().unwrap_or(""),
+        call = id.0,
+        query = search.query_number,
+        owner = asked.entry.as_str(),
+        owner_incarnation = asked.entry_incarnation,
+        owner_call = asked.call_id,
+        attempt = asked.attempt,
+        upstream = &*search.destination,
+        incarnation = search.owner.destination_incarnation,
+        answered_by = response.incarnation,
+        outcome,
+        reason = reason_label(reason_of(response)),
+        left_out;
+        "outcome_learned"
+    );
+}
+
+fn reason_of(response: &CallResponse) -> CallReason {
+    CallReason::try_from(response.reason).unwrap_or(CallReason::UpstreamFailed)
 }
--- a/crates/kumquatlock/src/call/entry/message.rs
+++ b/crates/kumquatlock/src/call/entry/message.rs
@@ -12,8 +12,12 @@
 const MIN_SERVER_ERROR_STATUS: u32 = 500;
 
 /// What an answer means for the call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub(super) enum AttemptResult {
+    #[strum(serialize = "answered")]
     Answer,
+    #[strum(serialize = "failed")]
     ServerError,
     NotRun(CallReason),
     Unknown(CallReason),
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod log;
 mod message;
+mod proof;
 mod quarantine;
 mod resolve;
 mod settings;
@@ -19,6 +20,7 @@
 use kumquatlock_wire::claim::ClaimReply;
 use rand::Rng;
 use rand::rngs::SmallRng;
+use strum::EnumCount;
 
 use super::answer::{CallerAnswer, RejectReason};
 use super::request::CallerRequest;
@@ -30,6 +32,7 @@
 use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
 use log::EntryLog;
+pub use proof::AttemptProof;
 pub use settings::EntrySettings;
 use state::{CallPhase, EntryCall};
 
@@ -113,6 +116,21 @@
     pub resolutions: u64,
     /// Keys that were fenced before a "not run" answer.
     pub fences: u64,
+    /// Attempts that gave no answer for the caller, by the place of their proof in
+    /// [`AttemptProof`].
+    ended_by_proof: [u64; AttemptProof::COUNT],
+}
+
+impl EntryCounters {
+    fn count_ended(&mut self, proof: AttemptProof) {
+        self.ended_by_proof[proof as usize] += 1;
+    }
+
+    /// Returns the number of attempts that gave no answer for the caller, by the proof that they
+    /// did not run.
+    pub fn ended_attempts(&self, proof: AttemptProof) -> u64 {
+        self.ended_by_proof[proof as usize]
+    }
 }
 
 /// The calls that entered at this node.
@@ -396,7 +414,7 @@
     pub fn cancel(&mut self, now: Timestamp, id: CallId) -> Vec<EntryStep> {
         let mut steps = Vec::new();
         if let Some(mut call) = self.remove(id) {
-            self.log_end(now, &call, None);
+            self.log_end(now, id, &call, None);
             self.cancel_attempts(now, id, &mut call, &mut steps);
         }
         steps
@@ -522,7 +540,7 @@
         let Some(mut call) = self.remove(id) else {
             return;
         };
-        self.log_end(now, &call, Some(&answer));
+        self.log_end(now, id, &call, Some(&answer));
         self.cancel_attempts(now, id, &mut call, steps);
         let pacing = self.pacings.entry(call.service.clone()).or_default();
         pacing.record(now, matches!(answer, CallerAnswer::NotRun(_)));
--- a/crates/kumquatlock/src/call/entry/resolve.rs
+++ b/crates/kumquatlock/src/call/entry/resolve.rs
@@ -165,6 +165,7 @@
             body: Body::OutcomeQuery(query),
             ticket,
         });
+        self.log_query(now, id);
         self.reschedule(now, id);
     }
 
@@ -192,6 +193,7 @@
         response: CallResponse,
         steps: &mut Vec<EntryStep>,
     ) {
+        self.record_query_answer(now, id, &response);
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
--- a/crates/kumquatlock/src/call/mod.rs
+++ b/crates/kumquatlock/src/call/mod.rs
@@ -23,7 +23,9 @@
 pub use destination::{
     CallSource, DestinationCalls, DestinationCounters, DestinationStep, RunId, UpstreamEndpoint,
 };
-pub use entry::{CallId, EntryCalls, EntryCounters, EntrySettings, EntryStep, PeerNode};
+pub use entry::{
+    AttemptProof, CallId, EntryCalls, EntryCounters, EntrySettings, EntryStep, PeerNode,
+};
 pub use names::HeaderNames;
 pub use request::{
     ATTEMPT_HEADER, CallerRequest, DEPTH_HEADER, KEY_HEADER, LEAVING_HEADER, MAX_TIMEOUT,
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use strum::IntoEnumIterator;
+
 use super::actor::NodeActor;
-use crate::call::CallerAnswer;
+use crate::call::{AttemptProof, CallerAnswer};
 use crate::http::HttpResponse;
 use crate::util::metrics::{METRICS_CONTENT_TYPE, MetricsPage};
 
@@ -140,6 +142,17 @@
             &[],
             counters.fences,
         );
+        for proof in AttemptProof::iter() {
+            let labels = [("proof", proof.into())];
+            let help =
+                "Attempts without an answer for the caller, by the proof that they did not run";
+            page.add_counter(
+                "attempts_ended",
+                help,
+                &labels,
+                counters.ended_attempts(proof),
+            );
+        }
         let help = "Attempts to another region";
         page.add_counter(
             "cross_region_attempts",
