Test the counters of fences, late attempts and proofs

Cause: the counters that tell of a fenced, late or wrongly accepted attempt had no test.

Change: tests in memory, through the call simulation: a fence and the attempt that comes after it, a repeated query, each proof, attempts that end without one, and attempts accepted under another incarnation.

--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -7,6 +7,7 @@
 mod keyed;
 mod leave;
 mod load;
+mod proofs;
 mod quarantine;
 mod rate_limit;
 mod silence;
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -471,6 +471,11 @@
         call.expect("no call message is queued").to.clone()
     }
 
+    /// Returns the counters of the node beside an upstream.
+    pub(super) fn destination_counters(&self, name: &str) -> DestinationCounters {
+        self.destinations[name].calls.counters()
+    }
+
     /// Whether no call occupies a slot of an upstream.
     pub(super) fn is_idle(&self) -> bool {
         let mut destinations = self.destinations.values();
