Log repeated queries for an outcome under a quota of their own

Cause: a call that waits for a node that can't be reached sends five queries a second.

Change: `outcome_queried` states whether the query is repeated; repeated ones have a quota of 10 lines per second.

--- a/crates/kumquatlock/src/call/entry/log.rs
+++ b/crates/kumquatlock/src/call/entry/log.rs
@@ -22,6 +22,9 @@
 const COMMON_ATTEMPTS_PER_SECOND: u64 = 30;
 /// Maximum log lines per second for all other attempts, and for queries and their answers each.
 const RARE_ATTEMPTS_PER_SECOND: u64 = 30;
+/// Maximum log lines per second for queries that are sent again. Each call that waits for a node
+/// that can't be reached sends several a second.
+const REPEATED_QUERIES_PER_SECOND: u64 = 10;
 
 /// Quotas for the log lines of calls at their entry node.
 #[derive(Debug)]
@@ -31,6 +34,7 @@
     common_attempts: LogQuota,
     rare_attempts: LogQuota,
     queries: LogQuota,
+    repeated_queries: LogQuota,
     query_answers: LogQuota,
 }
 
@@ -84,6 +88,7 @@
             common_attempts: LogQuota::new(COMMON_ATTEMPTS_PER_SECOND),
             rare_attempts: LogQuota::new(RARE_ATTEMPTS_PER_SECOND),
             queries: LogQuota::new(RARE_ATTEMPTS_PER_SECOND),
+            repeated_queries: LogQuota::new(REPEATED_QUERIES_PER_SECOND),
             query_answers: LogQuota::new(RARE_ATTEMPTS_PER_SECOND),
         }
     }
@@ -294,15 +299,20 @@
         self.is_own_attempt(attempt) && attempt.call_id == id.0
     }
 
-    /// Logs a query for the outcome of an attempt.
-    pub(super) fn log_query(&mut self, now: Timestamp, id: CallId) {
+    /// Logs a query for the outcome of an attempt. `is_repeated` is whether the same search has sent
+    /// a query before.
+    pub(super) fn log_query(&mut self, now: Timestamp, id: CallId, is_repeated: bool) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
         let CallPhase::Querying(search) = &call.phase else {
             return;
         };
-        let QuotaStep::Write { left_out } = self.log.queries.take(now) else {
+        let quota = match is_repeated {
+            true => &mut self.log.repeated_queries,
+            false => &mut self.log.queries,
+        };
+        let QuotaStep::Write { left_out } = quota.take(now) else {
             return;
         };
         let asked = &search.owner.attempt;
@@ -317,6 +327,7 @@
             upstream = &*search.destination,
             incarnation = search.owner.destination_incarnation,
             reason = reason_label(search.reason),
+            repeated = is_repeated,
             elapsed_ms = now.since(call.opened_at).as_millis() as u64,
             left_out;
             "outcome_queried"
--- a/crates/kumquatlock/src/call/entry/resolve.rs
+++ b/crates/kumquatlock/src/call/entry/resolve.rs
@@ -148,6 +148,7 @@
             return;
         };
         search.retry_at = None;
+        let is_repeated = search.query_number > 0;
         call.last_number += 1;
         search.query_number = call.last_number;
         let number = search.query_number;
@@ -165,7 +166,7 @@
             body: Body::OutcomeQuery(query),
             ticket,
         });
-        self.log_query(now, id);
+        self.log_query(now, id, is_repeated);
         self.reschedule(now, id);
     }
 
