Add two failing tests of a fence that is forgotten

An attempt without a key that never arrived is fenced by a query, and the entry sends another one. The fence is kept in a table of the destination's incarnation. A new incarnation in the same process, or the next process, starts with an empty table and accepts attempts that name an earlier incarnation, so the attempt runs when its link delivers it after all.

The end of the transcript of the first one:

1 ms front-1 opens request 0 1 ms front-1 closes LinkId(1) 1 ms LinkId(2) front-1 -> booking-2: outcome query 1 ms LinkId(2) front-1 hears NotRun query 101 ms LinkId(3) front-1 -> booking-1: call 101 ms booking-1 gets request 0, runs it: true 201 ms LinkId(3) front-1 hears Answered none 201 ms request 0 ends as answered 2001 ms booking-2 is IncarnationId(2) 2001 ms LinkId(1) front-1 -> booking-2: call 2001 ms booking-2 gets request 0, runs it: true

The second one differs in the line "booking-2 restarts".

--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -7,6 +7,8 @@
 mod keyed;
 mod leave;
 mod load;
+mod proof;
+mod proof_model;
 mod proofs;
 mod quarantine;
 mod rate_limit;
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -516,7 +516,7 @@
     snapshot_of(5, class, upstreams())
 }
 
-fn upstreams() -> Vec<UpstreamItem> {
+pub(super) fn upstreams() -> Vec<UpstreamItem> {
     let item = |(index, name): (usize, &str)| UpstreamItem {
         name: name.into(),
         service: "booking".into(),
@@ -531,7 +531,11 @@
     UPSTREAMS.into_iter().enumerate().map(item).collect()
 }
 
-fn snapshot_of(version: u64, class: WireClass, upstreams: Vec<UpstreamItem>) -> ConfigSnapshot {
+pub(super) fn snapshot_of(
+    version: u64,
+    class: WireClass,
+    upstreams: Vec<UpstreamItem>,
+) -> ConfigSnapshot {
     let state = CatalogState {
         version,
         manifest_version: 1,
@@ -558,7 +562,7 @@
     ConfigSnapshot::from_state(&state, digest).unwrap()
 }
 
-fn describe(message: &QueuedMessage) -> String {
+pub(super) fn describe(message: &QueuedMessage) -> String {
     let what = match &message.body {
         Body::Call(_) => "call".to_owned(),
         Body::Response(response) => {
@@ -580,7 +584,7 @@
     format!("{} -> {}: {what}", message.from, message.to)
 }
 
-fn endpoint() -> UpstreamEndpoint {
+pub(super) fn endpoint() -> UpstreamEndpoint {
     let address = "127.0.0.1:9".parse().unwrap();
     let limits = AdmissionLimits {
         slots: 10,
