Keep fences as long as the process, and refuse attempts they do not cover

What callers saw: a booking without a key ran twice. The users reported one case; callers of the entry node got one answer.

Cause: a promise outlived the state that kept it. A destination answers a query for an attempt that never arrived with "not run", and records a fence, so that the attempt is refused when it arrives after all. The fences were kept in a table of one incarnation, and a new incarnation started with an empty one, also within the same process (a node that was removed by mistake, reports that found no answer for a while, an upstream that left and came back). Attempts without a key are accepted under an earlier incarnation where that is switched on. An attempt held on its way therefore ran after its fence was forgotten, and the attempt that had replaced it had run, too. A restarted process accepted such attempts as well.

Change: the table of outcomes lives as long as the process and knows which incarnations the process has had. An attempt that must not run twice is accepted only if the table covers the incarnation that it names, so nothing that another process has fenced or run is taken for new. Repeatable calls are accepted under earlier incarnations as before. Queries about an earlier incarnation of the same process are answered from the table; before, their outcome was unknown.

Why this works: whoever answers "not run" for an attempt is the only process that accepts it, and it does not forget.

The test attempts_accepted_under_another_incarnation_are_counted sent attempts to a new process, which refuses them now. It takes a new incarnation in the same process instead, and expects the same count.

--- a/crates/kumquatlock/src/call/destination/log.rs
+++ b/crates/kumquatlock/src/call/destination/log.rs
@@ -115,8 +115,7 @@
         }
     }
 
-    /// Counts and logs an attempt that is accepted under another incarnation than it names. Fences
-    /// of the named incarnation don't apply to it.
+    /// Counts and logs an attempt that is accepted under another incarnation than it names.
     pub(super) fn record_accepted(
         &mut self,
         now: Timestamp,
@@ -199,7 +198,7 @@
         );
     }
 
-    /// Logs a new incarnation. The fences of the previous one are no longer stored.
+    /// Logs a new incarnation.
     pub(super) fn log_incarnation(&self, from: IncarnationId) {
         log::info!(
             from = from.0,
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -37,6 +37,7 @@
 use limit::{AnswerLimit, DEFAULT_LEAVE_TIME};
 use log::DestinationLog;
 use notice::UpstreamStatement;
+use queries::WaitingQuery;
 use run::{CallRun, RunPhase};
 pub use step::{CallSource, DestinationStep, RunId, UpstreamEndpoint};
 
@@ -49,7 +50,6 @@
 pub struct DestinationCalls {
     name: SharedName,
     incarnation: IncarnationId,
-    settings: ClaimSettings,
     names: HeaderNames,
     /// Whether calls addressed to an earlier incarnation are accepted.
     accepts_earlier_incarnations: bool,
@@ -82,8 +82,8 @@
     tickets: IndexMap<AdmissionTicket, RunId>,
     /// Run of each unanswered attempt.
     attempts: IndexMap<AttemptId, RunId>,
-    /// Source of each outcome query that waits for an answer.
-    queries: IndexMap<AttemptId, CallSource>,
+    /// Outcome queries that wait for an answer, by id.
+    queries: IndexMap<AttemptId, WaitingQuery>,
     /// Claims that are being acquired, held or settled, by request number. The numbers are odd.
     claims: IndexMap<u64, ClaimAcquirer>,
     /// Numbers of the claims that still have something to send or to decide.
@@ -104,7 +104,6 @@
             ids: SeededIds::new(incarnation.0 ^ stable_hash(name.as_bytes())),
             name,
             incarnation,
-            settings,
             names: HeaderNames::default(),
             accepts_earlier_incarnations: false,
             detects_stalls: false,
@@ -181,7 +180,7 @@
         }
         let previous = std::mem::replace(&mut self.incarnation, incarnation);
         self.log_incarnation(previous);
-        self.outcomes = OutcomeTable::new(self.name.clone(), incarnation, &self.settings);
+        self.outcomes.add_incarnation(incarnation);
         // An upstream that names no instance shows only by a new incarnation that it started again.
         let has_instance = |endpoint: &UpstreamEndpoint| !endpoint.instance.is_empty();
         if !self.endpoint.as_ref().is_some_and(has_instance) {
@@ -417,24 +416,27 @@
         Ok(class.into())
     }
 
-    /// Whether the current incarnation of the node may accept a call addressed to the given one.
+    /// Whether the node may accept a call that names the incarnation of this request.
     ///
     /// After a restart, entry nodes learn of the new incarnation only through the configuration
-    /// log. An attempt is sent once, over a link that closes when the process ends. Therefore, if
-    /// an attempt that is addressed to an earlier incarnation arrives now, the earlier incarnation
-    /// can't have accepted it. Calls with a key are excluded because claims are bound to one
-    /// incarnation.
+    /// log. Until then, a repeatable call is accepted under any earlier incarnation. A call that
+    /// must not run twice is accepted only under an incarnation whose attempts the outcome table
+    /// covers. The process that had any other may have answered that the attempt never runs, and
+    /// the attempt may have been held on its way until now. Calls with a key are excluded because
+    /// claims are bound to one incarnation.
     fn accepts_incarnation(&self, request: &CallRequest) -> bool {
-        let same_service = self
-            .endpoint
-            .as_ref()
-            .is_some_and(|endpoint| *endpoint.service == *request.service);
-        let is_earlier = request.incarnation < self.incarnation.0;
-        request.incarnation == self.incarnation.0
-            || (is_earlier
+        let endpoint = self.endpoint.as_ref();
+        let same_service = endpoint.is_some_and(|found| *found.service == *request.service);
+        let named = IncarnationId(request.incarnation);
+        let is_known = match is_repeatable(request) {
+            true => named < self.incarnation,
+            false => self.outcomes.covers(named),
+        };
+        named == self.incarnation
+            || (self.accepts_earlier_incarnations
                 && same_service
                 && request.key.is_none()
-                && self.accepts_earlier_incarnations)
+                && is_known)
     }
 
     fn admit(
@@ -456,12 +458,12 @@
                 AttemptAdmission::Fenced => {
                     self.record_late_attempt(now, source, &request);
                     let reason = CallReason::Cancelled;
-                    steps.push(self.refusal(source, request.id, reason));
+                    steps.push(self.refusal(source, &request, reason));
                     return;
                 }
                 AttemptAdmission::Full => {
                     let reason = CallReason::Overloaded;
-                    steps.push(self.refusal(source, request.id, reason));
+                    steps.push(self.refusal(source, &request, reason));
                     return;
                 }
             }
@@ -524,10 +526,8 @@
     ) {
         let outcome = CallOutcome::NotRun;
         self.log_end(now, source, request, outcome, reason, Duration::ZERO);
-        let repeatable = WireClass::try_from(request.class)
-            .is_ok_and(|class| RequestClass::from(class).is_repeatable());
-        let refusal = match repeatable || self.fence(now, &request.id, steps) {
-            true => self.refusal(source, request.id.clone(), reason),
+        let refusal = match is_repeatable(request) || self.fence(now, &request.id, steps) {
+            true => self.refusal(source, request, reason),
             // An earlier delivery of this attempt has already started; it is answered when it ends.
             false => return,
         };
@@ -545,8 +545,13 @@
         fenced
     }
 
-    fn refusal(&self, to: CallSource, id: AttemptId, reason: CallReason) -> DestinationStep {
-        let response = self.response(id, CallOutcome::NotRun, reason);
+    fn refusal(
+        &self,
+        to: CallSource,
+        request: &CallRequest,
+        reason: CallReason,
+    ) -> DestinationStep {
+        let response = self.response(request.id.clone(), CallOutcome::NotRun, reason);
         DestinationStep::Respond { to, response }
     }
 
@@ -588,3 +593,8 @@
         self.runs.get_mut(&id).map(|run| &mut run.phase)
     }
 }
+
+/// Whether the request may run more than once. One of an unknown class may not.
+fn is_repeatable(request: &CallRequest) -> bool {
+    WireClass::try_from(request.class).is_ok_and(|class| RequestClass::from(class).is_repeatable())
+}
--- a/crates/kumquatlock/src/call/tests/proofs.rs
+++ b/crates/kumquatlock/src/call/tests/proofs.rs
@@ -168,9 +168,11 @@
     assert_eq!(counters.ended_attempts(AttemptProof::None), 0);
 }
 
-fn restarted_destination(now: Timestamp) -> DestinationCalls {
+/// Returns a destination whose process has taken its second incarnation.
+fn renewed_destination(now: Timestamp) -> DestinationCalls {
     let settings = ClaimSettings::default();
-    let mut calls = DestinationCalls::new("booking-1".into(), IncarnationId(2), settings);
+    let mut calls = DestinationCalls::new("booking-1".into(), IncarnationId(1), settings);
+    calls.set_incarnation(now, IncarnationId(2));
     calls.accept_earlier_incarnations();
     let endpoint = UpstreamEndpoint {
         address: "127.0.0.1:9".parse().unwrap(),
@@ -186,12 +188,12 @@
     calls
 }
 
-/// The fences of an earlier incarnation don't hold in a later one, so the attempts that pass from
-/// one to the other must be counted; lookups may run twice and are not.
+/// Attempts that pass from one incarnation to the next depend on the fences of both, so they must be
+/// counted; lookups may run twice and are not.
 #[test]
 fn attempts_accepted_under_another_incarnation_are_counted() {
     let now = Timestamp::from_millis(1);
-    let mut calls = restarted_destination(now);
+    let mut calls = renewed_destination(now);
     let classes = [
         WireClass::AtMostOnce,
         WireClass::Deferred,
--- a/crates/kumquatlock/src/claim/outcome.rs
+++ b/crates/kumquatlock/src/claim/outcome.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use kumquatlock_wire::call::{AttemptId, HeaderField};
 use kumquatlock_wire::claim::ClaimOwner;
 
@@ -23,6 +23,10 @@
 /// Time for which an attempt without a key is remembered, as a multiple of the retention.
 const UNKEYED_RETENTION_FACTOR: u32 = 2;
 
+/// Maximum number of incarnations whose attempts one table covers. A node that runs for months takes
+/// new ones without end; entry nodes learn of the latest within seconds.
+const MAX_INCARNATIONS: usize = 16;
+
 /// A stored answer of an upstream.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct StoredAnswer {
@@ -112,14 +116,19 @@
     waiters: Vec<(AttemptId, Timestamp)>,
 }
 
-/// Outcomes of the attempts that were delivered to one run of a destination.
+/// Outcomes of the attempts that were delivered to one process of a destination, under any of its
+/// incarnations.
 ///
 /// Invariant: an attempt passes [`OutcomeTable::start_run`] at most once, and never after it was
-/// fenced. A pending or running attempt is never forgotten.
+/// fenced. A pending or running attempt is never forgotten. The table lives as long as the process,
+/// because an attempt may arrive at any time after it was fenced, and only this table refuses it.
+/// For the same reason it speaks only for attempts that name one of `incarnations`: another process
+/// may have fenced or run any other attempt.
 #[derive(Debug)]
 pub struct OutcomeTable {
     name: SharedName,
-    incarnation: IncarnationId,
+    /// Incarnations that this process has taken, oldest first; at most [`MAX_INCARNATIONS`].
+    incarnations: IndexSet<IncarnationId>,
     retention: Duration,
     /// Retention of attempts with a key. A holder names an attempt as owner until the key retention
     /// has passed since the holder last changed its record of the key. That change can be later
@@ -138,7 +147,7 @@
     pub fn new(name: SharedName, incarnation: IncarnationId, settings: &ClaimSettings) -> Self {
         OutcomeTable {
             name,
-            incarnation,
+            incarnations: IndexSet::from([incarnation]),
             retention: settings.retention,
             keyed_retention: settings.key_retention + settings.retention,
             max_attempts: settings.max_keys,
@@ -148,6 +157,19 @@
         }
     }
 
+    /// Extends the table to the attempts that name `incarnation`, which this process takes now.
+    pub fn add_incarnation(&mut self, incarnation: IncarnationId) {
+        self.incarnations.insert(incarnation);
+        if self.incarnations.len() > MAX_INCARNATIONS {
+            self.incarnations.shift_remove_index(0);
+        }
+    }
+
+    /// Whether the table knows all attempts that name `incarnation` and were delivered or fenced.
+    pub fn covers(&self, incarnation: IncarnationId) -> bool {
+        self.incarnations.contains(&incarnation)
+    }
+
     /// Returns the size of all stored answers in bytes.
     pub fn answer_bytes(&self) -> usize {
         self.answer_bytes
@@ -273,9 +295,8 @@
         owner: &ClaimOwner,
         deadline: Timestamp,
     ) -> Option<QueryAnswer> {
-        let own =
-            *owner.destination == *self.name && owner.destination_incarnation == self.incarnation.0;
-        if !own {
+        let named = IncarnationId(owner.destination_incarnation);
+        if *owner.destination != *self.name || !self.covers(named) {
             return Some(QueryAnswer::Unknown);
         }
         let Some(entry) = self.attempts.get_mut(&owner.attempt) else {
