State in a refusal the incarnation that the attempt names

What callers saw: 504 at their deadline for a call that a node had refused at once, in the second after the node had started again.

Cause: a node that accepts calls under an earlier incarnation answered a refusal under its current one. The entry node takes an answer only under the incarnation that the attempt names, unless the refusal is for that reason, and dropped it.

Evidence: a_refusal_states_the_incarnation_that_the_attempt_names; without the change (trial edit) the call is still open 2.5 s after all upstreams refused it, and with it the caller is told "not run".

Change: only a refusal for a wrong incarnation states the incarnation of the node.

--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -551,7 +551,12 @@
         request: &CallRequest,
         reason: CallReason,
     ) -> DestinationStep {
-        let response = self.response(request.id.clone(), CallOutcome::NotRun, reason);
+        let mut response = self.response(request.id.clone(), CallOutcome::NotRun, reason);
+        // The entry node takes an answer that states another incarnation than the attempt names only
+        // as a refusal for that reason.
+        if reason != CallReason::WrongIncarnation {
+            response.incarnation = request.incarnation;
+        }
         DestinationStep::Respond { to, response }
     }
 
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -12,6 +12,7 @@
 mod proofs;
 mod quarantine;
 mod rate_limit;
+mod runs;
 mod silence;
 mod simulation;
 mod stop;
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -389,6 +389,24 @@
         self.apply_entry_steps(steps);
     }
 
+    /// Replaces the process of a node by one that provides `service` under a later incarnation. The
+    /// configuration does not show it yet.
+    pub(super) fn restart(&mut self, name: &str, incarnation: u64, service: &str) {
+        self.record(format!("{name} restarts"));
+        let settings = ClaimSettings::default();
+        let mut calls = DestinationCalls::new(name.into(), IncarnationId(incarnation), settings);
+        calls.accept_earlier_incarnations();
+        let service = service.into();
+        calls.on_announce(
+            self.now,
+            UpstreamEndpoint {
+                service,
+                ..endpoint()
+            },
+        );
+        self.destinations[name].calls = calls;
+    }
+
     /// Quarantines requests in the configuration of all nodes.
     pub(super) fn quarantine(&mut self, class: WireClass, requests: &[RequestFingerprint]) {
         let mut snapshot = snapshot_of(6, class, upstreams());
