Send an attempt again to the run that a restarted node states

Cause: since a node refuses attempts that name an incarnation of another process and must not run twice, an entry node met such a refusal at each node that had started again, and sent it nothing more until the configuration showed the new incarnation, about a second later.

Change: the refusal states the incarnation and the process that answers, and the entry node sends the attempt again to that run, and further calls at once. An attempt is sent again in this way once, so a node that states a later incarnation each time gets no attempt without end; nothing is learned from a node that drains or has no upstream. Until the configuration shows the incarnation, another process could take the same number, for example with a clock that was set back, so the attempt and the query for its outcome also name the process, a number that is chosen at random at its start. A call that names another service than the upstream provides is refused, because the entry node does not know yet what the new run provides.

On the wire: field 23 of CallRequest, 12 of CallResponse and 6 of OutcomeQuery, absent unless an incarnation was learned.

--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -109,6 +109,10 @@
     /// was sent. Present only if that ends before the deadline because the entry node stops.
     #[prost(uint64, optional, tag = "22")]
     pub answer_within_us: Option<u64>,
+    /// Process of the destination node that stated `incarnation`; any other process refuses the
+    /// call. Zero if the incarnation is that of the configuration.
+    #[prost(uint64, tag = "23")]
+    pub process: u64,
 }
 
 /// Outcome of one attempt.
@@ -205,6 +209,9 @@
     /// What the upstream states about itself, if it states anything.
     #[prost(message, optional, tag = "11")]
     pub notice: Option<UpstreamNotice>,
+    /// Process of the destination node. Set with `WrongIncarnation`.
+    #[prost(uint64, tag = "12")]
+    pub process: u64,
 }
 
 /// Tells the destination node that the entry node no longer waits for the attempt, or how long it
--- a/crates/kumquatlock-wire/src/claim.rs
+++ b/crates/kumquatlock-wire/src/claim.rs
@@ -246,4 +246,7 @@
     /// Maximum time to wait for a request that is still running, in microseconds.
     #[prost(uint64, tag = "5")]
     pub deadline_us: u64,
+    /// Process that the attempt in question names, or zero; as in [`crate::call::CallRequest`].
+    #[prost(uint64, tag = "6")]
+    pub process: u64,
 }
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -27,8 +27,8 @@
     AttemptAdmission, ClaimAcquirer, ClaimSettings, OutcomeTable, PlacementTable, StoredAnswer,
 };
 use crate::core::{
-    ConfigSnapshot, IncarnationId, RequestClass, RequestFingerprint, RequestRate, SharedName,
-    Timestamp, stable_hash,
+    ConfigSnapshot, IncarnationId, ProcessId, RequestClass, RequestFingerprint, RequestRate,
+    SharedName, Timestamp, stable_hash,
 };
 use crate::http::{HttpResponse, UpstreamFailure};
 use crate::quarantine::{CompletedRequests, CrashDetector};
@@ -50,6 +50,9 @@
 pub struct DestinationCalls {
     name: SharedName,
     incarnation: IncarnationId,
+    /// Stated with the incarnation in refusals, so that entry nodes can use an incarnation that is
+    /// not in the configuration yet. Zero if they shall wait for the configuration.
+    process: ProcessId,
     names: HeaderNames,
     /// Whether calls addressed to an earlier incarnation are accepted.
     accepts_earlier_incarnations: bool,
@@ -104,6 +107,7 @@
             ids: SeededIds::new(incarnation.0 ^ stable_hash(name.as_bytes())),
             name,
             incarnation,
+            process: ProcessId::default(),
             names: HeaderNames::default(),
             accepts_earlier_incarnations: false,
             detects_stalls: false,
@@ -133,6 +137,11 @@
         }
     }
 
+    /// Sets the identity of this process. It is stated in refusals from then on.
+    pub fn set_process(&mut self, process: ProcessId) {
+        self.process = process;
+    }
+
     /// Sets the header names that the upstream uses.
     pub fn set_header_names(&mut self, names: HeaderNames) {
         self.names = names;
@@ -416,7 +425,9 @@
         Ok(class.into())
     }
 
-    /// Whether the node may accept a call that names the incarnation of this request.
+    /// Whether the node may accept a call that names the service and the incarnation of this
+    /// request. An entry node that has heard of a later incarnation before the configuration shows
+    /// it does not know which service the upstream of that incarnation provides.
     ///
     /// After a restart, entry nodes learn of the new incarnation only through the configuration
     /// log. Until then, a repeatable call is accepted under any earlier incarnation. A call that
@@ -426,7 +437,10 @@
     /// claims are bound to one incarnation.
     fn accepts_incarnation(&self, request: &CallRequest) -> bool {
         let endpoint = self.endpoint.as_ref();
-        let same_service = endpoint.is_some_and(|found| *found.service == *request.service);
+        let is_other_service = endpoint.is_some_and(|found| *found.service != *request.service);
+        if is_other_service || self.is_other_process(request.process) {
+            return false;
+        }
         let named = IncarnationId(request.incarnation);
         let is_known = match is_repeatable(request) {
             true => named < self.incarnation,
@@ -434,11 +448,16 @@
         };
         named == self.incarnation
             || (self.accepts_earlier_incarnations
-                && same_service
+                && endpoint.is_some()
                 && request.key.is_none()
                 && is_known)
     }
 
+    /// Whether an attempt or a query names another process of this node.
+    fn is_other_process(&self, named: u64) -> bool {
+        named != 0 && named != self.process.0
+    }
+
     fn admit(
         &mut self,
         now: Timestamp,
@@ -554,8 +573,9 @@
         let mut response = self.response(request.id.clone(), CallOutcome::NotRun, reason);
         // The entry node takes an answer that states another incarnation than the attempt names only
         // as a refusal for that reason.
-        if reason != CallReason::WrongIncarnation {
-            response.incarnation = request.incarnation;
+        match reason {
+            CallReason::WrongIncarnation => response.process = self.process.0,
+            _ => response.incarnation = request.incarnation,
         }
         DestinationStep::Respond { to, response }
     }
--- a/crates/kumquatlock/src/call/destination/queries.rs
+++ b/crates/kumquatlock/src/call/destination/queries.rs
@@ -29,7 +29,7 @@
         let mut steps = Vec::new();
         let deadline = now + Duration::from_micros(query.deadline_us);
         let named = IncarnationId(query.owner.destination_incarnation);
-        let is_own = self.outcomes.covers(named);
+        let is_own = self.outcomes.covers(named) && !self.is_other_process(query.process);
         let waiting = WaitingQuery {
             source,
             incarnation: if is_own { named } else { self.incarnation },
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -72,7 +72,7 @@
         }
     }
 
-    fn send_to(
+    pub(super) fn send_to(
         &mut self,
         now: Timestamp,
         id: CallId,
@@ -80,6 +80,7 @@
         steps: &mut Vec<EntryStep>,
     ) {
         let to = self.peer(&chosen.entry);
+        let run = self.later_runs.current(&chosen.entry);
         let version = self
             .snapshot
             .as_ref()
@@ -100,6 +101,8 @@
         call.last_upstream = Some(chosen.entry.name.clone());
         call.load_age = chosen.load_age.unwrap_or_default();
         let mut request = build_request(call, &chosen, now, version);
+        request.incarnation = run.incarnation.0;
+        request.process = run.process.unwrap_or_default().0;
         request.origin = self.settings.origin.to_string();
         let ends_at = self.ends_at.filter(|ends_at| *ends_at < call.deadline);
         request.answer_within_us = ends_at.map(|ends_at| micros(ends_at.since(now)));
@@ -107,6 +110,7 @@
         call.outstanding.push(SentAttempt {
             number,
             chosen,
+            run,
             ticket,
         });
         request.id = self.attempt_id(id, number);
@@ -243,7 +247,7 @@
                 .iter()
                 .find(|sent| sent.number == response.id.attempt)
         });
-        let expected = matching.map(|sent| sent.chosen.entry.incarnation.0);
+        let expected = matching.map(|sent| sent.run.incarnation.0);
         let refused = response.reason == CallReason::WrongIncarnation as i32;
         // An answer must state the incarnation that the attempt was addressed to. The exception is
         // a refusal for a wrong incarnation, which comes from a later incarnation of the same
@@ -256,6 +260,9 @@
         let Some(sent) = sent else { return };
         let outcome = classify_response(&response);
         self.record_answer(now, id, &sent, outcome, &response);
+        if self.learn_run(&sent, &response) {
+            return self.readdress(now, id, sent, steps);
+        }
         self.record_notice(&sent.chosen.entry.name, &response);
         self.record_outcome(now, id, sent, &outcome, response.load);
         match outcome {
@@ -352,7 +359,7 @@
         self.finish_ticket(now, &service, sent, outcome, load);
     }
 
-    fn finish_ticket(
+    pub(super) fn finish_ticket(
         &mut self,
         now: Timestamp,
         service: &str,
@@ -411,11 +418,10 @@
             return;
         };
         let repeatable = call.route.class.is_repeatable();
-        let number = sent.number;
-        let entry = sent.chosen.entry.clone();
+        let (number, run) = (sent.number, sent.run);
         self.finish_ticket(now, &service, sent, UpstreamOutcome::Lost, None);
         if repeatable {
-            self.record_lost(now, id, number, &entry);
+            self.record_lost(now, id, number, peer, run);
             self.handle_failure(
                 now,
                 id,
@@ -423,7 +429,7 @@
                 steps,
             );
         } else {
-            self.search_own_attempt(now, id, number, &entry, steps);
+            self.search_own_attempt(now, id, number, peer, run, steps);
         }
     }
 
--- a/crates/kumquatlock/src/call/entry/log.rs
+++ b/crates/kumquatlock/src/call/entry/log.rs
@@ -6,11 +6,11 @@
 
 use super::message::{AttemptResult, classify_response};
 use super::proof::AttemptProof;
+use super::runs::DestinationRun;
 use super::state::{CallPhase, EntryCall, OutcomeSearch, SentAttempt};
 use super::{CallId, EntryCalls, Timestamp};
 use crate::call::answer::{CallerAnswer, reason_label};
 use crate::call::request::CallerRequest;
-use crate::core::UpstreamEntry;
 use crate::util::log_quota::{LogQuota, QuotaStep};
 
 /// Maximum log lines per second for calls that an upstream answered.
@@ -54,11 +54,11 @@
 
 impl<'a> AttemptEnd<'a> {
     /// An attempt that ended without an answer from its destination node.
-    fn unanswered(number: u32, upstream: &'a UpstreamEntry, reason: CallReason) -> Self {
+    fn unanswered(number: u32, upstream: &'a str, run: DestinationRun, reason: CallReason) -> Self {
         AttemptEnd {
             number,
-            upstream: &upstream.name,
-            incarnation: upstream.incarnation.0,
+            upstream,
+            incarnation: run.incarnation.0,
             answered_by: 0,
             outcome: AttemptResult::Unknown(reason).into(),
             reason: reason_label(reason),
@@ -66,6 +66,11 @@
         }
     }
 
+    /// An outstanding attempt that ended without an answer.
+    fn of_sent(sent: &'a SentAttempt, reason: CallReason) -> Self {
+        AttemptEnd::unanswered(sent.number, &sent.chosen.entry.name, sent.run, reason)
+    }
+
     /// The attempt that a search was about.
     fn of_search(search: &'a OutcomeSearch, reason: &'static str) -> Self {
         AttemptEnd {
@@ -219,7 +224,7 @@
             outcome: result.into(),
             reason: reason_label(reason_of(response)),
             proof: AttemptProof::of_result(&result, response.owner.is_some()),
-            ..AttemptEnd::unanswered(sent.number, &sent.chosen.entry, CallReason::None)
+            ..AttemptEnd::of_sent(sent, CallReason::None)
         };
         self.record_attempt(now, id, end);
     }
@@ -230,7 +235,7 @@
         let end = AttemptEnd {
             outcome: AttemptResult::NotRun(reason).into(),
             proof: AttemptProof::Unsent,
-            ..AttemptEnd::unanswered(sent.number, &sent.chosen.entry, reason)
+            ..AttemptEnd::of_sent(sent, reason)
         };
         self.record_attempt(now, id, end);
     }
@@ -241,9 +246,10 @@
         now: Timestamp,
         id: CallId,
         number: u32,
-        upstream: &UpstreamEntry,
+        upstream: &str,
+        run: DestinationRun,
     ) {
-        let end = AttemptEnd::unanswered(number, upstream, CallReason::LinkLost);
+        let end = AttemptEnd::unanswered(number, upstream, run, CallReason::LinkLost);
         self.record_attempt(now, id, end);
     }
 
@@ -259,7 +265,7 @@
             true => CallReason::Timeout,
             false => CallReason::Cancelled,
         };
-        let end = AttemptEnd::unanswered(sent.number, &sent.chosen.entry, reason);
+        let end = AttemptEnd::of_sent(sent, reason);
         self.counters.count_ended(end.proof);
         self.log.write_attempt(now, id, call, end);
     }
--- a/crates/kumquatlock/src/call/entry/message.rs
+++ b/crates/kumquatlock/src/call/entry/message.rs
@@ -43,7 +43,8 @@
     }
 }
 
-/// Builds the message that sends an attempt to the chosen upstream.
+/// Builds the message that sends an attempt to the chosen upstream, without its id and the
+/// incarnation that it names.
 pub(super) fn build_request(
     call: &EntryCall,
     chosen: &ChosenUpstream,
@@ -52,7 +53,6 @@
 ) -> CallRequest {
     let request = &call.request;
     CallRequest {
-        incarnation: chosen.entry.incarnation.0,
         upstream: chosen.entry.name.to_string(),
         config_version: version,
         service: call.service.to_string(),
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -6,6 +6,7 @@
 mod proof;
 mod quarantine;
 mod resolve;
+mod runs;
 mod settings;
 mod state;
 mod stop;
@@ -33,6 +34,7 @@
 use crate::util::trace::{HopSpan, SeededIds};
 use log::EntryLog;
 pub use proof::AttemptProof;
+use runs::LaterRuns;
 pub use settings::EntrySettings;
 use state::{CallPhase, EntryCall};
 
@@ -154,6 +156,7 @@
     hedge_policies: IndexMap<SharedName, HedgePolicy>,
     /// Latest notice of each upstream that states one, by upstream; only upstreams of the snapshot.
     notices: IndexMap<SharedName, UpstreamNotice>,
+    later_runs: LaterRuns,
     calls: IndexMap<CallId, EntryCall>,
     /// Number of deferred calls in `calls`, at most `max_deferred_calls` of the settings.
     deferred_calls: usize,
@@ -194,6 +197,7 @@
             pacings: IndexMap::new(),
             hedge_policies: IndexMap::new(),
             notices: IndexMap::new(),
+            later_runs: LaterRuns::default(),
             calls: IndexMap::new(),
             deferred_calls: 0,
             timers: BTreeSet::new(),
@@ -296,6 +300,7 @@
             .retain(|name, _| snapshot.services.contains_key(name));
         self.notices
             .retain(|name, _| snapshot.upstreams.contains_key(name));
+        self.later_runs.apply(&snapshot);
         self.divide_budgets(snapshot.upstreams.len());
         self.placement.update(snapshot.clone());
         self.snapshot = Some(snapshot);
--- a/crates/kumquatlock/src/call/entry/resolve.rs
+++ b/crates/kumquatlock/src/call/entry/resolve.rs
@@ -7,11 +7,12 @@
 use kumquatlock_wire::call::{CallOutcome, CallReason, CallResponse};
 use kumquatlock_wire::claim::{ClaimOwner, ClaimReply, OutcomeQuery};
 
+use super::runs::DestinationRun;
 use super::state::{CallPhase, EntryCall, OutcomeSearch};
 use super::{CallId, EntryCalls, EntryStep, PeerNode, micros, ticket_of};
 use crate::call::answer::{CallerAnswer, RejectReason};
 use crate::claim::{ClaimAcquirer, ClaimFencer, ClaimMessage, FenceDecision, FenceSteps};
-use crate::core::{Timestamp, UpstreamEntry};
+use crate::core::{ProcessId, Timestamp};
 use crate::retry::AttemptFailure;
 
 /// Interval between queries to a destination node that could not be reached.
@@ -28,7 +29,8 @@
         now: Timestamp,
         id: CallId,
         attempt: u32,
-        upstream: &UpstreamEntry,
+        destination: &str,
+        run: DestinationRun,
         steps: &mut Vec<EntryStep>,
     ) {
         let Some(call) = self.calls.get(&id) else {
@@ -36,12 +38,12 @@
         };
         let owner = ClaimOwner {
             attempt: self.attempt_id(id, attempt),
-            destination: upstream.name.to_string(),
-            destination_incarnation: upstream.incarnation.0,
+            destination: destination.to_owned(),
+            destination_incarnation: run.incarnation.0,
             request_digest: call.request.digest,
         };
         self.counters.resolutions += 1;
-        self.start_search(now, id, owner, CallReason::LinkLost, steps);
+        self.start_search(now, id, owner, run.process, CallReason::LinkLost, steps);
     }
 
     /// Asks for the outcome of the attempt that owns the claim on the key. The attempt may belong
@@ -64,7 +66,7 @@
             self.answer(now, id, answer, steps);
             return;
         }
-        self.start_search(now, id, owner, CallReason::ClaimUnavailable, steps);
+        self.start_search(now, id, owner, None, CallReason::ClaimUnavailable, steps);
     }
 
     /// Returns whether the claim belongs to an attempt of this call that is proved not to have run.
@@ -93,6 +95,7 @@
         now: Timestamp,
         id: CallId,
         owner: ClaimOwner,
+        process: Option<ProcessId>,
         reason: CallReason,
         steps: &mut Vec<EntryStep>,
     ) {
@@ -103,6 +106,7 @@
         let search = OutcomeSearch {
             owner,
             destination,
+            process,
             query_number: 0,
             expires_at: now + self.settings.search_limit,
             retry_at: Some(now),
@@ -137,11 +141,10 @@
             .snapshot
             .as_ref()
             .and_then(|snapshot| snapshot.upstreams.get(&search.destination));
-        let incarnation = search.owner.destination_incarnation;
-        let Some(upstream) = known
-            .filter(|entry| entry.incarnation.0 == incarnation)
-            .cloned()
-        else {
+        let run = search.run();
+        let later = &self.later_runs;
+        let known = known.filter(|upstream| later.lists(upstream, run));
+        let Some(upstream) = known.cloned() else {
             // The incarnation of the node that knew the outcome has ended.
             let answer = CallerAnswer::Unknown(search.reason);
             self.answer(now, id, answer, steps);
@@ -157,6 +160,7 @@
             key: call.request.key.clone().unwrap_or_default(),
             owner: search.owner.clone(),
             deadline_us: micros(call.deadline.since(now)),
+            process: run.process.unwrap_or_default().0,
             id: self.attempt_id(id, number),
         };
         let to = self.peer(&upstream);
--- /dev/null
+++ b/crates/kumquatlock/src/call/entry/runs.rs
@@ -0,0 +1,108 @@
+//! Runs of destination nodes that the configuration does not show yet.
+//!
+//! A node that has started again refuses the attempts that name its earlier incarnation and must
+//! not run twice. Its refusal states the run that answers, so that the entry node need not wait for
+//! the configuration before it sends such calls there.
+
+use indexmap::IndexMap;
+use kumquatlock_wire::call::{CallOutcome, CallReason, CallResponse};
+
+use super::state::SentAttempt;
+use super::{CallId, EntryCalls, EntryStep};
+use crate::core::{ConfigSnapshot, IncarnationId, ProcessId, SharedName, Timestamp, UpstreamEntry};
+use crate::routing::UpstreamOutcome;
+
+/// What an attempt names of its destination node. Any other run of the node refuses the attempt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct DestinationRun {
+    pub(super) incarnation: IncarnationId,
+    /// Present if the node itself stated the incarnation, and not the configuration. Until the
+    /// configuration shows it, another process could take the same number.
+    pub(super) process: Option<ProcessId>,
+}
+
+/// Runs that destination nodes have stated in refusals.
+#[derive(Debug, Default)]
+pub(super) struct LaterRuns {
+    /// Run of each upstream whose incarnation is later than that of the applied configuration.
+    /// Contains only upstreams of that configuration.
+    stated: IndexMap<SharedName, DestinationRun>,
+}
+
+impl LaterRuns {
+    /// Returns the run that a call to the upstream must name.
+    pub(super) fn current(&self, upstream: &UpstreamEntry) -> DestinationRun {
+        let listed = DestinationRun {
+            incarnation: upstream.incarnation,
+            process: None,
+        };
+        let stated = self.stated.get(&upstream.name).copied();
+        stated.unwrap_or_default().max(listed)
+    }
+
+    /// Whether the run is that of the configuration, or the one that the node has stated last.
+    pub(super) fn lists(&self, upstream: &UpstreamEntry, run: DestinationRun) -> bool {
+        run.incarnation == upstream.incarnation || run == self.current(upstream)
+    }
+
+    /// Drops what a newer configuration shows or contradicts.
+    pub(super) fn apply(&mut self, snapshot: &ConfigSnapshot) {
+        self.stated.retain(|name, stated| {
+            let upstream = snapshot.upstreams.get(name);
+            upstream.is_some_and(|upstream| upstream.incarnation < stated.incarnation)
+        });
+    }
+}
+
+impl EntryCalls {
+    /// Takes over the run that a refusal states. Returns whether the attempt can be sent again to
+    /// that run.
+    ///
+    /// Only an attempt that named the run of the configuration is sent again. Otherwise a node that
+    /// states a later one with each refusal would get the attempt without end.
+    pub(super) fn learn_run(&mut self, sent: &SentAttempt, refusal: &CallResponse) -> bool {
+        let is_refused = refusal.outcome == CallOutcome::NotRun as i32
+            && refusal.reason == CallReason::WrongIncarnation as i32;
+        if !is_refused {
+            return false;
+        }
+        let name = &sent.chosen.entry.name;
+        let stated = DestinationRun {
+            incarnation: IncarnationId(refusal.incarnation),
+            process: Some(ProcessId(refusal.process)).filter(|process| process.0 != 0),
+        };
+        let known = self.snapshot.as_ref();
+        let known = known.and_then(|snapshot| snapshot.upstreams.get(name));
+        let was_current = known.is_some_and(|known| known.incarnation == sent.run.incarnation);
+        let is_later = was_current && sent.run.incarnation < stated.incarnation;
+        let is_serving = refusal.load.is_some_and(|load| !load.draining);
+        if !is_later || !is_serving || stated.process.is_none() {
+            self.later_runs.stated.swap_remove(name);
+            return false;
+        }
+        self.later_runs.stated.insert(name.clone(), stated);
+        true
+    }
+
+    /// Sends a refused attempt again to the same node, to the run that the node has stated. The
+    /// refused attempt used up none of the call's chances.
+    pub(super) fn readdress(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        sent: SentAttempt,
+        steps: &mut Vec<EntryStep>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.refused_attempts.push(sent.number);
+        call.attempts_sent = call.attempts_sent.saturating_sub(1);
+        call.possibly_arrived = call.possibly_arrived.saturating_sub(1);
+        let service = call.service.clone();
+        let chosen = sent.chosen.clone();
+        self.finish_ticket(now, &service, sent, UpstreamOutcome::Cancelled, None);
+        self.send_to(now, id, chosen, steps);
+        self.reschedule(now, id);
+    }
+}
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -6,10 +6,13 @@
 use kumquatlock_wire::call::CallReason;
 use kumquatlock_wire::claim::ClaimOwner;
 
+use super::runs::DestinationRun;
 use crate::call::answer::CallerAnswer;
 use crate::call::request::CallerRequest;
 use crate::claim::ClaimFencer;
-use crate::core::{RequestClass, RequestFingerprint, RouteEntry, SharedName, Timestamp};
+use crate::core::{
+    IncarnationId, ProcessId, RequestClass, RequestFingerprint, RouteEntry, SharedName, Timestamp,
+};
 use crate::retry::{CallProgress, HedgePolicy};
 use crate::routing::{AttemptTicket, ChosenUpstream, UpstreamToken};
 use crate::util::trace::HopSpan;
@@ -61,6 +64,8 @@
 pub(super) struct SentAttempt {
     pub(super) number: u32,
     pub(super) chosen: ChosenUpstream,
+    /// What the attempt names; the incarnation is that of `chosen` or a later one.
+    pub(super) run: DestinationRun,
     pub(super) ticket: AttemptTicket,
 }
 
@@ -87,6 +92,8 @@
     pub(super) destination: SharedName,
     /// Number of the latest query.
     pub(super) query_number: u32,
+    /// Process that the attempt named, if any.
+    pub(super) process: Option<ProcessId>,
     /// When the search ends without a result.
     pub(super) expires_at: Timestamp,
     /// When to send the next query; `None` while a query is outstanding.
@@ -95,6 +102,16 @@
     pub(super) reason: CallReason,
 }
 
+impl OutcomeSearch {
+    /// Returns what the attempt named of its destination node.
+    pub(super) fn run(&self) -> DestinationRun {
+        DestinationRun {
+            incarnation: IncarnationId(self.owner.destination_incarnation),
+            process: self.process,
+        }
+    }
+}
+
 impl EntryCall {
     pub(super) fn new(
         request: CallerRequest,
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 use kumquatlock_wire::Body;
+use kumquatlock_wire::call::CallResponse;
 use kumquatlock_wire::claim::ShardHolder;
 use kumquatlock_wire::distribution::{
     CatalogState, RouteItem, ServiceItem, UpstreamItem, WireClass,
@@ -181,6 +182,12 @@
         self.apply_entry_steps(steps);
     }
 
+    /// Delivers a response to the entry node.
+    pub(super) fn answer_attempt(&mut self, response: CallResponse) {
+        let steps = self.entry.on_response(self.now, response);
+        self.apply_entry_steps(steps);
+    }
+
     fn deliver_to_destination(&mut self, message: QueuedMessage) {
         let now = self.now;
         let source = CallSource::Link(LinkId(0));
@@ -395,6 +402,7 @@
         self.record(format!("{name} restarts"));
         let settings = ClaimSettings::default();
         let mut calls = DestinationCalls::new(name.into(), IncarnationId(incarnation), settings);
+        calls.set_process(ProcessId(incarnation));
         calls.accept_earlier_incarnations();
         let service = service.into();
         calls.on_announce(
@@ -612,7 +620,7 @@
         address,
         instance: SharedName::default(),
         run_started_ms: 0,
-        service: SharedName::default(),
+        service: "booking".into(),
         limits,
     }
 }
--- a/crates/kumquatlock/src/core/ids.rs
+++ b/crates/kumquatlock/src/core/ids.rs
@@ -1,6 +1,8 @@
 //! Names and identifiers.
 
+use std::collections::hash_map::RandomState;
 use std::fmt;
+use std::hash::BuildHasher;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 
@@ -46,3 +48,20 @@
     /// name.
     IncarnationId
 }
+number_id! {
+    /// Identifies one process of a node. Chosen at random at its start, unlike an incarnation, which
+    /// two processes can share if a clock was set back between them. Zero means unknown.
+    ProcessId
+}
+
+/// Number of random bits of a [`ProcessId`], which take 7 bytes on the wire.
+const PROCESS_ID_BITS: u32 = 48;
+
+impl ProcessId {
+    /// Chooses the identity of this process.
+    pub fn random() -> Self {
+        // The keys of the hasher come from the random source of the operating system.
+        let random = RandomState::new().hash_one(std::process::id());
+        ProcessId((random >> (u64::BITS - PROCESS_ID_BITS)).max(1))
+    }
+}
--- a/crates/kumquatlock/src/core/mod.rs
+++ b/crates/kumquatlock/src/core/mod.rs
@@ -13,7 +13,8 @@
 pub use digest::{change_digest, route_digest, service_digest, stable_hash, upstream_digest};
 pub use fingerprint::RequestFingerprint;
 pub use ids::{
-    ConfigVersion, GroupId, IncarnationId, SharedName, address_from_name, name_from_address,
+    ConfigVersion, GroupId, IncarnationId, ProcessId, SharedName, address_from_name,
+    name_from_address,
 };
 pub use rate::RequestRate;
 pub use snapshot::{
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -23,7 +23,7 @@
 use crate::admission::AdmissionLimits;
 use crate::call::{CallId, DestinationCalls, EntryCalls, EntrySettings, RunId, UpstreamEndpoint};
 use crate::claim::ClaimHolder;
-use crate::core::{ConfigSnapshot, GroupId, IncarnationId, SharedName, Timestamp};
+use crate::core::{ConfigSnapshot, GroupId, IncarnationId, ProcessId, SharedName, Timestamp};
 use crate::distribution::{self, ChildEvent, ChildIdentity, ChildState};
 use crate::http::{
     ExchangeReady, ExchangeTable, HttpLimits, HttpReady, HttpTable, MAX_BODY_BYTES, RequestId,
@@ -68,6 +68,7 @@
     pub(super) settings: NodeSettings,
     pub(super) adapter: NodeAdapter,
     pub(super) incarnation: IncarnationId,
+    pub(super) process: ProcessId,
     pub(super) started: Instant,
     pub(super) poll: MioPoll,
     pub(super) counters: Arc<TrafficCounters>,
@@ -183,6 +184,7 @@
         }
         let mut destination =
             DestinationCalls::new(settings.name.clone(), parts.incarnation, claims);
+        destination.set_process(parts.process);
         destination.set_header_names(parts.adapter.names);
         destination.set_refusal_time(tuning.refusal_time);
         if let Some(leave_time) = tuning.leave_time {
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -35,7 +35,7 @@
 pub use settings::{NodeSettings, NodeTuning};
 
 use crate::claim::ClaimSettings;
-use crate::core::{IncarnationId, Timestamp};
+use crate::core::{IncarnationId, ProcessId, Timestamp};
 use crate::transport::{POLL_PRIORITY, TrafficCounters};
 use crate::util::cancel::CancelToken;
 use actor::{ActorParts, NodeActor};
@@ -81,6 +81,7 @@
         settings: settings.clone(),
         adapter,
         incarnation,
+        process: ProcessId::random(),
         started,
         poll: poll.clone(),
         counters,
