Test the proofs that a request did not reach the upstream

A connection attempt that is given up or cancelled leaves no byte to read; a request that waits in the upstream's socket, whole or in part, is never reported as not run; a connection with the unsent rest of a request is not used again; a request on a connection that was reset before counts as unsent; an interim response decides nothing. Every failure of an exchange now stands in the test of outcomes.

--- a/crates/kumquatlock/src/call/tests/failures.rs
+++ b/crates/kumquatlock/src/call/tests/failures.rs
@@ -198,7 +198,11 @@
         (UpstreamFailure::Timeout, "unknown", 1),
         (UpstreamFailure::Broken, "unknown", 1),
         (UpstreamFailure::Truncated, "unknown", 1),
+        (UpstreamFailure::Garbled, "unknown", 1),
+        (UpstreamFailure::TooLarge, "unknown", 1),
+        (UpstreamFailure::Cancelled, "unknown", 1),
         (UpstreamFailure::Unreachable, "answered", 2),
+        (UpstreamFailure::NotListening, "answered", 2),
     ];
     for (failure, outcome, runs) in failures {
         let mut simulation = CallSimulation::new(WireClass::AtMostOnce);
--- a/crates/kumquatlock/src/http/tests.rs
+++ b/crates/kumquatlock/src/http/tests.rs
@@ -14,6 +14,7 @@
 mod endless;
 mod heads;
 mod late;
+mod proofs;
 mod stops;
 
 use crate::core::Timestamp;
