Share no connection between identified and unidentified requests

An upstream refuses a request without naming it, and sends the refusal again while the connection carries the next caller's request. The node took the copy for the response to that request and reported it as not run while it ran; the entry node then ran it again, or told the caller that it had not run.

Cause: a response without an id answers the current request as long as the connection has had no response with one. Only the reverse was excluded, a request without an id on a connection with named responses.

Where every upstream repeats the id, an identified request now uses no connection on which a request or a response was not identified. On the product's own interface, where an upstream need not repeat the attempt, nothing changes: no response there proves that a request has not run.

The new test failed before for a first request without an id and, with one half of this change taken back, for a first request whose refusal does not name it: 503 in place of 200.

--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -11,7 +11,7 @@
 use crate::call::HeaderNames;
 use crate::claim::StoredAnswer;
 use crate::core::{RequestClass, Timestamp};
-use crate::http::{HttpRequest, HttpResponse, UpstreamFailure};
+use crate::http::{EchoedHeader, HttpRequest, HttpResponse, UpstreamFailure};
 use crate::util::trace::{HopSpan, SeededIds, TRACEPARENT_HEADER};
 
 /// Time after the caller's deadline within which a keyed request may still be answered, so that a
@@ -117,13 +117,21 @@
 
     /// Returns the header that identifies the request in the upstream's answer: the caller's
     /// identifier if the platform has one, or else the attempt, which an upstream may repeat.
-    fn echoed(&self, names: &HeaderNames) -> Option<(&'static str, String)> {
+    fn echoed(&self, names: &HeaderNames) -> Option<EchoedHeader> {
         let Some(name) = names.request_id else {
-            return names.attempt.map(|name| (name, self.attempt_label()));
+            return names.attempt.map(|name| EchoedHeader {
+                name,
+                value: self.attempt_label(),
+                is_guaranteed: false,
+            });
         };
         let mut fields = self.request.headers.iter();
         let field = fields.find(|field| field.name.eq_ignore_ascii_case(name))?;
-        Some((name, field.value.clone()))
+        Some(EchoedHeader {
+            name,
+            value: field.value.clone(),
+            is_guaranteed: true,
+        })
     }
 
     fn upstream_request(
--- a/crates/kumquatlock/src/call/destination/step.rs
+++ b/crates/kumquatlock/src/call/destination/step.rs
@@ -9,7 +9,7 @@
 
 use crate::admission::AdmissionLimits;
 use crate::core::{SharedName, Timestamp};
-use crate::http::HttpRequest;
+use crate::http::{EchoedHeader, HttpRequest};
 use crate::transport::LinkId;
 use crate::util::trace::HopSpan;
 
@@ -79,7 +79,7 @@
         /// Whether the request may run more than once.
         is_repeatable: bool,
         /// Header that the upstream must repeat in its answer.
-        echoed: Option<(&'static str, String)>,
+        echoed: Option<EchoedHeader>,
     },
     /// Tell the upstream that nobody is waiting for a request any more.
     Cancel {
--- a/crates/kumquatlock/src/http/exchange.rs
+++ b/crates/kumquatlock/src/http/exchange.rs
@@ -45,10 +45,23 @@
     /// Whether the request may run more than once. If not, it is sent only on a new connection or
     /// on one that has been idle for at most a second.
     pub is_repeatable: bool,
-    /// Name and value of a header that the upstream repeats in its response. A response with
-    /// another value belongs to another request and is skipped. The request is not sent on a
-    /// connection that has carried another attempt with the same value.
-    pub echoed: Option<(&'static str, String)>,
+    /// Identifies the request. The request is not sent on a connection that has carried another
+    /// attempt with the same value.
+    pub echoed: Option<EchoedHeader>,
+}
+
+/// A request header that the upstream repeats in its response. A response with another value
+/// belongs to another request and is skipped.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EchoedHeader {
+    /// Name of the header.
+    pub name: &'static str,
+    /// Value of the header, which identifies the request.
+    pub value: String,
+    /// Whether every upstream repeats the header. If so, the request shares no connection with
+    /// requests and responses that are not identified: a late copy of such a response would be
+    /// taken for its own.
+    pub is_guaranteed: bool,
 }
 
 /// Result of one [`UpstreamJob`].
--- a/crates/kumquatlock/src/http/mod.rs
+++ b/crates/kumquatlock/src/http/mod.rs
@@ -18,7 +18,9 @@
 mod upstream;
 
 pub use connection::HttpLimits;
-pub use exchange::{ExchangeReady, ExchangeTable, UpstreamFailure, UpstreamJob, UpstreamResult};
+pub use exchange::{
+    EchoedHeader, ExchangeReady, ExchangeTable, UpstreamFailure, UpstreamJob, UpstreamResult,
+};
 pub use message::{HttpRequest, HttpResponse, MAX_BODY_BYTES, MAX_HEADERS};
 pub use table::{CloseStep, HttpEvent, HttpReady, HttpTable, RequestId};
 
--- a/crates/kumquatlock/src/http/tests.rs
+++ b/crates/kumquatlock/src/http/tests.rs
@@ -105,6 +105,15 @@
     }
 }
 
+/// Returns the header that identifies a request, which every upstream repeats.
+fn request_id(id: &str) -> EchoedHeader {
+    EchoedHeader {
+        name: "request-id",
+        value: id.to_owned(),
+        is_guaranteed: true,
+    }
+}
+
 fn outcome_of(address: SocketAddr, method: &str) -> Result<HttpResponse, UpstreamFailure> {
     ExchangeLoop::new().run(job(address, method, b"body".to_vec()))
 }
@@ -177,7 +186,7 @@
     let bytes = "HTTP/1.1 200 OK\r\nRequest-Id: old\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 \
                   OK\r\nRequest-Id: new\r\nContent-Length: 3\r\n\r\nnew";
     let mut job = job(raw_upstream(bytes), "GET", Vec::new());
-    job.echoed = Some(("request-id", "new".to_owned()));
+    job.echoed = Some(request_id("new"));
     let response = ExchangeLoop::new().run(job).unwrap();
     assert_eq!(&response.body[..], b"new");
 }
--- a/crates/kumquatlock/src/http/tests/late.rs
+++ b/crates/kumquatlock/src/http/tests/late.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use super::{ExchangeLoop, job};
+use super::{ExchangeLoop, job, request_id};
 use crate::core::Timestamp;
 use crate::http::carried::{CarriedRequests, MAX_CARRIED_REQUESTS};
 use crate::http::{HttpResponse, UpstreamFailure, UpstreamJob};
@@ -17,6 +17,8 @@
 /// Time that the upstream works on a request; longer than the delay of a copy.
 const WORK_TIME: Duration = Duration::from_millis(80);
 
+const UNNAMED_REFUSAL: &str = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+
 /// What the upstream sends for the request that it reads at this position, over all connections.
 #[derive(Clone, Copy)]
 enum ScriptedAnswer {
@@ -28,6 +30,8 @@
     Success,
     /// Answers after [`WORK_TIME`] without naming the request.
     Unnamed,
+    /// Refuses the request without naming it, and sends the refusal again after [`COPY_DELAY`].
+    UnnamedRefusalTwice,
     /// Repeats an answer to the request `old`, and then answers.
     SuccessAfterCopy,
     /// Sends the beginning of such a copy, and then answers.
@@ -82,24 +86,15 @@
         let refusal = response("503 Full", &id, "full");
         match answer {
             ScriptedAnswer::Refusal => send(&mut stream, &refusal),
-            ScriptedAnswer::RefusalTwice => {
-                send(&mut stream, &refusal);
-                let mut late = stream.try_clone().unwrap();
-                thread::spawn(move || {
-                    thread::sleep(COPY_DELAY);
-                    send(&mut late, &refusal);
-                });
-            }
+            ScriptedAnswer::RefusalTwice => send_twice(&mut stream, refusal),
+            ScriptedAnswer::UnnamedRefusalTwice => send_twice(&mut stream, UNNAMED_REFUSAL.into()),
             ScriptedAnswer::Success => {
                 thread::sleep(WORK_TIME);
                 send(&mut stream, &response("200 OK", &id, "done"));
             }
             ScriptedAnswer::Unnamed => {
                 thread::sleep(WORK_TIME);
-                send(
-                    &mut stream,
-                    "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
-                );
+                send(&mut stream, UNNAMED_REFUSAL);
             }
             ScriptedAnswer::SuccessAfterCopy => {
                 send(&mut stream, &response("503 Full", "old", "full"));
@@ -114,6 +109,16 @@
     }
 }
 
+/// Sends `bytes` at once, and again after [`COPY_DELAY`].
+fn send_twice(stream: &mut TcpStream, bytes: String) {
+    send(stream, &bytes);
+    let mut late = stream.try_clone().unwrap();
+    thread::spawn(move || {
+        thread::sleep(COPY_DELAY);
+        send(&mut late, &bytes);
+    });
+}
+
 fn send(stream: &mut TcpStream, bytes: &str) {
     // The node may have closed the connection.
     let _ = stream.write_all(bytes.as_bytes());
@@ -128,7 +133,7 @@
     let mut job = job(upstream.address, "POST", Vec::new());
     let header = ("Request-Id".to_owned(), id.to_owned());
     job.request.headers.push(header);
-    job.echoed = Some(("Request-Id", id.to_owned()));
+    job.echoed = Some(request_id(id));
     job
 }
 
@@ -214,6 +219,23 @@
     assert_eq!(upstream.connections(), 2);
 }
 
+/// Guards against a late copy of a refusal without an id that is taken for the response to the next
+/// caller's request: the request runs, counts as refused, and is run again.
+#[test]
+fn a_late_copy_of_an_unnamed_refusal_does_not_answer_the_next_request() {
+    for is_named in [false, true] {
+        let upstream = ScriptedUpstream::start(&[ScriptedAnswer::UnnamedRefusalTwice]);
+        let first = match is_named {
+            true => named_job(&upstream, "a"),
+            false => job(upstream.address, "POST", Vec::new()),
+        };
+        let mut exchanges = ExchangeLoop::new();
+        assert_eq!(status_of(exchanges.run(first)), Ok(503));
+        let second = exchanges.run(named_job(&upstream, "b"));
+        assert_eq!(status_of(second), Ok(200), "first named: {is_named}");
+    }
+}
+
 /// Guards against a record of carried requests that grows with the time that callers have left.
 #[test]
 fn the_requests_of_a_connection_are_bounded_and_expire() {
--- a/crates/kumquatlock/src/http/upstream.rs
+++ b/crates/kumquatlock/src/http/upstream.rs
@@ -10,7 +10,7 @@
 
 use super::body::{BodyError, BodyProgress, BodyReader};
 use super::carried::CarriedRequests;
-use super::exchange::{MAX_IDLE_AGE, UpstreamFailure, UpstreamJob};
+use super::exchange::{EchoedHeader, MAX_IDLE_AGE, UpstreamFailure, UpstreamJob};
 use super::head::{BodyFraming, HeadProgress, ResponseHead, parse_response_head};
 use super::message::{HttpResponse, MAX_BODY_BYTES};
 use crate::core::Timestamp;
@@ -38,7 +38,7 @@
     pub(super) tag: T,
     pub(super) deadline: Timestamp,
     is_head: bool,
-    echoed: Option<(&'static str, String)>,
+    echoed: Option<EchoedHeader>,
     /// Whether any byte of the request was written.
     pub(super) is_sent: bool,
     response: Option<(ResponseHead, BodyReader)>,
@@ -61,6 +61,8 @@
     carried: CarriedRequests,
     /// Whether a response on this connection has named its request. If so, all of them do.
     names_requests: bool,
+    /// Whether a request or a response on this connection was not identified.
+    has_unidentified: bool,
 }
 
 /// Result of reading from and writing to a connection.
@@ -92,6 +94,7 @@
             idle_limit: MAX_IDLE_AGE,
             carried: CarriedRequests::default(),
             names_requests: false,
+            has_unidentified: false,
         };
         connection.record_request(now, &exchange);
         connection.phase = ExchangePhase::Connecting(exchange);
@@ -110,7 +113,8 @@
     /// Whether the responses to the exchange can be told from those to earlier requests.
     pub(super) fn may_carry(&self, now: Timestamp, exchange: &UpstreamExchange<T>) -> bool {
         match &exchange.echoed {
-            Some((_, value)) => self.carried.accepts(now, value),
+            Some(echoed) if echoed.is_guaranteed && self.has_unidentified => false,
+            Some(echoed) => self.carried.accepts(now, &echoed.value),
             None => !self.names_requests,
         }
     }
@@ -128,8 +132,9 @@
     }
 
     fn record_request(&mut self, now: Timestamp, exchange: &UpstreamExchange<T>) {
-        if let Some((_, value)) = &exchange.echoed {
-            self.carried.record(now, value, exchange.deadline);
+        match &exchange.echoed {
+            Some(echoed) => self.carried.record(now, &echoed.value, exchange.deadline),
+            None => self.has_unidentified = true,
         }
     }
 
@@ -275,7 +280,9 @@
             };
             match exchange.attribution(&head) {
                 ResponseAttribution::Own => self.names_requests |= exchange.echoed.is_some(),
-                ResponseAttribution::Unnamed if !self.names_requests => {}
+                ResponseAttribution::Unnamed if !self.names_requests => {
+                    self.has_unidentified = true;
+                }
                 ResponseAttribution::Unnamed => {
                     return ExchangeProgress::Failed(UpstreamFailure::Garbled);
                 }
@@ -337,13 +344,13 @@
     }
 
     fn attribution(&self, head: &ResponseHead) -> ResponseAttribution {
-        let Some((name, expected)) = &self.echoed else {
+        let Some(echoed) = &self.echoed else {
             return ResponseAttribution::Own;
         };
         let mut headers = head.headers.iter();
-        let named = headers.find(|(header, _)| header.eq_ignore_ascii_case(name));
+        let named = headers.find(|(header, _)| header.eq_ignore_ascii_case(echoed.name));
         match named {
-            Some((_, value)) if value == expected => ResponseAttribution::Own,
+            Some((_, value)) if *value == echoed.value => ResponseAttribution::Own,
             Some(_) => ResponseAttribution::OtherRequest,
             None => ResponseAttribution::Unnamed,
         }
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -16,7 +16,7 @@
     ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamEntry, UpstreamState,
 };
 use crate::distribution::{ChildEvent, ChildStep};
-use crate::http::{HttpRequest, HttpResponse, UpstreamJob, UpstreamResult};
+use crate::http::{EchoedHeader, HttpRequest, HttpResponse, UpstreamJob, UpstreamResult};
 use crate::membership::{AnnouncerEvent, AnnouncerStep};
 use crate::transport::LinkId;
 use crate::util::trace::{HopSpan, SpanRecord};
@@ -135,7 +135,11 @@
                     request,
                     timeout: CANCEL_TIMEOUT,
                     is_repeatable: true,
-                    echoed: Some((ATTEMPT_HEADER, attempt)),
+                    echoed: Some(EchoedHeader {
+                        name: ATTEMPT_HEADER,
+                        value: attempt,
+                        is_guaranteed: false,
+                    }),
                 };
                 self.exchanges.start(now, job);
             }
