Reject a response head that is made of two responses

An upstream sends a copy of a refusal that ends within its head, and then the response to the current request. The node read both as one response, with the status and the "not executed" header of the refusal and the id of the current request: a request that had run was reported as not run, and was run again. In the reverse order a success got the header of the refusal.

Cause: the end of a value or of the reason phrase is the next line break, so the status line of the second response became a part of the value. The repeated id doesn't help, because it is that of the second response.

A head that holds more than one status line is now invalid, which leaves the outcome unknown. A cut elsewhere was rejected before: a status line is no valid header name, and a whole head of a copy names the other request.

The new test failed before in all three of its cases, with 503, with 503 and the header, and with 200 and the header.

--- a/crates/kumquatlock/src/http/head.rs
+++ b/crates/kumquatlock/src/http/head.rs
@@ -5,6 +5,9 @@
 /// Maximum size of an incomplete response head, in bytes. Upstreams are not expected to exceed it.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
+/// Length of the start of a status line: the version, a space and the status.
+const STATUS_LINE_START_BYTES: usize = "HTTP/1.1 200".len();
+
 /// How a body is delimited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum BodyFraming {
@@ -113,6 +116,9 @@
         Err(_) => return HeadProgress::Invalid(HeadError::Malformed),
     };
     let malformed = HeadProgress::Invalid(HeadError::Malformed);
+    if holds_second_status_line(&bytes[..consumed]) {
+        return malformed;
+    }
     let Some((fields, framing)) = copy_headers(parsed.headers) else {
         return malformed;
     };
@@ -141,6 +147,23 @@
     }
 }
 
+/// Whether a head consists of two responses: one that was cut short, and the next one, whose status
+/// line then seems to be a part of the reason phrase or of a header value. The status and the
+/// headers would belong to different requests.
+fn holds_second_status_line(head: &[u8]) -> bool {
+    let status_lines = head
+        .windows(STATUS_LINE_START_BYTES)
+        .filter(|bytes| starts_status_line(bytes));
+    status_lines.count() > 1
+}
+
+fn starts_status_line(bytes: &[u8]) -> bool {
+    let Some([minor_version, b' ', status @ ..]) = bytes.strip_prefix(b"HTTP/1.") else {
+        return false;
+    };
+    minor_version.is_ascii_digit() && status.iter().all(u8::is_ascii_digit)
+}
+
 /// Copies the headers and parses the ones that delimit the body. Returns `None` if a value is not
 /// valid UTF-8 or the framing headers are invalid.
 fn copy_headers(
--- a/crates/kumquatlock/src/http/tests/heads.rs
+++ b/crates/kumquatlock/src/http/tests/heads.rs
@@ -122,3 +122,12 @@
         BodyFraming::Chunked
     );
 }
+
+/// Guards against a protocol version in a header, such as that of a proxy, that is taken for another
+/// response.
+#[test]
+fn a_protocol_version_in_a_header_is_no_status_line() {
+    let text = b"\r\nHTTP/1.1 200 OK\r\nVia: HTTP/1.1 cache, 1.0 edge\r\n\r\n";
+    let progress = parse_response_head(text, false);
+    assert!(matches!(progress, HeadProgress::Complete { .. }));
+}
--- a/crates/kumquatlock/src/http/tests/proofs.rs
+++ b/crates/kumquatlock/src/http/tests/proofs.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use super::{ExchangeLoop, TIMEOUT, job, outcome_of, raw_upstream};
+use super::{ExchangeLoop, TIMEOUT, job, outcome_of, raw_upstream, request_id};
 use crate::http::{HttpResponse, UpstreamFailure};
 
 /// Longer than the timeout of a connection attempt.
@@ -121,3 +121,24 @@
     assert_eq!(response.status, 200);
     assert_eq!(response.header("Not-Executed"), None);
 }
+
+/// Guards against a refusal that is cut short within its head and continued by the response to the
+/// current request, whose id it then seems to have; and against the reverse.
+#[test]
+fn a_head_that_is_made_of_two_answers_nothing() {
+    let own = "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 0\r\n\r\n";
+    let own_start = "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nServer: a";
+    let refusal = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    let outcomes = [
+        ("HTTP/1.1 503 Fu", own),
+        ("HTTP/1.1 503 Full\r\nNot-Executed: ", own),
+        (own_start, refusal),
+    ]
+    .map(|(start, rest)| {
+        let bytes = format!("{start}{rest}").leak();
+        let mut job = job(raw_upstream(bytes), "POST", Vec::new());
+        job.echoed = Some(request_id("b"));
+        ExchangeLoop::new().run(job)
+    });
+    assert_eq!(outcomes, [const { Err(UpstreamFailure::Garbled) }; 3]);
+}
