Pass on no status that promises "not run" without proof

Where callers get no outcome header, the statuses 408, 421, 429 and 503 are a promise: the request has not run and never will. An upstream answered a request that must not run twice with one of them, without the header that states that it was not executed. The node passed the status on, so that the caller could take a request that had run for not run and send it again.

Cause: the statement of the upstream was read for further attempts, but not for what the status tells the caller.

Such an answer now ends as unknown, which the caller gets as 504. Requests that may run more than once and platforms with an outcome header get the upstream's answer as before.

The new test failed before: a booking whose upstream answers 503 without the header was "answered", not "unknown".

--- a/crates/kumquatlock/src/call/destination/crash.rs
+++ b/crates/kumquatlock/src/call/destination/crash.rs
@@ -36,7 +36,9 @@
     pub(super) fn of_response(verdict: ResponseVerdict, status: u16) -> Self {
         match verdict {
             ResponseVerdict::Answered if status < MIN_SERVER_ERROR_STATUS => LifeSign::Completed,
-            ResponseVerdict::Answered | ResponseVerdict::NotRun => LifeSign::Answered,
+            ResponseVerdict::Answered
+            | ResponseVerdict::NotRun
+            | ResponseVerdict::UnprovedRefusal => LifeSign::Answered,
             ResponseVerdict::Unsigned => LifeSign::None,
         }
     }
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -21,6 +21,8 @@
 const MISDIRECTED_STATUS: u16 = 421;
 /// HTTP status by which an upstream sheds load.
 const SHED_STATUS: u16 = 503;
+/// HTTP statuses that state that the request did not run, to callers that get no outcome header.
+const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED_STATUS, 429, 503];
 
 pub(super) struct CallRun {
     pub(super) source: CallSource,
@@ -184,9 +186,16 @@
     NotRun,
     /// A success without the upstream's signature header; something else may have sent it.
     Unsigned,
+    /// A status that callers would take for "not run", without a statement of the upstream that the
+    /// request, which must not run twice, has not run.
+    UnprovedRefusal,
 }
 
-fn classify_response(names: &HeaderNames, response: &HttpResponse) -> ResponseVerdict {
+fn classify_response(
+    names: &HeaderNames,
+    is_repeatable: bool,
+    response: &HttpResponse,
+) -> ResponseVerdict {
     let is_marked = names
         .not_executed
         .is_some_and(|name| response.header(name).is_some());
@@ -195,6 +204,10 @@
     if is_marked || is_other_instance {
         return ResponseVerdict::NotRun;
     }
+    let promises_not_run = names.outcome.is_none() && NOT_RUN_STATUSES.contains(&response.status);
+    if promises_not_run && !is_repeatable {
+        return ResponseVerdict::UnprovedRefusal;
+    }
     let is_success = (200..300).contains(&response.status);
     let is_signed = names.response_signature.is_none_or(|name| {
         response.header(name).is_some() && response.header("content-encoding").is_none()
@@ -320,13 +333,18 @@
         outcome: Result<HttpResponse, UpstreamFailure>,
         steps: &mut Vec<DestinationStep>,
     ) {
-        let verdict = outcome.map(|response| (classify_response(&self.names, &response), response));
+        let run = self.runs.get(&id);
+        let is_repeatable = run.is_some_and(|run| run.class.is_repeatable());
+        let sent = run.and_then(|run| run.sent);
+        let verdict = outcome.map(|response| {
+            let verdict = classify_response(&self.names, is_repeatable, &response);
+            (verdict, response)
+        });
         let service = match &verdict {
             Ok((_, response)) if response.status == SHED_STATUS => ServiceOutcome::Shed,
             Ok((ResponseVerdict::Answered, _)) => ServiceOutcome::Answered,
             Ok(_) | Err(_) => ServiceOutcome::Ended,
         };
-        let sent = self.runs.get(&id).and_then(|run| run.sent);
         if let (Some(sent), Ok((verdict, response))) = (sent, &verdict) {
             self.observe_notice(now, sent, *verdict, response, steps);
         }
@@ -345,7 +363,7 @@
             Ok((ResponseVerdict::NotRun, _)) => {
                 self.end_not_run(now, id, &run, CallReason::UpstreamRefused, steps);
             }
-            Ok((ResponseVerdict::Unsigned, _)) => {
+            Ok((ResponseVerdict::Unsigned | ResponseVerdict::UnprovedRefusal, _)) => {
                 self.end_failed(now, id, &run, UpstreamFailure::Garbled, steps);
             }
             Err(failure) if failure.proves_not_run() => {
--- a/crates/kumquatlock/src/call/names.rs
+++ b/crates/kumquatlock/src/call/names.rs
@@ -20,7 +20,8 @@
     /// Identifies one attempt to the upstream, so that a separate request can cancel it. If `None`,
     /// an attempt is cancelled by closing its connection.
     pub attempt: Option<&'static str>,
-    /// Outcome of a call; set on every answer.
+    /// Outcome of a call; set on every answer. If `None`, callers take the statuses 408, 421, 429 and
+    /// 503 for "not run", so that a request that may have run is never answered with one of them.
     pub outcome: Option<&'static str>,
     /// Identifies the caller's attempt. The upstream repeats the value in its answer.
     pub request_id: Option<&'static str>,
--- a/crates/kumquatlock/src/call/tests/failures.rs
+++ b/crates/kumquatlock/src/call/tests/failures.rs
@@ -6,7 +6,7 @@
 use kumquatlock_wire::distribution::WireClass;
 
 use super::simulation::{CallSimulation, ENTRY, QueuedMessage, UPSTREAMS};
-use crate::call::{CallerAnswer, EntrySettings};
+use crate::call::{CallerAnswer, EntrySettings, HeaderNames};
 use crate::http::{HttpResponse, UpstreamFailure};
 
 /// A booking must not run twice after its answer was lost together with the connection.
@@ -215,6 +215,42 @@
     }
 }
 
+/// Without an outcome header, callers take some statuses for the promise that a request has not run.
+/// An upstream's answer with such a status must not be passed on unless it states that itself.
+#[test]
+fn a_status_that_promises_not_run_needs_the_statement_of_the_upstream() {
+    let at_most_once = WireClass::AtMostOnce;
+    for (class, status, is_marked, outcome, runs) in [
+        (at_most_once, 503, true, "answered", 2),
+        (at_most_once, 400, true, "answered", 2),
+        (at_most_once, 503, false, "unknown", 1),
+        (at_most_once, 429, false, "unknown", 1),
+        (at_most_once, 408, false, "unknown", 1),
+        (at_most_once, 500, false, "answered", 1),
+        (WireClass::Lookup, 429, false, "answered", 1),
+    ] {
+        let mut simulation = CallSimulation::new(class);
+        simulation.set_header_names(HeaderNames {
+            outcome: None,
+            not_executed: Some("not-executed"),
+            ..HeaderNames::default()
+        });
+        let call = simulation.open(None);
+        let destination = simulation.called_destination();
+        let mark = is_marked.then(|| ("not-executed".to_owned(), "1".to_owned()));
+        let response = HttpResponse {
+            status,
+            headers: mark.into_iter().collect(),
+            ..HttpResponse::default()
+        };
+        simulation.queue_result(&destination, Ok(response));
+        simulation.advance(Duration::from_millis(200));
+        let case = format!("{class:?} {status} {is_marked}");
+        assert_eq!(simulation.outcome(call), outcome, "{case}");
+        assert_eq!(simulation.runs.len(), runs, "{case}");
+    }
+}
+
 /// A booking must not be repeated because its upstream answered with a server error; a lookup may
 /// be.
 #[test]
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -483,6 +483,12 @@
         self.destinations[name].results.push_back(result);
     }
 
+    pub(super) fn set_header_names(&mut self, names: HeaderNames) {
+        for destination in self.destinations.values_mut() {
+            destination.calls.set_header_names(names);
+        }
+    }
+
     /// Removes the queued results, so that the upstream answers with status 200 again.
     pub(super) fn clear_results(&mut self, name: &str) {
         self.destinations[name].results.clear();
