Remember the requests of a connection for as long as it is open

An upstream refuses an attempt and sends the refusal again, late. The next attempt of the same request is slow on its way and reaches the node after the deadline of the first one. It was sent on the same connection, the copy answered it, and it was reported as not run while it ran. An entry node that was paused meanwhile would tell the caller so.

Cause: a connection forgot a request at the deadline that its node had computed, on the grounds that no further attempt follows. Each node computes that deadline from the arrival of the attempt, so a later attempt can arrive after it.

The record now lives as long as the connection.

The test of the record checked that a request is forgotten at its deadline, which is the fault; it now checks that none is forgotten, and that the record is bounded as before. A test of the full record is new, since none covered the close of such a connection.

--- a/crates/kumquatlock/src/http/exchange.rs
+++ b/crates/kumquatlock/src/http/exchange.rs
@@ -149,7 +149,7 @@
         match self.select_idle(now, address, is_repeatable, &exchange) {
             Some(id) => {
                 if let Some(connection) = self.connections.get_mut(&id) {
-                    connection.begin(now, exchange, write_buf);
+                    connection.begin(exchange, write_buf);
                 }
                 self.advance(now, id, false);
             }
@@ -244,7 +244,7 @@
         let idle = connections.find(|(_, connection)| match connection.phase {
             ExchangePhase::Idle { since } => {
                 now.since(since) < max_age.min(connection.idle_limit)
-                    && connection.may_carry(now, exchange)
+                    && connection.may_carry(exchange)
             }
             _ => false,
         });
--- a/crates/kumquatlock/src/http/tests/late.rs
+++ b/crates/kumquatlock/src/http/tests/late.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use super::{ExchangeLoop, job, request_id};
-use crate::core::Timestamp;
 use crate::http::carried::{CarriedRequests, MAX_CARRIED_REQUESTS};
 use crate::http::{HttpResponse, UpstreamFailure, UpstreamJob};
 
@@ -153,6 +152,20 @@
     assert_eq!(status_of(second), Ok(200));
 }
 
+/// Guards against a late copy that answers an attempt which arrives after the deadline of the one
+/// before it, over a slow link: the caller would be told that the request did not run.
+#[test]
+fn a_late_copy_does_not_answer_an_attempt_after_the_deadline_of_the_earlier_one() {
+    let upstream = ScriptedUpstream::start(&[ScriptedAnswer::RefusalTwice]);
+    let mut exchanges = ExchangeLoop::new();
+    let mut first = named_job(&upstream, "visit");
+    first.timeout = Duration::from_secs(2);
+    assert_eq!(status_of(exchanges.run(first)), Ok(503));
+    exchanges.started -= Duration::from_secs(2);
+    let second = exchanges.run(named_job(&upstream, "visit"));
+    assert_eq!(status_of(second), Ok(200));
+}
+
 /// Guards against new connections, which occupy the upstream, when no response can be confused with
 /// another one.
 #[test]
@@ -236,20 +249,31 @@
     }
 }
 
-/// Guards against a record of carried requests that grows with the time that callers have left.
+/// Guards against a record of carried requests that grows without end, and against one that forgets
+/// a request while its connection is open.
 #[test]
-fn the_requests_of_a_connection_are_bounded_and_expire() {
+fn the_requests_of_a_connection_are_bounded_and_not_forgotten() {
     let mut carried = CarriedRequests::default();
-    let (now, deadline) = (Timestamp(0), Timestamp(1_000));
-    carried.record(now, "visit", deadline);
-    assert!(!carried.accepts(now, "visit"));
-    assert!(carried.accepts(now, "other"));
-    assert!(carried.accepts(deadline, "visit"));
-    for number in 1..MAX_CARRIED_REQUESTS {
+    for number in 0..MAX_CARRIED_REQUESTS {
         assert!(!carried.is_full());
-        carried.record(now, &number.to_string(), deadline);
+        assert!(carried.accepts(&number.to_string()));
+        carried.record(&number.to_string());
     }
     assert!(carried.is_full());
-    carried.record(deadline, "later", Timestamp(2_000));
-    assert!(!carried.is_full());
+    let mut numbers = 0..MAX_CARRIED_REQUESTS;
+    assert!(numbers.all(|number| !carried.accepts(&number.to_string())));
+}
+
+/// Guards against a connection that is used for more requests than are recorded.
+#[test]
+fn a_connection_with_a_full_record_is_not_reused() {
+    let upstream = ScriptedUpstream::start(&[ScriptedAnswer::Refusal; MAX_CARRIED_REQUESTS + 1]);
+    let mut exchanges = ExchangeLoop::new();
+    for (number, connections) in [(MAX_CARRIED_REQUESTS, 1), (1, 2)] {
+        for request in 0..number {
+            let job = named_job(&upstream, &format!("{connections}-{request}"));
+            assert_eq!(status_of(exchanges.run(job)), Ok(503));
+        }
+        assert_eq!(exchanges.table.opened_connections(), connections);
+    }
 }
--- a/crates/kumquatlock/src/http/upstream.rs
+++ b/crates/kumquatlock/src/http/upstream.rs
@@ -96,7 +96,7 @@
             names_requests: false,
             has_unidentified: false,
         };
-        connection.record_request(now, &exchange);
+        connection.record_request(&exchange);
         connection.phase = ExchangePhase::Connecting(exchange);
         connection
     }
@@ -111,29 +111,24 @@
     }
 
     /// Whether the responses to the exchange can be told from those to earlier requests.
-    pub(super) fn may_carry(&self, now: Timestamp, exchange: &UpstreamExchange<T>) -> bool {
+    pub(super) fn may_carry(&self, exchange: &UpstreamExchange<T>) -> bool {
         match &exchange.echoed {
             Some(echoed) if echoed.is_guaranteed && self.has_unidentified => false,
-            Some(echoed) => self.carried.accepts(now, &echoed.value),
+            Some(echoed) => self.carried.accepts(&echoed.value),
             None => !self.names_requests,
         }
     }
 
     /// Begins an exchange on an idle connection.
-    pub(super) fn begin(
-        &mut self,
-        now: Timestamp,
-        exchange: UpstreamExchange<T>,
-        write_buf: BytesMut,
-    ) {
-        self.record_request(now, &exchange);
+    pub(super) fn begin(&mut self, exchange: UpstreamExchange<T>, write_buf: BytesMut) {
+        self.record_request(&exchange);
         self.write_buf = write_buf;
         self.phase = ExchangePhase::Running(exchange);
     }
 
-    fn record_request(&mut self, now: Timestamp, exchange: &UpstreamExchange<T>) {
+    fn record_request(&mut self, exchange: &UpstreamExchange<T>) {
         match &exchange.echoed {
-            Some(echoed) => self.carried.record(now, &echoed.value, exchange.deadline),
+            Some(echoed) => self.carried.record(&echoed.value),
             None => self.has_unidentified = true,
         }
     }
