Let the test relay deliver held bytes after their sender has closed

A slow path delivers what was sent on a connection also after its sender gave it up. The relay dropped such bytes when a socket was reset, or when an answer could no longer be written to the client. It can now also send them over a new connection, as a proxy does that connects to its target late. Stand-in upstreams can send further response headers.

--- a/crates/kumquatlock-testkit/src/caller.rs
+++ b/crates/kumquatlock-testkit/src/caller.rs
@@ -61,6 +61,14 @@
         }
     }
 
+    /// Creates a PUT request that sends `body` to `path`.
+    pub fn put(path: &str, body: impl Into<Vec<u8>>) -> Self {
+        HttpRequest {
+            method: Method::PUT,
+            ..HttpRequest::post(path, body)
+        }
+    }
+
     /// Sets the `Idempotency-Key` header.
     pub fn key(self, key: &str) -> Self {
         self.header(KEY_HEADER, key)
--- a/crates/kumquatlock-testkit/src/relay.rs
+++ b/crates/kumquatlock-testkit/src/relay.rs
@@ -80,6 +80,12 @@
     threads: Vec<JoinHandle<()>>,
 }
 
+impl RelayConnection {
+    fn is_finished(&self) -> bool {
+        self.threads.iter().all(JoinHandle::is_finished)
+    }
+}
+
 /// The two sockets of a connection and the state that both writer threads check before they
 /// forward bytes.
 #[derive(Debug)]
@@ -115,6 +121,10 @@
 struct ForwardingState {
     stalled: StalledDirections,
     closed: bool,
+    /// Whether [`TcpRelay::stall_open`] stalled the connection.
+    held: bool,
+    /// Whether bytes for the target are sent over a new connection.
+    reconnects: bool,
     /// Whether the connection is closed once the last bytes from the target are forwarded.
     closes_after_target: bool,
 }
@@ -197,10 +207,24 @@
         });
     }
 
-    /// Stalls open connections; new connections work.
+    /// Stalls open connections; new connections work. Bytes of the client are held even if it
+    /// closes the connection meanwhile.
     pub fn stall_open(&self) {
         lock(&self.shared.mode).new_stalled = StalledDirections::default();
-        self.set_stalled(StalledDirections::BOTH);
+        self.update_states(|state| {
+            state.stalled = StalledDirections::BOTH;
+            state.held = true;
+        });
+    }
+
+    /// Returns the number of connections that [`TcpRelay::stall_open`] stalled and that have not
+    /// ended.
+    pub fn held_connections(&self) -> usize {
+        let connections = lock(&self.shared.connections);
+        let is_held = |connection: &&RelayConnection| {
+            lock(&connection.link.state).held && !connection.is_finished()
+        };
+        connections.iter().filter(is_held).count()
     }
 
     /// Ends the stall of all connections. Held bytes are forwarded first.
@@ -208,6 +232,13 @@
         self.stall_directions(StalledDirections::default());
     }
 
+    /// Ends the stall of all connections. Held bytes are sent to the target over new connections,
+    /// as by a proxy that connects to its target late. Nothing is forwarded back to the clients.
+    pub fn resume_reconnected(&self) {
+        self.update_states(|state| state.reconnects = state.held);
+        self.resume();
+    }
+
     /// Closes all open connections; new connections work.
     pub fn close_open(&self) {
         for connection in lock(&self.shared.connections).iter() {
@@ -242,8 +273,12 @@
     }
 
     fn set_stalled(&self, stalled: StalledDirections) {
+        self.update_states(|state| state.stalled = stalled);
+    }
+
+    fn update_states(&self, update: impl Fn(&mut ForwardingState)) {
         for connection in lock(&self.shared.connections).iter() {
-            lock(&connection.link.state).stalled = stalled;
+            update(&mut lock(&connection.link.state));
             connection.link.state_changed.notify_all();
         }
     }
@@ -288,10 +323,7 @@
         if lock(&self.mode).refuses_new {
             return Err(io::ErrorKind::ConnectionRefused.into());
         }
-        lock(&self.connections).retain(|connection| {
-            let mut threads = connection.threads.iter();
-            !threads.all(JoinHandle::is_finished)
-        });
+        lock(&self.connections).retain(|connection| !connection.is_finished());
         if lock(&self.connections).len() >= MAX_RELAY_CONNECTIONS {
             return Err(io::ErrorKind::ConnectionRefused.into());
         }
@@ -348,7 +380,8 @@
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return link.close(),
+                // What was read before the reset is still forwarded.
+                Err(_) => return,
             }
         }
     }
@@ -359,16 +392,27 @@
         direction: FlowDirection,
         receiver: &Receiver<QueuedChunk>,
     ) {
-        let (mut destination, counter) = match direction {
+        let (open, counter) = match direction {
             FlowDirection::ToTarget => (&link.target, &self.to_target),
             FlowDirection::ToClient => (&link.client, &self.to_client),
         };
+        let mut reconnected = None;
         while let Ok(chunk) = receiver.recv() {
             if !link.wait_until_forwardable(chunk.due, direction) {
                 return;
             }
+            if direction == FlowDirection::ToTarget && lock(&link.state).reconnects {
+                reconnected = reconnected
+                    .or_else(|| TcpStream::connect_timeout(&self.target, CONNECT_TIMEOUT).ok());
+            }
+            let mut destination = reconnected.as_ref().unwrap_or(open);
             if destination.write_all(&chunk.bytes).is_err() {
-                return link.close();
+                match direction {
+                    FlowDirection::ToTarget => link.close(),
+                    // The target still gets what the client sent before it closed.
+                    FlowDirection::ToClient => {}
+                }
+                return;
             }
             counter.fetch_add(chunk.bytes.len() as u64, Ordering::Relaxed);
         }
@@ -377,9 +421,16 @@
         }
         let closes = lock(&link.state).closes_after_target;
         if closes && direction == FlowDirection::ToClient {
+            return link.close();
+        }
+        let _ = reconnected
+            .as_ref()
+            .unwrap_or(open)
+            .shutdown(Shutdown::Write);
+        if let Some(mut target) = reconnected {
+            // Reads until the target has closed the connection.
+            let _ = io::copy(&mut target, &mut io::sink());
             link.close();
-        } else {
-            let _ = destination.shutdown(Shutdown::Write);
         }
     }
 }
--- a/crates/kumquatlock-testkit/src/tests.rs
+++ b/crates/kumquatlock-testkit/src/tests.rs
@@ -372,6 +372,29 @@
     assert_eq!(after.to_client - before.to_client, response.len() as u64);
 }
 
+/// Guards against a relay that drops the bytes that it holds when their sender closes the connection,
+/// or when the target that the connection led to has ended.
+#[test]
+fn held_bytes_arrive_after_their_sender_has_closed() {
+    for release in [TcpRelay::resume, TcpRelay::resume_reconnected] {
+        let (upstream, _) = start(options());
+        let relay = TcpRelay::start(upstream.address()).unwrap();
+        let mut sender = TcpStream::connect(relay.address()).unwrap();
+        wait_until_true("the connection is accepted", || {
+            relay.counters().accepted == 1
+        });
+        relay.stall_open();
+        let request = b"GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        sender.write_all(request).unwrap();
+        drop(sender);
+        assert_eq!(relay.held_connections(), 1);
+        assert_eq!(upstream.ledger().total().started, 0);
+        release(&relay);
+        wait_until_true("the connection has ended", || relay.held_connections() == 0);
+        assert_eq!(upstream.ledger().total().started, 1);
+    }
+}
+
 #[test]
 fn a_relay_delays_closes_and_refuses_connections() {
     let (upstream, _) = start(options());
--- a/crates/kumquatlock-testkit/src/upstream/options.rs
+++ b/crates/kumquatlock-testkit/src/upstream/options.rs
@@ -27,6 +27,8 @@
     pub cold_start: Option<ColdStart>,
     /// Minimum length of the JSON response body in bytes; shorter bodies are padded.
     pub response_bytes: usize,
+    /// Headers of each successful response, as lines that end with CRLF.
+    pub response_headers: String,
     /// Counts the runs of requests. Upstreams can share a ledger to be counted together.
     pub ledger: RunLedger,
     /// Call to another service that is part of every request, if any.
@@ -49,6 +51,7 @@
             seed: 0,
             cold_start: None,
             response_bytes: 0,
+            response_headers: String::new(),
             ledger: RunLedger::default(),
             chain: None,
             can_close_connections: true,
--- a/crates/kumquatlock-testkit/src/upstream/server.rs
+++ b/crates/kumquatlock-testkit/src/upstream/server.rs
@@ -127,7 +127,7 @@
             }
             RequestReply::Stream(stream) => {
                 // A write fails only if the caller has closed the connection.
-                let _ = stream.write(request, &self.stop);
+                let _ = stream.write(request, &self.options.response_headers, &self.stop);
                 if stream.missing > 0 {
                     self.close(peer);
                 }
@@ -317,10 +317,11 @@
 impl ResponseStream {
     /// Writes the response to the connection without tiny_http, which can neither pause nor send a
     /// wrong length, and which sends bodies over 32 KiB in chunks without a `Content-Length`.
-    fn write(&self, request: Request, stop: &CancelToken) -> std::io::Result<()> {
+    fn write(&self, request: Request, headers: &str, stop: &CancelToken) -> std::io::Result<()> {
         let length = self.body.len() + self.missing;
         let mut head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n{headers}\
+             Content-Length: {length}\r\n\r\n"
         )
         .into_bytes();
         let mut writer = request.into_writer();
