Hold links to a node in the soak while new ones work

The soak stalled all connections to a node or none, and a node took a new incarnation only by a restart. Three new kinds of faults hold the open links, let new ones work, and deliver the held bytes after the link was given up: to the same run of the node, after its upstream has left and announced itself again, or to its next process. They are drawn from a generator of their own, so the other faults of a seed stay as they were.

--- a/crates/kumquatlock-testkit/src/soak/fleet.rs
+++ b/crates/kumquatlock-testkit/src/soak/fleet.rs
@@ -146,6 +146,9 @@
             FaultKind::NodeMute => {
                 self.node_relays[target].stall_direction(FlowDirection::ToClient)
             }
+            FaultKind::NodeHold | FaultKind::NodeHoldRejoin | FaultKind::NodeHoldRestart => {
+                self.node_relays[target].stall_open();
+            }
             FaultKind::UpstreamHang => self.set_response_fault(target, ResponseFault::Hang),
             FaultKind::UpstreamCut => self.set_response_fault(target, ResponseFault::CloseAfterRun),
             FaultKind::UpstreamClose => {
@@ -179,7 +182,23 @@
             FaultKind::NodePause => self.mesh.nodes[target].process.resume()?,
             FaultKind::NodeDelay => self.node_relays[target].set_delay(Duration::ZERO),
             FaultKind::NodeReset => {}
-            FaultKind::NodeSilence | FaultKind::NodeMute => self.node_relays[target].resume(),
+            FaultKind::NodeSilence | FaultKind::NodeMute | FaultKind::NodeHold => {
+                self.node_relays[target].resume();
+            }
+            FaultKind::NodeHoldRejoin => {
+                let node = &mut self.mesh.nodes[target];
+                node.upstream.leave()?;
+                node.upstream.announce_now()?;
+                node.upstream.announce_to(node.flags.upstream_http);
+                self.node_relays[target].resume();
+            }
+            FaultKind::NodeHoldRestart => {
+                self.restart_node(target)?;
+                let node = &mut self.mesh.nodes[target];
+                node.wait_ready()?;
+                node.upstream.announce_now()?;
+                self.node_relays[target].resume_reconnected();
+            }
             FaultKind::UpstreamHang
             | FaultKind::UpstreamCut
             | FaultKind::UpstreamClose
--- a/crates/kumquatlock-testkit/src/soak/tests.rs
+++ b/crates/kumquatlock-testkit/src/soak/tests.rs
@@ -99,6 +99,20 @@
     assert!(plan.faults.len() > 10, "{plan:?}");
 }
 
+/// Guards against seeds whose other faults change because of faults with held links.
+#[test]
+fn held_links_do_not_change_the_other_faults() {
+    for seed in 0..20 {
+        let mut options = options(seed);
+        let mut plan = FaultPlan::draw(&options, FLEET_SIZE);
+        let all = plan.faults.len();
+        plan.faults.retain(|fault| !fault.kind.holds_links());
+        assert!(plan.faults.len() < all, "{plan:?}");
+        options.faults.retain(|kind| !kind.holds_links());
+        assert_eq!(plan, FaultPlan::draw(&options, FLEET_SIZE));
+    }
+}
+
 /// Guards against plans in which faults of control instances overlap, which can stop more of them
 /// than the system is guaranteed to tolerate.
 #[test]
--- a/crates/kumquatlock-testkit/src/upstream/announce.rs
+++ b/crates/kumquatlock-testkit/src/upstream/announce.rs
@@ -45,7 +45,7 @@
 
     pub(super) fn announce_until(&self, stop: &CancelToken) {
         while !stop.is_cancelled() {
-            if let Err(error) = self.post("/v1/announce") {
+            if let Err(error) = self.post_announce() {
                 log::debug!(
                     upstream = self.announcement.name.as_str(),
                     error:% = error;
@@ -56,6 +56,10 @@
         }
     }
 
+    pub(super) fn post_announce(&self) -> Result<(), UpstreamError> {
+        self.post("/v1/announce")
+    }
+
     pub(super) fn post_drain(&self) -> Result<(), UpstreamError> {
         self.post("/v1/drain")
     }
--- a/crates/kumquatlock-testkit/src/upstream/mod.rs
+++ b/crates/kumquatlock-testkit/src/upstream/mod.rs
@@ -227,6 +227,11 @@
         self.threads.push(announcer);
     }
 
+    /// Announces the upstream to its node once and waits for the response.
+    pub fn announce_now(&self) -> Result<(), UpstreamError> {
+        self.node_client()?.post_announce()
+    }
+
     /// Refuses new requests, stops announcing and asks the node to drain the upstream.
     pub fn drain(&self) -> Result<(), UpstreamError> {
         self.refuse_new();
