Remember an attempt without a key until its call ends

What callers could see: a deferred request without a key that runs twice.

Cause: a destination forgot an attempt without a key 20 minutes after its last change, while a deferred call lasts up to an hour. An entry that lost the answer and reached the destination again later than that asked for the outcome; the attempt was taken for one that had never arrived, reported as not run, and sent again.

Change: the attempt is kept for the time that its call has left when it arrives, plus the retention, if that is longer.

--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -21,7 +21,7 @@
 use kumquatlock_wire::claim::ClaimReply;
 use kumquatlock_wire::distribution::WireClass;
 
-use super::{HeaderNames, MAX_DEPTH};
+use super::{HeaderNames, MAX_DEPTH, MAX_TIMEOUT};
 use crate::admission::{AdmissionDecision, AdmissionQueue, AdmissionTicket, RoutePriority};
 use crate::claim::{
     AttemptAdmission, ClaimAcquirer, ClaimSettings, OutcomeTable, PlacementTable, StoredAnswer,
@@ -469,7 +469,10 @@
         if !class.is_repeatable() {
             let registered = match request.key {
                 Some(_) => self.outcomes.register_keyed(now, &request.id),
-                None => self.outcomes.register_unkeyed(now, &request.id),
+                None => {
+                    let left = Duration::from_micros(request.deadline_us).min(MAX_TIMEOUT);
+                    self.outcomes.register_unkeyed(now, &request.id, left)
+                }
             };
             match registered {
                 AttemptAdmission::Admitted => self.record_accepted(now, source, &request),
--- a/crates/kumquatlock/src/claim/outcome.rs
+++ b/crates/kumquatlock/src/claim/outcome.rs
@@ -186,9 +186,16 @@
     }
 
     /// Registers a delivered attempt without a key. Only its own entry queries it, until the
-    /// deadline of the call.
-    pub fn register_unkeyed(&mut self, now: Timestamp, attempt: &AttemptId) -> AttemptAdmission {
-        self.register(now, attempt, self.retention * UNKEYED_RETENTION_FACTOR)
+    /// deadline of the call, which is `left` from now. If the attempt were forgotten earlier, a
+    /// query would take it for one that never arrived, and the entry would send another.
+    pub fn register_unkeyed(
+        &mut self,
+        now: Timestamp,
+        attempt: &AttemptId,
+        left: Duration,
+    ) -> AttemptAdmission {
+        let usual = self.retention * UNKEYED_RETENTION_FACTOR;
+        self.register(now, attempt, usual.max(left + self.retention))
     }
 
     fn register(
--- a/crates/kumquatlock/src/claim/tests/parts.rs
+++ b/crates/kumquatlock/src/claim/tests/parts.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use std::time::Duration;
+
 use kumquatlock_wire::Body;
 use kumquatlock_wire::call::AttemptId;
 use kumquatlock_wire::claim::{
@@ -306,6 +308,29 @@
     assert_eq!(cluster.runs_of(KEY), 1);
 }
 
+/// Guards against a deferred attempt without a key that is forgotten while its call is open. A query
+/// would take it for one that never arrived, and its entry would send another.
+#[test]
+fn an_attempt_without_a_key_is_remembered_until_its_call_ends() {
+    let settings = ClaimSettings::default();
+    let mut table = OutcomeTable::new("d".into(), IncarnationId(1), &settings);
+    let start = Timestamp::from_millis(1);
+    let hour = Duration::from_secs(3_600);
+    let owner = ClaimOwner {
+        destination: "d".into(),
+        destination_incarnation: 1,
+        ..owner()
+    };
+    let admitted = table.register_unkeyed(start, &owner.attempt, hour);
+    assert_eq!(admitted, AttemptAdmission::Admitted);
+    assert!(table.start_run(start, &owner.attempt));
+    table.finish(start, &owner.attempt, StoredAnswer::default());
+    let end = start + hour;
+    table.on_tick(end);
+    let answer = table.query(end, &owner.attempt, &owner, end);
+    assert_eq!(answer, Some(QueryAnswer::AnswerGone));
+}
+
 /// Guards against a destination that forgets an attempt while holders still name it as the owner of
 /// its key. The key would then be released and run again.
 #[test]
