Refuse an attempt that arrives after its fence was dropped

Change: when such a fence is dropped, the table keeps the highest call of that entry process, and refuses its attempts of this call and earlier ones that it does not know. Entries number their calls in order, and a fence is kept for longer than any call lasts, so no call that is still open is refused. One number for each entry process that lost a link with an attempt on it, at most 4,096. Fences of attempts that have arrived are dropped as before.

--- a/crates/kumquatlock/src/claim/outcome.rs
+++ b/crates/kumquatlock/src/claim/outcome.rs
@@ -27,6 +27,10 @@
 /// new ones without end; entry nodes learn of the latest within seconds.
 const MAX_INCARNATIONS: usize = 16;
 
+/// Maximum number of entry processes whose closed calls are remembered. Only those count that lost
+/// a link with an attempt on it.
+const MAX_CLOSED_ENTRIES: usize = 4_096;
+
 /// A stored answer of an upstream.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct StoredAnswer {
@@ -98,7 +102,10 @@
     /// Started, but its outcome was not observed.
     Lost,
     /// Never runs.
-    Fenced,
+    Fenced {
+        /// Whether the attempt has arrived. If not, it may still arrive at any time.
+        arrived: bool,
+    },
 }
 
 impl AttemptState {
@@ -116,6 +123,35 @@
     waiters: Vec<(AttemptId, Timestamp)>,
 }
 
+impl AttemptEntry {
+    /// Handles a delivery of the attempt that this entry belongs to.
+    fn deliver_again(&mut self) -> AttemptAdmission {
+        match &mut self.state {
+            AttemptState::Fenced { arrived } => {
+                *arrived = true;
+                AttemptAdmission::Fenced
+            }
+            _ => AttemptAdmission::Duplicate,
+        }
+    }
+}
+
+/// One process of an entry node.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct EntryProcess {
+    name: String,
+    incarnation: u64,
+}
+
+impl EntryProcess {
+    fn of(attempt: &AttemptId) -> Self {
+        EntryProcess {
+            name: attempt.entry.clone(),
+            incarnation: attempt.entry_incarnation,
+        }
+    }
+}
+
 /// Outcomes of the attempts that were delivered to one process of a destination, under any of its
 /// incarnations.
 ///
@@ -137,6 +173,11 @@
     keyed_retention: Duration,
     max_attempts: usize,
     attempts: IndexMap<AttemptId, AttemptEntry>,
+    /// Highest call of each entry process with a fence that was dropped although its attempt had not
+    /// arrived. Attempts of this call and earlier ones are refused unless `attempts` has them: an
+    /// entry numbers its calls in order, and a fence is kept for longer than any call lasts. At most
+    /// [`MAX_CLOSED_ENTRIES`]; beyond it, the oldest is dropped.
+    closed_calls: IndexMap<EntryProcess, u64>,
     /// Attempts in state `Answered`, oldest first.
     answered: VecDeque<AttemptId>,
     answer_bytes: usize,
@@ -152,6 +193,7 @@
             keyed_retention: settings.key_retention + settings.retention,
             max_attempts: settings.max_keys,
             attempts: IndexMap::new(),
+            closed_calls: IndexMap::new(),
             answered: VecDeque::new(),
             answer_bytes: 0,
         }
@@ -204,15 +246,17 @@
         attempt: &AttemptId,
         retention: Duration,
     ) -> AttemptAdmission {
-        match self.attempts.get(attempt).map(|entry| &entry.state) {
-            Some(AttemptState::Fenced) => AttemptAdmission::Fenced,
-            Some(_) => AttemptAdmission::Duplicate,
-            None if self.attempts.len() >= self.max_attempts => AttemptAdmission::Full,
-            None => {
-                self.insert(now, attempt, AttemptState::Pending, retention);
-                AttemptAdmission::Admitted
-            }
+        if let Some(entry) = self.attempts.get_mut(attempt) {
+            return entry.deliver_again();
+        }
+        if self.is_closed(attempt) {
+            return AttemptAdmission::Fenced;
         }
+        if self.attempts.len() >= self.max_attempts {
+            return AttemptAdmission::Full;
+        }
+        self.insert(now, attempt, AttemptState::Pending, retention);
+        AttemptAdmission::Admitted
     }
 
     /// Marks an attempt as running before it is passed to the upstream. Returns false if it was
@@ -229,26 +273,47 @@
         }
     }
 
-    /// Ensures that an attempt never runs. Returns whether this succeeded, and the replies to the
-    /// queries that waited. Fails if the attempt may have started or the table is full.
+    /// Ensures that an attempt that has arrived never runs. Returns whether this succeeded, and the
+    /// replies to the queries that waited. Fails if the attempt may have started or the table is
+    /// full.
     pub fn fence(&mut self, now: Timestamp, attempt: &AttemptId) -> (bool, Vec<QueryReply>) {
+        let fenced = AttemptState::Fenced { arrived: true };
         match self.attempts.get(attempt).map(|entry| &entry.state) {
-            Some(AttemptState::Fenced) => (true, Vec::new()),
-            // A fence that is not recorded would have no effect.
-            None if self.attempts.len() >= self.max_attempts => (false, Vec::new()),
-            None => {
-                self.insert(now, attempt, AttemptState::Fenced, self.keyed_retention);
-                (true, Vec::new())
-            }
+            Some(AttemptState::Fenced { .. }) => (true, Vec::new()),
+            None => (self.insert_fence(now, attempt, fenced), Vec::new()),
             Some(AttemptState::Pending) => {
-                let replies =
-                    self.close(now, attempt, AttemptState::Fenced, QueryAnswer::NeverRuns);
+                let replies = self.close(now, attempt, fenced, QueryAnswer::NeverRuns);
                 (true, replies)
             }
             Some(_) => (false, Vec::new()),
         }
     }
 
+    /// Records the fence of an attempt that the table does not have. Returns false if the table is
+    /// full: a fence that is not recorded would have no effect.
+    fn insert_fence(&mut self, now: Timestamp, attempt: &AttemptId, state: AttemptState) -> bool {
+        if self.attempts.len() >= self.max_attempts {
+            return false;
+        }
+        self.insert(now, attempt, state, self.keyed_retention);
+        true
+    }
+
+    /// Whether the fence of the attempt may have been dropped before the attempt arrived.
+    fn is_closed(&self, attempt: &AttemptId) -> bool {
+        let closed = self.closed_calls.get(&EntryProcess::of(attempt));
+        closed.is_some_and(|last| attempt.call_id <= *last)
+    }
+
+    fn close_calls(&mut self, attempt: &AttemptId) {
+        let last = self.closed_calls.entry(EntryProcess::of(attempt));
+        let last = last.or_insert(attempt.call_id);
+        *last = attempt.call_id.max(*last);
+        if self.closed_calls.len() > MAX_CLOSED_ENTRIES {
+            self.closed_calls.shift_remove_index(0);
+        }
+    }
+
     /// Stores the answer of a running attempt and returns the replies to the queries that wait for
     /// it.
     pub fn finish(
@@ -290,7 +355,8 @@
         if !self.is_running(attempt) {
             return Vec::new();
         }
-        self.close(now, attempt, AttemptState::Fenced, QueryAnswer::NeverRuns)
+        let fenced = AttemptState::Fenced { arrived: true };
+        self.close(now, attempt, fenced, QueryAnswer::NeverRuns)
     }
 
     /// Answers a query about the owner of a key, or returns `None` and keeps the query until the
@@ -307,8 +373,8 @@
             return Some(QueryAnswer::Unknown);
         }
         let Some(entry) = self.attempts.get_mut(&owner.attempt) else {
-            let (fenced, _) = self.fence(now, &owner.attempt);
-            return Some(match fenced {
+            let fenced = AttemptState::Fenced { arrived: false };
+            return Some(match self.insert_fence(now, &owner.attempt, fenced) {
                 true => QueryAnswer::NeverRuns,
                 false => QueryAnswer::Unknown,
             });
@@ -317,7 +383,7 @@
             AttemptState::Answered(answer) => Some(QueryAnswer::Answered(answer.clone())),
             AttemptState::AnswerDropped => Some(QueryAnswer::AnswerGone),
             AttemptState::Lost => Some(QueryAnswer::Unknown),
-            AttemptState::Fenced => Some(QueryAnswer::NeverRuns),
+            AttemptState::Fenced { .. } => Some(QueryAnswer::NeverRuns),
             AttemptState::Pending | AttemptState::Running => {
                 if entry.waiters.iter().any(|(waiter, _)| waiter == query) {
                     return None;
@@ -341,7 +407,8 @@
             self.drop_answer(&oldest);
         }
         let mut replies = Vec::new();
-        self.attempts.retain(|_, entry| {
+        let mut closed = Vec::new();
+        self.attempts.retain(|attempt, entry| {
             entry.waiters.retain(|(query, deadline)| {
                 let waits = now < *deadline;
                 if !waits {
@@ -352,8 +419,15 @@
                 }
                 waits
             });
-            entry.state.is_open() || now.since(entry.changed) < entry.retention
+            let is_kept = entry.state.is_open() || now.since(entry.changed) < entry.retention;
+            if !is_kept && matches!(entry.state, AttemptState::Fenced { arrived: false }) {
+                closed.push(attempt.clone());
+            }
+            is_kept
         });
+        for attempt in &closed {
+            self.close_calls(attempt);
+        }
         replies
     }
 
--- a/crates/kumquatlock/src/claim/tests/parts.rs
+++ b/crates/kumquatlock/src/claim/tests/parts.rs
@@ -308,6 +308,33 @@
     assert_eq!(cluster.runs_of(KEY), 1);
 }
 
+/// Guards against a fence that is dropped after its retention while its attempt is still on the way,
+/// which would then run.
+#[test]
+fn an_attempt_is_refused_after_its_fence_was_dropped() {
+    let settings = ClaimSettings::default();
+    let mut table = OutcomeTable::new("d".into(), IncarnationId(1), &settings);
+    let start = Timestamp::from_millis(1);
+    let owner = ClaimOwner {
+        destination: "d".into(),
+        destination_incarnation: 1,
+        ..owner()
+    };
+    let next_call = AttemptId {
+        call_id: owner.attempt.call_id + 1,
+        ..owner.attempt.clone()
+    };
+    let answer = table.query(start, &next_call, &owner, start);
+    assert_eq!(answer, Some(QueryAnswer::NeverRuns));
+    let later = start + 10 * settings.key_retention;
+    table.on_tick(later);
+    let left = Duration::from_secs(1);
+    let late = table.register_unkeyed(later, &owner.attempt, left);
+    assert_eq!(late, AttemptAdmission::Fenced);
+    let next = table.register_unkeyed(later, &next_call, left);
+    assert_eq!(next, AttemptAdmission::Admitted);
+}
+
 /// Guards against a deferred attempt without a key that is forgotten while its call is open. A query
 /// would take it for one that never arrived, and its entry would send another.
 #[test]
