Answer a refusal that a full table of outcomes cannot record

What callers could see: 504 at their deadline for a call that a node had refused at once, while that node kept as many outcomes as it may, 200,000.

Cause: a refusal was sent only if its fence could be recorded, or else the attempt was taken for a second delivery that is answered elsewhere.

Evidence: a_refusal_is_answered_while_the_table_of_outcomes_is_full; before, the refused call got no response.

Change: no response is sent only if the table has the attempt. The fence that is left out is not needed: the attempt has arrived, and an attempt is written to one link once.

--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -548,12 +548,13 @@
     ) {
         let outcome = CallOutcome::NotRun;
         self.log_end(now, source, request, outcome, reason, Duration::ZERO);
-        let refusal = match is_repeatable(request) || self.fence(now, &request.id, steps) {
-            true => self.refusal(source, request, reason),
+        let is_fenced = is_repeatable(request) || self.fence(now, &request.id, steps);
+        if !is_fenced && self.outcomes.contains(&request.id) {
             // An earlier delivery of this attempt has already started; it is answered when it ends.
-            false => return,
-        };
-        steps.push(refusal);
+            return;
+        }
+        // A full table does not record the refusal. The attempt has arrived, and is not sent again.
+        steps.push(self.refusal(source, request, reason));
     }
 
     fn fence(
--- a/crates/kumquatlock/src/call/tests/proofs.rs
+++ b/crates/kumquatlock/src/call/tests/proofs.rs
@@ -11,7 +11,8 @@
 use super::simulation::{CallSimulation, QueuedMessage, UPSTREAMS};
 use crate::admission::AdmissionLimits;
 use crate::call::{
-    AttemptProof, CallSource, DestinationCalls, DestinationCounters, UpstreamEndpoint,
+    AttemptProof, CallSource, DestinationCalls, DestinationCounters, DestinationStep,
+    UpstreamEndpoint,
 };
 use crate::claim::ClaimSettings;
 use crate::core::{IncarnationId, Timestamp};
@@ -168,11 +169,8 @@
     assert_eq!(counters.ended_attempts(AttemptProof::None), 0);
 }
 
-/// Returns a destination whose process has taken its second incarnation.
-fn renewed_destination(now: Timestamp) -> DestinationCalls {
-    let settings = ClaimSettings::default();
+fn destination(now: Timestamp, settings: ClaimSettings) -> DestinationCalls {
     let mut calls = DestinationCalls::new("booking-1".into(), IncarnationId(1), settings);
-    calls.set_incarnation(now, IncarnationId(2));
     calls.accept_earlier_incarnations();
     let endpoint = UpstreamEndpoint {
         address: "127.0.0.1:9".parse().unwrap(),
@@ -188,12 +186,50 @@
     calls
 }
 
+fn request(call_id: u64, incarnation: u64, class: WireClass) -> CallRequest {
+    CallRequest {
+        id: AttemptId {
+            entry: "front-1".to_owned(),
+            entry_incarnation: 1,
+            call_id,
+            attempt: 1,
+        },
+        incarnation,
+        upstream: "booking-1".to_owned(),
+        service: "booking".to_owned(),
+        class: class as i32,
+        deadline_us: 1_000_000,
+        ..CallRequest::default()
+    }
+}
+
+/// A refusal must be answered also if the table of outcomes is full and can't record it: the caller
+/// would wait for its deadline.
+#[test]
+fn a_refusal_is_answered_while_the_table_of_outcomes_is_full() {
+    let now = Timestamp::from_millis(1);
+    let settings = ClaimSettings {
+        max_keys: 1,
+        ..ClaimSettings::default()
+    };
+    let mut calls = destination(now, settings);
+    let source = CallSource::Link(LinkId(1));
+    calls.on_call(now, source, request(1, 1, WireClass::AtMostOnce), false);
+    calls.drain();
+    let steps = calls.on_call(now, source, request(2, 1, WireClass::AtMostOnce), false);
+    let [DestinationStep::Respond { response, .. }] = &steps[..] else {
+        panic!("{steps:?}");
+    };
+    assert_eq!(response.outcome, CallOutcome::NotRun as i32);
+}
+
 /// Attempts that pass from one incarnation to the next depend on the fences of both, so they must be
 /// counted; lookups may run twice and are not.
 #[test]
 fn attempts_accepted_under_another_incarnation_are_counted() {
     let now = Timestamp::from_millis(1);
-    let mut calls = renewed_destination(now);
+    let mut calls = destination(now, ClaimSettings::default());
+    calls.set_incarnation(now, IncarnationId(2));
     let classes = [
         WireClass::AtMostOnce,
         WireClass::Deferred,
@@ -203,20 +239,7 @@
     for class in classes {
         for incarnation in [1, 2] {
             call_id += 1;
-            let request = CallRequest {
-                id: AttemptId {
-                    entry: "front-1".to_owned(),
-                    entry_incarnation: 1,
-                    call_id,
-                    attempt: 1,
-                },
-                incarnation,
-                upstream: "booking-1".to_owned(),
-                service: "booking".to_owned(),
-                class: class as i32,
-                deadline_us: 1_000_000,
-                ..CallRequest::default()
-            };
+            let request = request(call_id, incarnation, class);
             calls.on_call(now, CallSource::Link(LinkId(1)), request, false);
         }
     }
