Read no response to a request of which nothing was written

An upstream sends a response a second time and resets the idle connection. The next request on that connection can't be written, and its caller got the copy as the answer to a request that the upstream never received, unless the copy named another request.

Cause: after a failed write the node reads what the upstream sent before the close, as it may have refused the request early. On a reused connection these bytes belong to an earlier request.

Such bytes now end the exchange. Nothing was written, so that the request counts as not run and can go to another upstream. On a new connection, an early refusal is read as before.

The test of a reset connection failed before, in its new case with a copy: 200 in place of `Unreachable`.

--- a/crates/kumquatlock/src/http/tests/proofs.rs
+++ b/crates/kumquatlock/src/http/tests/proofs.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::TcpListener;
+use std::sync::mpsc::channel;
 use std::thread;
 use std::time::Duration;
 
@@ -87,27 +88,35 @@
     assert_eq!(exchanges.table.opened_connections(), 2);
 }
 
-/// Guards against a request that is reported as lost, or as answered, although the reset of its idle
-/// connection kept it from being written.
+/// Guards against a request that is reported as lost, or as answered by a copy of an earlier
+/// response, although the reset of its idle connection kept it from being written.
 #[test]
 fn a_request_on_a_connection_that_was_reset_before_is_proved_not_run() {
-    let listener = listen();
-    let address = listener.local_addr().unwrap();
-    let upstream = thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        // A socket that is closed with unread bytes is reset.
-        stream.read_exact(&mut [0]).unwrap();
-        let response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-        stream.write_all(response).unwrap();
-    });
-    let mut exchanges = ExchangeLoop::new();
-    let first = exchanges.run(job(address, "POST", vec![1]));
-    assert_eq!(first.unwrap().status, 200);
-    upstream.join().unwrap();
-    let now = exchanges.now();
-    exchanges.table.start(now, job(address, "POST", vec![1]));
-    let outcome = next_outcome(&mut exchanges);
-    assert_eq!(outcome, Err(UpstreamFailure::Unreachable));
+    for copies in [0, 1] {
+        let listener = listen();
+        let address = listener.local_addr().unwrap();
+        let (reset, wait_for_reset) = channel();
+        let upstream = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            stream.read_exact(&mut [0]).unwrap();
+            let response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            stream.write_all(response.as_bytes()).unwrap();
+            wait_for_reset.recv_timeout(TIMEOUT).unwrap();
+            stream
+                .write_all(response.repeat(copies).as_bytes())
+                .unwrap();
+            // A socket that is closed with unread bytes is reset.
+        });
+        let mut exchanges = ExchangeLoop::new();
+        let first = exchanges.run(job(address, "POST", vec![1]));
+        assert_eq!(first.unwrap().status, 200);
+        reset.send(()).unwrap();
+        upstream.join().unwrap();
+        let now = exchanges.now();
+        exchanges.table.start(now, job(address, "POST", vec![1]));
+        let outcome = next_outcome(&mut exchanges);
+        assert_eq!(outcome, Err(UpstreamFailure::Unreachable), "{copies}");
+    }
 }
 
 /// Guards against an interim response that is taken for the upstream's decision.
--- a/crates/kumquatlock/src/http/upstream.rs
+++ b/crates/kumquatlock/src/http/upstream.rs
@@ -58,6 +58,8 @@
     write_buf: BytesMut,
     /// Maximum time for which the connection may stay idle.
     pub(super) idle_limit: Duration,
+    /// Whether the connection has carried an earlier request.
+    is_reused: bool,
     carried: CarriedRequests,
     /// Whether a response on this connection has named its request. If so, all of them do.
     names_requests: bool,
@@ -92,6 +94,7 @@
             read_buf: BytesMut::new(),
             write_buf,
             idle_limit: MAX_IDLE_AGE,
+            is_reused: false,
             carried: CarriedRequests::default(),
             names_requests: false,
             has_unidentified: false,
@@ -122,6 +125,7 @@
     /// Begins an exchange on an idle connection.
     pub(super) fn begin(&mut self, exchange: UpstreamExchange<T>, write_buf: BytesMut) {
         self.record_request(&exchange);
+        self.is_reused = true;
         self.write_buf = write_buf;
         self.phase = ExchangePhase::Running(exchange);
     }
@@ -236,6 +240,11 @@
             // Bytes that belong to no request.
             return ExchangeProgress::Closed;
         };
+        if self.is_reused && !exchange.is_sent {
+            // A response to an earlier request. On a new connection, the upstream may refuse a
+            // request before it reads it.
+            return ExchangeProgress::Failed(UpstreamFailure::Garbled);
+        }
         loop {
             if exchange.response.is_none() {
                 match parse_response_head(&self.read_buf, exchange.is_head) {
