Report a message to a node without a route as unsent before its link is lost

A link that fails to open at once was reported as closed without the message for it, which followed in an event of its own. The entry node therefore took the attempt for lost, asked for its outcome until the deadline, and answered "unknown" instead of trying another upstream.

The loss and the message are now one event.

--- a/crates/kumquatlock/src/transport/table.rs
+++ b/crates/kumquatlock/src/transport/table.rs
@@ -206,21 +206,30 @@
     /// as unsent if no byte of the message was written.
     pub fn send(&mut self, link: LinkId, body: Body, ticket: Option<u64>) {
         let Some(entry) = self.links.get_mut(&link) else {
-            if let Some(ticket) = ticket {
-                let error = LinkError::ClosedLocally;
-                self.events.push_back(LinkEvent::Closed {
-                    link,
-                    error,
-                    unsent: vec![ticket],
-                });
-            }
-            return;
+            return self.report_unsent(link, ticket);
         };
         if let Err(error) = entry.send(body, ticket, &self.counters) {
             self.close_with_error(link, error, ticket);
         }
     }
 
+    /// Reports a message for a closed link as unsent, with the loss of the link if that has not been
+    /// reported yet. Reported after it, the message would count as lost.
+    fn report_unsent(&mut self, closed: LinkId, ticket: Option<u64>) {
+        let pending = self.events.iter_mut().find_map(|event| match event {
+            LinkEvent::Closed { link, unsent, .. } if *link == closed => Some(unsent),
+            _ => None,
+        });
+        match pending {
+            Some(unsent) => unsent.extend(ticket),
+            None => self.events.extend(ticket.map(|ticket| LinkEvent::Closed {
+                link: closed,
+                error: LinkError::ClosedLocally,
+                unsent: vec![ticket],
+            })),
+        }
+    }
+
     /// Sends an encoded message. On failure, the link is closed.
     pub fn send_frame(&mut self, link: LinkId, frame: &EncodedFrame) {
         if let Some(entry) = self.links.get_mut(&link)
