Let calls with a key wait for the configuration of a restarted node

Cause: a call with a key was sent to the run that a restarted node states. Its claim names the incarnation, but not the process. If the node ended before its incarnation was in the log, its next process could take the same number and answer a query for the owner with "never runs", which releases the claim of a request that ran.

Evidence: a_booking_with_a_key_waits_until_the_configuration_shows_a_restarted_node; before, the booking ran under the stated incarnation.

--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -6,6 +6,7 @@
 use kumquatlock_wire::call::{CallCancel, CallOutcome, CallReason, CallResponse, LoadReport};
 
 use super::message::{AttemptResult, build_request, classify_response};
+use super::runs::DestinationRun;
 use super::state::{CallPhase, EntryCall, SentAttempt};
 use super::{CallId, EntryCalls, EntryStep, budget_of, micros, ticket_of};
 use crate::call::answer::{CallerAnswer, RejectReason};
@@ -80,7 +81,6 @@
         steps: &mut Vec<EntryStep>,
     ) {
         let to = self.peer(&chosen.entry);
-        let run = self.later_runs.current(&chosen.entry);
         let version = self
             .snapshot
             .as_ref()
@@ -91,6 +91,10 @@
         let Some(balancer) = self.balancers.get_mut(&call.service) else {
             return;
         };
+        let run = match call.claim_key() {
+            Some(_) => DestinationRun::of_config(&chosen.entry),
+            None => self.later_runs.current(&chosen.entry),
+        };
         let ticket = balancer.start_attempt(now, &chosen);
         let number = call.next_number();
         call.attempts_sent += 1;
@@ -260,7 +264,7 @@
         let Some(sent) = sent else { return };
         let outcome = classify_response(&response);
         self.record_answer(now, id, &sent, outcome, &response);
-        if self.learn_run(&sent, &response) {
+        if self.learn_run(&sent, &response) && !self.has_claim_key(id) {
             return self.readdress(now, id, sent, steps);
         }
         self.record_notice(&sent.chosen.entry.name, &response);
--- a/crates/kumquatlock/src/call/entry/runs.rs
+++ b/crates/kumquatlock/src/call/entry/runs.rs
@@ -2,7 +2,8 @@
 //!
 //! A node that has started again refuses the attempts that name its earlier incarnation and must
 //! not run twice. Its refusal states the run that answers, so that the entry node need not wait for
-//! the configuration before it sends such calls there.
+//! the configuration before it sends such calls there. Calls with a key wait all the same: the
+//! claim of an attempt outlives its call, and names an incarnation without a process.
 
 use indexmap::IndexMap;
 use kumquatlock_wire::call::{CallOutcome, CallReason, CallResponse};
@@ -21,6 +22,16 @@
     pub(super) process: Option<ProcessId>,
 }
 
+impl DestinationRun {
+    /// Returns the run that the configuration shows.
+    pub(super) fn of_config(upstream: &UpstreamEntry) -> Self {
+        DestinationRun {
+            incarnation: upstream.incarnation,
+            process: None,
+        }
+    }
+}
+
 /// Runs that destination nodes have stated in refusals.
 #[derive(Debug, Default)]
 pub(super) struct LaterRuns {
@@ -32,12 +43,10 @@
 impl LaterRuns {
     /// Returns the run that a call to the upstream must name.
     pub(super) fn current(&self, upstream: &UpstreamEntry) -> DestinationRun {
-        let listed = DestinationRun {
-            incarnation: upstream.incarnation,
-            process: None,
-        };
         let stated = self.stated.get(&upstream.name).copied();
-        stated.unwrap_or_default().max(listed)
+        stated
+            .unwrap_or_default()
+            .max(DestinationRun::of_config(upstream))
     }
 
     /// Whether the run is that of the configuration, or the one that the node has stated last.
@@ -84,6 +93,12 @@
         true
     }
 
+    /// Whether the request of the call is protected by claims.
+    pub(super) fn has_claim_key(&self, id: CallId) -> bool {
+        let call = self.calls.get(&id);
+        call.is_some_and(|call| call.claim_key().is_some())
+    }
+
     /// Sends a refused attempt again to the same node, to the run that the node has stated. The
     /// refused attempt used up none of the call's chances.
     pub(super) fn readdress(
--- a/crates/kumquatlock/src/call/tests/runs.rs
+++ b/crates/kumquatlock/src/call/tests/runs.rs
@@ -36,6 +36,17 @@
     assert_eq!(calls_sent(&simulation), 12 + UPSTREAMS.len());
 }
 
+/// A booking with a key must not run under an incarnation that only the node itself has stated. The
+/// next process of the node may take the same number, and would then release the claim of the owner.
+#[test]
+fn a_booking_with_a_key_waits_until_the_configuration_shows_a_restarted_node() {
+    let mut simulation = restarted_mesh(WireClass::AtMostOnce, "booking");
+    let call = simulation.open(Some("osrednja:order-7"));
+    simulation.deliver_all();
+    assert_ne!(simulation.outcome(call), "answered");
+    assert!(simulation.runs.is_empty(), "{:#?}", simulation.transcript);
+}
+
 /// A booking must not run at an upstream of another service that has taken the place of its own.
 #[test]
 fn a_booking_does_not_run_at_another_service_that_took_the_place() {
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -403,6 +403,7 @@
         let settings = ClaimSettings::default();
         let mut calls = DestinationCalls::new(name.into(), IncarnationId(incarnation), settings);
         calls.set_process(ProcessId(incarnation));
+        calls.on_snapshot(self.now, Arc::new(snapshot(WireClass::AtMostOnce)));
         calls.accept_earlier_incarnations();
         let service = service.into();
         calls.on_announce(
