Add a random model of the proofs that a request did not run

It plays schedules of two entry nodes, three destination nodes and their links. Links are held, closed at either end and replaced; processes restart or take a new incarnation; configurations arrive late; tables of outcomes are full; sockets and upstreams refuse. It counts the runs of each request, and how often each kind of proof and a late attempt were reached.

--- a/crates/kumquatlock/src/call/tests/proof_model.rs
+++ b/crates/kumquatlock/src/call/tests/proof_model.rs
@@ -12,18 +12,35 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::simulation::{QueuedMessage, UPSTREAMS, describe, endpoint, snapshot_of, upstreams};
+use super::simulation::{
+    UPSTREAMS, booking_request, endpoint, entry_location, snapshot_of, upstreams,
+};
 use crate::call::*;
 use crate::claim::ClaimSettings;
 use crate::core::*;
 use crate::http::{HttpRequest, HttpResponse, UpstreamFailure};
-use crate::routing::EntryLocation;
 use crate::transport::LinkId;
 
 const ENTRIES: [&str; 2] = ["front-1", "front-2"];
-/// Header by which an upstream states that it did not run a request.
+/// How long callers wait, in milliseconds.
+const TIMEOUTS_MS: [u64; 3] = [300, 4_000, 3_600_000];
+/// Pauses in milliseconds. Three of the longest exceed the time for which a fence is kept.
+const PAUSES_MS: [u64; 6] = [20, 20, 100, 500, 5_000, 2_000_000];
 const NOT_EXECUTED_HEADER: &str = "not-executed";
 
+/// What varies between the models.
+#[derive(Clone, Copy)]
+pub(super) struct ModelSettings {
+    pub(super) seed: u64,
+    pub(super) class: WireClass,
+    pub(super) accepts_earlier_incarnations: bool,
+    /// Number of attempts that a destination remembers.
+    pub(super) max_keys: usize,
+    /// Probability that an upstream refuses a request, that a destination refuses what it reads
+    /// because its process was suspended, and that a socket accepts no bytes.
+    pub(super) refusal_rate: f64,
+}
+
 /// A request of a caller.
 #[derive(Default)]
 pub(super) struct RequestRecord {
@@ -32,347 +49,326 @@
     pub(super) answer: Option<CallerAnswer>,
 }
 
-struct EntryNode {
-    calls: EntryCalls,
-    /// Request of each call of this process.
-    requests: IndexMap<CallId, usize>,
-}
-
-struct DestinationNode {
-    calls: DestinationCalls,
-    /// Number of the process; a restart starts another one.
-    process: u64,
-    /// Requests that were passed to the upstream, and whether it began to run each.
-    running: VecDeque<(RunId, bool)>,
-    /// Whether the process refuses what it reads because it was suspended.
-    is_frozen: bool,
-}
-
 /// A connection from an entry node to a destination node.
+#[derive(Default)]
 pub(super) struct ModelLink {
     entry: usize,
     pub(super) destination: usize,
-    /// Process of the destination that accepted the connection. A proxy on the path may hold the
-    /// bytes and connect to the destination only when it passes the first of them on.
+    /// Process of the destination that accepted the connection. A proxy on the path may connect to
+    /// the destination only when it passes the first message on.
     process: Option<u64>,
-    pub(super) is_open_at_entry: bool,
-    is_open_at_destination: bool,
+    is_closed_by_entry: bool,
+    is_closed_by_destination: bool,
     /// Whether nothing passes in either direction for now.
     pub(super) is_held: bool,
-    /// Whether the entry's socket accepts no bytes for now.
-    pub(super) is_blocked: bool,
-    /// Messages of which the entry has written no byte, with their tickets.
-    outbox: VecDeque<(Body, Option<u64>)>,
+    /// Messages of which the entry has written no byte, with their tickets. Once the socket accepts
+    /// bytes again, they are written with the next message.
+    unsent: VecDeque<(Body, Option<u64>)>,
     requests: VecDeque<Body>,
-    answers: VecDeque<Body>,
+    answers: VecDeque<CallResponse>,
 }
 
 pub(super) struct ProofModel {
-    pub(super) now: Timestamp,
-    class: WireClass,
-    settings: ClaimSettings,
-    accepts_earlier_incarnations: bool,
-    entries: Vec<EntryNode>,
-    destinations: Vec<DestinationNode>,
+    settings: ModelSettings,
+    random: SmallRng,
+    now: Timestamp,
+    entries: Vec<EntryCalls>,
+    destinations: Vec<DestinationCalls>,
+    /// Number of the process of each destination; a restart starts another one.
+    processes: Vec<u64>,
+    /// Requests that were passed to an upstream, and whether it began to run each.
+    running: VecDeque<(usize, RunId, bool)>,
     pub(super) links: IndexMap<LinkId, ModelLink>,
     next_link: u64,
     /// Incarnation of each destination in the latest configuration.
     catalog: Vec<u64>,
     last_incarnation: u64,
     pub(super) requests: Vec<RequestRecord>,
+    /// Request of each call, by its entry node.
+    calls: IndexMap<(usize, CallId), usize>,
     /// Attempt that each outcome query asked for.
     queries: IndexMap<AttemptId, AttemptId>,
-    /// Attempts that a query was told will never run.
+    /// Attempts that never run according to the answer to a query.
     fenced: IndexSet<AttemptId>,
-    /// Number of times that each kind of proof reached an entry node.
+    /// Number of proofs of each kind that reached an entry node, and of the fenced attempts that
+    /// arrived.
     pub(super) proofs: IndexMap<&'static str, usize>,
-    pub(super) random: SmallRng,
-    /// Probability that an upstream refuses a request without running it.
-    pub(super) refusal_rate: f64,
-    pub(super) transcript: Vec<String>,
+    transcript: Vec<String>,
 }
 
 impl ProofModel {
-    pub(super) fn new(seed: u64, accepts_earlier_incarnations: bool) -> Self {
+    pub(super) fn new(settings: ModelSettings) -> Self {
         let mut model = ProofModel {
+            settings,
+            random: SmallRng::seed_from_u64(settings.seed),
             now: Timestamp::from_millis(1),
-            class: WireClass::AtMostOnce,
-            settings: ClaimSettings::default(),
-            accepts_earlier_incarnations,
             entries: Vec::new(),
             destinations: Vec::new(),
+            processes: vec![1; UPSTREAMS.len()],
+            running: VecDeque::new(),
             links: IndexMap::new(),
             next_link: 1,
             catalog: vec![1; UPSTREAMS.len()],
             last_incarnation: 1,
             requests: Vec::new(),
+            calls: IndexMap::new(),
             queries: IndexMap::new(),
             fenced: IndexSet::new(),
             proofs: IndexMap::new(),
-            random: SmallRng::seed_from_u64(seed),
-            refusal_rate: 0.0,
             transcript: Vec::new(),
         };
-        for index in 0..ENTRIES.len() {
-            let entry = model.new_entry(index);
-            model.entries.push(entry);
+        for entry in 0..ENTRIES.len() {
+            let calls = model.new_entry(entry);
+            model.entries.push(calls);
+            model.configure(entry);
         }
         for index in 0..UPSTREAMS.len() {
-            let destination = model.new_destination(index, 1);
-            model.destinations.push(destination);
-        }
-        for index in 0..ENTRIES.len() {
-            model.configure(index);
+            let calls = model.new_destination(index);
+            model.destinations.push(calls);
         }
         model
     }
 
-    fn new_entry(&mut self, index: usize) -> EntryNode {
-        let location = EntryLocation {
-            name: ENTRIES[index].into(),
-            zone: "osrednja-1".into(),
-            region: "osrednja".into(),
-        };
-        let settings = EntrySettings::new(64);
-        let incarnation = IncarnationId(self.last_incarnation);
+    fn new_entry(&mut self, entry: usize) -> EntryCalls {
         let random = SmallRng::seed_from_u64(self.random.random());
-        EntryNode {
-            calls: EntryCalls::new(location, incarnation, settings, random),
-            requests: IndexMap::new(),
-        }
+        let incarnation = IncarnationId(self.last_incarnation);
+        EntryCalls::new(
+            entry_location(ENTRIES[entry]),
+            incarnation,
+            EntrySettings::new(64),
+            random,
+        )
     }
 
-    fn new_destination(&self, index: usize, process: u64) -> DestinationNode {
-        let (name, incarnation) = (UPSTREAMS[index].into(), IncarnationId(self.catalog[index]));
-        let mut calls = DestinationCalls::new(name, incarnation, self.settings.clone());
+    fn new_destination(&self, index: usize) -> DestinationCalls {
+        let claims = ClaimSettings {
+            max_keys: self.settings.max_keys,
+            ..ClaimSettings::default()
+        };
+        let incarnation = IncarnationId(self.catalog[index]);
+        let mut calls = DestinationCalls::new(UPSTREAMS[index].into(), incarnation, claims);
         calls.set_header_names(HeaderNames {
             not_executed: Some(NOT_EXECUTED_HEADER),
             ..HeaderNames::default()
         });
-        if self.accepts_earlier_incarnations {
+        if self.settings.accepts_earlier_incarnations {
             calls.accept_earlier_incarnations();
         }
-        calls.on_announce(self.now, booking_endpoint());
-        DestinationNode {
-            calls,
-            process,
-            running: VecDeque::new(),
-            is_frozen: false,
+        calls.on_announce(self.now, endpoint());
+        calls
+    }
+
+    /// Passes an event to an entry node and carries out what it asks for.
+    fn on_entry(
+        &mut self,
+        entry: usize,
+        event: impl FnOnce(&mut EntryCalls, Timestamp) -> Vec<EntryStep>,
+    ) {
+        let steps = event(&mut self.entries[entry], self.now);
+        for step in steps {
+            match step {
+                EntryStep::Send { to, body, ticket } => self.send(entry, &to.name, body, ticket),
+                EntryStep::Answer { call, answer, .. } => {
+                    let number = self.calls[&(entry, call)];
+                    self.record(format!("request {number} ends: {answer:?}"));
+                    self.requests[number].answer = Some(answer);
+                }
+            }
+        }
+    }
+
+    /// Passes an event to a destination node and carries out what it asks for.
+    fn on_destination(
+        &mut self,
+        destination: usize,
+        event: impl FnOnce(&mut DestinationCalls, Timestamp) -> Vec<DestinationStep>,
+    ) {
+        let steps = event(&mut self.destinations[destination], self.now);
+        for step in steps {
+            match step {
+                DestinationStep::Respond {
+                    to: CallSource::Link(id),
+                    response,
+                } => self.respond(destination, id, response),
+                DestinationStep::Run { run, request, .. } => self.run(destination, run, &request),
+                _ => {}
+            }
         }
     }
 
     /// Passes the latest configuration to an entry node.
-    pub(super) fn configure(&mut self, entry: usize) {
+    fn configure(&mut self, entry: usize) {
         let mut items = upstreams();
         for (item, incarnation) in items.iter_mut().zip(&self.catalog) {
             item.incarnation = *incarnation;
         }
-        let snapshot = Arc::new(snapshot_of(self.last_incarnation + 4, self.class, items));
-        let steps = self.entries[entry].calls.on_snapshot(self.now, snapshot);
-        self.apply_entry_steps(entry, steps);
+        let snapshot = snapshot_of(self.last_incarnation, self.settings.class, items);
+        self.on_entry(entry, |calls, now| {
+            calls.on_snapshot(now, Arc::new(snapshot))
+        });
     }
 
     /// Sends the request of a caller, and returns its number.
-    pub(super) fn open(&mut self, entry: usize, timeout: Duration) -> usize {
+    pub(super) fn open(&mut self, entry: usize, timeout_ms: u64) -> usize {
         let number = self.requests.len();
         self.requests.push(RequestRecord::default());
         self.record(format!("{} opens request {number}", ENTRIES[entry]));
-        let timeout = timeout.as_millis().to_string();
-        let request = HttpRequest {
-            method: "POST".to_owned(),
-            target: "/booking/7".to_owned(),
-            headers: vec![("Request-Timeout-Ms".to_owned(), timeout)],
-            body: number.to_string().into(),
-        };
-        let request = CallerRequest::from_http(request, &HeaderNames::default()).unwrap();
-        let (call, steps) = self.entries[entry].calls.open(self.now, request);
-        self.entries[entry].requests.insert(call, number);
-        self.apply_entry_steps(entry, steps);
+        let headers = vec![("Request-Timeout-Ms".to_owned(), timeout_ms.to_string())];
+        let request = booking_request(headers, &number.to_string());
+        let (call, steps) = self.entries[entry].open(self.now, request);
+        self.calls.insert((entry, call), number);
+        self.on_entry(entry, |_, _| steps);
         number
     }
 
-    fn apply_entry_steps(&mut self, entry: usize, steps: Vec<EntryStep>) {
-        for step in steps {
-            match step {
-                EntryStep::Send { to, body, ticket } => {
-                    let destination = UPSTREAMS.iter().position(|name| *name == &*to.name);
-                    self.send(entry, destination.unwrap(), body, ticket);
-                }
-                EntryStep::Answer { call, answer, .. } => {
-                    let number = self.entries[entry].requests[&call];
-                    let (outcome, reason) = (answer.outcome(), answer.reason());
-                    self.record(format!("request {number} ends as {outcome} {reason}"));
-                    self.requests[number].answer = Some(answer);
-                }
-            }
-        }
-    }
-
-    fn send(&mut self, entry: usize, destination: usize, body: Body, ticket: Option<u64>) {
+    /// Sends a message over the open link to a node; opens one if there is none.
+    fn send(&mut self, entry: usize, to: &str, body: Body, ticket: Option<u64>) {
         if let Body::OutcomeQuery(query) = &body {
-            self.queries
-                .insert(query.id.clone(), query.owner.attempt.clone());
+            let attempt = query.owner.attempt.clone();
+            self.queries.insert(query.id.clone(), attempt);
         }
-        let link = self.open_link(entry, destination);
-        let link = &mut self.links[&link];
-        link.outbox.push_back((body, ticket));
-        link.write();
-    }
-
-    /// Returns the open link from an entry node to a destination node; opens one if there is none.
-    fn open_link(&mut self, entry: usize, destination: usize) -> LinkId {
+        let destination = UPSTREAMS.iter().position(|name| *name == to).unwrap();
         let ends = (entry, destination);
-        let mut links = self.links.iter();
-        let open =
-            links.find(|(_, link)| link.is_open_at_entry && (link.entry, link.destination) == ends);
-        if let Some((id, _)) = open {
-            return *id;
+        let is_usable =
+            |link: &ModelLink| !link.is_closed_by_entry && (link.entry, link.destination) == ends;
+        let open = self.links.iter().find(|(_, link)| is_usable(link));
+        let id = open.map_or(LinkId(self.next_link), |(id, _)| *id);
+        self.next_link = self.next_link.max(id.0 + 1);
+        let link = self.links.entry(id).or_default();
+        (link.entry, link.destination) = ends;
+        link.unsent.push_back((body, ticket));
+        if !self.random.random_bool(self.settings.refusal_rate) {
+            link.write();
         }
-        let id = LinkId(self.next_link);
-        self.next_link += 1;
-        self.links.insert(id, ModelLink::new(entry, destination));
-        id
+    }
+
+    pub(super) fn newest_link(&self) -> LinkId {
+        LinkId(self.next_link - 1)
     }
 
     /// Closes a link at its entry node, which has heard nothing on it or found it closed. What was
     /// written may still arrive.
     pub(super) fn close_at_entry(&mut self, id: LinkId) {
         let link = &mut self.links[&id];
-        if !std::mem::take(&mut link.is_open_at_entry) {
+        if std::mem::replace(&mut link.is_closed_by_entry, true) {
             return;
         }
-        link.answers.clear();
         let (entry, destination) = (link.entry, link.destination);
-        let unsent = std::mem::take(&mut link.outbox);
+        let unsent = std::mem::take(&mut link.unsent);
         self.record(format!("{} closes {id:?}", ENTRIES[entry]));
-        let calls = &mut self.entries[entry].calls;
-        let mut steps = Vec::new();
-        for ticket in unsent.into_iter().filter_map(|(_, ticket)| ticket) {
-            *self.proofs.entry("unsent").or_default() += 1;
-            steps.extend(calls.on_unsent(self.now, ticket));
-        }
-        steps.extend(calls.on_link_lost(self.now, UPSTREAMS[destination]));
-        self.apply_entry_steps(entry, steps);
+        let unsent = unsent.into_iter().filter_map(|(_, ticket)| ticket);
+        let unsent: Vec<u64> = unsent.collect();
+        unsent.iter().for_each(|_| self.count("unsent"));
+        self.on_entry(entry, |calls, now| {
+            let unsent = unsent.into_iter();
+            let mut steps: Vec<_> = unsent
+                .flat_map(|ticket| calls.on_unsent(now, ticket))
+                .collect();
+            steps.extend(calls.on_link_lost(now, UPSTREAMS[destination]));
+            steps
+        });
     }
 
     /// Delivers the next message of a link to the destination node.
     pub(super) fn deliver_request(&mut self, id: LinkId) {
-        let now = self.now;
         let link = &mut self.links[&id];
-        let destination = link.destination;
-        let node = &mut self.destinations[destination];
-        if link.is_held || !link.is_open_at_destination {
+        if link.is_held {
             return;
         }
         let Some(body) = link.requests.pop_front() else {
             return;
         };
-        link.process = Some(node.process);
-        let (line, source) = (link.describe(&body), CallSource::Link(id));
-        let steps = match body {
-            Body::Call(request) => {
-                if self.fenced.contains(&request.id) {
-                    *self.proofs.entry("late_attempt").or_default() += 1;
-                }
-                node.calls.on_call(now, source, request, node.is_frozen)
-            }
-            Body::Cancel(cancel) => node.calls.on_cancel(now, &cancel),
-            Body::OutcomeQuery(query) => node.calls.on_query(now, source, query),
-            _ => Vec::new(),
+        let (entry, destination) = (link.entry, link.destination);
+        link.process = Some(self.processes[destination]);
+        let kind = match &body {
+            Body::OutcomeQuery(_) => "query",
+            body => body.kind().label(),
         };
-        self.record(format!("{id:?} {line}"));
-        self.apply_destination_steps(destination, steps);
+        let (from, to) = (ENTRIES[entry], UPSTREAMS[destination]);
+        self.record(format!("{id:?} {from} -> {to}: {kind}"));
+        if matches!(&body, Body::Call(request) if self.fenced.contains(&request.id)) {
+            self.count("late_attempt");
+        }
+        let is_frozen = self.random.random_bool(self.settings.refusal_rate);
+        let source = CallSource::Link(id);
+        self.on_destination(destination, |calls, now| match body {
+            Body::Call(request) => calls.on_call(now, source, request, is_frozen),
+            Body::Cancel(cancel) => calls.on_cancel(now, &cancel),
+            Body::OutcomeQuery(query) => calls.on_query(now, source, query),
+            _ => Vec::new(),
+        });
     }
 
     /// Delivers the next answer of a link, or the news that the destination node has closed it.
-    pub(super) fn deliver_answer(&mut self, id: LinkId) {
+    fn deliver_answer(&mut self, id: LinkId) {
         let link = &mut self.links[&id];
-        if link.is_held || !link.is_open_at_entry {
+        if link.is_held || link.is_closed_by_entry {
             return;
         }
         let entry = link.entry;
         match link.answers.pop_front() {
-            Some(Body::Response(response)) => self.receive(id, entry, response),
-            Some(_) => {}
-            None if !link.is_open_at_destination => self.close_at_entry(id),
+            Some(response) => self.receive(entry, response),
+            None if link.is_closed_by_destination => self.close_at_entry(id),
             None => {}
         }
     }
 
-    fn receive(&mut self, id: LinkId, entry: usize, response: CallResponse) {
-        let calls = &mut self.entries[entry].calls;
-        let asked = self.queries.get(&response.id);
+    fn receive(&mut self, entry: usize, response: CallResponse) {
         let outcome = CallOutcome::try_from(response.outcome).unwrap();
         let reason = CallReason::try_from(response.reason).unwrap();
-        let proof = asked.map_or(reason_label(reason), |_| "query");
-        let strays = calls.counters().stray_answers;
-        let steps = calls.on_response(self.now, response);
-        if calls.counters().stray_answers == strays && outcome == CallOutcome::NotRun {
-            *self.proofs.entry(proof).or_default() += 1;
-            self.fenced.extend(asked.cloned());
+        let asked = self.queries.get(&response.id).cloned();
+        let proof = asked.as_ref().map_or(reason_label(reason), |_| "query");
+        self.record(format!("{} hears {outcome:?} ({proof})", ENTRIES[entry]));
+        let strays = self.entries[entry].counters().stray_answers;
+        let steps = self.entries[entry].on_response(self.now, response);
+        let is_used = self.entries[entry].counters().stray_answers == strays;
+        if is_used && outcome == CallOutcome::NotRun {
+            self.count(proof);
+            self.fenced.extend(asked);
         }
-        self.record(format!(
-            "{id:?} {} hears {outcome:?} {proof}",
-            ENTRIES[entry]
-        ));
-        self.apply_entry_steps(entry, steps);
+        self.on_entry(entry, |_, _| steps);
     }
 
-    fn apply_destination_steps(&mut self, destination: usize, steps: Vec<DestinationStep>) {
-        for step in steps {
-            match step {
-                DestinationStep::Respond {
-                    to: CallSource::Link(id),
-                    response,
-                } => {
-                    if let Some(link) = self.links.get_mut(&id)
-                        && link.process == Some(self.destinations[destination].process)
-                        && link.is_open_at_destination
-                        && link.is_open_at_entry
-                    {
-                        link.answers.push_back(Body::Response(response));
-                    }
-                }
-                DestinationStep::Run { run, request, .. } => self.run(destination, run, &request),
-                _ => {}
-            }
+    fn respond(&mut self, destination: usize, id: LinkId, response: CallResponse) {
+        let process = self.processes[destination];
+        if let Some(link) = self.links.get_mut(&id)
+            && link.process == Some(process)
+            && !link.is_closed_by_destination
+        {
+            link.answers.push_back(response);
         }
     }
 
     fn run(&mut self, destination: usize, run: RunId, request: &HttpRequest) {
         let number: usize = std::str::from_utf8(&request.body).unwrap().parse().unwrap();
-        let begins = !self.random.random_bool(self.refusal_rate);
-        let name = UPSTREAMS[destination];
-        self.record(format!("{name} gets request {number}, runs it: {begins}"));
+        let begins = !self.random.random_bool(self.settings.refusal_rate);
+        let verb = if begins { "runs" } else { "refuses" };
+        self.record(format!(
+            "{} {verb} request {number}",
+            UPSTREAMS[destination]
+        ));
         self.requests[number].runs += usize::from(begins);
-        let running = &mut self.destinations[destination].running;
-        running.push_back((run, begins));
+        self.running.push_back((destination, run, begins));
     }
 
     /// Ends the oldest exchange with an upstream. `variant` selects among the results that fit.
-    pub(super) fn finish(&mut self, destination: usize, variant: usize) {
-        let node = &mut self.destinations[destination];
-        let Some((run, begins)) = node.running.pop_front() else {
+    pub(super) fn finish(&mut self, variant: usize) {
+        let Some((destination, run, begins)) = self.running.pop_front() else {
             return;
         };
-        let respond = |status, headers| {
-            Ok(HttpResponse {
-                status,
-                headers,
-                ..HttpResponse::default()
-            })
+        let response = |status| HttpResponse {
+            status,
+            ..HttpResponse::default()
         };
-        let not_executed = vec![(NOT_EXECUTED_HEADER.to_owned(), "1".to_owned())];
         let result = match (begins, variant) {
-            (true, 0) => respond(200, Vec::new()),
-            (true, 1) => respond(503, Vec::new()),
+            (true, 1) => Ok(response(503)),
             (true, 2) => Err(UpstreamFailure::Broken),
-            (true, _) => Err(UpstreamFailure::Timeout),
-            (false, 0) => respond(503, not_executed),
+            (true, 3) => Err(UpstreamFailure::Timeout),
+            (true, _) => Ok(response(200)),
+            (false, 0) => Ok(response(503).with_header(NOT_EXECUTED_HEADER, "1")),
             (false, _) => Err(UpstreamFailure::Unreachable),
         };
-        let steps = node.calls.on_result(self.now, run, result);
-        self.apply_destination_steps(destination, steps);
+        self.on_destination(destination, |calls, now| calls.on_result(now, run, result));
     }
 
     /// Records a new incarnation of a destination in the configuration.
@@ -385,10 +381,15 @@
     pub(super) fn adopt_incarnation(&mut self, destination: usize) {
         let incarnation = IncarnationId(self.catalog[destination]);
         self.record(format!("{} is {incarnation:?}", UPSTREAMS[destination]));
-        let calls = &mut self.destinations[destination].calls;
-        let mut steps = calls.set_incarnation(self.now, incarnation);
-        steps.extend(calls.on_announce(self.now, booking_endpoint()));
-        self.apply_destination_steps(destination, steps);
+        self.on_destination(destination, |calls, now| {
+            let mut steps = calls.set_incarnation(now, incarnation);
+            steps.extend(calls.on_announce(now, endpoint()));
+            steps
+        });
+    }
+
+    fn drain_upstream(&mut self, destination: usize) {
+        self.on_destination(destination, |calls, now| calls.drain_upstream(now));
     }
 
     /// Ends a destination process and starts another one, which gets what is held for it on links
@@ -396,8 +397,9 @@
     pub(super) fn restart_destination(&mut self, destination: usize) {
         self.record(format!("{} restarts", UPSTREAMS[destination]));
         self.raise_incarnation(destination);
-        let process = self.destinations[destination].process;
-        self.destinations[destination] = self.new_destination(destination, process + 1);
+        self.destinations[destination] = self.new_destination(destination);
+        self.processes[destination] += 1;
+        self.running.retain(|(owner, ..)| *owner != destination);
         for link in self.links.values_mut() {
             if link.destination == destination && link.process.is_some() {
                 link.close_at_destination();
@@ -405,87 +407,135 @@
         }
     }
 
-    /// Advances the time in `ticks` equal steps.
-    pub(super) fn advance(&mut self, duration: Duration, ticks: u32) {
-        for _ in 0..ticks {
-            self.now = self.now + duration / ticks;
+    /// Ends an entry process, whose callers get no answer, and starts another one.
+    fn restart_entry(&mut self, entry: usize) {
+        self.record(format!("{} restarts", ENTRIES[entry]));
+        self.last_incarnation += 1;
+        self.entries[entry] = self.new_entry(entry);
+        self.configure(entry);
+        for link in self.links.values_mut().filter(|link| link.entry == entry) {
+            link.is_closed_by_entry = true;
+            link.unsent.clear();
+        }
+    }
+
+    /// Advances the time in four equal steps.
+    pub(super) fn advance(&mut self, millis: u64) {
+        for _ in 0..4 {
+            self.now = self.now + Duration::from_millis(millis) / 4;
             for entry in 0..ENTRIES.len() {
-                let steps = self.entries[entry].calls.on_tick(self.now);
-                self.apply_entry_steps(entry, steps);
+                self.on_entry(entry, EntryCalls::on_tick);
             }
             for destination in 0..UPSTREAMS.len() {
-                let steps = self.destinations[destination].calls.on_tick(self.now);
-                self.apply_destination_steps(destination, steps);
+                self.on_destination(destination, DestinationCalls::on_tick);
             }
         }
     }
 
     /// Delivers all messages of the links that are not held, and lets the upstreams answer.
     pub(super) fn settle(&mut self) {
-        for _ in 0..20 {
+        for _ in 0..40 {
             for id in self.links.keys().copied().collect::<Vec<_>>() {
-                while !self.links[&id].is_held && !self.links[&id].requests.is_empty() {
+                for _ in 0..self.links[&id].requests.len() {
                     self.deliver_request(id);
                 }
-                while !self.links[&id].is_held && !self.links[&id].answers.is_empty() {
+                for _ in 0..=self.links[&id].answers.len() {
                     self.deliver_answer(id);
                 }
             }
-            for destination in 0..UPSTREAMS.len() {
-                self.finish(destination, 0);
+            for _ in 0..self.running.len() {
+                self.finish(0);
             }
-            self.advance(Duration::from_millis(100), 1);
+            self.advance(100);
         }
     }
 
-    fn record(&mut self, line: String) {
-        let millis = self.now.0 / 1_000;
-        self.transcript.push(format!("{millis:>8} ms  {line}"));
+    /// Delivers everything that is held, and refuses none of it.
+    pub(super) fn release_all(&mut self) {
+        self.settings.refusal_rate = 0.0;
+        for link in self.links.values_mut() {
+            link.is_held = false;
+            link.write();
+        }
+        self.settle();
     }
-}
 
-impl ModelLink {
-    fn new(entry: usize, destination: usize) -> Self {
-        ModelLink {
-            entry,
-            destination,
-            process: None,
-            is_open_at_entry: true,
-            is_open_at_destination: true,
-            is_held: false,
-            is_blocked: false,
-            outbox: VecDeque::new(),
-            requests: VecDeque::new(),
-            answers: VecDeque::new(),
+    /// Lets something happen that the generator chooses.
+    pub(super) fn step(&mut self) {
+        let entry = self.random.random_range(0..ENTRIES.len());
+        let destination = self.random.random_range(0..UPSTREAMS.len());
+        let variant = self.random.random_range(0..12);
+        let links = self.links.len().max(1);
+        // Newer links are chosen more often, because most messages pass over them.
+        let link = self.random.random_range(0..links);
+        let link = link.max(self.random.random_range(0..links));
+        let link = self.links.get_index(link).map(|(id, _)| *id);
+        match (self.random.random_range(0..100), link) {
+            (0..8, _) => _ = self.open(entry, TIMEOUTS_MS[variant % 3]),
+            (8..13, _) => self.finish(variant),
+            (13..16, _) => self.advance(PAUSES_MS[variant % 6]),
+            (16, _) => self.raise_incarnation(destination),
+            (17..19, _) => self.adopt_incarnation(destination),
+            (19, _) => self.restart_destination(destination),
+            (20, _) => self.restart_entry(entry),
+            (21..27, _) => self.configure(entry),
+            (27, _) => self.drain_upstream(destination),
+            (28..33, Some(id)) => {
+                self.links[&id].is_held |= variant % 2 == 0;
+                self.close_at_entry(id);
+            }
+            (33, Some(id)) => self.links[&id].close_at_destination(),
+            (34..38, Some(id)) => self.links[&id].is_held ^= true,
+            (38..70, Some(id)) => self.deliver_request(id),
+            (70.., Some(id)) => self.deliver_answer(id),
+            _ => {}
         }
+        let is_in_use = |link: &ModelLink| !link.is_closed_by_entry || !link.requests.is_empty();
+        self.links.retain(|_, link| is_in_use(link));
     }
 
-    /// Writes what the socket accepts.
-    fn write(&mut self) {
-        if !self.is_blocked {
-            let written = self.outbox.drain(..).map(|(body, _)| body);
-            self.requests.extend(written);
+    /// Checks that no request was reported as not run although it ran, and that none has run twice
+    /// unless it may be repeated.
+    pub(super) fn check(&self) {
+        let is_repeatable = self.settings.class == WireClass::Lookup;
+        for (number, request) in self.requests.iter().enumerate() {
+            let max_runs = match request.answer {
+                Some(CallerAnswer::NotRun(_)) => 0,
+                _ if is_repeatable => usize::MAX,
+                _ => 1,
+            };
+            assert!(
+                request.runs <= max_runs,
+                "request {number} ran {} times, seed {}: {:#?}",
+                request.runs,
+                self.settings.seed,
+                self.transcript
+            );
         }
     }
 
-    /// Closes the link at its destination. What was not read is lost.
-    fn close_at_destination(&mut self) {
-        self.is_open_at_destination = false;
-        self.requests.clear();
+    fn count(&mut self, proof: &'static str) {
+        *self.proofs.entry(proof).or_default() += 1;
     }
 
-    fn describe(&self, body: &Body) -> String {
-        describe(&QueuedMessage {
-            from: ENTRIES[self.entry].to_owned(),
-            to: UPSTREAMS[self.destination].to_owned(),
-            body: body.clone(),
-        })
+    fn record(&mut self, line: String) {
+        let millis = self.now.0 / 1_000;
+        self.transcript.push(format!("{millis:>8} ms  {line}"));
     }
 }
 
-fn booking_endpoint() -> UpstreamEndpoint {
-    UpstreamEndpoint {
-        service: "booking".into(),
-        ..endpoint()
+impl ModelLink {
+    /// Writes all messages. What the destination doesn't read any more is lost.
+    fn write(&mut self) {
+        let written = self.unsent.drain(..).map(|(body, _)| body);
+        self.requests.extend(written);
+        if self.is_closed_by_destination {
+            self.requests.clear();
+        }
+    }
+
+    fn close_at_destination(&mut self) {
+        self.is_closed_by_destination = true;
+        self.requests.clear();
     }
 }
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -79,13 +79,8 @@
     pub(super) fn with_entry(class: WireClass, settings: EntrySettings) -> Self {
         let snapshot = Arc::new(snapshot(class));
         let now = Timestamp::from_millis(1);
-        let location = EntryLocation {
-            name: ENTRY.into(),
-            zone: "osrednja-1".into(),
-            region: "osrednja".into(),
-        };
         let random = SmallRng::seed_from_u64(7);
-        let entry = EntryCalls::new(location, IncarnationId(1), settings, random);
+        let entry = EntryCalls::new(entry_location(ENTRY), IncarnationId(1), settings, random);
         let mut simulation = CallSimulation {
             now,
             entry,
@@ -141,13 +136,7 @@
         let timeout = self.timeout_ms.map(|millis| ("Request-Timeout-Ms", millis));
         let headers = timeout.into_iter().chain(header);
         let headers = headers.map(|(name, value)| (name.to_owned(), value.to_owned()));
-        let request = HttpRequest {
-            method: "POST".to_owned(),
-            target: "/booking/7".to_owned(),
-            headers: headers.collect(),
-            body: body.to_owned().into(),
-        };
-        let request = CallerRequest::from_http(request, &HeaderNames::default()).unwrap();
+        let request = booking_request(headers.collect(), body);
         let (id, steps) = self.entry.open(self.now, request);
         self.apply_entry_steps(steps);
         id
@@ -527,6 +516,24 @@
     }
 }
 
+pub(super) fn entry_location(name: &str) -> EntryLocation {
+    EntryLocation {
+        name: name.into(),
+        zone: "osrednja-1".into(),
+        region: "osrednja".into(),
+    }
+}
+
+pub(super) fn booking_request(headers: Vec<(String, String)>, body: &str) -> CallerRequest {
+    let request = HttpRequest {
+        method: "POST".to_owned(),
+        target: "/booking/7".to_owned(),
+        headers,
+        body: body.to_owned().into(),
+    };
+    CallerRequest::from_http(request, &HeaderNames::default()).unwrap()
+}
+
 fn new_destination(name: &str, now: Timestamp) -> Destination {
     let settings = ClaimSettings::default();
     let mut calls = DestinationCalls::new(name.into(), IncarnationId(1), settings.clone());
@@ -595,7 +602,7 @@
     ConfigSnapshot::from_state(&state, digest).unwrap()
 }
 
-pub(super) fn describe(message: &QueuedMessage) -> String {
+fn describe(message: &QueuedMessage) -> String {
     let what = match &message.body {
         Body::Call(_) => "call".to_owned(),
         Body::Response(response) => {
