Add a failing test of a server error that is forgotten

A lookup whose upstream answers with a server error gets another attempt. If no upstream is left by then, it waits for one, and after that the caller is told "not run", although the request ran. `wait_for_upstream` ignores the failed answer that the call keeps for this case.

The test fails on this code: the outcome is "not_run" in place of "answered".

--- a/crates/kumquatlock/src/call/tests/failures.rs
+++ b/crates/kumquatlock/src/call/tests/failures.rs
@@ -342,3 +342,29 @@
     simulation.advance(longest);
     assert_eq!(simulation.outcome(call), "unknown");
 }
+
+/// A lookup must not be reported as "not run" because no upstream is left for another attempt after
+/// one has answered with a server error.
+#[test]
+fn a_server_error_is_not_forgotten_while_a_lookup_waits_for_an_upstream() {
+    let mut simulation = CallSimulation::new(WireClass::Lookup);
+    simulation.drain("booking-2");
+    simulation.drain("booking-3");
+    for _ in 0..10 {
+        // The entry node learns which upstreams are draining.
+        simulation.open(None);
+        simulation.advance(Duration::from_millis(100));
+    }
+    simulation.hold_answers("booking-1");
+    let call = simulation.open(None);
+    simulation.deliver_all();
+    simulation.drain("booking-1");
+    let failed = HttpResponse {
+        status: 500,
+        ..HttpResponse::default()
+    };
+    simulation.queue_result("booking-1", Ok(failed));
+    simulation.finish_next_run("booking-1");
+    simulation.advance(Duration::from_secs(3));
+    assert_eq!(simulation.outcome(call), "answered");
+}
