Return a server error instead of "not run" when a lookup finds no other upstream

What callers saw: 503 "not run" for a lookup that an upstream had run and answered with 5xx, if no other upstream came up while the call waited for one, or if its node began to stop.

Cause: a call that waits for an upstream ended as not run, whatever its earlier attempts had been answered.

Evidence: a_server_error_is_not_forgotten_while_a_lookup_waits_for_an_upstream failed before, with "not_run" in place of "answered". Found by the random model of the proofs.

Change: such a call ends with the best result that it has, like all others. The model also states processes, so that it covers attempts that are sent again to a restarted node.

--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -140,7 +140,7 @@
         };
         if now >= until {
             call.reason = CallReason::NoUpstream;
-            self.answer_not_run(now, id, steps);
+            self.give_up(now, id, steps);
             return;
         }
         call.phase = CallPhase::WaitingUpstream {
--- a/crates/kumquatlock/src/call/entry/stop.rs
+++ b/crates/kumquatlock/src/call/entry/stop.rs
@@ -42,7 +42,7 @@
             if let Some(call) = self.calls.get_mut(&id) {
                 call.reason = CallReason::Draining;
             }
-            self.answer_not_run(now, id, &mut steps);
+            self.give_up(now, id, &mut steps);
         }
         steps
     }
--- a/crates/kumquatlock/src/call/tests/proof_model.rs
+++ b/crates/kumquatlock/src/call/tests/proof_model.rs
@@ -151,6 +151,8 @@
             not_executed: Some(NOT_EXECUTED_HEADER),
             ..HeaderNames::default()
         });
+        // No two processes of the model share an incarnation.
+        calls.set_process(ProcessId(incarnation.0));
         if self.settings.accepts_earlier_incarnations {
             calls.accept_earlier_incarnations();
         }
