Believe no "not run" about an attempt after the deadline of its call

An entry node that was suspended may ask so late that the destination node has forgotten an attempt that ran, and takes it for one that never arrived. The caller was then told "not run".

Such an answer leaves the outcome unknown. The test failed before with "not_run".

--- a/crates/kumquatlock/src/call/entry/resolve.rs
+++ b/crates/kumquatlock/src/call/entry/resolve.rs
@@ -215,6 +215,11 @@
             Ok(CallOutcome::Answered) if response.body_len == response.body.len() as u64 => {
                 self.answer(now, id, CallerAnswer::from_response(response), steps);
             }
+            // Destination nodes remember an attempt only for a while after its deadline.
+            Ok(CallOutcome::NotRun) if now >= call.deadline => {
+                let answer = CallerAnswer::Unknown(search.reason);
+                self.answer(now, id, answer, steps);
+            }
             Ok(CallOutcome::NotRun) => {
                 call.phase = CallPhase::Attempting;
                 let failure = AttemptFailure::NotRun(CallReason::LinkLost);
--- a/crates/kumquatlock/src/call/tests/failures.rs
+++ b/crates/kumquatlock/src/call/tests/failures.rs
@@ -368,3 +368,21 @@
     simulation.advance(Duration::from_secs(3));
     assert_eq!(simulation.outcome(call), "answered");
 }
+
+/// Fault: an entry node that was suspended asks for an attempt so long after its deadline that the
+/// destination node has forgotten that it ran, and takes it for one that never will.
+#[test]
+fn an_answer_about_an_attempt_is_not_believed_after_the_deadline() {
+    let mut simulation = CallSimulation::new(WireClass::AtMostOnce);
+    let call = simulation.open(None);
+    let first = simulation.called_destination();
+    let request = simulation.queue.pop_front().unwrap();
+    simulation.deliver(request);
+    assert_eq!(simulation.runs.len(), 1);
+    simulation.queue.clear();
+    simulation.suspend_entry(Duration::from_secs(2 * 4_200));
+    simulation.break_link(&first);
+    simulation.deliver_all();
+    simulation.advance(Duration::from_millis(100));
+    assert_eq!(simulation.outcome(call), "unknown");
+}
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -362,6 +362,15 @@
         }
     }
 
+    /// Lets time pass while the process of the entry node is suspended.
+    pub(super) fn suspend_entry(&mut self, duration: Duration) {
+        self.now = self.now + duration;
+        for name in UPSTREAMS {
+            let steps = self.destinations[name].calls.on_tick(self.now);
+            self.apply_destination_steps(name, steps);
+        }
+    }
+
     /// Breaks the link between the entry node and another node; messages in transit over it are
     /// lost.
     pub(super) fn break_link(&mut self, name: &str) {
