--- a/crates/kumquatlock/src/call/entry/runs.rs
+++ b/crates/kumquatlock/src/call/entry/runs.rs
@@ -116,7 +116,14 @@
         call.possibly_arrived = call.possibly_arrived.saturating_sub(1);
         let service = call.service.clone();
         let chosen = sent.chosen.clone();
+        let (fingerprint, is_last) = (call.fingerprint, call.outstanding.is_empty());
         self.finish_ticket(now, &service, sent, UpstreamOutcome::Cancelled, None);
+        if self.is_quarantined(fingerprint) {
+            if is_last {
+                self.refuse_quarantined(now, id, steps);
+            }
+            return;
+        }
         self.send_to(now, id, chosen, steps);
         self.reschedule(now, id);
     }
--- a/crates/kumquatlock/src/call/tests/quarantine.rs
+++ b/crates/kumquatlock/src/call/tests/quarantine.rs
@@ -179,3 +179,22 @@
         assert_eq!(simulation.crash_reports, [], "status {status}");
     }
 }
+
+/// A request must not be sent again to a node that has restarted, and may not know the quarantine,
+/// after its entry node has learnt of it.
+#[test]
+fn a_quarantined_request_is_not_sent_again_to_a_restarted_node() {
+    let class = WireClass::AtMostOnce;
+    let mut simulation = CallSimulation::new(class);
+    for name in UPSTREAMS {
+        simulation.restart(name, 2, "booking");
+    }
+    let deadly = fingerprint_of(&mut simulation, DEADLY_BODY);
+    let request = simulation.queue.pop_front().unwrap();
+    simulation.deliver(request);
+    simulation.quarantine(class, &[deadly]);
+    let refusal = simulation.queue.pop_front().unwrap();
+    simulation.deliver(refusal);
+    assert!(simulation.queue.is_empty(), "the request was sent again");
+    assert_eq!(simulation.answers.values().next(), Some(&QUARANTINED));
+}
