State the process only in refusals of attempts for this node

A node that had taken over the address of another stated its own incarnation and process, and entry nodes sent each call for the other node there twice.

--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -578,6 +578,8 @@
         // The entry node takes an answer that states another incarnation than the attempt names only
         // as a refusal for that reason.
         match reason {
+            // The attempt reached the address of another node, whose runs this one can't state.
+            CallReason::WrongIncarnation if *request.upstream != *self.name => {}
             CallReason::WrongIncarnation => response.process = self.process.0,
             _ => response.incarnation = request.incarnation,
         }
--- a/crates/kumquatlock/src/call/tests/proofs.rs
+++ b/crates/kumquatlock/src/call/tests/proofs.rs
@@ -15,7 +15,7 @@
     UpstreamEndpoint,
 };
 use crate::claim::ClaimSettings;
-use crate::core::{IncarnationId, Timestamp};
+use crate::core::{IncarnationId, ProcessId, Timestamp};
 use crate::http::UpstreamFailure;
 use crate::transport::LinkId;
 
@@ -250,3 +250,23 @@
     assert_eq!(calls.counters(), expected);
     assert_eq!(calls.in_progress(), 6, "not every attempt was accepted");
 }
+
+/// A node that has taken over the address of another must not be taken for a later process of it:
+/// each call to that one would be sent twice.
+#[test]
+fn a_node_states_its_process_only_in_refusals_under_its_own_name() {
+    let now = Timestamp::from_millis(1);
+    let mut calls = destination(now, ClaimSettings::default());
+    calls.set_process(ProcessId(7));
+    for (upstream, process) in [("booking-1", 7), ("booking-2", 0)] {
+        let request = CallRequest {
+            upstream: upstream.to_owned(),
+            ..request(1, 9, WireClass::AtMostOnce)
+        };
+        let steps = calls.on_call(now, CallSource::Link(LinkId(1)), request, false);
+        let [DestinationStep::Respond { response, .. }] = &steps[..] else {
+            panic!("{steps:?}");
+        };
+        assert_eq!(response.process, process);
+    }
+}
