Name attempts by the random number of their entry's process

Cause: an attempt was identified by the start time of its entry node, in milliseconds. A node whose clock was set back could start in the same millisecond again and use the ids of earlier attempts: the destination would drop them as second deliveries, and answer a query with the outcome of another call. Pointed out by the review, by reading; not shown by a run.

Change: ids bear the random number of the process. It is as long on the wire, give or take a byte, and only compared. The log lines of today name it entry_process, and node_started states it. The module of stated runs and its types say process in place of run, a word that stands for the execution of a request elsewhere; test files are named for what they test.

--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -12,12 +12,14 @@
     pub value: String,
 }
 
-/// Identifies one attempt of one call. Never reused by the same incarnation of the entry node.
+/// Identifies one attempt of one call. Never reused by the entry node.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct AttemptId {
     /// Name of the entry node.
     #[prost(string, tag = "1")]
     pub entry: String,
+    /// Number of the entry node's process, chosen at random when it started. Earlier releases send
+    /// the time of the start.
     #[prost(uint64, tag = "2")]
     pub entry_incarnation: u64,
     #[prost(uint64, tag = "3")]
--- a/crates/kumquatlock/src/call/destination/log.rs
+++ b/crates/kumquatlock/src/call/destination/log.rs
@@ -70,7 +70,7 @@
             request = self.request_id(request),
             fingerprint:% = RequestFingerprint(request.fingerprint),
             entry = request.id.entry.as_str(),
-            entry_incarnation = request.id.entry_incarnation,
+            entry_process = request.id.entry_incarnation,
             call = request.id.call_id,
             attempt = request.id.attempt,
             incarnation = request.incarnation,
@@ -159,7 +159,7 @@
             request = self.request_id(request),
             fingerprint:% = RequestFingerprint(request.fingerprint),
             entry = request.id.entry.as_str(),
-            entry_incarnation = request.id.entry_incarnation,
+            entry_process = request.id.entry_incarnation,
             call = request.id.call_id,
             attempt = request.id.attempt,
             incarnation = request.incarnation,
@@ -185,7 +185,7 @@
         let owner = &query.owner;
         log::info!(
             entry = owner.attempt.entry.as_str(),
-            entry_incarnation = owner.attempt.entry_incarnation,
+            entry_process = owner.attempt.entry_incarnation,
             call = owner.attempt.call_id,
             attempt = owner.attempt.attempt,
             incarnation = owner.destination_incarnation,
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -6,7 +6,7 @@
 use kumquatlock_wire::call::{CallCancel, CallOutcome, CallReason, CallResponse, LoadReport};
 
 use super::message::{AttemptResult, build_request, classify_response};
-use super::runs::DestinationRun;
+use super::processes::DestinationProcess;
 use super::state::{CallPhase, EntryCall, SentAttempt};
 use super::{CallId, EntryCalls, EntryStep, budget_of, micros, ticket_of};
 use crate::call::answer::{CallerAnswer, RejectReason};
@@ -91,9 +91,9 @@
         let Some(balancer) = self.balancers.get_mut(&call.service) else {
             return;
         };
-        let run = match call.claim_key() {
-            Some(_) => DestinationRun::of_config(&chosen.entry),
-            None => self.later_runs.current(&chosen.entry),
+        let addressed = match call.claim_key() {
+            Some(_) => DestinationProcess::of_config(&chosen.entry),
+            None => self.stated_processes.current(&chosen.entry),
         };
         let ticket = balancer.start_attempt(now, &chosen);
         let number = call.next_number();
@@ -105,8 +105,8 @@
         call.last_upstream = Some(chosen.entry.name.clone());
         call.load_age = chosen.load_age.unwrap_or_default();
         let mut request = build_request(call, &chosen, now, version);
-        request.incarnation = run.incarnation.0;
-        request.process = run.process.unwrap_or_default().0;
+        request.incarnation = addressed.incarnation.0;
+        request.process = addressed.process.unwrap_or_default().0;
         request.origin = self.settings.origin.to_string();
         let ends_at = self.ends_at.filter(|ends_at| *ends_at < call.deadline);
         request.answer_within_us = ends_at.map(|ends_at| micros(ends_at.since(now)));
@@ -114,7 +114,7 @@
         call.outstanding.push(SentAttempt {
             number,
             chosen,
-            run,
+            addressed,
             ticket,
         });
         request.id = self.attempt_id(id, number);
@@ -251,7 +251,7 @@
                 .iter()
                 .find(|sent| sent.number == response.id.attempt)
         });
-        let expected = matching.map(|sent| sent.run.incarnation.0);
+        let expected = matching.map(|sent| sent.addressed.incarnation.0);
         let refused = response.reason == CallReason::WrongIncarnation as i32;
         // An answer must state the incarnation that the attempt was addressed to. The exception is
         // a refusal for a wrong incarnation, which comes from a later incarnation of the same
@@ -264,7 +264,7 @@
         let Some(sent) = sent else { return };
         let outcome = classify_response(&response);
         self.record_answer(now, id, &sent, outcome, &response);
-        if self.learn_run(&sent, &response) && !self.has_claim_key(id) {
+        if self.adopt_process(&sent, &response) && !self.has_claim_key(id) {
             return self.readdress(now, id, sent, steps);
         }
         self.record_notice(&sent.chosen.entry.name, &response);
@@ -422,10 +422,10 @@
             return;
         };
         let repeatable = call.route.class.is_repeatable();
-        let (number, run) = (sent.number, sent.run);
+        let (number, addressed) = (sent.number, sent.addressed);
         self.finish_ticket(now, &service, sent, UpstreamOutcome::Lost, None);
         if repeatable {
-            self.record_lost(now, id, number, peer, run);
+            self.record_lost(now, id, number, peer, addressed);
             self.handle_failure(
                 now,
                 id,
@@ -433,7 +433,7 @@
                 steps,
             );
         } else {
-            self.search_own_attempt(now, id, number, peer, run, steps);
+            self.search_own_attempt(now, id, number, peer, addressed, steps);
         }
     }
 
--- a/crates/kumquatlock/src/call/entry/log.rs
+++ b/crates/kumquatlock/src/call/entry/log.rs
@@ -5,8 +5,8 @@
 use kumquatlock_wire::call::{CallReason, CallResponse};
 
 use super::message::{AttemptResult, classify_response};
+use super::processes::DestinationProcess;
 use super::proof::AttemptProof;
-use super::runs::DestinationRun;
 use super::state::{CallPhase, EntryCall, OutcomeSearch, SentAttempt};
 use super::{CallId, EntryCalls, Timestamp};
 use crate::call::answer::{CallerAnswer, reason_label};
@@ -54,11 +54,16 @@
 
 impl<'a> AttemptEnd<'a> {
     /// An attempt that ended without an answer from its destination node.
-    fn unanswered(number: u32, upstream: &'a str, run: DestinationRun, reason: CallReason) -> Self {
+    fn unanswered(
+        number: u32,
+        upstream: &'a str,
+        addressed: DestinationProcess,
+        reason: CallReason,
+    ) -> Self {
         AttemptEnd {
             number,
             upstream,
-            incarnation: run.incarnation.0,
+            incarnation: addressed.incarnation.0,
             answered_by: 0,
             outcome: AttemptResult::Unknown(reason).into(),
             reason: reason_label(reason),
@@ -68,7 +73,7 @@
 
     /// An outstanding attempt that ended without an answer.
     fn of_sent(sent: &'a SentAttempt, reason: CallReason) -> Self {
-        AttemptEnd::unanswered(sent.number, &sent.chosen.entry.name, sent.run, reason)
+        AttemptEnd::unanswered(sent.number, &sent.chosen.entry.name, sent.addressed, reason)
     }
 
     /// The attempt that a search was about.
@@ -247,9 +252,9 @@
         id: CallId,
         number: u32,
         upstream: &str,
-        run: DestinationRun,
+        addressed: DestinationProcess,
     ) {
-        let end = AttemptEnd::unanswered(number, upstream, run, CallReason::LinkLost);
+        let end = AttemptEnd::unanswered(number, upstream, addressed, CallReason::LinkLost);
         self.record_attempt(now, id, end);
     }
 
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -3,10 +3,10 @@
 mod attempt;
 mod log;
 mod message;
+mod processes;
 mod proof;
 mod quarantine;
 mod resolve;
-mod runs;
 mod settings;
 mod state;
 mod stop;
@@ -27,14 +27,14 @@
 use super::request::CallerRequest;
 use crate::claim::PlacementTable;
 use crate::core::{
-    ConfigSnapshot, IncarnationId, RequestFingerprint, SharedName, Timestamp, UpstreamEntry,
+    ConfigSnapshot, ProcessId, RequestFingerprint, SharedName, Timestamp, UpstreamEntry,
 };
 use crate::retry::{BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing};
 use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
 use log::EntryLog;
+use processes::StatedProcesses;
 pub use proof::AttemptProof;
-use runs::LaterRuns;
 pub use settings::EntrySettings;
 use state::{CallPhase, EntryCall};
 
@@ -138,7 +138,8 @@
 /// The calls that entered at this node.
 pub struct EntryCalls {
     name: SharedName,
-    incarnation: IncarnationId,
+    /// Part of the ids of attempts, so that no later process of the node uses them again.
+    process: ProcessId,
     region: SharedName,
     snapshot: Option<Arc<ConfigSnapshot>>,
     /// Derived from `snapshot`.
@@ -156,7 +157,7 @@
     hedge_policies: IndexMap<SharedName, HedgePolicy>,
     /// Latest notice of each upstream that states one, by upstream; only upstreams of the snapshot.
     notices: IndexMap<SharedName, UpstreamNotice>,
-    later_runs: LaterRuns,
+    stated_processes: StatedProcesses,
     calls: IndexMap<CallId, EntryCall>,
     /// Number of deferred calls in `calls`, at most `max_deferred_calls` of the settings.
     deferred_calls: usize,
@@ -176,13 +177,13 @@
     /// Creates the state of an entry node that has no configuration yet.
     pub fn new(
         location: EntryLocation,
-        incarnation: IncarnationId,
+        process: ProcessId,
         settings: EntrySettings,
         random: SmallRng,
     ) -> Self {
         EntryCalls {
             name: location.name.clone(),
-            incarnation,
+            process,
             region: location.region.clone(),
             snapshot: None,
             routes: RouteTable::new(&ConfigSnapshot::default()),
@@ -197,7 +198,7 @@
             pacings: IndexMap::new(),
             hedge_policies: IndexMap::new(),
             notices: IndexMap::new(),
-            later_runs: LaterRuns::default(),
+            stated_processes: StatedProcesses::default(),
             calls: IndexMap::new(),
             deferred_calls: 0,
             timers: BTreeSet::new(),
@@ -300,7 +301,7 @@
             .retain(|name, _| snapshot.services.contains_key(name));
         self.notices
             .retain(|name, _| snapshot.upstreams.contains_key(name));
-        self.later_runs.apply(&snapshot);
+        self.stated_processes.apply(&snapshot);
         self.divide_budgets(snapshot.upstreams.len());
         self.placement.update(snapshot.clone());
         self.snapshot = Some(snapshot);
@@ -453,13 +454,13 @@
     }
 
     fn is_own_attempt(&self, id: &AttemptId) -> bool {
-        *id.entry == *self.name && id.entry_incarnation == self.incarnation.0
+        *id.entry == *self.name && id.entry_incarnation == self.process.0
     }
 
     fn attempt_id(&self, call: CallId, attempt: u32) -> AttemptId {
         AttemptId {
             entry: self.name.to_string(),
-            entry_incarnation: self.incarnation.0,
+            entry_incarnation: self.process.0,
             call_id: call.0,
             attempt,
         }
--- a/crates/kumquatlock/src/call/entry/runs.rs
+++ b/crates/kumquatlock/src/call/entry/processes.rs
@@ -1,8 +1,8 @@
-//! Runs of destination nodes that the configuration does not show yet.
+//! Processes of destination nodes that the configuration does not show yet.
 //!
 //! A node that has started again refuses the attempts that name its earlier incarnation and must
-//! not run twice. Its refusal states the run that answers, so that the entry node need not wait for
-//! the configuration before it sends such calls there. Calls with a key wait all the same: the
+//! not run twice. Its refusal states the process that answers, so that the entry node need not wait
+//! for the configuration before it sends such calls there. Calls with a key wait all the same: the
 //! claim of an attempt outlives its call, and names an incarnation without a process.
 
 use indexmap::IndexMap;
@@ -13,50 +13,51 @@
 use crate::core::{ConfigSnapshot, IncarnationId, ProcessId, SharedName, Timestamp, UpstreamEntry};
 use crate::routing::UpstreamOutcome;
 
-/// What an attempt names of its destination node. Any other run of the node refuses the attempt.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct DestinationRun {
+/// What an attempt names of its destination node. Any other process of the node refuses the attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct DestinationProcess {
     pub(super) incarnation: IncarnationId,
     /// Present if the node itself stated the incarnation, and not the configuration. Until the
-    /// configuration shows it, another process could take the same number.
+    /// configuration shows it, another process could take the same number. Afterwards none does:
+    /// the first configuration of a process is at least as new as any that was applied before the
+    /// process started, and the process raises its incarnation above the recorded one.
     pub(super) process: Option<ProcessId>,
 }
 
-impl DestinationRun {
-    /// Returns the run that the configuration shows.
+impl DestinationProcess {
+    /// Returns the process that the configuration shows.
     pub(super) fn of_config(upstream: &UpstreamEntry) -> Self {
-        DestinationRun {
+        DestinationProcess {
             incarnation: upstream.incarnation,
             process: None,
         }
     }
 }
 
-/// Runs that destination nodes have stated in refusals.
+/// Processes that destination nodes have stated in refusals.
 #[derive(Debug, Default)]
-pub(super) struct LaterRuns {
-    /// Run of each upstream whose incarnation is later than that of the applied configuration.
+pub(super) struct StatedProcesses {
+    /// Process of each upstream whose incarnation is later than that of the applied configuration.
     /// Contains only upstreams of that configuration.
-    stated: IndexMap<SharedName, DestinationRun>,
+    by_upstream: IndexMap<SharedName, DestinationProcess>,
 }
 
-impl LaterRuns {
-    /// Returns the run that a call to the upstream must name.
-    pub(super) fn current(&self, upstream: &UpstreamEntry) -> DestinationRun {
-        let stated = self.stated.get(&upstream.name).copied();
-        stated
-            .unwrap_or_default()
-            .max(DestinationRun::of_config(upstream))
+impl StatedProcesses {
+    /// Returns the process that a call to the upstream must name.
+    pub(super) fn current(&self, upstream: &UpstreamEntry) -> DestinationProcess {
+        let stated = self.by_upstream.get(&upstream.name).copied();
+        let later = stated.filter(|stated| stated.incarnation > upstream.incarnation);
+        later.unwrap_or(DestinationProcess::of_config(upstream))
     }
 
-    /// Whether the run is that of the configuration, or the one that the node has stated last.
-    pub(super) fn lists(&self, upstream: &UpstreamEntry, run: DestinationRun) -> bool {
-        run.incarnation == upstream.incarnation || run == self.current(upstream)
+    /// Whether the process is that of the configuration, or the one that the node has stated last.
+    pub(super) fn is_current(&self, upstream: &UpstreamEntry, named: DestinationProcess) -> bool {
+        named.incarnation == upstream.incarnation || named == self.current(upstream)
     }
 
     /// Drops what a newer configuration shows or contradicts.
     pub(super) fn apply(&mut self, snapshot: &ConfigSnapshot) {
-        self.stated.retain(|name, stated| {
+        self.by_upstream.retain(|name, stated| {
             let upstream = snapshot.upstreams.get(name);
             upstream.is_some_and(|upstream| upstream.incarnation < stated.incarnation)
         });
@@ -64,32 +65,35 @@
 }
 
 impl EntryCalls {
-    /// Takes over the run that a refusal states. Returns whether the attempt can be sent again to
-    /// that run.
+    /// Records the process that a refusal states. Returns whether the attempt can be sent again to
+    /// that process.
     ///
-    /// Only an attempt that named the run of the configuration is sent again. Otherwise a node that
-    /// states a later one with each refusal would get the attempt without end.
-    pub(super) fn learn_run(&mut self, sent: &SentAttempt, refusal: &CallResponse) -> bool {
+    /// Only an attempt that named the incarnation of the configuration is sent again. Otherwise a
+    /// node that states a later one with each refusal would get the attempt without end.
+    pub(super) fn adopt_process(&mut self, sent: &SentAttempt, refusal: &CallResponse) -> bool {
         let is_refused = refusal.outcome == CallOutcome::NotRun as i32
             && refusal.reason == CallReason::WrongIncarnation as i32;
         if !is_refused {
             return false;
         }
         let name = &sent.chosen.entry.name;
-        let stated = DestinationRun {
+        let stated = DestinationProcess {
             incarnation: IncarnationId(refusal.incarnation),
             process: Some(ProcessId(refusal.process)).filter(|process| process.0 != 0),
         };
         let known = self.snapshot.as_ref();
         let known = known.and_then(|snapshot| snapshot.upstreams.get(name));
-        let was_current = known.is_some_and(|known| known.incarnation == sent.run.incarnation);
-        let is_later = was_current && sent.run.incarnation < stated.incarnation;
+        let was_current =
+            known.is_some_and(|known| known.incarnation == sent.addressed.incarnation);
+        let is_later = was_current && sent.addressed.incarnation < stated.incarnation;
         let is_serving = refusal.load.is_some_and(|load| !load.draining);
         if !is_later || !is_serving || stated.process.is_none() {
-            self.later_runs.stated.swap_remove(name);
+            self.stated_processes.by_upstream.swap_remove(name);
             return false;
         }
-        self.later_runs.stated.insert(name.clone(), stated);
+        self.stated_processes
+            .by_upstream
+            .insert(name.clone(), stated);
         true
     }
 
@@ -99,8 +103,8 @@
         call.is_some_and(|call| call.claim_key().is_some())
     }
 
-    /// Sends a refused attempt again to the same node, to the run that the node has stated. The
-    /// refused attempt used up none of the call's chances.
+    /// Sends a refused attempt again to the same node, to the process that the node has stated. The
+    /// refused attempt is not counted.
     pub(super) fn readdress(
         &mut self,
         now: Timestamp,
--- a/crates/kumquatlock/src/call/entry/resolve.rs
+++ b/crates/kumquatlock/src/call/entry/resolve.rs
@@ -7,7 +7,7 @@
 use kumquatlock_wire::call::{CallOutcome, CallReason, CallResponse};
 use kumquatlock_wire::claim::{ClaimOwner, ClaimReply, OutcomeQuery};
 
-use super::runs::DestinationRun;
+use super::processes::DestinationProcess;
 use super::state::{CallPhase, EntryCall, OutcomeSearch};
 use super::{CallId, EntryCalls, EntryStep, PeerNode, micros, ticket_of};
 use crate::call::answer::{CallerAnswer, RejectReason};
@@ -30,7 +30,7 @@
         id: CallId,
         attempt: u32,
         destination: &str,
-        run: DestinationRun,
+        addressed: DestinationProcess,
         steps: &mut Vec<EntryStep>,
     ) {
         let Some(call) = self.calls.get(&id) else {
@@ -39,11 +39,18 @@
         let owner = ClaimOwner {
             attempt: self.attempt_id(id, attempt),
             destination: destination.to_owned(),
-            destination_incarnation: run.incarnation.0,
+            destination_incarnation: addressed.incarnation.0,
             request_digest: call.request.digest,
         };
         self.counters.resolutions += 1;
-        self.start_search(now, id, owner, run.process, CallReason::LinkLost, steps);
+        self.start_search(
+            now,
+            id,
+            owner,
+            addressed.process,
+            CallReason::LinkLost,
+            steps,
+        );
     }
 
     /// Asks for the outcome of the attempt that owns the claim on the key. The attempt may belong
@@ -141,9 +148,9 @@
             .snapshot
             .as_ref()
             .and_then(|snapshot| snapshot.upstreams.get(&search.destination));
-        let run = search.run();
-        let later = &self.later_runs;
-        let known = known.filter(|upstream| later.lists(upstream, run));
+        let addressed = search.addressed();
+        let stated = &self.stated_processes;
+        let known = known.filter(|upstream| stated.is_current(upstream, addressed));
         let Some(upstream) = known.cloned() else {
             // The incarnation of the node that knew the outcome has ended.
             let answer = CallerAnswer::Unknown(search.reason);
@@ -160,7 +167,7 @@
             key: call.request.key.clone().unwrap_or_default(),
             owner: search.owner.clone(),
             deadline_us: micros(call.deadline.since(now)),
-            process: run.process.unwrap_or_default().0,
+            process: addressed.process.unwrap_or_default().0,
             id: self.attempt_id(id, number),
         };
         let to = self.peer(&upstream);
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -6,7 +6,7 @@
 use kumquatlock_wire::call::CallReason;
 use kumquatlock_wire::claim::ClaimOwner;
 
-use super::runs::DestinationRun;
+use super::processes::DestinationProcess;
 use crate::call::answer::CallerAnswer;
 use crate::call::request::CallerRequest;
 use crate::claim::ClaimFencer;
@@ -65,7 +65,7 @@
     pub(super) number: u32,
     pub(super) chosen: ChosenUpstream,
     /// What the attempt names; the incarnation is that of `chosen` or a later one.
-    pub(super) run: DestinationRun,
+    pub(super) addressed: DestinationProcess,
     pub(super) ticket: AttemptTicket,
 }
 
@@ -104,8 +104,8 @@
 
 impl OutcomeSearch {
     /// Returns what the attempt named of its destination node.
-    pub(super) fn run(&self) -> DestinationRun {
-        DestinationRun {
+    pub(super) fn addressed(&self) -> DestinationProcess {
+        DestinationProcess {
             incarnation: IncarnationId(self.owner.destination_incarnation),
             process: self.process,
         }
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -1,18 +1,18 @@
 //! Tests of calls through an in-memory simulation of one entry node, several destination nodes and
 //! their claim holders.
 
+mod attempt_counters;
 mod failures;
 mod full;
 mod hostile;
 mod keyed;
 mod leave;
 mod load;
-mod proof;
-mod proof_model;
-mod proofs;
+mod not_run;
+mod not_run_model;
+mod processes;
 mod quarantine;
 mod rate_limit;
-mod runs;
 mod silence;
 mod simulation;
 mod stop;
--- a/crates/kumquatlock/src/call/tests/proof.rs
+++ b/crates/kumquatlock/src/call/tests/not_run.rs
@@ -1,12 +1,12 @@
 //! Tests that a proof of "not run" outlives everything that may still arrive.
 //!
 //! A failure of a random schedule names its seed. A long run by hand, or a single seed:
-//! `KUMQUATLOCK_TEST_SEED=1 KUMQUATLOCK_TEST_CASES=20000 cargo test -p kumquatlock --lib tests::proof`
+//! `KUMQUATLOCK_TEST_SEED=1 KUMQUATLOCK_TEST_CASES=20000 cargo test -p kumquatlock --lib tests::not_run`
 
 use indexmap::IndexMap;
 use kumquatlock_wire::distribution::WireClass;
 
-use super::proof_model::{ModelSettings, ProofModel};
+use super::not_run_model::{ModelSettings, ProofModel};
 use crate::transport::LinkId;
 
 /// Number of random schedules, with the seeds from [`FIRST_SEED`] on.
--- a/crates/kumquatlock/src/call/tests/proof_model.rs
+++ b/crates/kumquatlock/src/call/tests/not_run_model.rs
@@ -131,10 +131,10 @@
 
     fn new_entry(&mut self, entry: usize) -> EntryCalls {
         let random = SmallRng::seed_from_u64(self.random.random());
-        let incarnation = IncarnationId(self.last_incarnation);
+        let process = ProcessId(self.last_incarnation);
         EntryCalls::new(
             entry_location(ENTRIES[entry]),
-            incarnation,
+            process,
             EntrySettings::new(64),
             random,
         )
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -80,7 +80,7 @@
         let snapshot = Arc::new(snapshot(class));
         let now = Timestamp::from_millis(1);
         let random = SmallRng::seed_from_u64(7);
-        let entry = EntryCalls::new(entry_location(ENTRY), IncarnationId(1), settings, random);
+        let entry = EntryCalls::new(entry_location(ENTRY), ProcessId(1), settings, random);
         let mut simulation = CallSimulation {
             now,
             entry,
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -202,7 +202,7 @@
             attached_link: None,
             announcer,
             waiting_ends: WaitingEnds::default(),
-            entry: EntryCalls::new(location, parts.incarnation, entry, random.clone()),
+            entry: EntryCalls::new(location, parts.process, entry, random.clone()),
             destination,
             adapter: parts.adapter,
             http,
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -76,12 +76,13 @@
     let wakeup = Rc::new(Cell::new(Timestamp::default()));
     let finished = Rc::new(Cell::new(false));
     let counters = Arc::new(TrafficCounters::default());
+    let process = ProcessId::random();
     let incarnation = new_incarnation();
     let parts = ActorParts {
         settings: settings.clone(),
         adapter,
         incarnation,
-        process: ProcessId::random(),
+        process,
         started,
         poll: poll.clone(),
         counters,
@@ -98,7 +99,8 @@
         name = &*settings.name,
         listen:% = settings.listen,
         http:% = settings.http,
-        incarnation = incarnation.0;
+        incarnation = incarnation.0,
+        process = process.0;
         "node_started"
     );
     let mut stopping = false;
