Split two large files of the calls, and name processes as such in logs

- The responses and refusals of a destination, and the times after which callers return, have files of their own.
- The test of the counters uses the endpoint of the call simulation in place of a copy.

--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -1,5 +1,6 @@
 //! Calls at their destination node, the node beside the upstream that runs them.
 
+mod answers;
 mod claims;
 mod counters;
 mod crash;
@@ -15,17 +16,13 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use kumquatlock_wire::call::{
-    AttemptId, CallCancel, CallOutcome, CallReason, CallRequest, CallResponse, LoadReport,
-};
+use kumquatlock_wire::call::{AttemptId, CallCancel, CallReason, CallRequest, LoadReport};
 use kumquatlock_wire::claim::ClaimReply;
 use kumquatlock_wire::distribution::WireClass;
 
 use super::{HeaderNames, MAX_DEPTH, MAX_TIMEOUT};
 use crate::admission::{AdmissionDecision, AdmissionQueue, AdmissionTicket, RoutePriority};
-use crate::claim::{
-    AttemptAdmission, ClaimAcquirer, ClaimSettings, OutcomeTable, PlacementTable, StoredAnswer,
-};
+use crate::claim::{AttemptAdmission, ClaimAcquirer, ClaimSettings, OutcomeTable, PlacementTable};
 use crate::core::{
     ConfigSnapshot, IncarnationId, ProcessId, RequestClass, RequestFingerprint, RequestRate,
     SharedName, Timestamp, stable_hash,
@@ -536,78 +533,6 @@
         }
     }
 
-    /// Refuses a call that was not admitted. The refusal also applies to later deliveries of the
-    /// same attempt.
-    fn refuse(
-        &mut self,
-        now: Timestamp,
-        source: CallSource,
-        request: &CallRequest,
-        reason: CallReason,
-        steps: &mut Vec<DestinationStep>,
-    ) {
-        let outcome = CallOutcome::NotRun;
-        self.log_end(now, source, request, outcome, reason, Duration::ZERO);
-        let is_fenced = is_repeatable(request) || self.fence(now, &request.id, steps);
-        if !is_fenced && self.outcomes.contains(&request.id) {
-            // An earlier delivery of this attempt has already started; it is answered when it ends.
-            return;
-        }
-        // A full table does not record the refusal. The attempt has arrived, and is not sent again.
-        steps.push(self.refusal(source, request, reason));
-    }
-
-    fn fence(
-        &mut self,
-        now: Timestamp,
-        attempt: &AttemptId,
-        steps: &mut Vec<DestinationStep>,
-    ) -> bool {
-        let (fenced, due) = self.outcomes.fence(now, attempt);
-        self.answer_queries(due, steps);
-        fenced
-    }
-
-    fn refusal(
-        &self,
-        to: CallSource,
-        request: &CallRequest,
-        reason: CallReason,
-    ) -> DestinationStep {
-        let mut response = self.response(request.id.clone(), CallOutcome::NotRun, reason);
-        // The entry node takes an answer that states another incarnation than the attempt names only
-        // as a refusal for that reason.
-        match reason {
-            // The attempt reached the address of another node, whose runs this one can't state.
-            CallReason::WrongIncarnation if *request.upstream != *self.name => {}
-            CallReason::WrongIncarnation => response.process = self.process.0,
-            _ => response.incarnation = request.incarnation,
-        }
-        DestinationStep::Respond { to, response }
-    }
-
-    fn response(&self, id: AttemptId, outcome: CallOutcome, reason: CallReason) -> CallResponse {
-        CallResponse {
-            id,
-            incarnation: self.incarnation.0,
-            outcome: outcome as i32,
-            reason: reason as i32,
-            load: Some(self.load()),
-            notice: self.notice_message(),
-            ..CallResponse::default()
-        }
-    }
-
-    fn answer_response(&self, id: AttemptId, answer: StoredAnswer) -> CallResponse {
-        CallResponse {
-            status: answer.status,
-            headers: answer.headers,
-            body_len: answer.body.len() as u64,
-            body: answer.body,
-            ..self.response(id, CallOutcome::Answered, CallReason::None)
-        }
-    }
-
     fn refuse_ticket(
         &mut self,
         now: Timestamp,
--- a/crates/kumquatlock/src/call/tests/attempt_counters.rs
+++ b/crates/kumquatlock/src/call/tests/attempt_counters.rs
@@ -8,11 +8,9 @@
 use kumquatlock_wire::distribution::WireClass;
 use strum::IntoEnumIterator;
 
-use super::simulation::{CallSimulation, QueuedMessage, UPSTREAMS};
-use crate::admission::AdmissionLimits;
+use super::simulation::{CallSimulation, QueuedMessage, UPSTREAMS, endpoint};
 use crate::call::{
     AttemptProof, CallSource, DestinationCalls, DestinationCounters, DestinationStep,
-    UpstreamEndpoint,
 };
 use crate::claim::ClaimSettings;
 use crate::core::{IncarnationId, ProcessId, Timestamp};
@@ -172,17 +170,7 @@
 fn destination(now: Timestamp, settings: ClaimSettings) -> DestinationCalls {
     let mut calls = DestinationCalls::new("booking-1".into(), IncarnationId(1), settings);
     calls.accept_earlier_incarnations();
-    let endpoint = UpstreamEndpoint {
-        address: "127.0.0.1:9".parse().unwrap(),
-        instance: "run-2".into(),
-        run_started_ms: 2,
-        service: "booking".into(),
-        limits: AdmissionLimits {
-            slots: 12,
-            connections: 100,
-        },
-    };
-    calls.on_announce(now, endpoint);
+    calls.on_announce(now, endpoint());
     calls
 }
 
--- a/crates/kumquatlock/src/claim/outcome.rs
+++ b/crates/kumquatlock/src/claim/outcome.rs
@@ -140,14 +140,14 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct EntryProcess {
     name: String,
-    incarnation: u64,
+    process: u64,
 }
 
 impl EntryProcess {
     fn of(attempt: &AttemptId) -> Self {
         EntryProcess {
             name: attempt.entry.clone(),
-            incarnation: attempt.entry_incarnation,
+            process: attempt.entry_incarnation,
         }
     }
 }
