Carry client accounts from the manifest to every node

Cause: configurations of the new deployments contain client accounts, API keys and quotas, and routes of a new kind (upload). The manifest had no place for them, so the first configuration was refused and nothing was served.

Change: the manifest has accounts (name, keys, rank, rate, burst, source) and routes may be public. Two accounts with one key, unusable keys and negative quotas are refused without repeating the key. Nothing decides by accounts yet.

Evidence: the existing tests pass.

--- a/crates/kumquatlock-wire/src/distribution.rs
+++ b/crates/kumquatlock-wire/src/distribution.rs
@@ -60,6 +60,33 @@
     /// because children don't need it.
     #[prost(string, tag = "12")]
     pub source: String,
+    /// Whether requests need no API key.
+    #[prost(bool, tag = "13")]
+    pub public: bool,
+}
+
+/// A client account: the API keys that its requests carry, and what it may ask for.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct AccountItem {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// SHA-256 digests of the API keys, so that no child holds the keys themselves.
+    #[prost(bytes = "bytes", repeated, tag = "2")]
+    pub key_digests: Vec<Bytes>,
+    /// Rank of the account's requests, in place of the rank of their route. Absent if the route
+    /// decides.
+    #[prost(uint32, optional, tag = "3")]
+    pub rank: Option<u32>,
+    /// Requests that the account may send in 1,000 s, over all nodes; zero for no limit.
+    #[prost(uint64, tag = "4")]
+    pub quota_millis: u64,
+    /// Requests that the account may send at once beyond its rate.
+    #[prost(uint64, tag = "5")]
+    pub burst: u64,
+    /// Source text from which the item of the manifest was generated. Present only in the log,
+    /// because children don't need it.
+    #[prost(string, tag = "6")]
+    pub source: String,
 }
 
 /// One service of a split route, with its weight.
@@ -141,7 +168,7 @@
 /// A change of the catalog.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CatalogChange {
-    #[prost(oneof = "catalog_change::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "catalog_change::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub kind: Option<catalog_change::Kind>,
 }
 
@@ -168,6 +195,10 @@
         /// New limits of the accepted manifest.
         #[prost(message, tag = "8")]
         Limits(super::LimitsItem),
+        #[prost(message, tag = "9")]
+        UpsertAccount(super::AccountItem),
+        #[prost(string, tag = "10")]
+        RemoveAccount(String),
     }
 }
 
@@ -228,6 +259,10 @@
     /// Source text of the manifest, apart from the sources of its items.
     #[prost(bytes = "bytes", tag = "9")]
     pub source: Bytes,
+    #[prost(message, repeated, tag = "10")]
+    pub accounts: Vec<AccountItem>,
+    #[prost(string, repeated, tag = "11")]
+    pub removed_accounts: Vec<String>,
 }
 
 /// Identifies one incarnation of an upstream.
@@ -275,6 +310,8 @@
     /// Absent if no request is in quarantine.
     #[prost(message, optional, tag = "8")]
     pub quarantine: Option<crate::quarantine::QuarantineList>,
+    #[prost(message, repeated, tag = "9")]
+    pub accounts: Vec<AccountItem>,
 }
 
 /// Kind of a catalog item.
@@ -284,6 +321,7 @@
     Service = 0,
     Route = 1,
     Upstream = 2,
+    Account = 3,
 }
 
 /// Role of a child.
--- a/crates/kumquatlock-wire/src/history.rs
+++ b/crates/kumquatlock-wire/src/history.rs
@@ -39,6 +39,9 @@
     /// Runs of upstreams that have ended, oldest first.
     #[prost(message, repeated, tag = "12")]
     pub ended_runs: Vec<EndedRun>,
+    /// Version at which each account last changed, in the order of `CatalogState::accounts`.
+    #[prost(uint64, repeated, tag = "13")]
+    pub account_changed_at: Vec<u64>,
 }
 
 /// A removed item.
--- a/crates/kumquatlock/src/catalog/apply.rs
+++ b/crates/kumquatlock/src/catalog/apply.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use kumquatlock_wire::distribution::{
-    CatalogCommand, ManifestChange, RouteItem, ServiceItem, UpstreamIncarnation, UpstreamItem,
-    UpstreamReport, WireState, catalog_command,
+    AccountItem, CatalogCommand, ManifestChange, RouteItem, ServiceItem, UpstreamIncarnation,
+    UpstreamItem, UpstreamReport, WireState, catalog_command,
 };
 use kumquatlock_wire::quarantine::QuarantineChange;
 
@@ -155,6 +155,7 @@
         self.manifest_source = document.source;
         self.replace_items::<RouteItem>(document.routes, index);
         self.replace_items::<ServiceItem>(document.services, index);
+        self.replace_items::<AccountItem>(document.accounts, index);
         self.flag_first_admitted(index);
         accepted
     }
@@ -187,6 +188,7 @@
     pub fn diff_manifest(&self, document: &ManifestDocument) -> ManifestChange {
         let (services, removed_services) = self.diff_items(&document.services);
         let (routes, removed_routes) = self.diff_items(&document.routes);
+        let (accounts, removed_accounts) = self.diff_items(&document.accounts);
         ManifestChange {
             manifest_version: document.version,
             from_version: self.manifest_version,
@@ -197,6 +199,8 @@
             removed_routes,
             limits: document.limits,
             source: document.source.clone(),
+            accounts,
+            removed_accounts,
         }
     }
 
@@ -248,6 +252,12 @@
         for route in &change.routes {
             self.store.upsert(route.clone(), index);
         }
+        for name in &change.removed_accounts {
+            self.store.remove::<AccountItem>(name, index);
+        }
+        for account in &change.accounts {
+            self.store.upsert(account.clone(), index);
+        }
         self.flag_first_admitted(index);
         accepted
     }
--- a/crates/kumquatlock/src/catalog/mod.rs
+++ b/crates/kumquatlock/src/catalog/mod.rs
@@ -18,7 +18,9 @@
 
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
-use kumquatlock_wire::distribution::{LimitsItem, RouteItem, ServiceItem, UpstreamItem};
+use kumquatlock_wire::distribution::{
+    AccountItem, LimitsItem, RouteItem, ServiceItem, UpstreamItem,
+};
 
 pub use apply::{ApplyOutcome, ManifestDecision, ReportDecision, ReportRefusal};
 pub use current::{CurrentCatalog, ManifestVerdict};
@@ -158,6 +160,11 @@
         self.store.routes.values().map(|stored| &stored.item)
     }
 
+    /// Returns all client accounts, sorted by name.
+    pub fn accounts(&self) -> impl Iterator<Item = &AccountItem> {
+        self.store.accounts.values().map(|stored| &stored.item)
+    }
+
     /// Returns the number of removed items that are still remembered.
     pub fn tombstone_count(&self) -> usize {
         self.store.tombstones.len()
--- a/crates/kumquatlock/src/catalog/store.rs
+++ b/crates/kumquatlock/src/catalog/store.rs
@@ -3,12 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use kumquatlock_wire::distribution::{
-    CatalogChange, ItemKind, RouteItem, ServiceItem, UpstreamItem, catalog_change::Kind,
+    AccountItem, CatalogChange, ItemKind, RouteItem, ServiceItem, UpstreamItem,
+    catalog_change::Kind,
 };
 use prost::Message;
 
 use super::MAX_TOMBSTONES;
-use crate::core::{SharedName, route_digest, service_digest, upstream_digest};
+use crate::core::{SharedName, account_digest, route_digest, service_digest, upstream_digest};
 
 /// Kind and name of an item.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -40,6 +41,7 @@
     pub(super) services: BTreeMap<SharedName, StoredItem<ServiceItem>>,
     pub(super) routes: BTreeMap<SharedName, StoredItem<RouteItem>>,
     pub(super) upstreams: BTreeMap<SharedName, StoredItem<UpstreamItem>>,
+    pub(super) accounts: BTreeMap<SharedName, StoredItem<AccountItem>>,
     /// Tombstones of removed items. A key is never both a tombstone and an item. At most
     /// [`MAX_TOMBSTONES`].
     pub(super) tombstones: BTreeMap<ItemKey, TombstoneRecord>,
@@ -91,6 +93,7 @@
 
 catalog_item!(ServiceItem, Service, services, service_digest);
 catalog_item!(RouteItem, Route, routes, route_digest);
+catalog_item!(AccountItem, Account, accounts, account_digest);
 catalog_item!(
     UpstreamItem,
     Upstream,
@@ -243,6 +246,13 @@
                 Some(stored) => Kind::UpsertUpstream(stored.item.clone()),
                 None => Kind::RemoveUpstream(name()),
             },
+            ItemKind::Account => match self.accounts.get(&key.name) {
+                Some(stored) => Kind::UpsertAccount(AccountItem {
+                    source: String::new(),
+                    ..stored.item.clone()
+                }),
+                None => Kind::RemoveAccount(name()),
+            },
         };
         CatalogChange { kind: Some(kind) }
     }
--- a/crates/kumquatlock/src/catalog/transfer.rs
+++ b/crates/kumquatlock/src/catalog/transfer.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use indexmap::IndexSet;
 use kumquatlock_wire::distribution::{
-    AcceptedManifest, CatalogChange, CatalogHistory, CatalogState, Delta, ItemKind, RouteItem,
-    SeenRegion, ServiceItem, Tombstone, UpstreamItem, catalog_change::Kind,
+    AcceptedManifest, AccountItem, CatalogChange, CatalogHistory, CatalogState, Delta, ItemKind,
+    RouteItem, SeenRegion, ServiceItem, Tombstone, UpstreamItem, catalog_change::Kind,
 };
 use kumquatlock_wire::quarantine::QuarantineList;
 use prost::Message;
@@ -118,6 +118,9 @@
             for route in &mut state.routes {
                 route.source.clear();
             }
+            for account in &mut state.accounts {
+                account.source.clear();
+            }
         }
         EncodedSnapshot {
             version: self.version,
@@ -133,6 +136,7 @@
             service_changed_at: store.services.values().map(|s| s.changed_at).collect(),
             route_changed_at: store.routes.values().map(|s| s.changed_at).collect(),
             upstream_changed_at: store.upstreams.values().map(|s| s.changed_at).collect(),
+            account_changed_at: store.accounts.values().map(|s| s.changed_at).collect(),
             manifest_changed_at: self.manifest_changed_at.0,
             tombstones: store
                 .tombstones
@@ -176,6 +180,7 @@
             history: Some(history),
             limits: self.limits,
             quarantine: (!self.quarantined.is_empty()).then(|| self.quarantine_list()),
+            accounts: self.accounts().cloned().collect(),
         }
     }
 
@@ -207,6 +212,10 @@
             &state.upstreams,
             change_versions(|history| &history.upstream_changed_at),
         )?;
+        catalog.insert_items(
+            &state.accounts,
+            change_versions(|history| &history.account_changed_at),
+        )?;
         match history {
             Some(history) => catalog.restore_history(history)?,
             None => catalog.store.min_delta_base = state.version,
@@ -294,6 +303,12 @@
             Kind::UpsertService(item) => store.insert_item(item.clone(), version),
             Kind::UpsertRoute(item) => store.insert_item(item.clone(), version),
             Kind::UpsertUpstream(item) => store.insert_item(item.clone(), version),
+            Kind::UpsertAccount(item) => store.insert_item(item.clone(), version),
+            Kind::RemoveAccount(name) => {
+                if !store.remove::<AccountItem>(name, version) {
+                    store.insert_tombstone(ItemKind::Account, name, version, 0);
+                }
+            }
             Kind::RemoveService(name) => {
                 if !store.remove::<ServiceItem>(name, version) {
                     store.insert_tombstone(ItemKind::Service, name, version, 0);
--- a/crates/kumquatlock/src/core/digest.rs
+++ b/crates/kumquatlock/src/core/digest.rs
@@ -5,7 +5,7 @@
 //! changes.
 
 use kumquatlock_wire::distribution::{
-    CatalogChange, RouteItem, ServiceItem, UpstreamItem, catalog_change,
+    AccountItem, CatalogChange, RouteItem, ServiceItem, UpstreamItem, catalog_change,
 };
 use prost::Message;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -13,6 +13,7 @@
 const SERVICE_SEED: u64 = 1;
 const ROUTE_SEED: u64 = 2;
 const UPSTREAM_SEED: u64 = 3;
+const ACCOUNT_SEED: u64 = 4;
 
 /// Returns a hash that is the same in every process and release.
 pub fn stable_hash(bytes: &[u8]) -> u64 {
@@ -39,6 +40,16 @@
     route_digest(&item)
 }
 
+/// Returns the digest of an account. Its source is excluded, because nodes don't receive it.
+pub fn account_digest(account: &AccountItem) -> u64 {
+    if account.source.is_empty() {
+        return xxh3_64_with_seed(&account.encode_to_vec(), ACCOUNT_SEED);
+    }
+    let mut item = account.clone();
+    item.source.clear();
+    account_digest(&item)
+}
+
 /// Returns the digest of an upstream.
 pub fn upstream_digest(upstream: &UpstreamItem) -> u64 {
     xxh3_64_with_seed(&upstream.encode_to_vec(), UPSTREAM_SEED)
@@ -51,6 +62,7 @@
         Some(catalog_change::Kind::UpsertService(service)) => service_digest(service),
         Some(catalog_change::Kind::UpsertRoute(route)) => route_digest(route),
         Some(catalog_change::Kind::UpsertUpstream(upstream)) => upstream_digest(upstream),
+        Some(catalog_change::Kind::UpsertAccount(account)) => account_digest(account),
         _ => 0,
     }
 }
--- a/crates/kumquatlock/src/core/mod.rs
+++ b/crates/kumquatlock/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! Types shared by all modules: names, versions, time, request classes and the applied
 //! configuration.
 
+mod account;
 mod class;
 mod digest;
 mod fingerprint;
@@ -9,8 +10,11 @@
 mod snapshot;
 mod time;
 
+pub use account::{AccountQuota, ClientAccount, KeyDigest};
 pub use class::{RequestClass, UpstreamState};
-pub use digest::{change_digest, route_digest, service_digest, stable_hash, upstream_digest};
+pub use digest::{
+    account_digest, change_digest, route_digest, service_digest, stable_hash, upstream_digest,
+};
 pub use fingerprint::RequestFingerprint;
 pub use ids::{
     ConfigVersion, GroupId, IncarnationId, ProcessId, SharedName, address_from_name,
--- a/crates/kumquatlock/src/core/snapshot.rs
+++ b/crates/kumquatlock/src/core/snapshot.rs
@@ -9,14 +9,14 @@
 
 use indexmap::{IndexMap, IndexSet};
 use kumquatlock_wire::distribution::{
-    CatalogState, Delta, LimitsItem, RouteItem, ServiceItem, SplitItem, UpstreamItem, WireClass,
-    WireState, catalog_change,
+    CatalogChange, CatalogState, Delta, LimitsItem, RouteItem, ServiceItem, SplitItem,
+    UpstreamItem, WireClass, WireState, catalog_change,
 };
 use kumquatlock_wire::quarantine::QuarantineList;
 
 use super::{
-    ConfigVersion, IncarnationId, RequestClass, RequestFingerprint, SharedName, UpstreamState,
-    route_digest, service_digest, upstream_digest,
+    ClientAccount, ConfigVersion, IncarnationId, KeyDigest, RequestClass, RequestFingerprint,
+    SharedName, UpstreamState, route_digest, service_digest, upstream_digest,
 };
 
 /// Why a configuration was rejected as a whole.
@@ -198,6 +198,8 @@
     pub max_attempts: Option<u32>,
     /// Whether only paths below the prefix match, but not the prefix itself.
     pub below_prefix_only: bool,
+    /// Whether requests need no API key.
+    pub public: bool,
     digest: u64,
 }
 
@@ -222,6 +224,7 @@
             rank: item.rank,
             max_attempts: (item.attempts > 0).then_some(item.attempts),
             below_prefix_only: item.below,
+            public: item.public,
             digest: route_digest(item),
         })
     }
@@ -274,6 +277,10 @@
     pub routes: IndexMap<SharedName, Arc<RouteEntry>>,
     /// Upstreams by name, whether or not a service admits them.
     pub upstreams: IndexMap<SharedName, Arc<UpstreamEntry>>,
+    /// Client accounts by name.
+    pub accounts: IndexMap<SharedName, Arc<ClientAccount>>,
+    /// Account of each API key. Derived from `accounts`.
+    pub account_keys: Arc<IndexMap<KeyDigest, Arc<ClientAccount>>>,
     /// Limits on callers; `None` if the manifest states none.
     pub limits: Option<CallerLimits>,
     /// Requests that are refused, because they have ended upstreams.
@@ -301,6 +308,10 @@
         for item in &state.routes {
             snapshot.insert_route(RouteEntry::from_item(item)?);
         }
+        for item in &state.accounts {
+            snapshot.insert_account(ClientAccount::from_item(item)?);
+        }
+        snapshot.rebuild_keys();
         let affected = snapshot.services.keys().cloned().collect();
         snapshot.rebuild_members(&affected);
         snapshot.validate(digest)?;
@@ -333,6 +344,9 @@
             snapshot.quarantined = quarantined_of(delta.quarantine.as_ref());
         }
         snapshot.rebuild_members(&affected);
+        if delta.changes.iter().any(is_account_change) {
+            snapshot.rebuild_keys();
+        }
         snapshot.validate(delta.digest)?;
         Ok(snapshot)
     }
@@ -365,6 +379,10 @@
                     affected.insert(old.service.clone());
                 }
             }
+            Some(Kind::UpsertAccount(item)) => {
+                self.insert_account(ClientAccount::from_item(item)?);
+            }
+            Some(Kind::RemoveAccount(name)) => self.remove_account(name),
             Some(Kind::ManifestVersion(version)) => {
                 self.manifest_version = *version;
                 // They follow in the same delta if the manifest has any.
@@ -404,6 +422,28 @@
         self.digest = self.digest.wrapping_sub(old.map_or(0, |old| old.digest));
     }
 
+    fn insert_account(&mut self, account: ClientAccount) {
+        self.digest = self.digest.wrapping_add(account.digest);
+        let old = self
+            .accounts
+            .insert(account.name.clone(), Arc::new(account));
+        self.digest = self.digest.wrapping_sub(old.map_or(0, |old| old.digest));
+    }
+
+    fn remove_account(&mut self, name: &str) {
+        let old = self.accounts.swap_remove(name);
+        self.digest = self.digest.wrapping_sub(old.map_or(0, |old| old.digest));
+    }
+
+    fn rebuild_keys(&mut self) {
+        let accounts = self.accounts.values();
+        let keys = accounts.flat_map(|account| {
+            let keys = account.keys.iter();
+            keys.map(|key| (*key, account.clone()))
+        });
+        self.account_keys = Arc::new(keys.collect());
+    }
+
     fn insert_upstream(&mut self, upstream: UpstreamEntry) -> Option<Arc<UpstreamEntry>> {
         self.digest = self.digest.wrapping_add(upstream.digest);
         let old = self
@@ -458,6 +498,13 @@
     }
 }
 
+fn is_account_change(change: &CatalogChange) -> bool {
+    matches!(
+        change.kind,
+        Some(catalog_change::Kind::UpsertAccount(_) | catalog_change::Kind::RemoveAccount(_))
+    )
+}
+
 fn quarantined_of(list: Option<&QuarantineList>) -> IndexSet<RequestFingerprint> {
     let fingerprints = list.into_iter().flat_map(|list| &list.fingerprints);
     fingerprints.copied().map(RequestFingerprint).collect()
--- a/crates/kumquatlock/src/manifest/check.rs
+++ b/crates/kumquatlock/src/manifest/check.rs
@@ -3,9 +3,10 @@
 use indexmap::IndexSet;
 
 use super::{
-    MAX_HOST_BYTES, MAX_NAME_BYTES, MAX_PATTERNS, MAX_PREFIX_BYTES, MAX_ROUTE_TIMEOUT_MS,
-    MAX_ROUTES, MAX_SERVICES, MAX_SPLIT_PARTS, MAX_TARGET_EXCESS_MS, ManifestError, ManifestFault,
-    RawManifest, RawRoute, RawService, has_only_name_chars, is_valid_name,
+    MAX_ACCOUNT_KEYS, MAX_ACCOUNTS, MAX_API_KEY_BYTES, MAX_HOST_BYTES, MAX_NAME_BYTES,
+    MAX_PATTERNS, MAX_PREFIX_BYTES, MAX_QUOTA, MAX_ROUTE_TIMEOUT_MS, MAX_ROUTES, MAX_SERVICES,
+    MAX_SPLIT_PARTS, MAX_TARGET_EXCESS_MS, ManifestError, ManifestFault, RawAccount, RawManifest,
+    RawRoute, RawService, has_only_name_chars, is_valid_name,
 };
 
 pub(super) fn check_manifest(manifest: &RawManifest) -> Result<(), ManifestError> {
@@ -33,9 +34,49 @@
         check_route_services(&path, route, &services)?;
         check_timeouts(&path, route)?;
     }
+    check_accounts(&manifest.accounts)
+}
+
+fn check_accounts(accounts: &[RawAccount]) -> Result<(), ManifestError> {
+    check_limit("$.accounts", accounts.len(), MAX_ACCOUNTS)?;
+    let mut names = IndexSet::new();
+    let mut keys = IndexSet::new();
+    for (position, account) in accounts.iter().enumerate() {
+        let path = format!("$.accounts[{position}]");
+        check_name(&path, &account.name, &mut names)?;
+        check_limit(
+            &format!("{path}.keys"),
+            account.keys.len(),
+            MAX_ACCOUNT_KEYS,
+        )?;
+        for (position, key) in account.keys.iter().enumerate() {
+            // The fault does not repeat the key, which would end up in logs.
+            let fault = if !is_valid_api_key(key) {
+                ManifestFault::BadApiKey
+            } else if !keys.insert(key.as_str()) {
+                ManifestFault::SharedApiKey
+            } else {
+                continue;
+            };
+            let path = format_args!("{path}.keys[{position}]");
+            return Err(ManifestError::at(path, fault));
+        }
+        let quota = [("rate", account.rate), ("burst", account.burst)];
+        for (field, value) in quota {
+            if value.is_some_and(|value| !(0.0..=MAX_QUOTA).contains(&value)) {
+                let path = format_args!("{path}.{field}");
+                return Err(ManifestError::at(path, ManifestFault::BadQuota));
+            }
+        }
+    }
     Ok(())
 }
 
+/// Whether a request can carry the key in a header.
+fn is_valid_api_key(key: &str) -> bool {
+    (1..=MAX_API_KEY_BYTES).contains(&key.len()) && key.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 fn check_route_services(
     path: &str,
     route: &RawRoute,
--- a/crates/kumquatlock/src/manifest/error.rs
+++ b/crates/kumquatlock/src/manifest/error.rs
@@ -80,6 +80,15 @@
         super::MAX_TARGET_EXCESS_MS
     )]
     BadTarget,
+    /// An API key is empty, too long, or contains a character that a header can't carry.
+    #[error("not a valid API key")]
+    BadApiKey,
+    /// Two accounts have the same API key, or one has it twice.
+    #[error("the API key is used twice")]
+    SharedApiKey,
+    /// A rate or burst is negative, not a number or too large.
+    #[error("not in 0..={}", super::MAX_QUOTA)]
+    BadQuota,
     /// The manifest contains no services.
     #[error("no services")]
     NoServices,
--- a/crates/kumquatlock/src/manifest/mod.rs
+++ b/crates/kumquatlock/src/manifest/mod.rs
@@ -10,14 +10,16 @@
 mod object;
 
 use bytes::Bytes;
-use kumquatlock_wire::distribution::{LimitsItem, RouteItem, ServiceItem, SplitItem, WireClass};
+use kumquatlock_wire::distribution::{
+    AccountItem, LimitsItem, RouteItem, ServiceItem, SplitItem, WireClass,
+};
 use prost::Message;
 use serde::Deserialize;
 
 pub use error::{ManifestError, ManifestFault};
 use object::JsonObject;
 
-use crate::core::{RequestClass, stable_hash};
+use crate::core::{KeyDigest, RequestClass, stable_hash};
 
 /// Maximum size of a manifest text, in bytes. Room for more than 10,000 routes with their sources.
 pub const MAX_MANIFEST_BYTES: usize = 8 * 1024 * 1024;
@@ -32,6 +34,14 @@
 pub const MAX_SERVICES: usize = 1_000;
 /// Maximum number of routes in a manifest.
 pub const MAX_ROUTES: usize = 20_000;
+/// Maximum number of client accounts in a manifest. Twice the design target.
+pub const MAX_ACCOUNTS: usize = 20_000;
+/// Maximum number of API keys of one account.
+pub const MAX_ACCOUNT_KEYS: usize = 64;
+/// Maximum length of an API key, in bytes.
+pub const MAX_API_KEY_BYTES: usize = 512;
+/// Maximum quota of an account, in requests per second, and its maximum burst, in requests.
+pub const MAX_QUOTA: f64 = 1e9;
 /// Maximum number of upstream patterns of one service.
 pub const MAX_PATTERNS: usize = 64;
 /// Maximum length of the name of a service, route, upstream, zone or region, in bytes.
@@ -58,6 +68,8 @@
     pub services: Vec<ServiceItem>,
     /// Routes, sorted by name. `services` contains the services of every route.
     pub routes: Vec<RouteItem>,
+    /// Client accounts, sorted by name. No two of them have a key in common.
+    pub accounts: Vec<AccountItem>,
     /// Digest of the content, which does not include the version.
     pub digest: u64,
 }
@@ -73,6 +85,21 @@
     services: Vec<RawService>,
     #[serde(deserialize_with = "object::read_objects")]
     routes: Vec<RawRoute>,
+    #[serde(default, deserialize_with = "object::read_objects")]
+    accounts: Vec<RawAccount>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawAccount {
+    name: String,
+    #[serde(default)]
+    keys: Vec<String>,
+    rank: Option<u32>,
+    /// Requests per second.
+    rate: Option<f64>,
+    burst: Option<f64>,
+    source: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -116,6 +143,8 @@
     attempts: Option<u32>,
     #[serde(default)]
     below: bool,
+    #[serde(default)]
+    public: bool,
     source: Option<String>,
 }
 
@@ -174,6 +203,9 @@
         services.sort_unstable_by(|left, right| left.name.cmp(&right.name));
         let mut routes: Vec<RouteItem> = manifest.routes.into_iter().map(route_item).collect();
         routes.sort_unstable_by(|left, right| left.name.cmp(&right.name));
+        let mut accounts: Vec<AccountItem> =
+            manifest.accounts.into_iter().map(account_item).collect();
+        accounts.sort_unstable_by(|left, right| left.name.cmp(&right.name));
         let limits = manifest.limits.map(|limits| LimitsItem {
             header_bytes: limits.header_bytes,
             body_bytes: limits.body_bytes,
@@ -189,6 +221,13 @@
             content.extend(&source);
             digest = stable_hash(&content);
         }
+        if !accounts.is_empty() {
+            let mut content = digest.to_le_bytes().to_vec();
+            for account in &accounts {
+                content.extend(account.encode_length_delimited_to_vec());
+            }
+            digest = stable_hash(&content);
+        }
         ManifestDocument {
             version: manifest.version,
             follows: manifest.follows,
@@ -196,11 +235,29 @@
             source,
             services,
             routes,
+            accounts,
             digest,
         }
     }
 }
 
+fn account_item(account: RawAccount) -> AccountItem {
+    let keys = account.keys.iter();
+    let mut digests: Vec<Bytes> = keys
+        .map(|key| Bytes::copy_from_slice(KeyDigest::of(key.as_bytes()).as_bytes()))
+        .collect();
+    digests.sort_unstable();
+    AccountItem {
+        name: account.name,
+        key_digests: digests,
+        rank: account.rank,
+        // Both are checked to be finite and not negative, and are bounded.
+        quota_millis: (account.rate.unwrap_or_default() * 1_000.0).round() as u64,
+        burst: account.burst.unwrap_or_default() as u64,
+        source: account.source.unwrap_or_default(),
+    }
+}
+
 fn route_item(route: RawRoute) -> RouteItem {
     let service = route.first_service().unwrap_or_default().to_owned();
     let split = route.split.into_iter().map(|part| SplitItem {
@@ -219,6 +276,7 @@
         attempts: route.attempts.unwrap_or_default(),
         split: split.collect(),
         below: route.below,
+        public: route.public,
         source: route.source.unwrap_or_default(),
     }
 }
--- a/crates/kumquatlock/src/ops/control/operator.rs
+++ b/crates/kumquatlock/src/ops/control/operator.rs
@@ -146,6 +146,8 @@
     source: std::borrow::Cow<'a, str>,
     services: IndexMap<&'a str, &'a str>,
     routes: IndexMap<&'a str, &'a str>,
+    #[serde(skip_serializing_if = "IndexMap::is_empty")]
+    accounts: IndexMap<&'a str, &'a str>,
 }
 
 fn source_response(current: &CurrentCatalog<'_>) -> HttpResponse {
@@ -155,6 +157,7 @@
     }
     let services = catalog.services();
     let routes = catalog.routes();
+    let accounts = catalog.accounts();
     let body = SourceBody {
         source: String::from_utf8_lossy(catalog.manifest_source()),
         services: services
@@ -163,6 +166,9 @@
         routes: routes
             .map(|item| (item.name.as_str(), item.source.as_str()))
             .collect(),
+        accounts: accounts
+            .map(|item| (item.name.as_str(), item.source.as_str()))
+            .collect(),
     };
     HttpResponse::json(200, &body)
 }
