Resolve the client account of each request at its entry node

Cause: the configuration carries client accounts, but nothing decided by them. Requests with unknown keys ran, and the header with the key was forwarded to upstreams like any other.

Change: `account::AccountResolver` decides on a request by its route and the digest of its key, without I/O. If the configuration has accounts, a request needs the key of one unless its route is public; otherwise the answer is 401. A valid key on a public route counts, so its upstream knows the account. `CallRequest::account` (tag 24) names the account to the destination node, which sets the header for the upstream; one that the caller sent is dropped always. The rank of the account goes before that of the route, for the choice of the upstream and for its queue. Without accounts the header of the key is forwarded as before.

Idempotency keys are extended with the account between nodes. Otherwise an account that uses the same idempotency key for the same request as another one would get the other one's stored answer.

--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -64,6 +64,7 @@
     pub service: String,
     #[prost(enumeration = "crate::distribution::WireClass", tag = "6")]
     pub class: i32,
+    /// Idempotency key, followed by a space and the account if the request belongs to one.
     #[prost(string, optional, tag = "7")]
     pub key: Option<String>,
     /// Time until the deadline when the message was sent, in microseconds.
@@ -87,7 +88,7 @@
     /// Digest of method, path and body, to detect a key that is reused for another request.
     #[prost(uint64, tag = "15")]
     pub request_digest: u64,
-    /// Rank of the route. Calls with a lower rank are served first.
+    /// Rank of the client account, or else of the route. Calls with a lower rank are served first.
     #[prost(uint32, tag = "16")]
     pub rank: u32,
     /// Time left until the route's target latency, in microseconds, when the message was sent. An
@@ -115,6 +116,9 @@
     /// call. Zero if the incarnation is that of the configuration.
     #[prost(uint64, tag = "23")]
     pub process: u64,
+    /// Name of the client account that sent the request; absent if it belongs to none.
+    #[prost(string, optional, tag = "24")]
+    pub account: Option<String>,
 }
 
 /// Outcome of one attempt.
--- /dev/null
+++ b/crates/kumquatlock/src/account/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of client accounts at an entry node.
+
+mod decisions;
--- a/crates/kumquatlock/src/call/answer.rs
+++ b/crates/kumquatlock/src/call/answer.rs
@@ -45,6 +45,8 @@
     InvalidDepth,
     /// The call chain is deeper than [`super::MAX_DEPTH`].
     DepthExceeded,
+    /// The route needs the API key of a client account, and the request has none or an unknown one.
+    UnknownKey,
     /// No route matches the host and path.
     NoRoute,
     /// The key was already used with a different request.
@@ -60,6 +62,7 @@
             | RejectReason::InvalidTimeout
             | RejectReason::InvalidDepth
             | RejectReason::DepthExceeded => 400,
+            RejectReason::UnknownKey => 401,
             RejectReason::NoRoute => 404,
             RejectReason::KeyReused | RejectReason::FinishedAnswerGone => 409,
         }
@@ -117,7 +120,15 @@
             }
             CallerAnswer::NotRun(_) => HttpResponse::json(503, &body),
             CallerAnswer::Unknown(_) => HttpResponse::json(504, &body),
-            CallerAnswer::Rejected(reason) => HttpResponse::json(reason.status(), &body),
+            CallerAnswer::Rejected(reason) => {
+                let response = HttpResponse::json(reason.status(), &body);
+                match names.api_key {
+                    Some(header) if reason == RejectReason::UnknownKey => {
+                        response.with_header("WWW-Authenticate", header.scheme)
+                    }
+                    _ => response,
+                }
+            }
         };
         match names.outcome {
             Some(name) => response.with_header(name, outcome),
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -9,6 +9,7 @@
 use super::{CallSource, DestinationCalls, DestinationStep, RunId, UpstreamEndpoint};
 use crate::admission::{AdmissionQueue, AdmissionTicket, CancelOutcome, QueueStep, ServiceOutcome};
 use crate::call::HeaderNames;
+use crate::call::request::unscoped_key;
 use crate::claim::StoredAnswer;
 use crate::core::{RequestClass, Timestamp};
 use crate::http::{EchoedHeader, HttpRequest, HttpResponse, UpstreamFailure};
@@ -157,7 +158,7 @@
             add(name, self.attempt_label());
         }
         if let (Some(name), Some(key)) = (names.key, &request.key) {
-            add(name, key.clone());
+            add(name, unscoped_key(key).to_owned());
         }
         if let Some(name) = names.expected_instance
             && !endpoint.instance.is_empty()
@@ -167,6 +168,9 @@
         if let Some(name) = names.origin {
             add(name, request.origin.clone());
         }
+        if let (Some(name), Some(account)) = (names.account, &request.account) {
+            add(name, account.clone());
+        }
         if let Some(span) = &self.span {
             add(TRACEPARENT_HEADER, span.context.to_string());
         }
--- /dev/null
+++ b/crates/kumquatlock/src/call/entry/admit.rs
@@ -0,0 +1,110 @@
+//! Admission of requests: whether a request becomes a call, and of which client account.
+
+use kumquatlock_wire::call::CallReason;
+
+use super::state::AdmittedCall;
+use super::{EntryCalls, MAX_CALLS};
+use crate::account::AccessDecision;
+use crate::call::answer::{CallerAnswer, RejectReason};
+use crate::call::request::{CallerRequest, scope_key};
+use crate::core::{ClientAccount, ConfigSnapshot, RequestClass, RouteEntry, Timestamp};
+
+impl EntryCalls {
+    /// Decides whether a request becomes a call.
+    pub(super) fn admit(
+        &self,
+        now: Timestamp,
+        request: &CallerRequest,
+    ) -> Result<AdmittedCall, CallerAnswer> {
+        let max_timeout = self.settings.longest_timeout;
+        if request.timeout.is_some_and(|timeout| timeout > max_timeout) {
+            return Err(CallerAnswer::Rejected(RejectReason::InvalidTimeout));
+        }
+        let Some(snapshot) = &self.snapshot else {
+            return Err(refuse_without_config(
+                request,
+                CallReason::ConfigUnavailable,
+            ));
+        };
+        let route = self.routes.find(&request.host, request.path());
+        let route = route
+            .ok_or(CallerAnswer::Rejected(RejectReason::NoRoute))?
+            .clone();
+        let account = match self.resolve_account(snapshot, &route, request) {
+            AccessDecision::Account(account) => Some(account),
+            AccessDecision::Anonymous => None,
+            AccessDecision::UnknownKey => {
+                return Err(CallerAnswer::Rejected(RejectReason::UnknownKey));
+            }
+        };
+        let keyed = request.key.is_some() && !route.class.is_repeatable();
+        let refuse = |reason| match keyed {
+            // An earlier request with this key may have run, and the claim holders were not asked.
+            true => CallerAnswer::Unknown(reason),
+            false => CallerAnswer::NotRun(reason),
+        };
+        if self.draining {
+            return Err(refuse(CallReason::Draining));
+        }
+        let fingerprint = self.fingerprint(request);
+        if self.is_quarantined(fingerprint) {
+            return Err(refuse(CallReason::Quarantined));
+        }
+        let deferred = route.class == RequestClass::Deferred;
+        if self.calls.len() >= MAX_CALLS
+            || (deferred && self.deferred_calls >= self.settings.max_deferred_calls)
+        {
+            return Err(refuse(CallReason::Overloaded));
+        }
+        let deadline = now + request.timeout_for(&route, max_timeout);
+        Ok(AdmittedCall {
+            route,
+            account,
+            fingerprint,
+            deadline,
+        })
+    }
+
+    fn resolve_account(
+        &self,
+        snapshot: &ConfigSnapshot,
+        route: &RouteEntry,
+        request: &CallerRequest,
+    ) -> AccessDecision {
+        let header = self.settings.api_key;
+        let key = header.filter(|_| !snapshot.accounts.is_empty());
+        let key = key.and_then(|header| request.api_key.digest(header));
+        self.accounts.resolve(snapshot, route, key)
+    }
+
+    /// Removes the API key from a request that was admitted. Without client accounts, the header is
+    /// a matter between the caller and the upstream, and is forwarded.
+    ///
+    /// The idempotency key is extended with the account, so that no account gets the stored answer of
+    /// another one that has used the same key.
+    pub(super) fn bind_account(
+        &self,
+        request: &mut CallerRequest,
+        account: Option<&ClientAccount>,
+    ) {
+        if let Some(account) = account {
+            let key = request.key.take();
+            request.key = key.map(|key| scope_key(&key, &account.name));
+        }
+        let fields = std::mem::take(&mut request.api_key).into_fields();
+        let snapshot = self.snapshot.as_ref();
+        if snapshot.is_some_and(|snapshot| snapshot.accounts.is_empty()) {
+            request.headers.extend(fields);
+        }
+    }
+}
+
+/// Returns the answer to a request that arrives before any configuration. A request with a key is
+/// answered "unknown", because an earlier request with the same key may have run. The request
+/// class, which decides whether the key has an effect, is not known yet.
+fn refuse_without_config(request: &CallerRequest, reason: CallReason) -> CallerAnswer {
+    match request.key {
+        Some(_) => CallerAnswer::Unknown(reason),
+        None => CallerAnswer::NotRun(reason),
+    }
+}
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -43,7 +43,7 @@
         let call = self.calls.get_mut(&id)?;
         let snapshot = self.snapshot.as_ref()?;
         let balancer = self.balancers.get_or_create(snapshot, &call.service, now)?;
-        let rank = call.route.rank;
+        let rank = call.rank;
         let choice = balancer.choose(now, &mut self.random, &call.tried, rank);
         let is_exhausted =
             matches!(choice, UpstreamChoice::None(reason) if reason != NoChoiceReason::AllFull);
@@ -224,7 +224,7 @@
             return;
         };
         let UpstreamChoice::Chosen(chosen) =
-            balancer.choose(now, &mut self.random, &call.tried, call.route.rank)
+            balancer.choose(now, &mut self.random, &call.tried, call.rank)
         else {
             return;
         };
--- a/crates/kumquatlock/src/call/entry/message.rs
+++ b/crates/kumquatlock/src/call/entry/message.rs
@@ -67,7 +67,11 @@
         body: request.body.clone(),
         request_digest: request.digest,
         fingerprint: call.fingerprint.0,
-        rank: call.route.rank,
+        rank: call.rank,
+        account: call
+            .account
+            .as_ref()
+            .map(|account| account.name.to_string()),
         inner: request.is_nested,
         target_us: call.route.latency_target.map(|target| {
             let left = (call.opened_at + target).since(now);
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -1,5 +1,6 @@
 //! Calls at their entry node, the node that received them from the caller.
 
+mod admit;
 mod attempt;
 mod log;
 mod message;
@@ -18,18 +19,17 @@
 
 use indexmap::IndexMap;
 use kumquatlock_wire::Body;
-use kumquatlock_wire::call::{AttemptId, CallReason, CallResponse, UpstreamNotice};
+use kumquatlock_wire::call::{AttemptId, CallResponse, UpstreamNotice};
 use kumquatlock_wire::claim::ClaimReply;
 use rand::Rng;
 use rand::rngs::SmallRng;
 use strum::EnumCount;
 
-use super::answer::{CallerAnswer, RejectReason};
+use super::answer::CallerAnswer;
 use super::request::CallerRequest;
+use crate::account::AccountResolver;
 use crate::claim::PlacementTable;
-use crate::core::{
-    ConfigSnapshot, ProcessId, RequestFingerprint, SharedName, Timestamp, UpstreamEntry,
-};
+use crate::core::{ConfigSnapshot, ProcessId, SharedName, Timestamp, UpstreamEntry};
 use crate::retry::{BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing};
 use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
@@ -133,6 +133,7 @@
     snapshot: Option<Arc<ConfigSnapshot>>,
     /// Derived from `snapshot`.
     routes: RouteTable,
+    accounts: AccountResolver,
     balancers: BalancerSet,
     placement: PlacementTable,
     settings: EntrySettings,
@@ -176,6 +177,7 @@
             region: location.region.clone(),
             snapshot: None,
             routes: RouteTable::new(&ConfigSnapshot::default()),
+            accounts: AccountResolver,
             balancers: BalancerSet::new(location),
             placement: PlacementTable::default(),
             policy: RetryPolicy {
@@ -218,7 +220,7 @@
 
     /// Starts a call for a caller's request, or answers the caller at once if the request is
     /// refused.
-    pub fn open(&mut self, now: Timestamp, request: CallerRequest) -> (CallId, Vec<EntryStep>) {
+    pub fn open(&mut self, now: Timestamp, mut request: CallerRequest) -> (CallId, Vec<EntryStep>) {
         let id = CallId(self.next_call);
         self.next_call += 1;
         self.counters.calls += 1;
@@ -232,15 +234,8 @@
                 if !request.is_nested {
                     budget.record_first_attempt(now);
                 }
-                let call = EntryCall::new(
-                    request,
-                    call.fingerprint,
-                    span,
-                    call.route,
-                    service,
-                    now,
-                    call.deadline,
-                );
+                self.bind_account(&mut request, call.account.as_deref());
+                let call = EntryCall::new(request, call, span, service, now);
                 self.deferred_calls += usize::from(call.is_deferred());
                 self.timers.insert((call.wake_at, id));
                 self.calls.insert(id, call);
@@ -435,49 +430,6 @@
         }
     }
 
-    /// Decides whether a request becomes a call.
-    fn admit(&self, now: Timestamp, request: &CallerRequest) -> Result<AdmittedCall, CallerAnswer> {
-        let max_timeout = self.settings.longest_timeout;
-        if request.timeout.is_some_and(|timeout| timeout > max_timeout) {
-            return Err(CallerAnswer::Rejected(RejectReason::InvalidTimeout));
-        }
-        if self.snapshot.is_none() {
-            return Err(refuse_without_config(
-                request,
-                CallReason::ConfigUnavailable,
-            ));
-        }
-        let route = self.routes.find(&request.host, request.path());
-        let route = route
-            .ok_or(CallerAnswer::Rejected(RejectReason::NoRoute))?
-            .clone();
-        let keyed = request.key.is_some() && !route.class.is_repeatable();
-        let refuse = |reason| match keyed {
-            // An earlier request with this key may have run, and the claim holders were not asked.
-            true => CallerAnswer::Unknown(reason),
-            false => CallerAnswer::NotRun(reason),
-        };
-        if self.draining {
-            return Err(refuse(CallReason::Draining));
-        }
-        let fingerprint = self.fingerprint(request);
-        if self.is_quarantined(fingerprint) {
-            return Err(refuse(CallReason::Quarantined));
-        }
-        let deferred = route.class == crate::core::RequestClass::Deferred;
-        if self.calls.len() >= MAX_CALLS
-            || (deferred && self.deferred_calls >= self.settings.max_deferred_calls)
-        {
-            return Err(refuse(CallReason::Overloaded));
-        }
-        let deadline = now + request.timeout_for(&route, max_timeout);
-        Ok(AdmittedCall {
-            route,
-            fingerprint,
-            deadline,
-        })
-    }
-
     fn reschedule(&mut self, now: Timestamp, id: CallId) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
@@ -537,22 +489,6 @@
     budget.or_insert_with(|| RetryBudget::with_settings(settings.budget, now))
 }
 
-struct AdmittedCall {
-    route: Arc<crate::core::RouteEntry>,
-    fingerprint: RequestFingerprint,
-    deadline: Timestamp,
-}
-
-/// Returns the answer to a request that arrives before any configuration. A request with a key is
-/// answered "unknown", because an earlier request with the same key may have run. The request
-/// class, which decides whether the key has an effect, is not known yet.
-fn refuse_without_config(request: &CallerRequest, reason: CallReason) -> CallerAnswer {
-    match request.key {
-        Some(_) => CallerAnswer::Unknown(reason),
-        None => CallerAnswer::NotRun(reason),
-    }
-}
-
 /// Number of low bits of a ticket that hold the attempt number.
 const ATTEMPT_BITS: u32 = 16;
 
--- a/crates/kumquatlock/src/call/entry/settings.rs
+++ b/crates/kumquatlock/src/call/entry/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::account::KeyHeader;
+use crate::call::API_KEY_HEADER;
 use crate::core::SharedName;
 use crate::retry::{BudgetScope, BudgetSettings};
 
@@ -29,6 +31,8 @@
     pub scope: BudgetScope,
     /// Service beside this node; sent to upstreams as the origin of calls.
     pub origin: SharedName,
+    /// Header with the API key of the caller's account; `None` if callers can't send one.
+    pub api_key: Option<KeyHeader>,
 }
 
 impl EntrySettings {
@@ -43,6 +47,7 @@
             budget: BudgetSettings::default(),
             scope: BudgetScope::default(),
             origin: SharedName::default(),
+            api_key: Some(API_KEY_HEADER),
         }
     }
 }
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -11,7 +11,8 @@
 use crate::call::request::CallerRequest;
 use crate::claim::ClaimFencer;
 use crate::core::{
-    IncarnationId, ProcessId, RequestClass, RequestFingerprint, RouteEntry, SharedName, Timestamp,
+    ClientAccount, IncarnationId, ProcessId, RequestClass, RequestFingerprint, RouteEntry,
+    SharedName, Timestamp,
 };
 use crate::retry::{CallProgress, HedgePolicy};
 use crate::routing::{AttemptTicket, ChosenUpstream, UpstreamToken};
@@ -20,11 +21,32 @@
 /// Interval at which unanswered fence requests are checked.
 const FENCE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// What the admission of a request decided about its call.
+pub(super) struct AdmittedCall {
+    pub(super) route: Arc<RouteEntry>,
+    /// Account that sent the request; `None` if it belongs to none.
+    pub(super) account: Option<Arc<ClientAccount>>,
+    pub(super) fingerprint: RequestFingerprint,
+    pub(super) deadline: Timestamp,
+}
+
+impl AdmittedCall {
+    /// Returns the rank of the call: that of the account, or else that of the route.
+    fn rank(&self) -> u32 {
+        let rank = self.account.as_ref().and_then(|account| account.rank);
+        rank.unwrap_or(self.route.rank)
+    }
+}
+
 pub(super) struct EntryCall {
     pub(super) request: CallerRequest,
     pub(super) fingerprint: RequestFingerprint,
     pub(super) span: Option<HopSpan>,
     pub(super) route: Arc<RouteEntry>,
+    /// Account that sent the request; `None` if it belongs to none.
+    pub(super) account: Option<Arc<ClientAccount>>,
+    /// Calls with a lower rank are served first.
+    pub(super) rank: u32,
     /// Service that runs the call: the route's service, or the chosen part of a split route.
     pub(super) service: SharedName,
     pub(super) opened_at: Timestamp,
@@ -115,21 +137,21 @@
 impl EntryCall {
     pub(super) fn new(
         request: CallerRequest,
-        fingerprint: RequestFingerprint,
+        admitted: AdmittedCall,
         span: Option<HopSpan>,
-        route: Arc<RouteEntry>,
         service: SharedName,
         now: Timestamp,
-        deadline: Timestamp,
     ) -> Self {
         EntryCall {
             request,
-            fingerprint,
+            fingerprint: admitted.fingerprint,
             span,
-            route,
+            rank: admitted.rank(),
+            route: admitted.route,
+            account: admitted.account,
             service,
             opened_at: now,
-            deadline,
+            deadline: admitted.deadline,
             outstanding: Vec::new(),
             last_number: 0,
             attempts_sent: 0,
@@ -143,10 +165,16 @@
             may_have_run: false,
             refused_attempts: Vec::new(),
             sent_at: now,
-            wake_at: deadline,
+            wake_at: admitted.deadline,
         }
     }
 
+    /// Returns the name of the account; empty if the call belongs to none.
+    pub(super) fn account_name(&self) -> &str {
+        let account = self.account.as_ref();
+        account.map_or("", |account| &account.name)
+    }
+
     pub(super) fn is_deferred(&self) -> bool {
         self.route.class == RequestClass::Deferred
     }
--- a/crates/kumquatlock/src/call/mod.rs
+++ b/crates/kumquatlock/src/call/mod.rs
@@ -28,8 +28,8 @@
 };
 pub use names::HeaderNames;
 pub use request::{
-    ATTEMPT_HEADER, CallerRequest, DEPTH_HEADER, KEY_HEADER, LEAVING_HEADER, MAX_TIMEOUT,
-    RATE_LIMIT_HEADER, TIMEOUT_HEADER,
+    ACCOUNT_HEADER, API_KEY_HEADER, ATTEMPT_HEADER, CallerRequest, DEPTH_HEADER, KEY_HEADER,
+    LEAVING_HEADER, MAX_TIMEOUT, RATE_LIMIT_HEADER, TIMEOUT_HEADER,
 };
 
 /// Maximum depth of a chain of calls. The deepest chain in use has 14 levels.
--- a/crates/kumquatlock/src/call/names.rs
+++ b/crates/kumquatlock/src/call/names.rs
@@ -1,8 +1,10 @@
 //! Names of the headers that the mesh exchanges with callers and upstreams.
 
 use super::request::{
-    ATTEMPT_HEADER, DEPTH_HEADER, KEY_HEADER, LEAVING_HEADER, RATE_LIMIT_HEADER, TIMEOUT_HEADER,
+    ACCOUNT_HEADER, API_KEY_HEADER, ATTEMPT_HEADER, DEPTH_HEADER, KEY_HEADER, LEAVING_HEADER,
+    RATE_LIMIT_HEADER, TIMEOUT_HEADER,
 };
+use crate::account::KeyHeader;
 
 /// Names of the headers that have a meaning for the mesh. `None` means that the mesh neither reads
 /// nor sets such a header; one sent by a caller is treated like any other header.
@@ -15,6 +17,11 @@
     pub timeout: &'static str,
     /// Idempotency key, by which a resend of the same request is recognised.
     pub key: Option<&'static str>,
+    /// Header with the caller's API key. Never forwarded if the configuration has client accounts, and
+    /// a header like any other if it has none.
+    pub api_key: Option<KeyHeader>,
+    /// Name of the client account that sent the request; set for the upstream.
+    pub account: Option<&'static str>,
     /// Number of calls above this one in the call chain.
     pub depth: Option<&'static str>,
     /// Identifies one attempt to the upstream, so that a separate request can cancel it. If `None`,
@@ -45,6 +52,8 @@
         HeaderNames {
             timeout: TIMEOUT_HEADER,
             key: Some(KEY_HEADER),
+            api_key: Some(API_KEY_HEADER),
+            account: Some(ACCOUNT_HEADER),
             depth: Some(DEPTH_HEADER),
             attempt: Some(ATTEMPT_HEADER),
             outcome: Some(super::OUTCOME_HEADER),
@@ -65,6 +74,7 @@
         let set_headers = [
             Some(self.timeout),
             self.key,
+            self.account,
             self.depth,
             self.attempt,
             self.expected_instance,
@@ -73,4 +83,10 @@
         let mut set_headers = set_headers.into_iter().flatten();
         set_headers.any(|header| name.eq_ignore_ascii_case(header))
     }
+
+    /// Whether a request header may contain the caller's API key.
+    pub(super) fn is_api_key(&self, name: &str) -> bool {
+        let header = self.api_key;
+        header.is_some_and(|header| name.eq_ignore_ascii_case(header.name))
+    }
 }
--- a/crates/kumquatlock/src/call/request.rs
+++ b/crates/kumquatlock/src/call/request.rs
@@ -7,6 +7,7 @@
 
 use super::answer::RejectReason;
 use super::names::HeaderNames;
+use crate::account::{KeyHeader, PresentedKey};
 use crate::core::{RequestClass, RouteEntry, stable_hash};
 use crate::http::HttpRequest;
 use crate::util::trace::{TRACEPARENT_HEADER, TraceContext};
@@ -15,6 +16,13 @@
 pub const KEY_HEADER: &str = "idempotency-key";
 /// Time that the caller waits, in milliseconds.
 pub const TIMEOUT_HEADER: &str = "request-timeout-ms";
+/// Header with the API key of the caller's account.
+pub const API_KEY_HEADER: KeyHeader = KeyHeader {
+    name: "authorization",
+    scheme: "Bearer",
+};
+/// Name of the client account that sent a request. Nodes set it.
+pub const ACCOUNT_HEADER: &str = "kumquatlock-account";
 /// Number of calls above this one in the call chain. Nodes set it, upstreams pass it on.
 pub const DEPTH_HEADER: &str = "kumquatlock-depth";
 /// Identifies one attempt to the upstream, so that it can be cancelled.
@@ -64,6 +72,8 @@
     pub body: Bytes,
     /// Idempotency key.
     pub key: Option<String>,
+    /// Header fields that may contain the caller's API key; not in `headers`.
+    pub api_key: PresentedKey,
     /// Time that the caller waits, if it states one.
     pub timeout: Option<Duration>,
     /// Trace that the request belongs to. An invalid trace header is ignored, as the W3C Trace
@@ -104,8 +114,8 @@
         let headers = request.headers.into_iter();
         let headers = headers
             .filter(|(name, _)| is_forwarded(name) && !names.is_set_by_mesh(name))
-            .map(|(name, value)| HeaderField { name, value })
-            .collect();
+            .map(|(name, value)| HeaderField { name, value });
+        let (key_fields, headers) = headers.partition(|field| names.is_api_key(&field.name));
         Ok(CallerRequest {
             method: request.method,
             host,
@@ -113,6 +123,7 @@
             headers,
             body: request.body,
             key,
+            api_key: PresentedKey::new(key_fields),
             timeout,
             trace,
             depth,
@@ -187,6 +198,20 @@
     Ok(value.to_owned())
 }
 
+/// Separates an idempotency key from the account that used it; occurs in neither.
+const KEY_SCOPE_SEPARATOR: char = ' ';
+
+/// Returns an idempotency key that is distinct from those of all other accounts.
+pub(super) fn scope_key(key: &str, account: &str) -> String {
+    format!("{key}{KEY_SCOPE_SEPARATOR}{account}")
+}
+
+/// Returns the idempotency key as the caller sent it.
+pub(super) fn unscoped_key(key: &str) -> &str {
+    let scoped = key.split_once(KEY_SCOPE_SEPARATOR);
+    scoped.map_or(key, |(key, _)| key)
+}
+
 fn parse_timeout(value: &str) -> Result<Duration, RejectReason> {
     match value.parse::<u64>() {
         Ok(millis @ 1..=MAX_TIMEOUT_MS) => Ok(Duration::from_millis(millis)),
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of calls through an in-memory simulation of one entry node, several destination nodes and
 //! their claim holders.
 
+mod accounts;
 mod attempt_counters;
 mod failures;
 mod full;
--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -10,9 +10,10 @@
 //! which stores its log with `journal`, and applied by `catalog`. `distribution` sends the changes of the catalog from parent
 //! to child, where they are applied atomically as a new [`core::ConfigSnapshot`]. `membership`
 //! feeds the announcements and losses of upstreams back into the replicated log. A call is driven
-//! by `call`: `routing` selects its destination, `admission` and `retry` limit the load that it
+//! by `call`: `account` identifies its sender, `routing` selects its destination, `admission` and `retry` limit the load that it
 //! causes, and `claim` prevents a keyed request from running more than once.
 
+pub mod account;
 pub mod admission;
 pub mod agreement;
 pub mod call;
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -175,6 +175,7 @@
         entry.scope = tuning.scope;
         entry.longest_timeout = settings.longest_timeout;
         entry.origin = tuning.origin.clone();
+        entry.api_key = parts.adapter.names.api_key;
         entry.search_limit = tuning.search_limit.unwrap_or(entry.search_limit);
         entry.upstream_wait = tuning.upstream_wait.unwrap_or(entry.upstream_wait);
         let mut child = ChildState::new(identity, GroupId::default(), settings.parents.clone());
