Accept API keys only while the configuration is proved recent

Cause: a key that was taken away went on running at every node that the change did not reach. A node that is cut off, whose parent is behind, or that stood still accepted it for as long as that lasted.

Change: where the settings limit the time of a revocation (`strict_revoke` and `revoke` of the platform), a node accepts keys by a lease. Its configuration must be proved current within 0.9 of the limit. A node asks its parent for a proof ten times within the limit, by the request that replicas use already; the parent obtains one proof for all nodes that have asked, at most every 250 ms. A proof counts from the time at which the node asked, by its own clock, and only once the node has applied the proved version. The age in a pong is not used: the clock of the parent does not count its own suspension.

Once the lease has lapsed, requests that need a key get 503 `config_unproved`, and public routes go on. An unknown key is rejected only if the proof is younger than a quarter of the limit, because it may just have been added.

The clock of a node now counts the suspension of its machine (CLOCK_BOOTTIME), and the lease is checked by a reading taken after the request has been read. Otherwise a node that wakes would accept what waited in its sockets.

Evidence: 60 random schedules of changes, parents that are behind or reach no leader, cuts, held-up messages, suspensions and restarts, over the real parts of the stream.

--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -167,6 +167,8 @@
     UpstreamRefused = 22,
     /// The request has ended several upstreams and is in quarantine.
     Quarantined = 23,
+    /// The node's configuration is not proved recent enough to decide on the caller's API key.
+    ConfigUnproved = 28,
 }
 
 /// Load of the destination node's upstream, sent with every answer.
--- a/crates/kumquatlock/src/account/resolver.rs
+++ b/crates/kumquatlock/src/account/resolver.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use crate::core::{ClientAccount, ConfigSnapshot, KeyDigest, RouteEntry};
+use super::lease::{KeyLease, LeaseState};
+use crate::core::{ClientAccount, ConfigSnapshot, KeyDigest, RouteEntry, Timestamp};
 
 /// Decision on one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,17 +14,24 @@
     Anonymous,
     /// The request needs a key, and has none or one that no account has.
     UnknownKey,
+    /// The request needs a key, and the configuration is not known to be recent enough to decide on
+    /// it.
+    Unproved,
 }
 
 /// Resolves the accounts of the requests that enter at this node.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct AccountResolver;
+pub struct AccountResolver {
+    /// Lease on the configuration by which requests are resolved.
+    pub lease: KeyLease,
+}
 
 impl AccountResolver {
     /// Decides on a request for `route` with the digest of its key, if it has one. A valid key also
     /// counts on a public route, where a missing or unknown one has no consequence.
     pub fn resolve(
         &self,
+        now: Timestamp,
         snapshot: &ConfigSnapshot,
         route: &RouteEntry,
         key: Option<KeyDigest>,
@@ -31,11 +39,15 @@
         if snapshot.accounts.is_empty() {
             return AccessDecision::Anonymous;
         }
+        let lease = self.lease.state(now);
         let account = key.and_then(|key| snapshot.account_keys.get(&key));
-        match account {
-            Some(account) => AccessDecision::Account(account.clone()),
-            None if route.public => AccessDecision::Anonymous,
-            None => AccessDecision::UnknownKey,
+        match (account, lease) {
+            (Some(account), LeaseState::Recent | LeaseState::Valid) => {
+                AccessDecision::Account(account.clone())
+            }
+            _ if route.public => AccessDecision::Anonymous,
+            (None, LeaseState::Recent) => AccessDecision::UnknownKey,
+            _ => AccessDecision::Unproved,
         }
     }
 }
--- a/crates/kumquatlock/src/account/tests/decisions.rs
+++ b/crates/kumquatlock/src/account/tests/decisions.rs
@@ -4,7 +4,9 @@
 use kumquatlock_wire::distribution::{AccountItem, CatalogState, RouteItem, ServiceItem};
 
 use crate::account::{AccessDecision, AccountResolver, KeyHeader, PresentedKey};
-use crate::core::{ConfigSnapshot, KeyDigest, account_digest, route_digest, service_digest};
+use crate::core::{
+    ConfigSnapshot, KeyDigest, Timestamp, account_digest, route_digest, service_digest,
+};
 
 const HEADER: KeyHeader = KeyHeader {
     name: "authorization",
@@ -59,10 +61,12 @@
 fn decide(configuration: &ConfigSnapshot, route: &str, values: &[&str]) -> String {
     let key = presented(values).digest(HEADER);
     let route = &configuration.routes[route];
-    match AccountResolver.resolve(configuration, route, key) {
+    let now = Timestamp::default();
+    match AccountResolver::default().resolve(now, configuration, route, key) {
         AccessDecision::Account(account) => account.name.to_string(),
         AccessDecision::Anonymous => "anonymous".to_owned(),
         AccessDecision::UnknownKey => "unknown_key".to_owned(),
+        AccessDecision::Unproved => "unproved".to_owned(),
     }
 }
 
--- a/crates/kumquatlock/src/account/tests/mod.rs
+++ b/crates/kumquatlock/src/account/tests/mod.rs
@@ -1,3 +1,4 @@
 //! Tests of client accounts at an entry node.
 
 mod decisions;
+mod lease;
--- a/crates/kumquatlock/src/call/entry/admit.rs
+++ b/crates/kumquatlock/src/call/entry/admit.rs
@@ -1,10 +1,12 @@
 //! Admission of requests: whether a request becomes a call, and of which client account.
 
+use std::time::Duration;
+
 use kumquatlock_wire::call::CallReason;
 
 use super::state::AdmittedCall;
 use super::{EntryCalls, MAX_CALLS};
-use crate::account::AccessDecision;
+use crate::account::{AccessDecision, LeaseState};
 use crate::call::answer::{CallerAnswer, RejectReason};
 use crate::call::request::{CallerRequest, scope_key};
 use crate::core::{ClientAccount, ConfigSnapshot, RequestClass, RouteEntry, Timestamp};
@@ -30,19 +32,20 @@
         let route = route
             .ok_or(CallerAnswer::Rejected(RejectReason::NoRoute))?
             .clone();
-        let account = match self.resolve_account(snapshot, &route, request) {
-            AccessDecision::Account(account) => Some(account),
-            AccessDecision::Anonymous => None,
-            AccessDecision::UnknownKey => {
-                return Err(CallerAnswer::Rejected(RejectReason::UnknownKey));
-            }
-        };
         let keyed = request.key.is_some() && !route.class.is_repeatable();
         let refuse = |reason| match keyed {
             // An earlier request with this key may have run, and the claim holders were not asked.
             true => CallerAnswer::Unknown(reason),
             false => CallerAnswer::NotRun(reason),
         };
+        let account = match self.resolve_account(now, snapshot, &route, request) {
+            AccessDecision::Account(account) => Some(account),
+            AccessDecision::Anonymous => None,
+            AccessDecision::UnknownKey => {
+                return Err(CallerAnswer::Rejected(RejectReason::UnknownKey));
+            }
+            AccessDecision::Unproved => return Err(refuse(CallReason::ConfigUnproved)),
+        };
         if self.draining {
             return Err(refuse(CallReason::Draining));
         }
@@ -65,8 +68,25 @@
         })
     }
 
+    /// Records that the configuration of this node contains everything that was committed before
+    /// `at`.
+    pub fn confirm_config(&mut self, at: Timestamp) {
+        self.accounts.lease.confirm(at);
+    }
+
+    /// Replaces the time within which an API key that was taken away must stop.
+    pub fn set_revocation_limit(&mut self, limit: Option<Duration>) {
+        self.accounts.lease.set_limit(limit);
+    }
+
+    /// Returns whether the configuration is recent enough to decide on API keys.
+    pub fn lease_state(&self, now: Timestamp) -> LeaseState {
+        self.accounts.lease.state(now)
+    }
+
     fn resolve_account(
         &self,
+        now: Timestamp,
         snapshot: &ConfigSnapshot,
         route: &RouteEntry,
         request: &CallerRequest,
@@ -74,7 +94,7 @@
         let header = self.settings.api_key;
         let key = header.filter(|_| !snapshot.accounts.is_empty());
         let key = key.and_then(|header| request.api_key.digest(header));
-        self.accounts.resolve(snapshot, route, key)
+        self.accounts.resolve(now, snapshot, route, key)
     }
 
     /// Removes the API key from a request that was admitted. Without client accounts, the header is
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -27,7 +27,7 @@
 
 use super::answer::CallerAnswer;
 use super::request::CallerRequest;
-use crate::account::AccountResolver;
+use crate::account::{AccountResolver, KeyLease};
 use crate::claim::PlacementTable;
 use crate::core::{ConfigSnapshot, ProcessId, SharedName, Timestamp, UpstreamEntry};
 use crate::retry::{BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing};
@@ -177,7 +177,9 @@
             region: location.region.clone(),
             snapshot: None,
             routes: RouteTable::new(&ConfigSnapshot::default()),
-            accounts: AccountResolver,
+            accounts: AccountResolver {
+                lease: KeyLease::new(settings.revocation_limit),
+            },
             balancers: BalancerSet::new(location),
             placement: PlacementTable::default(),
             policy: RetryPolicy {
--- a/crates/kumquatlock/src/call/entry/return_delay.rs
+++ b/crates/kumquatlock/src/call/entry/return_delay.rs
@@ -18,6 +18,11 @@
 const NO_UPSTREAM_DELAY: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(500)..=Duration::from_millis(1_000);
 
+/// Delay for callers whose API keys can't be checked. A node that finds no current parent tries the
+/// next one after about half a second.
+const UNPROVED_DELAY: std::ops::RangeInclusive<Duration> =
+    Duration::from_millis(500)..=Duration::from_millis(1_000);
+
 /// Delay for callers of a request in quarantine, which lasts for minutes unless a node objects.
 const QUARANTINE_DELAY: Duration = Duration::from_secs(60);
 
@@ -44,6 +49,7 @@
                 let soonest = CONFIG_TIME.saturating_sub(uptime).max(MIN_CONFIG_DELAY);
                 self.random.random_range(soonest..=soonest + CONFIG_JITTER)
             }
+            CallReason::ConfigUnproved => self.random.random_range(UNPROVED_DELAY),
             CallReason::NoUpstream => self.random.random_range(NO_UPSTREAM_DELAY),
             CallReason::Quarantined => QUARANTINE_DELAY,
             _ => pacing.delay(&mut self.random, left),
--- a/crates/kumquatlock/src/call/entry/settings.rs
+++ b/crates/kumquatlock/src/call/entry/settings.rs
@@ -31,6 +31,8 @@
     pub scope: BudgetScope,
     /// Service beside this node; sent to upstreams as the origin of calls.
     pub origin: SharedName,
+    /// Time within which an API key that was taken away must stop; `None` for no limit.
+    pub revocation_limit: Option<Duration>,
     /// Header with the API key of the caller's account; `None` if callers can't send one.
     pub api_key: Option<KeyHeader>,
 }
@@ -47,6 +49,7 @@
             budget: BudgetSettings::default(),
             scope: BudgetScope::default(),
             origin: SharedName::default(),
+            revocation_limit: None,
             api_key: Some(API_KEY_HEADER),
         }
     }
--- a/crates/kumquatlock/src/distribution/child/mod.rs
+++ b/crates/kumquatlock/src/distribution/child/mod.rs
@@ -1,5 +1,6 @@
 //! The child side of the configuration stream.
 
+mod currency;
 mod update;
 
 use std::net::SocketAddr;
@@ -21,6 +22,7 @@
 use crate::core::{
     ConfigSnapshot, ConfigVersion, GroupId, IncarnationId, SharedName, SnapshotError, Timestamp,
 };
+use currency::CurrencyProofs;
 
 /// Minimum delay before a child retries a parent that belongs to another group.
 const WRONG_GROUP_RETRY_DELAY: Duration = Duration::from_secs(30);
@@ -171,6 +173,7 @@
     /// applied configuration has reached the floor.
     welcome_proof: Option<Timestamp>,
     proved_at: Option<Timestamp>,
+    currency: CurrencyProofs,
     /// The local upstream that this node last reported, unless it has left.
     upstream: Option<UpstreamIncarnation>,
 }
@@ -198,6 +201,7 @@
             ping_number: 0,
             welcome_proof: None,
             proved_at: None,
+            currency: CurrencyProofs::default(),
             upstream: None,
         }
     }
@@ -235,6 +239,19 @@
         self.proved_at
     }
 
+    /// Sets the interval at which the child asks its parent for a proof that the applied
+    /// configuration is current. `None` if it needs no proofs.
+    pub fn set_proof_interval(&mut self, interval: Option<Duration>) {
+        self.currency.set_interval(interval);
+    }
+
+    /// Returns the latest time as of which the applied configuration is proved current, like
+    /// [`ChildState::proved_at`], but by the clock of this instance alone: the child had asked for the
+    /// proof at that time, and the proof began later.
+    pub fn confirmed_at(&self) -> Option<Timestamp> {
+        self.currency.confirmed_at()
+    }
+
     /// Returns the group that the child belongs to; zero before its first configuration.
     pub fn group(&self) -> GroupId {
         self.group
@@ -296,6 +313,7 @@
     fn detach(&mut self) {
         self.phase = LinkPhase::Idle;
         self.welcome_proof = None;
+        self.currency.on_detached();
         self.assembly = None;
     }
 
@@ -307,6 +325,7 @@
     fn tick(&mut self, now: Timestamp, random: &mut SmallRng) -> Vec<ChildStep> {
         let mut steps = self.probe_preferred(now, random);
         steps.extend(self.tick_link(now, random));
+        steps.extend(self.request_proof(now));
         steps
     }
 
@@ -430,7 +449,7 @@
                 self.accept_pong(&pong);
                 Vec::new()
             }
-            Body::Forward(forward) => vec![ChildStep::Relayed(forward)],
+            Body::Forward(forward) => self.handle_forward(forward),
             _ => Vec::new(),
         }
     }
@@ -478,6 +497,8 @@
         self.floor = self.floor.max(ConfigVersion(welcome.floor));
         self.phase = LinkPhase::Attached;
         self.welcome_proof = Some(since);
+        let floor = ConfigVersion(welcome.floor);
+        self.currency.add(since, floor, self.applied_version());
         self.apply_welcome_proof();
         self.parent = self.selector.update_parents(&welcome, self.parent);
         self.selector.record_welcome();
--- a/crates/kumquatlock/src/distribution/child/update.rs
+++ b/crates/kumquatlock/src/distribution/child/update.rs
@@ -74,6 +74,7 @@
         let snapshot = Arc::new(snapshot);
         self.applied = Some(snapshot.clone());
         self.apply_welcome_proof();
+        self.currency.record_applied(Some(version));
         let version = version.0;
         vec![
             ChildStep::Apply { snapshot, source },
--- a/crates/kumquatlock/src/distribution/mod.rs
+++ b/crates/kumquatlock/src/distribution/mod.rs
@@ -75,6 +75,9 @@
 /// Age at which a parent renews the currency proof that it reports in its pongs. One proof serves
 /// all children; claim holders need a proof that is at most a few seconds old.
 pub const PROOF_RENEWAL: Duration = Duration::from_secs(5);
+/// Minimum interval between the proofs that a parent obtains for the regular requests of its nodes
+/// alone. One proof serves all nodes that have asked since the one before.
+pub const CONFIRM_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout for applying an update, counted from the last byte sent. The parent then disconnects the
 /// child, which attaches again.
 pub const UPDATE_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/kumquatlock/src/distribution/parent.rs
+++ b/crates/kumquatlock/src/distribution/parent.rs
@@ -12,7 +12,7 @@
 
 use super::admission::{AdmissionLimits, HelloAdmission};
 use super::progress::{UplinkReporter, add_progress, replace_upstreams};
-use super::proof::{ProofBatch, ProofWaiter};
+use super::proof::{ProofBatch, ProofUrgency, ProofWaiter};
 use super::record::ChildRecord;
 use super::serve::{DeltaCache, ServedSnapshot, SnapshotQueue};
 use super::welcome::refuse_child;
@@ -311,7 +311,7 @@
         }
     }
 
-    /// Handles a request of a replica, or a crash report. Requests for proofs are handled here, crash
+    /// Handles a request of a child, or a crash report. Requests for proofs are handled here, crash
     /// reports are forwarded to the leader; all others are passed on with [`ParentStep::HandleRequest`].
     fn handle_request(
         &mut self,
@@ -331,7 +331,16 @@
         if self.proofs.pending_count(child) >= MAX_PENDING_PROOFS {
             return steps.push(confirm_reply(child, request_id, None));
         }
-        let waiter = ProofWaiter::Confirm { child, request_id };
+        let record = self.children.get(&child);
+        let urgency = match record.map(|record| record.role) {
+            Some(ChildRole::Node) => ProofUrgency::Paced,
+            _ => ProofUrgency::Immediate,
+        };
+        let waiter = ProofWaiter::Confirm {
+            child,
+            request_id,
+            urgency,
+        };
         if let Some(round) = self.proofs.request(now, waiter) {
             steps.push(ParentStep::RequestProof { round });
         }
--- a/crates/kumquatlock/src/distribution/proof.rs
+++ b/crates/kumquatlock/src/distribution/proof.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::parent::ChildId;
-use super::{PROOF_RENEWAL, PROOF_TIMEOUT};
+use super::{CONFIRM_INTERVAL, PROOF_RENEWAL, PROOF_TIMEOUT};
 use crate::core::Timestamp;
 
 /// A request that waits for a proof.
@@ -16,12 +16,33 @@
 pub(super) enum ProofWaiter {
     /// A child that sent `Hello`.
     Hello(ChildId),
-    /// A replica that needs the proof for its own children.
-    Confirm { child: ChildId, request_id: u64 },
+    /// A child that asked for a proof.
+    Confirm {
+        child: ChildId,
+        request_id: u64,
+        urgency: ProofUrgency,
+    },
     /// The parent itself, which reports the age of the proof in its pongs.
     Renewal,
 }
 
+/// When the round for a request starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ProofUrgency {
+    /// As soon as no other round is in progress. A replica asks on behalf of its own children.
+    Immediate,
+    /// At the latest [`CONFIRM_INTERVAL`] after the latest round, so that regular requests of many
+    /// children share one round.
+    Paced,
+}
+
+impl ProofWaiter {
+    fn is_paced(self) -> bool {
+        let urgency = ProofUrgency::Paced;
+        matches!(self, ProofWaiter::Confirm { urgency: found, .. } if found == urgency)
+    }
+}
+
 /// Result of a proof, with the requests that waited for it.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum ProofOutcome {
@@ -50,6 +71,8 @@
     phase: ProofPhase,
     /// Number of the latest proof round.
     round: u64,
+    /// When the latest round started.
+    started_at: Option<Timestamp>,
     /// Waiting requests, each with the first round that may answer it. The number is bounded,
     /// because each child waits at most once as `Hello` and `MAX_PENDING_PROOFS` times as
     /// `Confirm`.
@@ -63,6 +86,7 @@
         ProofBatch {
             phase: ProofPhase::Idle,
             round: 0,
+            started_at: None,
             waiters: Vec::new(),
             proved_at: None,
         }
@@ -89,12 +113,19 @@
         self.start_next(now)
     }
 
-    /// Starts a round if a request waits and no round is in progress.
+    /// Starts a round if a request waits and no round is in progress. A round that only paced requests
+    /// wait for starts [`CONFIRM_INTERVAL`] after the latest one.
     pub(super) fn start_next(&mut self, now: Timestamp) -> Option<u64> {
         if self.phase != ProofPhase::Idle || self.waiters.is_empty() {
             return None;
         }
+        let is_recent = |started: Timestamp| now.since(started) < CONFIRM_INTERVAL;
+        let may_wait = self.waiters.iter().all(|(_, waiter)| waiter.is_paced());
+        if may_wait && self.started_at.is_some_and(is_recent) {
+            return None;
+        }
         self.round += 1;
+        self.started_at = Some(now);
         self.phase = ProofPhase::Requested { since: now };
         Some(self.round)
     }
--- a/crates/kumquatlock/src/distribution/tests.rs
+++ b/crates/kumquatlock/src/distribution/tests.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 mod hostile;
+mod leases;
 mod measure;
 mod pacing;
 mod parents;
--- a/crates/kumquatlock/src/distribution/welcome.rs
+++ b/crates/kumquatlock/src/distribution/welcome.rs
@@ -123,7 +123,9 @@
         for &waiter in waiters {
             match waiter {
                 ProofWaiter::Hello(child) => children.push(child),
-                ProofWaiter::Confirm { child, request_id } => {
+                ProofWaiter::Confirm {
+                    child, request_id, ..
+                } => {
                     steps.push(confirm_reply(child, request_id, Some(floor)));
                 }
                 ProofWaiter::Renewal => {}
@@ -171,7 +173,9 @@
                     let delay = Duration::from_millis(delay.into());
                     refuse_child(child, RetryReason::NotCurrent, delay, steps);
                 }
-                ProofWaiter::Confirm { child, request_id } => {
+                ProofWaiter::Confirm {
+                    child, request_id, ..
+                } => {
                     steps.push(confirm_reply(child, request_id, None));
                 }
                 ProofWaiter::Renewal => {}
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use kumquatlock_wire::distribution::ChildRole;
@@ -20,6 +20,7 @@
 use super::steps::NodeStep;
 use super::stop::NodeStop;
 use super::{NodeError, NodeSettings, claim_settings};
+use crate::account::KeyLease;
 use crate::admission::AdmissionLimits;
 use crate::call::{CallId, DestinationCalls, EntryCalls, EntrySettings, RunId, UpstreamEndpoint};
 use crate::claim::ClaimHolder;
@@ -32,6 +33,7 @@
 use crate::quarantine::CrashReporter;
 use crate::routing::EntryLocation;
 use crate::transport::{LinkError, LinkEvent, LinkId, LinkReady, LinkTable, TrafficCounters};
+use crate::util::boot_clock::BootClock;
 use kumquatlock_wire::claim::ShardHolder;
 
 /// Interval between ticks of the components that are driven by a regular tick.
@@ -69,7 +71,7 @@
     pub(super) adapter: NodeAdapter,
     pub(super) incarnation: IncarnationId,
     pub(super) process: ProcessId,
-    pub(super) started: Instant,
+    pub(super) clock: BootClock,
     pub(super) poll: MioPoll,
     pub(super) counters: Arc<TrafficCounters>,
     /// Time at which the event loop calls [`NodeActor::handle_tick`].
@@ -82,7 +84,7 @@
 pub(super) struct NodeActor {
     pub(super) settings: NodeSettings,
     pub(super) adapter: NodeAdapter,
-    pub(super) started: Instant,
+    clock: BootClock,
     /// Accepted HTTP connections: of callers, the local upstream, readiness probes and metrics
     /// scrapers.
     pub(super) http: HttpTable<NodePort>,
@@ -132,6 +134,8 @@
     wakeup: Rc<Cell<Timestamp>>,
     finished: Rc<Cell<bool>>,
     next_claim_tick: Timestamp,
+    /// Whether the last log line about the lease on API keys says that it has lapsed.
+    pub(super) is_lease_lapsed: bool,
     pub(super) stop: Option<NodeStop>,
     failure: Option<NodeError>,
 }
@@ -175,11 +179,13 @@
         entry.scope = tuning.scope;
         entry.longest_timeout = settings.longest_timeout;
         entry.origin = tuning.origin.clone();
+        entry.revocation_limit = tuning.revocation_limit;
         entry.api_key = parts.adapter.names.api_key;
         entry.search_limit = tuning.search_limit.unwrap_or(entry.search_limit);
         entry.upstream_wait = tuning.upstream_wait.unwrap_or(entry.upstream_wait);
         let mut child = ChildState::new(identity, GroupId::default(), settings.parents.clone());
         child.set_timing(tuning.stream);
+        child.set_proof_interval(KeyLease::renewal_interval(tuning.revocation_limit));
         if tuning.shuffles_parents {
             child.shuffle_parents();
         }
@@ -227,10 +233,11 @@
             wakeup: parts.wakeup,
             finished: parts.finished,
             next_claim_tick: now,
+            is_lease_lapsed: settings.tuning.revocation_limit.is_some(),
             stop: None,
             failure: None,
             settings,
-            started: parts.started,
+            clock: parts.clock,
             links,
             peers: PeerLinks::default(),
             departed: DepartedNodes::default(),
@@ -287,10 +294,9 @@
         self.failure.take()
     }
 
-    /// Returns the time since the start of the process.
+    /// Returns the time since the start of the process, including suspensions of the machine.
     pub(super) fn now(&self) -> Timestamp {
-        let elapsed = self.started.elapsed().as_micros();
-        Timestamp(u64::try_from(elapsed).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 
     pub(super) fn handle_http_ready(&mut self, _cx: CX![], ready: HttpReady) {
@@ -329,6 +335,8 @@
         self.links.handle_tick(now);
         self.http.handle_tick(now);
         self.monitor_peers(now);
+        self.confirm_lease();
+        self.watch_lease(now);
         let steps = self.child.handle(now, ChildEvent::Tick, &mut self.random);
         self.queue_child(steps);
         let steps = self.announcer.handle(now, AnnouncerEvent::Tick);
--- a/crates/kumquatlock/src/ops/node/front.rs
+++ b/crates/kumquatlock/src/ops/node/front.rs
@@ -34,7 +34,8 @@
     }
 
     fn open_call(&mut self, now: Timestamp, request: CallerRequest, id: RequestId) {
-        let (call, steps) = self.entry.open(now, request);
+        self.confirm_lease();
+        let (call, steps) = self.entry.open(self.lease_time(now), request);
         self.waiting_requests.insert(call, id);
         self.queue_entry(steps);
     }
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -9,6 +9,7 @@
 mod acknowledge;
 mod actor;
 mod front;
+mod lease;
 mod local;
 mod metrics;
 mod peers;
@@ -37,6 +38,7 @@
 use crate::claim::ClaimSettings;
 use crate::core::{IncarnationId, ProcessId, Timestamp};
 use crate::transport::{POLL_PRIORITY, TrafficCounters};
+use crate::util::boot_clock::BootClock;
 use crate::util::cancel::CancelToken;
 use actor::{ActorParts, NodeActor};
 
@@ -68,8 +70,8 @@
     mut source: impl SettingsSource,
     cancel: &CancelToken,
 ) -> Result<(), NodeError> {
-    let started = Instant::now();
-    let mut stakker = Stakker::new(started);
+    let clock = BootClock::start();
+    let mut stakker = Stakker::new(Instant::now());
     let poll = Poll::new().map_err(NodeError::Poll)?;
     let events = Events::with_capacity(POLL_EVENTS);
     let poll = MioPoll::new(&mut stakker, poll, events, POLL_PRIORITY).map_err(NodeError::Poll)?;
@@ -83,7 +85,7 @@
         adapter,
         incarnation,
         process,
-        started,
+        clock,
         poll: poll.clone(),
         counters,
         wakeup: wakeup.clone(),
@@ -110,15 +112,13 @@
             stopping = true;
             call!([node], begin_stop());
         }
-        let now = Instant::now();
-        if let Some(changed) = source.take_changed(now) {
+        if let Some(changed) = source.take_changed(Instant::now()) {
             call!([node], reload(changed));
         }
-        let due = started + Duration::from_micros(wakeup.get().0);
-        let sleep = due.saturating_duration_since(now).min(MAX_SLEEP);
-        let sleep = stakker.next_wait_max(now, sleep, idle);
+        let sleep = wakeup.get().since(clock.now()).min(MAX_SLEEP);
+        let sleep = stakker.next_wait_max(Instant::now(), sleep, idle);
         let active = poll.poll(sleep).map_err(NodeError::Poll)?;
-        if Instant::now() >= due {
+        if clock.now() >= wakeup.get() {
             call!([node], handle_tick());
         }
         idle = stakker.run(Instant::now(), !active);
--- a/crates/kumquatlock/src/ops/node/reload.rs
+++ b/crates/kumquatlock/src/ops/node/reload.rs
@@ -34,7 +34,7 @@
 }
 
 impl NodeActor {
-    /// Applies changed parents, retry budgets and shutdown times.
+    /// Applies changed parents, retry budgets, shutdown times and the limit on revoked API keys.
     pub(super) fn apply_settings(&mut self, changed: NodeSettings) {
         let current = &self.settings;
         let outcome = match current.has_same_identity(&changed) {
@@ -51,6 +51,7 @@
             budget_per_call = changed.tuning.budget.tokens_per_call;
             "settings_reloaded"
         );
+        self.set_revocation_limit(changed.tuning.revocation_limit);
         self.settings.parents = changed.parents;
         let tuning = &mut self.settings.tuning;
         tuning.budget = changed.tuning.budget;
--- a/crates/kumquatlock/src/ops/node/settings.rs
+++ b/crates/kumquatlock/src/ops/node/settings.rs
@@ -99,6 +99,9 @@
     pub links: LinkTiming,
     /// Timeouts of the configuration stream from a parent.
     pub stream: StreamTiming,
+    /// Time within which an API key that was taken away must stop, on this node, whether or not the
+    /// change reaches it; `None` for no limit.
+    pub revocation_limit: Option<Duration>,
     /// Whether the parents of the settings are in no order of preference. All nodes get the same
     /// few, and would otherwise start at the same one.
     pub shuffles_parents: bool,
--- a/crates/kumquatlock/src/util/mod.rs
+++ b/crates/kumquatlock/src/util/mod.rs
@@ -4,6 +4,7 @@
 //! and passes the validated values, a [`cancel::CancelToken`] and the identifiers to the components
 //! that it starts.
 
+pub mod boot_clock;
 pub mod cancel;
 pub mod log_quota;
 pub mod log_writer;
