--- /dev/null
+++ b/crates/kumquatlock/src/account/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of client accounts at an entry node.
+
+mod decisions;
+mod lease;
