Decide on quotas of client accounts over the whole mesh

Cause: nothing limits the requests of a client account. A node sees about a tenth of a request per second of a small account, so a fixed division over the nodes refuses most of what the account may ask for.

Change: the module quota decides without I/O. A limit is divided into a fixed allowance of each node, a fixed share of each voter and a pool of the leader. Nodes get tokens from their parent, parents from the leader. A token expires a fixed time after it was asked for, and counts from its grant until a window after it was spent or expired, so a granter needs no word from a node that is cut off or frozen. Restarted holders of a share wait until what was spent before no longer counts.

--- a/crates/kumquatlock-wire/src/lib.rs
+++ b/crates/kumquatlock-wire/src/lib.rs
@@ -3,7 +3,7 @@
 //! Every connection between two processes carries length-delimited frames, and every frame holds
 //! one [`Envelope`]. The messages are grouped by the component that uses them: [`agreement`]
 //! between voters, [`distribution`] between a parent and its children, and [`call`] and [`claim`]
-//! between nodes, and [`quarantine`] from nodes to the leader and back. The structs derive `prost::Message` with handwritten attributes, so the build
+//! between nodes, and [`quarantine`] and [`quota`] from nodes to the leader and back. The structs derive `prost::Message` with handwritten attributes, so the build
 //! needs no code generator. Field numbers are part of the protocol and are never reused.
 
 pub mod agreement;
@@ -14,6 +14,7 @@
 mod envelope;
 mod history;
 pub mod quarantine;
+pub mod quota;
 
 pub use codec::{
     EncodedFrame, EnvelopeCodec, FrameError, MAX_CONTROL_FRAME_BYTES, MAX_FRAME_BYTES,
--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -10,7 +10,7 @@
 //! which stores its log with `journal`, and applied by `catalog`. `distribution` sends the changes of the catalog from parent
 //! to child, where they are applied atomically as a new [`core::ConfigSnapshot`]. `membership`
 //! feeds the announcements and losses of upstreams back into the replicated log. A call is driven
-//! by `call`: `routing` selects its destination, `admission` and `retry` limit the load that it
+//! by `call`: `quota` limits the requests of client accounts, `routing` selects its destination, `admission` and `retry` limit the load that it
 //! causes, and `claim` prevents a keyed request from running more than once.
 
 pub mod admission;
@@ -26,6 +26,7 @@
 pub mod membership;
 pub mod ops;
 pub mod quarantine;
+pub mod quota;
 pub mod retry;
 pub mod routing;
 pub mod submission;
