Enforce the quotas of client accounts at the entry nodes

Cause: the module quota decided, but nothing asked it.

Change: an entry node spends a token of the account before the first attempt of a call; retries and hedges of the call spend none. The token of a call that did not run is given back. The time of quotas also runs while a machine is suspended.

--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -167,6 +167,10 @@
     UpstreamRefused = 22,
     /// The request has ended several upstreams and is in quarantine.
     Quarantined = 23,
+    /// The client account has used its quota.
+    QuotaExceeded = 30,
+    /// The node could not find out in time whether the client account may send the request.
+    QuotaUnavailable = 31,
 }
 
 /// Load of the destination node's upstream, sent with every answer.
--- a/crates/kumquatlock/src/call/answer.rs
+++ b/crates/kumquatlock/src/call/answer.rs
@@ -118,6 +118,7 @@
                     body,
                 }
             }
+            CallerAnswer::NotRun(CallReason::QuotaExceeded) => HttpResponse::json(429, &body),
             CallerAnswer::NotRun(_) => HttpResponse::json(503, &body),
             CallerAnswer::Unknown(_) => HttpResponse::json(504, &body),
             CallerAnswer::Rejected(reason) => {
@@ -172,5 +173,7 @@
         CallReason::TooLarge => "too_large",
         CallReason::UpstreamRefused => "upstream_refused",
         CallReason::Quarantined => "quarantined",
+        CallReason::QuotaExceeded => "quota_exceeded",
+        CallReason::QuotaUnavailable => "quota_unavailable",
     }
 }
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -157,6 +157,10 @@
         match &call.phase {
             CallPhase::Fencing(_) => self.on_fence_tick(now, id, steps),
             _ if now >= call.deadline => self.expire(now, id, steps),
+            CallPhase::WaitingQuota(until) if now >= *until => {
+                self.end_quota_wait(now, id, steps);
+            }
+            CallPhase::WaitingQuota(_) => {}
             CallPhase::Attempting => self.try_hedge(now, id, steps),
             CallPhase::Backoff(at) if now >= *at => self.send_attempt(now, id, steps),
             CallPhase::WaitingUpstream { .. } => self.send_attempt(now, id, steps),
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -7,6 +7,7 @@
 mod processes;
 mod proof;
 mod quarantine;
+mod quota;
 mod resolve;
 mod return_delay;
 mod settings;
@@ -30,12 +31,14 @@
 use crate::account::AccountResolver;
 use crate::claim::PlacementTable;
 use crate::core::{ConfigSnapshot, ProcessId, SharedName, Timestamp, UpstreamEntry};
+use crate::quota::QuotaSpender;
 use crate::retry::{BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing};
 use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
 use log::EntryLog;
 use processes::StatedProcesses;
 pub use proof::AttemptProof;
+use quota::QuotaStart;
 pub use settings::EntrySettings;
 use state::{CallPhase, EntryCall};
 
@@ -134,6 +137,10 @@
     /// Derived from `snapshot`.
     routes: RouteTable,
     accounts: AccountResolver,
+    quota: QuotaSpender,
+    /// Time for which the machine was suspended since the start of the process. Added to the time
+    /// of quotas, whose tokens also expire meanwhile.
+    suspended: Duration,
     balancers: BalancerSet,
     placement: PlacementTable,
     settings: EntrySettings,
@@ -178,6 +185,8 @@
             snapshot: None,
             routes: RouteTable::new(&ConfigSnapshot::default()),
             accounts: AccountResolver,
+            quota: QuotaSpender::new(settings.quota, Timestamp::default(), process.0),
+            suspended: Duration::ZERO,
             balancers: BalancerSet::new(location),
             placement: PlacementTable::default(),
             policy: RetryPolicy {
@@ -227,19 +236,23 @@
         let mut steps = Vec::new();
         let received = request.trace.as_ref();
         let span = received.map(|received| HopSpan::child_of(received, &mut self.ids));
-        match self.admit(now, &request) {
-            Ok(call) => {
+        let admitted = self.admit(now, &request);
+        let admitted = admitted.and_then(|call| {
+            let quota = self.spend_quota(now, id, &request, &call);
+            quota.map(|quota| (call, quota))
+        });
+        match admitted {
+            Ok((call, quota)) => {
                 let service = self.split_chooser.choose(&call.route, &mut self.random);
-                let budget = budget_of(&mut self.budgets, &self.settings, now, &service);
-                if !request.is_nested {
-                    budget.record_first_attempt(now);
-                }
                 self.bind_account(&mut request, call.account.as_deref());
                 let call = EntryCall::new(request, call, span, service, now);
                 self.deferred_calls += usize::from(call.is_deferred());
                 self.timers.insert((call.wake_at, id));
                 self.calls.insert(id, call);
-                self.send_attempt(now, id, &mut steps);
+                match quota {
+                    QuotaStart::Send(token) => self.send_first(now, id, token, &mut steps),
+                    QuotaStart::Wait(until) => self.wait_for_quota(now, id, until),
+                }
             }
             Err(answer) => {
                 self.log_refusal(now, &request, &answer);
@@ -287,6 +300,7 @@
             .retain(|name, _| snapshot.upstreams.contains_key(name));
         self.stated_processes.apply(&snapshot);
         self.divide_budgets(snapshot.upstreams.len());
+        self.set_quotas(&snapshot);
         self.placement.update(snapshot.clone());
         self.snapshot = Some(snapshot);
         let mut steps = Vec::new();
@@ -377,6 +391,9 @@
         let mut steps = Vec::new();
         if let Some(mut call) = self.remove(id) {
             self.log_end(now, id, &call, None);
+            if call.attempts_sent == 0 {
+                self.refund_quota(now, id, &call);
+            }
             self.cancel_attempts(now, id, &mut call, &mut steps);
         }
         steps
@@ -384,7 +401,9 @@
 
     /// Returns when to call [`EntryCalls::on_tick`] if no event occurs earlier.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
-        self.timers.first().map(|(at, _)| *at)
+        let timer = self.timers.first().map(|(at, _)| *at);
+        let quota = self.next_quota_ask();
+        [timer, quota].into_iter().flatten().min()
     }
 
     /// Handles all timers that are due.
@@ -460,6 +479,9 @@
             return;
         };
         self.log_end(now, id, &call, Some(&answer));
+        if matches!(answer, CallerAnswer::NotRun(_)) {
+            self.refund_quota(now, id, &call);
+        }
         self.cancel_attempts(now, id, &mut call, steps);
         let pacing = self.pacings.entry(call.service.clone()).or_default();
         pacing.record(now, matches!(answer, CallerAnswer::NotRun(_)));
--- a/crates/kumquatlock/src/call/entry/settings.rs
+++ b/crates/kumquatlock/src/call/entry/settings.rs
@@ -5,6 +5,7 @@
 use crate::account::KeyHeader;
 use crate::call::API_KEY_HEADER;
 use crate::core::SharedName;
+use crate::quota::QuotaSettings;
 use crate::retry::{BudgetScope, BudgetSettings};
 
 /// Covers a restart of a service's only upstream. With a longer wait, callers would only pile up.
@@ -29,6 +30,8 @@
     pub budget: BudgetSettings,
     /// Which attempts are charged to the retry budget.
     pub scope: BudgetScope,
+    /// Quotas of client accounts.
+    pub quota: QuotaSettings,
     /// Service beside this node; sent to upstreams as the origin of calls.
     pub origin: SharedName,
     /// Header with the API key of the caller's account; `None` if callers can't send one.
@@ -46,6 +49,7 @@
             hedging_enabled: true,
             budget: BudgetSettings::default(),
             scope: BudgetScope::default(),
+            quota: QuotaSettings::default(),
             origin: SharedName::default(),
             api_key: Some(API_KEY_HEADER),
         }
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -14,6 +14,7 @@
     ClientAccount, IncarnationId, ProcessId, RequestClass, RequestFingerprint, RouteEntry,
     SharedName, Timestamp,
 };
+use crate::quota::QuotaToken;
 use crate::retry::{CallProgress, HedgePolicy};
 use crate::routing::{AttemptTicket, ChosenUpstream, UpstreamToken};
 use crate::util::trace::HopSpan;
@@ -77,6 +78,8 @@
     /// Numbers of the attempts that are proved not to have run and never will. A claim of one of
     /// them is about to be released.
     pub(super) refused_attempts: Vec<u32>,
+    /// Token that the client account spent on this call. Given back if the call does not run.
+    pub(super) quota_token: Option<QuotaToken>,
     /// When the latest attempt was sent.
     pub(super) sent_at: Timestamp,
     /// Time of the call's entry in the timer set.
@@ -92,6 +95,9 @@
 }
 
 pub(super) enum CallPhase {
+    /// The client account has no token; the first attempt follows when one arrives before this
+    /// time.
+    WaitingQuota(Timestamp),
     /// Attempts are outstanding.
     Attempting,
     /// The next attempt is sent at this time.
@@ -164,6 +170,7 @@
             reason: CallReason::None,
             may_have_run: false,
             refused_attempts: Vec::new(),
+            quota_token: None,
             sent_at: now,
             wake_at: admitted.deadline,
         }
@@ -183,7 +190,7 @@
     pub(super) fn is_waiting(&self) -> bool {
         matches!(
             self.phase,
-            CallPhase::Backoff(_) | CallPhase::WaitingUpstream { .. }
+            CallPhase::WaitingQuota(_) | CallPhase::Backoff(_) | CallPhase::WaitingUpstream { .. }
         )
     }
 
@@ -238,7 +245,7 @@
                 .map(|delay| self.sent_at + delay)
                 .filter(|at| *at > now),
             CallPhase::Attempting => None,
-            CallPhase::Backoff(at) => Some(*at),
+            CallPhase::Backoff(at) | CallPhase::WaitingQuota(at) => Some(*at),
             CallPhase::WaitingUpstream { until, retry_at } => Some(*retry_at.min(until)),
             CallPhase::Querying(search) => {
                 let retry_at = search.retry_at.unwrap_or(search.expires_at);
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -21,6 +21,7 @@
 use super::operator::{OperatorAdapter, WaitingRead};
 use super::peers::PeerLinks;
 use super::process::ControlError;
+use super::quota::QuotaState;
 use super::relay::LeaderView;
 use super::requests::RequestTable;
 use super::settings::{ControlSettings, RoleSettings};
@@ -82,6 +83,7 @@
     /// Links of children to which a snapshot chunk was sent and the next one not yet requested.
     pub(super) transfers: IndexSet<LinkId>,
     pub(super) leader_view: LeaderView,
+    pub(super) quota: QuotaState,
     /// Whether the leader of an open group has been silent for so long that the children are
     /// redirected.
     pub(super) is_leader_silent: bool,
@@ -156,6 +158,7 @@
                 (PeerLinks::default(), Some(uplink))
             }
         };
+        let quota = QuotaState::new(&settings, random_seed());
         let actor = ControlActor {
             parent: ParentState::new(name, GroupId(0), wall_clock_ms()),
             settings,
@@ -169,6 +172,7 @@
             has_catalog_changed: false,
             transfers: IndexSet::new(),
             leader_view: LeaderView::default(),
+            quota,
             is_leader_silent: false,
             http,
             http_address,
@@ -232,6 +236,7 @@
             self.expire_upstreams(now);
             self.expire_quarantine(now);
         }
+        self.tick_quotas(now);
         self.expire_requests(now);
         self.expire_reads(now);
         self.finish_turn(cx, now);
@@ -273,12 +278,13 @@
             } else if let Some(event) = self.http.next_event() {
                 self.handle_http_event(now, event);
             } else if std::mem::take(&mut self.has_catalog_changed) {
+                self.refresh_quotas();
                 self.answer_applied_reads(now);
                 self.handle_applied_submissions(now);
                 // Sent once for all entries of the turn, so that the children get one delta.
                 self.queue
                     .push_back(QueuedEvent::Parent(ParentEvent::CatalogAdvanced));
-            } else if !self.continue_transfers() {
+            } else if !self.continue_transfers() && !self.send_quota_ask(now) {
                 break;
             }
         }
--- a/crates/kumquatlock/src/ops/control/children.rs
+++ b/crates/kumquatlock/src/ops/control/children.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 use kumquatlock_wire::Body;
+use kumquatlock_wire::agreement::Forward;
 use kumquatlock_wire::agreement::forward::Content;
 use kumquatlock_wire::distribution::{ChildRole, RetryReason};
 
@@ -47,6 +48,11 @@
         }
     }
 
+    /// Returns the link on which the parent has accepted the child.
+    pub(super) fn attached(&self) -> Option<distribution::LinkId> {
+        self.attached
+    }
+
     fn link_of(&self, attempt: distribution::LinkId) -> Option<LinkId> {
         self.links.get(&attempt).copied()
     }
@@ -79,8 +85,12 @@
             ParentStep::ForwardToLeader(body) => self.forward_to_leader(now, body),
             ParentStep::HandleRequest { child, request } => {
                 let request_id = request.request_id;
-                if let Some(content) = request.content {
-                    self.route_request(now, Requester::Child { child, request_id }, content);
+                match request.content {
+                    Some(Content::QuotaAsk(ask)) => self.quota_asked(now, child, &ask),
+                    Some(content) => {
+                        self.route_request(now, Requester::Child { child, request_id }, content);
+                    }
+                    None => {}
                 }
             }
         }
@@ -168,6 +178,10 @@
                 let reason = refusal.to_string();
                 log::warn!(version = version.0, reason = reason.as_str(); "update_refused");
             }
+            ChildStep::Relayed(Forward {
+                content: Some(Content::QuotaGrant(grant)),
+                ..
+            }) => self.quota_granted(now, &grant),
             ChildStep::Relayed(forward) => self.answer_received(now, forward),
             ChildStep::NotSent(Body::Forward(forward)) => {
                 if let Some(kind) = self.requests.kind(forward.request_id) {
--- a/crates/kumquatlock/src/ops/control/mod.rs
+++ b/crates/kumquatlock/src/ops/control/mod.rs
@@ -28,6 +28,7 @@
 mod peers;
 mod process;
 mod quarantine;
+mod quota;
 mod relay;
 mod requests;
 mod settings;
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -40,6 +40,7 @@
 
 impl ControlActor {
     pub(super) fn change_leadership(&mut self, now: Timestamp, is_leader: bool) {
+        self.change_quota_leadership(now, is_leader);
         let limits = ExpiryTiming {
             unattached_timeout: self.settings.expiry,
             leader_grace_period: self.settings.expiry_grace,
@@ -311,6 +312,8 @@
         match message.content {
             Some(Content::Report(report)) => self.handle_as_leader(now, Body::Report(report)),
             Some(Content::Crash(report)) => self.handle_crash(now, &report),
+            Some(Content::QuotaAsk(ask)) => self.quota_asked_by_voter(now, from, &ask),
+            Some(Content::QuotaGrant(grant)) => self.quota_granted(now, &grant),
             Some(Content::Progress(progress)) => {
                 self.handle_as_leader(now, Body::Progress(progress))
             }
@@ -403,7 +406,7 @@
         self.leader_view.progress.record(now, progress);
     }
 
-    fn send_to_voter(&mut self, link: LinkId, message: Forward, ticket: Option<u64>) {
+    pub(super) fn send_to_voter(&mut self, link: LinkId, message: Forward, ticket: Option<u64>) {
         if let Some(voter) = &self.voter {
             let body = Body::Peer(voter.wrap_forward(message));
             self.links.send(link, body, ticket);
--- a/crates/kumquatlock/src/ops/control/settings.rs
+++ b/crates/kumquatlock/src/ops/control/settings.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::core::{SharedName, name_from_address};
+use crate::quota::QuotaSettings;
 use crate::util::logging::LogFilter;
 use crate::util::settings::{
     AddressList, CheckedName, DurationMillis, EnumChoice, ItemCount, NamedAddresses, SettingError,
@@ -275,6 +276,8 @@
     /// Whether submissions of operators are redirected to the leader. Requires that all members
     /// serve operators on the same port.
     pub redirects: bool,
+    /// Quotas of client accounts.
+    pub quota: QuotaSettings,
 }
 
 impl ControlSettings {
@@ -325,6 +328,7 @@
                 .resolve(flags.expiry_grace_ms.as_deref(), variables)?
                 .duration(),
             redirects: false,
+            quota: QuotaSettings::default(),
         })
     }
 
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -32,6 +32,7 @@
 use crate::quarantine::CrashReporter;
 use crate::routing::EntryLocation;
 use crate::transport::{LinkError, LinkEvent, LinkId, LinkReady, LinkTable, TrafficCounters};
+use crate::util::suspension::SuspensionClock;
 use kumquatlock_wire::claim::ShardHolder;
 
 /// Interval between ticks of the components that are driven by a regular tick.
@@ -83,6 +84,7 @@
     pub(super) settings: NodeSettings,
     pub(super) adapter: NodeAdapter,
     pub(super) started: Instant,
+    suspension: SuspensionClock,
     /// Accepted HTTP connections: of callers, the local upstream, readiness probes and metrics
     /// scrapers.
     pub(super) http: HttpTable<NodePort>,
@@ -175,6 +177,7 @@
         entry.scope = tuning.scope;
         entry.longest_timeout = settings.longest_timeout;
         entry.origin = tuning.origin.clone();
+        entry.quota = tuning.quota;
         entry.api_key = parts.adapter.names.api_key;
         entry.search_limit = tuning.search_limit.unwrap_or(entry.search_limit);
         entry.upstream_wait = tuning.upstream_wait.unwrap_or(entry.upstream_wait);
@@ -231,6 +234,7 @@
             failure: None,
             settings,
             started: parts.started,
+            suspension: SuspensionClock::start(),
             links,
             peers: PeerLinks::default(),
             departed: DepartedNodes::default(),
@@ -415,6 +419,7 @@
 
     fn begin_turn(&mut self) -> Timestamp {
         let now = self.now();
+        self.entry.set_suspended(self.suspension.suspended());
         let gap = now.since(self.last_turn);
         if gap > FREEZE_THRESHOLD {
             self.frozen = true;
@@ -439,6 +444,8 @@
                 self.handle_http_event(now, event);
             } else if let Some(result) = self.exchanges.next_event() {
                 self.handle_exchange_result(now, result);
+            } else if let Some(ask) = self.entry.poll_quota(now) {
+                self.send_quota_ask(now, ask);
             } else {
                 break;
             }
@@ -516,6 +523,7 @@
     }
 
     pub(super) fn notify_uplink_change(&mut self, now: Timestamp, is_attached: bool) {
+        self.entry.set_quota_parent(is_attached);
         let steps = self
             .announcer
             .handle(now, AnnouncerEvent::UplinkChanged { is_attached });
--- a/crates/kumquatlock/src/ops/node/settings.rs
+++ b/crates/kumquatlock/src/ops/node/settings.rs
@@ -5,6 +5,7 @@
 
 use crate::core::SharedName;
 use crate::distribution::StreamTiming;
+use crate::quota::QuotaSettings;
 use crate::retry::{BudgetScope, BudgetSettings};
 use crate::transport::LinkTiming;
 
@@ -91,6 +92,8 @@
     pub budget: BudgetSettings,
     /// Which attempts consume the budget.
     pub scope: BudgetScope,
+    /// Quotas of client accounts.
+    pub quota: QuotaSettings,
     /// How long a stopping node still serves callers, which need time to switch to another node.
     pub shutdown_grace: Duration,
     /// Time after which a stopping node exits even if work is in progress; `None` for no limit.
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -6,6 +6,7 @@
 use kumquatlock_wire::agreement::Forward;
 use kumquatlock_wire::agreement::forward::Content;
 use kumquatlock_wire::claim::ClaimReply;
+use kumquatlock_wire::quota::QuotaAsk;
 
 use super::actor::{NodeActor, RunTag, new_holder};
 use crate::call::{
@@ -183,6 +184,17 @@
         }
     }
 
+    /// Reports the use of quotas to the parent and asks it for tokens.
+    pub(super) fn send_quota_ask(&mut self, now: Timestamp, ask: QuotaAsk) {
+        let forward = Forward {
+            request_id: 0,
+            content: Some(Content::QuotaAsk(ask)),
+        };
+        let event = ChildEvent::Relay(Body::Forward(forward));
+        let steps = self.child.handle(now, event, &mut self.random);
+        self.queue_child(steps);
+    }
+
     fn execute_child(&mut self, now: Timestamp, step: ChildStep) {
         match step {
             ChildStep::Connect { link, address } | ChildStep::Probe { link, address } => {
@@ -209,8 +221,14 @@
             ChildStep::Refused { version, refusal } => {
                 log::warn!(version = version.0, reason:% = refusal; "configuration_refused");
             }
-            // Reports that were not sent are repeated, and nodes pass nothing on to children.
-            ChildStep::NotSent(_) | ChildStep::Relayed(_) => {}
+            ChildStep::Relayed(forward) => {
+                if let Some(Content::QuotaGrant(grant)) = forward.content {
+                    let steps = self.entry.on_quota_grant(now, &grant);
+                    self.queue_entry(steps);
+                }
+            }
+            // Reports that were not sent are repeated.
+            ChildStep::NotSent(_) => {}
         }
     }
 
--- a/crates/kumquatlock/src/quota/limit.rs
+++ b/crates/kumquatlock/src/quota/limit.rs
@@ -23,13 +23,16 @@
 /// number. The gap keeps instances that know different numbers of nodes from both using it.
 const NODE_SHARE_FLOOR: u64 = 2;
 
+/// Largest limit; more is no limit in practice, and the shares can be computed without overflow.
+const MAX_LIMIT: u64 = u32::MAX as u64;
+
 /// Settings of quotas. Nodes and control instances must have the same.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuotaSettings {
     /// Length of the window in which requests are counted.
     pub window: Duration,
-    /// Fraction by which the requests of a window may exceed the quota.
-    pub overage: f64,
+    /// How much the requests of a window may exceed the quota, in hundredths of it.
+    pub overage_percent: u32,
     /// Number of requests by which those of a window may also exceed the quota.
     pub slack: u64,
     /// Time for which a granted token may be spent. Bridges the change of a parent. Not longer than
@@ -48,7 +51,7 @@
     fn default() -> Self {
         QuotaSettings {
             window: Duration::from_secs(5),
-            overage: 0.1,
+            overage_percent: 10,
             slack: 20,
             token_life: Duration::from_secs(2),
             contact_life: Duration::from_secs(2),
@@ -61,9 +64,13 @@
 impl QuotaSettings {
     /// Returns how many requests of an account may be admitted in a window.
     pub fn limit(&self, quota: &AccountQuota) -> u64 {
-        let rate = quota.rate_millis.get() as f64 / 1_000.0;
-        let allowed = rate * self.window.as_secs_f64() + quota.burst as f64;
-        (allowed * (1.0 + self.overage)) as u64 + self.slack
+        // Wider than the fields, so that no quota overflows.
+        let window_us = self.window.as_micros();
+        let by_rate = u128::from(quota.rate_millis.get()) * window_us / 1_000_000_000;
+        let allowed = by_rate + u128::from(quota.burst);
+        let allowed = allowed * u128::from(100 + self.overage_percent) / 100;
+        let allowed = u64::try_from(allowed).unwrap_or(u64::MAX);
+        allowed.saturating_add(self.slack).min(MAX_LIMIT)
     }
 
     /// Returns the time after which a token that was granted at most now can no longer count in a
--- a/crates/kumquatlock/src/quota/session.rs
+++ b/crates/kumquatlock/src/quota/session.rs
@@ -108,6 +108,12 @@
         self.outstanding_since.is_none() && is_paced
     }
 
+    /// Returns when the next ask may be sent; `None` while an answer is outstanding.
+    pub fn next_ask(&self) -> Option<Timestamp> {
+        let last_ask = self.last_ask.filter(|_| self.outstanding_since.is_none());
+        last_ask.map(|at| at + MIN_ASK_INTERVAL)
+    }
+
     /// Whether the answer to the latest ask is overdue.
     pub fn is_overdue(&self, now: Timestamp) -> bool {
         self.outstanding_since
--- a/crates/kumquatlock/src/quota/spender.rs
+++ b/crates/kumquatlock/src/quota/spender.rs
@@ -50,7 +50,7 @@
     Admit(QuotaToken),
     /// It waits for a token until this time at the latest; see [`SpenderEvent`].
     Wait {
-        /// When to call [`QuotaSpender::abandon`].
+        /// When to call [`QuotaSpender::expire`].
         until: Timestamp,
     },
     /// The account has used its quota. There is no token for this time.
@@ -272,11 +272,16 @@
         }
     }
 
-    /// Ends the wait of a request that got no token in time, or whose caller has left.
-    pub fn abandon(&mut self, id: AccountId, waiter: u64) {
+    /// Ends the wait of a request that got no token in time.
+    pub fn expire(&mut self, id: AccountId, waiter: u64) {
+        self.forget(id, waiter);
+        self.counters.without_token += 1;
+    }
+
+    /// Ends the wait of a request that no longer needs a token.
+    pub fn forget(&mut self, id: AccountId, waiter: u64) {
         if let Some(account) = self.accounts.get_mut(&id) {
             account.waiting.retain(|waiting| *waiting != waiter);
-            self.counters.without_token += 1;
         }
     }
 
@@ -337,10 +342,11 @@
         Some(self.session.ask(now, demands))
     }
 
-    /// Returns when [`QuotaSpender::poll`] may have something to send.
+    /// Returns when to call [`QuotaSpender::poll`] for waiting requests. Reports need no wakeup of
+    /// their own.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
-        let is_idle = !self.is_attached || self.limits.is_empty();
-        (!is_idle).then(|| self.reported_at + self.settings.report_interval)
+        let is_needed = self.is_attached && !self.urgent.is_empty();
+        is_needed.then(|| self.session.next_ask()).flatten()
     }
 
     /// Updates the average demand of each account, and returns the tokens to request ahead. Gives
--- a/crates/kumquatlock/src/quota/tests/model.rs
+++ b/crates/kumquatlock/src/quota/tests/model.rs
@@ -540,7 +540,7 @@
         for (waiter, account) in overdue {
             node.waiting.swap_remove(&waiter);
             node.spender
-                .abandon(AccountId::of(&self.accounts[account].name), waiter);
+                .expire(AccountId::of(&self.accounts[account].name), waiter);
             self.accounts[account].refused += 1;
         }
         if let Some(ask) = node.spender.poll(now) {
--- a/crates/kumquatlock/src/retry/policy.rs
+++ b/crates/kumquatlock/src/retry/policy.rs
@@ -202,6 +202,8 @@
             | CallReason::NoRoute
             | CallReason::TooLarge
             | CallReason::Quarantined
+            | CallReason::QuotaExceeded
+            | CallReason::QuotaUnavailable
     )
 }
 
--- /dev/null
+++ b/crates/kumquatlock/src/util/suspension.rs
@@ -0,0 +1,36 @@
+//! Time for which the machine was suspended.
+
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Measures for how long the machine was suspended since the start of the process. The steady clock
+/// stands still meanwhile.
+#[derive(Clone, Copy, Debug)]
+pub struct SuspensionClock {
+    /// How far the clock that counts suspensions was ahead of the steady one at the start.
+    start: Duration,
+}
+
+impl SuspensionClock {
+    /// Starts measuring.
+    pub fn start() -> Self {
+        SuspensionClock { start: lead() }
+    }
+
+    /// Returns the time for which the machine was suspended.
+    pub fn suspended(&self) -> Duration {
+        lead().saturating_sub(self.start)
+    }
+}
+
+/// Returns how far the clock that counts suspensions is ahead of the steady one.
+fn lead() -> Duration {
+    let steady = read(ClockId::Monotonic);
+    read(ClockId::Boottime).saturating_sub(steady)
+}
+
+fn read(clock: ClockId) -> Duration {
+    let time = clock_gettime(clock);
+    Duration::try_from(time).unwrap_or_default()
+}
