--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -169,6 +169,10 @@
     Quarantined = 23,
     /// The node's configuration is not proved recent enough to decide on the caller's API key.
     ConfigUnproved = 28,
+    /// The client account has used its quota.
+    QuotaExceeded = 30,
+    /// The node could not find out in time whether the client account may send the request.
+    QuotaUnavailable = 31,
 }
 
 /// Load of the destination node's upstream, sent with every answer.
--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -10,7 +10,8 @@
 //! which stores its log with `journal`, and applied by `catalog`. `distribution` sends the changes of the catalog from parent
 //! to child, where they are applied atomically as a new [`core::ConfigSnapshot`]. `membership`
 //! feeds the announcements and losses of upstreams back into the replicated log. A call is driven
-//! by `call`: `account` identifies its sender, `routing` selects its destination, `admission` and `retry` limit the load that it
+//! by `call`: `account` identifies its sender, `quota` limits the sender's requests, `routing`
+//! selects its destination, `admission` and `retry` limit the load that it
 //! causes, and `claim` prevents a keyed request from running more than once.
 
 pub mod account;
@@ -27,6 +28,7 @@
 pub mod membership;
 pub mod ops;
 pub mod quarantine;
+pub mod quota;
 pub mod retry;
 pub mod routing;
 pub mod submission;
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -180,6 +180,7 @@
         entry.longest_timeout = settings.longest_timeout;
         entry.origin = tuning.origin.clone();
         entry.revocation_limit = tuning.revocation_limit;
+        entry.quota = tuning.quota;
         entry.api_key = parts.adapter.names.api_key;
         entry.search_limit = tuning.search_limit.unwrap_or(entry.search_limit);
         entry.upstream_wait = tuning.upstream_wait.unwrap_or(entry.upstream_wait);
@@ -447,6 +448,8 @@
                 self.handle_http_event(now, event);
             } else if let Some(result) = self.exchanges.next_event() {
                 self.handle_exchange_result(now, result);
+            } else if let Some(ask) = self.entry.poll_quota(now) {
+                self.send_quota_ask(now, ask);
             } else {
                 break;
             }
@@ -524,6 +527,7 @@
     }
 
     pub(super) fn notify_uplink_change(&mut self, now: Timestamp, is_attached: bool) {
+        self.entry.set_quota_parent(is_attached);
         let steps = self
             .announcer
             .handle(now, AnnouncerEvent::UplinkChanged { is_attached });
