--- a/crates/kumquatlock-control/src/commands/serve.rs
+++ b/crates/kumquatlock-control/src/commands/serve.rs
@@ -88,6 +88,14 @@
     /// member only (value 100..=3600000 ms, default 4000, variable KUMQUATLOCK_REPLACE_MS)
     #[argh(option)]
     replace_ms: Option<String>,
+    /// memory that the process may use; bounds the bytes held for others (value 48..=1048576 MB,
+    /// default 512, variable KUMQUATLOCK_MEMORY_MB)
+    #[argh(option)]
+    memory_mb: Option<String>,
+    /// descriptors that the process may open; bounds the connections of callers (value
+    /// 64..=1048576 descriptors, default 4096, variable KUMQUATLOCK_MAX_DESCRIPTORS)
+    #[argh(option)]
+    max_descriptors: Option<String>,
 }
 
 impl ServeCommand {
@@ -111,6 +119,8 @@
             founding: self.founding,
             group_size: self.group_size,
             replace_ms: self.replace_ms,
+            memory_mb: self.memory_mb,
+            max_descriptors: self.max_descriptors,
         };
         let settings = ControlSettings::resolve(&flags, &ProcessEnvironment)?;
         let _log = init_logging(&settings.log)?;
--- a/crates/kumquatlock-node/src/commands/serve.rs
+++ b/crates/kumquatlock-node/src/commands/serve.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use eyre::WrapErr;
+use kumquatlock::memory::ProcessLimits;
 use kumquatlock::ops::node::{FixedSettings, NodeAdapter, NodeSettings, NodeTuning, run_node};
 use kumquatlock::util::cancel::CancelToken;
 use kumquatlock::util::logging::{LogFilter, init_logging};
@@ -131,6 +132,14 @@
     /// 600000, variable KUMQUATLOCK_CLAIM_RETENTION_MS)
     #[argh(option)]
     claim_retention_ms: Option<String>,
+    /// memory that the process may use; bounds the bytes held for others (value 48..=1048576 MB,
+    /// default 512, variable KUMQUATLOCK_MEMORY_MB)
+    #[argh(option)]
+    memory_mb: Option<String>,
+    /// descriptors that the process may open; bounds the connections of callers (value
+    /// 64..=1048576 descriptors, default 4096, variable KUMQUATLOCK_MAX_DESCRIPTORS)
+    #[argh(option)]
+    max_descriptors: Option<String>,
     /// log levels by target, such as info or warn,kumquatlock::call=debug (length in bytes
     /// 1..=1024, default info, variable KUMQUATLOCK_LOG)
     #[argh(option)]
@@ -166,6 +175,8 @@
             UPSTREAM_CONNECTIONS.describe(),
             LONGEST_TIMEOUT.describe(),
             CLAIM_RETENTION.describe(),
+            kumquatlock::memory::MEMORY.describe(),
+            kumquatlock::memory::MAX_DESCRIPTORS.describe(),
             LOG.describe(),
         ]
     }
@@ -196,6 +207,11 @@
             upstream_connections: connections.0 as usize,
             longest_timeout: longest_timeout.duration(),
             claim_retention: retention.duration(),
+            limits: ProcessLimits::resolve(
+                self.memory_mb.as_deref(),
+                self.max_descriptors.as_deref(),
+                environment,
+            )?,
             tuning: NodeTuning::default(),
         })
     }
--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod journal;
 pub mod manifest;
 pub mod membership;
+pub mod memory;
 pub mod ops;
 pub mod quarantine;
 pub mod retry;
--- a/crates/kumquatlock/src/ops/control/settings.rs
+++ b/crates/kumquatlock/src/ops/control/settings.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::core::{SharedName, name_from_address};
+use crate::memory::{MAX_DESCRIPTORS, MEMORY, ProcessLimits};
 use crate::util::logging::LogFilter;
 use crate::util::settings::{
     AddressList, CheckedName, DurationMillis, EnumChoice, ItemCount, NamedAddresses, SettingError,
@@ -178,6 +179,8 @@
     pub founding: Option<String>,
     pub group_size: Option<String>,
     pub replace_ms: Option<String>,
+    pub memory_mb: Option<String>,
+    pub max_descriptors: Option<String>,
 }
 
 /// Error in the settings of a control instance.
@@ -272,6 +275,8 @@
     pub expiry: Duration,
     /// Time for which a new leader removes no upstreams.
     pub expiry_grace: Duration,
+    /// Memory and descriptors of the process.
+    pub limits: ProcessLimits,
     /// Whether submissions of operators are redirected to the leader. Requires that all members
     /// serve operators on the same port.
     pub redirects: bool,
@@ -324,6 +329,11 @@
             expiry_grace: EXPIRY_GRACE
                 .resolve(flags.expiry_grace_ms.as_deref(), variables)?
                 .duration(),
+            limits: ProcessLimits::resolve(
+                flags.memory_mb.as_deref(),
+                flags.max_descriptors.as_deref(),
+                variables,
+            )?,
             redirects: false,
         })
     }
@@ -349,6 +359,8 @@
             FOUNDING.describe(),
             GROUP_SIZE.describe(),
             REPLACE.describe(),
+            MEMORY.describe(),
+            MAX_DESCRIPTORS.describe(),
         ]
     }
 }
--- a/crates/kumquatlock/src/ops/node/settings.rs
+++ b/crates/kumquatlock/src/ops/node/settings.rs
@@ -5,6 +5,7 @@
 
 use crate::core::SharedName;
 use crate::distribution::StreamTiming;
+use crate::memory::ProcessLimits;
 use crate::retry::{BudgetScope, BudgetSettings};
 use crate::transport::LinkTiming;
 
@@ -40,6 +41,8 @@
     pub longest_timeout: Duration,
     /// How long claims and stored answers are retained.
     pub claim_retention: Duration,
+    /// Memory and descriptors of the process.
+    pub limits: ProcessLimits,
     /// Settings that depend on the platform on which the node runs, not on its operator.
     pub tuning: NodeTuning,
 }
--- a/crates/kumquatlock/src/ops/node/tests.rs
+++ b/crates/kumquatlock/src/ops/node/tests.rs
@@ -6,6 +6,7 @@
 use crate::call::MAX_TIMEOUT;
 use crate::http::RequestId;
 use crate::membership::{AnnounceAnswer, EndProgress};
+use crate::memory::ProcessLimits;
 
 /// Guards against dropping the claim of an unfinished key while its request may still be running.
 #[test]
@@ -23,6 +24,7 @@
         metrics_http: None,
         parents: vec![address],
         http_workers: 4,
+        limits: ProcessLimits::default(),
         upstream_connections: 1,
         longest_timeout: MAX_TIMEOUT,
         claim_retention: Duration::from_secs(3_600),
