--- a/crates/kumquatlock-control/src/commands/serve.rs
+++ b/crates/kumquatlock-control/src/commands/serve.rs
@@ -88,7 +88,7 @@
     /// member only (value 100..=3600000 ms, default 4000, variable KUMQUATLOCK_REPLACE_MS)
     #[argh(option)]
     replace_ms: Option<String>,
-    /// memory that the process may use; bounds the bytes held for others (value 48..=1048576 MB,
+    /// memory that the process may use; bounds the bytes held for others (value 64..=1048576 MB,
     /// default 512, variable KUMQUATLOCK_MEMORY_MB)
     #[argh(option)]
     memory_mb: Option<String>,
--- a/crates/kumquatlock-node/src/commands/serve.rs
+++ b/crates/kumquatlock-node/src/commands/serve.rs
@@ -132,7 +132,7 @@
     /// 600000, variable KUMQUATLOCK_CLAIM_RETENTION_MS)
     #[argh(option)]
     claim_retention_ms: Option<String>,
-    /// memory that the process may use; bounds the bytes held for others (value 48..=1048576 MB,
+    /// memory that the process may use; bounds the bytes held for others (value 64..=1048576 MB,
     /// default 512, variable KUMQUATLOCK_MEMORY_MB)
     #[argh(option)]
     memory_mb: Option<String>,
--- a/crates/kumquatlock/src/http/body.rs
+++ b/crates/kumquatlock/src/http/body.rs
@@ -4,6 +4,8 @@
 
 use super::head::BodyFraming;
 
+/// End of a line.
+const LINE_BREAK: &[u8] = b"\r\n";
 /// Maximum length of a chunk size line or trailer line, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 4 * 1024;
 /// Length of the lines around each chunk that does not count as excess: the digits of its size and
@@ -26,9 +28,14 @@
     /// The body needs more bytes, or ends when the connection is closed.
     Partial,
     Complete,
+    /// The content may not grow before [`BodyReader::grant`] allows more of it.
+    NeedsRoom,
     Invalid(BodyError),
 }
 
+/// Content of a chunked body that is granted at first, in bytes. Each further grant doubles it.
+const FIRST_GRANT_BYTES: u64 = 64 * 1024;
+
 #[derive(Clone, Copy, Debug)]
 enum BodyState {
     /// Number of body bytes that have not been read yet.
@@ -49,6 +56,8 @@
     /// Never longer than `limit` bytes.
     body: BytesMut,
     limit: u64,
+    /// Maximum length of the content at present, at most `limit`.
+    granted: u64,
     /// Number of excess bytes read so far, at most [`MAX_EXCESS_BYTES`].
     excess_bytes: usize,
 }
@@ -65,10 +74,48 @@
             state,
             body: BytesMut::new(),
             limit,
+            granted: limit,
             excess_bytes: 0,
         }
     }
 
+    /// Reads no content before it is granted.
+    pub(super) fn without_grant(mut self) -> Self {
+        self.granted = 0;
+        self
+    }
+
+    /// Returns the length up to which the content should be granted next: the whole length if it
+    /// is known.
+    pub(super) fn wanted_bytes(&self) -> u64 {
+        let wanted = match self.state {
+            BodyState::Length(remaining) => self.body.len() as u64 + remaining,
+            _ => FIRST_GRANT_BYTES.max(self.granted * 2),
+        };
+        wanted.min(self.limit)
+    }
+
+    /// Allows the content to grow to `granted` bytes.
+    pub(super) fn grant(&mut self, granted: u64) {
+        self.granted = granted.min(self.limit);
+        let missing = self.granted.saturating_sub(self.body.len() as u64);
+        self.body.reserve(usize::try_from(missing).unwrap_or(0));
+    }
+
+    /// Returns the length of the content read so far.
+    pub(super) fn content_bytes(&self) -> usize {
+        self.body.len()
+    }
+
+    /// Returns the number of bytes allocated for the content.
+    pub(super) fn allocated_bytes(&self) -> usize {
+        self.body.capacity()
+    }
+
+    fn room(&self) -> u64 {
+        self.granted.saturating_sub(self.body.len() as u64)
+    }
+
     /// Consumes the bytes of the body at the front of `read_buf`.
     pub(super) fn feed(&mut self, read_buf: &mut BytesMut) -> BodyProgress {
         loop {
@@ -78,6 +125,9 @@
                     if remaining > self.limit {
                         return BodyProgress::Invalid(BodyError::TooLarge);
                     }
+                    if self.room() < remaining {
+                        return BodyProgress::NeedsRoom;
+                    }
                     let remaining = remaining - self.consume(read_buf, remaining);
                     if remaining > 0 {
                         self.state = BodyState::Length(remaining);
@@ -97,22 +147,29 @@
                     if self.body.len() as u64 + remaining > self.limit {
                         return BodyProgress::Invalid(BodyError::TooLarge);
                     }
-                    let remaining = remaining - self.consume(read_buf, remaining);
+                    if self.room() == 0 && !read_buf.is_empty() {
+                        return BodyProgress::NeedsRoom;
+                    }
+                    let room = self.room();
+                    let remaining = remaining - self.consume(read_buf, remaining.min(room));
                     self.state = BodyState::ChunkData(remaining);
+                    if remaining > 0 && !read_buf.is_empty() {
+                        return BodyProgress::NeedsRoom;
+                    }
                     if remaining > 0 {
                         return BodyProgress::Partial;
                     }
                 }
                 BodyState::ChunkSize | BodyState::ChunkEnd | BodyState::Trailer => {
-                    match take_line(read_buf) {
-                        Ok(Some(line)) => {
-                            if let Err(error) = self.process_line(&line) {
-                                return BodyProgress::Invalid(error);
-                            }
-                        }
+                    let end = match find_line_end(read_buf) {
+                        Ok(Some(end)) => end,
                         Ok(None) => return BodyProgress::Partial,
                         Err(error) => return BodyProgress::Invalid(error),
+                    };
+                    if let Err(error) = self.process_line(&read_buf[..end]) {
+                        return BodyProgress::Invalid(error);
                     }
+                    read_buf.advance(end + LINE_BREAK.len());
                 }
             }
         }
@@ -158,17 +215,19 @@
     }
 }
 
-/// Takes a complete line from the front of `read_buf` and returns it without its line break.
-fn take_line(read_buf: &mut BytesMut) -> Result<Option<BytesMut>, BodyError> {
-    let end = read_buf.windows(2).position(|pair| pair == b"\r\n");
-    match end {
-        Some(end) => {
-            let mut line = read_buf.split_to(end + 2);
-            line.truncate(end);
-            Ok(Some(line))
+/// Returns the length of the first line of `bytes`, without its line break.
+fn find_line_end(bytes: &[u8]) -> Result<Option<usize>, BodyError> {
+    let mut searched = 0;
+    while let Some(offset) = bytes[searched..].iter().position(|byte| *byte == b'\n') {
+        let line = &bytes[..searched + offset + 1];
+        if line.ends_with(LINE_BREAK) {
+            return Ok(Some(line.len() - LINE_BREAK.len()));
         }
-        None if read_buf.len() > MAX_CHUNK_LINE_BYTES => Err(BodyError::Malformed),
-        None => Ok(None),
+        searched = line.len();
+    }
+    match bytes.len() > MAX_CHUNK_LINE_BYTES {
+        true => Err(BodyError::Malformed),
+        false => Ok(None),
     }
 }
 
--- a/crates/kumquatlock/src/http/connection.rs
+++ b/crates/kumquatlock/src/http/connection.rs
@@ -5,22 +5,40 @@
 use std::net::Shutdown;
 use std::time::Duration;
 
-use bytes::{Buf, BytesMut};
+use bytes::Buf;
 use stakker_mio::MioSource;
 use stakker_mio::mio::net::TcpStream;
 
 use super::body::{BodyError, BodyProgress, BodyReader};
+use super::buffer::SocketBuffer;
 use super::encode::encode_response;
 use super::head::{BodyFraming, HeadError, HeadProgress, RequestHead, parse_request_head};
 use super::message::{HttpRequest, HttpResponse};
 use super::refusal::RequestRefusal;
 use crate::core::Timestamp;
+use crate::memory::{HoldSize, MemoryBudget, MemoryCharge};
 
 /// Maximum number of requests of one connection that wait for their responses. Further requests
 /// stay unread.
 const MAX_PIPELINED_REQUESTS: usize = 32;
 /// Maximum number of bytes read from a socket at once.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// Maximum number of bytes read from a connection before others have their turn.
+const MAX_TURN_BYTES: usize = 64 * 1024;
+/// Number of bytes of unread responses at which a connection reads no further requests.
+const MAX_UNREAD_RESPONSE_BYTES: usize = 256 * 1024;
+/// Body up to which a request counts as small, in bytes.
+const SMALL_BODY_BYTES: u64 = 64 * 1024;
+/// Copies of a body that are held at once: the received one, and one that is being written to a
+/// link or to the upstream.
+const BODY_COPIES: usize = 2;
+/// Bytes that may wait in the socket buffer of a connection that is not read.
+const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
+/// Content that counts as progress of a body, in bytes. A caller that sends byte by byte makes none.
+const PROGRESS_BYTES: usize = 4 * 1024;
+/// Maximum time in which a body makes no progress. Far longer than any request within the limits
+/// takes to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Number of buffered, unparsed bytes at which a connection stops reading from its socket.
 const MAX_READ_BUF_BYTES: usize = 256 * 1024;
 /// Maximum number of empty lines before a request. Old clients send one after a body.
@@ -29,8 +47,7 @@
 /// first while the caller was still sending, the connection would be reset and the response could
 /// be lost.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum time without progress while a request body arrives or a response is written. The
-/// connection is closed after it.
+/// Maximum time without progress while a response is written. The connection is closed after it.
 const STALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Time for which an idle connection of a stopping process stays open. A request that its caller is
@@ -50,6 +67,12 @@
     pub idle_timeout: Duration,
 }
 
+/// What bounds the requests of a connection.
+pub(super) struct ReadContext<'a> {
+    pub(super) limits: &'a HttpLimits,
+    pub(super) budget: &'a MemoryBudget,
+}
+
 /// Whether a connection stays open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionStatus {
@@ -68,10 +91,23 @@
     response: Option<HttpResponse>,
 }
 
+/// A request whose body is arriving.
+#[derive(Debug)]
+struct IncomingBody {
+    head: RequestHead,
+    reader: BodyReader,
+    /// Covers all copies of the granted content.
+    charge: MemoryCharge,
+    /// When [`PROGRESS_BYTES`] of content had last arrived since the previous time.
+    progress_at: Timestamp,
+    /// Length of the content at `progress_at`.
+    progress_bytes: usize,
+}
+
 #[derive(Debug)]
 enum ReadState {
     Head,
-    Body(Box<(RequestHead, BodyReader)>),
+    Body(Box<IncomingBody>),
     /// No further requests are read: a request was refused, or the connection closes after the last
     /// response.
     Closing,
@@ -80,14 +116,20 @@
 /// A connection from a caller, with its buffers and pending requests.
 pub(super) struct CallerConnection {
     pub(super) socket: MioSource<TcpStream>,
-    read_buf: BytesMut,
-    write_buf: BytesMut,
+    read_buf: SocketBuffer,
+    write_buf: SocketBuffer,
+    /// Covers the buffers and the responses that have not been encoded.
+    charge: MemoryCharge,
     state: ReadState,
     /// In order of arrival; never more than [`MAX_PIPELINED_REQUESTS`].
     pending: VecDeque<PendingRequest>,
     next_sequence: u64,
     /// Whether the socket may have unread bytes because the connection reached one of its limits.
     has_unread: bool,
+    /// Since when the connection has not been read because there is no memory for its body.
+    starved_since: Option<Timestamp>,
+    /// Refusal that has not been counted yet.
+    refused: Option<RequestRefusal>,
     /// When the connection last became ready for a new request. The idle timeout starts here.
     waiting_since: Timestamp,
     /// When the first byte of the head that is being read arrived. The head timeout starts here, or
@@ -95,22 +137,25 @@
     head_since: Option<Timestamp>,
     /// Number of empty lines since the last request.
     empty_lines: u32,
-    /// When bytes were last read or written, or a request body began.
+    /// When bytes were last written, or there were none to write.
     last_progress_at: Timestamp,
     /// When the last response had been written and the sending side was shut down.
     lingering_since: Option<Timestamp>,
 }
 
 impl CallerConnection {
-    pub(super) fn new(socket: MioSource<TcpStream>, now: Timestamp) -> Self {
+    pub(super) fn new(socket: MioSource<TcpStream>, budget: &MemoryBudget, now: Timestamp) -> Self {
         CallerConnection {
             socket,
-            read_buf: BytesMut::new(),
-            write_buf: BytesMut::new(),
+            read_buf: SocketBuffer::default(),
+            write_buf: SocketBuffer::default(),
+            charge: budget.empty_charge(),
             state: ReadState::Head,
             pending: VecDeque::new(),
             next_sequence: 0,
             has_unread: false,
+            starved_since: None,
+            refused: None,
             waiting_since: now,
             head_since: None,
             empty_lines: 0,
@@ -133,19 +178,31 @@
         unanswered.map(|request| request.sequence)
     }
 
+    /// Whether the connection reads no requests until responses are written or memory is free.
+    fn is_held_back(&self) -> bool {
+        self.read_buf.len() >= MAX_READ_BUF_BYTES
+            || self.pending.len() >= MAX_PIPELINED_REQUESTS
+            || self.write_buf.len() >= MAX_UNREAD_RESPONSE_BYTES
+            || self.starved_since.is_some()
+    }
+
+    /// Whether the connection stopped reading only so that others have their turn.
+    pub(super) fn awaits_turn(&self) -> bool {
+        self.has_unread && !self.is_held_back()
+    }
+
     /// Reads from the socket and appends complete requests, with their sequence numbers, to
     /// `requests`.
     pub(super) fn read(
         &mut self,
         now: Timestamp,
-        limits: &HttpLimits,
+        context: &ReadContext<'_>,
         requests: &mut Vec<(u64, HttpRequest)>,
     ) -> ConnectionStatus {
         let mut chunk = [0u8; READ_CHUNK_BYTES];
+        let mut turn_bytes = 0;
         loop {
-            if self.read_buf.len() >= MAX_READ_BUF_BYTES
-                || self.pending.len() >= MAX_PIPELINED_REQUESTS
-            {
+            if self.is_held_back() || turn_bytes >= MAX_TURN_BYTES {
                 self.has_unread = true;
                 return ConnectionStatus::Open;
             }
@@ -153,10 +210,10 @@
             match self.socket.read(&mut chunk) {
                 Ok(0) => return ConnectionStatus::Closed,
                 Ok(count) => {
-                    self.last_progress_at = now;
+                    turn_bytes += count;
                     if !matches!(self.state, ReadState::Closing) {
                         self.read_buf.extend_from_slice(&chunk[..count]);
-                        self.parse(now, limits, requests);
+                        self.parse(now, context, requests);
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
@@ -168,19 +225,19 @@
         }
     }
 
-    /// Continues reading after a response has brought the connection below its limits.
+    /// Continues reading after the connection has come below its limits, or in its turn.
     pub(super) fn resume(
         &mut self,
         now: Timestamp,
-        limits: &HttpLimits,
+        context: &ReadContext<'_>,
         requests: &mut Vec<(u64, HttpRequest)>,
     ) -> ConnectionStatus {
         if self.pending.len() >= MAX_PIPELINED_REQUESTS {
             return ConnectionStatus::Open;
         }
-        self.parse(now, limits, requests);
+        self.parse(now, context, requests);
         match self.has_unread {
-            true => self.read(now, limits, requests),
+            true => self.read(now, context, requests),
             false => ConnectionStatus::Open,
         }
     }
@@ -188,10 +245,12 @@
     fn parse(
         &mut self,
         now: Timestamp,
-        limits: &HttpLimits,
+        context: &ReadContext<'_>,
         requests: &mut Vec<(u64, HttpRequest)>,
     ) {
-        while self.pending.len() < MAX_PIPELINED_REQUESTS {
+        while self.pending.len() < MAX_PIPELINED_REQUESTS
+            && self.write_buf.len() < MAX_UNREAD_RESPONSE_BYTES
+        {
             match &mut self.state {
                 ReadState::Closing => return,
                 ReadState::Head => {
@@ -208,17 +267,25 @@
                         }
                         continue;
                     }
-                    match parse_request_head(&self.read_buf, limits.header_bytes) {
+                    match parse_request_head(&self.read_buf, context.limits.header_bytes) {
                         HeadProgress::Partial => return,
                         HeadProgress::Invalid(error) => return self.refuse_head(error),
                         HeadProgress::Complete { head, bytes } => {
                             self.read_buf.advance(bytes);
-                            self.begin_body(now, head, limits);
+                            self.begin_body(now, head, context);
                         }
                     }
                 }
-                ReadState::Body(parts) => match parts.1.feed(&mut self.read_buf) {
+                ReadState::Body(body) => match body.feed(now, &mut self.read_buf) {
                     BodyProgress::Partial => return,
+                    BodyProgress::NeedsRoom if body.raise_grant(context.budget) => {
+                        self.starved_since = None;
+                    }
+                    BodyProgress::NeedsRoom => {
+                        self.has_unread = true;
+                        self.starved_since.get_or_insert(now);
+                        return;
+                    }
                     BodyProgress::Invalid(BodyError::TooLarge) => {
                         return self.refuse(RequestRefusal::BodyTooLarge);
                     }
@@ -231,7 +298,7 @@
         }
     }
 
-    fn begin_body(&mut self, now: Timestamp, head: RequestHead, limits: &HttpLimits) {
+    fn begin_body(&mut self, now: Timestamp, head: RequestHead, context: &ReadContext<'_>) {
         if head.expects_continue && head.framing != BodyFraming::Empty {
             // Sent only if no earlier request is pending: an interim response must not overtake the
             // responses to earlier requests.
@@ -242,26 +309,37 @@
         }
         self.head_since = None;
         self.empty_lines = 0;
-        self.last_progress_at = now;
-        let reader = BodyReader::new(head.framing, limits.body_bytes);
-        self.state = ReadState::Body(Box::new((head, reader)));
+        let reader = BodyReader::new(head.framing, context.limits.body_bytes);
+        self.state = ReadState::Body(Box::new(IncomingBody {
+            head,
+            reader: reader.without_grant(),
+            charge: context.budget.empty_charge(),
+            progress_at: now,
+            progress_bytes: 0,
+        }));
     }
 
     fn finish_request(&mut self, now: Timestamp, requests: &mut Vec<(u64, HttpRequest)>) {
-        let ReadState::Body(parts) = std::mem::replace(&mut self.state, ReadState::Head) else {
+        let ReadState::Body(body) = std::mem::replace(&mut self.state, ReadState::Head) else {
             return;
         };
-        let (head, reader) = *parts;
+        let IncomingBody {
+            head,
+            reader,
+            mut charge,
+            ..
+        } = *body;
         self.waiting_since = now;
         if !head.keep_alive {
             self.state = ReadState::Closing;
         }
         let sequence = self.push_pending(head.method == "HEAD", head.keep_alive);
+        charge.resize(BODY_COPIES * reader.allocated_bytes());
         let request = HttpRequest {
             method: head.method,
             target: head.target,
             headers: head.headers,
-            body: reader.into_body(),
+            body: charge.hold(reader.into_body()),
         };
         requests.push((sequence, request));
     }
@@ -290,10 +368,76 @@
     fn refuse(&mut self, refusal: RequestRefusal) {
         let sequence = self.push_pending(false, false);
         self.state = ReadState::Closing;
+        self.starved_since = None;
         self.read_buf.clear();
+        self.refused = Some(refusal);
         self.set_response(sequence, refusal.response());
     }
 
+    /// Whether a refusal has not been counted yet.
+    pub(super) fn has_refusal(&self) -> bool {
+        self.refused.is_some()
+    }
+
+    /// Takes the refusal that has not been counted yet.
+    pub(super) fn take_refusal(&mut self) -> Option<RequestRefusal> {
+        self.refused.take()
+    }
+
+    /// Refuses the request that is being read and gives back its memory.
+    pub(super) fn refuse_incomplete(
+        &mut self,
+        now: Timestamp,
+        refusal: RequestRefusal,
+    ) -> ConnectionStatus {
+        self.refuse(refusal);
+        self.flush(now)
+    }
+
+    /// Returns since when there has been no memory for the body that is being read.
+    pub(super) fn starved_since(&self) -> Option<Timestamp> {
+        self.starved_since
+    }
+
+    /// Returns what the connection holds and its peer could release.
+    pub(super) fn holding(&self) -> ConnectionHolding {
+        match &self.state {
+            _ if self.lingering_since.is_some() => ConnectionHolding::Nothing,
+            _ if !self.write_buf.is_empty() => ConnectionHolding::UnreadResponse {
+                since: self.last_progress_at,
+            },
+            ReadState::Body(_) if self.starved_since.is_some() => ConnectionHolding::Nothing,
+            ReadState::Body(body) => ConnectionHolding::IncompleteRequest {
+                since: body.progress_at,
+            },
+            ReadState::Head => match self.head_since {
+                Some(since) if self.pending.is_empty() => {
+                    ConnectionHolding::IncompleteRequest { since }
+                }
+                None if self.pending.is_empty() => ConnectionHolding::Idle {
+                    since: self.waiting_since,
+                },
+                _ => ConnectionHolding::Nothing,
+            },
+            ReadState::Closing => ConnectionHolding::Nothing,
+        }
+    }
+
+    /// Updates the charge after any use of the connection. Gives back large empty buffers.
+    pub(super) fn settle(&mut self) {
+        let responses = self
+            .pending
+            .iter()
+            .filter_map(|request| request.response.as_ref());
+        let waiting: usize = responses.map(|response| response.body.len()).sum();
+        let unread = match self.is_held_back() && self.has_unread {
+            true => SOCKET_BUFFER_BYTES,
+            false => 0,
+        };
+        self.charge
+            .resize(self.read_buf.settle() + self.write_buf.settle() + waiting + unread);
+    }
+
     /// Answers a request and encodes the responses that are next in order. With `close_after_last`,
     /// the connection closes after the response to the last pending request.
     pub(super) fn respond(
@@ -332,6 +476,9 @@
 
     /// Writes buffered responses until the socket accepts no more bytes.
     pub(super) fn flush(&mut self, now: Timestamp) -> ConnectionStatus {
+        if self.write_buf.is_empty() {
+            self.last_progress_at = now;
+        }
         self.encode_responses(false);
         let has_response = !self.write_buf.is_empty();
         while !self.write_buf.is_empty() {
@@ -397,12 +544,56 @@
                 }
                 Some(_) => ConnectionStatus::Open,
             },
-            ReadState::Body(_) => closed_if(now.since(self.last_progress_at) >= STALL_TIMEOUT),
+            ReadState::Body(body)
+                if self.starved_since.is_none() && now.since(body.progress_at) >= BODY_TIMEOUT =>
+            {
+                self.refuse_incomplete(now, RequestRefusal::BodyTimeout)
+            }
             _ => ConnectionStatus::Open,
         }
     }
 }
 
+/// What a connection holds without its requests being in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnectionHolding {
+    /// Nothing, or only what is needed to handle its requests.
+    Nothing,
+    /// A descriptor.
+    Idle { since: Timestamp },
+    /// A request that has made no progress since then.
+    IncompleteRequest { since: Timestamp },
+    /// Responses of which the caller has read nothing since then.
+    UnreadResponse { since: Timestamp },
+}
+
+impl IncomingBody {
+    fn feed(&mut self, now: Timestamp, read_buf: &mut SocketBuffer) -> BodyProgress {
+        let progress = self.reader.feed(read_buf);
+        let content_bytes = self.reader.content_bytes();
+        if content_bytes >= self.progress_bytes + PROGRESS_BYTES {
+            self.progress_at = now;
+            self.progress_bytes = content_bytes;
+        }
+        progress
+    }
+
+    /// Grants more content if the budget has memory for it. Returns whether it has.
+    fn raise_grant(&mut self, budget: &MemoryBudget) -> bool {
+        let wanted = self.reader.wanted_bytes();
+        let size = match wanted <= SMALL_BODY_BYTES {
+            true => HoldSize::Small,
+            false => HoldSize::Large,
+        };
+        let copies = usize::try_from(wanted).unwrap_or(usize::MAX / BODY_COPIES) * BODY_COPIES;
+        let has_room = budget.try_raise(&mut self.charge, copies, size);
+        if has_room {
+            self.reader.grant(wanted);
+        }
+        has_room
+    }
+}
+
 fn closed_if(is_expired: bool) -> ConnectionStatus {
     match is_expired {
         true => ConnectionStatus::Closed,
--- a/crates/kumquatlock/src/http/encode.rs
+++ b/crates/kumquatlock/src/http/encode.rs
@@ -10,6 +10,9 @@
 /// Headers that the encoder writes itself. The same headers in a message are dropped.
 const ENCODER_HEADERS: [&str; 3] = ["connection", "content-length", "transfer-encoding"];
 
+/// Room for the head of a usual response, in bytes.
+const HEAD_ROOM_BYTES: usize = 512;
+
 /// Appends a response to `write_buf`. A body always has a `Content-Length`, so that the caller can
 /// detect a truncated response.
 pub(super) fn encode_response(
@@ -18,6 +21,8 @@
     keep_alive: bool,
     write_buf: &mut BytesMut,
 ) {
+    // Without this, the buffer of a large response grows to twice its size.
+    write_buf.reserve(response.body.len() + HEAD_ROOM_BYTES);
     let status = StatusCode::from_u16(response.status).ok();
     let reason = status.and_then(|status| status.canonical_reason());
     let line = format!("HTTP/1.1 {} {}\r\n", response.status, reason.unwrap_or("-"));
--- a/crates/kumquatlock/src/http/exchange.rs
+++ b/crates/kumquatlock/src/http/exchange.rs
@@ -17,6 +17,7 @@
     ExchangePhase, ExchangeProgress, UpstreamConnection, UpstreamExchange, connect_failure,
 };
 use crate::core::Timestamp;
+use crate::memory::MemoryBudget;
 use crate::transport::POLL_PRIORITY;
 
 /// Maximum time for which a connection stays idle. Shorter than the idle timeout of usual
@@ -120,6 +121,7 @@
     next_connection: u64,
     events: VecDeque<UpstreamResult<T>>,
     opened_connections: u64,
+    budget: MemoryBudget,
 }
 
 impl<T: Copy + PartialEq> ExchangeTable<T> {
@@ -132,9 +134,16 @@
             next_connection: 0,
             events: VecDeque::new(),
             opened_connections: 0,
+            budget: MemoryBudget::default(),
         }
     }
 
+    /// Sets the memory of the process that the connections draw on. Called before the first
+    /// exchange.
+    pub fn set_memory(&mut self, budget: MemoryBudget) {
+        self.budget = budget;
+    }
+
     /// Returns the number of connections opened so far.
     pub fn opened_connections(&self) -> u64 {
         self.opened_connections
@@ -273,8 +282,10 @@
             .and_then(|stream| self.poll.add(stream, interest, POLL_PRIORITY, forward));
         match registered {
             Ok(socket) => {
-                let connection =
-                    UpstreamConnection::connecting(now, socket, address, exchange, write_buf);
+                let charge = self.budget.empty_charge();
+                let connection = UpstreamConnection::connecting(
+                    now, socket, address, exchange, write_buf, charge,
+                );
                 self.connections.insert(id, connection);
             }
             Err(error) => {
@@ -291,7 +302,9 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        match connection.advance(is_readable) {
+        let progress = connection.advance(is_readable);
+        connection.settle();
+        match progress {
             ExchangeProgress::Pending => {}
             ExchangeProgress::Closed => {
                 self.connections.shift_remove(&id);
@@ -303,11 +316,12 @@
         }
     }
 
-    fn finish(&mut self, now: Timestamp, id: u64, response: HttpResponse, is_reusable: bool) {
+    fn finish(&mut self, now: Timestamp, id: u64, mut response: HttpResponse, is_reusable: bool) {
         // Removed and inserted again, to keep the idle connections in the order of their last use.
         let Some(mut connection) = self.connections.shift_remove(&id) else {
             return;
         };
+        connection.hold_body(&mut response);
         if let Some(exchange) = connection.exchange() {
             self.events.push_back(UpstreamResult {
                 tag: exchange.tag,
--- a/crates/kumquatlock/src/http/mod.rs
+++ b/crates/kumquatlock/src/http/mod.rs
@@ -6,22 +6,27 @@
 //! and responses.
 
 mod body;
+mod buffer;
 mod carried;
 mod connection;
+mod counters;
 mod encode;
 mod exchange;
 mod head;
 mod listener;
 mod message;
 mod refusal;
+mod relief;
 mod table;
 mod upstream;
 
 pub use connection::HttpLimits;
+pub use counters::{CloseReason, RefusalCounters};
 pub use exchange::{
     EchoedHeader, ExchangeReady, ExchangeTable, UpstreamFailure, UpstreamJob, UpstreamResult,
 };
 pub use message::{HttpRequest, HttpResponse, MAX_BODY_BYTES, MAX_HEADERS};
+pub use refusal::RequestRefusal;
 pub use table::{CloseStep, HttpEvent, HttpReady, HttpTable, RequestId};
 
 #[cfg(test)]
--- a/crates/kumquatlock/src/http/table.rs
+++ b/crates/kumquatlock/src/http/table.rs
@@ -3,22 +3,30 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use stakker::Fwd;
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, Ready};
 
-use super::connection::{CallerConnection, ConnectionStatus, HttpLimits};
+use super::connection::{CallerConnection, ConnectionStatus, HttpLimits, ReadContext};
+use super::counters::{CloseReason, RefusalCounters, RefusalRecorder};
 use super::listener::{AcceptStep, HttpListener};
 use super::message::{HttpRequest, HttpResponse};
 use crate::core::Timestamp;
+use crate::memory::MemoryBudget;
 use crate::transport::POLL_PRIORITY;
 
-/// Maximum number of open connections of one process. Further connections are closed at once.
+/// Maximum number of open connections of one process.
 const MAX_CONNECTIONS: usize = 3_000;
+/// Part of the descriptors that connections may use, in quarters. The rest is for links, the
+/// upstream and files.
+const CONNECTION_QUARTERS: usize = 3;
+/// Maximum number of connections whose turns are taken before other events are handled.
+const MAX_TURNS: usize = 16;
 
 /// Time for which handshakes in progress are awaited before the listeners close. Longer than a round
 /// trip between regions.
@@ -74,6 +82,15 @@
     Closed,
 }
 
+/// How to read from a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReadStep {
+    /// The socket has reported bytes.
+    Read,
+    /// Bytes that were left unread earlier, if any.
+    Resume,
+}
+
 struct PortListener<P> {
     port: P,
     /// `None` once the table has stopped listening and all connections are accepted.
@@ -87,9 +104,20 @@
     poll: MioPoll,
     ready: Fwd<HttpReady>,
     limits: HttpLimits,
+    pub(super) budget: MemoryBudget,
+    /// Maximum number of open connections.
+    pub(super) max_connections: usize,
     listeners: Vec<PortListener<P>>,
     /// Connections, each with the index of its listener.
-    connections: IndexMap<u64, (usize, CallerConnection)>,
+    pub(super) connections: IndexMap<u64, (usize, CallerConnection)>,
+    /// Connections with unread bytes that wait for their next turn, in order.
+    backlog: VecDeque<u64>,
+    /// Connections that are not read because there is no memory for their bodies, in order.
+    pub(super) starved: IndexSet<u64>,
+    /// Bytes held when the starved connections were last tried. They cannot continue before fewer are
+    /// held.
+    starved_at_bytes: usize,
+    pub(super) refusals: RefusalRecorder,
     next_connection: u64,
     events: VecDeque<HttpEvent<P>>,
     /// Connections that have ended. They are dropped once the events before their end are handled.
@@ -106,8 +134,14 @@
             poll,
             ready,
             limits,
+            budget: MemoryBudget::default(),
+            max_connections: MAX_CONNECTIONS,
             listeners: Vec::new(),
             connections: IndexMap::new(),
+            backlog: VecDeque::new(),
+            starved: IndexSet::new(),
+            starved_at_bytes: usize::MAX,
+            refusals: RefusalRecorder::new(Arc::default()),
             next_connection: 0,
             events: VecDeque::new(),
             closed: Vec::new(),
@@ -127,6 +161,19 @@
         Ok(bound)
     }
 
+    /// Sets the memory of the process that the connections draw on, and the number of descriptors of
+    /// the process. Called before the first connection.
+    pub fn set_memory(&mut self, budget: MemoryBudget, descriptors: usize) {
+        self.budget = budget;
+        let connections = descriptors / 4 * CONNECTION_QUARTERS;
+        self.max_connections = connections.clamp(1, MAX_CONNECTIONS);
+    }
+
+    /// Sets the counters of refused requests and closed connections.
+    pub fn set_counters(&mut self, counters: Arc<RefusalCounters>) {
+        self.refusals = RefusalRecorder::new(counters);
+    }
+
     /// Replaces the limits. They apply to requests that arrive from now on.
     pub fn set_limits(&mut self, limits: HttpLimits) {
         self.limits = limits;
@@ -209,12 +256,87 @@
             return;
         };
         connection.respond(id.sequence, response, close_after_last);
+        self.advance(now, id.connection, ReadStep::Resume);
+    }
+
+    /// Writes to a connection and reads from it, as far as its limits allow.
+    pub(super) fn advance(&mut self, now: Timestamp, id: u64, step: ReadStep) {
+        let Some((_, connection)) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let context = ReadContext {
+            limits: &self.limits,
+            budget: &self.budget,
+        };
         let mut requests = Vec::new();
         let mut status = connection.flush(now);
         if status == ConnectionStatus::Open {
-            status = connection.resume(now, &self.limits, &mut requests);
+            status = match step {
+                ReadStep::Read => connection.read(now, &context, &mut requests),
+                ReadStep::Resume => connection.resume(now, &context, &mut requests),
+            };
+        }
+        // Requests that were complete before the connection ended are passed on first, so that an
+        // immediate response can still be sent.
+        if status == ConnectionStatus::Open {
+            status = connection.flush(now);
+        }
+        self.finish(now, id, status, requests);
+    }
+
+    /// Updates what the table knows about a connection after its use, and queues its events.
+    pub(super) fn finish(
+        &mut self,
+        now: Timestamp,
+        id: u64,
+        status: ConnectionStatus,
+        requests: Vec<(u64, HttpRequest)>,
+    ) {
+        if let Some((_, connection)) = self.connections.get_mut(&id) {
+            connection.settle();
+            if let Some(refusal) = connection.take_refusal() {
+                self.refusals.count_refusal(now, refusal);
+            }
+            match connection.starved_since() {
+                Some(_) => self.starved.insert(id),
+                None => self.starved.shift_remove(&id),
+            };
+            if status == ConnectionStatus::Open
+                && connection.awaits_turn()
+                && !self.backlog.contains(&id)
+            {
+                self.backlog.push_back(id);
+            }
+        }
+        self.queue_events(id, status, requests);
+    }
+
+    /// Reads from connections that have waited for their turn or for memory. Returns whether this
+    /// led to an event. Called when all earlier events are handled.
+    pub fn serve_waiting(&mut self, now: Timestamp) -> bool {
+        if self.starved.is_empty() {
+            self.starved_at_bytes = usize::MAX;
+        } else if self.budget.held_bytes() < self.starved_at_bytes {
+            for id in self.starved.clone() {
+                self.advance(now, id, ReadStep::Resume);
+            }
+            self.starved_at_bytes = self.budget.held_bytes();
+        }
+        !self.events.is_empty()
+    }
+
+    /// Whether a connection waits for its turn.
+    pub fn has_backlog(&self) -> bool {
+        !self.backlog.is_empty()
+    }
+
+    /// Reads from the connections whose turn it is.
+    pub fn take_turns(&mut self, now: Timestamp) {
+        for _ in 0..MAX_TURNS.min(self.backlog.len()) {
+            if let Some(id) = self.backlog.pop_front() {
+                self.advance(now, id, ReadStep::Resume);
+            }
         }
-        self.queue_events(id.connection, status, requests);
     }
 
     /// Handles a readiness event from the poll loop.
@@ -229,16 +351,19 @@
     pub fn handle_tick(&mut self, now: Timestamp) {
         self.close_listeners(now);
         let limits = self.limits;
-        let mut closed = Vec::new();
+        let mut ended = Vec::new();
         for (id, (index, connection)) in &mut self.connections {
             let stopped_at = self.listeners[*index].stopped_at;
-            if connection.check_timeouts(now, &limits, stopped_at) == ConnectionStatus::Closed {
-                closed.push(*id);
+            let status = connection.check_timeouts(now, &limits, stopped_at);
+            if status == ConnectionStatus::Closed || connection.has_refusal() {
+                ended.push((*id, status));
             }
         }
-        for id in closed {
-            self.queue_events(id, ConnectionStatus::Closed, Vec::new());
+        for (id, status) in ended {
+            self.finish(now, id, status, Vec::new());
         }
+        self.relieve(now);
+        self.take_turns(now);
     }
 
     /// Returns the next event, in order of occurrence.
@@ -264,8 +389,8 @@
     }
 
     fn add_connection(&mut self, now: Timestamp, index: usize, stream: TcpStream) {
-        if self.connections.len() >= MAX_CONNECTIONS {
-            log::warn!(open = MAX_CONNECTIONS; "connection_refused");
+        if self.connections.len() >= self.max_connections && !self.close_idlest(now) {
+            self.refusals.count_close(now, CloseReason::NoDescriptor);
             return;
         }
         let id = self.next_connection;
@@ -277,7 +402,7 @@
             registered.and_then(|()| self.poll.add(stream, interest, POLL_PRIORITY, forward));
         match registered {
             Ok(socket) => {
-                let connection = CallerConnection::new(socket, now);
+                let connection = CallerConnection::new(socket, &self.budget, now);
                 self.connections.insert(id, (index, connection));
             }
             Err(error) => log::warn!(error:% = error; "connection_register_failed"),
@@ -285,20 +410,15 @@
     }
 
     fn handle_connection_ready(&mut self, now: Timestamp, id: u64, ready: &Ready) {
-        let Some((_, connection)) = self.connections.get_mut(&id) else {
-            return;
+        let is_readable = ready.is_readable() || ready.is_read_closed() || ready.is_error();
+        let step = match is_readable {
+            true => ReadStep::Read,
+            false => ReadStep::Resume,
         };
-        let mut requests = Vec::new();
-        let mut status = ConnectionStatus::Open;
-        if ready.is_readable() || ready.is_read_closed() || ready.is_error() {
-            status = connection.read(now, &self.limits, &mut requests);
+        self.advance(now, id, step);
+        if self.budget.is_exceeded() {
+            self.relieve(now);
         }
-        // Requests that were complete before the connection ended are passed on first, so that an
-        // immediate response can still be sent.
-        if status == ConnectionStatus::Open {
-            status = connection.flush(now);
-        }
-        self.queue_events(id, status, requests);
     }
 
     fn queue_events(
@@ -328,6 +448,7 @@
                 self.events.push_back(HttpEvent::Disconnected { id });
             }
             self.closed.push(id);
+            self.starved.shift_remove(&id);
         }
     }
 
--- a/crates/kumquatlock/src/http/upstream.rs
+++ b/crates/kumquatlock/src/http/upstream.rs
@@ -9,11 +9,13 @@
 use stakker_mio::mio::net::TcpStream;
 
 use super::body::{BodyError, BodyProgress, BodyReader};
+use super::buffer::SocketBuffer;
 use super::carried::CarriedRequests;
 use super::exchange::{EchoedHeader, MAX_IDLE_AGE, UpstreamFailure, UpstreamJob};
 use super::head::{BodyFraming, HeadProgress, ResponseHead, parse_response_head};
 use super::message::{HttpResponse, MAX_BODY_BYTES};
 use crate::core::Timestamp;
+use crate::memory::MemoryCharge;
 
 /// A connection is no longer used when less than this time remains of the idle timeout that the
 /// upstream announced. Covers the transit times of a request and of the connection's close.
@@ -54,8 +56,11 @@
     pub(super) address: SocketAddr,
     pub(super) opened_at: Timestamp,
     pub(super) phase: ExchangePhase<T>,
-    read_buf: BytesMut,
-    write_buf: BytesMut,
+    read_buf: SocketBuffer,
+    write_buf: SocketBuffer,
+    /// Covers the buffers and the response that is arriving. The request is covered by its own
+    /// charge.
+    charge: MemoryCharge,
     /// Maximum time for which the connection may stay idle.
     pub(super) idle_limit: Duration,
     /// Whether the connection has carried an earlier request.
@@ -85,14 +90,16 @@
         address: SocketAddr,
         exchange: UpstreamExchange<T>,
         write_buf: BytesMut,
+        charge: MemoryCharge,
     ) -> Self {
         let mut connection = UpstreamConnection {
             socket,
             address,
             opened_at: now,
             phase: ExchangePhase::Idle { since: now },
-            read_buf: BytesMut::new(),
-            write_buf,
+            read_buf: SocketBuffer::default(),
+            write_buf: write_buf.into(),
+            charge,
             idle_limit: MAX_IDLE_AGE,
             is_reused: false,
             carried: CarriedRequests::default(),
@@ -126,10 +133,26 @@
     pub(super) fn begin(&mut self, exchange: UpstreamExchange<T>, write_buf: BytesMut) {
         self.record_request(&exchange);
         self.is_reused = true;
-        self.write_buf = write_buf;
+        self.write_buf = write_buf.into();
         self.phase = ExchangePhase::Running(exchange);
     }
 
+    /// Updates the charge after any use of the connection. Gives back large empty buffers.
+    pub(super) fn settle(&mut self) {
+        self.write_buf.settle();
+        let exchange = self.exchange();
+        let response = exchange.and_then(|exchange| exchange.response.as_ref());
+        let body = response.map_or(0, |(_, body)| body.allocated_bytes());
+        self.charge.resize(self.read_buf.settle() + body);
+    }
+
+    /// Lets the body of a complete response keep its part of the budget.
+    pub(super) fn hold_body(&mut self, response: &mut HttpResponse) {
+        let mut charge = self.charge.split();
+        charge.resize(response.body.len());
+        response.body = charge.hold(std::mem::take(&mut response.body));
+    }
+
     fn record_request(&mut self, exchange: &UpstreamExchange<T>) {
         match &exchange.echoed {
             Some(echoed) => self.carried.record(&echoed.value),
@@ -270,7 +293,9 @@
                 return ExchangeProgress::Pending;
             };
             match body.feed(&mut self.read_buf) {
-                BodyProgress::Partial => return ExchangeProgress::Pending,
+                BodyProgress::Partial | BodyProgress::NeedsRoom => {
+                    return ExchangeProgress::Pending;
+                }
                 BodyProgress::Invalid(BodyError::TooLarge) => {
                     return ExchangeProgress::Failed(UpstreamFailure::TooLarge);
                 }
--- a/crates/kumquatlock/src/memory/mod.rs
+++ b/crates/kumquatlock/src/memory/mod.rs
@@ -1,5 +1,16 @@
-//! Memory and descriptors that one process may use for what others send to it.
+//! Memory that one process holds for others: callers, upstreams and other nodes.
+//!
+//! All buffers with bytes from outside the process draw on one [`MemoryBudget`]. The owners of the
+//! buffers decide whom to stop, refuse or disconnect when the budget is used up; see
+//! `docs/design/memory.md`.
 
+mod allocator;
+mod budget;
 mod settings;
 
+pub(crate) use allocator::return_large_buffers;
+pub use budget::{HoldSize, MemoryBudget, MemoryCharge};
 pub use settings::{MAX_DESCRIPTORS, MEMORY, ProcessLimits};
+
+#[cfg(test)]
+mod tests;
--- a/crates/kumquatlock/src/memory/settings.rs
+++ b/crates/kumquatlock/src/memory/settings.rs
@@ -11,7 +11,7 @@
     "memory that the process may use; bounds the bytes held for others",
 )
 .unit("MB")
-.range(48, 1_048_576)
+.range(64, 1_048_576)
 .default_value("512");
 
 /// Setting of the descriptors of the process.
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -46,6 +46,9 @@
 /// catalog.
 const TICKS_PER_EXPIRY_CHECK: u64 = 1_000 / TICK_MS;
 
+/// Pause between turns of operators' connections, in which other events are handled.
+const TURN_DELAY: Duration = Duration::from_millis(1);
+
 /// An event for one of the components that waits to be handled.
 #[derive(Debug)]
 pub(super) enum QueuedEvent {
@@ -86,6 +89,8 @@
     /// redirected.
     pub(super) is_leader_silent: bool,
     pub(super) http: HttpTable<()>,
+    /// Whether a timer runs for the connections that wait for their turn.
+    has_turn_timer: bool,
     /// Address at which operators are served.
     pub(super) http_address: SocketAddr,
     pub(super) workers: OperatorWorkers,
@@ -118,6 +123,8 @@
         let ready = fwd_to!([cx], on_ready() as (LinkReady));
         let mut links = LinkTable::new(poll.clone(), ready, metrics.traffic.clone());
         links.set_max_frame_bytes(MAX_CONTROL_FRAME_BYTES);
+        let budget = metrics.budget.clone();
+        links.set_memory(budget.clone(), settings.limits.descriptors);
         if let Err(source) = links.listen(settings.listen) {
             let address = settings.listen;
             cx.fail(ControlError::Listen { address, source });
@@ -125,6 +132,8 @@
         }
         let ready = fwd_to!([cx], on_http_ready() as (HttpReady));
         let mut http = HttpTable::new(poll, ready, OPERATOR_LIMITS);
+        http.set_memory(budget, settings.limits.descriptors);
+        http.set_counters(metrics.refusals.clone());
         let http_address = match http.listen(settings.http, ()) {
             Ok(address) => address,
             Err(source) => {
@@ -171,6 +180,7 @@
             leader_view: LeaderView::default(),
             is_leader_silent: false,
             http,
+            has_turn_timer: false,
             http_address,
             workers,
             _results_guard: results_guard,
@@ -247,6 +257,14 @@
         self.finish_turn(cx, now);
     }
 
+    /// Reads from operators' connections whose turn it is.
+    fn on_http_turn(&mut self, cx: CX![]) {
+        let now = self.clock.now();
+        self.has_turn_timer = false;
+        self.http.take_turns(now);
+        self.finish_turn(cx, now);
+    }
+
     /// Handles the first stop signal.
     pub(super) fn on_stop(&mut self, cx: CX![], _: ()) {
         let now = self.clock.now();
@@ -278,11 +296,15 @@
                 // Sent once for all entries of the turn, so that the children get one delta.
                 self.queue
                     .push_back(QueuedEvent::Parent(ParentEvent::CatalogAdvanced));
-            } else if !self.continue_transfers() {
+            } else if !self.http.serve_waiting(now) && !self.continue_transfers() {
                 break;
             }
         }
         self.http.drop_closed(now);
+        if self.http.has_backlog() && !self.has_turn_timer {
+            self.has_turn_timer = true;
+            after!(TURN_DELAY, [cx], on_http_turn());
+        }
         if let Some(error) = self.failure.take() {
             cx.fail(error);
         }
--- a/crates/kumquatlock/src/ops/control/metrics.rs
+++ b/crates/kumquatlock/src/ops/control/metrics.rs
@@ -11,14 +11,15 @@
 use prometheus_client::metrics::MetricType;
 use prometheus_client::metrics::counter::{ConstCounter, Counter};
 use prometheus_client::metrics::family::Family;
-use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::gauge::{ConstGauge, Gauge};
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use strum::IntoEnumIterator;
 
 use super::actor::ControlActor;
 use super::submission_log::RefusalReason;
-use crate::http::HttpResponse;
+use crate::http::{CloseReason, HttpResponse, RefusalCounters, RequestRefusal};
+use crate::memory::{MemoryBudget, ProcessLimits};
 use crate::transport::{LinkScope, TrafficCounters, TrafficDirection};
 
 /// Media type of the metrics text that the registry writes.
@@ -37,6 +38,8 @@
 /// Counters and gauges that the actor sets and the HTTP threads read.
 pub(super) struct ControlMetrics {
     pub(super) traffic: Arc<TrafficCounters>,
+    pub(super) refusals: Arc<RefusalCounters>,
+    pub(super) budget: MemoryBudget,
     registry: Registry,
     config_version: Gauge,
     commit_index: Gauge,
@@ -53,9 +56,11 @@
 }
 
 impl ControlMetrics {
-    pub(super) fn new() -> Self {
+    pub(super) fn new(limits: ProcessLimits) -> Self {
         let mut metrics = ControlMetrics {
             traffic: Arc::default(),
+            refusals: Arc::default(),
+            budget: MemoryBudget::new(limits),
             registry: Registry::with_prefix("kumquatlock"),
             config_version: Gauge::default(),
             commit_index: Gauge::default(),
@@ -132,6 +137,10 @@
             self.retry_after.clone(),
         );
         registry.register_collector(Box::new(TrafficCollector(self.traffic.clone())));
+        registry.register_collector(Box::new(HoldCollector {
+            refusals: self.refusals.clone(),
+            budget: self.budget.clone(),
+        }));
     }
 
     /// Returns the metrics page as an HTTP response.
@@ -251,3 +260,46 @@
         Ok(())
     }
 }
+
+/// Bytes held for others, and the requests and connections that they did not suffice for.
+#[derive(Debug)]
+struct HoldCollector {
+    refusals: Arc<RefusalCounters>,
+    budget: MemoryBudget,
+}
+
+impl Collector for HoldCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        let help = "Requests refused before they were complete.";
+        let kind = MetricType::Counter;
+        let mut family = encoder.encode_descriptor("requests_refused", help, None, kind)?;
+        for reason in RequestRefusal::iter() {
+            let labels = [("reason", <&str>::from(reason))];
+            let count = ConstCounter::new(self.refusals.refused(reason));
+            count.encode(family.encode_family(&labels)?)?;
+        }
+        let help = "Connections of callers that were closed before their end.";
+        let mut family = encoder.encode_descriptor("connections_dropped", help, None, kind)?;
+        for reason in CloseReason::iter() {
+            let labels = [("reason", <&str>::from(reason))];
+            let count = ConstCounter::new(self.refusals.closed(reason));
+            count.encode(family.encode_family(&labels)?)?;
+        }
+        for (name, help, bytes) in [
+            (
+                "held_bytes",
+                "Bytes held for operators, nodes and other instances.",
+                self.budget.held_bytes(),
+            ),
+            (
+                "held_bytes_limit",
+                "Bytes that may be held for others.",
+                self.budget.limit_bytes(),
+            ),
+        ] {
+            let gauge = ConstGauge::new(i64::try_from(bytes).unwrap_or(i64::MAX));
+            gauge.encode(encoder.encode_descriptor(name, help, None, MetricType::Gauge)?)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/kumquatlock/src/ops/control/process.rs
+++ b/crates/kumquatlock/src/ops/control/process.rs
@@ -21,6 +21,7 @@
 use crate::catalog::CatalogError;
 use crate::core::ConfigVersion;
 use crate::journal::JournalError;
+use crate::memory::return_large_buffers;
 use crate::transport::POLL_PRIORITY;
 use crate::util::signals::{SignalError, install_stop_handler};
 
@@ -99,6 +100,7 @@
     settings: ControlSettings,
     adapter: OperatorAdapter,
 ) -> Result<(), ControlError> {
+    return_large_buffers();
     let settings = Arc::new(settings);
     let clock = ProcessClock::start();
     let voter = open_voter(&settings, clock)?;
@@ -109,7 +111,7 @@
         Events::with_capacity(POLL_EVENTS),
         POLL_PRIORITY,
     )?;
-    let metrics = Arc::new(ControlMetrics::new());
+    let metrics = Arc::new(ControlMetrics::new(settings.limits));
     let parts = ActorParts {
         settings: settings.clone(),
         clock,
--- a/crates/kumquatlock/src/ops/control/tests.rs
+++ b/crates/kumquatlock/src/ops/control/tests.rs
@@ -23,6 +23,7 @@
 };
 use crate::core::Timestamp;
 use crate::http::{HttpRequest, RequestId};
+use crate::memory::ProcessLimits;
 use crate::transport::LinkId;
 
 const PEER: &str = "voter-2";
@@ -99,7 +100,7 @@
         }
     });
     let (results, _guard) = Channel::new(&mut stakker, forward);
-    let metrics = Arc::new(ControlMetrics::new());
+    let metrics = Arc::new(ControlMetrics::new(ProcessLimits::default()));
     let mut workers = OperatorWorkers::start(adapter, &metrics, &results).unwrap();
     for number in 0..REQUESTS {
         let target = match number {
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -26,9 +26,11 @@
 use crate::core::{ConfigSnapshot, GroupId, IncarnationId, ProcessId, SharedName, Timestamp};
 use crate::distribution::{self, ChildEvent, ChildIdentity, ChildState};
 use crate::http::{
-    ExchangeReady, ExchangeTable, HttpLimits, HttpReady, HttpTable, MAX_BODY_BYTES, RequestId,
+    ExchangeReady, ExchangeTable, HttpLimits, HttpReady, HttpTable, MAX_BODY_BYTES,
+    RefusalCounters, RequestId,
 };
 use crate::membership::{AnnouncerEvent, NodeLocation, UpstreamAnnouncer};
+use crate::memory::MemoryBudget;
 use crate::quarantine::CrashReporter;
 use crate::routing::EntryLocation;
 use crate::transport::{LinkError, LinkEvent, LinkId, LinkReady, LinkTable, TrafficCounters};
@@ -90,6 +92,9 @@
     pub(super) body_bytes: u64,
     /// HTTP exchanges with the upstream.
     pub(super) exchanges: ExchangeTable<RunTag>,
+    /// Bytes held for callers, the upstream and other nodes.
+    pub(super) budget: MemoryBudget,
+    pub(super) refusals: Arc<RefusalCounters>,
     pub(super) links: LinkTable,
     pub(super) peers: PeerLinks,
     pub(super) departed: DepartedNodes,
@@ -144,10 +149,16 @@
         let ready = fwd_to!([cx], handle_link_ready() as (LinkReady));
         let mut links = LinkTable::new(parts.poll.clone(), ready, parts.counters.clone());
         links.set_timing(tuning.links);
+        let budget = MemoryBudget::new(settings.limits);
+        links.set_memory(budget.clone(), settings.limits.descriptors);
         let ready = fwd_to!([cx], handle_http_ready() as (HttpReady));
-        let http = HttpTable::new(parts.poll.clone(), ready, DEFAULT_HTTP_LIMITS);
+        let mut http = HttpTable::new(parts.poll.clone(), ready, DEFAULT_HTTP_LIMITS);
+        http.set_memory(budget.clone(), settings.limits.descriptors);
+        let refusals = Arc::new(RefusalCounters::default());
+        http.set_counters(refusals.clone());
         let ready = fwd_to!([cx], handle_exchange_ready() as (ExchangeReady));
-        let exchanges = ExchangeTable::new(parts.poll, ready);
+        let mut exchanges = ExchangeTable::new(parts.poll, ready);
+        exchanges.set_memory(budget.clone());
         let location = EntryLocation {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
@@ -208,6 +219,8 @@
             http,
             body_bytes: MAX_BODY_BYTES as u64,
             exchanges,
+            budget,
+            refusals,
             holder: new_holder(&settings, parts.incarnation),
             crash_reporter: CrashReporter::default(),
             incarnation: parts.incarnation,
@@ -317,6 +330,7 @@
         let steps = self.destination.on_tick(now);
         self.queue_destination(steps);
         self.exchanges.handle_tick(now);
+        self.http.take_turns(now);
         if now >= self.next_tick {
             self.next_tick = now + TICK_INTERVAL;
             self.tick_components(now);
@@ -438,7 +452,7 @@
                 self.handle_http_event(now, event);
             } else if let Some(result) = self.exchanges.next_event() {
                 self.handle_exchange_result(now, result);
-            } else {
+            } else if !self.http.serve_waiting(now) {
                 break;
             }
         }
@@ -451,6 +465,9 @@
         if let Some(at) = self.exchanges.next_wakeup() {
             wakeup = wakeup.min(at);
         }
+        if self.http.has_backlog() {
+            wakeup = now;
+        }
         self.wakeup.set(wakeup);
     }
 
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -46,6 +46,8 @@
     pub(super) fn metrics_response(&self) -> HttpResponse {
         let mut page = MetricsPage::default();
         page.add_traffic(&self.counters);
+        page.add_refusals(&self.refusals);
+        page.add_memory(&self.budget);
         self.add_configuration(&mut page);
         self.add_calls(&mut page);
         self.add_destination(&mut page);
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -36,6 +36,7 @@
 
 use crate::claim::ClaimSettings;
 use crate::core::{IncarnationId, ProcessId, Timestamp};
+use crate::memory::return_large_buffers;
 use crate::transport::{POLL_PRIORITY, TrafficCounters};
 use crate::util::cancel::CancelToken;
 use actor::{ActorParts, NodeActor};
@@ -68,6 +69,7 @@
     mut source: impl SettingsSource,
     cancel: &CancelToken,
 ) -> Result<(), NodeError> {
+    return_large_buffers();
     let started = Instant::now();
     let mut stakker = Stakker::new(started);
     let poll = Poll::new().map_err(NodeError::Poll)?;
--- a/crates/kumquatlock/src/transport/link.rs
+++ b/crates/kumquatlock/src/transport/link.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use kumquatlock_wire::distribution::{Ping, Pong};
 use kumquatlock_wire::{Body, EncodedFrame, Envelope, EnvelopeCodec};
 use stakker_mio::MioSource;
@@ -15,10 +15,18 @@
 use super::outbox::LinkOutbox;
 use super::table::{LinkError, LinkTiming, MAX_QUEUED_BYTES};
 use crate::core::Timestamp;
+use crate::memory::{MemoryBudget, MemoryCharge};
 
 /// Number of bytes read from a socket in one call.
 const READ_CHUNK_BYTES: usize = 64 * 1024;
 
+/// Largest empty inbox that a link keeps, in bytes. Larger ones are given back.
+const MAX_EMPTY_BYTES: usize = 64 * 1024;
+
+/// Copies of the body of a received call that are held at once: the received one, and one that is
+/// being written to the upstream.
+const CALL_COPIES: usize = 2;
+
 /// Identifies a link within its table. Never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct LinkId(pub u64);
@@ -34,6 +42,16 @@
     Close,
 }
 
+/// Why a link stopped reading.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LinkReadStep {
+    /// The socket is empty.
+    Empty,
+    /// The process holds more than its budget, and the link a large incomplete frame. The rest of
+    /// the socket is unread.
+    MemoryExceeded,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum LinkPhase {
     Connecting,
@@ -52,6 +70,10 @@
     pub(super) outbox: LinkOutbox,
     codec: EnvelopeCodec,
     inbox: BytesMut,
+    /// Covers the inbox.
+    charge: MemoryCharge,
+    /// Whether a valid message has arrived.
+    pub(super) is_proven: bool,
     /// Time at which bytes were last received, or at which watching began.
     pub(super) heard_at: Timestamp,
     /// Time at which the unanswered ping was sent.
@@ -66,6 +88,7 @@
         phase: LinkPhase,
         now: Timestamp,
         max_frame_bytes: usize,
+        budget: &MemoryBudget,
     ) -> Self {
         FramedLink {
             socket,
@@ -77,6 +100,8 @@
             outbox: LinkOutbox::default(),
             codec: EnvelopeCodec::with_limit(max_frame_bytes),
             inbox: BytesMut::new(),
+            charge: budget.empty_charge(),
+            is_proven: false,
             heard_at: now,
             probed_at: None,
             probes: 0,
@@ -153,7 +178,8 @@
         now: Timestamp,
         counters: &TrafficCounters,
         received: &mut Vec<Body>,
-    ) -> Result<(), LinkError> {
+        budget: &MemoryBudget,
+    ) -> Result<LinkReadStep, LinkError> {
         let mut chunk = [0u8; READ_CHUNK_BYTES];
         loop {
             match self.socket.read(&mut chunk) {
@@ -163,14 +189,54 @@
                     self.probed_at = None;
                     self.inbox.extend_from_slice(&chunk[..count]);
                     self.decode(counters, received)?;
+                    self.settle();
+                    if self.charge.bytes() > 0 && budget.is_exceeded() {
+                        return Ok(LinkReadStep::MemoryExceeded);
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return Ok(LinkReadStep::Empty);
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error.into()),
             }
         }
     }
 
+    /// Gives back a large empty inbox and updates its charge. An incomplete frame is charged by its
+    /// received bytes, since the rest of the allocation is not in use yet.
+    fn settle(&mut self) {
+        if self.inbox.is_empty() && self.inbox.capacity() > MAX_EMPTY_BYTES {
+            self.inbox = BytesMut::new();
+        }
+        self.charge.resize(self.inbox.len());
+    }
+
+    /// Whether a frame is incomplete.
+    pub(super) fn is_partial(&self) -> bool {
+        !self.inbox.is_empty()
+    }
+
+    /// Charges the bodies of a message for as long as they are held.
+    fn hold(&self, body: Body) -> Body {
+        let hold = |content: Bytes, copies: usize| {
+            let mut charge = self.charge.split();
+            charge.resize(copies * content.len());
+            charge.hold(content)
+        };
+        match body {
+            Body::Call(mut call) => {
+                call.body = hold(call.body, CALL_COPIES);
+                Body::Call(call)
+            }
+            Body::Response(mut response) => {
+                response.body = hold(response.body, 1);
+                Body::Response(response)
+            }
+            body => body,
+        }
+    }
+
     fn decode(
         &mut self,
         counters: &TrafficCounters,
@@ -195,7 +261,8 @@
             }
             // Pings and pongs are passed on as well: components with their own timeouts treat them
             // as signs of life.
-            received.push(body);
+            self.is_proven = true;
+            received.push(self.hold(body));
         }
     }
 
--- a/crates/kumquatlock/src/transport/table.rs
+++ b/crates/kumquatlock/src/transport/table.rs
@@ -14,14 +14,17 @@
 use stakker_mio::{MioPoll, MioSource, Ready};
 
 use super::counters::{LinkScope, TrafficCounters};
-use super::link::{FramedLink, LinkId, LinkPhase, ProbeStep};
+use super::link::{FramedLink, LinkId, LinkPhase, LinkReadStep, ProbeStep};
 use crate::core::Timestamp;
+use crate::memory::MemoryBudget;
 
 /// Maximum number of bytes queued on one link, room for two of the largest frames. Above it, further
 /// messages are refused.
 pub const MAX_QUEUED_BYTES: usize = 2 * MAX_CONTROL_FRAME_BYTES;
 /// Maximum number of links that one process accepts from others.
 const MAX_ACCEPTED_LINKS: usize = 4_096;
+/// Part of the descriptors that accepted links may use, as a divisor.
+const ACCEPTED_DIVISOR: usize = 4;
 /// Time without received bytes after which a ping is sent on a watched link.
 pub const PROBE_AFTER: Duration = Duration::from_millis(1_500);
 /// Time without received bytes after which a watched link is closed.
@@ -80,6 +83,9 @@
     /// More than [`MAX_QUEUED_BYTES`] are queued for writing.
     #[error("output queue exceeds {MAX_QUEUED_BYTES} bytes")]
     QueueFull,
+    /// The process holds too much for others to read the rest of a frame.
+    #[error("no memory for an incomplete frame")]
+    MemoryFull,
     /// A frame could not be encoded or decoded.
     #[error("invalid frame: {0}")]
     Frame(#[from] FrameError),
@@ -126,6 +132,7 @@
     listener: Option<MioSource<TcpListener>>,
     links: IndexMap<LinkId, FramedLink>,
     accepted_count: usize,
+    max_accepted: usize,
     timing: LinkTiming,
     /// Maximum size of a frame, in bytes; applies to links opened from now on.
     max_frame_bytes: usize,
@@ -133,6 +140,7 @@
     events: VecDeque<LinkEvent>,
     received: Vec<Body>,
     counters: Arc<TrafficCounters>,
+    budget: MemoryBudget,
 }
 
 impl LinkTable {
@@ -144,15 +152,24 @@
             listener: None,
             links: IndexMap::new(),
             accepted_count: 0,
+            max_accepted: MAX_ACCEPTED_LINKS,
             timing: LinkTiming::default(),
             max_frame_bytes: MAX_FRAME_BYTES,
             next_id: 1,
             events: VecDeque::new(),
             received: Vec::new(),
             counters,
+            budget: MemoryBudget::default(),
         }
     }
 
+    /// Sets the memory of the process that the links draw on, and the number of descriptors of the
+    /// process. Called before the first link.
+    pub fn set_memory(&mut self, budget: MemoryBudget, descriptors: usize) {
+        self.budget = budget;
+        self.max_accepted = (descriptors / ACCEPTED_DIVISOR).clamp(1, MAX_ACCEPTED_LINKS);
+    }
+
     /// Replaces the timeouts.
     pub fn set_timing(&mut self, timing: LinkTiming) {
         self.timing = timing;
@@ -343,8 +360,8 @@
     }
 
     fn add_accepted(&mut self, now: Timestamp, stream: TcpStream, remote: SocketAddr) {
-        if self.accepted_count >= MAX_ACCEPTED_LINKS {
-            log::warn!(open = MAX_ACCEPTED_LINKS; "link_refused");
+        if self.accepted_count >= self.max_accepted {
+            log::warn!(open = self.max_accepted; "link_refused");
             return;
         }
         let id = self.next_id();
@@ -380,7 +397,7 @@
         }
         // The link is read before it is closed, because a closed connection may still hold answers.
         if result.is_ok() && (ready.is_readable() || ready.is_read_closed() || ready.is_error()) {
-            result = link.read(now, &self.counters, &mut self.received);
+            result = self.read_link(now, id);
         }
         let bodies = self
             .received
@@ -392,6 +409,32 @@
         }
     }
 
+    /// Reads a link. While the process holds more than its budget, links with incomplete frames are
+    /// closed: first those on which no valid message has arrived, then the ones that have been
+    /// silent the longest.
+    fn read_link(&mut self, now: Timestamp, id: LinkId) -> Result<(), LinkError> {
+        while let Some(link) = self.links.get_mut(&id) {
+            let budget = &self.budget;
+            match link.read(now, &self.counters, &mut self.received, budget)? {
+                LinkReadStep::Empty => break,
+                LinkReadStep::MemoryExceeded => self.close_partial(id)?,
+            }
+        }
+        Ok(())
+    }
+
+    fn close_partial(&mut self, reading: LinkId) -> Result<(), LinkError> {
+        let partial = self.links.iter().filter(|(_, link)| link.is_partial());
+        let chosen = partial.min_by_key(|(_, link)| (link.is_proven, link.heard_at));
+        match chosen.map(|(id, _)| *id) {
+            Some(id) if id != reading => {
+                self.close_with_error(id, LinkError::MemoryFull, None);
+                Ok(())
+            }
+            _ => Err(LinkError::MemoryFull),
+        }
+    }
+
     fn close_with_error(&mut self, id: LinkId, error: LinkError, ticket: Option<u64>) {
         let Some(link) = self.links.swap_remove(&id) else {
             return;
@@ -419,7 +462,14 @@
         phase: LinkPhase,
         now: Timestamp,
     ) -> FramedLink {
-        FramedLink::new(socket, remote, phase, now, self.max_frame_bytes)
+        FramedLink::new(
+            socket,
+            remote,
+            phase,
+            now,
+            self.max_frame_bytes,
+            &self.budget,
+        )
     }
 
     fn add(&self, id: LinkId, stream: TcpStream) -> io::Result<MioSource<TcpStream>> {
--- a/crates/kumquatlock/src/util/metrics.rs
+++ b/crates/kumquatlock/src/util/metrics.rs
@@ -12,7 +12,10 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Registry, Unit};
+use strum::IntoEnumIterator;
 
+use crate::http::{CloseReason, RefusalCounters, RequestRefusal};
+use crate::memory::MemoryBudget;
 use crate::transport::{LinkScope, TrafficCounters, TrafficDirection};
 use kumquatlock_wire::MessageKind;
 
@@ -72,6 +75,33 @@
         family.get_or_create(&label_set(labels)).set(value);
     }
 
+    /// Adds the counters of refused requests and closed connections.
+    pub fn add_refusals(&mut self, counters: &RefusalCounters) {
+        let help = "Requests refused before they were complete";
+        for reason in RequestRefusal::iter() {
+            let labels = [("reason", reason.into())];
+            self.add_counter("requests_refused", help, &labels, counters.refused(reason));
+        }
+        let help = "Connections of callers that were closed before their end";
+        for reason in CloseReason::iter() {
+            let labels = [("reason", reason.into())];
+            self.add_counter(
+                "connections_dropped",
+                help,
+                &labels,
+                counters.closed(reason),
+            );
+        }
+    }
+
+    /// Adds the gauges of the bytes held for others.
+    pub fn add_memory(&mut self, budget: &MemoryBudget) {
+        let held = "Bytes held for callers, upstreams and other processes";
+        self.add_gauge("held_bytes", held, &[], budget.held_bytes() as u64);
+        let limit = "Bytes that may be held for others";
+        self.add_gauge("held_bytes_limit", limit, &[], budget.limit_bytes() as u64);
+    }
+
     /// Adds the counters of bytes and messages exchanged with other processes.
     pub fn add_traffic(&mut self, counters: &TrafficCounters) {
         for direction in [TrafficDirection::Sent, TrafficDirection::Received] {
