--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -37,6 +37,7 @@
 
 use crate::claim::ClaimSettings;
 use crate::core::{IncarnationId, ProcessId, Timestamp};
+use crate::memory::return_large_buffers;
 use crate::transport::{POLL_PRIORITY, TrafficCounters};
 use crate::util::boot_clock::BootClock;
 use crate::util::cancel::CancelToken;
@@ -70,6 +71,7 @@
     mut source: impl SettingsSource,
     cancel: &CancelToken,
 ) -> Result<(), NodeError> {
+    return_large_buffers();
     let clock = BootClock::start();
     let mut stakker = Stakker::new(Instant::now());
     let poll = Poll::new().map_err(NodeError::Poll)?;
