Decide by time and cost whether a call leaves its zone or region

Cause: calls left a zone when all its upstreams had a call for each slot, and a region at two. Both are numbers of calls, taken from reports of up to half a second; after that an upstream counted as idle. So calls waited beside free zones, or left where the wait was shorter than the way.

Change: the module `spill` compares way, wait, service time and the traffic's cost of the best candidates of two tiers. A wait counts twice, for the caller and for those behind. The probability of leaving grows with the time saved; a share that falls when calls that left have waited longer limits it. An old report gives way to the usual load of its tier, and a tier without reports counts as loaded as the nearest one, apart from a probe every 250 ms. Answers state how long the destination held the call and how long it waited there, so that the way is known exactly.

--- a/crates/kumquatlock-testkit/examples/measure/slopes.rs
+++ b/crates/kumquatlock-testkit/examples/measure/slopes.rs
@@ -8,7 +8,9 @@
 use kumquatlock::catalog::{Catalog, SnapshotDetail};
 use kumquatlock::claim::{ClaimHolder, ClaimSettings};
 use kumquatlock::core::{ConfigSnapshot, Timestamp};
-use kumquatlock::routing::{BalancerSet, EntryLocation, RouteTable, UpstreamBalancer};
+use kumquatlock::routing::{
+    BalancerSet, EntryLocation, RouteTable, SpillSettings, UpstreamBalancer,
+};
 use kumquatlock_wire::Body;
 use kumquatlock_wire::claim::ShardHolder;
 use kumquatlock_wire::distribution::CatalogState;
@@ -174,7 +176,7 @@
     /// that changes.
     fn new(snapshot: &Arc<ConfigSnapshot>) -> Self {
         let now = Timestamp::from_millis(60_000);
-        let mut balancers = BalancerSet::new(entry_location());
+        let mut balancers = BalancerSet::new(entry_location(), SpillSettings::default());
         for service in snapshot.services.keys() {
             balancers.get_or_create(snapshot, service, now);
         }
@@ -335,7 +337,7 @@
     let service = snapshot.services.get("service-0");
     let service = service.ok_or_else(|| eyre!("the snapshot has no service-0"))?;
     let now = Timestamp::from_millis(60_000);
-    let balancer = UpstreamBalancer::new(entry_location(), service, now);
+    let mut balancer = UpstreamBalancer::new(entry_location(), service, now);
     let samples = time_rounds(REPEATS, 500_000, || {
         black_box(balancer.choose(now, random, &[], 0));
     });
--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -180,6 +180,13 @@
     /// Mean service time of a call at the upstream, in microseconds; zero if unknown.
     #[prost(uint32, tag = "6")]
     pub service_us: u32,
+    /// Time for which the destination node held the attempt that this answers, in microseconds; the
+    /// rest of the entry node's latency was spent on the way. Zero if unknown.
+    #[prost(uint32, tag = "7")]
+    pub held_us: u32,
+    /// Part of `held_us` in which the attempt waited for a slot of the upstream.
+    #[prost(uint32, tag = "8")]
+    pub waited_us: u32,
 }
 
 /// Answers a [`CallRequest`].
--- a/crates/kumquatlock/examples/policy/main.rs
+++ b/crates/kumquatlock/examples/policy/main.rs
@@ -49,7 +49,7 @@
 /// Returns the mean time to choose an upstream from the subset of a service, in nanoseconds.
 fn mean_choice_nanos(upstreams: usize) -> f64 {
     const ROUNDS: u32 = 2_000_000;
-    let entry = new_entry(0, &new_service(upstreams));
+    let mut entry = new_entry(0, &new_service(upstreams));
     let mut rng = SmallRng::seed_from_u64(1);
     let started = Instant::now();
     for round in 0..ROUNDS {
--- a/crates/kumquatlock/src/admission/queue.rs
+++ b/crates/kumquatlock/src/admission/queue.rs
@@ -404,6 +404,7 @@
             slots,
             draining: self.draining,
             service_us: u32::try_from(service).unwrap_or(u32::MAX),
+            ..LoadReport::default()
         }
     }
 
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -544,6 +544,13 @@
         self.log_end(now, run.source, &run.request, outcome, reason, elapsed);
         // The node may have started a new incarnation since the call was sent.
         response.incarnation = run.request.incarnation;
+        if let Some(load) = &mut response.load {
+            let waited = run
+                .sent
+                .map_or(elapsed, |sent| sent.at.since(run.arrived_at));
+            load.held_us = u32::try_from(elapsed.as_micros()).unwrap_or(u32::MAX);
+            load.waited_us = u32::try_from(waited.as_micros()).unwrap_or(u32::MAX);
+        }
         steps.push(DestinationStep::Respond {
             to: run.source,
             response,
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -43,14 +43,17 @@
         let call = self.calls.get_mut(&id)?;
         let snapshot = self.snapshot.as_ref()?;
         let balancer = self.balancers.get_or_create(snapshot, &call.service, now)?;
-        let rank = call.route.rank;
-        let choice = balancer.choose(now, &mut self.random, &call.tried, rank);
+        let demand = call.demand(now);
+        let choice = balancer.choose(now, &mut self.random, &call.tried, demand);
+        if let Some(change) = balancer.take_share_change(now) {
+            self.log.write_share_change(now, &call.service, change);
+        }
         let is_exhausted =
             matches!(choice, UpstreamChoice::None(reason) if reason != NoChoiceReason::AllFull);
         if is_exhausted && !call.tried.is_empty() {
             // Every upstream has been tried; the earliest refusals may no longer apply.
             call.tried.clear();
-            return Some(balancer.choose(now, &mut self.random, &[], rank));
+            return Some(balancer.choose(now, &mut self.random, &[], demand));
         }
         Some(choice)
     }
@@ -224,7 +227,7 @@
             return;
         };
         let UpstreamChoice::Chosen(chosen) =
-            balancer.choose(now, &mut self.random, &call.tried, call.route.rank)
+            balancer.choose(now, &mut self.random, &call.tried, call.demand(now))
         else {
             return;
         };
--- a/crates/kumquatlock/src/call/entry/log.rs
+++ b/crates/kumquatlock/src/call/entry/log.rs
@@ -11,6 +11,7 @@
 use super::{CallId, EntryCalls, Timestamp};
 use crate::call::answer::{CallerAnswer, reason_label};
 use crate::call::request::CallerRequest;
+use crate::routing::ShareChange;
 use crate::util::log_quota::{LogQuota, QuotaStep};
 
 /// Maximum log lines per second for calls that an upstream answered.
@@ -26,6 +27,9 @@
 /// that can't be reached sends several a second.
 const REPEATED_QUERIES_PER_SECOND: u64 = 10;
 
+/// Maximum log lines per second for changes of the share of calls that may leave a zone or region.
+const SHARE_CHANGES_PER_SECOND: u64 = 2;
+
 /// Quotas for the log lines of calls at their entry node.
 #[derive(Debug)]
 pub(super) struct EntryLog {
@@ -36,6 +40,7 @@
     queries: LogQuota,
     repeated_queries: LogQuota,
     query_answers: LogQuota,
+    share_changes: LogQuota,
 }
 
 /// How an attempt ended that gave no answer for the caller.
@@ -100,6 +105,7 @@
             queries: LogQuota::new(RARE_ATTEMPTS_PER_SECOND),
             repeated_queries: LogQuota::new(REPEATED_QUERIES_PER_SECOND),
             query_answers: LogQuota::new(RARE_ATTEMPTS_PER_SECOND),
+            share_changes: LogQuota::new(SHARE_CHANGES_PER_SECOND),
         }
     }
 }
@@ -115,6 +121,20 @@
         }
     }
 
+    /// Writes that the share of calls that may leave the zone or the region has changed.
+    pub(super) fn write_share_change(
+        &mut self,
+        now: Timestamp,
+        service: &str,
+        change: ShareChange,
+    ) {
+        let QuotaStep::Write { left_out } = self.share_changes.take(now) else {
+            return;
+        };
+        let tier: &'static str = change.tier.into();
+        log::info!(service, tier, from = change.from, to = change.to, left_out; "spill_share_changed");
+    }
+
     fn write_attempt(&mut self, now: Timestamp, id: CallId, call: &EntryCall, end: AttemptEnd<'_>) {
         let is_common = call.route.class.is_repeatable() || end.proof == AttemptProof::Refused;
         let quota = match is_common {
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -176,7 +176,7 @@
             region: location.region.clone(),
             snapshot: None,
             routes: RouteTable::new(&ConfigSnapshot::default()),
-            balancers: BalancerSet::new(location),
+            balancers: BalancerSet::new(location, settings.spill),
             placement: PlacementTable::default(),
             policy: RetryPolicy {
                 scope: settings.scope,
--- a/crates/kumquatlock/src/call/entry/settings.rs
+++ b/crates/kumquatlock/src/call/entry/settings.rs
@@ -4,6 +4,7 @@
 
 use crate::core::SharedName;
 use crate::retry::{BudgetScope, BudgetSettings};
+use crate::routing::SpillSettings;
 
 /// Covers a restart of a service's only upstream. With a longer wait, callers would only pile up.
 const UPSTREAM_WAIT: Duration = Duration::from_secs(2);
@@ -29,6 +30,8 @@
     pub scope: BudgetScope,
     /// Service beside this node; sent to upstreams as the origin of calls.
     pub origin: SharedName,
+    /// Cost of traffic between zones and regions.
+    pub spill: SpillSettings,
 }
 
 impl EntrySettings {
@@ -43,6 +46,7 @@
             budget: BudgetSettings::default(),
             scope: BudgetScope::default(),
             origin: SharedName::default(),
+            spill: SpillSettings::default(),
         }
     }
 }
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -14,7 +14,7 @@
     IncarnationId, ProcessId, RequestClass, RequestFingerprint, RouteEntry, SharedName, Timestamp,
 };
 use crate::retry::{CallProgress, HedgePolicy};
-use crate::routing::{AttemptTicket, ChosenUpstream, UpstreamToken};
+use crate::routing::{AttemptTicket, CallDemand, ChosenUpstream, UpstreamToken};
 use crate::util::trace::HopSpan;
 
 /// Interval at which unanswered fence requests are checked.
@@ -176,6 +176,16 @@
         }
     }
 
+    /// Returns what the next attempt needs of an upstream.
+    pub(super) fn demand(&self, now: Timestamp) -> CallDemand {
+        let target = self.route.latency_target;
+        CallDemand {
+            rank: self.route.rank,
+            request_bytes: u32::try_from(self.request.body.len()).unwrap_or(u32::MAX),
+            target_left: target.map(|target| (self.opened_at + target).since(now)),
+        }
+    }
+
     pub(super) fn next_number(&mut self) -> u32 {
         self.last_number += 1;
         self.last_number
--- a/crates/kumquatlock/src/call/tests/hostile.rs
+++ b/crates/kumquatlock/src/call/tests/hostile.rs
@@ -64,6 +64,8 @@
                 slots: small(random),
                 draining: false,
                 service_us: small(random),
+                held_us: small(random),
+                waited_us: small(random),
             });
         }
         _ => {
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -173,6 +173,7 @@
         entry.hedging_enabled = !tuning.without_hedges;
         entry.budget = tuning.budget;
         entry.scope = tuning.scope;
+        entry.spill = tuning.spill;
         entry.longest_timeout = settings.longest_timeout;
         entry.origin = tuning.origin.clone();
         entry.search_limit = tuning.search_limit.unwrap_or(entry.search_limit);
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -7,6 +7,7 @@
 use super::actor::NodeActor;
 use crate::call::{AttemptProof, CallerAnswer};
 use crate::http::HttpResponse;
+use crate::routing::{LocalityTier, SpillReason};
 use crate::util::metrics::{METRICS_CONTENT_TYPE, MetricsPage};
 
 /// Upper bounds of the histogram buckets of the call duration, in microseconds.
@@ -160,6 +161,15 @@
             &[],
             localities.cross_region(),
         );
+        for tier in [LocalityTier::Region, LocalityTier::CrossRegion] {
+            for reason in SpillReason::iter() {
+                let labels = [("tier", tier.into()), ("reason", reason.into())];
+                let help =
+                    "Attempts outside the zone (region) or the region (cross-region), by reason";
+                let count = localities.spilled[tier as usize][reason as usize];
+                page.add_counter("spilled_attempts", help, &labels, count);
+            }
+        }
         page.add_counter(
             "panic_choices",
             "Upstream selections that ignored ejection",
--- a/crates/kumquatlock/src/ops/node/settings.rs
+++ b/crates/kumquatlock/src/ops/node/settings.rs
@@ -6,6 +6,7 @@
 use crate::core::SharedName;
 use crate::distribution::StreamTiming;
 use crate::retry::{BudgetScope, BudgetSettings};
+use crate::routing::SpillSettings;
 use crate::transport::LinkTiming;
 
 /// Settings with which a node runs.
@@ -91,6 +92,8 @@
     pub budget: BudgetSettings,
     /// Which attempts consume the budget.
     pub scope: BudgetScope,
+    /// Cost of traffic between zones and regions.
+    pub spill: SpillSettings,
     /// How long a stopping node still serves callers, which need time to switch to another node.
     pub shutdown_grace: Duration,
     /// Time after which a stopping node exits even if work is in progress; `None` for no limit.
--- a/crates/kumquatlock/src/routing/balancer.rs
+++ b/crates/kumquatlock/src/routing/balancer.rs
@@ -1,27 +1,24 @@
 //! Choice of an upstream for one attempt.
 
-use std::sync::Arc;
-use std::time::Duration;
-
 use kumquatlock_wire::call::LoadReport;
 use rand::Rng;
 use rand::rngs::SmallRng;
+use std::sync::Arc;
+use std::time::Duration;
 
-use super::silence::SilenceTracker;
+use super::candidate::{Candidate, CandidateSet, TierScan, draw_index};
+use super::choice::{
+    AttemptTicket, ChoiceMode, ChosenUpstream, LocalityCounters, NoChoiceReason, SpillBasis,
+    UpstreamChoice, judge_spill,
+};
+use super::spill::{
+    CallDemand, ExpectedTime, LoadEstimate, ShareChange, SpillDecision, SpillReason, SpillSettings,
+};
 use super::subset::{EntryLocation, LocalityTier, SUBSET_SIZE, pick_subset};
+use super::tier::TierStatistics;
 use super::tracked::{HealthHint, TrackedUpstream, UpstreamOutcome, UpstreamToken};
 use crate::core::{ServiceEntry, SharedName, Timestamp, UpstreamEntry};
 
-/// Load per slot, by tier, at which an upstream counts as saturated. Calls spill into the next tier
-/// if a tier has only saturated upstreams.
-///
-/// Calls spill into the region as soon as they would queue, because that traffic is free. They
-/// spill into other regions only when the queue (2 × slots) is half full, because that traffic is
-/// billed.
-const SPILL_LOAD_PER_SLOT: [f32; 3] = [1.0, 2.0, 1.0];
-
-/// Load per slot below which an entry node prefers the upstream beside it to all others.
-const LOCAL_MAX_LOAD_PER_SLOT: f32 = 0.8;
 /// Failure rate below which an entry node prefers the upstream beside it.
 const LOCAL_MAX_FAILURE_RATE: f32 = 0.1;
 
@@ -30,104 +27,6 @@
 /// entry node would never try a recovered upstream again.
 const EQUAL_COST_RATIO: f32 = 0.9;
 
-/// Latency estimate for a tier without samples.
-const DEFAULT_LATENCY_US: f32 = 1_000.0;
-/// Mean latency assumed for the silence detection of a tier without samples. Above the usual
-/// latency of first answers, so that waiting for them does not count as silence.
-const DEFAULT_SILENCE_LATENCY_US: f32 = 100_000.0;
-/// Weight of a new latency sample in the mean of a tier.
-const TIER_LATENCY_GAIN: f32 = 0.05;
-
-/// Result of [`UpstreamBalancer::choose`].
-#[derive(Clone, Debug)]
-pub enum UpstreamChoice {
-    /// The attempt should be sent to this upstream.
-    Chosen(ChosenUpstream),
-    /// No upstream can take the attempt.
-    None(NoChoiceReason),
-}
-
-/// Why no upstream was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoChoiceReason {
-    /// The service has no serving upstream.
-    NoUpstream,
-    /// Every upstream of the subset is draining or was replaced.
-    AllDraining,
-    /// The caller excluded every upstream that could take the attempt.
-    AllExcluded,
-    /// Every upstream that could take the attempt has just refused a call as overloaded.
-    AllFull,
-}
-
-/// Circumstances of a choice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ChoiceMode {
-    /// At least one tier was healthy and had capacity.
-    Normal,
-    /// Every healthy upstream is saturated; the nearest ones were used.
-    Saturated,
-    /// More than half of the upstreams of every tier are ejected, so ejection was ignored. If most
-    /// upstreams appear to fail, the observation is probably wrong, and the remaining upstreams
-    /// could not carry the load.
-    Panic,
-}
-
-/// An upstream that was chosen for an attempt.
-#[derive(Clone, Debug)]
-pub struct ChosenUpstream {
-    /// Identifies the upstream in later calls, for example to exclude it.
-    pub token: UpstreamToken,
-    /// The upstream, with the incarnation that the attempt must state.
-    pub entry: Arc<UpstreamEntry>,
-    /// Distance from the entry node.
-    pub tier: LocalityTier,
-    /// Circumstances of the choice.
-    pub mode: ChoiceMode,
-    /// Age of the upstream's load report; `None` if it has sent none.
-    pub load_age: Option<std::time::Duration>,
-    /// Rank of the call.
-    pub rank: u32,
-}
-
-/// An attempt in flight. Each ticket must be passed to [`UpstreamBalancer::finish_attempt`] exactly
-/// once.
-#[derive(Debug)]
-#[must_use = "an attempt that is never finished counts as in flight forever"]
-pub struct AttemptTicket {
-    token: UpstreamToken,
-    rank: u32,
-    started_at: Timestamp,
-}
-
-/// Counters of attempts: by distance, in panic mode, and while every healthy upstream was
-/// saturated.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LocalityCounters {
-    /// Attempts started, indexed by [`LocalityTier`]. The last element counts attempts to other
-    /// regions, whose traffic is billed by volume.
-    pub started: [u64; 3],
-    /// Attempts started in panic mode.
-    pub panic: u64,
-    /// Attempts started while every healthy upstream was saturated.
-    pub saturated: u64,
-}
-
-impl LocalityCounters {
-    /// Returns the number of attempts to other regions, whose traffic is billed by volume.
-    pub fn cross_region(&self) -> u64 {
-        self.started[LocalityTier::CrossRegion as usize]
-    }
-
-    pub(super) fn add(&mut self, other: &LocalityCounters) {
-        for (sum, started) in self.started.iter_mut().zip(other.started) {
-            *sum += started;
-        }
-        self.panic += other.panic;
-        self.saturated += other.saturated;
-    }
-}
-
 /// Chooses among the upstreams of one service.
 #[derive(Clone, Debug)]
 pub struct UpstreamBalancer {
@@ -135,29 +34,13 @@
     service: Arc<ServiceEntry>,
     /// At most [`SUBSET_SIZE`] upstreams, nearest tier first.
     upstreams: Vec<TrackedUpstream>,
-    /// Mean latency by tier; `None` before the first sample.
-    tier_latency_us: [Option<f32>; 3],
-    /// Silence tracker by tier. The loss of a zone is detected after three attempts to any of its
-    /// upstreams.
-    tier_silence: [SilenceTracker; 3],
+    /// Statistics by [`LocalityTier`].
+    tiers: [TierStatistics; 3],
+    spill_settings: SpillSettings,
     counters: LocalityCounters,
     next_token: u64,
 }
 
-/// Indexes of the upstreams that are candidates for a random choice.
-#[derive(Default)]
-struct CandidateSet {
-    indexes: [u8; SUBSET_SIZE],
-    len: usize,
-}
-
-impl CandidateSet {
-    fn push(&mut self, index: usize) {
-        self.indexes[self.len] = index as u8;
-        self.len += 1;
-    }
-}
-
 impl UpstreamBalancer {
     /// Creates a balancer for the upstreams of `service`, none of which counts as cold.
     pub fn new(location: EntryLocation, service: &Arc<ServiceEntry>, now: Timestamp) -> Self {
@@ -165,8 +48,8 @@
             location,
             service: service.clone(),
             upstreams: Vec::new(),
-            tier_latency_us: [None; 3],
-            tier_silence: Default::default(),
+            tiers: Default::default(),
+            spill_settings: SpillSettings::default(),
             counters: LocalityCounters::default(),
             next_token: 0,
         };
@@ -174,6 +57,11 @@
         balancer
     }
 
+    /// Sets the cost of traffic between zones and regions.
+    pub fn set_spill_settings(&mut self, settings: SpillSettings) {
+        self.spill_settings = settings;
+    }
+
     /// Switches to the members of a newer snapshot; does nothing if the service is unchanged.
     ///
     /// Statistics are kept for upstreams that remain in the subset with the same incarnation. Other
@@ -208,60 +96,57 @@
         }
     }
 
-    /// Chooses an upstream for one attempt of a call of this rank. `excluded` contains those that
-    /// the call already tried. Upstreams that are known to be full are left out: a call sent to them
-    /// would come back, and if all of them are, its caller can be told at once.
+    /// Chooses an upstream for one attempt of a call. `excluded` contains those that the call already
+    /// tried. Upstreams that are known to be full are left out: a call sent to them would come back,
+    /// and if all of them are, its caller can be told at once.
     ///
-    /// The tiers are visited from the nearest outwards. If a tier is silent, has more than half of
-    /// its upstreams ejected, or has no capacity left, its usable upstreams become candidates and
-    /// the next tier adds its own. Two of the candidates are drawn by weight, and the one with the
-    /// lower cost is chosen.
+    /// The tiers are visited from the nearest outwards. The first one that is not failing gives a
+    /// candidate: two of its upstreams, those with a free slot first, are drawn by weight, and the
+    /// one with the lower cost is taken. If a tier is silent or has more than half of its upstreams
+    /// ejected, the next one adds its own. Each further tier gives a candidate in the same way, and
+    /// the call leaves for it if that pays.
     pub fn choose(
-        &self,
+        &mut self,
         now: Timestamp,
         rng: &mut SmallRng,
         excluded: &[UpstreamToken],
-        rank: u32,
+        demand: impl Into<CallDemand>,
     ) -> UpstreamChoice {
-        if let Some(local) = self.local_upstream(now, excluded, rank) {
-            return chosen_upstream(local, now, ChoiceMode::Normal, rank);
+        let demand = demand.into();
+        if let Some(local) = self.local_upstream(now, excluded, demand.rank) {
+            return self.chosen_upstream(local, now, None, demand.rank);
         }
         let mut usable = CandidateSet::default();
-        let mut tier_start = 0;
-        let mut failing_tiers = 0;
-        let mut serving_tiers = 0;
+        let mut best: Option<Candidate> = None;
+        let (mut tier_start, mut serving_tiers, mut failing_tiers) = (0, 0, 0);
+        let mut is_any_serving = false;
         while let Some(first) = self.upstreams.get(tier_start) {
             let tier = first.tier;
-            let mean_us = self.silence_latency_us(tier);
-            let silent = self.tier_silence[tier as usize].is_silent(now, mean_us);
-            let (mut serving, mut ejected, mut added) = (0, 0, 0);
-            let mut index = tier_start;
-            while let Some(tracked) = self
-                .upstreams
-                .get(index)
-                .filter(|tracked| tracked.tier == tier)
-            {
-                if !tracked.is_retired {
-                    serving += 1;
-                    if silent || tracked.is_ejected(now, mean_us) {
-                        ejected += 1;
-                    } else if tracked.load_per_slot(now) < SPILL_LOAD_PER_SLOT[tier as usize]
-                        && !excluded.contains(&tracked.token)
-                        && !tracked.is_full(now, rank)
-                    {
-                        usable.push(index);
-                        added += 1;
-                    }
+            let (scan, tier_end) = self.scan_tier(now, tier_start, excluded, demand.rank);
+            tier_start = tier_end;
+            let is_failing = scan.is_failing();
+            serving_tiers += usize::from(scan.serving > 0);
+            failing_tiers += usize::from(is_failing);
+            if let Some(near) = best {
+                let far = self.draw_candidate(now, rng, scan.candidates());
+                if let Some(far) = far.filter(|_| !is_failing) {
+                    best = Some(self.compare_tiers(now, rng, &demand, near, far));
+                }
+            } else if self.may_enter(now, tier, is_any_serving, &scan) {
+                usable.extend(scan.candidates());
+                if scan.usable.len > 0 && !is_failing {
+                    best = self
+                        .draw_candidate(now, rng, &usable)
+                        .map(|index| Candidate {
+                            index,
+                            spill: self.forced_spill(index),
+                        });
                 }
-                index += 1;
-            }
-            tier_start = index;
-            let failing = ejected * 2 > serving;
-            if added > 0 && !failing {
-                return self.draw_candidate(now, rng, &usable, ChoiceMode::Normal, rank);
             }
-            serving_tiers += usize::from(serving > 0);
-            failing_tiers += usize::from(failing);
+            is_any_serving |= scan.serving > scan.ejected;
+        }
+        if let Some(best) = best {
+            return self.chosen_upstream(best.index, now, best.spill, demand.rank);
         }
         if serving_tiers == 0 {
             return UpstreamChoice::None(if self.upstreams.is_empty() {
@@ -271,34 +156,153 @@
             });
         }
         if failing_tiers == serving_tiers {
-            return self.choose_nearest(now, rng, excluded, ChoiceMode::Panic, rank);
+            return self.choose_nearest(now, rng, excluded, ChoiceMode::Panic, demand.rank);
+        }
+        if let Some(index) = self.draw_candidate(now, rng, &usable) {
+            return self.chosen_upstream(index, now, self.forced_spill(index), demand.rank);
+        }
+        self.choose_nearest(now, rng, excluded, ChoiceMode::Saturated, demand.rank)
+    }
+
+    /// Collects the upstreams of the tier that begins at `start`. Also returns where it ends.
+    fn scan_tier(
+        &self,
+        now: Timestamp,
+        start: usize,
+        excluded: &[UpstreamToken],
+        rank: u32,
+    ) -> (TierScan, usize) {
+        let mut scan = TierScan::default();
+        let tier = self.upstreams[start].tier;
+        let tier_load = self.tier_load(now, tier);
+        let mean_us = self.tiers[tier as usize].silence_latency_us();
+        let is_silent = self.tiers[tier as usize].is_silent(now);
+        let mut index = start;
+        while let Some(tracked) = self.upstreams.get(index)
+            && tracked.tier == tier
+        {
+            if !tracked.is_retired {
+                scan.serving += 1;
+                if is_silent || tracked.is_ejected(now, mean_us) {
+                    scan.ejected += 1;
+                } else if !excluded.contains(&tracked.token) && !tracked.is_full(now, rank) {
+                    scan.usable.push(index);
+                    if tracked.load_estimate(now, tier_load).has_room() {
+                        scan.with_room.push(index);
+                    }
+                }
+            }
+            index += 1;
+        }
+        (scan, index)
+    }
+
+    /// Whether a call that no nearer tier can take may enter this one. While nearer upstreams work
+    /// and are only full, another region must have room, or must not have been asked for a while:
+    /// each refusal there costs billed traffic.
+    fn may_enter(
+        &mut self,
+        now: Timestamp,
+        tier: LocalityTier,
+        is_any_nearer_serving: bool,
+        scan: &TierScan,
+    ) -> bool {
+        tier != LocalityTier::CrossRegion
+            || !is_any_nearer_serving
+            || scan.with_room.len > 0
+            || self.tiers[tier as usize].spill.take_probe(now)
+    }
+
+    /// Returns which of two candidates, one farther than the other, takes the call.
+    fn compare_tiers(
+        &mut self,
+        now: Timestamp,
+        rng: &mut SmallRng,
+        demand: &CallDemand,
+        near: Candidate,
+        far: usize,
+    ) -> Candidate {
+        let tier = self.upstreams[far].tier;
+        let (near_time, far_time) = (self.expected(now, near.index), self.expected(now, far));
+        let statistics = &mut self.tiers[tier as usize];
+        let is_known = statistics.is_load_known(now);
+        let decision = statistics.spill.decide(
+            now,
+            &self.spill_settings,
+            demand,
+            (self.upstreams[near.index].tier, near_time),
+            (tier, far_time),
+            is_known.then(|| rng.random()),
+        );
+        match decision {
+            SpillDecision::Stay => near,
+            SpillDecision::Leave(reason) => Candidate {
+                index: far,
+                spill: Some(SpillBasis {
+                    reason,
+                    near_us: Some(near_time.way_us + near_time.wait_us),
+                }),
+            },
+        }
+    }
+
+    fn forced_spill(&self, index: usize) -> Option<SpillBasis> {
+        let is_outside = self.upstreams[index].tier != LocalityTier::Zone;
+        is_outside.then_some(SpillBasis {
+            reason: SpillReason::NoneNearer,
+            near_us: None,
+        })
+    }
+
+    /// Returns the times that a call is expected to take at an upstream. The service time is the
+    /// mean of the tier: differences within a tier are part of [`TrackedUpstream::cost`].
+    fn expected(&self, now: Timestamp, index: usize) -> ExpectedTime {
+        let tracked = &self.upstreams[index];
+        let statistics = &self.tiers[tracked.tier as usize];
+        let mean_us = statistics.service_us();
+        let load = self.estimate(now, tracked);
+        ExpectedTime {
+            way_us: statistics.way_us(tracked.tier),
+            wait_us: load.wait_us(tracked.reported_service_us().unwrap_or(mean_us)),
+            service_us: mean_us,
         }
-        if usable.len > 0 {
-            return self.draw_candidate(now, rng, &usable, ChoiceMode::Normal, rank);
+    }
+
+    fn estimate(&self, now: Timestamp, tracked: &TrackedUpstream) -> LoadEstimate {
+        tracked.load_estimate(now, self.tier_load(now, tracked.tier))
+    }
+
+    /// Returns the usual number of calls for each slot in a tier.
+    fn tier_load(&self, now: Timestamp, tier: LocalityTier) -> f32 {
+        let home = self.upstreams.first().map_or(tier, |first| first.tier);
+        let home_load = self.tiers[home as usize].reported_load();
+        match tier == home {
+            true => home_load,
+            false => self.tiers[tier as usize].load(now, home_load),
         }
-        self.choose_nearest(now, rng, excluded, ChoiceMode::Saturated, rank)
     }
 
-    /// Returns the upstream beside the entry node, as long as it has free slots. A call to it
-    /// crosses no link.
+    /// Returns the upstream beside the entry node, as long as it has room and a call is not expected to
+    /// wait there for longer than the way to another node takes.
     fn local_upstream(
         &self,
         now: Timestamp,
         excluded: &[UpstreamToken],
         rank: u32,
-    ) -> Option<&TrackedUpstream> {
-        let local = self
-            .upstreams
-            .iter()
-            .find(|tracked| tracked.entry.name == self.location.name)?;
+    ) -> Option<usize> {
+        let is_local = |tracked: &TrackedUpstream| tracked.entry.name == self.location.name;
+        let index = self.upstreams.iter().position(is_local)?;
+        let local = &self.upstreams[index];
+        let zone = &self.tiers[LocalityTier::Zone as usize];
         let is_usable = !local.is_retired
             && !excluded.contains(&local.token)
             && !local.is_full(now, rank)
-            && !local.is_ejected(now, self.silence_latency_us(local.tier))
+            && !local.is_ejected(now, zone.silence_latency_us())
             && local.weight(now) >= 1.0
             && local.current_failure_rate(now) < LOCAL_MAX_FAILURE_RATE
-            && local.load_per_slot(now) < LOCAL_MAX_LOAD_PER_SLOT;
-        is_usable.then_some(local)
+            && self.estimate(now, local).has_room()
+            && self.expected(now, index).wait_us <= zone.way_us(LocalityTier::Zone);
+        is_usable.then_some(index)
     }
 
     /// Chooses from the entry node's region if it has any candidate, otherwise from the other
@@ -318,7 +322,7 @@
                 break;
             }
             let allowed = mode == ChoiceMode::Panic
-                || !tracked.is_ejected(now, self.silence_latency_us(tracked.tier));
+                || !tracked.is_ejected(now, self.tiers[tracked.tier as usize].silence_latency_us());
             if !allowed || tracked.is_retired || excluded.contains(&tracked.token) {
                 continue;
             }
@@ -330,41 +334,45 @@
         if set.len == 0 && is_any_full {
             return UpstreamChoice::None(NoChoiceReason::AllFull);
         }
-        self.draw_candidate(now, rng, &set, mode, rank)
+        match self.draw_candidate(now, rng, &set) {
+            Some(index) => {
+                let chosen = self.chosen_upstream(index, now, self.forced_spill(index), rank);
+                with_mode(chosen, mode)
+            }
+            None => UpstreamChoice::None(NoChoiceReason::AllExcluded),
+        }
     }
 
+    /// Draws two of the upstreams by weight and returns the one with the lower cost.
     fn draw_candidate(
         &self,
         now: Timestamp,
         rng: &mut SmallRng,
         set: &CandidateSet,
-        mode: ChoiceMode,
-        rank: u32,
-    ) -> UpstreamChoice {
+    ) -> Option<usize> {
         let mut weights = [0.0f32; SUBSET_SIZE];
         let mut total = 0.0;
         for (weight, index) in weights.iter_mut().zip(&set.indexes[..set.len]) {
             *weight = self.upstreams[usize::from(*index)].weight(now);
             total += *weight;
         }
-        let Some(first) = draw_index(rng, &weights[..set.len], total) else {
-            return UpstreamChoice::None(NoChoiceReason::AllExcluded);
-        };
+        let first = draw_index(rng, &weights[..set.len], total)?;
         let total = total - weights[first];
         weights[first] = 0.0;
         let second = draw_index(rng, &weights[..set.len], total);
-        let tracked = |drawn: usize| &self.upstreams[usize::from(set.indexes[drawn])];
-        let mut chosen = tracked(first);
-        if let Some(other) = second.map(tracked)
-            && self.cost(other, now) < self.cost(chosen, now) * EQUAL_COST_RATIO
-        {
-            chosen = other;
+        let chosen = usize::from(set.indexes[first]);
+        let Some(other) = second.map(|drawn| usize::from(set.indexes[drawn])) else {
+            return Some(chosen);
+        };
+        let cost = |index: usize| self.cost(&self.upstreams[index], now);
+        match cost(other) < cost(chosen) * EQUAL_COST_RATIO {
+            true => Some(other),
+            false => Some(chosen),
         }
-        chosen_upstream(chosen, now, mode, rank)
     }
 
     fn cost(&self, tracked: &TrackedUpstream, now: Timestamp) -> f32 {
-        tracked.cost(now, self.mean_latency_us(tracked.tier))
+        tracked.cost(now, self.tiers[tracked.tier as usize].mean_latency_us())
     }
 
     pub(super) fn set_silent_nodes(&mut self, names: &[SharedName]) {
@@ -373,24 +381,20 @@
         }
     }
 
-    fn mean_latency_us(&self, tier: LocalityTier) -> f32 {
-        self.tier_latency_us[tier as usize].unwrap_or(DEFAULT_LATENCY_US)
-    }
-
-    fn silence_latency_us(&self, tier: LocalityTier) -> f32 {
-        self.tier_latency_us[tier as usize].unwrap_or(DEFAULT_SILENCE_LATENCY_US)
-    }
-
     /// Counts an attempt as in flight and adds it to the counters.
     pub fn start_attempt(&mut self, now: Timestamp, chosen: &ChosenUpstream) -> AttemptTicket {
         if let Some(tracked) = self.find_by_token(chosen.token) {
             tracked.observe_start(now);
         }
-        self.tier_silence[chosen.tier as usize].observe_start(now);
+        self.tiers[chosen.tier as usize].silence.observe_start(now);
         self.counters.started[chosen.tier as usize] += 1;
         self.counters.panic += u64::from(chosen.mode == ChoiceMode::Panic);
         self.counters.saturated += u64::from(chosen.mode == ChoiceMode::Saturated);
+        if let Some(spill) = chosen.spill {
+            self.counters.spilled[chosen.tier as usize][spill.reason as usize] += 1;
+        }
         AttemptTicket {
+            spill: chosen.spill,
             token: chosen.token,
             rank: chosen.rank,
             started_at: now,
@@ -411,19 +415,40 @@
             return;
         };
         let tier = self.upstreams[index].tier;
-        let mean_us = self.silence_latency_us(tier);
+        let mean_us = self.tiers[tier as usize].silence_latency_us();
         let tracked = &mut self.upstreams[index];
         tracked.in_flight = tracked.in_flight.saturating_sub(1);
         if let Some(report) = load {
             tracked.observe_report(now, report);
         }
         tracked.observe_outcome(now, outcome, ticket.rank, latency, mean_us);
-        self.tier_silence[tier as usize].observe_outcome(outcome, latency, mean_us);
+        let is_local = tracked.entry.name == self.location.name;
+        let statistics = &mut self.tiers[tier as usize];
+        statistics
+            .silence
+            .observe_outcome(outcome, latency, mean_us);
         if outcome == UpstreamOutcome::Answered {
-            self.observe_tier_latency(tier, latency);
+            statistics.observe_latency(latency);
+        }
+        if let Some(report) = load {
+            statistics.observe_report(now, &report);
+            let held = Duration::from_micros(report.held_us.into());
+            if !held.is_zero() && !is_local {
+                statistics.observe_way(latency.saturating_sub(held));
+            }
+        }
+        if let Some(was_shorter) = judge_spill(ticket.spill, outcome, latency, load) {
+            statistics.spill.observe(now, was_shorter);
         }
     }
 
+    /// Returns a notable change of the share of calls that may leave for a tier since the last call.
+    pub fn take_share_change(&mut self, now: Timestamp) -> Option<ShareChange> {
+        [LocalityTier::Region, LocalityTier::CrossRegion]
+            .into_iter()
+            .find_map(|tier| self.tiers[tier as usize].spill.take_change(now, tier))
+    }
+
     /// Records what the health or load endpoint of an upstream reports.
     pub fn apply_hint(&mut self, now: Timestamp, upstream: &str, hint: HealthHint) {
         let found = self
@@ -447,10 +472,27 @@
             .map(|tracked| (tracked.tier, &tracked.entry))
     }
 
-    fn observe_tier_latency(&mut self, tier: LocalityTier, latency: Duration) {
-        let sample_us = latency.as_micros() as f32;
-        let mean = self.tier_latency_us[tier as usize].get_or_insert(sample_us);
-        *mean += (sample_us - *mean) * TIER_LATENCY_GAIN;
+    fn chosen_upstream(
+        &self,
+        index: usize,
+        now: Timestamp,
+        spill: Option<SpillBasis>,
+        rank: u32,
+    ) -> UpstreamChoice {
+        let tracked = &self.upstreams[index];
+        let load = self.estimate(now, tracked);
+        UpstreamChoice::Chosen(ChosenUpstream {
+            token: tracked.token,
+            entry: tracked.entry.clone(),
+            tier: tracked.tier,
+            mode: match load.has_room() {
+                true => ChoiceMode::Normal,
+                false => ChoiceMode::Saturated,
+            },
+            load_age: tracked.load_age(now),
+            rank,
+            spill,
+        })
     }
 
     fn find_by_token(&mut self, token: UpstreamToken) -> Option<&mut TrackedUpstream> {
@@ -460,20 +502,11 @@
     }
 }
 
-fn chosen_upstream(
-    tracked: &TrackedUpstream,
-    now: Timestamp,
-    mode: ChoiceMode,
-    rank: u32,
-) -> UpstreamChoice {
-    UpstreamChoice::Chosen(ChosenUpstream {
-        token: tracked.token,
-        entry: tracked.entry.clone(),
-        tier: tracked.tier,
-        mode,
-        load_age: tracked.load_age(now),
-        rank,
-    })
+fn with_mode(choice: UpstreamChoice, mode: ChoiceMode) -> UpstreamChoice {
+    match choice {
+        UpstreamChoice::Chosen(chosen) => UpstreamChoice::Chosen(ChosenUpstream { mode, ..chosen }),
+        none => none,
+    }
 }
 
 /// Whether `service` contained the upstream in this incarnation. Members are sorted by name.
@@ -483,19 +516,3 @@
         .binary_search_by(|member| member.name.cmp(&upstream.name))
         .is_ok_and(|index| service.members[index].incarnation == upstream.incarnation)
 }
-
-/// Draws a random index with a probability proportional to its weight.
-fn draw_index(rng: &mut SmallRng, weights: &[f32], total: f32) -> Option<usize> {
-    let mut left = rng.random::<f32>() * total;
-    let mut last = None;
-    for (index, weight) in weights.iter().enumerate() {
-        if *weight > 0.0 {
-            last = Some(index);
-            left -= weight;
-            if left < 0.0 {
-                break;
-            }
-        }
-    }
-    last
-}
--- a/crates/kumquatlock/src/routing/balancer_set.rs
+++ b/crates/kumquatlock/src/routing/balancer_set.rs
@@ -2,7 +2,9 @@
 
 use indexmap::IndexMap;
 
-use super::balancer::{LocalityCounters, UpstreamBalancer};
+use super::balancer::UpstreamBalancer;
+use super::choice::LocalityCounters;
+use super::spill::SpillSettings;
 use super::subset::EntryLocation;
 use crate::core::{ConfigSnapshot, SharedName, Timestamp};
 
@@ -14,15 +16,17 @@
     balancers: IndexMap<SharedName, UpstreamBalancer>,
     /// Sum of the counters of services that the snapshot no longer contains.
     removed_counters: LocalityCounters,
+    spill: SpillSettings,
 }
 
 impl BalancerSet {
-    /// Creates an empty set.
-    pub fn new(location: EntryLocation) -> Self {
+    /// Creates an empty set with this cost of traffic between zones and regions.
+    pub fn new(location: EntryLocation, spill: SpillSettings) -> Self {
         BalancerSet {
             location,
             balancers: IndexMap::new(),
             removed_counters: LocalityCounters::default(),
+            spill,
         }
     }
 
@@ -48,7 +52,8 @@
     ) -> Option<&mut UpstreamBalancer> {
         if !self.balancers.contains_key(service) {
             let entry = snapshot.services.get(service)?;
-            let balancer = UpstreamBalancer::new(self.location.clone(), entry, now);
+            let mut balancer = UpstreamBalancer::new(self.location.clone(), entry, now);
+            balancer.set_spill_settings(self.spill);
             self.balancers.insert(entry.name.clone(), balancer);
         }
         self.balancers.get_mut(service)
--- a/crates/kumquatlock/src/routing/mod.rs
+++ b/crates/kumquatlock/src/routing/mod.rs
@@ -7,21 +7,27 @@
 //! remain are kept.
 //!
 //! Each attempt of a call uses [`UpstreamBalancer::choose`], [`UpstreamBalancer::start_attempt`]
-//! and [`UpstreamBalancer::finish_attempt`] once, in this order.
+//! and [`UpstreamBalancer::finish_attempt`] once, in this order. The module `spill` decides whether an
+//! attempt leaves the availability zone or the region.
 
 mod balancer;
 mod balancer_set;
+mod candidate;
+mod choice;
 mod silence;
+mod spill;
 mod split;
 mod subset;
 mod table;
+mod tier;
 mod tracked;
 
-pub use balancer::{
-    AttemptTicket, ChoiceMode, ChosenUpstream, LocalityCounters, NoChoiceReason, UpstreamBalancer,
-    UpstreamChoice,
-};
+pub use balancer::UpstreamBalancer;
 pub use balancer_set::BalancerSet;
+pub use choice::{
+    AttemptTicket, ChoiceMode, ChosenUpstream, LocalityCounters, NoChoiceReason, UpstreamChoice,
+};
+pub use spill::{CallDemand, ShareChange, SpillReason, SpillSettings};
 pub use split::SplitChooser;
 pub use subset::{EntryLocation, LocalityTier, SUBSET_SIZE};
 pub use table::RouteTable;
--- a/crates/kumquatlock/src/routing/tests/full.rs
+++ b/crates/kumquatlock/src/routing/tests/full.rs
@@ -9,6 +9,8 @@
     slots: 10,
     draining: false,
     service_us: 50_000,
+    held_us: 0,
+    waited_us: 0,
 };
 /// Longer than any time for which an upstream counts as full.
 const LATER: Duration = Duration::from_secs(10);
--- a/crates/kumquatlock/src/routing/tracked.rs
+++ b/crates/kumquatlock/src/routing/tracked.rs
@@ -6,6 +6,7 @@
 use kumquatlock_wire::call::{CallReason, LoadReport};
 
 use super::silence::SilenceTracker;
+use super::spill::LoadEstimate;
 use super::subset::{LocalityTier, SubsetMember};
 use crate::core::{Timestamp, UpstreamEntry};
 
@@ -50,6 +51,9 @@
 const MAX_REPORTED_CALLS: u32 = 1 << 20;
 /// Time for which a load report is used. Queues of 2 × slots drain faster than this.
 const LOAD_REPORT_VALIDITY: Duration = Duration::from_millis(500);
+/// Half-life of the influence of a load report. Calls come and go within a few service times, so
+/// an old report says little about the number of calls now.
+const LOAD_REPORT_HALF_LIFE_US: f32 = 250_000.0;
 /// Time for which a health hint is used.
 const HINT_VALIDITY: Duration = Duration::from_secs(10);
 /// Weight of an upstream whose health endpoint reports it as unhealthy. Above zero, because the
@@ -109,6 +113,10 @@
     failure_rate_at: Timestamp,
     report: LoadReport,
     report_until: Timestamp,
+    /// When the latest load report came; `None` before the first.
+    reported_at: Option<Timestamp>,
+    /// `in_flight` when the latest load report came.
+    in_flight_at_report: u32,
     silence: SilenceTracker,
     consecutive_failures: u32,
     consecutive_refusals: u32,
@@ -143,6 +151,8 @@
             failure_rate_at: Timestamp::default(),
             report: LoadReport::default(),
             report_until: Timestamp::default(),
+            reported_at: None,
+            in_flight_at_report: 0,
             silence: SilenceTracker::default(),
             consecutive_failures: 0,
             consecutive_refusals: 0,
@@ -205,18 +215,30 @@
         self.silence.observe_start(now);
     }
 
-    /// Returns the work per slot of the upstream: this entry node's attempts, or the reported load
-    /// if higher.
-    pub(super) fn load_per_slot(&self, now: Timestamp) -> f32 {
-        let mut slots = self.entry.slots;
-        let mut load = self.in_flight;
-        if now < self.report_until {
-            load = load.max(self.report.running + self.report.queued);
-            if self.report.slots > 0 {
-                slots = self.report.slots;
-            }
+    /// Returns the expected number of calls at the upstream. The report counts less the older it
+    /// is; `tier_load`, the usual number of calls for each slot in the tier, takes its place.
+    pub(super) fn load_estimate(&self, now: Timestamp, tier_load: f32) -> LoadEstimate {
+        let slots = match self.report.slots {
+            0 => self.entry.slots.max(1),
+            slots => slots,
+        } as f32;
+        let certainty = self.reported_at.map_or(0.0, |reported_at| {
+            decay_factor(now, reported_at, LOAD_REPORT_HALF_LIFE_US)
+        });
+        let started = self.in_flight as f32 - self.in_flight_at_report as f32;
+        let reported = (self.report.running + self.report.queued) as f32 + started;
+        let usual = tier_load * slots;
+        let calls = usual + (reported.max(0.0) - usual) * certainty;
+        LoadEstimate {
+            calls: calls.max(self.in_flight as f32),
+            slots,
+            certainty,
         }
-        load as f32 / slots.max(1) as f32
+    }
+
+    /// Returns the service time that the upstream has reported; `None` before the first report.
+    pub(super) fn reported_service_us(&self) -> Option<f32> {
+        (self.report.service_us > 0).then_some(self.report.service_us as f32)
     }
 
     /// Returns the weight of the upstream in the random choice, between 0 and 1.
@@ -252,11 +274,7 @@
 
     /// Returns the age of the latest load report.
     pub(super) fn load_age(&self, now: Timestamp) -> Option<Duration> {
-        let reported = self
-            .report_until
-            .0
-            .checked_sub(LOAD_REPORT_VALIDITY.as_micros() as u64)?;
-        (self.report_until > Timestamp::default()).then(|| now.since(Timestamp(reported)))
+        self.reported_at.map(|reported_at| now.since(reported_at))
     }
 
     /// Returns the recent failure rate of attempts, between 0 and 1.
@@ -273,6 +291,8 @@
             ..report
         };
         self.report_until = now + LOAD_REPORT_VALIDITY;
+        self.reported_at = Some(now);
+        self.in_flight_at_report = self.in_flight;
         self.is_retired |= report.draining;
     }
 
