--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -185,7 +185,7 @@
                 lease: KeyLease::new(settings.revocation_limit),
             },
             quota: QuotaSpender::new(settings.quota, Timestamp::default(), process.0),
-            balancers: BalancerSet::new(location),
+            balancers: BalancerSet::new(location, settings.spill),
             placement: PlacementTable::default(),
             policy: RetryPolicy {
                 scope: settings.scope,
--- a/crates/kumquatlock/src/call/entry/settings.rs
+++ b/crates/kumquatlock/src/call/entry/settings.rs
@@ -7,6 +7,7 @@
 use crate::core::SharedName;
 use crate::quota::QuotaSettings;
 use crate::retry::{BudgetScope, BudgetSettings};
+use crate::routing::SpillSettings;
 
 /// Covers a restart of a service's only upstream. With a longer wait, callers would only pile up.
 const UPSTREAM_WAIT: Duration = Duration::from_secs(2);
@@ -38,6 +39,8 @@
     pub revocation_limit: Option<Duration>,
     /// Header with the API key of the caller's account; `None` if callers can't send one.
     pub api_key: Option<KeyHeader>,
+    /// Cost of traffic between zones and regions.
+    pub spill: SpillSettings,
 }
 
 impl EntrySettings {
@@ -55,6 +58,7 @@
             origin: SharedName::default(),
             revocation_limit: None,
             api_key: Some(API_KEY_HEADER),
+            spill: SpillSettings::default(),
         }
     }
 }
--- a/crates/kumquatlock/src/ops/node/settings.rs
+++ b/crates/kumquatlock/src/ops/node/settings.rs
@@ -8,6 +8,7 @@
 use crate::memory::ProcessLimits;
 use crate::quota::QuotaSettings;
 use crate::retry::{BudgetScope, BudgetSettings};
+use crate::routing::SpillSettings;
 use crate::transport::LinkTiming;
 
 /// Settings with which a node runs.
@@ -97,6 +98,8 @@
     pub scope: BudgetScope,
     /// Quotas of client accounts.
     pub quota: QuotaSettings,
+    /// Cost of traffic between zones and regions.
+    pub spill: SpillSettings,
     /// How long a stopping node still serves callers, which need time to switch to another node.
     pub shutdown_grace: Duration,
     /// Time after which a stopping node exits even if work is in progress; `None` for no limit.
