Add the setting, pages and tests of client accounts

Cause: `kumquatlock-node` could not limit revocations, and neither the pages nor the metrics told of accounts.

--- a/crates/kumquatlock-node/src/commands/serve.rs
+++ b/crates/kumquatlock-node/src/commands/serve.rs
@@ -71,6 +71,14 @@
 .unit("ms")
 .range(10_000, 3_600_000)
 .default_value("600000");
+const REVOCATION_LIMIT: SettingSpec<DurationMillis> = SettingSpec::new(
+    "revocation-limit-ms",
+    "time within which an API key that was taken away stops on this node, also if it is cut off from \
+     control; keys are then refused before that time; without it, a node that is cut off goes on \
+     accepting them",
+)
+.unit("ms")
+.range(2_000, 3_600_000);
 const LOG: SettingSpec<LogFilter> = SettingSpec::new(
     "log",
     "log levels by target, such as info or warn,kumquatlock::call=debug",
@@ -131,6 +139,12 @@
     /// 600000, variable KUMQUATLOCK_CLAIM_RETENTION_MS)
     #[argh(option)]
     claim_retention_ms: Option<String>,
+    /// time within which an API key that was taken away stops on this node, also if it is cut off
+    /// from control; keys are then refused before that time; without it, a node that is cut off goes
+    /// on accepting them (value 2000..=3600000 ms, default none, variable
+    /// KUMQUATLOCK_REVOCATION_LIMIT_MS)
+    #[argh(option)]
+    revocation_limit_ms: Option<String>,
     /// log levels by target, such as info or warn,kumquatlock::call=debug (length in bytes
     /// 1..=1024, default info, variable KUMQUATLOCK_LOG)
     #[argh(option)]
@@ -166,6 +180,7 @@
             UPSTREAM_CONNECTIONS.describe(),
             LONGEST_TIMEOUT.describe(),
             CLAIM_RETENTION.describe(),
+            REVOCATION_LIMIT.describe(),
             LOG.describe(),
         ]
     }
@@ -179,6 +194,8 @@
         let longest_timeout =
             LONGEST_TIMEOUT.resolve(self.longest_timeout_ms.as_deref(), environment)?;
         let retention = CLAIM_RETENTION.resolve(self.claim_retention_ms.as_deref(), environment)?;
+        let limit =
+            REVOCATION_LIMIT.resolve_optional(self.revocation_limit_ms.as_deref(), environment)?;
         let listen = LISTEN.resolve(self.listen.as_deref(), environment)?.0;
         let advertise = ADVERTISE.resolve_optional(self.advertise.as_deref(), environment)?;
         Ok(NodeSettings {
@@ -196,7 +213,10 @@
             upstream_connections: connections.0 as usize,
             longest_timeout: longest_timeout.duration(),
             claim_retention: retention.duration(),
-            tuning: NodeTuning::default(),
+            tuning: NodeTuning {
+                revocation_limit: limit.map(DurationMillis::duration),
+                ..NodeTuning::default()
+            },
         })
     }
 }
--- a/crates/kumquatlock-node/tests/node/main.rs
+++ b/crates/kumquatlock-node/tests/node/main.rs
@@ -21,6 +21,7 @@
 mod input;
 mod kill;
 mod links;
+mod revoke;
 mod session;
 mod source;
 mod support;
--- a/crates/kumquatlock/src/account/tests/mod.rs
+++ b/crates/kumquatlock/src/account/tests/mod.rs
@@ -2,3 +2,4 @@
 
 mod decisions;
 mod lease;
+mod measure;
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -89,6 +89,20 @@
             &[],
             quarantined as u64,
         );
+        let accounts = config.map_or(0, |config| config.accounts.len());
+        page.add_gauge(
+            "client_accounts",
+            "Client accounts in the configuration",
+            &[],
+            accounts as u64,
+        );
+        let limit = self.settings.tuning.revocation_limit;
+        page.add_gauge(
+            "key_lease_age_ms",
+            "Age of the proof by which this node accepts API keys; 0 without a revocation limit",
+            &[],
+            limit.map_or(0, |_| self.lease_age_ms(self.now())),
+        );
         let attached = u64::from(self.child.is_attached());
         page.add_gauge(
             "parent_attached",
