--- a/crates/kumquatlock-node/src/commands/serve.rs
+++ b/crates/kumquatlock-node/src/commands/serve.rs
@@ -72,6 +72,14 @@
 .unit("ms")
 .range(10_000, 3_600_000)
 .default_value("600000");
+const REVOCATION_LIMIT: SettingSpec<DurationMillis> = SettingSpec::new(
+    "revocation-limit-ms",
+    "time within which an API key that was taken away stops on this node, also if it is cut off from \
+     control; keys are then refused before that time; without it, a node that is cut off goes on \
+     accepting them",
+)
+.unit("ms")
+.range(2_000, 3_600_000);
 const LOG: SettingSpec<LogFilter> = SettingSpec::new(
     "log",
     "log levels by target, such as info or warn,kumquatlock::call=debug",
@@ -140,6 +148,12 @@
     /// 64..=1048576 descriptors, default 4096, variable KUMQUATLOCK_MAX_DESCRIPTORS)
     #[argh(option)]
     max_descriptors: Option<String>,
+    /// time within which an API key that was taken away stops on this node, also if it is cut off
+    /// from control; keys are then refused before that time; without it, a node that is cut off goes
+    /// on accepting them (value 2000..=3600000 ms, default none, variable
+    /// KUMQUATLOCK_REVOCATION_LIMIT_MS)
+    #[argh(option)]
+    revocation_limit_ms: Option<String>,
     /// log levels by target, such as info or warn,kumquatlock::call=debug (length in bytes
     /// 1..=1024, default info, variable KUMQUATLOCK_LOG)
     #[argh(option)]
@@ -177,6 +191,7 @@
             CLAIM_RETENTION.describe(),
             kumquatlock::memory::MEMORY.describe(),
             kumquatlock::memory::MAX_DESCRIPTORS.describe(),
+            REVOCATION_LIMIT.describe(),
             LOG.describe(),
         ]
     }
@@ -190,6 +205,8 @@
         let longest_timeout =
             LONGEST_TIMEOUT.resolve(self.longest_timeout_ms.as_deref(), environment)?;
         let retention = CLAIM_RETENTION.resolve(self.claim_retention_ms.as_deref(), environment)?;
+        let limit =
+            REVOCATION_LIMIT.resolve_optional(self.revocation_limit_ms.as_deref(), environment)?;
         let listen = LISTEN.resolve(self.listen.as_deref(), environment)?.0;
         let advertise = ADVERTISE.resolve_optional(self.advertise.as_deref(), environment)?;
         Ok(NodeSettings {
@@ -212,7 +229,10 @@
                 self.max_descriptors.as_deref(),
                 environment,
             )?,
-            tuning: NodeTuning::default(),
+            tuning: NodeTuning {
+                revocation_limit: limit.map(DurationMillis::duration),
+                ..NodeTuning::default()
+            },
         })
     }
 }
