Add settings, metrics and call tests of the quotas

Cause: the window, the overage and the slack of quotas were fixed, and operators could not see who grants and refuses.

Change: flags of the node and the control instance for the window, the overage and the slack; the platform's bounds set them there. Counters of admitted, refused and refunded requests at a node; shares, sessions and grants at a control instance.

--- a/crates/kumquatlock-control/src/commands/serve.rs
+++ b/crates/kumquatlock-control/src/commands/serve.rs
@@ -88,6 +88,18 @@
     /// member only (value 100..=3600000 ms, default 4000, variable KUMQUATLOCK_REPLACE_MS)
     #[argh(option)]
     replace_ms: Option<String>,
+    /// window in which the requests of a client account are counted; the same for all instances
+    /// and nodes (value 2000..=3600000 ms, default 5000, variable KUMQUATLOCK_QUOTA_WINDOW_MS)
+    #[argh(option)]
+    quota_window_ms: Option<String>,
+    /// how much the requests of a window may exceed the quota; the same for all instances and
+    /// nodes (value 0..=100 percent, default 10, variable KUMQUATLOCK_QUOTA_OVERAGE_PERCENT)
+    #[argh(option)]
+    quota_overage_percent: Option<String>,
+    /// requests by which those of a window may also exceed the quota; the same for all instances
+    /// and nodes (value 0..=1000000 requests, default 20, variable KUMQUATLOCK_QUOTA_SLACK)
+    #[argh(option)]
+    quota_slack: Option<String>,
 }
 
 impl ServeCommand {
@@ -111,6 +123,9 @@
             founding: self.founding,
             group_size: self.group_size,
             replace_ms: self.replace_ms,
+            quota_window_ms: self.quota_window_ms,
+            quota_overage_percent: self.quota_overage_percent,
+            quota_slack: self.quota_slack,
         };
         let settings = ControlSettings::resolve(&flags, &ProcessEnvironment)?;
         let _log = init_logging(&settings.log)?;
--- a/crates/kumquatlock-node/src/commands/serve.rs
+++ b/crates/kumquatlock-node/src/commands/serve.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 use eyre::WrapErr;
 use kumquatlock::ops::node::{FixedSettings, NodeAdapter, NodeSettings, NodeTuning, run_node};
+use kumquatlock::quota::QuotaSettings;
 use kumquatlock::util::cancel::CancelToken;
 use kumquatlock::util::logging::{LogFilter, init_logging};
 use kumquatlock::util::settings::{
@@ -71,6 +72,29 @@
 .unit("ms")
 .range(10_000, 3_600_000)
 .default_value("600000");
+const QUOTA_WINDOW: SettingSpec<DurationMillis> = SettingSpec::new(
+    "quota-window-ms",
+    "window in which the requests of a client account are counted; the same for all instances and \
+     nodes",
+)
+.unit("ms")
+.range(2_000, 3_600_000)
+.default_value("5000");
+const QUOTA_OVERAGE: SettingSpec<ItemCount> = SettingSpec::new(
+    "quota-overage-percent",
+    "how much the requests of a window may exceed the quota; the same for all instances and nodes",
+)
+.unit("percent")
+.range(0, 100)
+.default_value("10");
+const QUOTA_SLACK: SettingSpec<ItemCount> = SettingSpec::new(
+    "quota-slack",
+    "requests by which those of a window may also exceed the quota; the same for all instances and \
+     nodes",
+)
+.unit("requests")
+.range(0, 1_000_000)
+.default_value("20");
 const LOG: SettingSpec<LogFilter> = SettingSpec::new(
     "log",
     "log levels by target, such as info or warn,kumquatlock::call=debug",
@@ -131,6 +155,18 @@
     /// 600000, variable KUMQUATLOCK_CLAIM_RETENTION_MS)
     #[argh(option)]
     claim_retention_ms: Option<String>,
+    /// window in which the requests of a client account are counted; the same for all instances
+    /// and nodes (value 2000..=3600000 ms, default 5000, variable KUMQUATLOCK_QUOTA_WINDOW_MS)
+    #[argh(option)]
+    quota_window_ms: Option<String>,
+    /// how much the requests of a window may exceed the quota; the same for all instances and
+    /// nodes (value 0..=100 percent, default 10, variable KUMQUATLOCK_QUOTA_OVERAGE_PERCENT)
+    #[argh(option)]
+    quota_overage_percent: Option<String>,
+    /// requests by which those of a window may also exceed the quota; the same for all instances
+    /// and nodes (value 0..=1000000 requests, default 20, variable KUMQUATLOCK_QUOTA_SLACK)
+    #[argh(option)]
+    quota_slack: Option<String>,
     /// log levels by target, such as info or warn,kumquatlock::call=debug (length in bytes
     /// 1..=1024, default info, variable KUMQUATLOCK_LOG)
     #[argh(option)]
@@ -166,10 +202,26 @@
             UPSTREAM_CONNECTIONS.describe(),
             LONGEST_TIMEOUT.describe(),
             CLAIM_RETENTION.describe(),
+            QUOTA_WINDOW.describe(),
+            QUOTA_OVERAGE.describe(),
+            QUOTA_SLACK.describe(),
             LOG.describe(),
         ]
     }
 
+    fn resolve_quota(&self) -> Result<QuotaSettings, SettingError> {
+        let environment = &ProcessEnvironment;
+        let window = QUOTA_WINDOW.resolve(self.quota_window_ms.as_deref(), environment)?;
+        let overage = QUOTA_OVERAGE.resolve(self.quota_overage_percent.as_deref(), environment)?;
+        let slack = QUOTA_SLACK.resolve(self.quota_slack.as_deref(), environment)?;
+        Ok(QuotaSettings {
+            window: window.duration(),
+            overage_percent: overage.0 as u32,
+            slack: slack.0,
+            ..QuotaSettings::default()
+        })
+    }
+
     /// Resolves the settings of the node from the flags and the environment.
     fn resolve_settings(&self) -> Result<NodeSettings, SettingError> {
         let environment = &ProcessEnvironment;
@@ -196,7 +248,10 @@
             upstream_connections: connections.0 as usize,
             longest_timeout: longest_timeout.duration(),
             claim_retention: retention.duration(),
-            tuning: NodeTuning::default(),
+            tuning: NodeTuning {
+                quota: self.resolve_quota()?,
+                ..NodeTuning::default()
+            },
         })
     }
 }
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -13,6 +13,7 @@
 mod not_run_model;
 mod processes;
 mod quarantine;
+mod quota;
 mod rate_limit;
 mod silence;
 mod simulation;
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -225,7 +225,7 @@
             if self.uplink.is_some() {
                 self.queue.push_back(QueuedEvent::Child(ChildEvent::Tick));
             }
-            self.update_metrics();
+            self.update_metrics(now);
         }
         if self.ticks.is_multiple_of(TICKS_PER_LINK_CHECK) {
             self.links.handle_tick(now);
--- a/crates/kumquatlock/src/ops/control/metrics.rs
+++ b/crates/kumquatlock/src/ops/control/metrics.rs
@@ -17,7 +17,9 @@
 use strum::IntoEnumIterator;
 
 use super::actor::ControlActor;
+use super::quota_metrics::QuotaMetrics;
 use super::submission_log::RefusalReason;
+use crate::core::Timestamp;
 use crate::http::HttpResponse;
 use crate::transport::{LinkScope, TrafficCounters, TrafficDirection};
 
@@ -43,6 +45,7 @@
     term: Gauge,
     is_leader: Gauge,
     children: Gauge,
+    quota: QuotaMetrics,
     journal_sync: Histogram,
     submissions: Family<OutcomeLabel, Counter>,
     submission_refusals: Family<ReasonLabel, Counter>,
@@ -62,6 +65,7 @@
             term: Gauge::default(),
             is_leader: Gauge::default(),
             children: Gauge::default(),
+            quota: QuotaMetrics::default(),
             // Buckets from 25 us to 50 ms.
             journal_sync: Histogram::new(exponential_buckets(0.000_025, 2.0, 12)),
             submissions: Family::default(),
@@ -78,6 +82,7 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
+        self.quota.register(registry);
         let mut gauge = |name, help, gauge: &Gauge| registry.register(name, help, gauge.clone());
         gauge(
             "config_version",
@@ -199,7 +204,7 @@
 }
 
 impl ControlActor {
-    pub(super) fn update_metrics(&self) {
+    pub(super) fn update_metrics(&self, now: Timestamp) {
         let metrics = &self.metrics;
         let gauge_value = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         metrics
@@ -209,6 +214,7 @@
             .children
             .set(gauge_value(self.parent.child_count() as u64));
         metrics.is_leader.set(self.is_leader().into());
+        metrics.quota.update(now, &self.quota);
         if let Some(voter) = &self.voter {
             let status = voter.agreement.status();
             metrics.commit_index.set(gauge_value(status.commit_index));
--- a/crates/kumquatlock/src/ops/control/mod.rs
+++ b/crates/kumquatlock/src/ops/control/mod.rs
@@ -29,6 +29,7 @@
 mod process;
 mod quarantine;
 mod quota;
+mod quota_metrics;
 mod relay;
 mod requests;
 mod settings;
--- a/crates/kumquatlock/src/ops/control/quota.rs
+++ b/crates/kumquatlock/src/ops/control/quota.rs
@@ -59,7 +59,7 @@
     }
 
     /// Returns the time on the clock of the quotas, which also runs while the machine is suspended.
-    fn now(&self, now: Timestamp) -> Timestamp {
+    pub(super) fn now(&self, now: Timestamp) -> Timestamp {
         now + self.suspension.suspended()
     }
 
--- a/crates/kumquatlock/src/ops/control/settings.rs
+++ b/crates/kumquatlock/src/ops/control/settings.rs
@@ -158,6 +158,30 @@
 .range(100, 3_600_000)
 .default_value("60000");
 
+const QUOTA_WINDOW: SettingSpec<DurationMillis> = SettingSpec::new(
+    "quota-window-ms",
+    "window in which the requests of a client account are counted; the same for all instances and \
+     nodes",
+)
+.unit("ms")
+.range(2_000, 3_600_000)
+.default_value("5000");
+const QUOTA_OVERAGE: SettingSpec<ItemCount> = SettingSpec::new(
+    "quota-overage-percent",
+    "how much the requests of a window may exceed the quota; the same for all instances and nodes",
+)
+.unit("percent")
+.range(0, 100)
+.default_value("10");
+const QUOTA_SLACK: SettingSpec<ItemCount> = SettingSpec::new(
+    "quota-slack",
+    "requests by which those of a window may also exceed the quota; the same for all instances and \
+     nodes",
+)
+.unit("requests")
+.range(0, 1_000_000)
+.default_value("20");
+
 /// Flags of `serve`, as texts from the command line.
 #[derive(Clone, Debug, Default)]
 pub struct ControlFlags {
@@ -179,6 +203,9 @@
     pub founding: Option<String>,
     pub group_size: Option<String>,
     pub replace_ms: Option<String>,
+    pub quota_window_ms: Option<String>,
+    pub quota_overage_percent: Option<String>,
+    pub quota_slack: Option<String>,
 }
 
 /// Error in the settings of a control instance.
@@ -328,7 +355,18 @@
                 .resolve(flags.expiry_grace_ms.as_deref(), variables)?
                 .duration(),
             redirects: false,
-            quota: QuotaSettings::default(),
+            quota: QuotaSettings {
+                window: QUOTA_WINDOW
+                    .resolve(flags.quota_window_ms.as_deref(), variables)?
+                    .duration(),
+                overage_percent: QUOTA_OVERAGE
+                    .resolve(flags.quota_overage_percent.as_deref(), variables)?
+                    .0 as u32,
+                slack: QUOTA_SLACK
+                    .resolve(flags.quota_slack.as_deref(), variables)?
+                    .0,
+                ..QuotaSettings::default()
+            },
         })
     }
 
@@ -353,6 +391,9 @@
             FOUNDING.describe(),
             GROUP_SIZE.describe(),
             REPLACE.describe(),
+            QUOTA_WINDOW.describe(),
+            QUOTA_OVERAGE.describe(),
+            QUOTA_SLACK.describe(),
         ]
     }
 }
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -48,6 +48,7 @@
         page.add_traffic(&self.counters);
         self.add_configuration(&mut page);
         self.add_calls(&mut page);
+        self.add_quota(&mut page);
         self.add_destination(&mut page);
         match page.encode() {
             Ok(text) => HttpResponse {
@@ -180,6 +181,33 @@
         }
     }
 
+    fn add_quota(&self, page: &mut MetricsPage) {
+        let counters = self.entry.quota().counters();
+        let sources = [
+            ("allowance", counters.from_allowance),
+            ("held", counters.from_held),
+            ("waited", counters.after_wait),
+        ];
+        for (source, count) in sources {
+            let help = "Requests of accounts with a quota that were admitted, by their token";
+            page.add_counter("quota_admitted", help, &[("token", source)], count);
+        }
+        let help = "Requests refused because their account had used its quota";
+        page.add_counter("quota_exceeded", help, &[], counters.over_quota);
+        let help = "Requests refused because no token came in time or there was no parent";
+        page.add_counter("quota_unavailable", help, &[], counters.without_token);
+        let help = "Tokens given back because their requests did not run";
+        page.add_counter("quota_refunded", help, &[], counters.refunded);
+        let help = "Tokens that expired unused";
+        page.add_counter("quota_expired", help, &[], counters.expired);
+        let help = "Messages sent to the parent about quotas";
+        page.add_counter("quota_asks", help, &[], counters.asks);
+        let (accounts, held) = self.entry.quota().sizes();
+        let help = "Accounts with a quota that are in use at this node";
+        page.add_gauge("quota_accounts", help, &[], accounts as u64);
+        page.add_gauge("quota_tokens_held", "Tokens that may be spent", &[], held);
+    }
+
     fn add_destination(&self, page: &mut MetricsPage) {
         let load = self.destination.load();
         page.add_gauge(
