--- a/crates/kumquatlock-control/src/commands/serve.rs
+++ b/crates/kumquatlock-control/src/commands/serve.rs
@@ -96,6 +96,18 @@
     /// 64..=1048576 descriptors, default 4096, variable KUMQUATLOCK_MAX_DESCRIPTORS)
     #[argh(option)]
     max_descriptors: Option<String>,
+    /// window in which the requests of a client account are counted; the same for all instances
+    /// and nodes (value 2000..=3600000 ms, default 5000, variable KUMQUATLOCK_QUOTA_WINDOW_MS)
+    #[argh(option)]
+    quota_window_ms: Option<String>,
+    /// how much the requests of a window may exceed the quota; the same for all instances and
+    /// nodes (value 0..=100 percent, default 10, variable KUMQUATLOCK_QUOTA_OVERAGE_PERCENT)
+    #[argh(option)]
+    quota_overage_percent: Option<String>,
+    /// requests by which those of a window may also exceed the quota; the same for all instances
+    /// and nodes (value 0..=1000000 requests, default 20, variable KUMQUATLOCK_QUOTA_SLACK)
+    #[argh(option)]
+    quota_slack: Option<String>,
 }
 
 impl ServeCommand {
@@ -121,6 +133,9 @@
             replace_ms: self.replace_ms,
             memory_mb: self.memory_mb,
             max_descriptors: self.max_descriptors,
+            quota_window_ms: self.quota_window_ms,
+            quota_overage_percent: self.quota_overage_percent,
+            quota_slack: self.quota_slack,
         };
         let settings = ControlSettings::resolve(&flags, &ProcessEnvironment)?;
         let _log = init_logging(&settings.log)?;
--- a/crates/kumquatlock/src/ops/control/quota.rs
+++ b/crates/kumquatlock/src/ops/control/quota.rs
@@ -60,7 +60,7 @@
     }
 
     /// Returns the time on the clock of the quotas.
-    fn now(&self) -> Timestamp {
+    pub(super) fn now(&self) -> Timestamp {
         self.clock.now()
     }
 
--- a/crates/kumquatlock/src/ops/control/settings.rs
+++ b/crates/kumquatlock/src/ops/control/settings.rs
@@ -159,6 +159,30 @@
 .range(100, 3_600_000)
 .default_value("60000");
 
+const QUOTA_WINDOW: SettingSpec<DurationMillis> = SettingSpec::new(
+    "quota-window-ms",
+    "window in which the requests of a client account are counted; the same for all instances and \
+     nodes",
+)
+.unit("ms")
+.range(2_000, 3_600_000)
+.default_value("5000");
+const QUOTA_OVERAGE: SettingSpec<ItemCount> = SettingSpec::new(
+    "quota-overage-percent",
+    "how much the requests of a window may exceed the quota; the same for all instances and nodes",
+)
+.unit("percent")
+.range(0, 100)
+.default_value("10");
+const QUOTA_SLACK: SettingSpec<ItemCount> = SettingSpec::new(
+    "quota-slack",
+    "requests by which those of a window may also exceed the quota; the same for all instances and \
+     nodes",
+)
+.unit("requests")
+.range(0, 1_000_000)
+.default_value("20");
+
 /// Flags of `serve`, as texts from the command line.
 #[derive(Clone, Debug, Default)]
 pub struct ControlFlags {
@@ -182,6 +206,9 @@
     pub replace_ms: Option<String>,
     pub memory_mb: Option<String>,
     pub max_descriptors: Option<String>,
+    pub quota_window_ms: Option<String>,
+    pub quota_overage_percent: Option<String>,
+    pub quota_slack: Option<String>,
 }
 
 /// Error in the settings of a control instance.
@@ -338,7 +365,18 @@
                 variables,
             )?,
             redirects: false,
-            quota: QuotaSettings::default(),
+            quota: QuotaSettings {
+                window: QUOTA_WINDOW
+                    .resolve(flags.quota_window_ms.as_deref(), variables)?
+                    .duration(),
+                overage_percent: QUOTA_OVERAGE
+                    .resolve(flags.quota_overage_percent.as_deref(), variables)?
+                    .0 as u32,
+                slack: QUOTA_SLACK
+                    .resolve(flags.quota_slack.as_deref(), variables)?
+                    .0,
+                ..QuotaSettings::default()
+            },
         })
     }
 
@@ -365,6 +403,9 @@
             REPLACE.describe(),
             MEMORY.describe(),
             MAX_DESCRIPTORS.describe(),
+            QUOTA_WINDOW.describe(),
+            QUOTA_OVERAGE.describe(),
+            QUOTA_SLACK.describe(),
         ]
     }
 }
