Accept only the statuses of interim and final responses, and larger bodies

A status below 200 was taken for an interim response, so an upstream's answer with 000, 001, 099 or 101 held its caller until the timeout; 600 and 999 reached the caller.

A response now has a FinalStatus, 200 to 599, and can hold no other. Any other status but those of interim responses ends the exchange as a malformed answer (outcome unknown), closes the connection, and is logged and counted. Answers of other nodes are checked in the same way.

They still are held whole and travel in one frame between nodes, which is encoded without a second copy.

--- a/crates/kumquatlock-node/tests/crowd/host.rs
+++ b/crates/kumquatlock-node/tests/crowd/host.rs
@@ -16,7 +16,8 @@
 pub(crate) const BODY_BYTES: usize = 1024 * 1024;
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
-const SERVICE: &str = "upload";
+/// Service that the crowds call.
+pub(crate) const SERVICE: &str = "upload";
 const PATH: &str = "/upload";
 
 static TURN: Mutex<()> = Mutex::new(());
@@ -29,9 +30,15 @@
 
 /// Starts one voter and one node beside an upstream, and waits until requests are served.
 pub(crate) fn start_mesh() -> Mesh {
-    let mut builder = MeshBuilder::default()
-        .voters(1)
-        .service(SERVICE, RequestClass::Lookup);
+    start_services(&[SERVICE])
+}
+
+/// Starts one voter and one node for each service, of which [`SERVICE`] is the first.
+pub(crate) fn start_services(services: &[&str]) -> Mesh {
+    let mut builder = MeshBuilder::default().voters(1);
+    for service in services {
+        builder = builder.service(service, RequestClass::Lookup);
+    }
     let limits = [
         ("--memory-mb", MEMORY_MB),
         ("--max-descriptors", DESCRIPTORS),
--- a/crates/kumquatlock-node/tests/crowd/node.rs
+++ b/crates/kumquatlock-node/tests/crowd/node.rs
@@ -8,8 +8,8 @@
 
 use super::clients::{ClientCrowd, ReadMode, announced_body, chunked_body, post_head};
 use super::host::{
-    BODY_BYTES, DESCRIPTORS, check_limits, start_mesh, status_bytes, wait_answered, wait_status,
-    wait_turn,
+    BODY_BYTES, DESCRIPTORS, SERVICE, check_limits, start_mesh, start_services, status_bytes,
+    wait_answered, wait_status, wait_turn,
 };
 
 /// Clients of a crowd. With the largest body each, they send more than the memory of the node.
@@ -159,3 +159,39 @@
     })
     .unwrap();
 }
+
+/// Guards against a body within the limit of the manifest that is refused although nothing else is
+/// held: at the node beside the upstream, and at one that passes it on over a link.
+#[test]
+fn a_single_large_body_is_served() {
+    let _turn = wait_turn();
+    let mut mesh = start_services(&[SERVICE, "other"]);
+    let mut manifest = mesh.manifest(2);
+    manifest["limits"] = serde_json::json!({
+        "header_bytes": 16_384,
+        "body_bytes": 8 * BODY_BYTES,
+        "header_timeout_ms": 3_000,
+        "idle_timeout_ms": 15_000,
+    });
+    assert_eq!(mesh.controls[0].submit(&manifest).unwrap().status, 200);
+    let timeout = Duration::from_secs(30);
+    mesh.controls[0]
+        .wait_in_force(2, mesh.nodes.len(), timeout)
+        .unwrap();
+    for node in 0..mesh.nodes.len() {
+        let caller = mesh.nodes[node].caller();
+        let send = |bytes: usize| caller.post("/upload", vec![b'x'; bytes]).unwrap();
+        // The stand-in reads the whole body and answers 413 above 1 MiB.
+        let answer = send(4 * BODY_BYTES);
+        let outcome = (answer.status, answer.outcome.as_deref());
+        assert_eq!(outcome, (413, Some("answered")), "{}", answer.text());
+        let beyond = send(8 * BODY_BYTES + 1);
+        assert_eq!(
+            (beyond.status, beyond.outcome.as_deref()),
+            (413, Some("rejected"))
+        );
+    }
+    for node in &mut mesh.nodes {
+        check_limits(&mut node.process);
+    }
+}
--- a/crates/kumquatlock-node/tests/node/upstream.rs
+++ b/crates/kumquatlock-node/tests/node/upstream.rs
@@ -52,6 +52,27 @@
     insta::assert_snapshot!(answers.join("\n"));
 }
 
+/// Guards against a caller that waits for its whole time because a status that no final answer has
+/// was taken for an interim one, and against such a status that is passed on. Verifies P4 and P6.
+#[test]
+fn an_answer_with_an_invalid_status_ends_the_call() {
+    let mesh = start(builder().upstreams_per_region(3));
+    for status in [0, 1, 99, 101, 600, 999] {
+        for node in &mesh.nodes {
+            node.upstream.set_fault(ResponseFault::Status(status));
+        }
+        let body = format!("status-{status}");
+        let request = HttpRequest::post("/booking", body.as_str());
+        let answer = mesh.nodes[0].caller().send(&request).unwrap();
+        assert_eq!(
+            (answer.status, answer.text().as_str()),
+            (504, r#"{"outcome":"unknown","reason":"upstream_failed"}"#),
+            "status {status}"
+        );
+        assert_eq!(mesh.ledger().runs_of_body(body.as_bytes()).started, 1);
+    }
+}
+
 /// Guards against answers that are delivered to the wrong request when upstreams fail under load.
 /// Verifies P4, P5 and P6.
 #[test]
--- a/crates/kumquatlock-testkit/src/upstream/faults.rs
+++ b/crates/kumquatlock-testkit/src/upstream/faults.rs
@@ -21,6 +21,9 @@
     CloseBeforeRun,
     /// The request runs to its end; the connection is closed without a response.
     CloseAfterRun,
+    /// The request runs. Its response has this status, of three digits, and no body, and the
+    /// connection stays open.
+    Status(u16),
     /// The request runs; its response body is sent in parts with a pause before each.
     Slow {
         /// Number of parts of the body.
--- a/crates/kumquatlock-testkit/src/upstream/server.rs
+++ b/crates/kumquatlock-testkit/src/upstream/server.rs
@@ -86,6 +86,7 @@
     missing: usize,
     chunks: usize,
     pause: Duration,
+    status: u16,
 }
 
 impl ServerState {
@@ -304,11 +305,13 @@
         missing: 0,
         chunks: 1,
         pause: Duration::ZERO,
+        status: 200,
     };
     match fault {
         ResponseFault::CloseAfterRun | ResponseFault::CloseBeforeRun => return RequestReply::Close,
         ResponseFault::Truncate { missing } => stream.missing = missing,
         ResponseFault::Slow { chunks, pause } => (stream.chunks, stream.pause) = (chunks, pause),
+        ResponseFault::Status(status) => (stream.status, stream.body) = (status, Vec::new()),
         ResponseFault::None | ResponseFault::Hang => {}
     }
     RequestReply::Stream(stream)
@@ -319,8 +322,9 @@
     /// wrong length, and which sends bodies over 32 KiB in chunks without a `Content-Length`.
     fn write(&self, request: Request, headers: &str, stop: &CancelToken) -> std::io::Result<()> {
         let length = self.body.len() + self.missing;
+        let status = self.status;
         let mut head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n{headers}\
+            "HTTP/1.1 {status:03} OK\r\nContent-Type: application/json\r\n{headers}\
              Content-Length: {length}\r\n\r\n"
         )
         .into_bytes();
--- a/crates/kumquatlock-wire/src/codec.rs
+++ b/crates/kumquatlock-wire/src/codec.rs
@@ -1,15 +1,19 @@
 //! Length-delimited framing of envelopes.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use prost::Message;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 use crate::{Body, Envelope, MessageKind};
 
-/// Maximum size of a frame on a link of a node, in bytes. A call body is at most 1 MiB, a delta
-/// 1.5 MiB and a snapshot chunk 256 KiB; the remainder leaves room for headers.
+/// Maximum size of a frame on a link between a node and a control instance, in bytes. A delta is at
+/// most 1.5 MiB and a snapshot chunk 256 KiB.
 pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
 
+/// Maximum size of a frame on a link of a node, in bytes. A call body is at most 16 MiB; the
+/// remainder leaves room for headers.
+pub const MAX_NODE_FRAME_BYTES: usize = 18 * 1024 * 1024;
+
 /// Maximum size of a frame on a link between control instances, in bytes. Room for the largest log
 /// entry, which holds a manifest of 8 MiB and the names of the items that it removes.
 pub const MAX_CONTROL_FRAME_BYTES: usize = 12 * 1024 * 1024;
@@ -39,6 +43,7 @@
 #[derive(Debug)]
 pub struct EnvelopeCodec {
     frames: LengthDelimitedCodec,
+    max_frame_bytes: usize,
 }
 
 impl Default for EnvelopeCodec {
@@ -54,7 +59,10 @@
             .length_field_length(FRAME_HEADER_BYTES)
             .max_frame_length(max_frame_bytes)
             .new_codec();
-        EnvelopeCodec { frames }
+        EnvelopeCodec {
+            frames,
+            max_frame_bytes,
+        }
     }
 }
 
@@ -79,8 +87,16 @@
     type Error = FrameError;
 
     fn encode(&mut self, envelope: &Envelope, buffer: &mut BytesMut) -> Result<(), FrameError> {
-        let payload = Bytes::from(envelope.encode_to_vec());
-        self.frames.encode(payload, buffer).map_err(frame_error)
+        // Encoded in place: a second copy of a large body would double its memory.
+        let length = envelope.encoded_len();
+        let prefix = u32::try_from(length).map_err(|_| FrameError::TooLarge)?;
+        if length > self.max_frame_bytes {
+            return Err(FrameError::TooLarge);
+        }
+        buffer.reserve(FRAME_HEADER_BYTES + length);
+        buffer.put_u32(prefix);
+        envelope.encode_raw(buffer);
+        Ok(())
     }
 }
 
--- a/crates/kumquatlock-wire/src/lib.rs
+++ b/crates/kumquatlock-wire/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub use codec::{
     EncodedFrame, EnvelopeCodec, FrameError, MAX_CONTROL_FRAME_BYTES, MAX_FRAME_BYTES,
+    MAX_NODE_FRAME_BYTES,
 };
 pub use envelope::{Envelope, MessageKind, body::Body};
 
--- a/crates/kumquatlock/src/call/answer.rs
+++ b/crates/kumquatlock/src/call/answer.rs
@@ -6,7 +6,7 @@
 
 use super::names::HeaderNames;
 use super::request::is_forwarded;
-use crate::http::HttpResponse;
+use crate::http::{FinalStatus, HttpResponse};
 
 /// Header that states the outcome of the call, see [`CallerAnswer::outcome`].
 pub const OUTCOME_HEADER: &str = "kumquatlock-outcome";
@@ -17,7 +17,7 @@
     /// Complete answer of an upstream.
     Answered {
         /// HTTP status from the upstream.
-        status: u16,
+        status: FinalStatus,
         /// Headers from the upstream.
         headers: Vec<HeaderField>,
         /// Complete body.
@@ -125,9 +125,13 @@
         }
     }
 
+    /// Converts an answer whose status has been checked.
     pub(super) fn from_response(response: CallResponse) -> Self {
         CallerAnswer::Answered {
-            status: u16::try_from(response.status).unwrap_or(502),
+            status: response
+                .status
+                .try_into()
+                .unwrap_or(FinalStatus::BAD_GATEWAY),
             headers: response.headers,
             body: response.body,
         }
--- a/crates/kumquatlock/src/call/destination/crash.rs
+++ b/crates/kumquatlock/src/call/destination/crash.rs
@@ -7,7 +7,7 @@
 use super::run::{CallRun, ResponseVerdict, RunPhase};
 use super::{DestinationCalls, DestinationStep, RunId};
 use crate::core::{RequestFingerprint, Timestamp};
-use crate::http::UpstreamFailure;
+use crate::http::{FinalStatus, UpstreamFailure};
 use crate::quarantine::{SuspectCall, fingerprints_to_wire};
 
 /// Maximum number of fingerprints in a log line.
@@ -33,9 +33,11 @@
 }
 
 impl LifeSign {
-    pub(super) fn of_response(verdict: ResponseVerdict, status: u16) -> Self {
+    pub(super) fn of_response(verdict: ResponseVerdict, status: FinalStatus) -> Self {
         match verdict {
-            ResponseVerdict::Answered if status < MIN_SERVER_ERROR_STATUS => LifeSign::Completed,
+            ResponseVerdict::Answered if status.code() < MIN_SERVER_ERROR_STATUS => {
+                LifeSign::Completed
+            }
             ResponseVerdict::Answered
             | ResponseVerdict::NotRun
             | ResponseVerdict::UnprovedRefusal => LifeSign::Answered,
@@ -50,6 +52,7 @@
             UpstreamFailure::Unreachable
             | UpstreamFailure::Timeout
             | UpstreamFailure::Garbled
+            | UpstreamFailure::InvalidStatus
             | UpstreamFailure::TooLarge
             | UpstreamFailure::Cancelled => LifeSign::None,
         }
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -204,11 +204,12 @@
     if is_marked || is_other_instance {
         return ResponseVerdict::NotRun;
     }
-    let promises_not_run = names.outcome.is_none() && NOT_RUN_STATUSES.contains(&response.status);
+    let promises_not_run =
+        names.outcome.is_none() && NOT_RUN_STATUSES.contains(&response.status.code());
     if promises_not_run && !is_repeatable {
         return ResponseVerdict::UnprovedRefusal;
     }
-    let is_success = (200..300).contains(&response.status);
+    let is_success = (200..300).contains(&response.status.code());
     let is_signed = names.response_signature.is_none_or(|name| {
         response.header(name).is_some() && response.header("content-encoding").is_none()
     });
@@ -383,7 +384,7 @@
     ) {
         let headers = response.headers.into_iter();
         let answer = StoredAnswer {
-            status: response.status.into(),
+            status: response.status.code().into(),
             headers: headers
                 .map(|(name, value)| HeaderField { name, value })
                 .collect(),
--- a/crates/kumquatlock/src/call/entry/log.rs
+++ b/crates/kumquatlock/src/call/entry/log.rs
@@ -107,7 +107,7 @@
 impl EntryLog {
     fn take(&mut self, now: Timestamp, answer: Option<&CallerAnswer>) -> QuotaStep {
         let is_answered = answer.is_some_and(
-            |answer| matches!(answer, CallerAnswer::Answered { status, .. } if *status < 500),
+            |answer| matches!(answer, CallerAnswer::Answered { status, .. } if status.code() < 500),
         );
         match is_answered {
             true => self.answered.take(now),
@@ -158,7 +158,7 @@
             return;
         };
         let status = match answer {
-            Some(CallerAnswer::Answered { status, .. }) => *status,
+            Some(CallerAnswer::Answered { status, .. }) => status.code(),
             _ => 0,
         };
         let waiting = call.outstanding.first();
--- a/crates/kumquatlock/src/call/entry/message.rs
+++ b/crates/kumquatlock/src/call/entry/message.rs
@@ -6,6 +6,7 @@
 use super::micros;
 use super::state::EntryCall;
 use crate::core::Timestamp;
+use crate::http::{FinalStatus, InvalidStatus};
 use crate::routing::ChosenUpstream;
 
 /// Lowest HTTP status that counts as a failure of the upstream.
@@ -31,6 +32,9 @@
         Ok(CallOutcome::Answered) if response.body_len != response.body.len() as u64 => {
             AttemptResult::Unknown(CallReason::TruncatedAnswer)
         }
+        Ok(CallOutcome::Answered) if check_status(response).is_err() => {
+            AttemptResult::Unknown(CallReason::UpstreamFailed)
+        }
         Ok(CallOutcome::Answered) if response.status >= MIN_SERVER_ERROR_STATUS => {
             AttemptResult::ServerError
         }
@@ -43,6 +47,17 @@
     }
 }
 
+/// Checks that an answer has the status of a final response, as every upstream's answer that was
+/// parsed has.
+pub(super) fn check_status(response: &CallResponse) -> Result<FinalStatus, InvalidStatus> {
+    let status = FinalStatus::try_from(response.status);
+    if let Err(error) = status {
+        log::info!(status = error.0, entry = response.id.entry.as_str(), call = response.id.call_id;
+            "answer_status_invalid");
+    }
+    status
+}
+
 /// Builds the message that sends an attempt to the chosen upstream, without its id and the
 /// incarnation that it names.
 pub(super) fn build_request(
--- a/crates/kumquatlock/src/call/entry/resolve.rs
+++ b/crates/kumquatlock/src/call/entry/resolve.rs
@@ -7,6 +7,7 @@
 use kumquatlock_wire::call::{CallOutcome, CallReason, CallResponse};
 use kumquatlock_wire::claim::{ClaimOwner, ClaimReply, OutcomeQuery};
 
+use super::message::check_status;
 use super::processes::DestinationProcess;
 use super::state::{CallPhase, EntryCall, OutcomeSearch};
 use super::{CallId, EntryCalls, EntryStep, PeerNode, micros, ticket_of};
@@ -219,7 +220,10 @@
         }
         let reason = CallReason::try_from(response.reason).unwrap_or(CallReason::UpstreamFailed);
         match CallOutcome::try_from(response.outcome) {
-            Ok(CallOutcome::Answered) if response.body_len == response.body.len() as u64 => {
+            Ok(CallOutcome::Answered)
+                if response.body_len == response.body.len() as u64
+                    && check_status(&response).is_ok() =>
+            {
                 self.answer(now, id, CallerAnswer::from_response(response), steps);
             }
             // Destination nodes remember an attempt only for a while after its deadline.
--- a/crates/kumquatlock/src/call/tests/failures.rs
+++ b/crates/kumquatlock/src/call/tests/failures.rs
@@ -5,7 +5,7 @@
 use kumquatlock_wire::Body;
 use kumquatlock_wire::distribution::WireClass;
 
-use super::simulation::{CallSimulation, ENTRY, QueuedMessage, UPSTREAMS};
+use super::simulation::{CallSimulation, ENTRY, QueuedMessage, UPSTREAMS, final_status};
 use crate::call::{CallerAnswer, EntrySettings, HeaderNames};
 use crate::http::{HttpResponse, UpstreamFailure};
 
@@ -199,6 +199,7 @@
         (UpstreamFailure::Broken, "unknown", 1),
         (UpstreamFailure::Truncated, "unknown", 1),
         (UpstreamFailure::Garbled, "unknown", 1),
+        (UpstreamFailure::InvalidStatus, "unknown", 1),
         (UpstreamFailure::TooLarge, "unknown", 1),
         (UpstreamFailure::Cancelled, "unknown", 1),
         (UpstreamFailure::Unreachable, "answered", 2),
@@ -239,7 +240,7 @@
         let destination = simulation.called_destination();
         let mark = is_marked.then(|| ("not-executed".to_owned(), "1".to_owned()));
         let response = HttpResponse {
-            status,
+            status: final_status(status),
             headers: mark.into_iter().collect(),
             ..HttpResponse::default()
         };
@@ -260,7 +261,7 @@
         let call = simulation.open(None);
         let destination = simulation.called_destination();
         let failed = HttpResponse {
-            status: 500,
+            status: final_status(500),
             ..HttpResponse::default()
         };
         simulation.queue_result(&destination, Ok(failed));
@@ -360,7 +361,7 @@
     simulation.deliver_all();
     simulation.drain("booking-1");
     let failed = HttpResponse {
-        status: 500,
+        status: final_status(500),
         ..HttpResponse::default()
     };
     simulation.queue_result("booking-1", Ok(failed));
--- a/crates/kumquatlock/src/call/tests/not_run_model.rs
+++ b/crates/kumquatlock/src/call/tests/not_run_model.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::simulation::{
-    UPSTREAMS, booking_request, endpoint, entry_location, snapshot_of, upstreams,
+    UPSTREAMS, booking_request, endpoint, entry_location, final_status, snapshot_of, upstreams,
 };
 use crate::call::*;
 use crate::claim::ClaimSettings;
@@ -359,7 +359,7 @@
             return;
         };
         let response = |status| HttpResponse {
-            status,
+            status: final_status(status),
             ..HttpResponse::default()
         };
         let result = match (begins, variant) {
--- a/crates/kumquatlock/src/call/tests/quarantine.rs
+++ b/crates/kumquatlock/src/call/tests/quarantine.rs
@@ -4,7 +4,7 @@
 use kumquatlock_wire::call::CallReason;
 use kumquatlock_wire::distribution::WireClass;
 
-use super::simulation::{CallSimulation, UPSTREAMS};
+use super::simulation::{CallSimulation, UPSTREAMS, final_status};
 use crate::call::CallerAnswer;
 use crate::core::RequestFingerprint;
 use crate::http::{HttpResponse, UpstreamFailure};
@@ -166,7 +166,7 @@
         let deadly = fingerprint_of(&mut simulation, DEADLY_BODY);
         for name in UPSTREAMS {
             let response = HttpResponse {
-                status,
+                status: final_status(status),
                 ..HttpResponse::default()
             };
             simulation.queue_result(name, Ok(response));
--- a/crates/kumquatlock/src/call/tests/rate_limit.rs
+++ b/crates/kumquatlock/src/call/tests/rate_limit.rs
@@ -17,7 +17,7 @@
 };
 use crate::claim::ClaimSettings;
 use crate::core::{IncarnationId, RequestRate, SharedName, Timestamp};
-use crate::http::HttpResponse;
+use crate::http::{FinalStatus, HttpResponse};
 use crate::transport::LinkId;
 
 const NODE: &str = "booking-1";
@@ -100,7 +100,7 @@
         let leaving = self.states_leaving;
         let leaving = leaving.then(|| (LEAVING_HEADER.to_owned(), "1".to_owned()));
         HttpResponse {
-            status: 200,
+            status: FinalStatus::OK,
             headers: stated.into_iter().chain(leaving).collect(),
             ..HttpResponse::default()
         }
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -19,10 +19,15 @@
 use crate::call::*;
 use crate::claim::{ClaimHolder, ClaimMessage, ClaimSettings};
 use crate::core::*;
-use crate::http::{HttpRequest, HttpResponse, UpstreamFailure};
+use crate::http::{FinalStatus, HttpRequest, HttpResponse, UpstreamFailure};
 use crate::routing::EntryLocation;
 use crate::transport::LinkId;
 
+/// Returns the status of a final response.
+pub(super) fn final_status(code: u16) -> FinalStatus {
+    u32::from(code).try_into().unwrap()
+}
+
 pub(super) const ENTRY: &str = "front-1";
 pub(super) const UPSTREAMS: [&str; 3] = ["booking-1", "booking-2", "booking-3"];
 
@@ -305,7 +310,7 @@
             return;
         };
         let default_answer = HttpResponse {
-            status: 200,
+            status: FinalStatus::OK,
             body: "booked".into(),
             ..HttpResponse::default()
         };
--- a/crates/kumquatlock/src/http/connection.rs
+++ b/crates/kumquatlock/src/http/connection.rs
@@ -16,7 +16,7 @@
 use super::message::{HttpRequest, HttpResponse};
 use super::refusal::RequestRefusal;
 use crate::core::Timestamp;
-use crate::memory::{HoldSize, MemoryBudget, MemoryCharge};
+use crate::memory::{BODY_COPIES, HoldSize, MemoryBudget, MemoryCharge};
 
 /// Maximum number of requests of one connection that wait for their responses. Further requests
 /// stay unread.
@@ -29,9 +29,6 @@
 const MAX_UNREAD_RESPONSE_BYTES: usize = 256 * 1024;
 /// Body up to which a request counts as small, in bytes.
 const SMALL_BODY_BYTES: u64 = 64 * 1024;
-/// Copies of a body that are held at once: the received one, and one that is being written to a
-/// link or to the upstream.
-const BODY_COPIES: usize = 2;
 /// Bytes that may wait in the socket buffer of a connection that is not read.
 const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
 /// Content that counts as progress of a body, in bytes. A caller that sends byte by byte makes none.
@@ -359,7 +356,7 @@
     fn refuse_head(&mut self, error: HeadError) {
         self.refuse(match error {
             HeadError::TooLarge => RequestRefusal::TooManyHeaders,
-            HeadError::Malformed => RequestRefusal::Malformed,
+            HeadError::Malformed | HeadError::Status(_) => RequestRefusal::Malformed,
         });
     }
 
--- a/crates/kumquatlock/src/http/encode.rs
+++ b/crates/kumquatlock/src/http/encode.rs
@@ -23,12 +23,12 @@
 ) {
     // Without this, the buffer of a large response grows to twice its size.
     write_buf.reserve(response.body.len() + HEAD_ROOM_BYTES);
-    let status = StatusCode::from_u16(response.status).ok();
+    let status = StatusCode::from_u16(response.status.code()).ok();
     let reason = status.and_then(|status| status.canonical_reason());
     let line = format!("HTTP/1.1 {} {}\r\n", response.status, reason.unwrap_or("-"));
     write_buf.extend_from_slice(line.as_bytes());
     encode_headers(&response.headers, write_buf);
-    if !matches!(response.status, 204 | 304) {
+    if !matches!(response.status.code(), 204 | 304) {
         let length = format!("Content-Length: {}\r\n", response.body.len());
         write_buf.extend_from_slice(length.as_bytes());
     }
@@ -36,7 +36,7 @@
         write_buf.extend_from_slice(b"Connection: close\r\n");
     }
     write_buf.extend_from_slice(b"\r\n");
-    if !is_head && !matches!(response.status, 204 | 304) {
+    if !is_head && !matches!(response.status.code(), 204 | 304) {
         write_buf.extend_from_slice(&response.body);
     }
 }
@@ -44,6 +44,7 @@
 /// Appends a request for the upstream at `address` to `write_buf`.
 pub(super) fn encode_request(request: &HttpRequest, address: SocketAddr, write_buf: &mut BytesMut) {
     let line = format!("{} {} HTTP/1.1\r\n", request.method, request.target);
+    write_buf.reserve(line.len() + request.body.len() + HEAD_ROOM_BYTES);
     write_buf.extend_from_slice(line.as_bytes());
     if request.header("host").is_none() {
         write_buf.extend_from_slice(format!("Host: {address}\r\n").as_bytes());
--- a/crates/kumquatlock/src/http/exchange.rs
+++ b/crates/kumquatlock/src/http/exchange.rs
@@ -88,6 +88,8 @@
     Broken,
     /// The received bytes are not a valid HTTP response, or belong to another request.
     Garbled,
+    /// The response has a status that no interim or final response has.
+    InvalidStatus,
     /// The connection ended before the body was complete.
     Truncated,
     /// The body exceeds [`MAX_BODY_BYTES`](super::MAX_BODY_BYTES).
@@ -121,6 +123,7 @@
     next_connection: u64,
     events: VecDeque<UpstreamResult<T>>,
     opened_connections: u64,
+    invalid_statuses: u64,
     budget: MemoryBudget,
 }
 
@@ -134,6 +137,7 @@
             next_connection: 0,
             events: VecDeque::new(),
             opened_connections: 0,
+            invalid_statuses: 0,
             budget: MemoryBudget::default(),
         }
     }
@@ -144,6 +148,11 @@
         self.budget = budget;
     }
 
+    /// Returns the number of responses with an invalid status.
+    pub fn invalid_statuses(&self) -> u64 {
+        self.invalid_statuses
+    }
+
     /// Returns the number of connections opened so far.
     pub fn opened_connections(&self) -> u64 {
         self.opened_connections
@@ -342,6 +351,9 @@
         let Some(connection) = self.connections.shift_remove(&id) else {
             return;
         };
+        if failure == UpstreamFailure::InvalidStatus {
+            self.invalid_statuses += 1;
+        }
         let Some(exchange) = connection.exchange() else {
             return;
         };
--- a/crates/kumquatlock/src/http/head.rs
+++ b/crates/kumquatlock/src/http/head.rs
@@ -1,6 +1,7 @@
 //! Parsing of request and response heads: the start line and the headers.
 
 use super::message::MAX_HEADERS;
+use super::status::{InvalidStatus, ResponseStatus};
 
 /// Maximum size of an incomplete response head, in bytes. Upstreams are not expected to exceed it.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
@@ -23,6 +24,8 @@
 pub(super) enum HeadError {
     Malformed,
     TooLarge,
+    /// A response has a status that no interim or final response has.
+    Status(InvalidStatus),
 }
 
 /// Result of parsing the bytes of a head that have arrived so far.
@@ -49,7 +52,7 @@
 /// Status line and headers of a response.
 #[derive(Debug)]
 pub(super) struct ResponseHead {
-    pub(super) status: u16,
+    pub(super) status: ResponseStatus,
     pub(super) headers: Vec<(String, String)>,
     pub(super) framing: BodyFraming,
     pub(super) keep_alive: bool,
@@ -122,8 +125,12 @@
     let Some((fields, framing)) = copy_headers(parsed.headers) else {
         return malformed;
     };
-    let status = parsed.code.unwrap_or_default();
-    let has_no_body = is_head || status < 200 || status == 204 || status == 304;
+    let code = parsed.code.unwrap_or_default();
+    let status = match ResponseStatus::try_from(code) {
+        Ok(status) => status,
+        Err(error) => return HeadProgress::Invalid(HeadError::Status(error)),
+    };
+    let has_no_body = is_head || code < 200 || code == 204 || code == 304;
     let body = match (framing.chunked, framing.length) {
         _ if has_no_body => BodyFraming::Empty,
         (true, _) => BodyFraming::Chunked,
--- a/crates/kumquatlock/src/http/message.rs
+++ b/crates/kumquatlock/src/http/message.rs
@@ -3,8 +3,14 @@
 use bytes::Bytes;
 use serde::Serialize;
 
-/// Maximum size of the body of a call or of its response, in bytes.
+use super::status::FinalStatus;
+
+/// Maximum size of the body of a response, and of that of a call without a limit in the manifest, in
+/// bytes.
 pub const MAX_BODY_BYTES: usize = 1024 * 1024;
+/// Maximum size of the body of a call whatever limit the manifest sets, in bytes. A body is held
+/// whole, and travels between nodes in one frame.
+pub const MAX_CALL_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Maximum number of headers of a request or response.
 pub const MAX_HEADERS: usize = 100;
 
@@ -41,7 +47,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HttpResponse {
     /// Status code.
-    pub status: u16,
+    pub status: FinalStatus,
     /// Header names and values, in order. The server adds `Content-Length`.
     pub headers: Vec<(String, String)>,
     /// Complete body.
@@ -49,17 +55,21 @@
 }
 
 impl HttpResponse {
-    /// Creates a response with `value` as its JSON body.
+    /// Creates a response with `value` as its JSON body. A `status` that no final response has
+    /// becomes 502.
     pub fn json(status: u16, value: &impl Serialize) -> Self {
         let body = serde_json::to_vec(value).unwrap_or_default();
         HttpResponse::json_text(status, body)
     }
 
-    /// Creates a response from a body that is already encoded as JSON.
+    /// Creates a response from a body that is already encoded as JSON. A `status` that no final
+    /// response has becomes 502.
     pub fn json_text(status: u16, body: impl Into<Bytes>) -> Self {
         let headers = vec![("Content-Type".to_owned(), "application/json".to_owned())];
         HttpResponse {
-            status,
+            status: u32::from(status)
+                .try_into()
+                .unwrap_or(FinalStatus::BAD_GATEWAY),
             headers,
             body: body.into(),
         }
--- a/crates/kumquatlock/src/http/mod.rs
+++ b/crates/kumquatlock/src/http/mod.rs
@@ -17,6 +17,7 @@
 mod message;
 mod refusal;
 mod relief;
+mod status;
 mod table;
 mod upstream;
 
@@ -25,8 +26,9 @@
 pub use exchange::{
     EchoedHeader, ExchangeReady, ExchangeTable, UpstreamFailure, UpstreamJob, UpstreamResult,
 };
-pub use message::{HttpRequest, HttpResponse, MAX_BODY_BYTES, MAX_HEADERS};
+pub use message::{HttpRequest, HttpResponse, MAX_BODY_BYTES, MAX_CALL_BODY_BYTES, MAX_HEADERS};
 pub use refusal::RequestRefusal;
+pub use status::{FinalStatus, InvalidStatus};
 pub use table::{CloseStep, HttpEvent, HttpReady, HttpTable, RequestId};
 
 #[cfg(test)]
--- a/crates/kumquatlock/src/http/tests/heads.rs
+++ b/crates/kumquatlock/src/http/tests/heads.rs
@@ -3,6 +3,7 @@
 use super::super::head::{
     BodyFraming, HeadError, HeadProgress, parse_request_head, parse_response_head,
 };
+use super::super::status::ResponseStatus;
 
 const LIMIT: usize = 1_024;
 
@@ -131,3 +132,28 @@
     let progress = parse_response_head(text, false);
     assert!(matches!(progress, HeadProgress::Complete { .. }));
 }
+
+/// Guards against a status that no response has: one below 200 was taken for that of an interim
+/// response, and the caller waited for a final one; one from 600 reached the caller.
+#[test]
+fn only_interim_and_final_statuses_are_accepted() {
+    for code in 0..=999_u16 {
+        let text = format!("HTTP/1.1 {code:03} Reason\r\nContent-Length: 0\r\n\r\n");
+        let progress = parse_response_head(text.as_bytes(), false);
+        match (code, progress) {
+            (100 | 102..=199, HeadProgress::Complete { head, .. }) => {
+                assert_eq!(head.status, ResponseStatus::Interim, "{code}");
+            }
+            (200..=599, HeadProgress::Complete { head, .. }) => {
+                let ResponseStatus::Final(status) = head.status else {
+                    panic!("{code} is not final");
+                };
+                assert_eq!(status, code);
+            }
+            (0..=99 | 101 | 600..=999, HeadProgress::Invalid(HeadError::Status(error))) => {
+                assert_eq!(error.0, u32::from(code));
+            }
+            (_, progress) => panic!("{code}: {progress:?}"),
+        }
+    }
+}
--- a/crates/kumquatlock/src/http/tests/late.rs
+++ b/crates/kumquatlock/src/http/tests/late.rs
@@ -137,7 +137,7 @@
 }
 
 fn status_of(result: Result<HttpResponse, UpstreamFailure>) -> Result<u16, UpstreamFailure> {
-    result.map(|response| response.status)
+    result.map(|response| response.status.code())
 }
 
 /// Guards against a late copy of a refusal that is taken for the response to the next attempt of
--- a/crates/kumquatlock/src/http/upstream.rs
+++ b/crates/kumquatlock/src/http/upstream.rs
@@ -12,8 +12,9 @@
 use super::buffer::SocketBuffer;
 use super::carried::CarriedRequests;
 use super::exchange::{EchoedHeader, MAX_IDLE_AGE, UpstreamFailure, UpstreamJob};
-use super::head::{BodyFraming, HeadProgress, ResponseHead, parse_response_head};
+use super::head::{BodyFraming, HeadError, HeadProgress, ResponseHead, parse_response_head};
 use super::message::{HttpResponse, MAX_BODY_BYTES};
+use super::status::{FinalStatus, ResponseStatus};
 use crate::core::Timestamp;
 use crate::memory::MemoryCharge;
 
@@ -44,6 +45,8 @@
     /// Whether any byte of the request was written.
     pub(super) is_sent: bool,
     response: Option<(ResponseHead, BodyReader)>,
+    /// Status of `response`.
+    status: FinalStatus,
     /// Number of skipped responses to other requests.
     mismatched_responses: u32,
     /// Number of skipped interim responses.
@@ -251,7 +254,7 @@
         };
         match exchange.response.take() {
             Some((head, body)) if !is_reset && body.ends_with_connection() => {
-                ExchangeProgress::Finished(head.into_response(body), false)
+                ExchangeProgress::Finished(head.into_response(exchange.status, body), false)
             }
             Some(_) => ExchangeProgress::Failed(UpstreamFailure::Truncated),
             None => ExchangeProgress::Failed(UpstreamFailure::Broken),
@@ -272,19 +275,24 @@
             if exchange.response.is_none() {
                 match parse_response_head(&self.read_buf, exchange.is_head) {
                     HeadProgress::Partial => return ExchangeProgress::Pending,
-                    HeadProgress::Invalid(_) => {
+                    HeadProgress::Invalid(HeadError::Status(error)) => {
+                        log::info!(status = error.0, upstream:% = self.address; "response_status_invalid");
+                        return ExchangeProgress::Failed(UpstreamFailure::InvalidStatus);
+                    }
+                    HeadProgress::Invalid(HeadError::Malformed | HeadError::TooLarge) => {
                         return ExchangeProgress::Failed(UpstreamFailure::Garbled);
                     }
                     HeadProgress::Complete { head, bytes } => {
                         self.read_buf.advance(bytes);
-                        if head.status < 200 {
+                        let ResponseStatus::Final(status) = head.status else {
                             exchange.interim_responses += 1;
                             if exchange.interim_responses > MAX_INTERIM_RESPONSES {
                                 return ExchangeProgress::Failed(UpstreamFailure::Garbled);
                             }
                             continue;
-                        }
+                        };
                         let body = BodyReader::new(head.framing, MAX_BODY_BYTES as u64);
+                        exchange.status = status;
                         exchange.response = Some((head, body));
                     }
                 }
@@ -336,7 +344,10 @@
             let announced = head.idle_timeout_secs.map(Duration::from_secs);
             let announced = announced.map(|limit| limit.saturating_sub(IDLE_TIMEOUT_MARGIN));
             self.idle_limit = announced.unwrap_or(MAX_IDLE_AGE).min(MAX_IDLE_AGE);
-            return ExchangeProgress::Finished(head.into_response(body), is_reusable);
+            return ExchangeProgress::Finished(
+                head.into_response(exchange.status, body),
+                is_reusable,
+            );
         }
     }
 }
@@ -367,6 +378,7 @@
             echoed: job.echoed,
             is_sent: false,
             response: None,
+            status: FinalStatus::OK,
             mismatched_responses: 0,
             interim_responses: 0,
         }
@@ -387,10 +399,10 @@
 }
 
 impl ResponseHead {
-    fn into_response(self, body: BodyReader) -> HttpResponse {
+    fn into_response(self, status: FinalStatus, body: BodyReader) -> HttpResponse {
         debug_assert!(self.framing != BodyFraming::Empty || !body.ends_with_connection());
         HttpResponse {
-            status: self.status,
+            status,
             headers: self.headers,
             body: body.into_body(),
         }
--- a/crates/kumquatlock/src/memory/budget.rs
+++ b/crates/kumquatlock/src/memory/budget.rs
@@ -14,6 +14,10 @@
 /// while large bodies wait for their end.
 const LARGE_QUARTERS: usize = 3;
 
+/// Copies of a request body that are held at once: the received one, and one that is being written
+/// to a link or to the upstream.
+pub const BODY_COPIES: usize = 2;
+
 /// Whether a body counts as large.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HoldSize {
@@ -65,6 +69,11 @@
         }
     }
 
+    /// Returns the length of the longest body that the budget admits.
+    pub fn longest_body(&self) -> usize {
+        self.limit_for(HoldSize::Large) / BODY_COPIES
+    }
+
     /// Whether more bytes are held than the limit. Bytes that have already been received, such as
     /// an upstream's answer, are charged even if this exceeds the limit.
     pub fn is_exceeded(&self) -> bool {
--- a/crates/kumquatlock/src/memory/mod.rs
+++ b/crates/kumquatlock/src/memory/mod.rs
@@ -9,7 +9,7 @@
 mod settings;
 
 pub(crate) use allocator::return_large_buffers;
-pub use budget::{HoldSize, MemoryBudget, MemoryCharge};
+pub use budget::{BODY_COPIES, HoldSize, MemoryBudget, MemoryCharge};
 pub use settings::{MAX_DESCRIPTORS, MEMORY, ProcessLimits};
 
 #[cfg(test)]
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -31,7 +31,7 @@
 use crate::catalog::Catalog;
 use crate::core::{GroupId, Timestamp};
 use crate::distribution::{self, ChildEvent, ParentEvent, ParentState};
-use crate::http::{HttpReady, HttpTable};
+use crate::http::{HttpLimits, HttpReady, HttpTable};
 use crate::submission::SubmissionTable;
 use crate::transport::{LinkId, LinkReady, LinkTable};
 
@@ -131,7 +131,12 @@
             return None;
         }
         let ready = fwd_to!([cx], on_http_ready() as (HttpReady));
-        let mut http = HttpTable::new(poll, ready, OPERATOR_LIMITS);
+        let longest_body = metrics.budget.longest_body() as u64;
+        let limits = HttpLimits {
+            body_bytes: OPERATOR_LIMITS.body_bytes.min(longest_body),
+            ..OPERATOR_LIMITS
+        };
+        let mut http = HttpTable::new(poll, ready, limits);
         http.set_memory(budget, settings.limits.descriptors);
         http.set_counters(metrics.refusals.clone());
         let http_address = match http.listen(settings.http, ()) {
--- a/crates/kumquatlock/src/ops/control/http.rs
+++ b/crates/kumquatlock/src/ops/control/http.rs
@@ -238,7 +238,7 @@
             }),
             Err(error) => {
                 let response = answer::response(answer::invalid_manifest(&error));
-                self.metrics.count_submission(response.status);
+                self.metrics.count_submission(response.status.code());
                 WorkerResult::Response {
                     id,
                     response: (self.adapter.write)(&request, response),
--- a/crates/kumquatlock/src/ops/control/metrics.rs
+++ b/crates/kumquatlock/src/ops/control/metrics.rs
@@ -18,7 +18,7 @@
 
 use super::actor::ControlActor;
 use super::submission_log::RefusalReason;
-use crate::http::{CloseReason, HttpResponse, RefusalCounters, RequestRefusal};
+use crate::http::{CloseReason, FinalStatus, HttpResponse, RefusalCounters, RequestRefusal};
 use crate::memory::{MemoryBudget, ProcessLimits};
 use crate::transport::{LinkScope, TrafficCounters, TrafficDirection};
 
@@ -148,7 +148,7 @@
         let mut body = String::new();
         match text::encode(&mut body, &self.registry) {
             Ok(()) => HttpResponse {
-                status: 200,
+                status: FinalStatus::OK,
                 headers: vec![("Content-Type".to_owned(), CONTENT_TYPE.to_owned())],
                 body: body.into(),
             },
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use kumquatlock_wire::MAX_NODE_FRAME_BYTES;
 use kumquatlock_wire::distribution::ChildRole;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -27,7 +28,7 @@
 use crate::distribution::{self, ChildEvent, ChildIdentity, ChildState};
 use crate::http::{
     ExchangeReady, ExchangeTable, HttpLimits, HttpReady, HttpTable, MAX_BODY_BYTES,
-    RefusalCounters, RequestId,
+    MAX_CALL_BODY_BYTES, RefusalCounters, RequestId,
 };
 use crate::membership::{AnnouncerEvent, NodeLocation, UpstreamAnnouncer};
 use crate::memory::MemoryBudget;
@@ -151,6 +152,8 @@
         links.set_timing(tuning.links);
         let budget = MemoryBudget::new(settings.limits);
         links.set_memory(budget.clone(), settings.limits.descriptors);
+        links.set_max_frame_bytes(MAX_NODE_FRAME_BYTES);
+        let longest_body = budget.longest_body().min(MAX_CALL_BODY_BYTES);
         let ready = fwd_to!([cx], handle_http_ready() as (HttpReady));
         let mut http = HttpTable::new(parts.poll.clone(), ready, DEFAULT_HTTP_LIMITS);
         http.set_memory(budget.clone(), settings.limits.descriptors);
@@ -217,7 +220,7 @@
             destination,
             adapter: parts.adapter,
             http,
-            body_bytes: MAX_BODY_BYTES as u64,
+            body_bytes: longest_body as u64,
             exchanges,
             budget,
             refusals,
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -6,7 +6,7 @@
 
 use super::actor::NodeActor;
 use crate::call::{AttemptProof, CallerAnswer};
-use crate::http::HttpResponse;
+use crate::http::{FinalStatus, HttpResponse};
 use crate::util::metrics::{METRICS_CONTENT_TYPE, MetricsPage};
 
 /// Upper bounds of the histogram buckets of the call duration, in microseconds.
@@ -53,7 +53,7 @@
         self.add_destination(&mut page);
         match page.encode() {
             Ok(text) => HttpResponse {
-                status: 200,
+                status: FinalStatus::OK,
                 headers: vec![("Content-Type".to_owned(), METRICS_CONTENT_TYPE.to_owned())],
                 body: text.into(),
             },
@@ -221,6 +221,12 @@
             &[],
             self.destination.crashes(),
         );
+        page.add_counter(
+            "invalid_statuses",
+            "Responses of the upstream with a status that no response has",
+            &[],
+            self.exchanges.invalid_statuses(),
+        );
         self.add_fences(page);
         page.add_gauge(
             "claims_kept",
--- a/crates/kumquatlock/src/transport/link.rs
+++ b/crates/kumquatlock/src/transport/link.rs
@@ -15,7 +15,7 @@
 use super::outbox::LinkOutbox;
 use super::table::{LinkError, LinkTiming, MAX_QUEUED_BYTES};
 use crate::core::Timestamp;
-use crate::memory::{MemoryBudget, MemoryCharge};
+use crate::memory::{BODY_COPIES, MemoryBudget, MemoryCharge};
 
 /// Number of bytes read from a socket in one call.
 const READ_CHUNK_BYTES: usize = 64 * 1024;
@@ -23,10 +23,6 @@
 /// Largest empty inbox that a link keeps, in bytes. Larger ones are given back.
 const MAX_EMPTY_BYTES: usize = 64 * 1024;
 
-/// Copies of the body of a received call that are held at once: the received one, and one that is
-/// being written to the upstream.
-const CALL_COPIES: usize = 2;
-
 /// Identifies a link within its table. Never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct LinkId(pub u64);
@@ -226,7 +222,7 @@
         };
         match body {
             Body::Call(mut call) => {
-                call.body = hold(call.body, CALL_COPIES);
+                call.body = hold(call.body, BODY_COPIES);
                 Body::Call(call)
             }
             Body::Response(mut response) => {
