--- a/crates/kumquatlock/src/ops/control/quota_metrics.rs
+++ b/crates/kumquatlock/src/ops/control/quota_metrics.rs
@@ -6,7 +6,6 @@
 use prometheus_client::registry::Registry;
 
 use super::quota::QuotaState;
-use crate::core::Timestamp;
 use crate::quota::GranterCounters;
 
 /// Who grants: this instance to its children, or the leader to the parents.
