Count what repeated runs call as extra arrivals, and let only clients earn them

The more a service is called by others, the more it was repeated, and the more those repetitions called it again.

Change: one definition in retry/budget.rs, with the invariant beside the tokens. Attempts carry the probability that their arrival is an extra one; the node beside the upstream charges the calls made there by the share of such runs, and while that is more than it has, it refuses to run further repetitions, before they reach the upstream. A route counts as used by clients once calls entered on it while nothing ran beside their node; nodes tell each other with their calls. Retries of less urgent routes leave tokens for more urgent ones. Counters by reason, of tokens taken and of attempts refused.

--- a/crates/kumquatlock-node/src/commands/serve.rs
+++ b/crates/kumquatlock-node/src/commands/serve.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 use eyre::WrapErr;
 use kumquatlock::ops::node::{FixedSettings, NodeAdapter, NodeSettings, NodeTuning, run_node};
+use kumquatlock::routing::SpillSettings;
 use kumquatlock::util::cancel::CancelToken;
 use kumquatlock::util::logging::{LogFilter, init_logging};
 use kumquatlock::util::settings::{
@@ -71,6 +72,20 @@
 .unit("ms")
 .range(10_000, 3_600_000)
 .default_value("600000");
+const ZONE_COST: SettingSpec<DurationMillis> = SettingSpec::new(
+    "zone-cost-ms-per-kib",
+    "time that a call must save to be worth 1 KiB of traffic between zones of a region",
+)
+.unit("ms")
+.range(0, 10_000)
+.default_value("1");
+const REGION_COST: SettingSpec<DurationMillis> = SettingSpec::new(
+    "region-cost-ms-per-kib",
+    "time that a call must save to be worth 1 KiB of traffic between regions",
+)
+.unit("ms")
+.range(0, 10_000)
+.default_value("10");
 const LOG: SettingSpec<LogFilter> = SettingSpec::new(
     "log",
     "log levels by target, such as info or warn,kumquatlock::call=debug",
@@ -131,6 +146,14 @@
     /// 600000, variable KUMQUATLOCK_CLAIM_RETENTION_MS)
     #[argh(option)]
     claim_retention_ms: Option<String>,
+    /// time that a call must save to be worth 1 KiB of traffic between zones of a region (value
+    /// 0..=10000 ms, default 1, variable KUMQUATLOCK_ZONE_COST_MS_PER_KIB)
+    #[argh(option)]
+    zone_cost_ms_per_kib: Option<String>,
+    /// time that a call must save to be worth 1 KiB of traffic between regions (value 0..=10000 ms,
+    /// default 10, variable KUMQUATLOCK_REGION_COST_MS_PER_KIB)
+    #[argh(option)]
+    region_cost_ms_per_kib: Option<String>,
     /// log levels by target, such as info or warn,kumquatlock::call=debug (length in bytes
     /// 1..=1024, default info, variable KUMQUATLOCK_LOG)
     #[argh(option)]
@@ -166,6 +189,8 @@
             UPSTREAM_CONNECTIONS.describe(),
             LONGEST_TIMEOUT.describe(),
             CLAIM_RETENTION.describe(),
+            ZONE_COST.describe(),
+            REGION_COST.describe(),
             LOG.describe(),
         ]
     }
@@ -179,6 +204,9 @@
         let longest_timeout =
             LONGEST_TIMEOUT.resolve(self.longest_timeout_ms.as_deref(), environment)?;
         let retention = CLAIM_RETENTION.resolve(self.claim_retention_ms.as_deref(), environment)?;
+        let zone_cost = ZONE_COST.resolve(self.zone_cost_ms_per_kib.as_deref(), environment)?;
+        let region_cost =
+            REGION_COST.resolve(self.region_cost_ms_per_kib.as_deref(), environment)?;
         let listen = LISTEN.resolve(self.listen.as_deref(), environment)?.0;
         let advertise = ADVERTISE.resolve_optional(self.advertise.as_deref(), environment)?;
         Ok(NodeSettings {
@@ -196,7 +224,13 @@
             upstream_connections: connections.0 as usize,
             longest_timeout: longest_timeout.duration(),
             claim_retention: retention.duration(),
-            tuning: NodeTuning::default(),
+            tuning: NodeTuning {
+                spill: SpillSettings {
+                    zone_cost_per_kib: zone_cost.duration(),
+                    region_cost_per_kib: region_cost.duration(),
+                },
+                ..NodeTuning::default()
+            },
         })
     }
 }
--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -115,6 +115,15 @@
     /// call. Zero if the incarnation is that of the configuration.
     #[prost(uint64, tag = "23")]
     pub process: u64,
+    /// Probability, in thousandths, that the arrival of this attempt at the upstream is an extra one:
+    /// 1,000 for an attempt after one that may have arrived, and the share of such runs at the
+    /// upstream that makes the call otherwise.
+    #[prost(uint32, tag = "28")]
+    pub extra_permille: u32,
+    /// Mark of the route if the entry node knows that clients use it, where no header tells calls of
+    /// upstreams from those of clients; zero otherwise.
+    #[prost(fixed32, tag = "29")]
+    pub client_route: u32,
 }
 
 /// Outcome of one attempt.
@@ -163,6 +172,9 @@
     UpstreamRefused = 22,
     /// The request has ended several upstreams and is in quarantine.
     Quarantined = 23,
+    /// The attempt would be an extra arrival, and the calls of such runs have spent the node's retry
+    /// budget.
+    BudgetSpent = 30,
 }
 
 /// Load of the destination node's upstream, sent with every answer.
--- a/crates/kumquatlock/examples/policy/run.rs
+++ b/crates/kumquatlock/examples/policy/run.rs
@@ -151,6 +151,7 @@
         let timeout = Duration::from_millis(timeout_ms);
         let progress = CallProgress {
             class,
+            rank: 0,
             depth: 0,
             attempts: 0,
             arrived: 0,
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -5,6 +5,7 @@
 mod counters;
 mod crash;
 mod limit;
+mod local_runs;
 mod log;
 mod notice;
 mod queries;
@@ -32,6 +33,7 @@
 use crate::util::trace::SeededIds;
 pub use counters::DestinationCounters;
 use limit::{AnswerLimit, DEFAULT_LEAVE_TIME};
+pub use local_runs::LocalRuns;
 use log::DestinationLog;
 use notice::UpstreamStatement;
 use queries::WaitingQuery;
@@ -67,6 +69,11 @@
     completed: CompletedRequests,
     /// Requests that the configuration refuses.
     quarantined: IndexSet<RequestFingerprint>,
+    /// Whether attempts that are certain to be extra arrivals are refused.
+    refuses_extra_runs: bool,
+    /// When a run was given up that may go on at the upstream. Initially the start of the process,
+    /// because the upstream may go on with runs that an earlier process has started.
+    abandoned_at: Timestamp,
     /// Number of times that the upstream ended while it was running requests.
     crashes: u64,
     /// Present once the upstream has announced itself.
@@ -116,6 +123,8 @@
             crash_detector: CrashDetector::default(),
             completed: CompletedRequests::default(),
             quarantined: IndexSet::new(),
+            refuses_extra_runs: false,
+            abandoned_at: Timestamp::default(),
             crashes: 0,
             admission: None,
             draining: false,
@@ -304,6 +313,12 @@
         steps
     }
 
+    /// Sets whether attempts that are certain to be extra arrivals are refused, because the calls of
+    /// such runs have spent the retry budget of this node.
+    pub fn set_refuses_extra_runs(&mut self, refuses: bool) {
+        self.refuses_extra_runs = refuses;
+    }
+
     /// Handles a call. `frozen` means that this process was just suspended for so long that the
     /// deadlines in the messages it now reads can't be trusted.
     pub fn on_call(
@@ -410,6 +425,9 @@
         if self.quarantined.contains(&fingerprint) {
             return Err(CallReason::Quarantined);
         }
+        if self.refuses_extra_runs && request.extra_permille >= local_runs::CERTAIN_PERMILLE {
+            return Err(CallReason::BudgetSpent);
+        }
         if request.depth >= MAX_DEPTH {
             return Err(CallReason::DepthExceeded);
         }
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -516,6 +516,7 @@
         steps: &mut Vec<DestinationStep>,
     ) -> Option<CallRun> {
         let run = self.runs.swap_remove(&id)?;
+        self.record_abandoned(now, &run, outcome);
         self.tickets.swap_remove(&run.ticket);
         self.attempts.swap_remove(&run.request.id);
         if let Some(admission) = &mut self.admission {
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -99,6 +99,10 @@
             None => self.stated_processes.current(&chosen.entry),
         };
         let ticket = balancer.start_attempt(now, &chosen);
+        let extra_share = match call.possibly_arrived {
+            0 => call.extra_share,
+            _ => 1.0,
+        };
         let number = call.next_number();
         call.attempts_sent += 1;
         call.possibly_arrived += 1;
@@ -109,6 +113,8 @@
         call.load_age = chosen.load_age.unwrap_or_default();
         let mut request = build_request(call, &chosen, now, version);
         request.incarnation = addressed.incarnation.0;
+        request.client_route = call.client_route;
+        request.extra_permille = (extra_share * 1e3) as u32;
         request.process = addressed.process.unwrap_or_default().0;
         request.origin = self.settings.origin.to_string();
         let ends_at = self.ends_at.filter(|ends_at| *ends_at < call.deadline);
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod log;
 mod message;
+mod origin;
 mod processes;
 mod proof;
 mod quarantine;
@@ -25,15 +26,19 @@
 use strum::EnumCount;
 
 use super::answer::{CallerAnswer, RejectReason};
+use super::destination::LocalRuns;
 use super::request::CallerRequest;
 use crate::claim::PlacementTable;
 use crate::core::{
     ConfigSnapshot, ProcessId, RequestFingerprint, SharedName, Timestamp, UpstreamEntry,
 };
-use crate::retry::{BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing};
+use crate::retry::{
+    BudgetSettings, ExtraCounters, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing,
+};
 use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
 use log::EntryLog;
+use origin::{CallOrigin, RouteOrigins, route_mark};
 use processes::StatedProcesses;
 pub use proof::AttemptProof;
 pub use settings::EntrySettings;
@@ -138,6 +143,10 @@
     settings: EntrySettings,
     /// Retry budget of each service that was called.
     budgets: IndexMap<SharedName, RetryBudget>,
+    /// Routes that clients are known to use.
+    origins: RouteOrigins,
+    /// Counters of the budgets of services that the snapshot no longer contains.
+    removed_extra: ExtraCounters,
     split_chooser: SplitChooser,
     policy: RetryPolicy,
     /// Share of refused calls of each service that was called.
@@ -181,8 +190,10 @@
             policy: RetryPolicy {
                 scope: settings.scope,
             },
-            settings,
             budgets: IndexMap::new(),
+            origins: RouteOrigins::new(settings.infers_nested_calls),
+            settings,
+            removed_extra: ExtraCounters::default(),
             split_chooser: SplitChooser::default(),
             pacings: IndexMap::new(),
             hedge_policies: IndexMap::new(),
@@ -217,8 +228,14 @@
     }
 
     /// Starts a call for a caller's request, or answers the caller at once if the request is
-    /// refused.
-    pub fn open(&mut self, now: Timestamp, request: CallerRequest) -> (CallId, Vec<EntryStep>) {
+    /// refused. `local_runs` is what the upstream beside this node runs, which may have made the
+    /// request.
+    pub fn open(
+        &mut self,
+        now: Timestamp,
+        request: CallerRequest,
+        local_runs: LocalRuns,
+    ) -> (CallId, Vec<EntryStep>) {
         let id = CallId(self.next_call);
         self.next_call += 1;
         self.counters.calls += 1;
@@ -229,10 +246,18 @@
             Ok(call) => {
                 let service = self.split_chooser.choose(&call.route, &mut self.random);
                 let budget = budget_of(&mut self.budgets, &self.settings, now, &service);
-                if !request.is_nested {
-                    budget.record_first_attempt(now);
+                let origin = self
+                    .origins
+                    .infer(&call.route.name, request.is_nested, local_runs);
+                let extra_share = match origin {
+                    CallOrigin::Client => 0.0,
+                    CallOrigin::Upstream => local_runs.extra_share,
+                };
+                match origin {
+                    CallOrigin::Client => budget.record_first_attempt(now),
+                    CallOrigin::Upstream => budget.charge_repeated_run(now, extra_share),
                 }
-                let call = EntryCall::new(
+                let mut call = EntryCall::new(
                     request,
                     call.fingerprint,
                     span,
@@ -241,6 +266,10 @@
                     now,
                     call.deadline,
                 );
+                call.extra_share = extra_share;
+                if origin == CallOrigin::Client && self.settings.infers_nested_calls {
+                    call.client_route = route_mark(&call.route.name);
+                }
                 self.deferred_calls += usize::from(call.is_deferred());
                 self.timers.insert((call.wake_at, id));
                 self.calls.insert(id, call);
@@ -262,6 +291,29 @@
         (id, steps)
     }
 
+    /// Returns the extra arrivals that calls of this node caused, by reason, and those that the budget
+    /// refused.
+    pub fn extra_counters(&self) -> ExtraCounters {
+        let mut sum = self.removed_extra;
+        for budget in self.budgets.values() {
+            sum.add(&budget.counters());
+        }
+        sum
+    }
+
+    /// Handles the mark of a route that another node knows clients use; zero is none.
+    pub fn adopt_client_route(&mut self, mark: u32) {
+        self.origins.adopt(mark);
+    }
+
+    /// Whether the calls of runs that were extra arrivals have spent the budget of a service that
+    /// the upstream beside this node calls.
+    pub fn is_in_debt(&mut self, now: Timestamp) -> bool {
+        self.budgets
+            .values_mut()
+            .any(|budget| budget.is_in_debt(now))
+    }
+
     /// Replaces the limits on additional attempts.
     pub fn set_budget(&mut self, budget: BudgetSettings) {
         self.settings.budget = budget;
@@ -284,8 +336,15 @@
     pub fn on_snapshot(&mut self, now: Timestamp, snapshot: Arc<ConfigSnapshot>) -> Vec<EntryStep> {
         self.routes = RouteTable::new(&snapshot);
         self.balancers.apply(&snapshot, now);
-        self.budgets
-            .retain(|name, _| snapshot.services.contains_key(name));
+        self.origins.apply(&snapshot);
+        let removed_extra = &mut self.removed_extra;
+        self.budgets.retain(|name, budget| {
+            let is_kept = snapshot.services.contains_key(name);
+            if !is_kept {
+                removed_extra.add(&budget.counters());
+            }
+            is_kept
+        });
         self.pacings
             .retain(|name, _| snapshot.services.contains_key(name));
         self.notices
--- a/crates/kumquatlock/src/call/entry/settings.rs
+++ b/crates/kumquatlock/src/call/entry/settings.rs
@@ -30,6 +30,8 @@
     pub scope: BudgetScope,
     /// Service beside this node; sent to upstreams as the origin of calls.
     pub origin: SharedName,
+    /// Whether calls of upstreams can't be told from those of clients by a header.
+    pub infers_nested_calls: bool,
     /// Cost of traffic between zones and regions.
     pub spill: SpillSettings,
 }
@@ -46,6 +48,7 @@
             budget: BudgetSettings::default(),
             scope: BudgetScope::default(),
             origin: SharedName::default(),
+            infers_nested_calls: false,
             spill: SpillSettings::default(),
         }
     }
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -38,6 +38,10 @@
     /// Number of attempts that may have reached an upstream: all attempts sent, except those that
     /// are known not to have reached one.
     pub(super) possibly_arrived: u32,
+    /// Probability that the call belongs to a run that was an extra arrival.
+    pub(super) extra_share: f64,
+    /// Mark of the route if clients are known to use it and nodes tell each other; zero otherwise.
+    pub(super) client_route: u32,
     pub(super) tried: Vec<UpstreamToken>,
     pub(super) phase: CallPhase,
     /// Upstream of the latest attempt.
@@ -134,6 +138,8 @@
             last_number: 0,
             attempts_sent: 0,
             possibly_arrived: 0,
+            extra_share: 0.0,
+            client_route: 0,
             tried: Vec::new(),
             phase: CallPhase::Attempting,
             last_upstream: None,
@@ -168,6 +174,7 @@
     pub(super) fn progress(&self) -> CallProgress {
         CallProgress {
             class: self.route.class,
+            rank: self.route.rank,
             depth: self.request.depth,
             attempts: self.attempts_sent,
             arrived: self.possibly_arrived,
--- a/crates/kumquatlock/src/call/mod.rs
+++ b/crates/kumquatlock/src/call/mod.rs
@@ -21,7 +21,8 @@
 
 pub use answer::{CallerAnswer, OUTCOME_HEADER, RejectReason, reason_label};
 pub use destination::{
-    CallSource, DestinationCalls, DestinationCounters, DestinationStep, RunId, UpstreamEndpoint,
+    CallSource, DestinationCalls, DestinationCounters, DestinationStep, LocalRuns, RunId,
+    UpstreamEndpoint,
 };
 pub use entry::{
     AttemptProof, CallId, EntryCalls, EntryCounters, EntrySettings, EntryStep, PeerNode,
--- a/crates/kumquatlock/src/call/tests/not_run_model.rs
+++ b/crates/kumquatlock/src/call/tests/not_run_model.rs
@@ -217,7 +217,7 @@
         self.record(format!("{} opens request {number}", ENTRIES[entry]));
         let headers = vec![("Request-Timeout-Ms".to_owned(), timeout_ms.to_string())];
         let request = booking_request(headers, &number.to_string());
-        let (call, steps) = self.entries[entry].open(self.now, request);
+        let (call, steps) = self.entries[entry].open(self.now, request, LocalRuns::default());
         self.calls.insert((entry, call), number);
         self.on_entry(entry, |_, _| steps);
         number
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -137,7 +137,7 @@
         let headers = timeout.into_iter().chain(header);
         let headers = headers.map(|(name, value)| (name.to_owned(), value.to_owned()));
         let request = booking_request(headers.collect(), body);
-        let (id, steps) = self.entry.open(self.now, request);
+        let (id, steps) = self.entry.open(self.now, request, LocalRuns::default());
         self.apply_entry_steps(steps);
         id
     }
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -174,6 +174,7 @@
         entry.budget = tuning.budget;
         entry.scope = tuning.scope;
         entry.spill = tuning.spill;
+        entry.infers_nested_calls = parts.adapter.names.depth.is_none();
         entry.longest_timeout = settings.longest_timeout;
         entry.origin = tuning.origin.clone();
         entry.search_limit = tuning.search_limit.unwrap_or(entry.search_limit);
--- a/crates/kumquatlock/src/ops/node/front.rs
+++ b/crates/kumquatlock/src/ops/node/front.rs
@@ -34,7 +34,8 @@
     }
 
     fn open_call(&mut self, now: Timestamp, request: CallerRequest, id: RequestId) {
-        let (call, steps) = self.entry.open(now, request);
+        let local_runs = self.destination.local_runs(now);
+        let (call, steps) = self.entry.open(now, request, local_runs);
         self.waiting_requests.insert(call, id);
         self.queue_entry(steps);
     }
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -7,6 +7,7 @@
 use super::actor::NodeActor;
 use crate::call::{AttemptProof, CallerAnswer};
 use crate::http::HttpResponse;
+use crate::retry::ExtraReason;
 use crate::routing::{LocalityTier, SpillReason};
 use crate::util::metrics::{METRICS_CONTENT_TYPE, MetricsPage};
 
@@ -161,6 +162,16 @@
             &[],
             localities.cross_region(),
         );
+        let extra = self.entry.extra_counters();
+        for reason in ExtraReason::iter() {
+            let labels = [("reason", reason.into())];
+            let help = "Extra arrivals at upstreams that calls of this node caused, in thousandths";
+            let taken = (extra.taken[reason as usize] * 1e3) as u64;
+            page.add_counter("extra_arrivals_millis", help, &labels, taken);
+            let help = "Further attempts that the retry budget refused";
+            let refused = extra.refused[reason as usize];
+            page.add_counter("extra_attempts_refused", help, &labels, refused);
+        }
         for tier in [LocalityTier::Region, LocalityTier::CrossRegion] {
             for reason in SpillReason::iter() {
                 let labels = [("tier", tier.into()), ("reason", reason.into())];
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -296,6 +296,9 @@
         match body {
             Body::Call(request) => {
                 let source = CallSource::Link(link);
+                self.entry.adopt_client_route(request.client_route);
+                let is_in_debt = self.entry.is_in_debt(now);
+                self.destination.set_refuses_extra_runs(is_in_debt);
                 let steps = self.destination.on_call(now, source, request, self.frozen);
                 self.queue_destination(steps);
             }
--- a/crates/kumquatlock/src/retry/budget.rs
+++ b/crates/kumquatlock/src/retry/budget.rs
@@ -1,4 +1,13 @@
-//! Token bucket for extra attempts.
+//! Budget for extra arrivals.
+//!
+//! An *extra arrival* is the arrival of a request at an upstream of a service beyond the first one of
+//! that request, whether the upstream rejects it or not: a retry, a hedge, a duplicate beside a
+//! silent node, or a call that is made by a run which was itself an extra arrival. Attempts that are
+//! known not to have reached an upstream are not arrivals. Requests of clients for the service earn
+//! tokens, and nothing else does: calls of upstreams grow with the runs above them, so what they
+//! would earn could be spent on the very repetitions that cause them.
+
+use strum::EnumCount;
 
 use crate::core::Timestamp;
 
@@ -13,6 +22,52 @@
 /// Maximum number of tokens, which limits the burst of retries after a quiet period.
 const MAX_TOKENS: f64 = 100.0;
 
+/// Lowest number of tokens after calls of repeated runs were charged. A larger debt would still
+/// refuse retries when the calls that caused it no longer count.
+const MAX_DEBT: f64 = 50.0;
+/// Fraction of the maximum number of tokens that a call leaves for calls of the next lower rank.
+const RESERVE_PER_RANK: f64 = 0.1;
+/// Ranks above this one leave no more tokens than this one.
+const MAX_RESERVED_RANK: u32 = 5;
+
+/// Why a request arrives at upstreams of a service once more.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, strum::EnumCount, strum::EnumIter, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum ExtraReason {
+    /// An earlier attempt has failed.
+    Retry,
+    /// The first attempt of a lookup is late.
+    Hedge,
+    /// The node that has an earlier attempt is silent.
+    Duplicate,
+    /// The run that makes the call was an extra arrival itself.
+    RepeatedRun,
+}
+
+/// Extra arrivals by [`ExtraReason`].
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ExtraCounters {
+    /// Tokens taken. Fractions add up, because the share of a call that counts as extra is known
+    /// only in the mean.
+    pub taken: [f64; ExtraReason::COUNT],
+    /// Attempts that the budget refused.
+    pub refused: [u64; ExtraReason::COUNT],
+}
+
+impl ExtraCounters {
+    /// Adds the counters of another budget.
+    pub fn add(&mut self, other: &ExtraCounters) {
+        for (sum, taken) in self.taken.iter_mut().zip(other.taken) {
+            *sum += taken;
+        }
+        for (sum, refused) in self.refused.iter_mut().zip(other.refused) {
+            *sum += refused;
+        }
+    }
+}
+
 /// Settings of a retry budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetSettings {
@@ -53,13 +108,20 @@
     }
 }
 
-/// Limits the retries and hedges that one node makes to one service. Each costs a token, or a
-/// fraction of one if it is likely to add no load.
+/// Limits the extra arrivals that one node causes at one service. Each costs a token, or a fraction of
+/// one if it arrives only with some probability.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     settings: BudgetSettings,
-    /// Between 0 and `settings.max_tokens`.
+    /// Between `-MAX_DEBT` and `settings.max_tokens`, and not raised above what clients' requests
+    /// have earned. Over any span, a node causes at most `settings.max_tokens` extra arrivals, plus
+    /// `settings.tokens_per_call` for each request of a client in it, plus `tokens_per_second`.
+    /// Summed over the nodes, of which each has its part of the shared slack, this is at most the
+    /// ratio times the clients' requests for the service, plus the slack. Only calls of runs that
+    /// were extra arrivals may exceed it, by the debt; while there is one, the node refuses to run
+    /// further extra arrivals.
     tokens: f64,
+    counters: ExtraCounters,
     /// Tokens gained from calls and not yet deducted from the minimum gain per second. Time adds
     /// only the part of that minimum that calls have not gained already. Between 0 and
     /// `settings.tokens_per_second`.
@@ -78,6 +140,7 @@
         RetryBudget {
             settings,
             tokens: INITIAL_TOKENS.min(settings.max_tokens),
+            counters: ExtraCounters::default(),
             tokens_from_calls: 0.0,
             updated_at: now,
         }
@@ -101,21 +164,50 @@
         self.tokens_from_calls = (self.tokens_from_calls + tokens_per_call).min(tokens_per_second);
     }
 
-    /// Takes one token if at least `reserve` tokens remain after that. Returns whether it was
-    /// taken.
-    pub fn try_take(&mut self, now: Timestamp, reserve: f64) -> bool {
-        self.try_take_fraction(now, 1.0, reserve)
+    /// Takes the tokens of one extra arrival if at least `reserve` tokens remain after that. Returns
+    /// whether they were taken. `cost` is the probability that it arrives.
+    pub fn try_take(
+        &mut self,
+        now: Timestamp,
+        reason: ExtraReason,
+        cost: f64,
+        reserve: f64,
+    ) -> bool {
+        self.refill(now);
+        let is_enough = self.tokens >= cost + reserve;
+        if is_enough {
+            self.tokens -= cost;
+            self.counters.taken[reason as usize] += cost;
+        } else {
+            self.counters.refused[reason as usize] += 1;
+        }
+        is_enough
     }
 
-    /// Like [`RetryBudget::try_take`], but takes only a fraction of a token, for an attempt that is
-    /// likely to add no load.
-    pub fn try_take_fraction(&mut self, now: Timestamp, fraction: f64, reserve: f64) -> bool {
+    /// Charges a call of a run that was an extra arrival with this probability. The call is made in
+    /// any case: without it the work of the run would be lost.
+    pub fn charge_repeated_run(&mut self, now: Timestamp, cost: f64) {
         self.refill(now);
-        let enough = self.tokens >= fraction + reserve;
-        if enough {
-            self.tokens -= fraction;
-        }
-        enough
+        self.tokens = (self.tokens - cost).max(-MAX_DEBT);
+        self.counters.taken[ExtraReason::RepeatedRun as usize] += cost;
+    }
+
+    /// Whether calls of repeated runs have cost more than was available.
+    pub fn is_in_debt(&mut self, now: Timestamp) -> bool {
+        self.refill(now);
+        self.tokens < 0.0
+    }
+
+    /// Returns the tokens that a call of this rank leaves for more urgent ones.
+    pub fn reserve_for(&self, rank: u32) -> f64 {
+        let max_tokens = self.settings.max_tokens;
+        let reserve = max_tokens * RESERVE_PER_RANK * f64::from(rank.min(MAX_RESERVED_RANK));
+        reserve.min(max_tokens - 1.0).max(0.0)
+    }
+
+    /// Returns the counters since the budget was created.
+    pub fn counters(&self) -> ExtraCounters {
+        self.counters
     }
 
     /// Returns the number of available tokens.
--- a/crates/kumquatlock/src/retry/hedge.rs
+++ b/crates/kumquatlock/src/retry/hedge.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::budget::RetryBudget;
+use super::budget::{ExtraReason, RetryBudget};
 use super::policy::CallProgress;
 use crate::core::{RequestClass, Timestamp};
 
@@ -105,7 +105,7 @@
             HedgeDecision::Skip(SkipReason::AlreadyRetried)
         } else if now + self.expected_latency() >= progress.deadline {
             HedgeDecision::Skip(SkipReason::DeadlineSpent)
-        } else if !budget.try_take(now, RETRY_RESERVE_TOKENS) {
+        } else if !budget.try_take(now, ExtraReason::Hedge, 1.0, RETRY_RESERVE_TOKENS) {
             HedgeDecision::Skip(SkipReason::BudgetSpent)
         } else {
             HedgeDecision::Send
--- a/crates/kumquatlock/src/retry/mod.rs
+++ b/crates/kumquatlock/src/retry/mod.rs
@@ -9,7 +9,7 @@
 mod pacing;
 mod policy;
 
-pub use budget::{BudgetSettings, RetryBudget};
+pub use budget::{BudgetSettings, ExtraCounters, ExtraReason, RetryBudget};
 pub use hedge::{HedgeDecision, HedgePolicy, SkipReason};
 pub use pacing::ReturnPacing;
 pub use policy::{
--- a/crates/kumquatlock/src/retry/policy.rs
+++ b/crates/kumquatlock/src/retry/policy.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use super::budget::RetryBudget;
+use super::budget::{ExtraReason, RetryBudget};
 use crate::core::{RequestClass, Timestamp};
 
 /// Maximum number of attempts of one call, including the first.
@@ -43,6 +43,8 @@
 pub struct CallProgress {
     /// Request class of the route.
     pub class: RequestClass,
+    /// Rank of the route; lower ranks are served first.
+    pub rank: u32,
     /// Number of calls above this one in the call chain.
     pub depth: u32,
     /// Number of attempts made so far, including hedges.
@@ -136,7 +138,8 @@
             BudgetScope::Arrivals if progress.arrived == 0 => 0.0,
             BudgetScope::Arrivals => token_cost(failure),
         };
-        if cost > 0.0 && !budget.try_take_fraction(now, cost, 0.0) {
+        let reserve = budget.reserve_for(progress.rank);
+        if cost > 0.0 && !budget.try_take(now, ExtraReason::Retry, cost, reserve) {
             return if progress.class == RequestClass::Deferred {
                 RetryDecision::Postpone { after }
             } else {
@@ -157,8 +160,9 @@
         progress: &CallProgress,
     ) -> bool {
         let failure = AttemptFailure::Unknown(CallReason::LinkLost);
+        let reserve = budget.reserve_for(progress.rank);
         give_up_reason(progress, failure).is_none()
-            && budget.try_take_fraction(now, token_cost(failure), 0.0)
+            && budget.try_take(now, ExtraReason::Duplicate, token_cost(failure), reserve)
     }
 }
 
--- a/crates/kumquatlock/src/retry/tests.rs
+++ b/crates/kumquatlock/src/retry/tests.rs
@@ -2,6 +2,8 @@
 
 mod pacing;
 
+mod fleet;
+
 use std::time::Duration;
 
 use kumquatlock_wire::call::CallReason;
@@ -18,6 +20,7 @@
 fn progress(class: RequestClass, depth: u32, attempts: u32) -> CallProgress {
     CallProgress {
         class,
+        rank: 0,
         depth,
         attempts,
         arrived: attempts,
@@ -50,7 +53,7 @@
 
 fn empty_budget() -> RetryBudget {
     let mut budget = RetryBudget::new(START);
-    while budget.try_take(START, 0.0) {}
+    while budget.try_take(START, ExtraReason::Retry, 1.0, 0.0) {}
     budget
 }
 
@@ -164,7 +167,8 @@
     for call in 0..10_000 {
         let now = Timestamp::from_millis(call);
         budget.record_first_attempt(now);
-        retries += u32::from(budget.try_take(now, 0.0)) + u32::from(budget.try_take(now, 0.0));
+        retries += u32::from(budget.try_take(now, ExtraReason::Retry, 1.0, 0.0))
+            + u32::from(budget.try_take(now, ExtraReason::Retry, 1.0, 0.0));
     }
     // 0.2 × 10,000 and the first second's tokens; the gain per second is not added to the gain per
     // call.
@@ -176,10 +180,18 @@
 #[test]
 fn an_idle_node_gains_two_tokens_per_second_up_to_a_limit() {
     let mut budget = empty_budget();
-    assert!(!budget.try_take(Timestamp::from_millis(450), 0.0));
+    assert!(!budget.try_take(Timestamp::from_millis(450), ExtraReason::Retry, 1.0, 0.0));
     let now = Timestamp::from_millis(1_000);
-    assert!((0..2).all(|_| budget.try_take(now, 0.0)) && !budget.try_take(now, 0.0));
-    let _ = budget.try_take(Timestamp::from_millis(3_600_000), 0.0);
+    assert!(
+        (0..2).all(|_| budget.try_take(now, ExtraReason::Retry, 1.0, 0.0))
+            && !budget.try_take(now, ExtraReason::Retry, 1.0, 0.0)
+    );
+    let _ = budget.try_take(
+        Timestamp::from_millis(3_600_000),
+        ExtraReason::Retry,
+        1.0,
+        0.0,
+    );
     assert!(budget.tokens() <= 100.0);
 }
 
@@ -259,7 +271,7 @@
         for call in 0..100 {
             let now = START + Duration::from_millis(call * 100);
             budget.record_first_attempt(now);
-            taken += i32::from(budget.try_take(now, 0.0));
+            taken += i32::from(budget.try_take(now, ExtraReason::Retry, 1.0, 0.0));
         }
     }
     let allowed = 0.2 * (100 * NODES) as f64 + 60.0;
@@ -286,10 +298,10 @@
     settings.set_node_count(usize::MAX);
     budget.set_settings(settings);
     assert!(
-        budget.try_take(START, 0.0),
+        budget.try_take(START, ExtraReason::Retry, 1.0, 0.0),
         "an unknown number of nodes leaves one token"
     );
-    assert!(!budget.try_take(START, 0.0));
+    assert!(!budget.try_take(START, ExtraReason::Retry, 1.0, 0.0));
 }
 
 /// Guards against fractions of a token that cost nothing or a whole token.
@@ -302,6 +314,6 @@
         shared_slack: None,
     };
     let mut budget = RetryBudget::with_settings(settings, START);
-    let taken = (0..10).filter(|_| budget.try_take_fraction(START, 0.25, 0.0));
+    let taken = (0..10).filter(|_| budget.try_take(START, ExtraReason::Retry, 0.25, 0.0));
     assert_eq!(taken.count(), 4);
 }
