--- a/crates/kumquatlock/src/call/tests/attempt_counters.rs
+++ b/crates/kumquatlock/src/call/tests/attempt_counters.rs
@@ -167,14 +167,14 @@
     assert_eq!(counters.ended_attempts(AttemptProof::None), 0);
 }
 
-fn destination(now: Timestamp, settings: ClaimSettings) -> DestinationCalls {
+pub(super) fn destination(now: Timestamp, settings: ClaimSettings) -> DestinationCalls {
     let mut calls = DestinationCalls::new("booking-1".into(), IncarnationId(1), settings);
     calls.accept_earlier_incarnations();
     calls.on_announce(now, endpoint());
     calls
 }
 
-fn request(call_id: u64, incarnation: u64, class: WireClass) -> CallRequest {
+pub(super) fn request(call_id: u64, incarnation: u64, class: WireClass) -> CallRequest {
     CallRequest {
         id: AttemptId {
             entry: "front-1".to_owned(),
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -2,6 +2,7 @@
 //! their claim holders.
 
 mod attempt_counters;
+mod extra_arrivals;
 mod failures;
 mod full;
 mod hostile;
