--- a/crates/kumquatlock-node/src/commands/serve.rs
+++ b/crates/kumquatlock-node/src/commands/serve.rs
@@ -7,6 +7,7 @@
 use kumquatlock::memory::ProcessLimits;
 use kumquatlock::ops::node::{FixedSettings, NodeAdapter, NodeSettings, NodeTuning, run_node};
 use kumquatlock::quota::QuotaSettings;
+use kumquatlock::routing::SpillSettings;
 use kumquatlock::util::cancel::CancelToken;
 use kumquatlock::util::logging::{LogFilter, init_logging};
 use kumquatlock::util::settings::{
@@ -104,6 +105,20 @@
 .unit("requests")
 .range(0, 1_000_000)
 .default_value("20");
+const ZONE_COST: SettingSpec<DurationMillis> = SettingSpec::new(
+    "zone-cost-ms-per-kib",
+    "time that a call must save to be worth 1 KiB of traffic between zones of a region",
+)
+.unit("ms")
+.range(0, 10_000)
+.default_value("1");
+const REGION_COST: SettingSpec<DurationMillis> = SettingSpec::new(
+    "region-cost-ms-per-kib",
+    "time that a call must save to be worth 1 KiB of traffic between regions",
+)
+.unit("ms")
+.range(0, 10_000)
+.default_value("10");
 const LOG: SettingSpec<LogFilter> = SettingSpec::new(
     "log",
     "log levels by target, such as info or warn,kumquatlock::call=debug",
@@ -190,6 +205,14 @@
     /// and nodes (value 0..=1000000 requests, default 20, variable KUMQUATLOCK_QUOTA_SLACK)
     #[argh(option)]
     quota_slack: Option<String>,
+    /// time that a call must save to be worth 1 KiB of traffic between zones of a region (value
+    /// 0..=10000 ms, default 1, variable KUMQUATLOCK_ZONE_COST_MS_PER_KIB)
+    #[argh(option)]
+    zone_cost_ms_per_kib: Option<String>,
+    /// time that a call must save to be worth 1 KiB of traffic between regions (value 0..=10000 ms,
+    /// default 10, variable KUMQUATLOCK_REGION_COST_MS_PER_KIB)
+    #[argh(option)]
+    region_cost_ms_per_kib: Option<String>,
     /// log levels by target, such as info or warn,kumquatlock::call=debug (length in bytes
     /// 1..=1024, default info, variable KUMQUATLOCK_LOG)
     #[argh(option)]
@@ -231,6 +254,8 @@
             QUOTA_WINDOW.describe(),
             QUOTA_OVERAGE.describe(),
             QUOTA_SLACK.describe(),
+            ZONE_COST.describe(),
+            REGION_COST.describe(),
             LOG.describe(),
         ]
     }
@@ -259,6 +284,9 @@
         let retention = CLAIM_RETENTION.resolve(self.claim_retention_ms.as_deref(), environment)?;
         let limit =
             REVOCATION_LIMIT.resolve_optional(self.revocation_limit_ms.as_deref(), environment)?;
+        let zone_cost = ZONE_COST.resolve(self.zone_cost_ms_per_kib.as_deref(), environment)?;
+        let region_cost =
+            REGION_COST.resolve(self.region_cost_ms_per_kib.as_deref(), environment)?;
         let listen = LISTEN.resolve(self.listen.as_deref(), environment)?.0;
         let advertise = ADVERTISE.resolve_optional(self.advertise.as_deref(), environment)?;
         Ok(NodeSettings {
@@ -284,6 +312,10 @@
             tuning: NodeTuning {
                 revocation_limit: limit.map(DurationMillis::duration),
                 quota: self.resolve_quota()?,
+                spill: SpillSettings {
+                    zone_cost_per_kib: zone_cost.duration(),
+                    region_cost_per_kib: region_cost.duration(),
+                },
                 ..NodeTuning::default()
             },
         })
--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -119,6 +119,15 @@
     /// Name of the client account that sent the request; absent if it belongs to none.
     #[prost(string, optional, tag = "24")]
     pub account: Option<String>,
+    /// Probability, in thousandths, that the arrival of this attempt at the upstream is an extra one:
+    /// 1,000 for an attempt after one that may have arrived, and the share of such runs at the
+    /// upstream that makes the call otherwise.
+    #[prost(uint32, tag = "28")]
+    pub extra_permille: u32,
+    /// Mark of the route if the entry node knows that clients use it, where no header tells calls of
+    /// upstreams from those of clients; zero otherwise.
+    #[prost(fixed32, tag = "29")]
+    pub client_route: u32,
 }
 
 /// Outcome of one attempt.
@@ -173,6 +182,9 @@
     QuotaExceeded = 30,
     /// The node could not find out in time whether the client account may send the request.
     QuotaUnavailable = 31,
+    /// The attempt would be an extra arrival, and the calls of such runs have spent the node's retry
+    /// budget.
+    BudgetSpent = 32,
 }
 
 /// Load of the destination node's upstream, sent with every answer.
--- a/crates/kumquatlock/src/call/answer.rs
+++ b/crates/kumquatlock/src/call/answer.rs
@@ -180,5 +180,6 @@
         CallReason::ConfigUnproved => "config_unproved",
         CallReason::QuotaExceeded => "quota_exceeded",
         CallReason::QuotaUnavailable => "quota_unavailable",
+        CallReason::BudgetSpent => "budget_spent",
     }
 }
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod log;
 mod message;
+mod origin;
 mod processes;
 mod proof;
 mod quarantine;
@@ -27,15 +28,19 @@
 use strum::EnumCount;
 
 use super::answer::CallerAnswer;
+use super::destination::LocalRuns;
 use super::request::CallerRequest;
 use crate::account::{AccountResolver, KeyLease};
 use crate::claim::PlacementTable;
 use crate::core::{ConfigSnapshot, ProcessId, SharedName, Timestamp, UpstreamEntry};
 use crate::quota::QuotaSpender;
-use crate::retry::{BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing};
+use crate::retry::{
+    BudgetSettings, ExtraCounters, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing,
+};
 use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
 use log::EntryLog;
+use origin::RouteOrigins;
 use processes::StatedProcesses;
 pub use proof::AttemptProof;
 use quota::QuotaStart;
@@ -143,6 +148,10 @@
     settings: EntrySettings,
     /// Retry budget of each service that was called.
     budgets: IndexMap<SharedName, RetryBudget>,
+    /// Routes that clients are known to use.
+    origins: RouteOrigins,
+    /// Counters of the budgets of services that the snapshot no longer contains.
+    removed_extra: ExtraCounters,
     split_chooser: SplitChooser,
     policy: RetryPolicy,
     /// Share of refused calls of each service that was called.
@@ -190,8 +199,10 @@
             policy: RetryPolicy {
                 scope: settings.scope,
             },
-            settings,
             budgets: IndexMap::new(),
+            origins: RouteOrigins::new(settings.infers_nested_calls),
+            settings,
+            removed_extra: ExtraCounters::default(),
             split_chooser: SplitChooser::default(),
             pacings: IndexMap::new(),
             hedge_policies: IndexMap::new(),
@@ -226,8 +237,14 @@
     }
 
     /// Starts a call for a caller's request, or answers the caller at once if the request is
-    /// refused.
-    pub fn open(&mut self, now: Timestamp, mut request: CallerRequest) -> (CallId, Vec<EntryStep>) {
+    /// refused. `local_runs` is what the upstream beside this node runs, which may have made the
+    /// request.
+    pub fn open(
+        &mut self,
+        now: Timestamp,
+        mut request: CallerRequest,
+        local_runs: LocalRuns,
+    ) -> (CallId, Vec<EntryStep>) {
         let id = CallId(self.next_call);
         self.next_call += 1;
         self.counters.calls += 1;
@@ -243,7 +260,8 @@
             Ok((call, quota)) => {
                 let service = self.split_chooser.choose(&call.route, &mut self.random);
                 self.bind_account(&mut request, call.account.as_deref());
-                let call = EntryCall::new(request, call, span, service, now);
+                let mut call = EntryCall::new(request, call, span, service, now);
+                self.record_origin(&mut call, local_runs);
                 self.deferred_calls += usize::from(call.is_deferred());
                 self.timers.insert((call.wake_at, id));
                 self.calls.insert(id, call);
@@ -268,6 +286,29 @@
         (id, steps)
     }
 
+    /// Returns the extra arrivals that calls of this node caused, by reason, and those that the budget
+    /// refused.
+    pub fn extra_counters(&self) -> ExtraCounters {
+        let mut sum = self.removed_extra;
+        for budget in self.budgets.values() {
+            sum.add(&budget.counters());
+        }
+        sum
+    }
+
+    /// Handles the mark of a route that another node knows clients use; zero is none.
+    pub fn adopt_client_route(&mut self, mark: u32) {
+        self.origins.adopt(mark);
+    }
+
+    /// Whether the calls of runs that were extra arrivals have spent the budget of a service that
+    /// the upstream beside this node calls.
+    pub fn is_in_debt(&mut self, now: Timestamp) -> bool {
+        self.budgets
+            .values_mut()
+            .any(|budget| budget.is_in_debt(now))
+    }
+
     /// Replaces the limits on additional attempts.
     pub fn set_budget(&mut self, budget: BudgetSettings) {
         self.settings.budget = budget;
@@ -290,8 +331,15 @@
     pub fn on_snapshot(&mut self, now: Timestamp, snapshot: Arc<ConfigSnapshot>) -> Vec<EntryStep> {
         self.routes = RouteTable::new(&snapshot);
         self.balancers.apply(&snapshot, now);
-        self.budgets
-            .retain(|name, _| snapshot.services.contains_key(name));
+        self.origins.apply(&snapshot);
+        let removed_extra = &mut self.removed_extra;
+        self.budgets.retain(|name, budget| {
+            let is_kept = snapshot.services.contains_key(name);
+            if !is_kept {
+                removed_extra.add(&budget.counters());
+            }
+            is_kept
+        });
         self.pacings
             .retain(|name, _| snapshot.services.contains_key(name));
         self.notices
--- a/crates/kumquatlock/src/call/entry/quota.rs
+++ b/crates/kumquatlock/src/call/entry/quota.rs
@@ -6,6 +6,7 @@
 use kumquatlock_wire::call::CallReason;
 use kumquatlock_wire::quota::{QuotaAsk, QuotaGrant};
 
+use super::origin::CallOrigin;
 use super::state::{AdmittedCall, CallPhase, EntryCall};
 use super::{CallId, EntryCalls, EntryStep, budget_of};
 use crate::call::answer::CallerAnswer;
@@ -114,8 +115,9 @@
         call.quota_token = token;
         call.phase = CallPhase::Attempting;
         let budget = budget_of(&mut self.budgets, &self.settings, now, &call.service);
-        if !call.request.is_nested {
-            budget.record_first_attempt(now);
+        match call.origin {
+            CallOrigin::Client => budget.record_first_attempt(now),
+            CallOrigin::Upstream => budget.charge_repeated_run(now, call.extra_share),
         }
         self.send_attempt(now, id, steps);
     }
--- a/crates/kumquatlock/src/call/entry/settings.rs
+++ b/crates/kumquatlock/src/call/entry/settings.rs
@@ -39,6 +39,8 @@
     pub revocation_limit: Option<Duration>,
     /// Header with the API key of the caller's account; `None` if callers can't send one.
     pub api_key: Option<KeyHeader>,
+    /// Whether calls of upstreams can't be told from those of clients by a header.
+    pub infers_nested_calls: bool,
     /// Cost of traffic between zones and regions.
     pub spill: SpillSettings,
 }
@@ -58,6 +60,7 @@
             origin: SharedName::default(),
             revocation_limit: None,
             api_key: Some(API_KEY_HEADER),
+            infers_nested_calls: false,
             spill: SpillSettings::default(),
         }
     }
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -6,6 +6,7 @@
 use kumquatlock_wire::call::CallReason;
 use kumquatlock_wire::claim::ClaimOwner;
 
+use super::origin::CallOrigin;
 use super::processes::DestinationProcess;
 use crate::call::answer::CallerAnswer;
 use crate::call::request::CallerRequest;
@@ -61,6 +62,12 @@
     /// Number of attempts that may have reached an upstream: all attempts sent, except those that
     /// are known not to have reached one.
     pub(super) possibly_arrived: u32,
+    /// Who made the call.
+    pub(super) origin: CallOrigin,
+    /// Probability that the call belongs to a run that was an extra arrival.
+    pub(super) extra_share: f64,
+    /// Mark of the route if clients are known to use it and nodes tell each other; zero otherwise.
+    pub(super) client_route: u32,
     pub(super) tried: Vec<UpstreamToken>,
     pub(super) phase: CallPhase,
     /// Upstream of the latest attempt.
@@ -162,6 +169,9 @@
             last_number: 0,
             attempts_sent: 0,
             possibly_arrived: 0,
+            origin: CallOrigin::Client,
+            extra_share: 0.0,
+            client_route: 0,
             tried: Vec::new(),
             phase: CallPhase::Attempting,
             last_upstream: None,
@@ -203,6 +213,7 @@
     pub(super) fn progress(&self) -> CallProgress {
         CallProgress {
             class: self.route.class,
+            rank: self.route.rank,
             depth: self.request.depth,
             attempts: self.attempts_sent,
             arrived: self.possibly_arrived,
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod accounts;
 mod attempt_counters;
+mod extra_arrivals;
 mod failures;
 mod full;
 mod hostile;
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -192,6 +192,7 @@
         entry.budget = tuning.budget;
         entry.scope = tuning.scope;
         entry.spill = tuning.spill;
+        entry.infers_nested_calls = parts.adapter.names.depth.is_none();
         entry.longest_timeout = settings.longest_timeout;
         entry.origin = tuning.origin.clone();
         entry.revocation_limit = tuning.revocation_limit;
--- a/crates/kumquatlock/src/ops/node/front.rs
+++ b/crates/kumquatlock/src/ops/node/front.rs
@@ -35,7 +35,8 @@
 
     fn open_call(&mut self, now: Timestamp, request: CallerRequest, id: RequestId) {
         self.confirm_lease();
-        let (call, steps) = self.entry.open(self.lease_time(now), request);
+        let local_runs = self.destination.local_runs(now);
+        let (call, steps) = self.entry.open(self.lease_time(now), request, local_runs);
         self.waiting_requests.insert(call, id);
         self.queue_entry(steps);
     }
--- a/crates/kumquatlock/src/routing/tracked.rs
+++ b/crates/kumquatlock/src/routing/tracked.rs
@@ -406,6 +406,7 @@
             | CallReason::Quarantined
             | CallReason::QuotaExceeded
             | CallReason::QuotaUnavailable
+            | CallReason::BudgetSpent
     )
 }
 
