Recognise calls that runs make, serve them first, and hold back runs that would lose them

Cause: the platform's nodes recognised no nested call. So a call of a run waited behind callers' requests, and was refused for them.

Change: a node takes a request for a nested call only if its id extends that of a request that the upstream beside it is running. Nested calls have the deadline and the rank of the run that makes them, come before callers' requests, the deeper ones first, and don't count an upstream as full that was full for callers. The node beside the upstream learns for each route how many runs lose calls for lack of room and lets only a share of the route's calls start; the share falls by a factor, rises by 0.4 a second and is never nothing. Upstreams tell the most urgent rank that they refuse, and runs of less urgent rank that call them count as losing their calls. Where runs of two services may wait for each other, slots are kept for the deeper calls.

--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -115,6 +115,12 @@
     /// call. Zero if the incarnation is that of the configuration.
     #[prost(uint64, tag = "23")]
     pub process: u64,
+    /// Services of the runs above a nested call, the outermost first. Empty for a call of a caller.
+    #[prost(string, repeated, tag = "25")]
+    pub callers: Vec<String>,
+    /// Name of the route. Empty if the sender, of an earlier release, states none.
+    #[prost(string, tag = "26")]
+    pub route: String,
 }
 
 /// Outcome of one attempt.
@@ -163,6 +169,8 @@
     UpstreamRefused = 22,
     /// The request has ended several upstreams and is in quarantine.
     Quarantined = 23,
+    /// The services that the run would call have no room.
+    DependencyOverloaded = 24,
 }
 
 /// Load of the destination node's upstream, sent with every answer.
@@ -180,6 +188,10 @@
     /// Mean service time of a call at the upstream, in microseconds; zero if unknown.
     #[prost(uint32, tag = "6")]
     pub service_us: u32,
+    /// Most urgent rank of callers' requests that the upstream has refused for lack of room lately.
+    /// Absent if it refuses none.
+    #[prost(uint32, optional, tag = "9")]
+    pub refused_rank: Option<u32>,
 }
 
 /// Answers a [`CallRequest`].
--- a/crates/kumquatlock/examples/policy/main.rs
+++ b/crates/kumquatlock/examples/policy/main.rs
@@ -6,6 +6,7 @@
 //! after every failure and after every 250 ms without a response. Prints one line of JSON per run
 //! and a table of the means over all seeds.
 
+mod chain;
 mod model;
 mod run;
 
@@ -59,6 +60,34 @@
     started.elapsed().as_nanos() as f64 / f64::from(ROUNDS)
 }
 
+/// Prints the figures of services whose runs call each other, for loads of the callee in multiples
+/// of its capacity.
+fn print_chains(args: &PolicyArgs) {
+    println!(
+        "calls of runs: served and wasted starts of the callers' first route, with and without"
+    );
+    for load in [0.5, 0.9, 1.0, 1.2, 1.5, 2.0, 3.0] {
+        for (name, (routes, slots)) in [
+            ("two services", chain::shared_callee(load, 0.0)),
+            ("with callers", chain::shared_callee(load, 40.0)),
+            ("three deep", chain::three_deep(load)),
+            ("mutual calls", chain::mutual_calls(load)),
+            ("loop", chain::loop_of_calls(load)),
+        ] {
+            let seeds = args.seed..args.seed + args.seeds;
+            let [with, plain] = chain::compare(&routes, &slots, seeds);
+            println!(
+                "{name:<14}{load:>5.1} of {:>6} calls: served {:.3} and {:.3}, wasted {:>5} and {:>5}",
+                with[0].offered,
+                with[0].served_share(),
+                plain[0].served_share(),
+                with[0].wasted,
+                plain[0].wasted
+            );
+        }
+    }
+}
+
 fn main() {
     let args: PolicyArgs = argh::from_env();
     let policies = [
@@ -96,6 +125,7 @@
         }
     }
     println!("{table}");
+    print_chains(&args);
     for upstreams in [args.upstreams, 1_000] {
         let nanos = mean_choice_nanos(upstreams);
         println!("choose among 12 of {upstreams} upstreams: {nanos:.0} ns");
--- a/crates/kumquatlock/src/admission/lanes.rs
+++ b/crates/kumquatlock/src/admission/lanes.rs
@@ -1,5 +1,6 @@
 //! Priority lanes, which determine the order of queued calls.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -27,6 +28,7 @@
     fn min_key(self) -> QueueKey {
         QueueKey {
             lane: self,
+            depth: Reverse(u32::MAX),
             rank: 0,
             is_late: false,
             due: Timestamp(0),
@@ -53,9 +55,13 @@
     pub rank: u32,
     /// Time after which the answer is late; `None` if the route has no target.
     pub target: Option<Timestamp>,
+    /// Number of runs that wait for the call; 0 for a call of a caller. Calls of a higher depth run
+    /// first.
+    pub depth: u32,
 }
 
-/// Sort key of a queued call. Within a lane, the lower rank runs first. Within a rank, calls that
+/// Sort key of a queued call. Within a lane, the call for which more runs wait runs first, then the
+/// lower rank. Within a rank, calls that
 /// can still meet their target run first, earliest target first, followed by the others by
 /// deadline.
 ///
@@ -63,6 +69,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct QueueKey {
     pub(super) lane: PriorityLane,
+    /// Higher depths come first.
+    pub(super) depth: Reverse<u32>,
     pub(super) rank: u32,
     pub(super) is_late: bool,
     /// Target of a call that can meet it, otherwise the deadline.
@@ -83,6 +91,7 @@
         let target = rank.target.filter(|target| *target >= earliest);
         QueueKey {
             lane: class.into(),
+            depth: Reverse(rank.depth),
             rank: rank.rank,
             is_late: rank.target.is_some() && target.is_none(),
             due: target.unwrap_or(deadline),
@@ -92,8 +101,8 @@
     }
 
     /// Returns the precedence in a full queue. The call with the greatest value is evicted first.
-    pub(super) fn precedence(&self) -> (PriorityLane, u32, bool) {
-        (self.lane, self.rank, self.is_late)
+    pub(super) fn precedence(&self) -> (PriorityLane, Reverse<u32>, u32, bool) {
+        (self.lane, self.depth, self.rank, self.is_late)
     }
 
     /// Whether the call has a target that it can no longer meet, and is not marked as late yet.
@@ -200,13 +209,17 @@
         }
     }
 
-    /// Removes the call to run next.
+    /// Removes the call to run next among those that may start now.
     ///
     /// One in eight starts goes to a deferred call whose deadline is near, or else to an
     /// interactive call, ahead of the higher lanes.
-    pub(super) fn pop_next(&mut self, now: Timestamp) -> Option<QueueKey> {
+    pub(super) fn pop_next(
+        &mut self,
+        now: Timestamp,
+        may_start: impl Fn(&QueueKey) -> bool,
+    ) -> Option<QueueKey> {
         self.starts_since_reserved += 1;
-        let mut key = self.queued.first().copied();
+        let mut key = self.queued.iter().find(|key| may_start(key)).copied();
         if self.starts_since_reserved >= RESERVED_START_INTERVAL {
             self.starts_since_reserved = 0;
             let near = self
@@ -214,6 +227,7 @@
                 .filter(|first| first.deadline <= now + NEAR_DEADLINE);
             key = near
                 .or_else(|| self.first(PriorityLane::Interactive))
+                .filter(|key| may_start(key))
                 .or(key);
         }
         key.filter(|key| self.queued.remove(key))
--- a/crates/kumquatlock/src/admission/mod.rs
+++ b/crates/kumquatlock/src/admission/mod.rs
@@ -15,6 +15,7 @@
 mod limit;
 mod queue;
 mod rate;
+mod reserve;
 
 pub use lanes::RoutePriority;
 pub use limit::{AdmissionLimits, ConcurrencyLimit};
--- a/crates/kumquatlock/src/admission/queue.rs
+++ b/crates/kumquatlock/src/admission/queue.rs
@@ -9,6 +9,7 @@
 use super::lanes::{CallLanes, PriorityLane, QueueKey, RoutePriority};
 use super::limit::{AdmissionLimits, ConcurrencyLimit};
 use super::rate::RateLimiter;
+use super::reserve::NestedReserve;
 use crate::core::{RequestClass, RequestRate, Timestamp};
 
 /// Number of queue places per slot. Longer queues only add waiting time: with 2 places per slot a
@@ -109,6 +110,7 @@
     /// Start time of each running call.
     running: IndexMap<AdmissionTicket, Timestamp>,
     limit: ConcurrencyLimit,
+    reserve: NestedReserve,
     /// Present while the upstream limits the requests per second that it takes.
     rate: Option<RateLimiter>,
     estimate: ServiceEstimate,
@@ -130,6 +132,7 @@
             rate: None,
             running: IndexMap::new(),
             limit: ConcurrencyLimit::new(limits, now),
+            reserve: NestedReserve::default(),
             estimate: ServiceEstimate::default(),
             draining: false,
             answered_at: now,
@@ -192,11 +195,6 @@
             return AdmissionDecision::Refused(CallReason::UpstreamUnreachable);
         }
         let ticket = AdmissionTicket(self.next_ticket + 1);
-        if self.lanes.len() == 0 && self.try_start(now) {
-            self.next_ticket += 1;
-            self.running.insert(ticket, now);
-            return AdmissionDecision::Start(ticket);
-        }
         let key = QueueKey::new(
             class,
             priority,
@@ -204,7 +202,13 @@
             ticket,
             now + self.estimate.service_time(),
         );
-        let start = self.start_time(now, self.lanes.ahead_of(&key));
+        let ahead = self.lanes.ahead_of(&key);
+        if ahead == 0 && self.may_start(now, &key) && self.take_rate(now) {
+            self.next_ticket += 1;
+            self.running.insert(ticket, now);
+            return AdmissionDecision::Start(ticket);
+        }
+        let start = self.start_time(now, ahead);
         if start + self.estimate.service_time() > deadline {
             return AdmissionDecision::Refused(CallReason::Overloaded);
         }
@@ -218,10 +222,23 @@
         AdmissionDecision::Queued { ticket, evicted }
     }
 
-    /// Whether a call may start now. If so, its share of the upstream's rate has been taken.
-    fn try_start(&mut self, now: Timestamp) -> bool {
-        let has_slot = self.running.len() < self.limit.current() as usize;
-        has_slot && self.rate.as_mut().is_none_or(|rate| rate.try_take(now))
+    /// Whether there is a slot for the call that is not kept for calls for which more runs wait.
+    fn may_start(&self, now: Timestamp, key: &QueueKey) -> bool {
+        let limit = self.limit.current();
+        let kept = self.reserve.kept_slots(now, limit, key.depth.0);
+        self.running.len() < (limit - kept) as usize
+    }
+
+    /// Takes the share of one call of the upstream's rate. Returns whether there was one.
+    fn take_rate(&mut self, now: Timestamp) -> bool {
+        self.rate.as_mut().is_none_or(|rate| rate.try_take(now))
+    }
+
+    /// Keeps slots free for nested calls of up to this depth for some time, because runs of this
+    /// upstream wait for runs that make such calls. Otherwise the runs on both sides could hold all
+    /// slots and wait for each other until their deadlines.
+    pub fn keep_slots(&mut self, now: Timestamp, depth: u32) {
+        self.reserve.observe(now, depth);
     }
 
     /// Returns the expected start of a call that has `ahead` queued calls before it.
@@ -353,11 +370,18 @@
             return QueueStep::Refuse(last.ticket, CallReason::Overloaded);
         }
         self.limit.advance(now);
-        if self.lanes.len() == 0 || !self.try_start(now) {
+        let startable = self.lanes.queued().any(|key| self.may_start(now, &key));
+        if !startable || !self.take_rate(now) {
             return QueueStep::Idle;
         }
         self.lanes.demote_late(now + self.estimate.service_time());
-        match self.lanes.pop_next(now) {
+        let (reserve, limit) = (self.reserve, self.limit.current());
+        let running = self.running.len();
+        let may_start = |key: &QueueKey| {
+            let kept = reserve.kept_slots(now, limit, key.depth.0);
+            running < (limit - kept) as usize
+        };
+        match self.lanes.pop_next(now, may_start) {
             Some(key) => {
                 self.running.insert(key.ticket, now);
                 QueueStep::Start(key.ticket)
@@ -404,6 +428,7 @@
             slots,
             draining: self.draining,
             service_us: u32::try_from(service).unwrap_or(u32::MAX),
+            ..LoadReport::default()
         }
     }
 
--- a/crates/kumquatlock/src/admission/tests.rs
+++ b/crates/kumquatlock/src/admission/tests.rs
@@ -333,6 +333,7 @@
     let priority = RoutePriority {
         rank,
         target: Some(now + Duration::from_millis(target_ms)),
+        depth: 0,
     };
     match queue.offer_with_priority(now, RequestClass::Lookup, priority, now + SECOND * 3) {
         AdmissionDecision::Queued { ticket, .. } => ticket,
--- a/crates/kumquatlock/src/call/answer.rs
+++ b/crates/kumquatlock/src/call/answer.rs
@@ -161,5 +161,6 @@
         CallReason::TooLarge => "too_large",
         CallReason::UpstreamRefused => "upstream_refused",
         CallReason::Quarantined => "quarantined",
+        CallReason::DependencyOverloaded => "dependency_overloaded",
     }
 }
--- a/crates/kumquatlock/src/call/destination/log.rs
+++ b/crates/kumquatlock/src/call/destination/log.rs
@@ -30,6 +30,7 @@
     starts: LogQuota,
     fences: LogQuota,
     late_attempts: LogQuota,
+    pub(super) held_back: LogQuota,
     other_incarnations: LogQuota,
 }
 
@@ -41,6 +42,7 @@
             starts: LogQuota::new(EVENTS_PER_SECOND),
             fences: LogQuota::new(EVENTS_PER_SECOND),
             late_attempts: LogQuota::new(EVENTS_PER_SECOND),
+            held_back: LogQuota::new(EVENTS_PER_SECOND),
             other_incarnations: LogQuota::new(EVENTS_PER_SECOND),
         }
     }
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -4,9 +4,11 @@
 mod claims;
 mod counters;
 mod crash;
+mod dependency;
 mod limit;
 mod log;
 mod notice;
+mod parents;
 mod queries;
 mod run;
 mod step;
@@ -27,13 +29,16 @@
     ConfigSnapshot, IncarnationId, ProcessId, RequestClass, RequestFingerprint, RequestRate,
     SharedName, Timestamp, stable_hash,
 };
+use crate::dependency::{DependencyThrottle, RankPressure, StartDecision};
 use crate::http::{HttpResponse, UpstreamFailure};
 use crate::quarantine::{CompletedRequests, CrashDetector};
 use crate::util::trace::SeededIds;
 pub use counters::DestinationCounters;
+pub(super) use dependency::lacked_room;
 use limit::{AnswerLimit, DEFAULT_LEAVE_TIME};
 use log::DestinationLog;
 use notice::UpstreamStatement;
+use parents::RunningRequests;
 use queries::WaitingQuery;
 use run::{CallRun, RunPhase};
 pub use step::{CallSource, DestinationStep, RunId, UpstreamEndpoint};
@@ -78,6 +83,14 @@
     /// Attempts that must not run twice, with their answers.
     outcomes: OutcomeTable,
     runs: IndexMap<RunId, CallRun>,
+    /// Runs in the phase `Running`.
+    running: RunningRequests,
+    throttle: DependencyThrottle,
+    pressure: RankPressure,
+    /// Services that the upstream has called, with the time of the latest call.
+    callees: IndexMap<SharedName, Timestamp>,
+    /// Most urgent rank of callers' requests that are refused, as of the latest start or refusal.
+    refused_rank: Option<u32>,
     /// Run of each admission ticket.
     tickets: IndexMap<AdmissionTicket, RunId>,
     /// Run of each unanswered attempt.
@@ -122,6 +135,11 @@
             ends_at: None,
             placement: PlacementTable::default(),
             runs: IndexMap::new(),
+            running: RunningRequests::default(),
+            throttle: DependencyThrottle::default(),
+            pressure: RankPressure::default(),
+            callees: IndexMap::new(),
+            refused_rank: None,
             tickets: IndexMap::new(),
             attempts: IndexMap::new(),
             queries: IndexMap::new(),
@@ -283,7 +301,10 @@
     /// Returns the load report that answers carry.
     pub fn load(&self) -> LoadReport {
         match &self.admission {
-            Some(admission) => admission.load(),
+            Some(admission) => LoadReport {
+                refused_rank: self.refused_rank,
+                ..admission.load()
+            },
             None => LoadReport {
                 draining: true,
                 ..LoadReport::default()
@@ -410,7 +431,7 @@
         if self.quarantined.contains(&fingerprint) {
             return Err(CallReason::Quarantined);
         }
-        if request.depth >= MAX_DEPTH {
+        if request.depth >= MAX_DEPTH || request.callers.len() > MAX_DEPTH as usize {
             return Err(CallReason::DepthExceeded);
         }
         let deadline = now + Duration::from_micros(request.deadline_us);
@@ -487,6 +508,11 @@
                 }
             }
         }
+        self.keep_slots(now, &request);
+        if self.admit_start(now, &request) == StartDecision::Refuse {
+            let reason = CallReason::DependencyOverloaded;
+            return self.refuse(now, source, &request, reason, steps);
+        }
         let deadline = now + Duration::from_micros(request.deadline_us);
         let Some(admission) = &mut self.admission else {
             return;
@@ -496,6 +522,7 @@
             target: request
                 .target_us
                 .map(|left| now + Duration::from_micros(left)),
+            depth: request.depth,
         };
         // The caller of a nested request occupies a slot of an upstream while it waits, so the
         // request uses the lane of internal calls.
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -21,6 +21,8 @@
 const MISDIRECTED_STATUS: u16 = 421;
 /// HTTP status by which an upstream sheds load.
 const SHED_STATUS: u16 = 503;
+/// Lowest status of a failed run.
+const MIN_SERVER_ERROR_STATUS: u32 = 500;
 /// HTTP statuses that state that the request did not run, to callers that get no outcome header.
 const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED_STATUS, 429, 503];
 
@@ -38,6 +40,8 @@
     /// Present if the call is traced.
     pub(super) span: Option<HopSpan>,
     pub(super) phase: RunPhase,
+    /// Whether a call that the run made found no room.
+    pub(super) has_lost_call: bool,
 }
 
 /// A request at the upstream.
@@ -85,6 +89,7 @@
             sent: None,
             span,
             phase,
+            has_lost_call: false,
         }
     }
 
@@ -127,11 +132,9 @@
                 is_guaranteed: false,
             });
         };
-        let mut fields = self.request.headers.iter();
-        let field = fields.find(|field| field.name.eq_ignore_ascii_case(name))?;
         Some(EchoedHeader {
             name,
-            value: field.value.clone(),
+            value: self.request_id(names)?.to_owned(),
             is_guaranteed: true,
         })
     }
@@ -267,6 +270,9 @@
             return;
         }
         run.phase = RunPhase::Running;
+        if let Some(request) = run.request_id(&self.names) {
+            self.running.insert(request, id);
+        }
         run.sent = Some(SentRequest {
             at: now,
             upstream_run: self.upstream_run,
@@ -279,6 +285,7 @@
             is_repeatable: run.class.is_repeatable(),
             echoed: run.echoed(&self.names),
         });
+        self.record_start(now, id);
         self.log_start(now, id);
     }
 
@@ -301,6 +308,7 @@
             CallReason::DeadlineTooShort => run.short_time_reason(),
             reason => reason,
         };
+        self.record_refusal(now, &run.request, reason);
         let outcome = CallOutcome::NotRun;
         let response = self.response(run.request.id.clone(), outcome, reason);
         self.send_response(now, &run, response, outcome, steps);
@@ -394,7 +402,11 @@
             self.answer_queries(due, steps);
             self.finish_claim(now, id, steps);
         }
-        let response = self.answer_response(run.request.id.clone(), answer);
+        let has_failed = answer.status >= MIN_SERVER_ERROR_STATUS;
+        let mut response = self.answer_response(run.request.id.clone(), answer);
+        if has_failed && run.has_lost_call {
+            response.reason = CallReason::DependencyOverloaded.into();
+        }
         self.send_response(now, run, response, CallOutcome::Answered, steps);
     }
 
@@ -515,9 +527,13 @@
         outcome: ServiceOutcome,
         steps: &mut Vec<DestinationStep>,
     ) -> Option<CallRun> {
+        self.record_fate(now, id);
         let run = self.runs.swap_remove(&id)?;
         self.tickets.swap_remove(&run.ticket);
         self.attempts.swap_remove(&run.request.id);
+        if let Some(request) = run.request_id(&self.names) {
+            self.running.remove(request, id);
+        }
         if let Some(admission) = &mut self.admission {
             if run.phase == RunPhase::Queued
                 && admission.cancel(run.ticket) != CancelOutcome::Running
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -43,7 +43,7 @@
         let call = self.calls.get_mut(&id)?;
         let snapshot = self.snapshot.as_ref()?;
         let balancer = self.balancers.get_or_create(snapshot, &call.service, now)?;
-        let rank = call.route.rank;
+        let rank = call.routing_rank();
         let choice = balancer.choose(now, &mut self.random, &call.tried, rank);
         let is_exhausted =
             matches!(choice, UpstreamChoice::None(reason) if reason != NoChoiceReason::AllFull);
@@ -224,7 +224,7 @@
             return;
         };
         let UpstreamChoice::Chosen(chosen) =
-            balancer.choose(now, &mut self.random, &call.tried, call.route.rank)
+            balancer.choose(now, &mut self.random, &call.tried, call.routing_rank())
         else {
             return;
         };
@@ -262,6 +262,9 @@
         }
         let sent = call.and_then(|call| call.take_attempt(response.id.attempt));
         let Some(sent) = sent else { return };
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.observe_pressure(&response);
+        }
         let outcome = classify_response(&response);
         self.record_answer(now, id, &sent, outcome, &response);
         if self.adopt_process(&sent, &response) && !self.has_claim_key(id) {
--- a/crates/kumquatlock/src/call/entry/message.rs
+++ b/crates/kumquatlock/src/call/entry/message.rs
@@ -5,6 +5,7 @@
 
 use super::micros;
 use super::state::EntryCall;
+use crate::call::request::CallerRequest;
 use crate::core::Timestamp;
 use crate::routing::ChosenUpstream;
 
@@ -67,12 +68,19 @@
         body: request.body.clone(),
         request_digest: request.digest,
         fingerprint: call.fingerprint.0,
-        rank: call.route.rank,
+        rank: call.rank(),
         inner: request.is_nested,
         target_us: call.route.latency_target.map(|target| {
             let left = (call.opened_at + target).since(now);
             micros(left)
         }),
+        callers: callers_of(request),
+        route: call.route.name.to_string(),
         ..CallRequest::default()
     }
 }
+
+fn callers_of(request: &CallerRequest) -> Vec<String> {
+    let callers = request.parent.iter().flat_map(|parent| &parent.callers);
+    callers.map(|service| service.to_string()).collect()
+}
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod log;
 mod message;
+mod nested;
 mod processes;
 mod proof;
 mod quarantine;
@@ -34,6 +35,7 @@
 use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
 use log::EntryLog;
+pub use nested::NestedEnd;
 use processes::StatedProcesses;
 pub use proof::AttemptProof;
 pub use settings::EntrySettings;
@@ -86,6 +88,8 @@
         span: Option<HopSpan>,
         /// When the call arrived from the caller.
         opened_at: Timestamp,
+        /// Present if a run of the upstream beside this node made the call.
+        nested: Option<NestedEnd>,
     },
 }
 
@@ -256,6 +260,7 @@
                     retry_after,
                     span,
                     opened_at: now,
+                    nested: None,
                 });
             }
         }
@@ -517,6 +522,7 @@
         let left = left.unwrap_or(call.deadline.since(now));
         let retry_after = self.retry_after(now, &answer, Some(&call.service), left);
         steps.push(EntryStep::Answer {
+            nested: call.nested_end(&answer),
             call: id,
             answer,
             retry_after,
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -55,6 +55,10 @@
     /// Numbers of the attempts that are proved not to have run and never will. A claim of one of
     /// them is about to be released.
     pub(super) refused_attempts: Vec<u32>,
+    /// Whether an upstream that the call was sent to refuses callers' requests of more urgent rank.
+    pub(super) takes_urgent_room: bool,
+    /// Whether a run of the call lost a call of its own for lack of room.
+    pub(super) lost_call_below: bool,
     /// When the latest attempt was sent.
     pub(super) sent_at: Timestamp,
     /// Time of the call's entry in the timer set.
@@ -142,11 +146,29 @@
             reason: CallReason::None,
             may_have_run: false,
             refused_attempts: Vec::new(),
+            takes_urgent_room: false,
+            lost_call_below: false,
             sent_at: now,
             wake_at: deadline,
         }
     }
 
+    /// Returns the rank by which destination nodes order the call. That of a nested call is the rank
+    /// of the run that waits for it.
+    pub(super) fn rank(&self) -> u32 {
+        let parent = self.request.parent.as_ref();
+        parent.map_or(self.route.rank, |parent| parent.rank)
+    }
+
+    /// Returns the rank by which upstreams are chosen: an upstream that was full for a call of
+    /// another rank may have room for this one. Nested calls come before all calls of callers.
+    pub(super) fn routing_rank(&self) -> u32 {
+        match self.request.is_nested {
+            true => 0,
+            false => self.route.rank.saturating_add(1),
+        }
+    }
+
     pub(super) fn is_deferred(&self) -> bool {
         self.route.class == RequestClass::Deferred
     }
--- a/crates/kumquatlock/src/call/mod.rs
+++ b/crates/kumquatlock/src/call/mod.rs
@@ -24,12 +24,12 @@
     CallSource, DestinationCalls, DestinationCounters, DestinationStep, RunId, UpstreamEndpoint,
 };
 pub use entry::{
-    AttemptProof, CallId, EntryCalls, EntryCounters, EntrySettings, EntryStep, PeerNode,
+    AttemptProof, CallId, EntryCalls, EntryCounters, EntrySettings, EntryStep, NestedEnd, PeerNode,
 };
 pub use names::HeaderNames;
 pub use request::{
     ATTEMPT_HEADER, CallerRequest, DEPTH_HEADER, KEY_HEADER, LEAVING_HEADER, MAX_TIMEOUT,
-    RATE_LIMIT_HEADER, TIMEOUT_HEADER,
+    ParentRun, RATE_LIMIT_HEADER, TIMEOUT_HEADER,
 };
 
 /// Maximum depth of a chain of calls. The deepest chain in use has 14 levels.
--- a/crates/kumquatlock/src/call/names.rs
+++ b/crates/kumquatlock/src/call/names.rs
@@ -25,6 +25,9 @@
     pub outcome: Option<&'static str>,
     /// Identifies the caller's attempt. The upstream repeats the value in its answer.
     pub request_id: Option<&'static str>,
+    /// Separates the identifier of a request from what an upstream appends to it to identify a call
+    /// that it makes while running that request. `None` if the identifiers don't show it.
+    pub nested_id_separator: Option<char>,
     /// Instance that the request is addressed to; any other instance refuses it.
     pub expected_instance: Option<&'static str>,
     /// Service beside the node at which the request entered the mesh.
@@ -49,6 +52,7 @@
             attempt: Some(ATTEMPT_HEADER),
             outcome: Some(super::OUTCOME_HEADER),
             request_id: None,
+            nested_id_separator: None,
             expected_instance: None,
             origin: None,
             not_executed: None,
--- a/crates/kumquatlock/src/call/request.rs
+++ b/crates/kumquatlock/src/call/request.rs
@@ -7,7 +7,8 @@
 
 use super::answer::RejectReason;
 use super::names::HeaderNames;
-use crate::core::{RequestClass, RouteEntry, stable_hash};
+use crate::call::RunId;
+use crate::core::{RequestClass, RouteEntry, SharedName, Timestamp, stable_hash};
 use crate::http::HttpRequest;
 use crate::util::trace::{TRACEPARENT_HEADER, TraceContext};
 
@@ -49,6 +50,21 @@
     TRACEPARENT_HEADER,
 ];
 
+/// The run of an upstream beside the entry node, during which the upstream made a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ParentRun {
+    /// Identifies the run at the node, in its role as the destination node.
+    pub run: RunId,
+    /// Number of calls above the run.
+    pub depth: u32,
+    /// Rank of the run's route.
+    pub rank: u32,
+    /// When the caller of the run stops waiting.
+    pub deadline: Timestamp,
+    /// Services of the runs above the call, the outermost first. The last one is that of this run.
+    pub callers: Vec<SharedName>,
+}
+
 /// A validated request as it entered the mesh.
 #[derive(Clone, Debug)]
 pub struct CallerRequest {
@@ -75,6 +91,8 @@
     pub id: Option<String>,
     /// Whether an upstream sent the request while it was running another one.
     pub is_nested: bool,
+    /// The run that made the request, if it is known.
+    pub parent: Option<ParentRun>,
     /// Hash of method, target and body.
     pub digest: u64,
 }
@@ -118,10 +136,21 @@
             depth,
             id,
             is_nested: depth > 0,
+            parent: None,
             digest,
         })
     }
 
+    /// Marks the request as made by a run. Nobody waits for its answer once the caller of the run
+    /// no longer waits.
+    pub fn set_parent(&mut self, now: Timestamp, parent: ParentRun) {
+        let left = parent.deadline.since(now);
+        self.timeout = Some(self.timeout.map_or(left, |timeout| timeout.min(left)));
+        self.depth = parent.depth + 1;
+        self.is_nested = true;
+        self.parent = Some(parent);
+    }
+
     /// Returns the target without its query.
     pub fn path(&self) -> &str {
         self.target.split(['?', '#']).next().unwrap_or_default()
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -8,6 +8,7 @@
 mod keyed;
 mod leave;
 mod load;
+mod nested;
 mod not_run;
 mod not_run_model;
 mod processes;
--- a/crates/kumquatlock/src/call/tests/rate_limit.rs
+++ b/crates/kumquatlock/src/call/tests/rate_limit.rs
@@ -139,7 +139,7 @@
     }
 }
 
-fn new_destination(now: Timestamp) -> DestinationCalls {
+pub(super) fn new_destination(now: Timestamp) -> DestinationCalls {
     let settings = ClaimSettings::default();
     let mut calls = DestinationCalls::new(NODE.into(), IncarnationId(1), settings);
     calls.on_announce(now, endpoint());
@@ -159,7 +159,7 @@
     }
 }
 
-fn call_request(call_id: u64) -> CallRequest {
+pub(super) fn call_request(call_id: u64) -> CallRequest {
     CallRequest {
         id: AttemptId {
             entry: "front-1".to_owned(),
--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -11,7 +11,7 @@
 //! to child, where they are applied atomically as a new [`core::ConfigSnapshot`]. `membership`
 //! feeds the announcements and losses of upstreams back into the replicated log. A call is driven
 //! by `call`: `routing` selects its destination, `admission` and `retry` limit the load that it
-//! causes, and `claim` prevents a keyed request from running more than once.
+//! causes, `dependency` holds back calls whose own calls would find no room, and `claim` prevents a keyed request from running more than once.
 
 pub mod admission;
 pub mod agreement;
@@ -19,6 +19,7 @@
 pub mod catalog;
 pub mod claim;
 pub mod core;
+pub mod dependency;
 pub mod distribution;
 pub mod http;
 pub mod journal;
--- a/crates/kumquatlock/src/ops/node/front.rs
+++ b/crates/kumquatlock/src/ops/node/front.rs
@@ -33,7 +33,11 @@
         self.http.respond(now, id, response);
     }
 
-    fn open_call(&mut self, now: Timestamp, request: CallerRequest, id: RequestId) {
+    fn open_call(&mut self, now: Timestamp, mut request: CallerRequest, id: RequestId) {
+        let parent = request.id.as_deref();
+        if let Some(parent) = parent.and_then(|id| self.destination.parent_of(id)) {
+            request.set_parent(now, parent);
+        }
         let (call, steps) = self.entry.open(now, request);
         self.waiting_requests.insert(call, id);
         self.queue_entry(steps);
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -72,7 +72,11 @@
                 retry_after,
                 span,
                 opened_at,
+                nested,
             }) => {
+                if let Some(end) = nested {
+                    self.destination.on_nested_end(now, end);
+                }
                 self.answer_caller(now, call, answer, retry_after, span, opened_at);
             }
             NodeStep::Destination(step) => self.execute_destination(now, step),
--- a/crates/kumquatlock/src/retry/policy.rs
+++ b/crates/kumquatlock/src/retry/policy.rs
@@ -202,6 +202,7 @@
             | CallReason::NoRoute
             | CallReason::TooLarge
             | CallReason::Quarantined
+            | CallReason::DependencyOverloaded
     )
 }
 
--- a/crates/kumquatlock/src/routing/tracked.rs
+++ b/crates/kumquatlock/src/routing/tracked.rs
@@ -384,6 +384,7 @@
             | CallReason::NoRoute
             | CallReason::TooLarge
             | CallReason::Quarantined
+            | CallReason::DependencyOverloaded
     )
 }
 
