--- a/crates/kumquatlock/src/call/entry/message.rs
+++ b/crates/kumquatlock/src/call/entry/message.rs
@@ -69,6 +69,10 @@
         request_digest: request.digest,
         fingerprint: call.fingerprint.0,
         rank: call.rank(),
+        account: call
+            .account
+            .as_ref()
+            .map(|account| account.name.to_string()),
         inner: request.is_nested,
         target_us: call.route.latency_target.map(|target| {
             let left = (call.opened_at + target).since(now);
--- a/crates/kumquatlock/src/ops/node/front.rs
+++ b/crates/kumquatlock/src/ops/node/front.rs
@@ -38,7 +38,8 @@
         if let Some(parent) = parent.and_then(|id| self.destination.parent_of(id)) {
             request.set_parent(now, parent);
         }
-        let (call, steps) = self.entry.open(now, request);
+        self.confirm_lease();
+        let (call, steps) = self.entry.open(self.lease_time(now), request);
         self.waiting_requests.insert(call, id);
         self.queue_entry(steps);
     }
