--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -119,6 +119,12 @@
     /// Name of the client account that sent the request; absent if it belongs to none.
     #[prost(string, optional, tag = "24")]
     pub account: Option<String>,
+    /// Services of the runs above a nested call, the outermost first. Empty for a call of a caller.
+    #[prost(string, repeated, tag = "25")]
+    pub callers: Vec<String>,
+    /// Name of the route. Empty if the sender, of an earlier release, states none.
+    #[prost(string, tag = "26")]
+    pub route: String,
     /// Probability, in thousandths, that the arrival of this attempt at the upstream is an extra one:
     /// 1,000 for an attempt after one that may have arrived, and the share of such runs at the
     /// upstream that makes the call otherwise.
@@ -176,6 +182,8 @@
     UpstreamRefused = 22,
     /// The request has ended several upstreams and is in quarantine.
     Quarantined = 23,
+    /// The services that the run would call have no room.
+    DependencyOverloaded = 24,
     /// The node's configuration is not proved recent enough to decide on the caller's API key.
     ConfigUnproved = 28,
     /// The client account has used its quota.
@@ -209,6 +217,10 @@
     /// Part of `held_us` in which the attempt waited for a slot of the upstream.
     #[prost(uint32, tag = "8")]
     pub waited_us: u32,
+    /// Most urgent rank of callers' requests that the upstream has refused for lack of room lately.
+    /// Absent if it refuses none.
+    #[prost(uint32, optional, tag = "9")]
+    pub refused_rank: Option<u32>,
 }
 
 /// Answers a [`CallRequest`].
--- a/crates/kumquatlock/src/call/answer.rs
+++ b/crates/kumquatlock/src/call/answer.rs
@@ -177,6 +177,7 @@
         CallReason::TooLarge => "too_large",
         CallReason::UpstreamRefused => "upstream_refused",
         CallReason::Quarantined => "quarantined",
+        CallReason::DependencyOverloaded => "dependency_overloaded",
         CallReason::ConfigUnproved => "config_unproved",
         CallReason::QuotaExceeded => "quota_exceeded",
         CallReason::QuotaUnavailable => "quota_unavailable",
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -275,6 +275,9 @@
         }
         let sent = call.and_then(|call| call.take_attempt(response.id.attempt));
         let Some(sent) = sent else { return };
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.observe_pressure(&response);
+        }
         let outcome = classify_response(&response);
         self.record_answer(now, id, &sent, outcome, &response);
         if self.adopt_process(&sent, &response) && !self.has_claim_key(id) {
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod log;
 mod message;
+mod nested;
 mod origin;
 mod processes;
 mod proof;
@@ -40,6 +41,7 @@
 use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
 use crate::util::trace::{HopSpan, SeededIds};
 use log::EntryLog;
+pub use nested::NestedEnd;
 use origin::RouteOrigins;
 use processes::StatedProcesses;
 pub use proof::AttemptProof;
@@ -94,6 +96,8 @@
         span: Option<HopSpan>,
         /// When the call arrived from the caller.
         opened_at: Timestamp,
+        /// Present if a run of the upstream beside this node made the call.
+        nested: Option<NestedEnd>,
     },
 }
 
@@ -280,6 +284,7 @@
                     retry_after,
                     span,
                     opened_at: now,
+                    nested: None,
                 });
             }
         }
@@ -537,6 +542,7 @@
         let left = left.unwrap_or(call.deadline.since(now));
         let retry_after = self.retry_after(now, &answer, Some(&call.service), left);
         steps.push(EntryStep::Answer {
+            nested: call.nested_end(&answer),
             call: id,
             answer,
             retry_after,
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -87,6 +87,10 @@
     pub(super) refused_attempts: Vec<u32>,
     /// Token that the client account spent on this call. Given back if the call does not run.
     pub(super) quota_token: Option<QuotaToken>,
+    /// Whether an upstream that the call was sent to refuses callers' requests of more urgent rank.
+    pub(super) takes_urgent_room: bool,
+    /// Whether a run of the call lost a call of its own for lack of room.
+    pub(super) lost_call_below: bool,
     /// When the latest attempt was sent.
     pub(super) sent_at: Timestamp,
     /// Time of the call's entry in the timer set.
@@ -181,11 +185,29 @@
             may_have_run: false,
             refused_attempts: Vec::new(),
             quota_token: None,
+            takes_urgent_room: false,
+            lost_call_below: false,
             sent_at: now,
             wake_at: admitted.deadline,
         }
     }
 
+    /// Returns the rank by which destination nodes order the call. That of a nested call is the rank
+    /// of the run that waits for it.
+    pub(super) fn rank(&self) -> u32 {
+        let parent = self.request.parent.as_ref();
+        parent.map_or(self.rank, |parent| parent.rank)
+    }
+
+    /// Returns the rank by which upstreams are chosen: an upstream that was full for a call of
+    /// another rank may have room for this one. Nested calls come before all calls of callers.
+    pub(super) fn routing_rank(&self) -> u32 {
+        match self.request.is_nested {
+            true => 0,
+            false => self.rank.saturating_add(1),
+        }
+    }
+
     /// Returns the name of the account; empty if the call belongs to none.
     pub(super) fn account_name(&self) -> &str {
         let account = self.account.as_ref();
@@ -226,7 +248,7 @@
     pub(super) fn demand(&self, now: Timestamp) -> CallDemand {
         let target = self.route.latency_target;
         CallDemand {
-            rank: self.rank,
+            rank: self.routing_rank(),
             request_bytes: u32::try_from(self.request.body.len()).unwrap_or(u32::MAX),
             target_left: target.map(|target| (self.opened_at + target).since(now)),
         }
--- a/crates/kumquatlock/src/call/tests/accounts.rs
+++ b/crates/kumquatlock/src/call/tests/accounts.rs
@@ -70,7 +70,9 @@
     let headers = headers.iter();
     let headers = headers.map(|(name, value)| ((*name).to_owned(), (*value).to_owned()));
     let request = booking_request(headers.collect(), "");
-    let (_, mut steps) = simulation.entry.open(simulation.now, request, LocalRuns::default());
+    let (_, mut steps) = simulation
+        .entry
+        .open(simulation.now, request, LocalRuns::default());
     assert_eq!(steps.len(), 1, "{steps:?}");
     steps.remove(0)
 }
--- a/crates/kumquatlock/src/call/tests/quota.rs
+++ b/crates/kumquatlock/src/call/tests/quota.rs
@@ -47,7 +47,10 @@
 fn open(simulation: &mut CallSimulation) -> Vec<EntryStep> {
     let header = ("authorization".to_owned(), format!("Bearer {KEY}"));
     let request = booking_request(vec![header], "");
-    simulation.entry.open(simulation.now, request, LocalRuns::default()).1
+    simulation
+        .entry
+        .open(simulation.now, request, LocalRuns::default())
+        .1
 }
 
 fn ask(simulation: &mut CallSimulation) -> QuotaAsk {
--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -11,8 +11,9 @@
 //! to child, where they are applied atomically as a new [`core::ConfigSnapshot`]. `membership`
 //! feeds the announcements and losses of upstreams back into the replicated log. A call is driven
 //! by `call`: `account` identifies its sender, `quota` limits the sender's requests, `routing`
-//! selects its destination, `admission` and `retry` limit the load that it
-//! causes, and `claim` prevents a keyed request from running more than once.
+//! selects its destination, `admission` and `retry` limit the load that it causes, `dependency`
+//! holds back calls whose own calls would find no room, and `claim` prevents a keyed request from
+//! running more than once.
 
 pub mod account;
 pub mod admission;
@@ -21,6 +22,7 @@
 pub mod catalog;
 pub mod claim;
 pub mod core;
+pub mod dependency;
 pub mod distribution;
 pub mod http;
 pub mod journal;
--- a/crates/kumquatlock/src/retry/policy.rs
+++ b/crates/kumquatlock/src/retry/policy.rs
@@ -208,6 +208,7 @@
             | CallReason::Quarantined
             | CallReason::QuotaExceeded
             | CallReason::QuotaUnavailable
+            | CallReason::DependencyOverloaded
     )
 }
 
--- a/crates/kumquatlock/src/routing/tests/full.rs
+++ b/crates/kumquatlock/src/routing/tests/full.rs
@@ -11,6 +11,7 @@
     service_us: 50_000,
     held_us: 0,
     waited_us: 0,
+    refused_rank: None,
 };
 /// Longer than any time for which an upstream counts as full.
 const LATER: Duration = Duration::from_secs(10);
--- a/crates/kumquatlock/src/routing/tests/zones/model.rs
+++ b/crates/kumquatlock/src/routing/tests/zones/model.rs
@@ -349,6 +349,7 @@
             held_us: self.now.since(call.reached).as_micros() as u32,
             waited_us: call.waited.as_micros() as u32,
             draining: false,
+            refused_rank: None,
         };
         let way = self.way(call.entry, call.upstream);
         self.calls[index].report = report;
--- a/crates/kumquatlock/src/routing/tracked.rs
+++ b/crates/kumquatlock/src/routing/tracked.rs
@@ -407,6 +407,7 @@
             | CallReason::QuotaExceeded
             | CallReason::QuotaUnavailable
             | CallReason::BudgetSpent
+            | CallReason::DependencyOverloaded
     )
 }
 
