--- a/crates/kumquatlock-control/src/commands/mod.rs
+++ b/crates/kumquatlock-control/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands, one module each. Each command resolves its settings and calls the `ops` module of
 //! the library.
 
+mod rollout;
 mod serve;
 mod show;
 mod status;
@@ -48,6 +49,7 @@
     Serve(serve::ServeCommand),
     Submit(submit::SubmitCommand),
     Show(show::ShowCommand),
+    Rollout(rollout::RolloutCommand),
     Status(status::StatusCommand),
 }
 
@@ -57,6 +59,7 @@
             ControlCommand::Serve(command) => command.exec(),
             ControlCommand::Submit(command) => command.exec(),
             ControlCommand::Show(command) => command.exec(),
+            ControlCommand::Rollout(command) => command.exec(),
             ControlCommand::Status(command) => command.exec(),
         };
         match result {
--- a/crates/kumquatlock-control/src/commands/tests.rs
+++ b/crates/kumquatlock-control/src/commands/tests.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use kumquatlock::ops::control::ControlSettings;
 
-use super::{CONTROL, ControlCli, TIMEOUT, show};
+use super::{CONTROL, ControlCli, TIMEOUT, rollout, show};
 
 fn check_help(command: &str, lines: &[String]) {
     let early_exit = ControlCli::from_args(&["kumquatlock-control"], &[command, "--help"]);
@@ -26,5 +26,7 @@
     check_help("submit", &common);
     check_help("status", &common);
     check_help("show", &common);
+    check_help("rollout", &common);
+    check_help("rollout", &[rollout::DURATION.describe()]);
     check_help("show", &[show::VERSION.describe(), show::WAIT.describe()]);
 }
--- a/crates/kumquatlock-testkit/examples/measure/fleet.rs
+++ b/crates/kumquatlock-testkit/examples/measure/fleet.rs
@@ -103,6 +103,7 @@
             slots: 10,
             state: state as i32,
             first_in_region: false,
+            version: String::new(),
         };
         let kind = Some(Kind::Report(UpstreamReport {
             upstream: item,
--- a/crates/kumquatlock-wire/src/agreement.rs
+++ b/crates/kumquatlock-wire/src/agreement.rs
@@ -226,7 +226,10 @@
 pub struct Forward {
     #[prost(uint64, tag = "1")]
     pub request_id: u64,
-    #[prost(oneof = "forward::Content", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(
+        oneof = "forward::Content",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
+    )]
     pub content: Option<forward::Content>,
 }
 
@@ -256,6 +259,10 @@
         StatusReply(crate::distribution::StatusReply),
         #[prost(message, tag = "11")]
         Crash(crate::quarantine::CrashReport),
+        #[prost(message, tag = "12")]
+        Evidence(crate::rollout::RolloutEvidence),
+        #[prost(message, tag = "13")]
+        RolloutOrder(crate::rollout::RolloutOrder),
     }
 }
 
--- a/crates/kumquatlock-wire/src/distribution.rs
+++ b/crates/kumquatlock-wire/src/distribution.rs
@@ -151,6 +151,9 @@
     /// created.
     #[prost(bool, tag = "9")]
     pub first_in_region: bool,
+    /// Version of the upstream's software; empty if it states none.
+    #[prost(string, tag = "10")]
+    pub version: String,
 }
 
 /// Lifecycle of an upstream.
@@ -205,7 +208,7 @@
 /// Payload of a log entry of kind `Command`.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CatalogCommand {
-    #[prost(oneof = "catalog_command::Kind", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "catalog_command::Kind", tags = "1, 2, 3, 4, 5, 6")]
     pub kind: Option<catalog_command::Kind>,
 }
 
@@ -228,6 +231,8 @@
         Change(super::ManifestChange),
         #[prost(message, tag = "5")]
         Quarantine(crate::quarantine::QuarantineChange),
+        #[prost(message, tag = "6")]
+        Rollout(crate::rollout::RolloutChange),
     }
 }
 
@@ -312,6 +317,9 @@
     pub quarantine: Option<crate::quarantine::QuarantineList>,
     #[prost(message, repeated, tag = "9")]
     pub accounts: Vec<AccountItem>,
+    /// Absent if no upstream states a version.
+    #[prost(message, optional, tag = "10")]
+    pub rollouts: Option<crate::rollout::RolloutList>,
 }
 
 /// Kind of a catalog item.
@@ -461,6 +469,9 @@
     /// The whole list, if it has changed since `base`.
     #[prost(message, optional, tag = "5")]
     pub quarantine: Option<crate::quarantine::QuarantineList>,
+    /// The items that have changed since `base`.
+    #[prost(message, optional, tag = "6")]
+    pub rollouts: Option<crate::rollout::RolloutList>,
 }
 
 /// Acknowledges that the child has applied a version.
--- a/crates/kumquatlock-wire/src/lib.rs
+++ b/crates/kumquatlock-wire/src/lib.rs
@@ -14,6 +14,7 @@
 mod envelope;
 mod history;
 pub mod quarantine;
+pub mod rollout;
 
 pub use codec::{
     EncodedFrame, EnvelopeCodec, FrameError, MAX_CONTROL_FRAME_BYTES, MAX_FRAME_BYTES,
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -10,6 +10,7 @@
 mod queries;
 mod run;
 mod step;
+mod versions;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -29,6 +30,7 @@
 };
 use crate::http::{HttpResponse, UpstreamFailure};
 use crate::quarantine::{CompletedRequests, CrashDetector};
+use crate::rollout::EvidenceRecorder;
 use crate::util::trace::SeededIds;
 pub use counters::DestinationCounters;
 use limit::{AnswerLimit, DEFAULT_LEAVE_TIME};
@@ -65,6 +67,9 @@
     notice: Option<UpstreamStatement>,
     crash_detector: CrashDetector,
     completed: CompletedRequests,
+    evidence: EvidenceRecorder,
+    /// Whether the configuration allows no requests to the version of the upstream.
+    is_version_withdrawn: bool,
     /// Requests that the configuration refuses.
     quarantined: IndexSet<RequestFingerprint>,
     /// Number of times that the upstream ended while it was running requests.
@@ -115,6 +120,8 @@
             notice: None,
             crash_detector: CrashDetector::default(),
             completed: CompletedRequests::default(),
+            evidence: EvidenceRecorder::default(),
+            is_version_withdrawn: false,
             quarantined: IndexSet::new(),
             crashes: 0,
             admission: None,
@@ -299,6 +306,7 @@
     ) -> Vec<DestinationStep> {
         let mut steps = Vec::new();
         self.apply_quarantine(now, &snapshot.quarantined, &mut steps);
+        self.apply_versions(&snapshot);
         self.placement.update(snapshot);
         self.refresh_claims(now, &mut steps);
         steps
@@ -415,7 +423,8 @@
         }
         let deadline = now + Duration::from_micros(request.deadline_us);
         let outlasts_process = self.ends_at.is_some_and(|ends_at| deadline > ends_at);
-        if self.draining || self.endpoint.is_none() || outlasts_process {
+        let takes_none = self.draining || self.is_version_withdrawn;
+        if takes_none || self.endpoint.is_none() || outlasts_process {
             return Err(CallReason::Draining);
         }
         let class = WireClass::try_from(request.class).map_err(|_| CallReason::NoRoute)?;
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -356,6 +356,7 @@
         let Some(run) = self.remove_run(now, id, service, steps) else {
             return;
         };
+        self.record_evidence(now, &run, &verdict);
         match verdict {
             Ok((ResponseVerdict::Answered, response)) => {
                 self.end_answered(now, id, &run, response, steps);
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -12,7 +12,9 @@
 use crate::call::answer::{CallerAnswer, RejectReason};
 use crate::core::{RequestClass, SharedName, Timestamp};
 use crate::retry::{AttemptFailure, HedgeDecision, RetryDecision, reached_upstream};
-use crate::routing::{ChosenUpstream, NoChoiceReason, UpstreamChoice, UpstreamOutcome};
+use crate::routing::{
+    ChosenUpstream, NoChoiceReason, UpstreamChoice, UpstreamOutcome, VersionGroup,
+};
 
 /// Interval at which a call without an upstream tries again to choose one.
 const UPSTREAM_RETRY_INTERVAL: Duration = Duration::from_millis(50);
@@ -40,6 +42,9 @@
     }
 
     fn choose(&mut self, now: Timestamp, id: CallId) -> Option<UpstreamChoice> {
+        if let Some(chosen) = self.choose_canary(now, id) {
+            return Some(UpstreamChoice::Chosen(chosen));
+        }
         let call = self.calls.get_mut(&id)?;
         let snapshot = self.snapshot.as_ref()?;
         let balancer = self.balancers.get_or_create(snapshot, &call.service, now)?;
@@ -88,9 +93,12 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        let Some(balancer) = self.balancers.get_mut(&call.service) else {
+        let Some(balancer) = self.balancers.of_token(&call.service, chosen.token) else {
             return;
         };
+        let is_canary = VersionGroup::of_token(chosen.token) == VersionGroup::Canary;
+        self.canary_share.record_sent(&call.service, is_canary);
+        self.counters.canary_attempts += u64::from(is_canary);
         let addressed = match call.claim_key() {
             Some(_) => DestinationProcess::of_config(&chosen.entry),
             None => self.stated_processes.current(&chosen.entry),
@@ -371,7 +379,7 @@
         outcome: UpstreamOutcome,
         load: Option<LoadReport>,
     ) {
-        if let Some(balancer) = self.balancers.get_mut(service) {
+        if let Some(balancer) = self.balancers.of_token(service, sent.chosen.token) {
             balancer.finish_attempt(now, sent.ticket, outcome, load);
         }
     }
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Calls at their entry node, the node that received them from the caller.
 
 mod attempt;
+mod canary;
 mod log;
 mod message;
 mod processes;
@@ -31,7 +32,8 @@
     ConfigSnapshot, ProcessId, RequestFingerprint, SharedName, Timestamp, UpstreamEntry,
 };
 use crate::retry::{BudgetSettings, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing};
-use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
+use crate::rollout::CanaryShare;
+use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser, canary_order};
 use crate::util::trace::{HopSpan, SeededIds};
 use log::EntryLog;
 use processes::StatedProcesses;
@@ -96,6 +98,8 @@
     pub calls: u64,
     /// Attempts sent, including hedges.
     pub attempts: u64,
+    /// Attempts sent to a version on trial.
+    pub canary_attempts: u64,
     /// Second attempts for slow lookups.
     pub hedges: u64,
     /// Attempts sent after a failed one.
@@ -134,6 +138,7 @@
     /// Derived from `snapshot`.
     routes: RouteTable,
     balancers: BalancerSet,
+    canary_share: CanaryShare,
     placement: PlacementTable,
     settings: EntrySettings,
     /// Retry budget of each service that was called.
@@ -177,6 +182,7 @@
             snapshot: None,
             routes: RouteTable::new(&ConfigSnapshot::default()),
             balancers: BalancerSet::new(location),
+            canary_share: CanaryShare::default(),
             placement: PlacementTable::default(),
             policy: RetryPolicy {
                 scope: settings.scope,
@@ -284,6 +290,10 @@
     pub fn on_snapshot(&mut self, now: Timestamp, snapshot: Arc<ConfigSnapshot>) -> Vec<EntryStep> {
         self.routes = RouteTable::new(&snapshot);
         self.balancers.apply(&snapshot, now);
+        self.canary_share.retain(|name| {
+            let service = snapshot.services.get(name);
+            service.is_some_and(|service| canary_order(service).is_some())
+        });
         self.budgets
             .retain(|name, _| snapshot.services.contains_key(name));
         self.pacings
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -13,6 +13,7 @@
 mod processes;
 mod quarantine;
 mod rate_limit;
+mod rollout;
 mod silence;
 mod simulation;
 mod stop;
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -389,9 +389,7 @@
         let mut upstreams = upstreams();
         let upstream = upstreams.iter_mut().find(|item| item.name == name);
         upstream.expect("an upstream").incarnation += 1;
-        let snapshot = Arc::new(snapshot_of(6, class, upstreams));
-        let steps = self.entry.on_snapshot(self.now, snapshot);
-        self.apply_entry_steps(steps);
+        self.apply_entry_snapshot(Arc::new(snapshot_of(6, class, upstreams)));
     }
 
     /// Replaces the process of a node by one that provides `service` under a later incarnation. The
@@ -419,8 +417,16 @@
         let mut snapshot = snapshot_of(6, class, upstreams());
         snapshot.quarantined = requests.iter().copied().collect();
         let snapshot = Arc::new(snapshot);
-        let steps = self.entry.on_snapshot(self.now, snapshot.clone());
+        self.apply_entry_snapshot(snapshot.clone());
+        self.apply_destination_snapshot(&snapshot);
+    }
+
+    pub(super) fn apply_entry_snapshot(&mut self, snapshot: Arc<ConfigSnapshot>) {
+        let steps = self.entry.on_snapshot(self.now, snapshot);
         self.apply_entry_steps(steps);
+    }
+
+    pub(super) fn apply_destination_snapshot(&mut self, snapshot: &Arc<ConfigSnapshot>) {
         for name in UPSTREAMS {
             let calls = &mut self.destinations[name].calls;
             let steps = calls.on_snapshot(self.now, snapshot.clone());
--- a/crates/kumquatlock/src/catalog/apply.rs
+++ b/crates/kumquatlock/src/catalog/apply.rs
@@ -7,6 +7,7 @@
     UpstreamItem, UpstreamReport, WireState, catalog_command,
 };
 use kumquatlock_wire::quarantine::QuarantineChange;
+use kumquatlock_wire::rollout::{RolloutChange, rollout_change};
 
 use super::{
     AcceptedRecord, Catalog, MAX_ACCEPTED_MANIFESTS, MAX_SEEN_REGIONS, MAX_UPSTREAMS,
@@ -15,6 +16,7 @@
 use crate::core::{ConfigVersion, IncarnationId, SharedName};
 use crate::manifest::{ManifestDocument, ManifestError, is_valid_name};
 use crate::quarantine::MAX_QUARANTINED;
+use crate::rollout::{AdvanceOutcome, OrderDecision, OrderFault, is_valid_version};
 
 /// Outcome of applying a committed entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,6 +31,10 @@
     NotExpired,
     /// Requests were quarantined or released; `false` if nothing changed.
     Quarantine(bool),
+    /// An operator's order of a rollout was decided.
+    Order(OrderDecision),
+    /// A rollout was moved on.
+    Advance(AdvanceOutcome),
     /// The entry's index is not above the last applied index, so the entry has already taken
     /// effect.
     AlreadyApplied,
@@ -130,6 +136,7 @@
             Some(Kind::Quarantine(change)) => {
                 ApplyOutcome::Quarantine(self.apply_quarantine(index, change))
             }
+            Some(Kind::Rollout(change)) => self.apply_rollout(index, change),
             None => ApplyOutcome::UnknownCommand,
         }
     }
@@ -345,6 +352,8 @@
                 if item.state == WireState::Serving as i32 && !item.first_in_region {
                     item.first_in_region = self.record_first_in_region(&item);
                 }
+                self.rollouts
+                    .note_version(index, &item.service, &item.version);
                 self.store.upsert(item, index);
                 self.version = ConfigVersion(index);
                 ReportDecision::Recorded
@@ -435,6 +444,30 @@
 }
 
 impl Catalog {
+    fn apply_rollout(&mut self, index: u64, change: &RolloutChange) -> ApplyOutcome {
+        match &change.kind {
+            Some(rollout_change::Kind::Start(start)) => {
+                let decision = match self.store.services.contains_key(&*start.order.service) {
+                    true => self.rollouts.start(index, start),
+                    false => OrderDecision::Refused(OrderFault::UnknownService),
+                };
+                if matches!(&decision, OrderDecision::Accepted(item) if item.order == index) {
+                    self.version = ConfigVersion(index);
+                }
+                ApplyOutcome::Order(decision)
+            }
+            Some(rollout_change::Kind::Advance(advance)) => {
+                let outcome = self.rollouts.advance(index, advance);
+                // A recorded time means nothing to nodes, and causes no new version.
+                if matches!(outcome, AdvanceOutcome::Advanced(_)) {
+                    self.version = ConfigVersion(index);
+                }
+                ApplyOutcome::Advance(outcome)
+            }
+            None => ApplyOutcome::UnknownCommand,
+        }
+    }
+
     fn apply_quarantine(&mut self, index: u64, change: &QuarantineChange) -> bool {
         let mut is_changed = false;
         for fingerprint in &change.removed {
@@ -477,6 +510,7 @@
         && item.node_address.parse::<SocketAddr>().is_ok()
         && item.incarnation > 0
         && item.slots > 0
+        && (item.version.is_empty() || is_valid_version(&item.version))
 }
 
 /// Whether the service's patterns admit an upstream of this name.
--- a/crates/kumquatlock/src/catalog/mod.rs
+++ b/crates/kumquatlock/src/catalog/mod.rs
@@ -30,6 +30,7 @@
 pub use transfer::{CatalogError, CatalogUpdate, EncodedSnapshot, SnapshotDetail};
 
 use crate::core::{ConfigVersion, RequestFingerprint, SharedName};
+use crate::rollout::RolloutTable;
 
 /// Maximum number of accepted manifests that are remembered to recognise resends.
 pub const MAX_ACCEPTED_MANIFESTS: usize = 1_000;
@@ -80,6 +81,8 @@
     /// Fingerprints of the requests in quarantine, oldest first. At most [`MAX_QUARANTINED`].
     quarantined: IndexSet<u64>,
     quarantine_changed_at: ConfigVersion,
+    /// Versions and rollouts of services.
+    rollouts: RolloutTable,
     /// Runs of upstreams that must not serve again. Read replicas do not keep them.
     ended_runs: EndedRuns,
     store: ItemStore,
@@ -140,6 +143,11 @@
         fingerprints.copied().map(RequestFingerprint).collect()
     }
 
+    /// Returns the versions and rollouts of services.
+    pub fn rollouts(&self) -> &RolloutTable {
+        &self.rollouts
+    }
+
     /// Returns the upstream of this name.
     pub fn upstream(&self, name: &str) -> Option<&UpstreamItem> {
         self.store.upstreams.get(name).map(|stored| &stored.item)
--- a/crates/kumquatlock/src/catalog/tests.rs
+++ b/crates/kumquatlock/src/catalog/tests.rs
@@ -45,6 +45,7 @@
         slots: 10,
         state: state as i32,
         first_in_region: false,
+        version: String::new(),
     };
     let kind = Some(Kind::Report(UpstreamReport {
         upstream,
--- a/crates/kumquatlock/src/catalog/transfer.rs
+++ b/crates/kumquatlock/src/catalog/transfer.rs
@@ -98,6 +98,7 @@
             changes,
             digest: self.digest(),
             quarantine: (self.quarantine_changed_at > base).then(|| self.quarantine_list()),
+            rollouts: self.rollouts.changed_since(base.0),
         })
     }
 
@@ -181,6 +182,7 @@
             limits: self.limits,
             quarantine: (!self.quarantined.is_empty()).then(|| self.quarantine_list()),
             accounts: self.accounts().cloned().collect(),
+            rollouts: self.rollouts.changed_since(0),
         }
     }
 
@@ -197,6 +199,7 @@
             quarantine_changed_at: ConfigVersion(state.version),
             ..Catalog::default()
         };
+        catalog.rollouts.merge(state.rollouts.as_ref());
         let history = state.history.as_ref();
         let change_versions =
             |list: fn(&CatalogHistory) -> &Vec<u64>| history.map(list).map(Vec::as_slice);
@@ -290,6 +293,7 @@
         }
         self.version = ConfigVersion(version);
         self.applied_index = version;
+        self.rollouts.merge(delta.rollouts.as_ref());
         if delta.quarantine.is_some() {
             self.quarantined = quarantined_of(delta.quarantine.as_ref());
             self.quarantine_changed_at = self.version;
--- a/crates/kumquatlock/src/claim/tests/cluster.rs
+++ b/crates/kumquatlock/src/claim/tests/cluster.rs
@@ -78,6 +78,7 @@
             slots: 10,
             state: 0,
             first_in_region: member.first_in_region,
+            version: String::new(),
         };
         digest = digest.wrapping_add(upstream_digest(&item));
         upstreams.push(item);
--- a/crates/kumquatlock/src/core/mod.rs
+++ b/crates/kumquatlock/src/core/mod.rs
@@ -9,6 +9,7 @@
 mod rate;
 mod snapshot;
 mod time;
+mod versions;
 
 pub use account::{AccountQuota, ClientAccount, KeyDigest};
 pub use class::{RequestClass, UpstreamState};
@@ -25,6 +26,7 @@
     CallerLimits, ConfigSnapshot, RouteEntry, ServiceEntry, SnapshotError, SplitPart, UpstreamEntry,
 };
 pub use time::Timestamp;
+pub use versions::ServiceVersions;
 
 #[cfg(test)]
 mod tests;
--- a/crates/kumquatlock/src/core/snapshot.rs
+++ b/crates/kumquatlock/src/core/snapshot.rs
@@ -13,10 +13,11 @@
     UpstreamItem, WireClass, WireState, catalog_change,
 };
 use kumquatlock_wire::quarantine::QuarantineList;
+use kumquatlock_wire::rollout::RolloutList;
 
 use super::{
     ClientAccount, ConfigVersion, IncarnationId, KeyDigest, RequestClass, RequestFingerprint,
-    SharedName, UpstreamState, route_digest, service_digest, upstream_digest,
+    ServiceVersions, SharedName, UpstreamState, route_digest, service_digest, upstream_digest,
 };
 
 /// Why a configuration was rejected as a whole.
@@ -88,6 +89,8 @@
     /// Whether this is the first upstream recorded for its service and region since the service was
     /// created.
     pub first_in_region: bool,
+    /// Version of the upstream's software; empty if it states none.
+    pub version: SharedName,
     digest: u64,
 }
 
@@ -118,6 +121,7 @@
             slots: item.slots,
             state,
             first_in_region: item.first_in_region,
+            version: item.version.as_str().into(),
             digest: upstream_digest(item),
         })
     }
@@ -135,6 +139,9 @@
     pub members: Vec<Arc<UpstreamEntry>>,
     /// Number of connections that each upstream accepts; zero if not stated.
     pub connections: u32,
+    /// Versions of the service; `None` if no upstream states one. Derived; also in
+    /// [`ConfigSnapshot::versions`].
+    pub versions: Option<Arc<ServiceVersions>>,
     digest: u64,
 }
 
@@ -149,6 +156,7 @@
                 .collect(),
             members: Vec::new(),
             connections: item.connections,
+            versions: None,
             digest: service_digest(item),
         }
     }
@@ -285,6 +293,8 @@
     pub limits: Option<CallerLimits>,
     /// Requests that are refused, because they have ended upstreams.
     pub quarantined: IndexSet<RequestFingerprint>,
+    /// Versions of services, by service, whether or not the manifest names the service.
+    pub versions: IndexMap<SharedName, Arc<ServiceVersions>>,
     /// Wrapping sum of the digests of all items.
     pub digest: u64,
 }
@@ -312,7 +322,8 @@
             snapshot.insert_account(ClientAccount::from_item(item)?);
         }
         snapshot.rebuild_keys();
-        let affected = snapshot.services.keys().cloned().collect();
+        let mut affected = snapshot.services.keys().cloned().collect();
+        snapshot.apply_versions(state.rollouts.as_ref(), &mut affected);
         snapshot.rebuild_members(&affected);
         snapshot.validate(digest)?;
         Ok(snapshot)
@@ -343,6 +354,7 @@
         if delta.quarantine.is_some() {
             snapshot.quarantined = quarantined_of(delta.quarantine.as_ref());
         }
+        snapshot.apply_versions(delta.rollouts.as_ref(), &mut affected);
         snapshot.rebuild_members(&affected);
         if delta.changes.iter().any(is_account_change) {
             snapshot.rebuild_keys();
@@ -444,6 +456,15 @@
         self.account_keys = Arc::new(keys.collect());
     }
 
+    fn apply_versions(&mut self, list: Option<&RolloutList>, affected: &mut IndexSet<SharedName>) {
+        for item in list.into_iter().flat_map(|list| &list.items) {
+            let service: SharedName = item.service.as_str().into();
+            affected.insert(service.clone());
+            let versions = Arc::new(ServiceVersions::from_item(item));
+            self.versions.insert(service, versions);
+        }
+    }
+
     fn insert_upstream(&mut self, upstream: UpstreamEntry) -> Option<Arc<UpstreamEntry>> {
         self.digest = self.digest.wrapping_add(upstream.digest);
         let old = self
@@ -473,7 +494,9 @@
         for (name, mut list) in members {
             if let Some(service) = self.services.get_mut(&name) {
                 list.sort_unstable_by(|left, right| left.name.cmp(&right.name));
-                Arc::make_mut(service).members = list;
+                let service = Arc::make_mut(service);
+                service.members = list;
+                service.versions = self.versions.get(&name).cloned();
             }
         }
     }
--- a/crates/kumquatlock/src/core/tests.rs
+++ b/crates/kumquatlock/src/core/tests.rs
@@ -67,6 +67,7 @@
         changes,
         digest: 0,
         quarantine: None,
+        rollouts: None,
     }
 }
 
--- a/crates/kumquatlock/src/distribution/parent.rs
+++ b/crates/kumquatlock/src/distribution/parent.rs
@@ -311,7 +311,7 @@
         }
     }
 
-    /// Handles a request of a replica, or a crash report. Requests for proofs are handled here, crash
+    /// Handles a request of a replica, or a report of a node. Requests for proofs are handled here,
     /// reports are forwarded to the leader; all others are passed on with [`ParentStep::HandleRequest`].
     fn handle_request(
         &mut self,
@@ -322,7 +322,7 @@
     ) {
         match request.content {
             Some(Content::ConfirmRequest(_)) => {}
-            Some(Content::Crash(_)) => {
+            Some(Content::Crash(_) | Content::Evidence(_)) => {
                 return steps.push(ParentStep::ForwardToLeader(Body::Forward(request)));
             }
             _ => return steps.push(ParentStep::HandleRequest { child, request }),
--- a/crates/kumquatlock/src/distribution/tests/harness.rs
+++ b/crates/kumquatlock/src/distribution/tests/harness.rs
@@ -30,6 +30,7 @@
         slots: 10,
         state: state as i32,
         first_in_region: false,
+        version: String::new(),
     };
     UpstreamReport {
         upstream,
--- a/crates/kumquatlock/src/distribution/tests/hostile.rs
+++ b/crates/kumquatlock/src/distribution/tests/hostile.rs
@@ -107,6 +107,7 @@
             changes: vec![CatalogChange::default(); random.random_range(0..2)],
             digest: number(random),
             quarantine: None,
+            rollouts: None,
         }),
         3 => Body::Pong(Pong {
             number: version,
--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod ops;
 pub mod quarantine;
 pub mod retry;
+pub mod rollout;
 pub mod routing;
 pub mod submission;
 pub mod transport;
--- a/crates/kumquatlock/src/membership/announcer.rs
+++ b/crates/kumquatlock/src/membership/announcer.rs
@@ -13,6 +13,7 @@
     ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamState, stable_hash,
 };
 use crate::manifest::is_valid_name;
+use crate::rollout::is_valid_version;
 
 /// Initial increment by which an incarnation is raised after its reports had no effect. Each
 /// further increment is multiplied by [`RAISE_FACTOR`], so that a few raises make up for a clock
@@ -51,6 +52,8 @@
     pub run_started_ms: u64,
     /// Sequence number that orders the announcements of one run; zero if they are not numbered.
     pub sequence: u64,
+    /// Version of the upstream's software; empty if it states none.
+    pub version: SharedName,
 }
 
 impl UpstreamAnnouncement {
@@ -294,6 +297,7 @@
         if !is_valid_name(&announcement.name)
             || !is_valid_name(&announcement.service)
             || announcement.slots == 0
+            || !(announcement.version.is_empty() || is_valid_version(&announcement.version))
         {
             return steps.push(AnnouncerStep::Answer(AnnounceAnswer::Invalid));
         }
@@ -313,7 +317,8 @@
             }
             upstream.announced_at = now;
             let is_same = upstream.announcement.service == announcement.service
-                && upstream.announcement.slots == announcement.slots;
+                && upstream.announcement.slots == announcement.slots
+                && upstream.announcement.version == announcement.version;
             if upstream.is_drain_requested || (is_same && upstream.state == WireState::Serving) {
                 upstream.announcement = announcement;
                 return steps.push(AnnouncerStep::Answer(self.answer()));
@@ -495,6 +500,7 @@
             slots: self.announcement.slots,
             state: self.state as i32,
             first_in_region: false,
+            version: self.announcement.version.to_string(),
         };
         UpstreamReport {
             upstream,
--- a/crates/kumquatlock/src/membership/tests.rs
+++ b/crates/kumquatlock/src/membership/tests.rs
@@ -300,6 +300,7 @@
             instance: crate::core::SharedName::default(),
             run_started_ms: 0,
             sequence: 0,
+            version: crate::core::SharedName::default(),
         };
         self.handle(AnnouncerEvent::Announce(announcement)).unwrap()
     }
@@ -424,6 +425,7 @@
         instance: instance.into(),
         run_started_ms,
         sequence,
+        version: crate::core::SharedName::default(),
     }
 }
 
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -46,6 +46,9 @@
 /// catalog.
 const TICKS_PER_EXPIRY_CHECK: u64 = 1_000 / TICK_MS;
 
+/// Number of ticks of the actor per decision on the running rollouts.
+const TICKS_PER_ROLLOUT_STEP: u64 = 200 / TICK_MS;
+
 /// An event for one of the components that waits to be handled.
 #[derive(Debug)]
 pub(super) enum QueuedEvent {
@@ -232,6 +235,9 @@
             self.expire_upstreams(now);
             self.expire_quarantine(now);
         }
+        if self.ticks.is_multiple_of(TICKS_PER_ROLLOUT_STEP) {
+            self.direct_rollouts(now);
+        }
         self.expire_requests(now);
         self.expire_reads(now);
         self.finish_turn(cx, now);
--- a/crates/kumquatlock/src/ops/control/answer.rs
+++ b/crates/kumquatlock/src/ops/control/answer.rs
@@ -54,7 +54,7 @@
     detail: &'a str,
 }
 
-fn json_answer(status: u16, body: &impl Serialize) -> RequestAnswer {
+pub(super) fn json_answer(status: u16, body: &impl Serialize) -> RequestAnswer {
     let json = serde_json::to_string(body).unwrap_or_default();
     RequestAnswer::Operator { status, json }
 }
@@ -74,7 +74,9 @@
 /// Returns the answer to a request that provably did not reach the leader.
 pub(super) fn unavailable(kind: RequestKind, reason: &str) -> RequestAnswer {
     match kind {
-        RequestKind::Submit | RequestKind::Status { .. } => not_run(reason),
+        RequestKind::Submit | RequestKind::Status { .. } | RequestKind::RolloutOrder => {
+            not_run(reason)
+        }
         RequestKind::ReadIndex => RequestAnswer::ReadIndex(None),
     }
 }
@@ -82,7 +84,7 @@
 /// Returns the answer to a request that may have reached the leader.
 pub(super) fn uncertain(kind: RequestKind, reason: &str) -> RequestAnswer {
     match kind {
-        RequestKind::Submit => unknown(reason),
+        RequestKind::Submit | RequestKind::RolloutOrder => unknown(reason),
         // A status request has no effect, so it counts as not run.
         RequestKind::Status { .. } => not_run(reason),
         RequestKind::ReadIndex => RequestAnswer::ReadIndex(None),
@@ -102,7 +104,7 @@
 }
 
 /// Returns the answer to a submission whose proposal failed.
-fn failed_proposal(error: &ProposalError) -> RequestAnswer {
+pub(super) fn failed_proposal(error: &ProposalError) -> RequestAnswer {
     match error {
         ProposalError::NotLeader { .. } => not_run("no_leader"),
         ProposalError::LostLeadership => unknown("leadership_lost"),
--- a/crates/kumquatlock/src/ops/control/metrics.rs
+++ b/crates/kumquatlock/src/ops/control/metrics.rs
@@ -34,6 +34,11 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PhaseLabel {
+    phase: &'static str,
+}
+
 /// Counters and gauges that the actor sets and the HTTP threads read.
 pub(super) struct ControlMetrics {
     pub(super) traffic: Arc<TrafficCounters>,
@@ -50,6 +55,8 @@
     snapshots: Counter,
     deltas: Counter,
     retry_after: Family<ReasonLabel, Counter>,
+    running_rollouts: Gauge,
+    rollouts: Family<PhaseLabel, Counter>,
 }
 
 impl ControlMetrics {
@@ -71,6 +78,8 @@
             snapshots: Counter::default(),
             deltas: Counter::default(),
             retry_after: Family::default(),
+            running_rollouts: Gauge::default(),
+            rollouts: Family::default(),
         };
         metrics.register();
         metrics
@@ -96,6 +105,16 @@
             &self.is_leader,
         );
         gauge("children", "Admitted children", &self.children);
+        gauge(
+            "running_rollouts",
+            "Rollouts that have not ended",
+            &self.running_rollouts,
+        );
+        registry.register(
+            "rollout_phases",
+            "Phases that rollouts have entered, as this instance has applied them",
+            self.rollouts.clone(),
+        );
         registry.register(
             "journal_sync_seconds",
             "Time of one durable journal write",
@@ -172,6 +191,11 @@
             .inc();
     }
 
+    /// Counts a phase that a rollout has entered.
+    pub(super) fn count_rollout(&self, phase: &'static str) {
+        self.rollouts.get_or_create(&PhaseLabel { phase }).inc();
+    }
+
     pub(super) fn observe_submission(&self, elapsed: Duration) {
         self.submission_time.observe(elapsed.as_secs_f64());
     }
@@ -208,6 +232,8 @@
         metrics
             .children
             .set(gauge_value(self.parent.child_count() as u64));
+        let rollouts = self.catalog.rollouts().running().count();
+        metrics.running_rollouts.set(gauge_value(rollouts as u64));
         metrics.is_leader.set(self.is_leader().into());
         if let Some(voter) = &self.voter {
             let status = voter.agreement.status();
--- a/crates/kumquatlock/src/ops/control/mod.rs
+++ b/crates/kumquatlock/src/ops/control/mod.rs
@@ -30,6 +30,7 @@
 mod quarantine;
 mod relay;
 mod requests;
+mod rollouts;
 mod settings;
 mod stop;
 mod submission_log;
--- a/crates/kumquatlock/src/ops/control/operator.rs
+++ b/crates/kumquatlock/src/ops/control/operator.rs
@@ -7,15 +7,17 @@
 use indexmap::IndexMap;
 use kumquatlock_wire::agreement::forward::Content;
 use kumquatlock_wire::distribution::StatusRequest;
+use kumquatlock_wire::rollout::RolloutOrder;
 use serde::Serialize;
 
 use super::actor::ControlActor;
 use super::answer;
 use super::http::ReplySender;
-use super::requests::{RequestKind, Requester};
+use super::requests::{ReadSubject, RequestKind, Requester};
+use super::rollouts::{ROLLOUTS_PATH, parse_rollout_request, rollout_response};
 use crate::agreement::ReadIndex;
 use crate::catalog::CurrentCatalog;
-use crate::core::Timestamp;
+use crate::core::{SharedName, Timestamp};
 use crate::http::{HttpRequest, HttpResponse};
 use crate::manifest::ManifestDocument;
 
@@ -48,6 +50,10 @@
     Show(Option<u64>),
     /// Asks for the source of the newest manifest.
     Source,
+    /// Orders a rollout.
+    Rollout(Box<RolloutOrder>),
+    /// Asks for the rollout of a service.
+    ShowRollout(SharedName),
     /// Asks for the status of the instance.
     Status,
     /// Asks for the metrics page.
@@ -76,8 +82,8 @@
 /// What is answered from a current state.
 #[derive(Debug)]
 pub(super) enum ReadTarget {
-    /// An operator's read of the manifest source.
-    Source(ReplySender),
+    /// An operator's read of the catalog.
+    Catalog(ReplySender, ReadSubject),
     /// A request for the state of a manifest that this instance answers as the leader.
     Status {
         id: u64,
@@ -93,7 +99,7 @@
     target: ReadTarget,
 }
 
-fn method_not_allowed(allowed: &str) -> HttpResponse {
+pub(super) fn method_not_allowed(allowed: &str) -> HttpResponse {
     let detail = format!("this path takes {allowed}");
     answer::bad_request(405, "method_not_allowed", &detail).with_header("Allow", allowed)
 }
@@ -101,6 +107,9 @@
 /// Parses the method and path of a request, or returns the response that refuses it.
 fn parse_request(request: HttpRequest) -> Result<OperatorRequest, HttpResponse> {
     let path = request.path();
+    if path.starts_with(ROLLOUTS_PATH) {
+        return parse_rollout_request(&request);
+    }
     let (operation, method) = if path == MANIFESTS_PATH {
         (OperatorRequest::Submit(request.body.clone()), "POST")
     } else if path == STATUS_PATH {
@@ -115,8 +124,8 @@
     {
         (OperatorRequest::Show(parse_version(version)?), "GET")
     } else {
-        let detail = "paths are /v1/manifests, /v1/manifests/<version>, /v1/source, /v1/status \
-                      and /metrics";
+        let detail = "paths are /v1/manifests, /v1/manifests/<version>, /v1/rollouts, \
+                      /v1/rollouts/<service>, /v1/source, /v1/status and /metrics";
         return Err(answer::bad_request(404, "not_found", detail));
     };
     if request.method != method {
@@ -215,13 +224,24 @@
                 self.route_request(now, Requester::Operator(reply), content);
             }
             OperatorRequest::Source => {
-                let content = Content::ConfirmRequest(Default::default());
-                self.route_request(now, Requester::Reader(reply), content);
+                self.read_catalog(now, reply, ReadSubject::Source);
+            }
+            OperatorRequest::ShowRollout(service) => {
+                self.read_catalog(now, reply, ReadSubject::Rollout(service));
+            }
+            OperatorRequest::Rollout(order) => {
+                let content = Content::RolloutOrder(*order);
+                self.route_request(now, Requester::Operator(reply), content);
             }
             OperatorRequest::Submit(text) => self.submit_manifest(now, text, document, reply),
         }
     }
 
+    fn read_catalog(&mut self, now: Timestamp, reply: ReplySender, subject: ReadSubject) {
+        let content = Content::ConfirmRequest(Default::default());
+        self.route_request(now, Requester::Reader(reply, subject), content);
+    }
+
     /// Answers a read once this instance has applied everything up to `index`, which makes the read
     /// current.
     pub(super) fn wait_for_read(&mut self, now: Timestamp, index: ReadIndex, target: ReadTarget) {
@@ -247,7 +267,12 @@
             return;
         };
         match read.target {
-            ReadTarget::Source(reply) => reply.send(source_response(&current)),
+            ReadTarget::Catalog(reply, ReadSubject::Source) => {
+                reply.send(source_response(&current))
+            }
+            ReadTarget::Catalog(reply, ReadSubject::Rollout(service)) => {
+                reply.send(rollout_response(&current, &service));
+            }
             ReadTarget::Status {
                 id,
                 manifest_version,
@@ -268,7 +293,7 @@
         for read in overdue {
             let answer = answer::not_run("not_applied");
             match read.target {
-                ReadTarget::Source(reply) => reply.send(answer::response(answer)),
+                ReadTarget::Catalog(reply, _) => reply.send(answer::response(answer)),
                 ReadTarget::Status { id, .. } => self.finish_request(now, id, answer),
             }
         }
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -19,6 +19,7 @@
 use crate::distribution::{ChildEvent, InForceCount, ParentEvent, ProgressTable, REPORTER_TIMEOUT};
 use crate::membership::{AttachmentTracker, ExpiryDecision, ExpiryTiming, RecordOutcome};
 use crate::quarantine::CrashTally;
+use crate::rollout::RolloutDirector;
 use crate::submission::{SubmissionEvent, SubmissionId, SubmissionStage};
 use crate::transport::{LinkError, LinkId};
 
@@ -34,6 +35,8 @@
     attachments: Option<AttachmentTracker>,
     /// Crashes of upstreams and the requests that may have caused them.
     pub(super) crashes: CrashTally,
+    /// Running rollouts.
+    pub(super) director: RolloutDirector,
     /// Failure domain for which a withheld removal was last logged.
     withheld_domain: Option<SharedName>,
 }
@@ -137,6 +140,7 @@
             Content::Submit(text) => self.parse_submission(now, id, text),
             // A status names a manifest as unknown or as the newest, so it needs a current state.
             Content::StatusRequest(_) | Content::ConfirmRequest(_) => self.request_read_index(id),
+            Content::RolloutOrder(order) => self.propose_order(now, id, order),
             _ => {}
         }
     }
@@ -251,9 +255,9 @@
                 }
                 sender.send(answer::response(answer));
             }
-            Requester::Reader(sender) => match answer {
+            Requester::Reader(sender, subject) => match answer {
                 RequestAnswer::ReadIndex(Some(index)) => {
-                    self.wait_for_read(now, index, ReadTarget::Source(sender));
+                    self.wait_for_read(now, index, ReadTarget::Catalog(sender, subject));
                 }
                 _ => sender.send(answer::response(answer::not_run("not_current"))),
             },
@@ -311,6 +315,7 @@
         match message.content {
             Some(Content::Report(report)) => self.handle_as_leader(now, Body::Report(report)),
             Some(Content::Crash(report)) => self.handle_crash(now, &report),
+            Some(Content::Evidence(evidence)) => self.handle_evidence(now, &evidence),
             Some(Content::Progress(progress)) => {
                 self.handle_as_leader(now, Body::Progress(progress))
             }
@@ -345,7 +350,7 @@
             let content = match body {
                 Body::Report(report) => Content::Report(report),
                 Body::Forward(Forward {
-                    content: Some(content @ Content::Crash(_)),
+                    content: Some(content @ (Content::Crash(_) | Content::Evidence(_))),
                     ..
                 }) => content,
                 Body::Progress(progress) => Content::Progress(progress),
@@ -371,6 +376,10 @@
                 content: Some(Content::Crash(report)),
                 ..
             }) => self.handle_crash(now, &report),
+            Body::Forward(Forward {
+                content: Some(Content::Evidence(evidence)),
+                ..
+            }) => self.handle_evidence(now, &evidence),
             Body::Progress(progress) => self.handle_progress(now, progress),
             Body::Attachment(attachment) => self.handle_attachment(now, &attachment),
             _ => {}
--- a/crates/kumquatlock/src/ops/control/requests.rs
+++ b/crates/kumquatlock/src/ops/control/requests.rs
@@ -36,9 +36,9 @@
     Voter { name: SharedName, request_id: u64 },
     /// A replica that is a child of this instance.
     Child { child: ChildId, request_id: u64 },
-    /// An operator's read of the manifest source. Waits for the index up to which entries must be
-    /// applied for the read to be current.
-    Reader(ReplySender),
+    /// An operator's read of the catalog. Waits for the index up to which entries must be applied for
+    /// the read to be current.
+    Reader(ReplySender, ReadSubject),
     /// A proof for the children of this instance that their configuration is current.
     LocalProof { round: u64 },
 }
@@ -53,6 +53,15 @@
     }
 }
 
+/// What an operator reads from the catalog.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum ReadSubject {
+    /// The source of the newest manifest.
+    Source,
+    /// The rollout of a service.
+    Rollout(SharedName),
+}
+
 /// Kind of a request; determines the answer when the leader gives none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RequestKind {
@@ -62,6 +71,8 @@
         manifest_version: Option<u64>,
     },
     ReadIndex,
+    /// Orders a rollout.
+    RolloutOrder,
 }
 
 impl RequestKind {
@@ -73,6 +84,7 @@
                 manifest_version: request.manifest_version,
             }),
             Content::ConfirmRequest(_) => Some(RequestKind::ReadIndex),
+            Content::RolloutOrder(_) => Some(RequestKind::RolloutOrder),
             _ => None,
         }
     }
@@ -81,7 +93,9 @@
     pub(super) fn is_answered_by(self, content: &Content) -> bool {
         match self {
             RequestKind::Submit => matches!(content, Content::SubmitReply(_)),
-            RequestKind::Status { .. } => matches!(content, Content::StatusReply(_)),
+            RequestKind::Status { .. } | RequestKind::RolloutOrder => {
+                matches!(content, Content::StatusReply(_))
+            }
             RequestKind::ReadIndex => matches!(content, Content::ConfirmReply(_)),
         }
     }
--- a/crates/kumquatlock/src/ops/control/submission_log.rs
+++ b/crates/kumquatlock/src/ops/control/submission_log.rs
@@ -83,7 +83,7 @@
                 link: child.0,
                 id: *request_id,
             }),
-            Requester::Reader(_) | Requester::LocalProof { .. } => None,
+            Requester::Reader(..) | Requester::LocalProof { .. } => None,
         }
     }
 
--- a/crates/kumquatlock/src/ops/control/voter.rs
+++ b/crates/kumquatlock/src/ops/control/voter.rs
@@ -14,6 +14,7 @@
 use super::actor::{ControlActor, QueuedEvent};
 use super::clock::random_seed;
 use super::process::ControlError;
+use super::requests::RequestKind;
 use super::settings::ControlSettings;
 use crate::agreement::{
     AgreementAction, AgreementEngine, AgreementEvent, AgreementRole, AgreementSettings,
@@ -53,7 +54,7 @@
     /// Reason of the last failed write.
     write_failure: PersistFailure,
     /// Index and outcome of the command applied last. Its proposal is answered after it.
-    last_outcome: Option<(u64, ApplyOutcome)>,
+    pub(super) last_outcome: Option<(u64, ApplyOutcome)>,
 }
 
 impl VoterState {
@@ -238,7 +239,9 @@
                     }));
             }
             AgreementAction::AnswerProposal { ticket, result } => {
-                if ticket != UNTRACKED_TICKET {
+                if self.requests.kind(ticket.0) == Some(RequestKind::RolloutOrder) {
+                    self.answer_order(now, ticket.0, result);
+                } else if ticket != UNTRACKED_TICKET {
                     let event = self.proposal_event(result);
                     self.handle_submission(now, ticket.0, event);
                 }
@@ -324,6 +327,7 @@
         {
             log::info!(manifest_version = *manifest_version, version = config_version.0; "manifest_accepted");
         }
+        self.log_rollout(entry.index, &outcome);
         if let Some(voter) = &mut self.voter {
             voter.last_outcome = Some((entry.index, outcome));
         }
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -334,6 +334,7 @@
         self.queue_announcer(steps);
         self.answer_ends(now);
         self.send_crash_reports(now);
+        self.send_evidence(now);
         if now >= self.next_claim_tick && !self.settings.tuning.without_claims {
             self.next_claim_tick = now + CLAIM_TICK_INTERVAL;
             self.confirm_claim_config();
--- a/crates/kumquatlock/src/ops/node/front.rs
+++ b/crates/kumquatlock/src/ops/node/front.rs
@@ -3,6 +3,7 @@
 use super::actor::NodeActor;
 use super::local::{LocalAnnouncement, LocalAnswer, LocalRequest, NodePort};
 use crate::call::{CallerAnswer, CallerRequest};
+use crate::core::SharedName;
 use crate::core::Timestamp;
 use crate::http::{HttpEvent, HttpLimits, HttpRequest, RequestId};
 use crate::membership::{AnnounceAnswer, AnnouncerEvent, AnnouncerStep, UpstreamAnnouncement};
@@ -79,6 +80,14 @@
         self.applied.is_some() && !self.stopping
     }
 
+    /// Returns the version that the upstream is announced with; empty where none are rolled out.
+    fn upstream_version(&self, version: &str) -> SharedName {
+        match self.settings.tuning.ignores_versions {
+            true => SharedName::default(),
+            false => version.into(),
+        }
+    }
+
     fn announce(&mut self, now: Timestamp, body: LocalAnnouncement) -> LocalAnswer {
         let name = body.name.unwrap_or_else(|| self.settings.name.to_string());
         if name != *self.settings.name {
@@ -100,7 +109,9 @@
             instance: body.instance,
             run_started_ms: body.run_started_ms,
             sequence: body.sequence,
+            version: self.upstream_version(&body.version),
         };
+        self.destination.set_warm_up(now, body.warm_up);
         let answer = self.notify_announcer(now, AnnouncerEvent::Announce(announcement));
         let is_current = matches!(
             answer,
--- a/crates/kumquatlock/src/ops/node/local.rs
+++ b/crates/kumquatlock/src/ops/node/local.rs
@@ -1,6 +1,7 @@
 //! Requests to the node itself: from the local upstream, readiness probes and metrics scrapers.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -9,6 +10,7 @@
 use crate::http::{HttpRequest, HttpResponse};
 use crate::manifest::is_valid_name;
 use crate::membership::AnnounceAnswer;
+use crate::rollout::is_valid_version;
 
 /// Maximum number of slots or connections that an upstream may announce.
 const MAX_SLOTS: u32 = 100_000;
@@ -47,6 +49,10 @@
     pub sequence: u64,
     /// Whether the upstream accepts no new requests.
     pub is_draining: bool,
+    /// Version of the upstream's software; empty if the announcement has none.
+    pub version: String,
+    /// Time for which the upstream will still be slow after its start.
+    pub warm_up: Duration,
 }
 
 /// A validated request to the node itself.
@@ -112,6 +118,10 @@
     slots: u32,
     #[serde(default)]
     connections: Option<u32>,
+    #[serde(default)]
+    version: String,
+    #[serde(default)]
+    warm_up_ms: u32,
 }
 
 /// Reason for refusing a local request.
@@ -124,6 +134,7 @@
     InvalidName,
     InvalidService,
     InvalidSlots,
+    InvalidVersion,
     WrongName,
     Stopping,
     Unrecorded,
@@ -170,7 +181,12 @@
     let connections = announcement.connections.unwrap_or(announcement.slots);
     let counts = [announcement.slots, connections];
     let are_valid = counts.iter().all(|count| (1..=MAX_SLOTS).contains(count));
-    (!are_valid).then_some(LocalRefusal::InvalidSlots)
+    if !are_valid {
+        return Some(LocalRefusal::InvalidSlots);
+    }
+    let version = &announcement.version;
+    let is_valid = version.is_empty() || is_valid_version(version);
+    (!is_valid).then_some(LocalRefusal::InvalidVersion)
 }
 
 fn read(port: NodePort, request: &HttpRequest) -> Option<Result<LocalRequest, HttpResponse>> {
@@ -209,6 +225,8 @@
         run_started_ms: 0,
         sequence: 0,
         is_draining: false,
+        version: body.version,
+        warm_up: Duration::from_millis(body.warm_up_ms.into()),
     };
     match validate_announcement(&announcement) {
         None => Ok(announcement),
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -132,6 +132,12 @@
             &[],
             counters.hedges,
         );
+        page.add_counter(
+            "canary_attempts",
+            "Attempts sent to upstreams of a version on trial",
+            &[],
+            counters.canary_attempts,
+        );
         let help = "Answers that match no outstanding attempt";
         page.add_counter("stray_answers", help, &[], counters.stray_answers);
         let help = "Lost attempts whose outcome was queried";
--- a/crates/kumquatlock/src/ops/node/settings.rs
+++ b/crates/kumquatlock/src/ops/node/settings.rs
@@ -87,6 +87,8 @@
     /// How long calls that wait for a leaving upstream may still take to be answered; `None` for the
     /// default.
     pub leave_time: Option<Duration>,
+    /// Whether the versions that upstreams state mean nothing, because none are rolled out.
+    pub ignores_versions: bool,
     /// Retry budget.
     pub budget: BudgetSettings,
     /// Which attempts consume the budget.
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -183,6 +183,19 @@
         }
     }
 
+    /// Sends what was observed of a running rollout towards the leader.
+    pub(super) fn send_evidence(&mut self, now: Timestamp) {
+        if let Some(evidence) = self.destination.take_evidence(now) {
+            let forward = Forward {
+                request_id: 0,
+                content: Some(Content::Evidence(evidence)),
+            };
+            let event = ChildEvent::Relay(Body::Forward(forward));
+            let steps = self.child.handle(now, event, &mut self.random);
+            self.queue_child(steps);
+        }
+    }
+
     fn execute_child(&mut self, now: Timestamp, step: ChildStep) {
         match step {
             ChildStep::Connect { link, address } | ChildStep::Probe { link, address } => {
--- a/crates/kumquatlock/src/ops/operator_client.rs
+++ b/crates/kumquatlock/src/ops/operator_client.rs
@@ -71,6 +71,17 @@
     NotReached(OperatorAnswer),
 }
 
+/// Outcome of an order of a rollout, or of a query for its state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RolloutOutcome {
+    /// The rollout is running or completed.
+    Accepted(OperatorAnswer),
+    /// The order was refused, or the version was rolled back.
+    Refused(OperatorAnswer),
+    /// No rollout of the service is known.
+    Unknown(OperatorAnswer),
+}
+
 /// Error of a request to the control instances.
 #[derive(Debug, thiserror::Error)]
 pub enum OperatorError {
@@ -162,6 +173,36 @@
         }
     }
 
+    /// Orders a rollout at the instances in turn until one of them decides on it.
+    pub fn order_rollout(
+        &self,
+        service: &str,
+        version: &str,
+        duration: Duration,
+    ) -> Result<RolloutOutcome, OperatorError> {
+        let body = serde_json::json!({
+            "service": service,
+            "target_version": version,
+            "duration_ms": u64::try_from(duration.as_millis()).unwrap_or(u64::MAX),
+        });
+        let text = body.to_string();
+        let answer = self.ask_until(Instant::now() + self.timeout, |instance, timeout| {
+            let url = format!("http://{instance}/v1/rollouts");
+            let request = self.agent.post(url).content_type("application/json");
+            let request = request.config().timeout_global(Some(timeout)).build();
+            request.send(&text)
+        })?;
+        Ok(rollout_outcome(answer))
+    }
+
+    /// Returns the state of the latest rollout of a service.
+    pub fn show_rollout(&self, service: &str) -> Result<RolloutOutcome, OperatorError> {
+        let answer = self.ask_until(Instant::now() + self.timeout, |instance, timeout| {
+            self.get(&format!("http://{instance}/v1/rollouts/{service}"), timeout)
+        })?;
+        Ok(rollout_outcome(answer))
+    }
+
     /// Returns the status of each instance, or the error of the request for it.
     pub fn show_status(&self) -> Vec<(SocketAddr, Result<OperatorAnswer, String>)> {
         let deadline = Instant::now() + self.timeout;
@@ -203,6 +244,14 @@
     }
 }
 
+fn rollout_outcome(answer: OperatorAnswer) -> RolloutOutcome {
+    match answer.state().as_str() {
+        "running" | "completed" => RolloutOutcome::Accepted(answer),
+        "unknown" => RolloutOutcome::Unknown(answer),
+        _ => RolloutOutcome::Refused(answer),
+    }
+}
+
 /// Returns the timeout of the next HTTP exchange of a command that gives up at `deadline`.
 fn exchange_timeout(deadline: Instant) -> Duration {
     deadline
--- /dev/null
+++ b/crates/kumquatlock/src/rollout/tests.rs
@@ -0,0 +1,5 @@
+//! Tests of rollouts without a network.
+
+mod judge;
+mod orders;
+mod share;
--- a/crates/kumquatlock/src/routing/balancer.rs
+++ b/crates/kumquatlock/src/routing/balancer.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use super::group::VersionGroup;
 use super::silence::SilenceTracker;
 use super::subset::{EntryLocation, LocalityTier, SUBSET_SIZE, pick_subset};
 use super::tracked::{HealthHint, TrackedUpstream, UpstreamOutcome, UpstreamToken};
@@ -132,6 +133,7 @@
 #[derive(Clone, Debug)]
 pub struct UpstreamBalancer {
     location: EntryLocation,
+    group: VersionGroup,
     service: Arc<ServiceEntry>,
     /// At most [`SUBSET_SIZE`] upstreams, nearest tier first.
     upstreams: Vec<TrackedUpstream>,
@@ -161,14 +163,25 @@
 impl UpstreamBalancer {
     /// Creates a balancer for the upstreams of `service`, none of which counts as cold.
     pub fn new(location: EntryLocation, service: &Arc<ServiceEntry>, now: Timestamp) -> Self {
+        UpstreamBalancer::for_group(location, VersionGroup::Primary, service, now)
+    }
+
+    /// Creates a balancer for the upstreams of one group of versions.
+    pub(super) fn for_group(
+        location: EntryLocation,
+        group: VersionGroup,
+        service: &Arc<ServiceEntry>,
+        now: Timestamp,
+    ) -> Self {
         let mut balancer = UpstreamBalancer {
             location,
+            group,
             service: service.clone(),
             upstreams: Vec::new(),
             tier_latency_us: [None; 3],
             tier_silence: Default::default(),
             counters: LocalityCounters::default(),
-            next_token: 0,
+            next_token: group.first_token(),
         };
         balancer.rebuild(service, now);
         balancer
@@ -191,7 +204,8 @@
     fn rebuild(&mut self, previous: &ServiceEntry, now: Timestamp) {
         let service = self.service.clone();
         let mut old = std::mem::take(&mut self.upstreams);
-        for member in pick_subset(&self.location, &service.members) {
+        let candidates = self.group.candidates(&service, &self.location.region);
+        for member in pick_subset(&self.location, candidates.iter()) {
             let previous_index = old.iter().position(|tracked| {
                 tracked.entry.name == member.entry.name
                     && tracked.entry.incarnation == member.entry.incarnation
--- a/crates/kumquatlock/src/routing/balancer_set.rs
+++ b/crates/kumquatlock/src/routing/balancer_set.rs
@@ -3,8 +3,10 @@
 use indexmap::IndexMap;
 
 use super::balancer::{LocalityCounters, UpstreamBalancer};
+use super::group::VersionGroup;
 use super::subset::EntryLocation;
-use crate::core::{ConfigSnapshot, SharedName, Timestamp};
+use super::tracked::UpstreamToken;
+use crate::core::{ConfigSnapshot, ServiceEntry, SharedName, Timestamp};
 
 /// One balancer for each service that the entry node has called, limited to the services of the
 /// snapshot.
@@ -12,6 +14,8 @@
 pub struct BalancerSet {
     location: EntryLocation,
     balancers: IndexMap<SharedName, UpstreamBalancer>,
+    /// Balancers of versions on trial, by service.
+    canaries: IndexMap<SharedName, UpstreamBalancer>,
     /// Sum of the counters of services that the snapshot no longer contains.
     removed_counters: LocalityCounters,
 }
@@ -22,6 +26,7 @@
         BalancerSet {
             location,
             balancers: IndexMap::new(),
+            canaries: IndexMap::new(),
             removed_counters: LocalityCounters::default(),
         }
     }
@@ -29,6 +34,15 @@
     /// Switches to a newer snapshot. Only the balancers of changed services are updated.
     pub fn apply(&mut self, snapshot: &ConfigSnapshot, now: Timestamp) {
         let removed_counters = &mut self.removed_counters;
+        self.canaries.retain(|name, balancer| {
+            let service = snapshot.services.get(name);
+            let Some(service) = service.filter(|service| canary_order(service).is_some()) else {
+                removed_counters.add(&balancer.counters());
+                return false;
+            };
+            balancer.apply(service, now);
+            true
+        });
         self.balancers.retain(|name, balancer| {
             let Some(service) = snapshot.services.get(name) else {
                 removed_counters.add(&balancer.counters());
@@ -60,9 +74,41 @@
         self.balancers.get_mut(service)
     }
 
+    /// Returns the balancer of the version on trial, if a rollout of the service is at that phase.
+    pub fn canary(
+        &mut self,
+        snapshot: &ConfigSnapshot,
+        service: &str,
+        now: Timestamp,
+    ) -> Option<&mut UpstreamBalancer> {
+        let entry = snapshot.services.get(service)?;
+        canary_order(entry)?;
+        let location = &self.location;
+        let balancer = self.canaries.entry(entry.name.clone()).or_insert_with(|| {
+            UpstreamBalancer::for_group(location.clone(), VersionGroup::Canary, entry, now)
+        });
+        Some(balancer)
+    }
+
+    /// Returns the balancer that chose an upstream.
+    pub fn of_token(
+        &mut self,
+        service: &str,
+        token: UpstreamToken,
+    ) -> Option<&mut UpstreamBalancer> {
+        match VersionGroup::of_token(token) {
+            VersionGroup::Primary => self.balancers.get_mut(service),
+            VersionGroup::Canary => self.canaries.get_mut(service),
+        }
+    }
+
     /// Sets the upstreams whose nodes are silent.
     pub fn set_silent_nodes(&mut self, names: &[SharedName]) {
-        for balancer in self.balancers.values_mut() {
+        for balancer in self
+            .balancers
+            .values_mut()
+            .chain(self.canaries.values_mut())
+        {
             balancer.set_silent_nodes(names);
         }
     }
@@ -70,9 +116,15 @@
     /// Returns the sum of the counters of all services.
     pub fn counters(&self) -> LocalityCounters {
         let mut sum = self.removed_counters;
-        for balancer in self.balancers.values() {
+        for balancer in self.balancers.values().chain(self.canaries.values()) {
             sum.add(&balancer.counters());
         }
         sum
     }
 }
+
+/// Returns the rollout whose version is on trial.
+pub fn canary_order(service: &ServiceEntry) -> Option<u64> {
+    let versions = service.versions.as_ref()?;
+    versions.canary().map(|_| versions.order)
+}
--- a/crates/kumquatlock/src/routing/mod.rs
+++ b/crates/kumquatlock/src/routing/mod.rs
@@ -11,6 +11,7 @@
 
 mod balancer;
 mod balancer_set;
+mod group;
 mod silence;
 mod split;
 mod subset;
@@ -21,7 +22,8 @@
     AttemptTicket, ChoiceMode, ChosenUpstream, LocalityCounters, NoChoiceReason, UpstreamBalancer,
     UpstreamChoice,
 };
-pub use balancer_set::BalancerSet;
+pub use balancer_set::{BalancerSet, canary_order};
+pub use group::VersionGroup;
 pub use split::SplitChooser;
 pub use subset::{EntryLocation, LocalityTier, SUBSET_SIZE};
 pub use table::RouteTable;
--- a/crates/kumquatlock/src/routing/subset.rs
+++ b/crates/kumquatlock/src/routing/subset.rs
@@ -70,9 +70,9 @@
 /// select different upstreams and the change of one upstream changes only one place in the subset.
 /// Outer tiers alternate between their zones or regions, so that the few upstreams selected there
 /// don't share one failure domain.
-pub(super) fn pick_subset(
+pub(super) fn pick_subset<'a>(
     location: &EntryLocation,
-    members: &[Arc<UpstreamEntry>],
+    members: impl Iterator<Item = &'a Arc<UpstreamEntry>>,
 ) -> Vec<SubsetMember> {
     let seed = stable_hash(location.name.as_bytes());
     let mut tiers: [Vec<(u64, &Arc<UpstreamEntry>)>; 3] = Default::default();
--- a/crates/kumquatlock/src/submission/tests/instance.rs
+++ b/crates/kumquatlock/src/submission/tests/instance.rs
@@ -28,6 +28,10 @@
 
 /// Input of an instance.
 #[derive(Clone, Debug)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "nearly all inputs are events of the agreement"
+)]
 pub(super) enum InstanceInput {
     Agreement(AgreementEvent),
     Submit(SubmissionId, Arc<ManifestDocument>),
