Describe rollouts, log what their judge sees, and refuse only rolled-back versions

A node that learned of an order after the entry nodes refused its share as draining, and entry nodes then never asked it again. It refuses only a version that it knows to be rolled back now (test a_node_that_has_not_heard_of_the_order_runs_its_share).

--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -68,7 +68,7 @@
     crash_detector: CrashDetector,
     completed: CompletedRequests,
     evidence: EvidenceRecorder,
-    /// Whether the configuration allows no requests to the version of the upstream.
+    /// Whether the version of the upstream was rolled back.
     is_version_withdrawn: bool,
     /// Requests that the configuration refuses.
     quarantined: IndexSet<RequestFingerprint>,
--- a/crates/kumquatlock/src/call/destination/versions.rs
+++ b/crates/kumquatlock/src/call/destination/versions.rs
@@ -32,7 +32,7 @@
         self.is_version_withdrawn = upstream.is_some_and(|upstream| {
             let versions = snapshot.versions.get(&upstream.service);
             let is_current = upstream.incarnation == self.incarnation;
-            is_current && versions.is_some_and(|versions| !versions.allows(upstream))
+            is_current && versions.is_some_and(|versions| versions.is_rolled_back(upstream))
         });
     }
 
--- a/crates/kumquatlock/src/call/tests/rollout.rs
+++ b/crates/kumquatlock/src/call/tests/rollout.rs
@@ -78,6 +78,14 @@
     assert_eq!((at_trial, all), (0, REQUESTS));
 }
 
+// A node may learn of an order after the entry nodes. If it refused, they would not ask it again.
+#[test]
+fn a_node_that_has_not_heard_of_the_order_runs_its_share() {
+    let (at_trial, all) = send(RolloutPhase::Canary, RolloutPhase::None);
+    assert_eq!(all, REQUESTS);
+    assert!((1..=MAX_ON_TRIAL).contains(&at_trial), "{at_trial}");
+}
+
 // An upstream that is replaced still runs what nodes send that have not heard of the promotion.
 #[test]
 fn a_version_that_is_replaced_runs_what_late_nodes_send() {
--- a/crates/kumquatlock/src/core/versions.rs
+++ b/crates/kumquatlock/src/core/versions.rs
@@ -49,12 +49,9 @@
         upstream.version == *primary || is_unlabelled
     }
 
-    /// Whether an upstream may get requests at all.
-    pub fn allows(&self, upstream: &UpstreamEntry) -> bool {
-        let is_promoted = self.phase == RolloutPhase::Promoting;
-        self.is_primary(upstream)
-            || self.canary() == Some(&upstream.version)
-            // Requests of nodes that have not heard of the promotion yet.
-            || is_promoted && upstream.version == self.in_force
+    /// Whether an upstream is of a version that was rolled back. A node that has not heard of an order
+    /// yet can't tell that its upstream gets requests, so no other version is refused.
+    pub fn is_rolled_back(&self, upstream: &UpstreamEntry) -> bool {
+        self.phase == RolloutPhase::RolledBack && upstream.version == self.target
     }
 }
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -197,7 +197,7 @@
 
     /// Returns whether the leader knows the progress of all voters, except of those that have been
     /// silent for so long that their children have left them.
-    fn has_complete_view(&self, now: Timestamp) -> bool {
+    pub(super) fn has_complete_view(&self, now: Timestamp) -> bool {
         let mut unheard_voters = self.leader_view.unheard_voters.values();
         unheard_voters.all(|since| now.since(*since) >= REPORTER_TIMEOUT)
     }
--- a/crates/kumquatlock/src/ops/control/rollouts.rs
+++ b/crates/kumquatlock/src/ops/control/rollouts.rs
@@ -2,8 +2,8 @@
 
 use kumquatlock_wire::distribution::{UpstreamItem, WireState, catalog_command};
 use kumquatlock_wire::rollout::{
-    RolloutAdvance, RolloutChange, RolloutEvidence, RolloutItem, RolloutOrder, RolloutPhase,
-    RolloutStart, rollout_change,
+    RolloutChange, RolloutEvidence, RolloutItem, RolloutOrder, RolloutPhase, RolloutStart,
+    rollout_change,
 };
 use serde::{Deserialize, Serialize};
 
@@ -220,7 +220,7 @@
         DirectorInput {
             slots_in_force: slots(&item.in_force),
             target_slots: slots(&item.target),
-            is_applied: count.is_in_force(),
+            is_applied: count.is_in_force() && self.has_complete_view(now),
             wall_ms: wall_clock_ms(),
         }
     }
@@ -257,35 +257,42 @@
     }
 }
 
-/// Logs a decision with its inputs, apart from records of the time.
+/// Logs a decision, or once per second what the leader sees, with its inputs.
 fn log_decision(item: &RolloutItem, input: DirectorInput, decision: &RolloutDecision) {
-    let RolloutAdvance {
-        from,
-        to,
-        elapsed_ms,
-        ..
-    } = &decision.advance;
-    if from == to {
-        return;
-    }
+    let advance = &decision.advance;
+    let is_decided = advance.from != advance.to;
+    let event = if is_decided {
+        "rollout_decided"
+    } else {
+        "rollout_watched"
+    };
     let verdict = decision.verdict;
+    let seen = match verdict {
+        Some(verdict) => verdict.summary,
+        None => decision.failing,
+    };
     log::info!(
         service = item.service.as_str(),
         order = item.order,
         target_version = item.target.as_str(),
-        phase = phase_name(decision.advance.to()),
-        elapsed_ms = *elapsed_ms,
+        phase = phase_name(advance.to()),
+        elapsed_ms = advance.elapsed_ms,
         answers = decision.answers,
         slots_in_force = input.slots_in_force,
         target_slots = input.target_slots,
         is_applied = input.is_applied,
         fault = verdict.map_or("", |verdict| verdict.fault.into()),
         kind = verdict.map_or(0, |verdict| verdict.key),
-        upstreams = verdict.map_or(0, |verdict| verdict.upstreams),
-        rising = verdict.map_or(0, |verdict| verdict.rising),
-        bad = verdict.map_or(0, |verdict| verdict.bad),
-        of_answers = verdict.map_or(0, |verdict| verdict.answers),
-        baseline_rate = verdict.map_or(0.0, |verdict| verdict.baseline_rate);
-        "rollout_decided"
+        upstreams = seen.upstreams,
+        rising = seen.rising,
+        total = seen.total,
+        bad = seen.bad,
+        of_answers = seen.answers,
+        baseline_rate = seen.baseline_rate,
+        slow = decision.slow.bad,
+        slow_total = decision.slow.total,
+        slow_rising = decision.slow.rising,
+        slow_baseline_rate = decision.slow.baseline_rate;
+        "{event}"
     );
 }
--- a/crates/kumquatlock/src/rollout/director.rs
+++ b/crates/kumquatlock/src/rollout/director.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use kumquatlock_wire::rollout::{RolloutAdvance, RolloutEvidence, RolloutItem, RolloutPhase};
 
-use super::judge::{JudgeVerdict, RolloutJudge};
+use super::judge::{FaultKind, JudgeVerdict, RolloutJudge, TestSummary};
 use crate::core::{SharedName, Timestamp};
 
 /// Interval at which the time since an order is recorded in the log, for the next leader.
@@ -54,6 +54,10 @@
     pub verdict: Option<JudgeVerdict>,
     /// Answers of the version on trial that were seen.
     pub answers: u64,
+    /// What the test for failures sees.
+    pub failing: TestSummary,
+    /// What the test for slow answers sees.
+    pub slow: TestSummary,
 }
 
 /// One running rollout, as the leader follows it.
@@ -161,6 +165,8 @@
             },
             verdict: verdict.filter(|_| next == RolloutPhase::RolledBack),
             answers: watched.judge.trial_answers(),
+            failing: watched.judge.summary(FaultKind::Failing),
+            slow: watched.judge.summary(FaultKind::Slow),
         })
     }
 }
--- a/crates/kumquatlock/src/rollout/mod.rs
+++ b/crates/kumquatlock/src/rollout/mod.rs
@@ -16,7 +16,7 @@
 
 pub use director::{DirectorInput, RolloutDecision, RolloutDirector};
 pub use evidence::{EvidenceKind, EvidenceRecorder, LATENCY_BUCKETS, latency_bucket};
-pub use judge::{FaultKind, JudgeVerdict, RolloutJudge};
+pub use judge::{FaultKind, JudgeVerdict, RolloutJudge, TestSummary};
 pub use share::{CanaryShare, pick_canaries};
 pub use table::{AdvanceOutcome, OrderDecision, OrderFault, RolloutTable};
 
