--- a/crates/kumquatlock-wire/src/agreement.rs
+++ b/crates/kumquatlock-wire/src/agreement.rs
@@ -228,7 +228,7 @@
     pub request_id: u64,
     #[prost(
         oneof = "forward::Content",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 14, 15"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
     )]
     pub content: Option<forward::Content>,
 }
@@ -259,6 +259,10 @@
         StatusReply(crate::distribution::StatusReply),
         #[prost(message, tag = "11")]
         Crash(crate::quarantine::CrashReport),
+        #[prost(message, tag = "12")]
+        Evidence(crate::rollout::RolloutEvidence),
+        #[prost(message, tag = "13")]
+        RolloutOrder(crate::rollout::RolloutOrder),
         #[prost(message, tag = "14")]
         QuotaAsk(crate::quota::QuotaAsk),
         #[prost(message, tag = "15")]
--- a/crates/kumquatlock-wire/src/lib.rs
+++ b/crates/kumquatlock-wire/src/lib.rs
@@ -15,6 +15,7 @@
 mod history;
 pub mod quarantine;
 pub mod quota;
+pub mod rollout;
 
 pub use codec::{
     EncodedFrame, EnvelopeCodec, FrameError, MAX_CONTROL_FRAME_BYTES, MAX_FRAME_BYTES,
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -13,6 +13,7 @@
 mod queries;
 mod run;
 mod step;
+mod versions;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -33,6 +34,7 @@
 use crate::dependency::{DependencyThrottle, RankPressure, StartDecision};
 use crate::http::{HttpResponse, UpstreamFailure};
 use crate::quarantine::{CompletedRequests, CrashDetector};
+use crate::rollout::EvidenceRecorder;
 use crate::util::trace::SeededIds;
 pub use counters::DestinationCounters;
 pub(super) use dependency::lacked_room;
@@ -72,6 +74,9 @@
     notice: Option<UpstreamStatement>,
     crash_detector: CrashDetector,
     completed: CompletedRequests,
+    evidence: EvidenceRecorder,
+    /// Whether the version of the upstream was rolled back.
+    is_version_withdrawn: bool,
     /// Requests that the configuration refuses.
     quarantined: IndexSet<RequestFingerprint>,
     /// Whether attempts that are certain to be extra arrivals are refused.
@@ -135,6 +140,8 @@
             notice: None,
             crash_detector: CrashDetector::default(),
             completed: CompletedRequests::default(),
+            evidence: EvidenceRecorder::default(),
+            is_version_withdrawn: false,
             quarantined: IndexSet::new(),
             refuses_extra_runs: false,
             abandoned_at: Timestamp::default(),
@@ -329,6 +336,7 @@
     ) -> Vec<DestinationStep> {
         let mut steps = Vec::new();
         self.apply_quarantine(now, &snapshot.quarantined, &mut steps);
+        self.apply_versions(&snapshot);
         self.placement.update(snapshot);
         self.refresh_claims(now, &mut steps);
         steps
@@ -454,7 +462,8 @@
         }
         let deadline = now + Duration::from_micros(request.deadline_us);
         let outlasts_process = self.ends_at.is_some_and(|ends_at| deadline > ends_at);
-        if self.draining || self.endpoint.is_none() || outlasts_process {
+        let takes_none = self.draining || self.is_version_withdrawn;
+        if takes_none || self.endpoint.is_none() || outlasts_process {
             return Err(CallReason::Draining);
         }
         let class = WireClass::try_from(request.class).map_err(|_| CallReason::NoRoute)?;
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod attempt;
+mod canary;
 mod log;
 mod message;
 mod nested;
@@ -38,7 +39,8 @@
 use crate::retry::{
     BudgetSettings, ExtraCounters, HedgePolicy, RetryBudget, RetryPolicy, ReturnPacing,
 };
-use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser};
+use crate::rollout::CanaryShare;
+use crate::routing::{BalancerSet, EntryLocation, RouteTable, SplitChooser, canary_order};
 use crate::util::trace::{HopSpan, SeededIds};
 use log::EntryLog;
 pub use nested::NestedEnd;
@@ -108,6 +110,8 @@
     pub calls: u64,
     /// Attempts sent, including hedges.
     pub attempts: u64,
+    /// Attempts sent to a version on trial.
+    pub canary_attempts: u64,
     /// Second attempts for slow lookups.
     pub hedges: u64,
     /// Attempts sent after a failed one.
@@ -148,6 +152,7 @@
     accounts: AccountResolver,
     quota: QuotaSpender,
     balancers: BalancerSet,
+    canary_share: CanaryShare,
     placement: PlacementTable,
     settings: EntrySettings,
     /// Retry budget of each service that was called.
@@ -199,6 +204,7 @@
             },
             quota: QuotaSpender::new(settings.quota, Timestamp::default(), process.0),
             balancers: BalancerSet::new(location, settings.spill),
+            canary_share: CanaryShare::default(),
             placement: PlacementTable::default(),
             policy: RetryPolicy {
                 scope: settings.scope,
@@ -336,6 +342,10 @@
     pub fn on_snapshot(&mut self, now: Timestamp, snapshot: Arc<ConfigSnapshot>) -> Vec<EntryStep> {
         self.routes = RouteTable::new(&snapshot);
         self.balancers.apply(&snapshot, now);
+        self.canary_share.retain(|name| {
+            let service = snapshot.services.get(name);
+            service.is_some_and(|service| canary_order(service).is_some())
+        });
         self.origins.apply(&snapshot);
         let removed_extra = &mut self.removed_extra;
         self.budgets.retain(|name, budget| {
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -17,6 +17,7 @@
 mod quarantine;
 mod quota;
 mod rate_limit;
+mod rollout;
 mod silence;
 mod simulation;
 mod stop;
--- a/crates/kumquatlock/src/lib.rs
+++ b/crates/kumquatlock/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod retry;
+pub mod rollout;
 pub mod routing;
 pub mod submission;
 pub mod transport;
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -49,6 +49,8 @@
 
 /// Pause between turns of operators' connections, in which other events are handled.
 const TURN_DELAY: Duration = Duration::from_millis(1);
+/// Number of ticks of the actor per decision on the running rollouts.
+const TICKS_PER_ROLLOUT_STEP: u64 = 200 / TICK_MS;
 
 /// An event for one of the components that waits to be handled.
 #[derive(Debug)]
@@ -252,6 +254,9 @@
             self.expire_quarantine(now);
         }
         self.tick_quotas(now);
+        if self.ticks.is_multiple_of(TICKS_PER_ROLLOUT_STEP) {
+            self.direct_rollouts(now);
+        }
         self.expire_requests(now);
         self.expire_reads(now);
         self.finish_turn(cx, now);
--- a/crates/kumquatlock/src/ops/control/mod.rs
+++ b/crates/kumquatlock/src/ops/control/mod.rs
@@ -32,6 +32,7 @@
 mod quota_metrics;
 mod relay;
 mod requests;
+mod rollouts;
 mod settings;
 mod stop;
 mod submission_log;
--- a/crates/kumquatlock/src/routing/balancer.rs
+++ b/crates/kumquatlock/src/routing/balancer.rs
@@ -11,6 +11,7 @@
     AttemptTicket, ChoiceMode, ChosenUpstream, LocalityCounters, NoChoiceReason, SpillBasis,
     UpstreamChoice, judge_spill,
 };
+use super::group::VersionGroup;
 use super::spill::{
     CallDemand, ExpectedTime, LoadEstimate, ShareChange, SpillDecision, SpillReason, SpillSettings,
 };
@@ -31,6 +32,7 @@
 #[derive(Clone, Debug)]
 pub struct UpstreamBalancer {
     location: EntryLocation,
+    group: VersionGroup,
     service: Arc<ServiceEntry>,
     /// At most [`SUBSET_SIZE`] upstreams, nearest tier first.
     upstreams: Vec<TrackedUpstream>,
@@ -44,14 +46,25 @@
 impl UpstreamBalancer {
     /// Creates a balancer for the upstreams of `service`, none of which counts as cold.
     pub fn new(location: EntryLocation, service: &Arc<ServiceEntry>, now: Timestamp) -> Self {
+        UpstreamBalancer::for_group(location, VersionGroup::Primary, service, now)
+    }
+
+    /// Creates a balancer for the upstreams of one group of versions.
+    pub(super) fn for_group(
+        location: EntryLocation,
+        group: VersionGroup,
+        service: &Arc<ServiceEntry>,
+        now: Timestamp,
+    ) -> Self {
         let mut balancer = UpstreamBalancer {
             location,
+            group,
             service: service.clone(),
             upstreams: Vec::new(),
             tiers: Default::default(),
             spill_settings: SpillSettings::default(),
             counters: LocalityCounters::default(),
-            next_token: 0,
+            next_token: group.first_token(),
         };
         balancer.rebuild(service, now);
         balancer
@@ -79,7 +92,8 @@
     fn rebuild(&mut self, previous: &ServiceEntry, now: Timestamp) {
         let service = self.service.clone();
         let mut old = std::mem::take(&mut self.upstreams);
-        for member in pick_subset(&self.location, &service.members) {
+        let candidates = self.group.candidates(&service, &self.location.region);
+        for member in pick_subset(&self.location, candidates.iter()) {
             let previous_index = old.iter().position(|tracked| {
                 tracked.entry.name == member.entry.name
                     && tracked.entry.incarnation == member.entry.incarnation
--- a/crates/kumquatlock/src/routing/mod.rs
+++ b/crates/kumquatlock/src/routing/mod.rs
@@ -14,6 +14,7 @@
 mod balancer_set;
 mod candidate;
 mod choice;
+mod group;
 mod silence;
 mod spill;
 mod split;
@@ -23,10 +24,11 @@
 mod tracked;
 
 pub use balancer::UpstreamBalancer;
-pub use balancer_set::BalancerSet;
+pub use balancer_set::{BalancerSet, canary_order};
 pub use choice::{
     AttemptTicket, ChoiceMode, ChosenUpstream, LocalityCounters, NoChoiceReason, UpstreamChoice,
 };
+pub use group::VersionGroup;
 pub use spill::{CallDemand, ShareChange, SpillReason, SpillSettings};
 pub use split::SplitChooser;
 pub use subset::{EntryLocation, LocalityTier, SUBSET_SIZE};
