Base the share of a voter on a proof that its voter set is current

Cause: a voter that had not heard from the leader for a while, or whose process had restarted, waited for 11 s before it granted from its share, although nobody else could have had the share.

Change: a voter uses its share while a currency proof shows that its voter set is current. A restarted voter waits only until its own earlier tokens no longer count (7 s), a founder not at all. A denial without a share is answered 503 quota_unavailable.

--- a/crates/kumquatlock-wire/src/quota.rs
+++ b/crates/kumquatlock-wire/src/quota.rs
@@ -64,4 +64,7 @@
     /// If not zero, the waiting requests get no token, and there is none for this time.
     #[prost(uint32, tag = "4")]
     pub denied_ms: u32,
+    /// Whether the denial says nothing about the quota: the granter has nothing to grant from yet.
+    #[prost(bool, tag = "5")]
+    pub is_unavailable: bool,
 }
--- a/crates/kumquatlock/src/call/entry/quota.rs
+++ b/crates/kumquatlock/src/call/entry/quota.rs
@@ -57,7 +57,12 @@
                     }
                 }
                 SpenderEvent::OverQuota { waiter, .. } => {
-                    self.refuse_over_quota(now, CallId(waiter), &mut steps);
+                    let reason = CallReason::QuotaExceeded;
+                    self.refuse_waiting(now, CallId(waiter), reason, &mut steps);
+                }
+                SpenderEvent::Unavailable { waiter } => {
+                    let reason = CallReason::QuotaUnavailable;
+                    self.refuse_waiting(now, CallId(waiter), reason, &mut steps);
                 }
             }
         }
@@ -104,7 +109,7 @@
                 return Ok(QuotaStart::Wait(now + until.since(quota_now)));
             }
             Some(QuotaDecision::OverQuota { .. }) => CallReason::QuotaExceeded,
-            Some(QuotaDecision::Unattached { .. }) => CallReason::QuotaUnavailable,
+            Some(QuotaDecision::Unavailable { .. }) => CallReason::QuotaUnavailable,
         };
         // An earlier request with the same key may have run, and the claim holders were not asked.
         let keyed = request.key.is_some() && !call.route.class.is_repeatable();
@@ -163,12 +168,18 @@
         self.give_up(now, id, steps);
     }
 
-    fn refuse_over_quota(&mut self, now: Timestamp, id: CallId, steps: &mut Vec<EntryStep>) {
+    fn refuse_waiting(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        reason: CallReason,
+        steps: &mut Vec<EntryStep>,
+    ) {
         if !self.is_waiting_for_quota(id) {
             return;
         }
         if let Some(call) = self.calls.get_mut(&id) {
-            call.reason = CallReason::QuotaExceeded;
+            call.reason = reason;
         }
         self.give_up(now, id, steps);
     }
--- a/crates/kumquatlock/src/call/tests/quota.rs
+++ b/crates/kumquatlock/src/call/tests/quota.rs
@@ -61,6 +61,7 @@
         tokens,
         life_ms: 2_000,
         denied_ms,
+        is_unavailable: false,
     };
     QuotaGrant {
         session: ask.session,
--- a/crates/kumquatlock/src/distribution/parent.rs
+++ b/crates/kumquatlock/src/distribution/parent.rs
@@ -48,6 +48,8 @@
     CatalogAdvanced,
     /// The connection towards the leader has changed.
     UplinkChanged,
+    /// Another component needs a currency proof that is younger than this.
+    ProofNeeded { max_age: std::time::Duration },
     /// The leader has been silent for too long (true), or is heard again (false).
     LeaderSilent(bool),
     /// The process is about to exit.
@@ -152,6 +154,11 @@
         self.children.len()
     }
 
+    /// Returns the time since the catalog was last proved current.
+    pub fn proof_age(&self, now: Timestamp) -> Option<std::time::Duration> {
+        self.proofs.age(now)
+    }
+
     /// Returns the cost of the snapshot transfers in progress.
     pub fn transfer_cost(&self) -> usize {
         let transfers = self.children.values();
@@ -198,6 +205,10 @@
             }
             ParentEvent::CatalogAdvanced => self.serve_all(now, catalog, &mut steps),
             ParentEvent::UplinkChanged => self.reporter.restart(),
+            ParentEvent::ProofNeeded { max_age } => {
+                let round = self.proofs.renew_older(now, max_age);
+                steps.extend(round.map(|round| ParentStep::RequestProof { round }));
+            }
             ParentEvent::LeaderSilent(is_silent) => {
                 self.is_leader_silent = is_silent;
                 match is_silent {
--- a/crates/kumquatlock/src/distribution/proof.rs
+++ b/crates/kumquatlock/src/distribution/proof.rs
@@ -76,7 +76,12 @@
     /// Starts a round if the latest proof is older than [`PROOF_RENEWAL`] and no round is in
     /// progress.
     pub(super) fn renew(&mut self, now: Timestamp) -> Option<u64> {
-        let is_fresh = self.age(now).is_some_and(|age| age < PROOF_RENEWAL);
+        self.renew_older(now, PROOF_RENEWAL)
+    }
+
+    /// Starts a round if the latest proof is at least this old and no round is in progress.
+    pub(super) fn renew_older(&mut self, now: Timestamp, max_age: Duration) -> Option<u64> {
+        let is_fresh = self.age(now).is_some_and(|age| age < max_age);
         if is_fresh || self.phase != ProofPhase::Idle {
             return None;
         }
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -158,7 +158,7 @@
                 (PeerLinks::default(), Some(uplink))
             }
         };
-        let quota = QuotaState::new(&settings, random_seed());
+        let quota = QuotaState::new(clock.now(), &settings, voter.as_ref(), random_seed());
         let actor = ControlActor {
             parent: ParentState::new(name, GroupId(0), wall_clock_ms()),
             settings,
--- a/crates/kumquatlock/src/ops/control/links.rs
+++ b/crates/kumquatlock/src/ops/control/links.rs
@@ -21,7 +21,7 @@
 /// Silence of the leader after which a member redirects its children to other instances. Longer
 /// than several heartbeats. Short enough that a change is in force at the children within two
 /// seconds of a partition.
-pub(super) const LEADER_SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
+const LEADER_SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Role of a link.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/kumquatlock/src/ops/control/quota.rs
+++ b/crates/kumquatlock/src/ops/control/quota.rs
@@ -2,6 +2,7 @@
 //! for the parents.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use kumquatlock_wire::Body;
 use kumquatlock_wire::agreement::forward::Content;
@@ -9,15 +10,21 @@
 use kumquatlock_wire::quota::{QuotaAsk, QuotaGrant};
 
 use super::actor::{ControlActor, QueuedEvent};
-use super::links::LEADER_SILENCE_TIMEOUT;
 use super::requests::forward_message;
-use super::settings::ControlSettings;
+use super::settings::{ControlSettings, RoleSettings};
+use super::voter::VoterState;
 use crate::core::{AccountQuota, SharedName, Timestamp};
-use crate::distribution::{self, ChildEvent, ChildId};
-use crate::quota::{QuotaLimits, QuotaParent, QuotaPool};
+use crate::distribution::{self, ChildEvent, ChildId, ParentEvent};
+use crate::quota::{ParentShare, QuotaLimits, QuotaParent, QuotaPool, ShareStart};
 use crate::transport::LinkId;
 use crate::util::suspension::SuspensionClock;
 
+/// Interval between currency proofs for the share of a voter. A few of them fit into the time for
+/// which one allows the use of the share.
+const SHARE_PROOF_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Smallest suspension that is noticed. The two clocks are not read at the same moment.
+const SUSPENSION_TOLERANCE: Duration = Duration::from_millis(10);
+
 /// The granter above this instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum QuotaUplink {
@@ -42,20 +49,48 @@
     /// Number of voters that share the voters' part when it was last logged.
     logged_share: Option<usize>,
     is_pool_logged: bool,
+    /// Suspension that was last noticed, and when, on the steady clock. Proofs of before don't count:
+    /// their age leaves the suspension out.
+    suspended: Duration,
+    resumed_at: Timestamp,
+    /// When a proof for the share was last requested.
+    renewed_at: Timestamp,
 }
 
 impl QuotaState {
-    pub(super) fn new(settings: &ControlSettings, seed: u64) -> Self {
+    pub(super) fn new(
+        now: Timestamp,
+        settings: &ControlSettings,
+        voter: Option<&VoterState>,
+        seed: u64,
+    ) -> Self {
+        let share = ParentShare::new(now, share_start(settings, voter));
         QuotaState {
             suspension: SuspensionClock::start(),
-            parent: QuotaParent::new(settings.quota, seed),
+            parent: QuotaParent::new(settings.quota, share, seed),
             pool: None,
             uplink: QuotaUplink::None,
             limits: Arc::default(),
             nodes: 0,
             logged_share: None,
             is_pool_logged: false,
+            suspended: Duration::ZERO,
+            resumed_at: now,
+            renewed_at: now,
+        }
+    }
+
+    /// Returns when the voter set was last proved current, on the clock of the quotas, if that was
+    /// `age` ago.
+    fn proved_at(&mut self, now: Timestamp, age: Option<Duration>) -> Option<Timestamp> {
+        let suspended = self.suspension.suspended();
+        if suspended > self.suspended + SUSPENSION_TOLERANCE {
+            self.suspended = suspended;
+            self.resumed_at = now;
         }
+        let age = age.filter(|age| *age <= now.since(self.resumed_at))?;
+        let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        Some(Timestamp(self.now(now).0.saturating_sub(age)))
     }
 
     /// Returns the time on the clock of the quotas, which also runs while the machine is suspended.
@@ -106,14 +141,12 @@
             let is_voter = set.voters.contains(&voter.identity);
             is_voter.then_some(set.voters.len())
         });
-        let voter = self.voter.as_ref();
-        let silence = voter.map(|voter| voter.agreement.leader_silence(now));
-        let is_leader_heard = silence.is_some_and(|silence| silence < LEADER_SILENCE_TIMEOUT);
+        let proof_age = self.parent.proof_age(now);
+        self.renew_share_proof(now);
         let uplink = self.find_quota_uplink();
         let quota = &mut self.quota;
-        quota
-            .parent
-            .update_share(quota_now, voters, is_leader_heard);
+        let proved_at = quota.proved_at(now, proof_age);
+        quota.parent.update_share(quota_now, voters, proved_at);
         if quota.uplink != uplink {
             quota.parent.set_uplink(uplink != QuotaUplink::None);
             quota.uplink = uplink;
@@ -126,6 +159,17 @@
         self.send_quota_grants(answers);
     }
 
+    /// Keeps the proof young on which the share of a voter depends.
+    fn renew_share_proof(&mut self, now: Timestamp) {
+        let is_due = now.since(self.quota.renewed_at) >= SHARE_PROOF_INTERVAL;
+        if is_due && self.voter.is_some() && !self.quota.limits.is_empty() {
+            self.quota.renewed_at = now;
+            let max_age = SHARE_PROOF_INTERVAL;
+            let event = ParentEvent::ProofNeeded { max_age };
+            self.queue.push_back(QueuedEvent::Parent(event));
+        }
+    }
+
     fn find_quota_uplink(&self) -> QuotaUplink {
         if self.is_leader() {
             return QuotaUplink::Local;
@@ -225,6 +269,26 @@
     }
 }
 
+/// Returns what an instance that starts now knows about earlier shares of the voters' part.
+fn share_start(settings: &ControlSettings, voter: Option<&VoterState>) -> ShareStart {
+    let set = voter.map(|voter| (voter.agreement.status().voters.voters, &voter.identity));
+    match (set, &settings.role) {
+        (Some((voters, identity)), _) if voters.contains(identity) => {
+            ShareStart::Restarted(voters.len())
+        }
+        // The seeds are the first voters of a group that is founded.
+        (
+            Some((voters, _)),
+            RoleSettings::Member {
+                seeds,
+                may_found: true,
+                ..
+            },
+        ) if voters.is_empty() && seeds.contains(&settings.name) => ShareStart::Founding,
+        _ => ShareStart::Joining,
+    }
+}
+
 fn quota_of(item: &AccountItem) -> Option<AccountQuota> {
     let rate_millis = std::num::NonZeroU64::new(item.quota_millis)?;
     Some(AccountQuota {
--- a/crates/kumquatlock/src/quota/granter.rs
+++ b/crates/kumquatlock/src/quota/granter.rs
@@ -411,11 +411,16 @@
         tokens,
         life_ms: u32::try_from(life.as_millis()).unwrap_or(u32::MAX),
         denied_ms: 0,
+        is_unavailable: false,
     })
 }
 
 /// Builds the denial of waiting requests.
-pub(super) fn denial_item(id: AccountId, denied_for: Duration) -> QuotaGrantItem {
+pub(super) fn denial_item(
+    id: AccountId,
+    denied_for: Duration,
+    is_unavailable: bool,
+) -> QuotaGrantItem {
     QuotaGrantItem {
         account: id.0,
         tokens: 0,
@@ -423,6 +428,7 @@
         denied_ms: u32::try_from(denied_for.as_millis())
             .unwrap_or(u32::MAX)
             .max(1),
+        is_unavailable,
     }
 }
 
--- a/crates/kumquatlock/src/quota/mod.rs
+++ b/crates/kumquatlock/src/quota/mod.rs
@@ -24,7 +24,7 @@
 pub use held::HeldTokens;
 pub use ledger::WindowLedger;
 pub use limit::{QuotaLimits, QuotaSettings, QuotaShares};
-pub use parent::{ParentShare, QuotaParent, QuotaPool};
+pub use parent::{ParentShare, QuotaParent, QuotaPool, ShareStart};
 pub use session::{AccountReport, AskSession, ReceivedTokens};
 pub use spender::{QuotaDecision, QuotaSpender, QuotaToken, SpenderCounters, SpenderEvent};
 
--- a/crates/kumquatlock/src/quota/parent.rs
+++ b/crates/kumquatlock/src/quota/parent.rs
@@ -19,47 +19,71 @@
 /// are denied.
 const MAX_PENDING: usize = 1_024;
 
+/// What a voter knows at its start about earlier shares.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ShareStart {
+    /// Another voter may have had its share until recently.
+    #[default]
+    Joining,
+    /// It was one of this number of voters; the process before may have used the share until now.
+    Restarted(usize),
+    /// It founds its group: nobody has had a share.
+    Founding,
+}
+
 /// The share of a voter.
 ///
 /// Voters that know different voter sets must not use more than the whole together. A smaller share
-/// therefore takes effect at once, and a larger one, also the first after a start, only when nobody
-/// can have a share of the earlier set any more. A voter that has heard nothing of the leader for
-/// the contact life may have been replaced, and starts anew.
-#[derive(Clone, Copy, Debug, Default)]
+/// therefore takes effect at once, and a larger one only when nobody can have a share of the earlier
+/// set any more. A voter uses its share only as long as the latest proof that its configuration, and
+/// with it its voter set, is current is younger than the contact life: it may have been replaced.
+#[derive(Clone, Copy, Debug)]
 pub struct ParentShare {
+    start: ShareStart,
+    started_at: Timestamp,
     /// Number of voters that share; `None` without a share.
     effective: Option<usize>,
     /// Number of voters of a set that gives a larger share, and when it was first seen.
     candidate: Option<(usize, Timestamp)>,
-    heard_at: Option<Timestamp>,
+    proved_at: Option<Timestamp>,
 }
 
 impl ParentShare {
+    /// Creates the share of a voter that starts now.
+    pub fn new(now: Timestamp, start: ShareStart) -> Self {
+        ParentShare {
+            start,
+            started_at: now,
+            effective: match start {
+                ShareStart::Restarted(voters) => Some(voters),
+                ShareStart::Founding | ShareStart::Joining => None,
+            },
+            candidate: None,
+            proved_at: None,
+        }
+    }
+
     /// Records the number of voters of the committed set, `None` if this instance is not one of
-    /// them, and whether the leader is heard.
+    /// them, and when the set was last proved to be current.
     pub fn update(
         &mut self,
         now: Timestamp,
         settings: &QuotaSettings,
         voters: Option<usize>,
-        is_leader_heard: bool,
+        proved_at: Option<Timestamp>,
     ) {
-        if is_leader_heard {
-            let is_gap = self
-                .heard_at
-                .is_some_and(|at| now.since(at) >= settings.contact_life);
-            if is_gap {
-                self.effective = None;
-                self.candidate = None;
-            }
-            self.heard_at = Some(now);
-        }
+        self.proved_at = self.proved_at.max(proved_at);
         let Some(voters) = voters else {
+            if self.start == ShareStart::Founding && self.effective.is_none() {
+                return;
+            }
+            self.start = ShareStart::Joining;
             self.effective = None;
             self.candidate = None;
             return;
         };
-        if self.effective.is_some_and(|effective| effective <= voters) {
+        let is_founder = self.start == ShareStart::Founding && self.effective.is_none();
+        if is_founder || self.effective.is_some_and(|effective| effective <= voters) {
             self.effective = Some(voters);
             self.candidate = None;
             return;
@@ -69,7 +93,7 @@
             _ => now,
         };
         self.candidate = Some((voters, since));
-        if self.heard_at.is_some() && now.since(since) >= settings.takeover_time() {
+        if now.since(since) >= settings.takeover_time() {
             self.effective = Some(voters);
             self.candidate = None;
         }
@@ -78,9 +102,12 @@
     /// Returns the number of voters that share the voters' part, or `None` if this instance has no
     /// share now.
     pub fn voters(&self, now: Timestamp, settings: &QuotaSettings) -> Option<usize> {
-        let heard_at = self.heard_at?;
-        self.effective
-            .filter(|_| now.since(heard_at) < settings.contact_life)
+        let is_settled = match self.start {
+            ShareStart::Restarted(_) => now.since(self.started_at) >= settings.settle_time(),
+            ShareStart::Founding | ShareStart::Joining => true,
+        };
+        let is_current = now.since(self.proved_at?) < settings.contact_life;
+        self.effective.filter(|_| is_settled && is_current)
     }
 }
 
@@ -114,12 +141,12 @@
 impl<K: Clone + Eq + Hash> QuotaParent<K> {
     /// Creates the state of a parent that has granted nothing. The seed must differ between
     /// processes.
-    pub fn new(settings: QuotaSettings, seed: u64) -> Self {
+    pub fn new(settings: QuotaSettings, share: ParentShare, seed: u64) -> Self {
         QuotaParent {
             settings,
             limits: Arc::default(),
             nodes: 0,
-            share: ParentShare::default(),
+            share,
             granter: QuotaGranter::new(settings),
             uplink: AskSession::new(seed),
             is_connected: false,
@@ -148,10 +175,14 @@
         self.nodes = nodes;
     }
 
-    /// Records the voter set and whether the leader is heard; see [`ParentShare::update`].
-    pub fn update_share(&mut self, now: Timestamp, voters: Option<usize>, is_leader_heard: bool) {
-        self.share
-            .update(now, &self.settings, voters, is_leader_heard);
+    /// Records the voter set and when it was proved; see [`ParentShare::update`].
+    pub fn update_share(
+        &mut self,
+        now: Timestamp,
+        voters: Option<usize>,
+        proved_at: Option<Timestamp>,
+    ) {
+        self.share.update(now, &self.settings, voters, proved_at);
     }
 
     /// Begins a session with another granter above, or ends the session with none.
@@ -176,8 +207,7 @@
             let missing = item.waiting.saturating_sub(tokens);
             self.forget_pending(holder, id);
             if missing > 0 && !self.await_leader(now, holder, id, missing) {
-                let denied_for = self.denied_for(now, id, missing);
-                items.push(denial_item(id, denied_for));
+                items.push(self.denial(now, id, missing));
             }
         }
         let session = self.granter.session_of(holder)?;
@@ -236,6 +266,13 @@
         true
     }
 
+    /// Denies tokens. Without a share, the denial says nothing about the quota.
+    fn denial(&mut self, now: Timestamp, id: AccountId, missing: u32) -> QuotaGrantItem {
+        let is_unavailable = self.share(now).is_none();
+        let denied_for = self.denied_for(now, id, missing);
+        denial_item(id, denied_for, is_unavailable)
+    }
+
     fn denied_for(&mut self, now: Timestamp, id: AccountId, missing: u32) -> Duration {
         let own = self.granter.deny(now, id, missing);
         let above = self.denied_until.get(&id).map(|until| until.since(now));
@@ -280,6 +317,7 @@
                 tokens,
                 expires_at,
                 denied_for,
+                ..
             } = *tokens;
             self.granter.add_lent(account, expires_at, tokens);
             if let Some(denied_for) = denied_for {
@@ -356,9 +394,8 @@
         {
             let demand = demands.pop_front();
             let Some(demand) = demand else { return };
-            let denied_for = self.denied_for(now, id, demand.count);
-            let items = answers.entry(demand.holder).or_default();
-            items.push(denial_item(id, denied_for));
+            let denial = self.denial(now, id, demand.count);
+            answers.entry(demand.holder).or_default().push(denial);
         }
     }
 
@@ -434,7 +471,7 @@
             let missing = item.waiting.saturating_sub(tokens);
             if missing > 0 {
                 let denied_for = self.granter.deny(now, id, missing);
-                items.push(denial_item(id, denied_for));
+                items.push(denial_item(id, denied_for, !self.is_available(now)));
             }
         }
         let session = self.granter.session_of(holder)?;
--- a/crates/kumquatlock/src/quota/session.rs
+++ b/crates/kumquatlock/src/quota/session.rs
@@ -40,6 +40,8 @@
     pub expires_at: Timestamp,
     /// Time for which waiting requests get no token, if they are denied.
     pub denied_for: Option<Duration>,
+    /// Whether the denial says nothing about the quota.
+    pub is_unavailable: bool,
 }
 
 /// Session with one granter. A new one begins when the granter or the connection to it changes, or
@@ -177,6 +179,7 @@
                 account: AccountId(item.account),
                 tokens: item.tokens,
                 expires_at: asked_at + Duration::from_millis(item.life_ms.into()),
+                is_unavailable: item.is_unavailable,
                 denied_for: (item.denied_ms > 0)
                     .then(|| Duration::from_millis(item.denied_ms.into())),
             })
--- a/crates/kumquatlock/src/quota/spender.rs
+++ b/crates/kumquatlock/src/quota/spender.rs
@@ -58,9 +58,9 @@
         /// Time after which there may be a token.
         retry_after: Duration,
     },
-    /// The node has no token and no parent to ask for one.
-    Unattached {
-        /// Time after which the node may have a parent.
+    /// The node has no token, and no parent that could grant one.
+    Unavailable {
+        /// Time after which there may be one.
         retry_after: Duration,
     },
 }
@@ -82,6 +82,11 @@
         /// Time after which there may be a token.
         retry_after: Duration,
     },
+    /// There is nothing to grant from.
+    Unavailable {
+        /// The waiting request.
+        waiter: u64,
+    },
 }
 
 /// Counters of a node.
@@ -118,6 +123,8 @@
     waiting: VecDeque<u64>,
     /// Until when the parent has no tokens.
     denied_until: Option<Timestamp>,
+    /// Whether the parent has none because it has nothing to grant from.
+    is_unavailable: bool,
     /// Requests since the last report that the allowance did not cover.
     demand: u32,
     /// Average of `demand` in [`PREFETCH`].
@@ -242,12 +249,16 @@
         if !self.is_attached {
             self.counters.without_token += 1;
             let retry_after = UNATTACHED_DELAY;
-            return QuotaDecision::Unattached { retry_after };
+            return QuotaDecision::Unavailable { retry_after };
         }
         let account = self.accounts.entry(id).or_default();
         let denied_for = account.denied_until.map(|until| until.since(now));
         let denied_for = denied_for.filter(|time| !time.is_zero());
         let is_full = account.waiting.len() >= MAX_WAITING;
+        if let Some(retry_after) = denied_for.filter(|_| account.is_unavailable) {
+            self.counters.without_token += 1;
+            return QuotaDecision::Unavailable { retry_after };
+        }
         if denied_for.is_some() || is_full {
             self.counters.over_quota += 1;
             self.record_refusal(now, id);
@@ -416,7 +427,15 @@
         }
         if let Some(retry_after) = received.denied_for {
             account.denied_until = Some(now + retry_after);
-            for waiter in std::mem::take(&mut account.waiting) {
+            account.is_unavailable = received.is_unavailable;
+            let waiting = std::mem::take(&mut account.waiting);
+            if received.is_unavailable {
+                self.counters.without_token += waiting.len() as u64;
+                let waiting = waiting.into_iter();
+                events.extend(waiting.map(|waiter| SpenderEvent::Unavailable { waiter }));
+                return;
+            }
+            for waiter in waiting {
                 self.counters.over_quota += 1;
                 events.push(SpenderEvent::OverQuota {
                     waiter,
