--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -174,7 +174,7 @@
                 (PeerLinks::default(), Some(uplink))
             }
         };
-        let quota = QuotaState::new(&settings, random_seed());
+        let quota = QuotaState::new(clock.now(), &settings, voter.as_ref(), random_seed());
         let actor = ControlActor {
             parent: ParentState::new(name, GroupId(0), wall_clock_ms()),
             settings,
@@ -242,7 +242,7 @@
             if self.uplink.is_some() {
                 self.queue.push_back(QueuedEvent::Child(ChildEvent::Tick));
             }
-            self.update_metrics();
+            self.update_metrics(now);
         }
         if self.ticks.is_multiple_of(TICKS_PER_LINK_CHECK) {
             self.links.handle_tick(now);
@@ -314,7 +314,7 @@
                     .push_back(QueuedEvent::Parent(ParentEvent::CatalogAdvanced));
             } else if !self.http.serve_waiting(now)
                 && !self.continue_transfers()
-                && !self.send_quota_ask()
+                && !self.send_quota_ask(now)
             {
                 break;
             }
--- a/crates/kumquatlock/src/ops/control/children.rs
+++ b/crates/kumquatlock/src/ops/control/children.rs
@@ -86,7 +86,7 @@
             ParentStep::HandleRequest { child, request } => {
                 let request_id = request.request_id;
                 match request.content {
-                    Some(Content::QuotaAsk(ask)) => self.quota_asked(child, &ask),
+                    Some(Content::QuotaAsk(ask)) => self.quota_asked(now, child, &ask),
                     Some(content) => {
                         self.route_request(now, Requester::Child { child, request_id }, content);
                     }
@@ -181,7 +181,7 @@
             ChildStep::Relayed(Forward {
                 content: Some(Content::QuotaGrant(grant)),
                 ..
-            }) => self.quota_granted(&grant),
+            }) => self.quota_granted(now, &grant),
             ChildStep::Relayed(forward) => self.answer_received(now, forward),
             ChildStep::NotSent(Body::Forward(forward)) => {
                 if let Some(kind) = self.requests.kind(forward.request_id) {
--- a/crates/kumquatlock/src/ops/control/metrics.rs
+++ b/crates/kumquatlock/src/ops/control/metrics.rs
@@ -19,6 +19,7 @@
 use super::actor::ControlActor;
 use super::quota_metrics::QuotaMetrics;
 use super::submission_log::RefusalReason;
+use crate::core::Timestamp;
 use crate::http::{CloseReason, FinalStatus, HttpResponse, RefusalCounters, RequestRefusal};
 use crate::memory::{MemoryBudget, ProcessLimits};
 use crate::transport::{LinkScope, TrafficCounters, TrafficDirection};
@@ -236,7 +237,7 @@
 }
 
 impl ControlActor {
-    pub(super) fn update_metrics(&self) {
+    pub(super) fn update_metrics(&self, now: Timestamp) {
         let metrics = &self.metrics;
         let gauge_value = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         metrics
@@ -248,7 +249,7 @@
         let rollouts = self.catalog.rollouts().running().count();
         metrics.running_rollouts.set(gauge_value(rollouts as u64));
         metrics.is_leader.set(self.is_leader().into());
-        metrics.quota.update(&self.quota);
+        metrics.quota.update(now, &self.quota);
         if let Some(voter) = &self.voter {
             let status = voter.agreement.status();
             metrics.commit_index.set(gauge_value(status.commit_index));
--- a/crates/kumquatlock/src/ops/control/quota_metrics.rs
+++ b/crates/kumquatlock/src/ops/control/quota_metrics.rs
@@ -6,6 +6,7 @@
 use prometheus_client::registry::Registry;
 
 use super::quota::QuotaState;
+use crate::core::Timestamp;
 use crate::quota::GranterCounters;
 
 /// Who grants: this instance to its children, or the leader to the parents.
@@ -53,9 +54,9 @@
         );
     }
 
-    pub(super) fn update(&self, quota: &QuotaState) {
+    pub(super) fn update(&self, now: Timestamp, quota: &QuotaState) {
         let (parent, pool) = quota.granters();
-        let now = quota.now();
+        let now = quota.now(now);
         let share = parent.share(now).unwrap_or(0);
         self.share_voters.set(gauge_value(share as u64));
         let is_available = pool.is_some_and(|pool| pool.is_available(now));
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -43,7 +43,7 @@
 
 impl ControlActor {
     pub(super) fn change_leadership(&mut self, now: Timestamp, is_leader: bool) {
-        self.change_quota_leadership(is_leader);
+        self.change_quota_leadership(now, is_leader);
         let limits = ExpiryTiming {
             unattached_timeout: self.settings.expiry,
             leader_grace_period: self.settings.expiry_grace,
@@ -317,8 +317,8 @@
             Some(Content::Report(report)) => self.handle_as_leader(now, Body::Report(report)),
             Some(Content::Crash(report)) => self.handle_crash(now, &report),
             Some(Content::Evidence(evidence)) => self.handle_evidence(now, &evidence),
-            Some(Content::QuotaAsk(ask)) => self.quota_asked_by_voter(from, &ask),
-            Some(Content::QuotaGrant(grant)) => self.quota_granted(&grant),
+            Some(Content::QuotaAsk(ask)) => self.quota_asked_by_voter(now, from, &ask),
+            Some(Content::QuotaGrant(grant)) => self.quota_granted(now, &grant),
             Some(Content::Progress(progress)) => {
                 self.handle_as_leader(now, Body::Progress(progress))
             }
