--- a/crates/kumquatlock/src/http/body.rs
+++ b/crates/kumquatlock/src/http/body.rs
@@ -128,6 +128,10 @@
                     if self.room() < remaining {
                         return BodyProgress::NeedsRoom;
                     }
+                    // Growing the buffer step by step would leave the steps in the heap.
+                    if self.body.capacity() == 0 && !read_buf.is_empty() {
+                        self.body.reserve(usize::try_from(remaining).unwrap_or(0));
+                    }
                     let remaining = remaining - self.consume(read_buf, remaining);
                     if remaining > 0 {
                         self.state = BodyState::Length(remaining);
--- a/crates/kumquatlock/src/memory/allocator.rs
+++ b/crates/kumquatlock/src/memory/allocator.rs
@@ -1,4 +1,6 @@
-//! Settings of the C library's allocator.
+//! Settings of the C library's allocator, and the release of what it keeps after a peak.
+
+use super::MemoryBudget;
 
 /// Size from which an allocation has pages of its own, in bytes, which are given back as soon as it
 /// is freed. The allocator would otherwise raise this size to that of the largest freed buffer, and
@@ -30,3 +32,41 @@
 /// Does nothing: other C libraries have no such setting.
 #[cfg(not(target_env = "gnu"))]
 pub(crate) fn return_large_buffers() {}
+
+/// Part of the budget that was held at a peak, as a divisor.
+const PEAK_DIVISOR: usize = 2;
+/// Part of the budget below which a peak is over, as a divisor.
+const CALM_DIVISOR: usize = 4;
+
+/// Gives back the memory that the allocator keeps after a peak of held bytes. Small allocations at
+/// the end of the heap would otherwise keep all freed pages before them.
+#[derive(Debug, Default)]
+pub(crate) struct MemoryRelease {
+    /// Whether there was a peak since memory was last given back.
+    had_peak: bool,
+}
+
+impl MemoryRelease {
+    /// Gives back memory if a peak is over. Called several times a second.
+    pub(crate) fn poll(&mut self, budget: &MemoryBudget) {
+        let held = budget.held_bytes();
+        self.had_peak |= held >= budget.limit_bytes() / PEAK_DIVISOR;
+        if self.had_peak && held < budget.limit_bytes() / CALM_DIVISOR {
+            self.had_peak = false;
+            trim_heap();
+            log::info!(held_bytes = held; "memory_released");
+        }
+    }
+}
+
+#[cfg(target_env = "gnu")]
+fn trim_heap() {
+    #[expect(unsafe_code, reason = "the C library has no safe interface for this")]
+    // SAFETY: `malloc_trim` takes a number and releases only pages without allocations.
+    unsafe {
+        libc::malloc_trim(0);
+    }
+}
+
+#[cfg(not(target_env = "gnu"))]
+fn trim_heap() {}
--- a/crates/kumquatlock/src/memory/mod.rs
+++ b/crates/kumquatlock/src/memory/mod.rs
@@ -8,7 +8,7 @@
 mod budget;
 mod settings;
 
-pub(crate) use allocator::return_large_buffers;
+pub(crate) use allocator::{MemoryRelease, return_large_buffers};
 pub use budget::{BODY_COPIES, HoldSize, MemoryBudget, MemoryCharge};
 pub use settings::{MAX_DESCRIPTORS, MEMORY, ProcessLimits};
 
--- a/crates/kumquatlock/src/ops/control/actor.rs
+++ b/crates/kumquatlock/src/ops/control/actor.rs
@@ -32,6 +32,7 @@
 use crate::core::{GroupId, Timestamp};
 use crate::distribution::{self, ChildEvent, ParentEvent, ParentState};
 use crate::http::{HttpLimits, HttpReady, HttpTable};
+use crate::memory::MemoryRelease;
 use crate::submission::SubmissionTable;
 use crate::transport::{LinkId, LinkReady, LinkTable};
 
@@ -91,6 +92,7 @@
     pub(super) http: HttpTable<()>,
     /// Whether a timer runs for the connections that wait for their turn.
     has_turn_timer: bool,
+    memory_release: MemoryRelease,
     /// Address at which operators are served.
     pub(super) http_address: SocketAddr,
     pub(super) workers: OperatorWorkers,
@@ -186,6 +188,7 @@
             is_leader_silent: false,
             http,
             has_turn_timer: false,
+            memory_release: MemoryRelease::default(),
             http_address,
             workers,
             _results_guard: results_guard,
@@ -241,6 +244,7 @@
         if self.ticks.is_multiple_of(TICKS_PER_LINK_CHECK) {
             self.links.handle_tick(now);
             self.http.handle_tick(now);
+            self.memory_release.poll(&self.metrics.budget);
             self.close_unknown_links(now);
         }
         if self.ticks.is_multiple_of(TICKS_PER_EXPIRY_CHECK) {
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -31,7 +31,7 @@
     MAX_CALL_BODY_BYTES, RefusalCounters, RequestId,
 };
 use crate::membership::{AnnouncerEvent, NodeLocation, UpstreamAnnouncer};
-use crate::memory::MemoryBudget;
+use crate::memory::{MemoryBudget, MemoryRelease};
 use crate::quarantine::CrashReporter;
 use crate::routing::EntryLocation;
 use crate::transport::{LinkError, LinkEvent, LinkId, LinkReady, LinkTable, TrafficCounters};
@@ -96,6 +96,7 @@
     /// Bytes held for callers, the upstream and other nodes.
     pub(super) budget: MemoryBudget,
     pub(super) refusals: Arc<RefusalCounters>,
+    memory_release: MemoryRelease,
     pub(super) links: LinkTable,
     pub(super) peers: PeerLinks,
     pub(super) departed: DepartedNodes,
@@ -224,6 +225,7 @@
             exchanges,
             budget,
             refusals,
+            memory_release: MemoryRelease::default(),
             holder: new_holder(&settings, parts.incarnation),
             crash_reporter: CrashReporter::default(),
             incarnation: parts.incarnation,
@@ -344,6 +346,7 @@
     fn tick_components(&mut self, now: Timestamp) {
         self.links.handle_tick(now);
         self.http.handle_tick(now);
+        self.memory_release.poll(&self.budget);
         self.monitor_peers(now);
         let steps = self.child.handle(now, ChildEvent::Tick, &mut self.random);
         self.queue_child(steps);
