--- a/crates/kumquatlock/src/quota/parent.rs
+++ b/crates/kumquatlock/src/quota/parent.rs
@@ -331,7 +331,7 @@
                 self.deny_pending(now, tokens.account, Timestamp(u64::MAX), &mut answers);
             }
         }
-        self.into_messages(answers)
+        self.build_messages(answers)
     }
 
     /// Denies demands that have waited for too long. Called regularly.
@@ -349,7 +349,7 @@
             self.deny_pending(now, account, latest, &mut answers);
         }
         self.pending.retain(|_, demands| !demands.is_empty());
-        self.into_messages(answers)
+        self.build_messages(answers)
     }
 
     /// Grants what is there now to waiting demands, in their order.
@@ -399,7 +399,7 @@
         }
     }
 
-    fn into_messages(&self, answers: IndexMap<K, Vec<QuotaGrantItem>>) -> Vec<(K, QuotaGrant)> {
+    fn build_messages(&self, answers: IndexMap<K, Vec<QuotaGrantItem>>) -> Vec<(K, QuotaGrant)> {
         let answers = answers.into_iter();
         answers
             .filter_map(|(holder, items)| {
--- a/crates/kumquatlock/src/quota/tests/mesh.rs
+++ b/crates/kumquatlock/src/quota/tests/mesh.rs
@@ -90,6 +90,9 @@
     model.worst_ratio(Default::default())
 }
 
+/// A restart of part of the mesh.
+type ModelRestart = fn(&mut Model);
+
 fn restart_nodes(model: &mut Model) {
     (0..model.nodes.len()).for_each(|node| model.restart_node(node));
 }
@@ -102,7 +105,7 @@
 /// is needed for it.
 #[test]
 fn restarts_never_renew_what_was_spent() {
-    let cases: [(Omission, fn(&mut Model)); 3] = [
+    let cases: [(Omission, ModelRestart); 3] = [
         (Omission::LeaderWait, Model::replace_leader),
         (Omission::ShareWait, restart_parents),
         (Omission::AllowanceWait, restart_nodes),
