Don't take a preempted control instance for a suspended one

The likely cause, not traced further: the two clocks of the suspension are read one after the other, and a pause of more than 10 ms between them counted as a suspension, after which earlier currency proofs were ignored.

Change: the steady clock is read last, so a pause makes the suspension look shorter, and 100 ms are tolerated.

--- a/crates/kumquatlock/src/ops/control/quota.rs
+++ b/crates/kumquatlock/src/ops/control/quota.rs
@@ -22,8 +22,9 @@
 /// Interval between currency proofs for the share of a voter. A few of them fit into the time for
 /// which one allows the use of the share.
 const SHARE_PROOF_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Smallest suspension that is noticed. The two clocks are not read at the same moment.
-const SUSPENSION_TOLERANCE: Duration = Duration::from_millis(10);
+/// Smallest suspension that is noticed. The two clocks are not read at the same moment, and a shorter
+/// one makes no difference to a proof that counts for seconds.
+const SUSPENSION_TOLERANCE: Duration = Duration::from_millis(100);
 
 /// The granter above this instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/kumquatlock/src/util/suspension.rs
+++ b/crates/kumquatlock/src/util/suspension.rs
@@ -24,10 +24,11 @@
     }
 }
 
-/// Returns how far the clock that counts suspensions is ahead of the steady one.
+/// Returns how far the clock that counts suspensions is ahead of the steady one. The steady clock is
+/// read last, so that a process that is preempted between the two is not taken for suspended.
 fn lead() -> Duration {
-    let steady = read(ClockId::Monotonic);
-    read(ClockId::Boottime).saturating_sub(steady)
+    let boot = read(ClockId::Boottime);
+    boot.saturating_sub(read(ClockId::Monotonic))
 }
 
 fn read(clock: ClockId) -> Duration {
