--- a/crates/kumquatlock/src/http/tests.rs
+++ b/crates/kumquatlock/src/http/tests.rs
@@ -231,3 +231,35 @@
     let failure = outcome_of(raw_upstream(truncated), "GET").unwrap_err();
     assert_eq!(failure, UpstreamFailure::Truncated);
 }
+
+/// Guards against a request on a connection whose upstream has not responded to an earlier one: some
+/// upstreams that are full respond to nothing on that connection any more.
+#[test]
+fn a_connection_without_a_response_is_not_reused() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut exchanges = ExchangeLoop::new();
+    let mut first = job(address, "GET", Vec::new());
+    first.timeout = Duration::from_millis(200);
+    let outcome = exchanges.run(first);
+    assert_eq!(outcome, Err(UpstreamFailure::Timeout));
+    let (mut hanging, _) = listener.accept().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4096]).unwrap();
+        stream
+            .write_all(b"HTTP/1.1 204 No Content\r\n\r\n")
+            .unwrap();
+    });
+    let second = exchanges.run(job(address, "GET", Vec::new())).unwrap();
+    assert_eq!(second.status, 204);
+    assert_eq!(exchanges.table.opened_connections(), 2);
+    // The node has closed the connection, so the upstream gets nothing more on it.
+    let mut received = Vec::new();
+    hanging.set_read_timeout(Some(TIMEOUT)).unwrap();
+    hanging.read_to_end(&mut received).unwrap();
+    assert_eq!(
+        received.windows(4).filter(|part| part == b"GET ").count(),
+        1
+    );
+}
