Share an upstream among client accounts, tell overtaken calls at once, and drop the pressure by rank

Cause: in a full queue the calls of one hot account pushed out those of all others, and a call that more urgent ones had overtaken was held until shortly before its deadline.

Evidence: in admission/tests/room.rs an account that asks for 2.5 times the capacity of an upstream leaves four light accounts less than 0.7 of their calls; they ask for less than their share.

Change: within a rank, calls of an account that holds its share of the slots and places come last. A waiting call that would start only when it would be refused for too little time is refused at once.

--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -194,10 +194,6 @@
     /// Mean service time of a call at the upstream, in microseconds; zero if unknown.
     #[prost(uint32, tag = "6")]
     pub service_us: u32,
-    /// Most urgent rank of callers' requests that the upstream has refused for lack of room lately.
-    /// Absent if it refuses none.
-    #[prost(uint32, optional, tag = "9")]
-    pub refused_rank: Option<u32>,
 }
 
 /// Answers a [`CallRequest`].
--- a/crates/kumquatlock/src/admission/lanes.rs
+++ b/crates/kumquatlock/src/admission/lanes.rs
@@ -30,10 +30,12 @@
             lane: self,
             depth: Reverse(u32::MAX),
             rank: 0,
+            is_over_share: false,
             is_late: false,
             due: Timestamp(0),
             deadline: Timestamp(0),
             ticket: AdmissionTicket(0),
+            account: None,
         }
     }
 }
@@ -58,10 +60,17 @@
     /// Number of runs that wait for the call; 0 for a call of a caller. Calls of a higher depth run
     /// first.
     pub depth: u32,
+    /// Client account whose share of the upstream the call uses; `None` if it belongs to none.
+    pub account: Option<AccountHash>,
 }
 
+/// Identifies a client account in a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AccountHash(pub u64);
+
 /// Sort key of a queued call. Within a lane, the call for which more runs wait runs first, then the
-/// lower rank. Within a rank, calls that
+/// lower rank. Within a rank, the calls of accounts that use more than their share come last. Before
+/// them, and among them, calls that
 /// can still meet their target run first, earliest target first, followed by the others by
 /// deadline.
 ///
@@ -72,11 +81,14 @@
     /// Higher depths come first.
     pub(super) depth: Reverse<u32>,
     pub(super) rank: u32,
+    /// Whether the account held its share of the places and slots when the call arrived.
+    pub(super) is_over_share: bool,
     pub(super) is_late: bool,
     /// Target of a call that can meet it, otherwise the deadline.
     pub(super) due: Timestamp,
     pub(super) deadline: Timestamp,
     pub(super) ticket: AdmissionTicket,
+    pub(super) account: Option<AccountHash>,
 }
 
 impl QueueKey {
@@ -93,16 +105,21 @@
             lane: class.into(),
             depth: Reverse(rank.depth),
             rank: rank.rank,
+            is_over_share: false,
             is_late: rank.target.is_some() && target.is_none(),
             due: target.unwrap_or(deadline),
             deadline,
             ticket,
+            account: rank.account,
         }
     }
 
     /// Returns the precedence in a full queue. The call with the greatest value is evicted first.
-    pub(super) fn precedence(&self) -> (PriorityLane, Reverse<u32>, u32, bool) {
-        (self.lane, self.depth, self.rank, self.is_late)
+    pub(super) fn precedence(&self) -> (PriorityLane, Reverse<u32>, u32, bool, bool) {
+        let QueueKey {
+            lane, depth, rank, ..
+        } = *self;
+        (lane, depth, rank, self.is_over_share, self.is_late)
     }
 
     /// Whether the call has a target that it can no longer meet, and is not marked as late yet.
--- a/crates/kumquatlock/src/admission/mod.rs
+++ b/crates/kumquatlock/src/admission/mod.rs
@@ -16,8 +16,9 @@
 mod queue;
 mod rate;
 mod reserve;
+mod share;
 
-pub use lanes::RoutePriority;
+pub use lanes::{AccountHash, RoutePriority};
 pub use limit::{AdmissionLimits, ConcurrencyLimit};
 pub use queue::{
     AdmissionDecision, AdmissionQueue, AdmissionTicket, CancelOutcome, QueueStep, ServiceOutcome,
--- a/crates/kumquatlock/src/admission/queue.rs
+++ b/crates/kumquatlock/src/admission/queue.rs
@@ -6,10 +6,11 @@
 use kumquatlock_wire::call::{CallReason, LoadReport};
 
 use super::estimate::ServiceEstimate;
-use super::lanes::{CallLanes, PriorityLane, QueueKey, RoutePriority};
+use super::lanes::{AccountHash, CallLanes, PriorityLane, QueueKey, RoutePriority};
 use super::limit::{AdmissionLimits, ConcurrencyLimit};
 use super::rate::RateLimiter;
 use super::reserve::NestedReserve;
+use super::share::holds_share;
 use crate::core::{RequestClass, RequestRate, Timestamp};
 
 /// Number of queue places per slot. Longer queues only add waiting time: with 2 places per slot a
@@ -93,6 +94,12 @@
     None,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct RunningCall {
+    started_at: Timestamp,
+    account: Option<AccountHash>,
+}
+
 /// Limits the calls that run on one upstream and orders the waiting ones.
 ///
 /// Internal checks run first, then interactive calls (at-most-once calls and lookups), then
@@ -107,8 +114,8 @@
     lanes: CallLanes,
     /// Announced slots; at least 1.
     slots: u32,
-    /// Start time of each running call.
-    running: IndexMap<AdmissionTicket, Timestamp>,
+    /// Running calls.
+    running: IndexMap<AdmissionTicket, RunningCall>,
     limit: ConcurrencyLimit,
     reserve: NestedReserve,
     /// Present while the upstream limits the requests per second that it takes.
@@ -195,17 +202,15 @@
             return AdmissionDecision::Refused(CallReason::UpstreamUnreachable);
         }
         let ticket = AdmissionTicket(self.next_ticket + 1);
-        let key = QueueKey::new(
-            class,
-            priority,
-            deadline,
-            ticket,
-            now + self.estimate.service_time(),
-        );
+        let earliest = now + self.estimate.service_time();
+        let mut key = QueueKey::new(class, priority, deadline, ticket, earliest);
+        key.is_over_share = priority
+            .account
+            .is_some_and(|account| self.holds_share(account));
         let ahead = self.lanes.ahead_of(&key);
         if ahead == 0 && self.may_start(now, &key) && self.take_rate(now) {
             self.next_ticket += 1;
-            self.running.insert(ticket, now);
+            self.insert_running(now, &key);
             return AdmissionDecision::Start(ticket);
         }
         let start = self.start_time(now, ahead);
@@ -222,6 +227,22 @@
         AdmissionDecision::Queued { ticket, evicted }
     }
 
+    /// Whether the account holds its share of the slots and the queue.
+    fn holds_share(&self, account: AccountHash) -> bool {
+        let running = self.running.values().filter_map(|call| call.account);
+        let queued = self.lanes.queued().filter_map(|key| key.account);
+        let places = self.limit.current() as usize + self.max_queued();
+        holds_share(account, running.chain(queued), places)
+    }
+
+    fn insert_running(&mut self, now: Timestamp, key: &QueueKey) {
+        let call = RunningCall {
+            started_at: now,
+            account: key.account,
+        };
+        self.running.insert(key.ticket, call);
+    }
+
     /// Whether there is a slot for the call that is not kept for calls for which more runs wait.
     fn may_start(&self, now: Timestamp, key: &QueueKey) -> bool {
         let limit = self.limit.current();
@@ -299,12 +320,12 @@
         outcome: ServiceOutcome,
     ) -> QueueStep {
         let running = self.running.len() as u32;
-        if let Some(started) = self.running.swap_remove(&ticket) {
+        if let Some(call) = self.running.swap_remove(&ticket) {
             if outcome != ServiceOutcome::Ended {
                 self.answered_at = now;
             }
             match outcome {
-                ServiceOutcome::Answered => self.estimate.observe(now.since(started)),
+                ServiceOutcome::Answered => self.estimate.observe(now.since(call.started_at)),
                 ServiceOutcome::Shed => self.limit.record_shed(now, running),
                 ServiceOutcome::Ended => {}
             }
@@ -369,6 +390,9 @@
             // The limit was lowered while the call waited.
             return QueueStep::Refuse(last.ticket, CallReason::Overloaded);
         }
+        if let Some(ticket) = self.take_hopeless(now) {
+            return QueueStep::Refuse(ticket, CallReason::Overloaded);
+        }
         self.limit.advance(now);
         let startable = self.lanes.queued().any(|key| self.may_start(now, &key));
         if !startable || !self.take_rate(now) {
@@ -383,13 +407,27 @@
         };
         match self.lanes.pop_next(now, may_start) {
             Some(key) => {
-                self.running.insert(key.ticket, now);
+                self.insert_running(now, &key);
                 QueueStep::Start(key.ticket)
             }
             None => QueueStep::Idle,
         }
     }
 
+    /// Removes a queued call that is expected to start only when it would be refused for too little
+    /// time, because others have come before it. Its caller is told now, and not shortly before its
+    /// deadline, so that it can try elsewhere or return.
+    fn take_hopeless(&mut self, now: Timestamp) -> Option<AdmissionTicket> {
+        let min_left = self.min_time_left();
+        let mut queued = self.lanes.queued().enumerate();
+        let is_hopeless = |(ahead, key): &(usize, QueueKey)| {
+            *ahead > 0 && self.start_time(now, *ahead) + min_left > key.deadline
+        };
+        let ticket = queued.find(is_hopeless).map(|(_, key)| key.ticket);
+        drop(queued);
+        self.lanes.remove(ticket?).map(|key| key.ticket)
+    }
+
     /// Returns when to call [`AdmissionQueue::poll`] if no event occurs before, or `None` if no
     /// call is queued.
     pub fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
@@ -428,7 +466,6 @@
             slots,
             draining: self.draining,
             service_us: u32::try_from(service).unwrap_or(u32::MAX),
-            ..LoadReport::default()
         }
     }
 
@@ -458,7 +495,8 @@
     /// Returns the time from which the upstream counts as stalled unless it answers before: several
     /// calls are running, and none was answered for several mean service times.
     fn stalls_at(&self) -> Option<Timestamp> {
-        let oldest = self.running.values().min().copied()?;
+        let started = self.running.values().map(|call| call.started_at);
+        let oldest = started.min()?;
         if !self.stall_detection_enabled
             || self.running.len() < MIN_STALLED_CALLS
             || self.estimate.service_time().is_zero()
--- a/crates/kumquatlock/src/admission/tests.rs
+++ b/crates/kumquatlock/src/admission/tests.rs
@@ -7,6 +7,8 @@
 use super::*;
 use crate::core::{RequestClass, Timestamp};
 
+mod room;
+
 /// A time at which a queue created at zero has been running for a while.
 const LATER: Timestamp = Timestamp::from_millis(20_000);
 const SECOND: Duration = Duration::from_secs(1);
@@ -334,6 +336,7 @@
         rank,
         target: Some(now + Duration::from_millis(target_ms)),
         depth: 0,
+        account: None,
     };
     match queue.offer_with_priority(now, RequestClass::Lookup, priority, now + SECOND * 3) {
         AdmissionDecision::Queued { ticket, .. } => ticket,
--- a/crates/kumquatlock/src/call/destination/answers.rs
+++ b/crates/kumquatlock/src/call/destination/answers.rs
@@ -19,7 +19,6 @@
         reason: CallReason,
         steps: &mut Vec<DestinationStep>,
     ) {
-        self.record_refusal(now, request, reason);
         let outcome = CallOutcome::NotRun;
         self.log_end(now, source, request, outcome, reason, Duration::ZERO);
         let is_fenced = is_repeatable(request) || self.fence(now, &request.id, steps);
--- a/crates/kumquatlock/src/call/destination/dependency.rs
+++ b/crates/kumquatlock/src/call/destination/dependency.rs
@@ -16,12 +16,22 @@
 /// Time for which a callee is remembered after the latest call.
 const CALLEE_TIME: Duration = Duration::from_secs(10);
 
+/// Calls that runs of the upstream have made, since the start of the process.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct NestedCounters {
+    ended: u64,
+    /// Those that found no room; at most `ended`.
+    without_room: u64,
+}
+
 impl DestinationCalls {
     /// Handles the end of a call that the upstream made.
     pub fn on_nested_end(&mut self, now: Timestamp, end: NestedEnd) {
         if self.callees.len() < MAX_CALLEES || self.callees.contains_key(&end.service) {
             self.callees.insert(end.service, now);
         }
+        self.nested.ended += 1;
+        self.nested.without_room += u64::from(end.lacked_room);
         if let Some(run) = self.runs.get_mut(&end.run) {
             run.has_lost_call |= end.lacked_room;
         }
@@ -63,33 +73,6 @@
         decision
     }
 
-    /// Records that a call was sent to the upstream.
-    pub(super) fn record_start(&mut self, now: Timestamp, id: RunId) {
-        if let Some(run) = self.runs.get(&id) {
-            let (rank, inner) = (run.request.rank, run.request.inner);
-            self.record_room(now, rank, inner, false);
-        }
-    }
-
-    fn record_room(&mut self, now: Timestamp, rank: u32, inner: bool, refused: bool) {
-        if !inner {
-            self.pressure.record(now, rank, refused);
-        }
-        self.refused_rank = self.pressure.refused_rank(now);
-    }
-
-    /// Records a refusal, if it was for lack of room.
-    pub(super) fn record_refusal(
-        &mut self,
-        now: Timestamp,
-        request: &CallRequest,
-        reason: CallReason,
-    ) {
-        if lacked_room(reason) {
-            self.record_room(now, request.rank, request.inner, true);
-        }
-    }
-
     /// Records the end of a run.
     pub(super) fn record_fate(&mut self, now: Timestamp, id: RunId) {
         let Some(run) = self.runs.get(&id) else {
@@ -106,6 +89,16 @@
         self.throttle.refused()
     }
 
+    /// Returns the number of ended calls that runs of the upstream have made.
+    pub fn nested_calls(&self) -> u64 {
+        self.nested.ended
+    }
+
+    /// Returns how many of these calls found no room.
+    pub fn nested_calls_without_room(&self) -> u64 {
+        self.nested.without_room
+    }
+
     /// Returns the number of routes of which only a share of the calls starts.
     pub fn throttled_routes(&self, now: Timestamp) -> usize {
         self.throttle.throttled_routes(now)
--- a/crates/kumquatlock/src/call/destination/mod.rs
+++ b/crates/kumquatlock/src/call/destination/mod.rs
@@ -23,17 +23,20 @@
 use kumquatlock_wire::distribution::WireClass;
 
 use super::{HeaderNames, MAX_DEPTH, MAX_TIMEOUT};
-use crate::admission::{AdmissionDecision, AdmissionQueue, AdmissionTicket, RoutePriority};
+use crate::admission::{
+    AccountHash, AdmissionDecision, AdmissionQueue, AdmissionTicket, RoutePriority,
+};
 use crate::claim::{AttemptAdmission, ClaimAcquirer, ClaimSettings, OutcomeTable, PlacementTable};
 use crate::core::{
     ConfigSnapshot, IncarnationId, ProcessId, RequestClass, RequestFingerprint, RequestRate,
     SharedName, Timestamp, stable_hash,
 };
-use crate::dependency::{DependencyThrottle, RankPressure, StartDecision};
+use crate::dependency::{DependencyThrottle, StartDecision};
 use crate::http::{HttpResponse, UpstreamFailure};
 use crate::quarantine::{CompletedRequests, CrashDetector};
 use crate::util::trace::SeededIds;
 pub use counters::DestinationCounters;
+use dependency::NestedCounters;
 pub(super) use dependency::lacked_room;
 use limit::{AnswerLimit, DEFAULT_LEAVE_TIME};
 use log::DestinationLog;
@@ -86,11 +89,9 @@
     /// Runs in the phase `Running`.
     running: RunningRequests,
     throttle: DependencyThrottle,
-    pressure: RankPressure,
+    nested: NestedCounters,
     /// Services that the upstream has called, with the time of the latest call.
     callees: IndexMap<SharedName, Timestamp>,
-    /// Most urgent rank of callers' requests that are refused, as of the latest start or refusal.
-    refused_rank: Option<u32>,
     /// Run of each admission ticket.
     tickets: IndexMap<AdmissionTicket, RunId>,
     /// Run of each unanswered attempt.
@@ -137,9 +138,8 @@
             runs: IndexMap::new(),
             running: RunningRequests::default(),
             throttle: DependencyThrottle::default(),
-            pressure: RankPressure::default(),
+            nested: NestedCounters::default(),
             callees: IndexMap::new(),
-            refused_rank: None,
             tickets: IndexMap::new(),
             attempts: IndexMap::new(),
             queries: IndexMap::new(),
@@ -301,10 +301,7 @@
     /// Returns the load report that answers carry.
     pub fn load(&self) -> LoadReport {
         match &self.admission {
-            Some(admission) => LoadReport {
-                refused_rank: self.refused_rank,
-                ..admission.load()
-            },
+            Some(admission) => admission.load(),
             None => LoadReport {
                 draining: true,
                 ..LoadReport::default()
@@ -523,6 +520,7 @@
                 .target_us
                 .map(|left| now + Duration::from_micros(left)),
             depth: request.depth,
+            account: account_of(&request),
         };
         // The caller of a nested request occupies a slot of an upstream while it waits, so the
         // request uses the lane of internal calls.
@@ -577,6 +575,13 @@
     }
 }
 
+/// Returns the account whose share of the upstream the call uses. Nested calls use none: the call of
+/// the account above them has used its share already.
+fn account_of(request: &CallRequest) -> Option<AccountHash> {
+    let account = request.account.as_deref().filter(|_| !request.inner);
+    account.map(|account| AccountHash(stable_hash(account.as_bytes())))
+}
+
 /// Whether the request may run more than once. One of an unknown class may not.
 fn is_repeatable(request: &CallRequest) -> bool {
     WireClass::try_from(request.class).is_ok_and(|class| RequestClass::from(class).is_repeatable())
--- a/crates/kumquatlock/src/call/destination/run.rs
+++ b/crates/kumquatlock/src/call/destination/run.rs
@@ -289,7 +289,6 @@
             is_repeatable: run.class.is_repeatable(),
             echoed: run.echoed(&self.names),
         });
-        self.record_start(now, id);
         self.log_start(now, id);
     }
 
@@ -312,7 +311,6 @@
             CallReason::DeadlineTooShort => run.short_time_reason(),
             reason => reason,
         };
-        self.record_refusal(now, &run.request, reason);
         let outcome = CallOutcome::NotRun;
         let response = self.response(run.request.id.clone(), outcome, reason);
         self.send_response(now, &run, response, outcome, steps);
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -263,7 +263,7 @@
         let sent = call.and_then(|call| call.take_attempt(response.id.attempt));
         let Some(sent) = sent else { return };
         if let Some(call) = self.calls.get_mut(&id) {
-            call.observe_pressure(&response);
+            call.observe_lost_call(&response);
         }
         let outcome = classify_response(&response);
         self.record_answer(now, id, &sent, outcome, &response);
--- a/crates/kumquatlock/src/call/entry/nested.rs
+++ b/crates/kumquatlock/src/call/entry/nested.rs
@@ -15,19 +15,15 @@
     pub run: RunId,
     /// Service that was called.
     pub service: SharedName,
-    /// Whether the call found no room, or took that of more urgent requests.
+    /// Whether the call, or one that its run made, found no room.
     pub lacked_room: bool,
 }
 
 impl EntryCall {
-    /// Records what an answer to a nested call says about the room of its upstream.
-    pub(super) fn observe_pressure(&mut self, response: &CallResponse) {
-        let refused_rank = response.load.and_then(|load| load.refused_rank);
-        let is_displacing = refused_rank.is_some_and(|rank| rank < self.rank());
-        self.takes_urgent_room |= self.request.is_nested && is_displacing;
-        // The run below has failed because a call that it made found no room.
-        let is_lost_below = response.reason == CallReason::DependencyOverloaded as i32;
-        self.lost_call_below |= self.request.is_nested && is_lost_below;
+    /// Records whether the run of a nested call failed because a call that it made found no room.
+    pub(super) fn observe_lost_call(&mut self, response: &CallResponse) {
+        let is_lost = response.reason == CallReason::DependencyOverloaded as i32;
+        self.lost_call_below |= self.request.is_nested && is_lost;
     }
 
     /// Returns the end of the call if a known run made it.
@@ -40,7 +36,7 @@
         Some(NestedEnd {
             run: parent.run,
             service: self.service.clone(),
-            lacked_room: was_refused || self.takes_urgent_room || self.lost_call_below,
+            lacked_room: was_refused || self.lost_call_below,
         })
     }
 }
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -77,8 +77,6 @@
     /// Numbers of the attempts that are proved not to have run and never will. A claim of one of
     /// them is about to be released.
     pub(super) refused_attempts: Vec<u32>,
-    /// Whether an upstream that the call was sent to refuses callers' requests of more urgent rank.
-    pub(super) takes_urgent_room: bool,
     /// Whether a run of the call lost a call of its own for lack of room.
     pub(super) lost_call_below: bool,
     /// When the latest attempt was sent.
@@ -168,7 +166,6 @@
             reason: CallReason::None,
             may_have_run: false,
             refused_attempts: Vec::new(),
-            takes_urgent_room: false,
             lost_call_below: false,
             sent_at: now,
             wake_at: admitted.deadline,
--- a/crates/kumquatlock/src/dependency/mod.rs
+++ b/crates/kumquatlock/src/dependency/mod.rs
@@ -9,16 +9,10 @@
 //! The share falls while runs lose calls for lack of room and rises by itself, so a route whose
 //! callees have room again is served in full a few seconds later, whatever was observed before. A
 //! route whose runs make no calls, or lose none, is not affected.
-//!
-//! [`RankPressure`] is the other half: the node beside the callee states the most urgent rank of
-//! callers' requests that it refuses. Calls of runs go before those requests, so a less urgent route
-//! would otherwise take the callee's room away from a more urgent one.
 
-mod pressure;
 mod share;
 mod throttle;
 
-pub use pressure::RankPressure;
 pub use share::StartShare;
 pub use throttle::{DependencyThrottle, RunFate, StartDecision};
 
--- a/crates/kumquatlock/src/dependency/throttle.rs
+++ b/crates/kumquatlock/src/dependency/throttle.rs
@@ -13,7 +13,7 @@
 pub enum RunFate {
     /// It lost no call for lack of room.
     Complete,
-    /// A call that it made found no room, or took the room of more urgent requests.
+    /// A call that it made found no room.
     LostCall,
 }
 
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -180,6 +180,33 @@
         }
     }
 
+    fn add_dependencies(&self, page: &mut MetricsPage) {
+        page.add_counter(
+            "calls_held_back",
+            "Calls refused because their runs would lose calls that they make",
+            &[],
+            self.destination.held_back(),
+        );
+        page.add_gauge(
+            "routes_held_back",
+            "Routes of which only a share of the calls starts",
+            &[],
+            self.destination.throttled_routes(self.now()) as u64,
+        );
+        page.add_counter(
+            "nested_calls",
+            "Calls that runs of the upstream beside this node have made",
+            &[],
+            self.destination.nested_calls(),
+        );
+        page.add_counter(
+            "nested_calls_without_room",
+            "Calls that runs of the upstream beside this node have made and that found no room",
+            &[],
+            self.destination.nested_calls_without_room(),
+        );
+    }
+
     fn add_destination(&self, page: &mut MetricsPage) {
         let load = self.destination.load();
         page.add_gauge(
@@ -219,6 +246,7 @@
             &[],
             self.destination.crashes(),
         );
+        self.add_dependencies(page);
         self.add_fences(page);
         page.add_gauge(
             "claims_kept",
