--- a/crates/kumquatlock/examples/policy/chain.rs
+++ b/crates/kumquatlock/examples/policy/chain.rs
@@ -169,7 +169,10 @@
         for route in 0..self.routes.len() {
             let mut at = self.now;
             let per_second = self.routes[route].per_second;
-            while per_second > 0.0 {
+            if per_second <= 0.0 {
+                continue;
+            }
+            loop {
                 let gap = -(1.0 - self.random.random::<f64>()).ln() / per_second;
                 at = at + Duration::from_secs_f64(gap);
                 if at >= end {
