--- a/crates/kumquatlock-wire/src/call.rs
+++ b/crates/kumquatlock-wire/src/call.rs
@@ -217,10 +217,6 @@
     /// Part of `held_us` in which the attempt waited for a slot of the upstream.
     #[prost(uint32, tag = "8")]
     pub waited_us: u32,
-    /// Most urgent rank of callers' requests that the upstream has refused for lack of room lately.
-    /// Absent if it refuses none.
-    #[prost(uint32, optional, tag = "9")]
-    pub refused_rank: Option<u32>,
 }
 
 /// Answers a [`CallRequest`].
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -87,8 +87,6 @@
     pub(super) refused_attempts: Vec<u32>,
     /// Token that the client account spent on this call. Given back if the call does not run.
     pub(super) quota_token: Option<QuotaToken>,
-    /// Whether an upstream that the call was sent to refuses callers' requests of more urgent rank.
-    pub(super) takes_urgent_room: bool,
     /// Whether a run of the call lost a call of its own for lack of room.
     pub(super) lost_call_below: bool,
     /// When the latest attempt was sent.
@@ -185,7 +183,6 @@
             may_have_run: false,
             refused_attempts: Vec::new(),
             quota_token: None,
-            takes_urgent_room: false,
             lost_call_below: false,
             sent_at: now,
             wake_at: admitted.deadline,
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -251,6 +251,33 @@
         page.add_gauge("quota_tokens_held", "Tokens that may be spent", &[], held);
     }
 
+    fn add_dependencies(&self, page: &mut MetricsPage) {
+        page.add_counter(
+            "calls_held_back",
+            "Calls refused because their runs would lose calls that they make",
+            &[],
+            self.destination.held_back(),
+        );
+        page.add_gauge(
+            "routes_held_back",
+            "Routes of which only a share of the calls starts",
+            &[],
+            self.destination.throttled_routes(self.now()) as u64,
+        );
+        page.add_counter(
+            "nested_calls",
+            "Calls that runs of the upstream beside this node have made",
+            &[],
+            self.destination.nested_calls(),
+        );
+        page.add_counter(
+            "nested_calls_without_room",
+            "Calls that runs of the upstream beside this node have made and that found no room",
+            &[],
+            self.destination.nested_calls_without_room(),
+        );
+    }
+
     fn add_destination(&self, page: &mut MetricsPage) {
         let load = self.destination.load();
         page.add_gauge(
@@ -296,6 +323,7 @@
             &[],
             self.exchanges.invalid_statuses(),
         );
+        self.add_dependencies(page);
         self.add_fences(page);
         page.add_gauge(
             "claims_kept",
