Raise the default costs of traffic between zones and regions

Change: 20 and 40 ms. The model's comparison takes the mean of 8 seeds instead of 3: with 3, the mean of the case in which everything is full varies by half of the margin.

--- a/crates/kumquatlock-node/src/commands/serve.rs
+++ b/crates/kumquatlock-node/src/commands/serve.rs
@@ -78,14 +78,14 @@
 )
 .unit("ms")
 .range(0, 10_000)
-.default_value("1");
+.default_value("20");
 const REGION_COST: SettingSpec<DurationMillis> = SettingSpec::new(
     "region-cost-ms-per-kib",
     "time that a call must save to be worth 1 KiB of traffic between regions",
 )
 .unit("ms")
 .range(0, 10_000)
-.default_value("10");
+.default_value("40");
 const LOG: SettingSpec<LogFilter> = SettingSpec::new(
     "log",
     "log levels by target, such as info or warn,kumquatlock::call=debug",
@@ -147,11 +147,11 @@
     #[argh(option)]
     claim_retention_ms: Option<String>,
     /// time that a call must save to be worth 1 KiB of traffic between zones of a region (value
-    /// 0..=10000 ms, default 1, variable KUMQUATLOCK_ZONE_COST_MS_PER_KIB)
+    /// 0..=10000 ms, default 20, variable KUMQUATLOCK_ZONE_COST_MS_PER_KIB)
     #[argh(option)]
     zone_cost_ms_per_kib: Option<String>,
     /// time that a call must save to be worth 1 KiB of traffic between regions (value 0..=10000 ms,
-    /// default 10, variable KUMQUATLOCK_REGION_COST_MS_PER_KIB)
+    /// default 40, variable KUMQUATLOCK_REGION_COST_MS_PER_KIB)
     #[argh(option)]
     region_cost_ms_per_kib: Option<String>,
     /// log levels by target, such as info or warn,kumquatlock::call=debug (length in bytes
--- a/crates/kumquatlock/src/routing/spill.rs
+++ b/crates/kumquatlock/src/routing/spill.rs
@@ -46,12 +46,12 @@
 }
 
 impl Default for SpillSettings {
-    /// Between zones: the time that 1 KiB occupies a link of 8 Mbit/s. Between regions ten times as
-    /// much, because that traffic is billed by volume.
+    /// Between zones: a difference that callers hardly notice. Between regions twice as much, because
+    /// that traffic is billed at a higher rate.
     fn default() -> Self {
         SpillSettings {
-            zone_cost_per_kib: Duration::from_millis(1),
-            region_cost_per_kib: Duration::from_millis(10),
+            zone_cost_per_kib: Duration::from_millis(20),
+            region_cost_per_kib: Duration::from_millis(40),
         }
     }
 }
--- a/crates/kumquatlock/src/routing/tests/zones/mod.rs
+++ b/crates/kumquatlock/src/routing/tests/zones/mod.rs
@@ -8,7 +8,7 @@
 
 use model::{SpillRule, ZoneCase, ZoneFigures, ZoneModel};
 
-const SEEDS: u64 = 3;
+const SEEDS: u64 = 8;
 /// One way in a zone, between zones and between regions.
 const NARROW: [u64; 3] = [200, 3_500, 30_000];
 const BASE: ZoneCase = ZoneCase {
