--- a/crates/kumquatlock/src/routing/tests.rs
+++ b/crates/kumquatlock/src/routing/tests.rs
@@ -364,6 +364,10 @@
     items.extend(upstreams_in(&["b"], "north-2"));
     items.extend(upstreams_in(&["c"], "south-1"));
     let mut driver = BalancerDriver::new(&items);
+    driver.balancer.set_spill_settings(SpillSettings {
+        zone_cost_per_kib: Duration::from_millis(1),
+        region_cost_per_kib: Duration::from_millis(10),
+    });
     let idle = LoadReport {
         slots: 10,
         service_us: 200_000,
