--- a/crates/kumquatlock/src/ops/control/metrics.rs
+++ b/crates/kumquatlock/src/ops/control/metrics.rs
@@ -82,6 +82,9 @@
             rollouts: Family::default(),
         };
         metrics.register();
+        // Shown from the start, so that an alarm can tell zero from a missing metric.
+        let label = PhaseLabel { phase: "canary" };
+        metrics.rollouts.get_or_create(&label).inc_by(0);
         metrics
     }
 
