Leave the zone only for a wait that is known nearby

With 301 nodes an entry node has little traffic for each upstream, so its reports are old. The expected wait grows with what is not known, on both sides, and the best of several uncertain candidates elsewhere looked shorter than the one nearby.

Change: the wait nearby is that behind the expected number of calls, without the addition for what is not known; the wait elsewhere keeps it. So uncertainty speaks for staying only.

The model of zones and the other routing tests pass.

--- a/crates/kumquatlock/src/routing/balancer.rs
+++ b/crates/kumquatlock/src/routing/balancer.rs
@@ -237,7 +237,7 @@
         far: usize,
     ) -> Candidate {
         let tier = self.upstreams[far].tier;
-        let (near_time, far_time) = (self.expected(now, near.index), self.expected(now, far));
+        let (near_time, far_time) = (self.certain(now, near.index), self.expected(now, far));
         let statistics = &mut self.tiers[tier as usize];
         let is_known = statistics.is_load_known(now);
         let decision = statistics.spill.decide(
@@ -282,6 +282,19 @@
         }
     }
 
+    /// Returns the times that a call is known to take at an upstream. What isn't known of the load
+    /// nearby is no reason to leave; what isn't known of the load elsewhere is one to stay. An entry
+    /// node with little traffic has old reports from all tiers, and would leave by their differences.
+    fn certain(&self, now: Timestamp, index: usize) -> ExpectedTime {
+        let tracked = &self.upstreams[index];
+        let time = self.expected(now, index);
+        let service_us = tracked.reported_service_us().unwrap_or(time.service_us);
+        ExpectedTime {
+            wait_us: self.estimate(now, tracked).certain_wait_us(service_us),
+            ..time
+        }
+    }
+
     fn estimate(&self, now: Timestamp, tracked: &TrackedUpstream) -> LoadEstimate {
         tracked.load_estimate(now, self.tier_load(now, tracked.tier))
     }
--- a/crates/kumquatlock/src/routing/spill.rs
+++ b/crates/kumquatlock/src/routing/spill.rs
@@ -137,6 +137,12 @@
         let expected = (excess + excess.hypot(deviation)) / 2.0;
         expected / self.slots * service_us
     }
+
+    /// Returns the wait of one more call behind the expected number of calls, as if that were certain.
+    pub(super) fn certain_wait_us(&self, service_us: f32) -> f32 {
+        let excess = self.calls + 1.0 - self.slots;
+        excess.max(0.0) / self.slots * service_us
+    }
 }
 
 /// Why a call left its zone or region.
