--- a/crates/kumquatlock-node/src/commands/serve.rs
+++ b/crates/kumquatlock-node/src/commands/serve.rs
@@ -82,29 +82,6 @@
 )
 .unit("ms")
 .range(2_000, 3_600_000);
-const QUOTA_WINDOW: SettingSpec<DurationMillis> = SettingSpec::new(
-    "quota-window-ms",
-    "window in which the requests of a client account are counted; the same for all instances and \
-     nodes",
-)
-.unit("ms")
-.range(2_000, 3_600_000)
-.default_value("5000");
-const QUOTA_OVERAGE: SettingSpec<ItemCount> = SettingSpec::new(
-    "quota-overage-percent",
-    "how much the requests of a window may exceed the quota; the same for all instances and nodes",
-)
-.unit("percent")
-.range(0, 100)
-.default_value("10");
-const QUOTA_SLACK: SettingSpec<ItemCount> = SettingSpec::new(
-    "quota-slack",
-    "requests by which those of a window may also exceed the quota; the same for all instances and \
-     nodes",
-)
-.unit("requests")
-.range(0, 1_000_000)
-.default_value("20");
 const ZONE_COST: SettingSpec<DurationMillis> = SettingSpec::new(
     "zone-cost-ms-per-kib",
     "time that a call must save to be worth 1 KiB of traffic between zones of a region",
@@ -251,28 +228,15 @@
             kumquatlock::memory::MEMORY.describe(),
             kumquatlock::memory::MAX_DESCRIPTORS.describe(),
             REVOCATION_LIMIT.describe(),
-            QUOTA_WINDOW.describe(),
-            QUOTA_OVERAGE.describe(),
-            QUOTA_SLACK.describe(),
+            kumquatlock::quota::QUOTA_WINDOW.describe(),
+            kumquatlock::quota::QUOTA_OVERAGE.describe(),
+            kumquatlock::quota::QUOTA_SLACK.describe(),
             ZONE_COST.describe(),
             REGION_COST.describe(),
             LOG.describe(),
         ]
     }
 
-    fn resolve_quota(&self) -> Result<QuotaSettings, SettingError> {
-        let environment = &ProcessEnvironment;
-        let window = QUOTA_WINDOW.resolve(self.quota_window_ms.as_deref(), environment)?;
-        let overage = QUOTA_OVERAGE.resolve(self.quota_overage_percent.as_deref(), environment)?;
-        let slack = QUOTA_SLACK.resolve(self.quota_slack.as_deref(), environment)?;
-        Ok(QuotaSettings {
-            window: window.duration(),
-            overage_percent: overage.0 as u32,
-            slack: slack.0,
-            ..QuotaSettings::default()
-        })
-    }
-
     /// Resolves the settings of the node from the flags and the environment.
     fn resolve_settings(&self) -> Result<NodeSettings, SettingError> {
         let environment = &ProcessEnvironment;
@@ -311,7 +275,12 @@
             )?,
             tuning: NodeTuning {
                 revocation_limit: limit.map(DurationMillis::duration),
-                quota: self.resolve_quota()?,
+                quota: QuotaSettings::resolve(
+                    self.quota_window_ms.as_deref(),
+                    self.quota_overage_percent.as_deref(),
+                    self.quota_slack.as_deref(),
+                    environment,
+                )?,
                 spill: SpillSettings {
                     zone_cost_per_kib: zone_cost.duration(),
                     region_cost_per_kib: region_cost.duration(),
--- a/crates/kumquatlock/src/ops/control/settings.rs
+++ b/crates/kumquatlock/src/ops/control/settings.rs
@@ -8,7 +8,7 @@
 
 use crate::core::{SharedName, name_from_address};
 use crate::memory::{MAX_DESCRIPTORS, MEMORY, ProcessLimits};
-use crate::quota::QuotaSettings;
+use crate::quota::{QUOTA_OVERAGE, QUOTA_SLACK, QUOTA_WINDOW, QuotaSettings};
 use crate::util::logging::LogFilter;
 use crate::util::settings::{
     AddressList, CheckedName, DurationMillis, EnumChoice, ItemCount, NamedAddresses, SettingError,
@@ -159,30 +159,6 @@
 .range(100, 3_600_000)
 .default_value("60000");
 
-const QUOTA_WINDOW: SettingSpec<DurationMillis> = SettingSpec::new(
-    "quota-window-ms",
-    "window in which the requests of a client account are counted; the same for all instances and \
-     nodes",
-)
-.unit("ms")
-.range(2_000, 3_600_000)
-.default_value("5000");
-const QUOTA_OVERAGE: SettingSpec<ItemCount> = SettingSpec::new(
-    "quota-overage-percent",
-    "how much the requests of a window may exceed the quota; the same for all instances and nodes",
-)
-.unit("percent")
-.range(0, 100)
-.default_value("10");
-const QUOTA_SLACK: SettingSpec<ItemCount> = SettingSpec::new(
-    "quota-slack",
-    "requests by which those of a window may also exceed the quota; the same for all instances and \
-     nodes",
-)
-.unit("requests")
-.range(0, 1_000_000)
-.default_value("20");
-
 /// Flags of `serve`, as texts from the command line.
 #[derive(Clone, Debug, Default)]
 pub struct ControlFlags {
@@ -365,18 +341,12 @@
                 variables,
             )?,
             redirects: false,
-            quota: QuotaSettings {
-                window: QUOTA_WINDOW
-                    .resolve(flags.quota_window_ms.as_deref(), variables)?
-                    .duration(),
-                overage_percent: QUOTA_OVERAGE
-                    .resolve(flags.quota_overage_percent.as_deref(), variables)?
-                    .0 as u32,
-                slack: QUOTA_SLACK
-                    .resolve(flags.quota_slack.as_deref(), variables)?
-                    .0,
-                ..QuotaSettings::default()
-            },
+            quota: QuotaSettings::resolve(
+                flags.quota_window_ms.as_deref(),
+                flags.quota_overage_percent.as_deref(),
+                flags.quota_slack.as_deref(),
+                variables,
+            )?,
         })
     }
 
--- a/crates/kumquatlock/src/quota/mod.rs
+++ b/crates/kumquatlock/src/quota/mod.rs
@@ -10,6 +10,7 @@
 //!
 //! All times are on a clock that also runs while the machine is suspended.
 
+mod flags;
 mod granter;
 mod held;
 mod ledger;
@@ -20,6 +21,7 @@
 
 use kumquatlock_wire::quota::{QuotaAsk, QuotaGrant};
 
+pub use flags::{QUOTA_OVERAGE, QUOTA_SLACK, QUOTA_WINDOW};
 pub use granter::{GrantCapacity, GranterCounters, QuotaGranter};
 pub use held::HeldTokens;
 pub use ledger::WindowLedger;
