--- a/crates/kumquatlock/src/call/entry/admit.rs
+++ b/crates/kumquatlock/src/call/entry/admit.rs
@@ -32,12 +32,7 @@
         let route = route
             .ok_or(CallerAnswer::Rejected(RejectReason::NoRoute))?
             .clone();
-        let keyed = request.key.is_some() && !route.class.is_repeatable();
-        let refuse = |reason| match keyed {
-            // An earlier request with this key may have run, and the claim holders were not asked.
-            true => CallerAnswer::Unknown(reason),
-            false => CallerAnswer::NotRun(reason),
-        };
+        let refuse = |reason| refuse_unasked(request, route.class, reason);
         let account = match self.resolve_account(now, snapshot, &route, request) {
             AccessDecision::Account(account) => Some(account),
             AccessDecision::Anonymous => None,
@@ -119,6 +114,19 @@
     }
 }
 
+/// Returns the answer to a request that is refused before the claim holders of its key, if it has
+/// one, were asked: an earlier request with the same key may have run.
+pub(super) fn refuse_unasked(
+    request: &CallerRequest,
+    class: RequestClass,
+    reason: CallReason,
+) -> CallerAnswer {
+    match request.key.is_some() && !class.is_repeatable() {
+        true => CallerAnswer::Unknown(reason),
+        false => CallerAnswer::NotRun(reason),
+    }
+}
+
 /// Returns the answer to a request that arrives before any configuration. A request with a key is
 /// answered "unknown", because an earlier request with the same key may have run. The request
 /// class, which decides whether the key has an effect, is not known yet.
--- a/crates/kumquatlock/src/call/entry/quota.rs
+++ b/crates/kumquatlock/src/call/entry/quota.rs
@@ -6,6 +6,7 @@
 use kumquatlock_wire::call::CallReason;
 use kumquatlock_wire::quota::{QuotaAsk, QuotaGrant};
 
+use super::admit::refuse_unasked;
 use super::origin::CallOrigin;
 use super::state::{AdmittedCall, CallPhase, EntryCall};
 use super::{CallId, EntryCalls, EntryStep, budget_of};
@@ -98,12 +99,7 @@
             Some(QuotaDecision::OverQuota { .. }) => CallReason::QuotaExceeded,
             Some(QuotaDecision::Unavailable { .. }) => CallReason::QuotaUnavailable,
         };
-        // An earlier request with the same key may have run, and the claim holders were not asked.
-        let keyed = request.key.is_some() && !call.route.class.is_repeatable();
-        Err(match keyed {
-            true => CallerAnswer::Unknown(reason),
-            false => CallerAnswer::NotRun(reason),
-        })
+        Err(refuse_unasked(request, call.route.class, reason))
     }
 
     /// Sends the first attempt of a call.
--- a/crates/kumquatlock/src/core/account.rs
+++ b/crates/kumquatlock/src/core/account.rs
@@ -47,6 +47,16 @@
     pub burst: u64,
 }
 
+impl AccountQuota {
+    /// Returns the quota of an account; `None` if it has no limit.
+    pub fn from_item(item: &AccountItem) -> Option<Self> {
+        Some(AccountQuota {
+            rate_millis: NonZeroU64::new(item.quota_millis)?,
+            burst: item.burst,
+        })
+    }
+}
+
 /// One client account in the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClientAccount {
@@ -67,13 +77,11 @@
         let keys = item.key_digests.iter();
         let keys: Option<Vec<KeyDigest>> = keys.map(|key| KeyDigest::from_bytes(key)).collect();
         let keys = keys.ok_or_else(|| SnapshotError::UnknownValue { item: name.clone() })?;
-        let burst = item.burst;
         Ok(ClientAccount {
             name,
             keys,
             rank: item.rank,
-            quota: NonZeroU64::new(item.quota_millis)
-                .map(|rate_millis| AccountQuota { rate_millis, burst }),
+            quota: AccountQuota::from_item(item),
             digest: account_digest(item),
         })
     }
--- a/crates/kumquatlock/src/ops/control/quota.rs
+++ b/crates/kumquatlock/src/ops/control/quota.rs
@@ -6,7 +6,6 @@
 
 use kumquatlock_wire::Body;
 use kumquatlock_wire::agreement::forward::Content;
-use kumquatlock_wire::distribution::AccountItem;
 use kumquatlock_wire::quota::{QuotaAsk, QuotaGrant};
 
 use super::actor::{ControlActor, QueuedEvent};
@@ -17,7 +16,7 @@
 use crate::distribution::{self, ChildEvent, ChildId, ParentEvent};
 use crate::quota::{ParentShare, QuotaLimits, QuotaParent, QuotaPool, ShareStart};
 use crate::transport::LinkId;
-use crate::util::suspension::SuspensionClock;
+use crate::util::boot_clock::SuspensionClock;
 
 /// Interval between currency proofs for the share of a voter. A few of them fit into the time for
 /// which one allows the use of the share.
@@ -123,7 +122,8 @@
     /// Switches to the quotas of the catalog.
     pub(super) fn refresh_quotas(&mut self) {
         let accounts = self.catalog.accounts();
-        let quotas = accounts.filter_map(|item| Some((item.name.as_str().into(), quota_of(item)?)));
+        let quotas = accounts
+            .filter_map(|item| Some((item.name.as_str().into(), AccountQuota::from_item(item)?)));
         let limits = Arc::new(QuotaLimits::collect(&self.settings.quota, quotas));
         let quota = &mut self.quota;
         quota.nodes = self.catalog.upstreams().count();
@@ -289,11 +289,3 @@
         _ => ShareStart::Joining,
     }
 }
-
-fn quota_of(item: &AccountItem) -> Option<AccountQuota> {
-    let rate_millis = std::num::NonZeroU64::new(item.quota_millis)?;
-    Some(AccountQuota {
-        rate_millis,
-        burst: item.burst,
-    })
-}
--- a/crates/kumquatlock/src/util/boot_clock.rs
+++ b/crates/kumquatlock/src/util/boot_clock.rs
@@ -1,4 +1,4 @@
-//! A monotonic clock that also counts the time for which the machine was suspended.
+//! Clocks that count the time for which the machine was suspended.
 
 use std::time::Duration;
 
@@ -16,20 +16,46 @@
 impl BootClock {
     /// Starts the clock at zero.
     pub fn start() -> Self {
-        BootClock { started: uptime() }
+        BootClock {
+            started: read(ClockId::Boottime),
+        }
     }
 
     /// Returns the time since the start.
     pub fn now(&self) -> Timestamp {
-        let elapsed = uptime().saturating_sub(self.started);
+        let elapsed = read(ClockId::Boottime).saturating_sub(self.started);
         Timestamp(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
     }
 }
 
-/// Returns the time since the boot of the machine.
-fn uptime() -> Duration {
-    let time = clock_gettime(ClockId::Boottime);
-    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
-    Duration::from_secs(seconds)
-        + Duration::from_nanos(u64::try_from(time.tv_nsec).unwrap_or_default())
+/// Measures for how long the machine was suspended since the start of the process. The steady clock
+/// stands still meanwhile.
+#[derive(Clone, Copy, Debug)]
+pub struct SuspensionClock {
+    /// How far the clock that counts suspensions was ahead of the steady one at the start.
+    start: Duration,
+}
+
+impl SuspensionClock {
+    /// Starts measuring.
+    pub fn start() -> Self {
+        SuspensionClock { start: lead() }
+    }
+
+    /// Returns the time for which the machine was suspended.
+    pub fn suspended(&self) -> Duration {
+        lead().saturating_sub(self.start)
+    }
+}
+
+/// Returns how far the clock that counts suspensions is ahead of the steady one. The steady clock is
+/// read last, so that a process that is preempted between the two is not taken for suspended.
+fn lead() -> Duration {
+    let boot = read(ClockId::Boottime);
+    boot.saturating_sub(read(ClockId::Monotonic))
+}
+
+fn read(clock: ClockId) -> Duration {
+    let time = clock_gettime(clock);
+    Duration::try_from(time).unwrap_or_default()
 }
--- a/crates/kumquatlock/src/util/mod.rs
+++ b/crates/kumquatlock/src/util/mod.rs
@@ -12,7 +12,6 @@
 pub mod metrics;
 pub mod settings;
 pub mod signals;
-pub mod suspension;
 pub mod trace;
 
 #[cfg(test)]
