Review: a late rejection without a length makes a reservation run twice

Case 6 once more, with ANSWER=refusal: the answer that comes twice is a rejection. The request that is running counts as not run and is sent to another backend.

--- a/review/standin-2/backend.rs
+++ b/review/standin-2/backend.rs
@@ -51,6 +51,9 @@
     /// The answer to the previous request on the connection comes once more, late, without a
     /// length, and ends with the connection.
     ExtraLate,
+    /// The backend rejects a request without running it. While it runs the next one on the
+    /// connection, the rejection comes once more, without a length, and ends with the connection.
+    LateRefusal,
     /// Bytes that are no response follow the head.
     EndlessBytes,
 }
@@ -138,6 +141,7 @@
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         let mut connection = Connection::new(stream);
         let mut previous: Option<String> = None;
+        let mut refused: Option<String> = None;
         while let Some(request) = connection.read_request()? {
             if self.is_closed.load(Ordering::Relaxed) {
                 return Ok(());
@@ -167,8 +171,25 @@
                 connection.stream.write_all(head.as_bytes())?;
                 continue;
             };
+            if refused.is_none() && self.refuses_next() {
+                self.record
+                    .log(&format!("backend {}: rejects {id}, 503", self.id));
+                let head = format!("{}Content-Length: 0\r\n\r\n", refusal_of(&id));
+                connection.stream.write_all(head.as_bytes())?;
+                refused = Some(id);
+                continue;
+            }
             self.record_run(&id);
             sleep(self.work);
+            if let Some(earlier) = refused.take() {
+                lock(&self.spoiled).push(id.clone());
+                self.record.log(&format!(
+                    "backend {}: late second rejection of {earlier} where the answer to {id} is due",
+                    self.id
+                ));
+                let head = format!("{}\r\n", refusal_of(&earlier));
+                return connection.stream.write_all(head.as_bytes());
+            }
             match self.next_fault(&id, previous.is_some()) {
                 Fault::ExtraLate => {
                     let earlier = previous.take().unwrap_or_default();
@@ -181,7 +202,7 @@
                     return connection.stream.write_all(&answer_body(&earlier));
                 }
                 Fault::EndlessBytes => return self.send_endless(&mut connection, &id),
-                Fault::None => {
+                Fault::None | Fault::LateRefusal => {
                     let body = answer_body(&id);
                     let mut answer = head_of(&id, Some(body.len())).into_bytes();
                     answer.extend_from_slice(&body);
@@ -202,12 +223,20 @@
         });
     }
 
+    /// Whether the backend rejects the next request.
+    fn refuses_next(&self) -> bool {
+        *lock(&self.fault) == Fault::LateRefusal
+            && self.answers.load(Ordering::Relaxed) % self.one_in == self.one_in - 1
+            && self.answers.fetch_add(1, Ordering::Relaxed) > 0
+    }
+
     /// Returns what is wrong with the answer to this request.
     fn next_fault(&self, id: &str, has_previous: bool) -> Fault {
         let number = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
         let fault = *lock(&self.fault);
         let is_usable = fault != Fault::ExtraLate || has_previous;
-        if fault == Fault::None || !number.is_multiple_of(self.one_in) || !is_usable {
+        let is_other = matches!(fault, Fault::None | Fault::LateRefusal);
+        if is_other || !number.is_multiple_of(self.one_in) || !is_usable {
             return Fault::None;
         }
         lock(&self.spoiled).push(id.to_owned());
@@ -306,6 +335,11 @@
     )
 }
 
+/// Returns the head of a rejection, without a length and its end.
+fn refusal_of(id: &str) -> String {
+    format!("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n")
+}
+
 fn heartbeat_body(
     address: SocketAddrV4,
     service: &str,
--- a/review/standin-2/foreign.rs
+++ b/review/standin-2/foreign.rs
@@ -1,6 +1,8 @@
 //! A backend sends the answer to one request a second time, late, without a length, where the answer
 //! to the next request is due.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -43,8 +45,13 @@
         answer.is_ok_and(|answer| answer.status() == 200)
     })?;
     sleep(Duration::from_secs(4));
+    // `ANSWER=refusal`: the answer that comes twice is a rejection.
+    let is_refusal = std::env::var("ANSWER").as_deref() == Ok("refusal");
     if has_trouble {
-        backends[0].set_fault(Fault::ExtraLate);
+        backends[0].set_fault(match is_refusal {
+            true => Fault::LateRefusal,
+            false => Fault::ExtraLate,
+        });
         record.note("from here on, backend 0 sends some answers a second time");
     }
     let mut foreign = 0;
@@ -52,7 +59,7 @@
     for number in 0..REQUESTS {
         let id = format!("{:016x}", 0x9c41_d07b_0000_0000_u64 + number as u64);
         let sent = match number % 2 {
-            0 => price(&id),
+            0 if !is_refusal => price(&id),
             _ => reserve(&id),
         };
         record.log(&format!("client: sends {id}"));
@@ -85,12 +92,33 @@
         "{REQUESTS} requests, {spoiled} spoiled answers, {failed} without success, {foreign} answered \
          with the answer of another request"
     ));
-    Ok(match foreign {
+    let twice = count_twice(record, &backends, is_refusal);
+    Ok(match foreign + twice {
         0 => Verdict::Held,
         _ => Verdict::Broken,
     })
 }
 
+/// Returns how many reservations have run more than once.
+fn count_twice(record: &Record, backends: &[Arc<Backend>], are_all_reservations: bool) -> usize {
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for run in backends.iter().flat_map(|backend| backend.runs()) {
+        *runs.entry(run.id).or_default() += 1;
+    }
+    let is_reservation = |id: &str| {
+        are_all_reservations || u64::from_str_radix(id, 16).is_ok_and(|id| id % 2 == 1)
+    };
+    runs.retain(|id, count| *count > 1 && is_reservation(id));
+    for (id, count) in &runs {
+        record.note(&format!("reservation {id} has run {count} times"));
+    }
+    record.note(&format!(
+        "{} reservations have run more than once",
+        runs.len()
+    ));
+    runs.len()
+}
+
 fn price(id: &str) -> Vec<u8> {
     let headers = [
         ("Host", "lots.example"),
