--- a/crates/kumquatlock-wire/src/agreement.rs
+++ b/crates/kumquatlock-wire/src/agreement.rs
@@ -228,7 +228,7 @@
     pub request_id: u64,
     #[prost(
         oneof = "forward::Content",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
     )]
     pub content: Option<forward::Content>,
 }
@@ -267,6 +267,10 @@
         QuotaAsk(crate::quota::QuotaAsk),
         #[prost(message, tag = "15")]
         QuotaGrant(crate::quota::QuotaGrant),
+        #[prost(message, tag = "16")]
+        RunEnd(crate::distribution::RunEnd),
+        #[prost(message, tag = "17")]
+        RecordedEnds(crate::distribution::RecordedEnds),
     }
 }
 
--- a/crates/kumquatlock-wire/src/distribution.rs
+++ b/crates/kumquatlock-wire/src/distribution.rs
@@ -3,7 +3,9 @@
 
 use bytes::Bytes;
 
-pub use crate::history::{AcceptedManifest, CatalogHistory, EndedRun, SeenRegion, Tombstone};
+pub use crate::history::{
+    AcceptedManifest, CatalogHistory, EndedRun, EndedStart, SeenRegion, Tombstone,
+};
 
 /// A service: a name and the upstreams that may serve it.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -208,7 +210,7 @@
 /// Payload of a log entry of kind `Command`.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CatalogCommand {
-    #[prost(oneof = "catalog_command::Kind", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "catalog_command::Kind", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub kind: Option<catalog_command::Kind>,
 }
 
@@ -233,6 +235,8 @@
         Quarantine(crate::quarantine::QuarantineChange),
         #[prost(message, tag = "6")]
         Rollout(crate::rollout::RolloutChange),
+        #[prost(message, tag = "7")]
+        RunEnd(super::RunEnd),
     }
 }
 
@@ -290,6 +294,45 @@
     /// Whether the run itself has announced that it drains or leaves, so that its state is final.
     #[prost(bool, tag = "3")]
     pub is_run_ended: bool,
+    /// Digest of the upstream's name and the identifier of its run; zero if the upstream does not
+    /// name its runs. Runs that start again under the same identifier have the same digest.
+    #[prost(fixed64, tag = "4")]
+    pub instance: u64,
+    /// Start of the run as the upstream states it, in milliseconds since 1970; zero if it states
+    /// none.
+    #[prost(uint64, tag = "5")]
+    pub run_started_ms: u64,
+}
+
+/// Report of a node that runs of an upstream have ended that it has no announcement of, or no longer
+/// has. Idempotent.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct RunEnd {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Digest of the upstream's name and the identifier of its runs.
+    #[prost(fixed64, tag = "2")]
+    pub instance: u64,
+    /// Latest start of the ended runs, in milliseconds since 1970. A run that started later may
+    /// serve.
+    #[prost(uint64, tag = "3")]
+    pub latest_start_ms: u64,
+    /// The upstream's entry is removed if its incarnation is lower: an earlier process of the node
+    /// has registered it. Zero if the entry stays.
+    #[prost(uint64, tag = "4")]
+    pub remove_below: u64,
+}
+
+/// Tells a child which of the ends that it reported are committed to the log.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RecordedEnds {
+    /// Ends that an [`UpstreamReport`] has stated.
+    #[prost(message, repeated, tag = "1")]
+    pub runs: Vec<EndedRun>,
+    /// Ends that a [`RunEnd`] has stated.
+    #[prost(message, repeated, tag = "2")]
+    pub starts: Vec<EndedStart>,
 }
 
 /// The complete catalog. Split into chunks for transfer.
--- a/crates/kumquatlock-wire/src/history.rs
+++ b/crates/kumquatlock-wire/src/history.rs
@@ -42,6 +42,10 @@
     /// Version at which each account last changed, in the order of `CatalogState::accounts`.
     #[prost(uint64, repeated, tag = "13")]
     pub account_changed_at: Vec<u64>,
+    /// Upstreams whose nodes reported the end of runs without announcements of them, the one with
+    /// the oldest report first.
+    #[prost(message, repeated, tag = "14")]
+    pub ended_starts: Vec<EndedStart>,
 }
 
 /// A removed item.
@@ -83,7 +87,7 @@
 }
 
 /// A run of an upstream that has announced that it drains or leaves.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
 pub struct EndedRun {
     /// Digest of the run.
     #[prost(fixed64, tag = "1")]
@@ -91,3 +95,17 @@
     #[prost(enumeration = "WireState", tag = "2")]
     pub state: i32,
 }
+
+/// Runs of one identifier that have ended: all that started at `latest_start_ms` or earlier.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct EndedStart {
+    /// Digest of the upstream's name.
+    #[prost(fixed64, tag = "1")]
+    pub upstream: u64,
+    /// Digest of the upstream's name and the identifier of the runs.
+    #[prost(fixed64, tag = "2")]
+    pub instance: u64,
+    /// In milliseconds since 1970.
+    #[prost(uint64, tag = "3")]
+    pub latest_start_ms: u64,
+}
--- a/crates/kumquatlock/src/agreement/types.rs
+++ b/crates/kumquatlock/src/agreement/types.rs
@@ -146,6 +146,10 @@
 }
 
 /// An action for the caller. Actions must be carried out in the order in which they are returned.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "an action is moved once and never stored"
+)]
 #[derive(Clone, Debug, PartialEq)]
 pub enum AgreementAction {
     /// Send the message now. Every write that it depends on is durable.
--- a/crates/kumquatlock/src/catalog/apply.rs
+++ b/crates/kumquatlock/src/catalog/apply.rs
@@ -3,17 +3,17 @@
 use std::net::SocketAddr;
 
 use kumquatlock_wire::distribution::{
-    AccountItem, CatalogCommand, ManifestChange, RouteItem, ServiceItem, UpstreamIncarnation,
-    UpstreamItem, UpstreamReport, WireState, catalog_command,
+    AccountItem, CatalogCommand, EndedRun, EndedStart, ManifestChange, RouteItem, RunEnd,
+    ServiceItem, UpstreamIncarnation, UpstreamItem, UpstreamReport, WireState, catalog_command,
 };
 use kumquatlock_wire::quarantine::QuarantineChange;
 use kumquatlock_wire::rollout::{RolloutChange, rollout_change};
 
 use super::{
-    AcceptedRecord, Catalog, MAX_ACCEPTED_MANIFESTS, MAX_SEEN_REGIONS, MAX_UPSTREAMS,
-    store::CatalogItem,
+    AcceptedRecord, Catalog, MAX_ACCEPTED_MANIFESTS, MAX_SEEN_REGIONS, MAX_UPSTREAMS, ended_run,
+    ended_start, store::CatalogItem,
 };
-use crate::core::{ConfigVersion, IncarnationId, SharedName};
+use crate::core::{ConfigVersion, IncarnationId, SharedName, stable_hash};
 use crate::manifest::{ManifestDocument, ManifestError, is_valid_name};
 use crate::quarantine::MAX_QUARANTINED;
 use crate::rollout::{AdvanceOutcome, OrderDecision, OrderFault, is_valid_version};
@@ -29,6 +29,8 @@
     Expired,
     /// The upstream had already been removed, or has another incarnation.
     NotExpired,
+    /// The end of a run was recorded; `false` if nothing changed.
+    RunEnd(bool),
     /// Requests were quarantined or released; `false` if nothing changed.
     Quarantine(bool),
     /// An operator's order of a rollout was decided.
@@ -137,6 +139,7 @@
                 ApplyOutcome::Quarantine(self.apply_quarantine(index, change))
             }
             Some(Kind::Rollout(change)) => self.apply_rollout(index, change),
+            Some(Kind::RunEnd(end)) => ApplyOutcome::RunEnd(self.apply_run_end(index, end)),
             None => ApplyOutcome::UnknownCommand,
         }
     }
@@ -322,13 +325,50 @@
 
     /// Whether the report shows, for the first time, that a run of an upstream ends.
     fn is_run_ended_by(&self, report: &UpstreamReport) -> bool {
-        final_state(report).is_some_and(|state| self.ended_runs.is_changed_by(report.run, state))
+        ended_run(report).is_some_and(|run| !self.records_run(&run))
+    }
+
+    /// Whether the end of a run is recorded, in this state or a later one.
+    pub fn records_run(&self, run: &EndedRun) -> bool {
+        let state = WireState::try_from(run.state);
+        state.is_ok_and(|state| !self.ended_runs.is_changed_by(run.run, state))
+    }
+
+    /// Whether it is recorded that these runs have ended.
+    pub fn records_start(&self, start: &EndedStart) -> bool {
+        self.ended_starts.excludes(start)
+    }
+
+    /// Whether a node's report of the end of runs without announcements would change the catalog.
+    pub fn is_changed_by_end(&self, end: &RunEnd) -> bool {
+        is_valid_end(end) && (!self.records_start(&ended_start(end)) || self.removes_entry(end))
+    }
+
+    /// Whether an earlier process of the node has registered the upstream.
+    fn removes_entry(&self, end: &RunEnd) -> bool {
+        let recorded = self.upstream(&end.name);
+        recorded.is_some_and(|item| item.incarnation < end.remove_below)
+    }
+
+    fn apply_run_end(&mut self, index: u64, end: &RunEnd) -> bool {
+        let is_changed = self.is_changed_by_end(end);
+        if !is_changed {
+            return false;
+        }
+        self.ended_starts.record(ended_start(end));
+        if self.removes_entry(end) {
+            self.store.remove::<UpstreamItem>(&end.name, index);
+            self.version = ConfigVersion(index);
+        }
+        true
     }
 
     fn apply_report(&mut self, index: u64, report: &UpstreamReport) -> ReportDecision {
         let decision = self.apply_report_state(index, report);
-        if let Some(state) = final_state(report) {
-            self.ended_runs.record(report.run, state);
+        if let Some(run) = ended_run(report)
+            && let Ok(state) = WireState::try_from(run.state)
+        {
+            self.ended_runs.record(run.run, state);
         }
         decision
     }
@@ -362,13 +402,23 @@
         }
     }
 
+    /// Whether the report brings back a run that is known to have ended by its start.
+    fn has_started_early(&self, report: &UpstreamReport, state: WireState) -> bool {
+        let start = EndedStart {
+            upstream: stable_hash(report.upstream.name.as_bytes()),
+            instance: report.instance,
+            latest_start_ms: report.run_started_ms,
+        };
+        report.instance != 0 && state != WireState::Left && self.records_start(&start)
+    }
+
     fn decide_report(&self, report: &UpstreamReport) -> Result<ReportEffect, ReportRefusal> {
         let item = &report.upstream;
         let state = WireState::try_from(item.state).map_err(|_| ReportRefusal::Invalid)?;
         if !is_usable(item) {
             return Err(ReportRefusal::Invalid);
         }
-        if self.ended_runs.excludes(report.run, state) {
+        if self.ended_runs.excludes(report.run, state) || self.has_started_early(report, state) {
             return Err(ReportRefusal::EndedRun);
         }
         let Some(recorded) = self.upstream(&item.name) else {
@@ -495,10 +545,9 @@
     Remove,
 }
 
-/// Returns the state of a run that has announced its end.
-fn final_state(report: &UpstreamReport) -> Option<WireState> {
-    let state = WireState::try_from(report.upstream.state).ok();
-    state.filter(|_| report.is_run_ended)
+/// Whether the report names an upstream and a run.
+fn is_valid_end(end: &RunEnd) -> bool {
+    is_valid_name(&end.name) && end.instance != 0
 }
 
 /// Whether every node can build a routing entry from the item. An item that nodes cannot use would
--- a/crates/kumquatlock/src/catalog/ended.rs
+++ b/crates/kumquatlock/src/catalog/ended.rs
@@ -5,12 +5,40 @@
 //! remembers which runs have ended.
 
 use indexmap::IndexMap;
-use kumquatlock_wire::distribution::{EndedRun, WireState};
+use kumquatlock_wire::distribution::{EndedRun, EndedStart, RunEnd, UpstreamReport, WireState};
+
+use crate::core::stable_hash;
 
 /// Maximum number of remembered runs. Announcements are delayed by seconds; this many runs end
 /// within hours even in a mesh of the largest size.
 pub const MAX_ENDED_RUNS: usize = 20_000;
 
+/// Maximum number of upstreams whose [`EndedStart`]s are remembered. An upstream leaves right after
+/// a restart of its node only rarely.
+pub const MAX_ENDED_STARTS: usize = 20_000;
+/// Maximum number of [`EndedStart`]s of one upstream. A node that reports ends of runs that never
+/// were displaces only records of its own upstream.
+const MAX_STARTS_PER_UPSTREAM: usize = 4;
+
+/// Returns the run that the report states to have ended.
+pub fn ended_run(report: &UpstreamReport) -> Option<EndedRun> {
+    let state = WireState::try_from(report.upstream.state).ok()?;
+    let is_ended = report.is_run_ended && report.run != 0 && state != WireState::Serving;
+    is_ended.then_some(EndedRun {
+        run: report.run,
+        state: state as i32,
+    })
+}
+
+/// Returns which runs a report without an announcement states to have ended.
+pub fn ended_start(end: &RunEnd) -> EndedStart {
+    EndedStart {
+        upstream: stable_hash(end.name.as_bytes()),
+        instance: end.instance,
+        latest_start_ms: end.latest_start_ms,
+    }
+}
+
 /// Ended runs with their last state, by digest.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct EndedRuns {
@@ -61,3 +89,52 @@
         runs
     }
 }
+
+/// Ends that nodes reported without announcements of the runs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct EndedStarts {
+    /// By the digest of the upstream's name, the one with the oldest report first. At most
+    /// [`MAX_ENDED_STARTS`], each with at most [`MAX_STARTS_PER_UPSTREAM`] records, oldest first.
+    upstreams: IndexMap<u64, Vec<EndedStart>>,
+}
+
+impl EndedStarts {
+    /// Whether a record shows that the run of this identifier, started at this time, has ended.
+    pub(super) fn excludes(&self, start: &EndedStart) -> bool {
+        let records = self.upstreams.get(&start.upstream);
+        records.into_iter().flatten().any(|record| {
+            record.instance == start.instance && record.latest_start_ms >= start.latest_start_ms
+        })
+    }
+
+    pub(super) fn record(&mut self, start: EndedStart) {
+        if self.excludes(&start) {
+            return;
+        }
+        let mut records = self
+            .upstreams
+            .shift_remove(&start.upstream)
+            .unwrap_or_default();
+        records.retain(|record| record.instance != start.instance);
+        if records.len() >= MAX_STARTS_PER_UPSTREAM {
+            records.remove(0);
+        }
+        records.push(start);
+        self.upstreams.insert(start.upstream, records);
+        while self.upstreams.len() > MAX_ENDED_STARTS {
+            self.upstreams.shift_remove_index(0);
+        }
+    }
+
+    pub(super) fn to_list(&self) -> Vec<EndedStart> {
+        self.upstreams.values().flatten().copied().collect()
+    }
+
+    pub(super) fn from_list(list: &[EndedStart]) -> Self {
+        let mut starts = EndedStarts::default();
+        for start in list {
+            starts.record(*start);
+        }
+        starts
+    }
+}
--- a/crates/kumquatlock/src/catalog/mod.rs
+++ b/crates/kumquatlock/src/catalog/mod.rs
@@ -24,8 +24,8 @@
 
 pub use apply::{ApplyOutcome, ManifestDecision, ReportDecision, ReportRefusal};
 pub use current::{CurrentCatalog, ManifestVerdict};
-use ended::EndedRuns;
-pub use ended::MAX_ENDED_RUNS;
+use ended::{EndedRuns, EndedStarts};
+pub use ended::{MAX_ENDED_RUNS, MAX_ENDED_STARTS, ended_run, ended_start};
 use store::ItemStore;
 pub use transfer::{CatalogError, CatalogUpdate, EncodedSnapshot, SnapshotDetail};
 
@@ -85,6 +85,8 @@
     rollouts: RolloutTable,
     /// Runs of upstreams that must not serve again. Read replicas do not keep them.
     ended_runs: EndedRuns,
+    /// Further such runs, by their start. Read replicas do not keep them.
+    ended_starts: EndedStarts,
     store: ItemStore,
 }
 
--- a/crates/kumquatlock/src/catalog/transfer.rs
+++ b/crates/kumquatlock/src/catalog/transfer.rs
@@ -9,7 +9,7 @@
 use kumquatlock_wire::quarantine::QuarantineList;
 use prost::Message;
 
-use super::ended::EndedRuns;
+use super::ended::{EndedRuns, EndedStarts};
 use super::store::{CatalogItem, encoded_field_len};
 use super::{AcceptedRecord, Catalog, MAX_DELTA_BYTES};
 use crate::core::ConfigVersion;
@@ -171,6 +171,7 @@
             manifest_source: self.manifest_source.clone(),
             quarantine_changed_at: self.quarantine_changed_at.0,
             ended_runs: self.ended_runs.to_list(),
+            ended_starts: self.ended_starts.to_list(),
         };
         CatalogState {
             version: self.version.0,
@@ -251,6 +252,7 @@
         self.manifest_source = history.manifest_source.clone();
         self.quarantine_changed_at = ConfigVersion(history.quarantine_changed_at);
         self.ended_runs = EndedRuns::from_list(&history.ended_runs);
+        self.ended_starts = EndedStarts::from_list(&history.ended_starts);
         self.store.min_delta_base = history.tombstone_floor;
         for tombstone in &history.tombstones {
             let kind = ItemKind::try_from(tombstone.kind);
--- a/crates/kumquatlock/src/distribution/mod.rs
+++ b/crates/kumquatlock/src/distribution/mod.rs
@@ -27,6 +27,7 @@
 mod progress;
 mod proof;
 mod record;
+mod run_ends;
 mod serve;
 mod timing;
 mod transfer;
--- a/crates/kumquatlock/src/distribution/parent.rs
+++ b/crates/kumquatlock/src/distribution/parent.rs
@@ -4,8 +4,8 @@
 use kumquatlock_wire::agreement::forward::Content;
 use kumquatlock_wire::agreement::{ConfirmReply, Forward};
 use kumquatlock_wire::distribution::{
-    Attachment, ChildRole, Hello, ParentLocation, Pong, Progress, RetryAfter, RetryReason,
-    UpstreamIncarnation,
+    Attachment, ChildRole, Hello, ParentLocation, Pong, Progress, RecordedEnds, RetryAfter,
+    RetryReason, UpstreamIncarnation,
 };
 use kumquatlock_wire::{Body, EncodedFrame};
 use rand::rngs::SmallRng;
@@ -14,10 +14,11 @@
 use super::progress::{UplinkReporter, add_progress, replace_upstreams};
 use super::proof::{ProofBatch, ProofUrgency, ProofWaiter};
 use super::record::ChildRecord;
+use super::run_ends::{EndWaiters, ReportedEnd};
 use super::serve::{DeltaCache, ServedSnapshot, SnapshotQueue};
 use super::welcome::refuse_child;
 use super::{CHILD_TIMEOUT, MAX_UPSTREAMS_PER_NODE, UPDATE_TIMEOUT};
-use crate::catalog::{Catalog, SnapshotDetail};
+use crate::catalog::{Catalog, SnapshotDetail, ended_run, ended_start};
 use crate::core::{ConfigVersion, GroupId, SharedName, Timestamp};
 
 /// Maximum number of currency proofs that one child may wait for at the same time.
@@ -46,6 +47,8 @@
     ProofResult { round: u64, index: Option<u64> },
     /// The catalog has applied an entry or an update.
     CatalogAdvanced,
+    /// The parent of this instance has confirmed that these ends of runs are recorded.
+    EndsRecorded(RecordedEnds),
     /// The connection towards the leader has changed.
     UplinkChanged,
     /// Another component needs a currency proof that is younger than this.
@@ -97,6 +100,7 @@
     /// Children without a configuration that wait for a leader. Each is also in `children` and has
     /// not been welcomed.
     pub(super) held: IndexSet<ChildId>,
+    end_waiters: EndWaiters,
     /// Addresses and locations of the parents that children are told to use. Empty if the addresses
     /// are in the children's settings.
     pub(super) offered_parents: Vec<(String, ParentLocation)>,
@@ -132,6 +136,7 @@
             snapshots: IndexMap::new(),
             deltas: DeltaCache::default(),
             held: IndexSet::new(),
+            end_waiters: EndWaiters::default(),
             offered_parents: Vec::new(),
             is_leader_silent: false,
             is_shutting_down: false,
@@ -203,7 +208,13 @@
                 let outcome = self.proofs.record_result(round, index);
                 self.handle_proof_outcome(now, outcome, catalog, random, &mut steps);
             }
-            ParentEvent::CatalogAdvanced => self.serve_all(now, catalog, &mut steps),
+            ParentEvent::CatalogAdvanced => {
+                steps.extend(self.end_waiters.confirm_recorded(catalog));
+                self.serve_all(now, catalog, &mut steps);
+            }
+            ParentEvent::EndsRecorded(recorded) => {
+                steps.extend(self.end_waiters.confirm_relayed(&recorded));
+            }
             ParentEvent::UplinkChanged => self.reporter.restart(),
             ParentEvent::ProofNeeded { max_age } => {
                 let round = self.proofs.renew_older(now, max_age);
@@ -269,9 +280,15 @@
                 self.handle_rejection(now, child, ConfigVersion(rejected.version), catalog, steps);
             }
             Body::Progress(progress) => record.subtree_progress = progress,
-            Body::Report(report) => steps.push(ParentStep::ForwardToLeader(Body::Report(report))),
+            Body::Report(report) => {
+                if let Some(run) = ended_run(&report) {
+                    let end = ReportedEnd::Run(run);
+                    steps.extend(self.end_waiters.report(now, child, end, catalog));
+                }
+                steps.push(ParentStep::ForwardToLeader(Body::Report(report)));
+            }
             Body::Attachment(attachment) => self.handle_attachment(child, attachment, steps),
-            Body::Forward(request) => self.handle_request(now, child, request, steps),
+            Body::Forward(request) => self.handle_request(now, child, request, catalog, steps),
             _ => {}
         }
     }
@@ -329,10 +346,16 @@
         now: Timestamp,
         child: ChildId,
         request: Forward,
+        catalog: &Catalog,
         steps: &mut Vec<ParentStep>,
     ) {
-        match request.content {
+        match &request.content {
             Some(Content::ConfirmRequest(_)) => {}
+            Some(Content::RunEnd(end)) => {
+                let end = ReportedEnd::Start(ended_start(end));
+                steps.extend(self.end_waiters.report(now, child, end, catalog));
+                return steps.push(ParentStep::ForwardToLeader(Body::Forward(request)));
+            }
             Some(Content::Crash(_) | Content::Evidence(_)) => {
                 return steps.push(ParentStep::ForwardToLeader(Body::Forward(request)));
             }
@@ -382,6 +405,7 @@
 
     fn tick(&mut self, now: Timestamp, catalog: &Catalog, steps: &mut Vec<ParentStep>) {
         self.expire_held(now, steps);
+        self.end_waiters.expire(now);
         if !self.is_leader_silent {
             self.prove_held(now, steps);
         }
@@ -431,6 +455,7 @@
     pub(super) fn remove_record(&mut self, child: ChildId) {
         self.proofs.remove(child);
         self.held.swap_remove(&child);
+        self.end_waiters.remove(child);
         self.snapshot_queue.remove(child);
         let Some(mut record) = self.children.swap_remove(&child) else {
             return;
--- a/crates/kumquatlock/src/distribution/tests.rs
+++ b/crates/kumquatlock/src/distribution/tests.rs
@@ -6,6 +6,7 @@
 mod measure;
 mod pacing;
 mod parents;
+mod run_ends;
 
 use std::hash::BuildHasher;
 
--- a/crates/kumquatlock/src/membership/announcer.rs
+++ b/crates/kumquatlock/src/membership/announcer.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use kumquatlock_wire::distribution::{UpstreamItem, UpstreamReport, WireState};
-
-use super::{
-    ANNOUNCE_LEASE, INITIAL_REPORT_INTERVAL, LEAVE_TIMEOUT, MAX_REPORT_INTERVAL,
-    REPORTS_BEFORE_RAISE,
+use kumquatlock_wire::distribution::{
+    EndedRun, RecordedEnds, RunEnd, UpstreamItem, UpstreamReport, WireState,
 };
+
+use super::run_ends::{EndAdmission, RunEnds, instance_digest};
+use super::schedule::ReportSchedule;
+use super::{ANNOUNCE_LEASE, LEAVE_TIMEOUT, REPORTS_BEFORE_RAISE};
 use crate::core::{
     ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamState, stable_hash,
 };
@@ -24,6 +25,8 @@
 /// Location of a node.
 #[derive(Clone, Debug)]
 pub struct NodeLocation {
+    /// Name of the node, and of its upstream.
+    pub name: SharedName,
     /// Availability zone.
     pub zone: SharedName,
     /// Region of the zone.
@@ -35,7 +38,7 @@
 /// Announcement that an upstream sends to its node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamAnnouncement {
-    /// Name of the upstream, unique in the mesh.
+    /// Name of the upstream, unique in the mesh; the name of its node.
     pub name: SharedName,
     /// Name of the service that the upstream runs.
     pub service: SharedName,
@@ -71,6 +74,10 @@
         stable_hash(run.as_bytes())
     }
 
+    fn instance_digest(&self) -> u64 {
+        instance_digest(&self.name, &self.instance)
+    }
+
     /// Returns whether this announcement was delayed: it was made before `other`, which has already
     /// been handled.
     fn is_outdated_by(&self, other: &UpstreamAnnouncement) -> bool {
@@ -96,6 +103,8 @@
     Leave,
     /// The named run of the upstream leaves. Other runs are not affected.
     LeaveRun(SharedName),
+    /// Control has recorded these ends of runs.
+    EndsRecorded(RecordedEnds),
     /// The node has applied this configuration.
     ConfigApplied(Arc<ConfigSnapshot>),
     /// The node has attached to a parent, or has lost it.
@@ -109,6 +118,8 @@
     Answer(AnnounceAnswer),
     /// Send a report towards the leader.
     Report(UpstreamReport),
+    /// Send the end of a run towards the leader.
+    ReportEnd(RunEnd),
     /// Accept new calls to the upstream, or refuse them, from now on.
     SetState {
         incarnation: IncarnationId,
@@ -132,6 +143,8 @@
     /// The announcement was ignored, because a later one has been handled, or because the process
     /// run that sent it has already announced that it leaves.
     Late,
+    /// The end of a run is refused, because too many ends of unknown runs were announced.
+    TooManyEnds,
     /// The node already has another upstream, which must leave first.
     OtherUpstream,
     /// A node at another address has registered the name with a later incarnation.
@@ -141,11 +154,12 @@
 }
 
 /// How far the end that a run of the upstream announced is known to control.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum EndProgress {
-    /// The configuration shows it, or the run has announced no end, or names no run.
+    /// Control has recorded it, or the run has announced no end, or has no identifier.
     Recorded,
-    /// It was reported; the configuration doesn't show it yet.
+    /// It was reported; control has not confirmed that it is recorded.
     Reported,
     /// It was not reported, because control can't be reached.
     Unreported,
@@ -163,15 +177,16 @@
     /// Whether the run itself announced that it drains or leaves. It must not serve again, also
     /// after a restart of this node.
     is_run_ended: bool,
+    /// Latest state in which control has recorded the end of the run.
+    recorded_end: WireState,
     announced_at: Timestamp,
     /// Whether the configuration shows this incarnation in this state.
     is_confirmed: bool,
     /// Whether the configuration has shown this incarnation at any time.
     was_seen: bool,
     is_name_taken: bool,
-    reported_at: Option<Timestamp>,
-    /// Number of reports of the current state that were sent while attached.
-    reports: u32,
+    /// Reports of the current state.
+    schedule: ReportSchedule,
     next_raise: u64,
 }
 
@@ -179,9 +194,14 @@
 #[derive(Debug)]
 pub struct UpstreamAnnouncer {
     location: NodeLocation,
+    /// Wall clock time at which the node started, in milliseconds. Higher than the incarnations that
+    /// its earlier processes gave, unless a clock was wrong.
+    started_ms: u64,
     /// Incarnation of the next registration. Never decreases.
     next_incarnation: u64,
     upstream: Option<LocalUpstream>,
+    /// Ends of runs other than the one of `upstream`.
+    ends: RunEnds,
     is_attached: bool,
 }
 
@@ -191,8 +211,10 @@
     pub fn new(location: NodeLocation, started_ms: u64) -> Self {
         UpstreamAnnouncer {
             location,
+            started_ms: started_ms.max(1),
             next_incarnation: started_ms.max(1),
             upstream: None,
+            ends: RunEnds::default(),
             is_attached: false,
         }
     }
@@ -203,23 +225,22 @@
         (upstream.state != WireState::Left).then_some(&upstream.announcement)
     }
 
-    /// Returns whether the configuration shows the reported state. True without an upstream.
+    /// Returns whether the configuration shows the reported state, and control has recorded the ends
+    /// of runs. True without an upstream.
     pub fn is_confirmed(&self) -> bool {
-        self.upstream
-            .as_ref()
-            .is_none_or(|upstream| upstream.is_confirmed)
+        let upstream = self.upstream.as_ref();
+        upstream.is_none_or(LocalUpstream::is_settled) && self.ends.are_recorded()
     }
 
-    /// Returns how far the announced end of the upstream's run is known to control.
-    pub fn end_progress(&self) -> EndProgress {
+    /// Returns how far the announced end of the run with this identifier is known to control;
+    /// `None` if no such run is known.
+    pub fn end_progress(&self, instance: &str) -> Option<EndProgress> {
         let upstream = self.upstream.as_ref();
-        let ended = upstream
-            .filter(|upstream| upstream.is_run_ended && upstream.announcement.run_digest() != 0);
-        match ended {
-            Some(upstream) if upstream.is_confirmed => EndProgress::Recorded,
-            Some(upstream) if upstream.reports > 0 => EndProgress::Reported,
-            Some(_) => EndProgress::Unreported,
-            None => EndProgress::Recorded,
+        match upstream.filter(|upstream| &*upstream.announcement.instance == instance) {
+            Some(upstream) if upstream.is_end_recorded() => Some(EndProgress::Recorded),
+            Some(upstream) if upstream.schedule.count() > 0 => Some(EndProgress::Reported),
+            Some(_) => Some(EndProgress::Unreported),
+            None => self.ends.progress(instance),
         }
     }
 
@@ -251,22 +272,18 @@
                 steps.push(AnnouncerStep::Answer(self.answer()));
             }
             AnnouncerEvent::LeaveRun(instance) => {
-                if let Some(upstream) = &mut self.upstream
-                    && upstream.announcement.instance == instance
-                {
-                    upstream.is_leave_requested = true;
-                    upstream.end_run();
-                    upstream.advance_state(WireState::Left, &mut steps);
-                }
-                steps.push(AnnouncerStep::Answer(AnnounceAnswer::Left));
+                let answer = self.leave_run(now, instance, &mut steps);
+                steps.push(AnnouncerStep::Answer(answer));
             }
+            AnnouncerEvent::EndsRecorded(recorded) => self.record_ends(now, &recorded),
             AnnouncerEvent::ConfigApplied(snapshot) => {
                 self.compare_with_config(&snapshot, &mut steps)
             }
             AnnouncerEvent::UplinkChanged { is_attached } => {
                 self.is_attached = is_attached;
+                self.ends.expedite();
                 if let Some(upstream) = &mut self.upstream {
-                    upstream.reported_at = None;
+                    upstream.schedule.expedite();
                 }
             }
         }
@@ -274,6 +291,56 @@
         steps
     }
 
+    fn leave_run(
+        &mut self,
+        now: Timestamp,
+        instance: SharedName,
+        steps: &mut Vec<AnnouncerStep>,
+    ) -> AnnounceAnswer {
+        if let Some(upstream) = &mut self.upstream
+            && upstream.announcement.instance == instance
+        {
+            upstream.is_leave_requested = true;
+            upstream.end_run();
+            upstream.advance_state(WireState::Left, steps);
+            return AnnounceAnswer::Left;
+        }
+        let end = RunEnd {
+            name: self.location.name.to_string(),
+            instance: instance_digest(&self.location.name, &instance),
+            latest_start_ms: 0,
+            // Without an announcement, an entry of this upstream is from before the restart, and
+            // no run has it any more.
+            remove_below: match self.upstream {
+                Some(_) => 0,
+                None => self.started_ms,
+            },
+        };
+        let wall_clock_ms = self.wall_clock_ms(now);
+        match self.ends.add_unknown(now, wall_clock_ms, instance, end) {
+            EndAdmission::Accepted => AnnounceAnswer::Left,
+            EndAdmission::Full => AnnounceAnswer::TooManyEnds,
+        }
+    }
+
+    fn wall_clock_ms(&self, now: Timestamp) -> u64 {
+        let elapsed = now.since(Timestamp::default()).as_millis();
+        self.started_ms
+            .saturating_add(u64::try_from(elapsed).unwrap_or(u64::MAX))
+    }
+
+    fn record_ends(&mut self, now: Timestamp, recorded: &RecordedEnds) {
+        for start in &recorded.starts {
+            self.ends.record(now, start);
+        }
+        if let Some(upstream) = &mut self.upstream {
+            let mut runs = recorded.runs.iter();
+            if let Some(run) = runs.find(|run| run.run == upstream.announcement.run_digest()) {
+                upstream.record_end(run);
+            }
+        }
+    }
+
     fn answer(&self) -> AnnounceAnswer {
         let Some(upstream) = &self.upstream else {
             return AnnounceAnswer::Left;
@@ -308,6 +375,14 @@
                 return steps.push(AnnouncerStep::Answer(AnnounceAnswer::Late));
             }
         }
+        let UpstreamAnnouncement {
+            instance,
+            run_started_ms,
+            ..
+        } = &announcement;
+        if self.ends.excludes(instance, *run_started_ms) {
+            return steps.push(AnnouncerStep::Answer(AnnounceAnswer::Late));
+        }
         if let Some(upstream) = &mut self.upstream
             && upstream.state != WireState::Left
             && upstream.announcement.is_same_run(&announcement)
@@ -336,6 +411,7 @@
         announcement: UpstreamAnnouncement,
         steps: &mut Vec<AnnouncerStep>,
     ) {
+        self.keep_end(now);
         let upstream = LocalUpstream {
             announcement,
             incarnation: self.next_incarnation,
@@ -343,12 +419,12 @@
             is_drain_requested: false,
             is_leave_requested: false,
             is_run_ended: false,
+            recorded_end: WireState::Serving,
             announced_at: now,
             is_confirmed: false,
             was_seen: false,
             is_name_taken: false,
-            reported_at: None,
-            reports: 0,
+            schedule: ReportSchedule::default(),
             next_raise: INITIAL_RAISE,
         };
         self.next_incarnation += 1;
@@ -356,6 +432,26 @@
         self.upstream = Some(upstream);
     }
 
+    /// Goes on reporting the end of the present run, which is about to be replaced by another.
+    fn keep_end(&mut self, now: Timestamp) {
+        let Some(upstream) = &self.upstream else {
+            return;
+        };
+        if upstream.is_end_recorded() {
+            return;
+        }
+        let announcement = &upstream.announcement;
+        let end = RunEnd {
+            name: announcement.name.to_string(),
+            instance: announcement.instance_digest(),
+            latest_start_ms: announcement.run_started_ms,
+            remove_below: 0,
+        };
+        let instance = announcement.instance.clone();
+        // Without room for it, a request that waits for this end gets no acknowledgement.
+        self.ends.add(now, instance, end);
+    }
+
     /// Checks the leases of the upstream. If announcements stop, the upstream is first drained,
     /// because it may still finish calls; if it stays silent, it counts as having left.
     fn check_leases(&mut self, now: Timestamp, steps: &mut Vec<AnnouncerStep>) {
@@ -422,13 +518,16 @@
 
     /// Sends the report if it is not confirmed yet, and repeats it at growing intervals.
     fn report(&mut self, now: Timestamp, steps: &mut Vec<AnnouncerStep>) {
+        if self.is_attached {
+            self.ends.report(now, steps);
+        }
         let Some(upstream) = &mut self.upstream else {
             return;
         };
-        if upstream.is_confirmed || !self.is_attached || !upstream.is_report_due(now) {
+        if upstream.is_settled() || !self.is_attached || !upstream.schedule.is_due(now) {
             return;
         }
-        let may_be_superseded = upstream.reports >= REPORTS_BEFORE_RAISE
+        let may_be_superseded = upstream.schedule.count() >= REPORTS_BEFORE_RAISE
             && !upstream.was_seen
             && !upstream.is_name_taken
             && upstream.state != WireState::Left;
@@ -438,8 +537,7 @@
             self.raise_incarnation(above, increment, steps);
         }
         if let Some(upstream) = &mut self.upstream {
-            upstream.reported_at = Some(now);
-            upstream.reports += 1;
+            upstream.schedule.record(now);
             steps.push(AnnouncerStep::Report(upstream.to_report(&self.location)));
         }
     }
@@ -467,9 +565,27 @@
         }
     }
 
+    /// Records that control has recorded the end of the run in this state.
+    fn record_end(&mut self, run: &EndedRun) {
+        if let Ok(state) = WireState::try_from(run.state) {
+            self.recorded_end = self.recorded_end.max(state);
+        }
+    }
+
+    /// Whether control has recorded the end that the run announced. True if it has announced none,
+    /// or if the upstream does not name its runs.
+    fn is_end_recorded(&self) -> bool {
+        let has_end = self.is_run_ended && self.announcement.run_digest() != 0;
+        !has_end || self.recorded_end >= self.state
+    }
+
+    /// Whether nothing is left to report.
+    fn is_settled(&self) -> bool {
+        self.is_confirmed && self.is_end_recorded()
+    }
+
     fn restart_reports(&mut self) {
-        self.reported_at = None;
-        self.reports = 0;
+        self.schedule = ReportSchedule::default();
     }
 
     fn state_step(&self) -> AnnouncerStep {
@@ -482,13 +598,6 @@
         AnnouncerStep::SetState { incarnation, state }
     }
 
-    fn is_report_due(&self, now: Timestamp) -> bool {
-        let doubled = INITIAL_REPORT_INTERVAL * 2u32.pow(self.reports.saturating_sub(1).min(8));
-        let interval = doubled.min(MAX_REPORT_INTERVAL);
-        self.reported_at
-            .is_none_or(|reported_at| now.since(reported_at) >= interval)
-    }
-
     fn to_report(&self, location: &NodeLocation) -> UpstreamReport {
         let upstream = UpstreamItem {
             name: self.announcement.name.to_string(),
@@ -506,6 +615,8 @@
             upstream,
             run: self.announcement.run_digest(),
             is_run_ended: self.is_run_ended,
+            instance: self.announcement.instance_digest(),
+            run_started_ms: self.announcement.run_started_ms,
         }
     }
 }
--- a/crates/kumquatlock/src/membership/mod.rs
+++ b/crates/kumquatlock/src/membership/mod.rs
@@ -8,6 +8,8 @@
 //! every removal is a configuration change for all nodes.
 
 mod announcer;
+mod run_ends;
+mod schedule;
 mod tracker;
 
 use std::time::Duration;
@@ -16,6 +18,7 @@
     AnnounceAnswer, AnnouncerEvent, AnnouncerStep, EndProgress, NodeLocation, UpstreamAnnouncement,
     UpstreamAnnouncer,
 };
+pub use run_ends::{MAX_RUN_ENDS, RUN_END_RETENTION};
 pub use tracker::{AttachmentTracker, ExpiryDecision, ExpiryTiming, RecordOutcome};
 
 /// Time after which an unattached upstream is removed.
--- a/crates/kumquatlock/src/membership/tests.rs
+++ b/crates/kumquatlock/src/membership/tests.rs
@@ -3,15 +3,15 @@
 use std::sync::Arc;
 
 use kumquatlock_wire::distribution::{
-    Attachment, CatalogCommand, CatalogState, UpstreamIncarnation, UpstreamItem, UpstreamReport,
-    WireState, catalog_command::Kind,
+    Attachment, CatalogCommand, CatalogState, RecordedEnds, RunEnd, UpstreamIncarnation,
+    UpstreamItem, UpstreamReport, WireState, catalog_command::Kind,
 };
 use prost::Message;
 
 mod restart;
 
 use super::*;
-use crate::catalog::{Catalog, SnapshotDetail};
+use crate::catalog::{Catalog, SnapshotDetail, ended_run, ended_start};
 use crate::core::{ConfigSnapshot, IncarnationId, Timestamp};
 
 fn apply(catalog: &mut Catalog, kind: Kind) {
@@ -260,11 +260,13 @@
     announcer: UpstreamAnnouncer,
     now: Timestamp,
     reports: Vec<UpstreamReport>,
+    run_ends: Vec<RunEnd>,
 }
 
 impl Node {
     fn new(started_ms: u64) -> Node {
         let location = NodeLocation {
+            name: "a-1".into(),
             zone: "z1".into(),
             region: "r1".into(),
             address: ([127, 0, 0, 1], 9).into(),
@@ -273,6 +275,7 @@
             announcer: UpstreamAnnouncer::new(location, started_ms),
             now: Timestamp::default(),
             reports: Vec::new(),
+            run_ends: Vec::new(),
         };
         node.handle(AnnouncerEvent::UplinkChanged { is_attached: true });
         node
@@ -283,6 +286,7 @@
         for step in self.announcer.handle(self.now, event) {
             match step {
                 AnnouncerStep::Report(report) => self.reports.push(report),
+                AnnouncerStep::ReportEnd(end) => self.run_ends.push(end),
                 AnnouncerStep::Answer(given) => answer = Some(given),
                 AnnouncerStep::SetState { .. } | AnnouncerStep::Removed => {}
             }
@@ -312,11 +316,25 @@
         }
     }
 
-    /// Applies the latest report to the catalog and the resulting configuration to the node.
+    /// Applies the latest report and the ends of runs to the catalog, and the resulting
+    /// configuration to the node. Confirms what is recorded, as the node's parent does.
     fn commit(&mut self, catalog: &mut Catalog) {
+        let mut recorded = RecordedEnds::default();
         if let Some(report) = self.reports.last().cloned() {
+            let run = ended_run(&report);
             apply(catalog, Kind::Report(report));
+            recorded.runs = run
+                .into_iter()
+                .filter(|run| catalog.records_run(run))
+                .collect();
+        }
+        for end in self.run_ends.drain(..) {
+            let start = ended_start(&end);
+            apply(catalog, Kind::RunEnd(end));
+            let is_recorded = catalog.records_start(&start);
+            recorded.starts.extend(is_recorded.then_some(start));
         }
+        self.handle(AnnouncerEvent::EndsRecorded(recorded));
         self.handle(AnnouncerEvent::ConfigApplied(snapshot_of(catalog)));
     }
 
--- a/crates/kumquatlock/src/ops/control/children.rs
+++ b/crates/kumquatlock/src/ops/control/children.rs
@@ -182,6 +182,13 @@
                 content: Some(Content::QuotaGrant(grant)),
                 ..
             }) => self.quota_granted(now, &grant),
+            ChildStep::Relayed(Forward {
+                content: Some(Content::RecordedEnds(recorded)),
+                ..
+            }) => {
+                let event = ParentEvent::EndsRecorded(recorded);
+                self.queue.push_back(QueuedEvent::Parent(event));
+            }
             ChildStep::Relayed(forward) => self.answer_received(now, forward),
             ChildStep::NotSent(Body::Forward(forward)) => {
                 if let Some(kind) = self.requests.kind(forward.request_id) {
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -6,7 +6,9 @@
 use kumquatlock_wire::Body;
 use kumquatlock_wire::agreement::Forward;
 use kumquatlock_wire::agreement::forward::Content;
-use kumquatlock_wire::distribution::{Attachment, Progress, UpstreamReport, catalog_command};
+use kumquatlock_wire::distribution::{
+    Attachment, Progress, RunEnd, UpstreamReport, catalog_command,
+};
 
 use super::actor::{ControlActor, QueuedEvent};
 use super::answer;
@@ -317,6 +319,9 @@
             Some(Content::Report(report)) => self.handle_as_leader(now, Body::Report(report)),
             Some(Content::Crash(report)) => self.handle_crash(now, &report),
             Some(Content::Evidence(evidence)) => self.handle_evidence(now, &evidence),
+            Some(content @ Content::RunEnd(_)) => {
+                self.handle_as_leader(now, Body::Forward(forward_message(0, content)));
+            }
             Some(Content::QuotaAsk(ask)) => self.quota_asked_by_voter(now, from, &ask),
             Some(Content::QuotaGrant(grant)) => self.quota_granted(now, &grant),
             Some(Content::Progress(progress)) => {
@@ -353,7 +358,12 @@
             let content = match body {
                 Body::Report(report) => Content::Report(report),
                 Body::Forward(Forward {
-                    content: Some(content @ (Content::Crash(_) | Content::Evidence(_))),
+                    content:
+                        Some(
+                            content @ (Content::Crash(_)
+                            | Content::Evidence(_)
+                            | Content::RunEnd(_)),
+                        ),
                     ..
                 }) => content,
                 Body::Progress(progress) => Content::Progress(progress),
@@ -383,6 +393,10 @@
                 content: Some(Content::Evidence(evidence)),
                 ..
             }) => self.handle_evidence(now, &evidence),
+            Body::Forward(Forward {
+                content: Some(Content::RunEnd(end)),
+                ..
+            }) => self.handle_run_end(end),
             Body::Progress(progress) => self.handle_progress(now, progress),
             Body::Attachment(attachment) => self.handle_attachment(now, &attachment),
             _ => {}
@@ -399,6 +413,14 @@
         }
     }
 
+    fn handle_run_end(&mut self, end: RunEnd) {
+        if self.catalog.is_changed_by_end(&end) {
+            let upstream = end.name.as_str();
+            log::info!(upstream, latest_start_ms = end.latest_start_ms; "run_end_proposed");
+            self.propose(catalog_command::Kind::RunEnd(end));
+        }
+    }
+
     fn handle_attachment(&mut self, now: Timestamp, attachment: &Attachment) {
         let Some(attachments) = &mut self.leader_view.attachments else {
             return;
--- a/crates/kumquatlock/src/ops/node/acknowledge.rs
+++ b/crates/kumquatlock/src/ops/node/acknowledge.rs
@@ -1,14 +1,14 @@
 //! Acknowledgements of upstreams that drain or leave.
 //!
-//! The node keeps nothing over a restart. It therefore acknowledges the end of a run once the
-//! configuration shows that control has recorded it. New calls are refused from the request on.
+//! The node keeps nothing over a restart. It therefore acknowledges the end of a run only once
+//! control has recorded it. New calls are refused from the request on.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::actor::NodeActor;
 use super::local::LocalAnswer;
-use crate::core::Timestamp;
+use crate::core::{SharedName, Timestamp};
 use crate::http::RequestId;
 use crate::membership::EndProgress;
 
@@ -17,7 +17,7 @@
 /// Maximum number of requests that wait. An upstream sends one at a time.
 const MAX_WAITING: usize = 64;
 
-/// What to do with a request that announces the end of a run.
+/// What to do with a request of the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EndDecision {
     Answer(LocalAnswer),
@@ -31,82 +31,91 @@
     requests: VecDeque<WaitingEnd>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct WaitingEnd {
-    request: RequestId,
-    answer: LocalAnswer,
-    since: Timestamp,
+/// A request that waits until the end of a run is recorded.
+#[derive(Clone, Debug)]
+pub(super) struct WaitingEnd {
+    pub(super) request: RequestId,
+    /// Identifier of the run.
+    pub(super) instance: SharedName,
+    /// Answer once the end is recorded.
+    pub(super) answer: LocalAnswer,
+    pub(super) since: Timestamp,
 }
 
 impl WaitingEnds {
-    /// Decides on a request; `answer` is the answer once the end is recorded.
+    /// Decides on a request. `progress` tells how far the end of the request's run is known to
+    /// control, and is absent if the run has announced none.
     pub(super) fn decide(
         &mut self,
-        now: Timestamp,
-        request: RequestId,
-        answer: LocalAnswer,
-        progress: EndProgress,
+        waiting: WaitingEnd,
+        progress: Option<EndProgress>,
     ) -> EndDecision {
         match progress {
-            EndProgress::Recorded => EndDecision::Answer(answer),
-            EndProgress::Reported | EndProgress::Unreported
-                if self.requests.len() >= MAX_WAITING =>
-            {
+            None | Some(EndProgress::Recorded) => EndDecision::Answer(waiting.answer),
+            Some(_) if self.requests.len() >= MAX_WAITING => {
                 EndDecision::Answer(LocalAnswer::Unrecorded)
             }
-            EndProgress::Reported | EndProgress::Unreported => {
-                let since = now;
-                self.requests.push_back(WaitingEnd {
-                    request,
-                    answer,
-                    since,
-                });
+            Some(_) => {
+                self.requests.push_back(waiting);
                 EndDecision::Wait
             }
         }
     }
 
-    /// Takes the next request that can be answered now, with its answer.
-    ///
-    /// A report that shows no effect in time may concern an upstream that the configuration never
-    /// named. It is acknowledged if the report was sent, which is repeated until it takes effect.
+    /// Takes the next request that can be answered now, with its answer. `progress` tells how far
+    /// the end of a run is known to control.
     pub(super) fn take_due(
         &mut self,
         now: Timestamp,
-        progress: EndProgress,
-    ) -> Option<(RequestId, LocalAnswer)> {
-        let first = self.requests.front()?;
-        let is_due = now.since(first.since) >= RECORD_TIMEOUT;
-        if !is_due && progress != EndProgress::Recorded {
-            return None;
-        }
-        let WaitingEnd {
-            request, answer, ..
-        } = self.requests.pop_front()?;
-        match progress {
-            EndProgress::Recorded | EndProgress::Reported => Some((request, answer)),
-            EndProgress::Unreported => Some((request, LocalAnswer::Unrecorded)),
+        progress: impl Fn(&str) -> Option<EndProgress>,
+    ) -> Option<WaitingEnd> {
+        let is_recorded =
+            |waiting: &WaitingEnd| progress(&waiting.instance) == Some(EndProgress::Recorded);
+        let is_due = |waiting: &WaitingEnd| {
+            now.since(waiting.since) >= RECORD_TIMEOUT || is_recorded(waiting)
+        };
+        let position = self.requests.iter().position(is_due)?;
+        let mut waiting = self.requests.remove(position)?;
+        if !is_recorded(&waiting) {
+            waiting.answer = LocalAnswer::Unrecorded;
         }
+        Some(waiting)
     }
 }
 
 impl NodeActor {
     /// Answers a request of the upstream, at once or when the end of its run is recorded.
-    pub(super) fn answer_upstream(&mut self, now: Timestamp, id: RequestId, answer: LocalAnswer) {
-        let progress = self.announcer.end_progress();
-        if let EndDecision::Answer(answer) = self.waiting_ends.decide(now, id, answer, progress) {
-            self.http.respond(now, id, (self.adapter.write)(answer));
+    pub(super) fn answer_upstream(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        instance: SharedName,
+        answer: LocalAnswer,
+    ) {
+        let progress = self.announcer.end_progress(&instance);
+        let waiting = WaitingEnd {
+            request,
+            instance,
+            answer,
+            since: now,
+        };
+        if let EndDecision::Answer(answer) = self.waiting_ends.decide(waiting, progress) {
+            self.http
+                .respond(now, request, (self.adapter.write)(answer));
         }
     }
 
     /// Answers the requests that announced the end of a run, as far as possible.
     pub(super) fn answer_ends(&mut self, now: Timestamp) {
-        let progress = self.announcer.end_progress();
-        while let Some((id, answer)) = self.waiting_ends.take_due(now, progress) {
-            if answer == LocalAnswer::Unrecorded {
-                log::warn!("end_not_recorded");
+        let announcer = &self.announcer;
+        let progress = |instance: &str| announcer.end_progress(instance);
+        while let Some(waiting) = self.waiting_ends.take_due(now, progress) {
+            if waiting.answer == LocalAnswer::Unrecorded {
+                let progress = progress(&waiting.instance).map_or("unknown", <&str>::from);
+                log::warn!(instance = &*waiting.instance, progress; "end_not_recorded");
             }
-            self.http.respond(now, id, (self.adapter.write)(answer));
+            let response = (self.adapter.write)(waiting.answer);
+            self.http.respond(now, waiting.request, response);
         }
     }
 }
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -180,6 +180,7 @@
             role: ChildRole::Node,
         };
         let node_location = NodeLocation {
+            name: settings.name.clone(),
             zone: settings.zone.clone(),
             region: settings.region.clone(),
             address: settings.advertise,
--- a/crates/kumquatlock/src/ops/node/front.rs
+++ b/crates/kumquatlock/src/ops/node/front.rs
@@ -62,6 +62,7 @@
     }
 
     fn handle_local(&mut self, now: Timestamp, id: RequestId, request: LocalRequest) {
+        let mut instance = SharedName::default();
         let answer = match request {
             LocalRequest::Metrics => {
                 let page = self.metrics_response();
@@ -71,14 +72,18 @@
                 let answer = LocalAnswer::Ready(self.is_ready());
                 return self.http.respond(now, id, (self.adapter.write)(answer));
             }
-            LocalRequest::Announce(body) => self.announce(now, body),
+            LocalRequest::Announce(body) => {
+                instance = body.instance.clone();
+                self.announce(now, body)
+            }
             LocalRequest::Drain => self.notify_announcer(now, AnnouncerEvent::Drain),
             LocalRequest::Leave(None) => self.notify_announcer(now, AnnouncerEvent::Leave),
-            LocalRequest::Leave(Some(instance)) => {
-                self.notify_announcer(now, AnnouncerEvent::LeaveRun(instance))
+            LocalRequest::Leave(Some(run)) => {
+                instance = run.clone();
+                self.notify_announcer(now, AnnouncerEvent::LeaveRun(run))
             }
         };
-        self.answer_upstream(now, id, answer);
+        self.answer_upstream(now, id, instance, answer);
     }
 
     /// Returns whether callers may send requests: the node has a configuration and is not stopping.
--- a/crates/kumquatlock/src/ops/node/local.rs
+++ b/crates/kumquatlock/src/ops/node/local.rs
@@ -253,6 +253,7 @@
         | AnnounceAnswer::Late => 200,
         AnnounceAnswer::OtherUpstream | AnnounceAnswer::NameTaken => 409,
         AnnounceAnswer::Invalid => 422,
+        AnnounceAnswer::TooManyEnds => 503,
     };
     let state: &'static str = answer.into();
     HttpResponse::json(status, &StateBody { state })
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -178,37 +178,30 @@
     /// Sends the crash reports that are due towards the leader.
     pub(super) fn send_crash_reports(&mut self, now: Timestamp) {
         for report in self.crash_reporter.take_due(now) {
-            let forward = Forward {
-                request_id: 0,
-                content: Some(Content::Crash(report)),
-            };
-            let event = ChildEvent::Relay(Body::Forward(forward));
-            let steps = self.child.handle(now, event, &mut self.random);
-            self.queue_child(steps);
+            self.send_to_parent(now, Content::Crash(report));
         }
     }
 
-    /// Reports the use of quotas to the parent and asks it for tokens.
-    pub(super) fn send_quota_ask(&mut self, now: Timestamp, ask: QuotaAsk) {
+    /// Sends a message that needs no answer, or whose sender repeats it.
+    fn send_to_parent(&mut self, now: Timestamp, content: Content) {
         let forward = Forward {
             request_id: 0,
-            content: Some(Content::QuotaAsk(ask)),
+            content: Some(content),
         };
         let event = ChildEvent::Relay(Body::Forward(forward));
         let steps = self.child.handle(now, event, &mut self.random);
         self.queue_child(steps);
     }
 
+    /// Reports the use of quotas to the parent and asks it for tokens.
+    pub(super) fn send_quota_ask(&mut self, now: Timestamp, ask: QuotaAsk) {
+        self.send_to_parent(now, Content::QuotaAsk(ask));
+    }
+
     /// Sends what was observed of a running rollout towards the leader.
     pub(super) fn send_evidence(&mut self, now: Timestamp) {
         if let Some(evidence) = self.destination.take_evidence(now) {
-            let forward = Forward {
-                request_id: 0,
-                content: Some(Content::Evidence(evidence)),
-            };
-            let event = ChildEvent::Relay(Body::Forward(forward));
-            let steps = self.child.handle(now, event, &mut self.random);
-            self.queue_child(steps);
+            self.send_to_parent(now, Content::Evidence(evidence));
         }
     }
 
@@ -238,12 +231,19 @@
             ChildStep::Refused { version, refusal } => {
                 log::warn!(version = version.0, reason:% = refusal; "configuration_refused");
             }
-            ChildStep::Relayed(forward) => {
-                if let Some(Content::QuotaGrant(grant)) = forward.content {
+            ChildStep::Relayed(forward) => match forward.content {
+                Some(Content::QuotaGrant(grant)) => {
                     let steps = self.entry.on_quota_grant(now, &grant);
                     self.queue_entry(steps);
                 }
-            }
+                Some(Content::RecordedEnds(recorded)) => {
+                    let event = AnnouncerEvent::EndsRecorded(recorded);
+                    let steps = self.announcer.handle(now, event);
+                    self.queue_announcer(steps);
+                    self.answer_ends(now);
+                }
+                _ => {}
+            },
             // Reports that were not sent are repeated.
             ChildStep::NotSent(_) => {}
         }
@@ -257,6 +257,7 @@
                     .handle(now, ChildEvent::Report(report), &mut self.random);
                 self.queue_child(steps);
             }
+            AnnouncerStep::ReportEnd(end) => self.send_to_parent(now, Content::RunEnd(end)),
             AnnouncerStep::SetState { incarnation, state } => {
                 self.set_incarnation(now, incarnation);
                 match state {
