Refuse lengths that no body can have before anything is added to them

With the same size, three callers made a node answer nothing any more.

Cause: content + size > limit wraps around in a release build, so the chunk was begun. Once the content was at its limit the body asked for room for ever: an upstream's connection went on reading meanwhile, and a caller's connection asked in a loop. Ruled out: that the content exceeded its limit; the bytes lay in the read buffer.

Change: one function compares a stated length with the room that is left. A body asks for room only while its grant is below its limit. An upstream's connection holds at most 64 KiB unparsed, which also bounds its heads. The module of bodies warns of unchecked arithmetic.

--- a/crates/kumquatlock-node/tests/crowd/node.rs
+++ b/crates/kumquatlock-node/tests/crowd/node.rs
@@ -65,6 +65,22 @@
     );
 }
 
+/// Guards against a process that hangs or ends because of chunk sizes that no body can have. The
+/// clients are few, so that the budget has room for the largest body of each.
+#[test]
+fn chunk_sizes_beyond_any_body() {
+    let _turn = wait_turn();
+    let mut mesh = start_mesh();
+    let target = mesh.nodes[0].flags.http;
+    for size in ["ffffffffffffffff", "fffffffffffffffe", "8000000000000000"] {
+        let mut request = post_head("/upload", "Transfer-Encoding: chunked");
+        let chunks = format!("1\r\nx\r\n{size}\r\n");
+        request.extend_from_slice(chunks.as_bytes());
+        request.resize(request.len() + 2 * BODY_BYTES, b'x');
+        press_node(&mut mesh, target, 3, request, ReadMode::Discard);
+    }
+}
+
 /// Guards against memory that is held for many whole bodies at once.
 #[test]
 fn many_large_bodies_whole() {
--- a/crates/kumquatlock/src/http/body.rs
+++ b/crates/kumquatlock/src/http/body.rs
@@ -1,5 +1,10 @@
 //! Incremental parsing of message bodies.
 
+#![warn(
+    clippy::arithmetic_side_effects,
+    reason = "lengths come from peers and may be any number"
+)]
+
 use bytes::{Buf, Bytes, BytesMut};
 
 use super::head::BodyFraming;
@@ -28,7 +33,8 @@
     /// The body needs more bytes, or ends when the connection is closed.
     Partial,
     Complete,
-    /// The content may not grow before [`BodyReader::grant`] allows more of it.
+    /// The content may not grow before [`BodyReader::grant`] allows more of it. The grant is below
+    /// the limit, so each further grant lets the body go on.
     NeedsRoom,
     Invalid(BodyError),
 }
@@ -38,10 +44,12 @@
 
 #[derive(Clone, Copy, Debug)]
 enum BodyState {
-    /// Number of body bytes that have not been read yet.
+    /// Number of body bytes that have not been read yet. May exceed the limit until the first bytes
+    /// are fed.
     Length(u64),
     ChunkSize,
-    /// Number of bytes of the current chunk that have not been read yet.
+    /// Number of bytes of the current chunk that have not been read yet. They fit into the limit
+    /// together with the content.
     ChunkData(u64),
     ChunkEnd,
     Trailer,
@@ -89,8 +97,8 @@
     /// is known.
     pub(super) fn wanted_bytes(&self) -> u64 {
         let wanted = match self.state {
-            BodyState::Length(remaining) => self.body.len() as u64 + remaining,
-            _ => FIRST_GRANT_BYTES.max(self.granted * 2),
+            BodyState::Length(remaining) => self.content_length().saturating_add(remaining),
+            _ => FIRST_GRANT_BYTES.max(self.granted.saturating_mul(2)),
         };
         wanted.min(self.limit)
     }
@@ -98,8 +106,7 @@
     /// Allows the content to grow to `granted` bytes.
     pub(super) fn grant(&mut self, granted: u64) {
         self.granted = granted.min(self.limit);
-        let missing = self.granted.saturating_sub(self.body.len() as u64);
-        self.body.reserve(usize::try_from(missing).unwrap_or(0));
+        self.body.reserve(usize::try_from(self.room()).unwrap_or(0));
     }
 
     /// Returns the length of the content read so far.
@@ -112,8 +119,27 @@
         self.body.capacity()
     }
 
+    fn content_length(&self) -> u64 {
+        self.body.len() as u64
+    }
+
+    /// Returns by how many bytes the content may grow at present.
     fn room(&self) -> u64 {
-        self.granted.saturating_sub(self.body.len() as u64)
+        self.granted.saturating_sub(self.content_length())
+    }
+
+    /// Whether content of a length that a peer has stated fits into the limit. The length may be
+    /// any number, so nothing is added to it.
+    fn admits(&self, length: u64) -> bool {
+        length <= self.limit.saturating_sub(self.content_length())
+    }
+
+    /// Returns the result for content that is longer than the grant.
+    fn out_of_room(&self) -> BodyProgress {
+        match self.granted < self.limit {
+            true => BodyProgress::NeedsRoom,
+            false => BodyProgress::Invalid(BodyError::TooLarge),
+        }
     }
 
     /// Consumes the bytes of the body at the front of `read_buf`.
@@ -122,17 +148,18 @@
             match self.state {
                 BodyState::Done => return BodyProgress::Complete,
                 BodyState::Length(remaining) => {
-                    if remaining > self.limit {
+                    if !self.admits(remaining) {
                         return BodyProgress::Invalid(BodyError::TooLarge);
                     }
                     if self.room() < remaining {
-                        return BodyProgress::NeedsRoom;
+                        return self.out_of_room();
                     }
                     // Growing the buffer step by step would leave the steps in the heap.
                     if self.body.capacity() == 0 && !read_buf.is_empty() {
                         self.body.reserve(usize::try_from(remaining).unwrap_or(0));
                     }
-                    let remaining = remaining - self.consume(read_buf, remaining);
+                    let consumed = self.consume(read_buf, remaining);
+                    let remaining = remaining.saturating_sub(consumed);
                     if remaining > 0 {
                         self.state = BodyState::Length(remaining);
                         return BodyProgress::Partial;
@@ -140,7 +167,7 @@
                     self.state = BodyState::Done;
                 }
                 BodyState::UntilClose => {
-                    if (self.body.len() + read_buf.len()) as u64 > self.limit {
+                    if !self.admits(read_buf.len() as u64) {
                         return BodyProgress::Invalid(BodyError::TooLarge);
                     }
                     self.consume(read_buf, u64::MAX);
@@ -148,32 +175,29 @@
                 }
                 BodyState::ChunkData(0) => self.state = BodyState::ChunkEnd,
                 BodyState::ChunkData(remaining) => {
-                    if self.body.len() as u64 + remaining > self.limit {
-                        return BodyProgress::Invalid(BodyError::TooLarge);
-                    }
-                    if self.room() == 0 && !read_buf.is_empty() {
-                        return BodyProgress::NeedsRoom;
-                    }
                     let room = self.room();
-                    let remaining = remaining - self.consume(read_buf, remaining.min(room));
+                    let consumed = self.consume(read_buf, remaining.min(room));
+                    let remaining = remaining.saturating_sub(consumed);
                     self.state = BodyState::ChunkData(remaining);
                     if remaining > 0 && !read_buf.is_empty() {
-                        return BodyProgress::NeedsRoom;
+                        return self.out_of_room();
                     }
                     if remaining > 0 {
                         return BodyProgress::Partial;
                     }
                 }
                 BodyState::ChunkSize | BodyState::ChunkEnd | BodyState::Trailer => {
-                    let end = match find_line_end(read_buf) {
-                        Ok(Some(end)) => end,
+                    let line = match find_line(read_buf) {
+                        Ok(Some(line)) => line,
                         Ok(None) => return BodyProgress::Partial,
                         Err(error) => return BodyProgress::Invalid(error),
                     };
-                    if let Err(error) = self.process_line(&read_buf[..end]) {
+                    let consumed = line.len();
+                    let line = line.strip_suffix(LINE_BREAK).unwrap_or(line);
+                    if let Err(error) = self.process_line(line) {
                         return BodyProgress::Invalid(error);
                     }
-                    read_buf.advance(end + LINE_BREAK.len());
+                    read_buf.advance(consumed);
                 }
             }
         }
@@ -198,10 +222,11 @@
     }
 
     fn process_line(&mut self, line: &[u8]) -> Result<(), BodyError> {
-        self.excess_bytes += match self.state {
+        let excess = match self.state {
             BodyState::Trailer => line.len(),
             _ => line.len().saturating_sub(CHUNK_FRAMING_BYTES),
         };
+        self.excess_bytes = self.excess_bytes.saturating_add(excess);
         if self.excess_bytes > MAX_EXCESS_BYTES {
             return Err(BodyError::Malformed);
         }
@@ -211,7 +236,8 @@
             BodyState::Trailer if line.is_empty() => BodyState::Done,
             BodyState::ChunkSize => match parse_chunk_size(line)? {
                 0 => BodyState::Trailer,
-                size => BodyState::ChunkData(size),
+                size if self.admits(size) => BodyState::ChunkData(size),
+                _ => return Err(BodyError::TooLarge),
             },
             state => state,
         };
@@ -219,15 +245,15 @@
     }
 }
 
-/// Returns the length of the first line of `bytes`, without its line break.
-fn find_line_end(bytes: &[u8]) -> Result<Option<usize>, BodyError> {
-    let mut searched = 0;
-    while let Some(offset) = bytes[searched..].iter().position(|byte| *byte == b'\n') {
-        let line = &bytes[..searched + offset + 1];
+/// Returns the first line of `bytes`, with its line break.
+fn find_line(bytes: &[u8]) -> Result<Option<&[u8]>, BodyError> {
+    let mut searched: usize = 0;
+    for part in bytes.split_inclusive(|byte| *byte == b'\n') {
+        searched = searched.saturating_add(part.len());
+        let line = &bytes[..searched];
         if line.ends_with(LINE_BREAK) {
-            return Ok(Some(line.len() - LINE_BREAK.len()));
+            return Ok(Some(line));
         }
-        searched = line.len();
     }
     match bytes.len() > MAX_CHUNK_LINE_BYTES {
         true => Err(BodyError::Malformed),
--- a/crates/kumquatlock/src/http/head.rs
+++ b/crates/kumquatlock/src/http/head.rs
@@ -3,9 +3,6 @@
 use super::message::MAX_HEADERS;
 use super::status::{InvalidStatus, ResponseStatus};
 
-/// Maximum size of an incomplete response head, in bytes. Upstreams are not expected to exceed it.
-const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
-
 /// Length of the start of a status line: the version, a space and the status.
 const STATUS_LINE_START_BYTES: usize = "HTTP/1.1 200".len();
 
@@ -106,16 +103,14 @@
     }
 }
 
-/// Parses the head of a response; `is_head` tells whether the method of its request was HEAD.
+/// Parses the head of a response; `is_head` tells whether the method of its request was HEAD. The
+/// connection bounds the length of an incomplete head.
 pub(super) fn parse_response_head(bytes: &[u8], is_head: bool) -> HeadProgress<ResponseHead> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
     let consumed = match parsed.parse(bytes) {
         Ok(httparse::Status::Complete(consumed)) => consumed,
-        Ok(httparse::Status::Partial) if bytes.len() <= MAX_RESPONSE_HEAD_BYTES => {
-            return HeadProgress::Partial;
-        }
-        Ok(httparse::Status::Partial) => return HeadProgress::Invalid(HeadError::TooLarge),
+        Ok(httparse::Status::Partial) => return HeadProgress::Partial,
         Err(_) => return HeadProgress::Invalid(HeadError::Malformed),
     };
     let malformed = HeadProgress::Invalid(HeadError::Malformed);
--- a/crates/kumquatlock/src/http/tests/endless.rs
+++ b/crates/kumquatlock/src/http/tests/endless.rs
@@ -46,6 +46,8 @@
 fn an_upstream_that_sends_no_response_without_end_is_disconnected() {
     let ok = "HTTP/1.1 200 OK\r\n";
     let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let length_without_end = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
+         1\r\na\r\nffffffffffffffff\r\n";
     let trailers = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
     for (start, repeated, failure) in [
         (
@@ -69,6 +71,7 @@
         ),
         (chunked, "0", UpstreamFailure::Garbled),
         (chunked, "1\r\na\r\n", UpstreamFailure::TooLarge),
+        (length_without_end, "a", UpstreamFailure::TooLarge),
         (trailers, "A: b\r\n", UpstreamFailure::Garbled),
         ("HTTP/1.1 200 OK\r\n\r\n", "a", UpstreamFailure::TooLarge),
     ] {
@@ -113,3 +116,67 @@
     trailers.extend(["Name: 0123456789\r\n"; 2_000]);
     assert_eq!(feed(&trailers), malformed);
 }
+
+/// Guards against a length that makes the room that is left for the content wrap around, so that
+/// the reader waits for room that it never gets.
+#[test]
+fn a_length_beyond_the_limit_is_refused_whatever_came_before() {
+    const LIMIT: u64 = 100;
+    let chunk = |content: u64, next: u64| {
+        let mut reader = BodyReader::new(BodyFraming::Chunked, LIMIT).without_grant();
+        reader.grant(LIMIT);
+        let text = format!("{content:x}\r\n{}\r\n", "a".repeat(content as usize));
+        assert_eq!(
+            reader.feed(&mut text.as_str().into()),
+            BodyProgress::Partial
+        );
+        reader.feed(&mut format!("{next:x}\r\nb").as_str().into())
+    };
+    for content in [1, 2, 50, LIMIT - 1, LIMIT] {
+        let room = LIMIT - content;
+        let beyond = [
+            room + 1,
+            LIMIT + 1,
+            1 << 32,
+            1 << 63,
+            u64::MAX - room,
+            u64::MAX,
+        ];
+        for next in beyond {
+            let too_large = BodyProgress::Invalid(BodyError::TooLarge);
+            assert_eq!(chunk(content, next), too_large, "{next:x} after {content}");
+        }
+        if room > 1 {
+            assert_eq!(chunk(content, room), BodyProgress::Partial);
+        }
+    }
+    for length in [LIMIT + 1, 1 << 63, u64::MAX] {
+        let mut reader = BodyReader::new(BodyFraming::Length(length), LIMIT).without_grant();
+        let too_large = BodyProgress::Invalid(BodyError::TooLarge);
+        assert_eq!(reader.feed(&mut "a".into()), too_large, "{length:x}");
+    }
+}
+
+/// Guards against a connection that asks for room for ever, because what it was granted does not
+/// let its body go on.
+#[test]
+fn a_body_that_needs_room_goes_on_with_each_grant() {
+    const LIMIT: u64 = 1 << 20;
+    let heads = [
+        (BodyFraming::Length(LIMIT), String::new()),
+        (BodyFraming::Chunked, format!("{LIMIT:x}\r\n")),
+        (BodyFraming::Chunked, "1\r\na\r\nfffff\r\n".into()),
+    ];
+    for (framing, head) in heads {
+        let mut reader = BodyReader::new(framing, LIMIT).without_grant();
+        let mut read_buf = BytesMut::from(head.as_str());
+        read_buf.extend_from_slice(&vec![b'a'; LIMIT as usize]);
+        let mut grants = 0;
+        while reader.feed(&mut read_buf) == BodyProgress::NeedsRoom {
+            grants += 1;
+            assert!(grants <= 6, "{framing:?} asks for room without end");
+            reader.grant(reader.wanted_bytes());
+        }
+        assert!(reader.content_bytes() as u64 <= LIMIT);
+    }
+}
--- a/crates/kumquatlock/src/http/upstream.rs
+++ b/crates/kumquatlock/src/http/upstream.rs
@@ -23,6 +23,9 @@
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 /// Maximum number of bytes read from a socket at once.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// Maximum number of bytes that a connection holds unparsed, whatever its parser waits for. An
+/// incomplete head takes the most; upstreams are not expected to send a longer one.
+const MAX_UNPARSED_BYTES: usize = 64 * 1024;
 /// Maximum number of responses to other requests that one exchange skips before it fails.
 const MAX_MISMATCHED_RESPONSES: u32 = 4;
 /// Maximum number of interim (1xx) responses that one exchange skips before it fails. An upstream
@@ -240,6 +243,9 @@
                 return self.on_close(false);
             }
             match self.parse() {
+                ExchangeProgress::Pending if self.read_buf.len() > MAX_UNPARSED_BYTES => {
+                    return ExchangeProgress::Failed(UpstreamFailure::Garbled);
+                }
                 ExchangeProgress::Pending => {}
                 progress => return progress,
             }
@@ -301,10 +307,9 @@
                 return ExchangeProgress::Pending;
             };
             match body.feed(&mut self.read_buf) {
-                BodyProgress::Partial | BodyProgress::NeedsRoom => {
-                    return ExchangeProgress::Pending;
-                }
-                BodyProgress::Invalid(BodyError::TooLarge) => {
+                BodyProgress::Partial => return ExchangeProgress::Pending,
+                // All of the limit is granted from the start.
+                BodyProgress::NeedsRoom | BodyProgress::Invalid(BodyError::TooLarge) => {
                     return ExchangeProgress::Failed(UpstreamFailure::TooLarge);
                 }
                 BodyProgress::Invalid(BodyError::Malformed) => {
