Decide whose a response is in one place, at its head

Callers saw: an upstream sent an answer a second time, late and without a length, on a connection that carried another request, and closed it.

Cause: the end of the connection completes a body without a length, and this way to a finished response did not compare the ids. Ruled out: two attempts on one connection (the ids differ), and the comparison itself (the same copy with a length is skipped).

Change: http::response decides, without a socket, whether bytes are the whole response of the request. The owner is decided at the head for every framing, so a foreign response that ends with its connection fails the exchange at once. The code of the connection keeps the I/O. The conditions for using a connection again are the same.

--- a/crates/kumquatlock/src/http/mod.rs
+++ b/crates/kumquatlock/src/http/mod.rs
@@ -17,6 +17,7 @@
 mod message;
 mod refusal;
 mod relief;
+mod response;
 mod status;
 mod table;
 mod upstream;
--- a/crates/kumquatlock/src/http/tests.rs
+++ b/crates/kumquatlock/src/http/tests.rs
@@ -16,6 +16,7 @@
 mod late;
 mod proofs;
 mod stops;
+mod whole;
 
 use crate::core::Timestamp;
 
--- a/crates/kumquatlock/src/http/tests/late.rs
+++ b/crates/kumquatlock/src/http/tests/late.rs
@@ -35,6 +35,9 @@
     SuccessAfterCopy,
     /// Sends the beginning of such a copy, and then answers.
     SuccessAfterCutCopy,
+    /// Repeats a refusal of the request `old` without a length while it works, and closes the
+    /// connection.
+    CopyUntilClose,
 }
 
 struct ScriptedUpstream {
@@ -99,6 +102,13 @@
                 send(&mut stream, &response("503 Full", "old", "full"));
                 send(&mut stream, &response("200 OK", &id, "done"));
             }
+            ScriptedAnswer::CopyUntilClose => {
+                send(
+                    &mut stream,
+                    "HTTP/1.1 503 Full\r\nRequest-Id: old\r\n\r\nfull",
+                );
+                return;
+            }
             ScriptedAnswer::SuccessAfterCutCopy => {
                 let copy = response("503 Full", "old", &"full".repeat(8));
                 send(&mut stream, &copy[..copy.len() - 28]);
@@ -215,6 +225,18 @@
     assert_eq!(statuses, [Ok(200), Err(UpstreamFailure::Garbled), Ok(200)]);
 }
 
+/// Guards against a late copy without a length, which ends with the connection, that is taken for the
+/// response to the request that is running: the caller gets another request's answer, or a request
+/// that runs counts as refused and is run again.
+#[test]
+fn a_late_copy_that_ends_with_the_connection_answers_nothing() {
+    let script = [ScriptedAnswer::Success, ScriptedAnswer::CopyUntilClose];
+    let upstream = ScriptedUpstream::start(&script);
+    let mut exchanges = ExchangeLoop::new();
+    let statuses = ["old", "b", "c"].map(|id| status_of(exchanges.run(named_job(&upstream, id))));
+    assert_eq!(statuses, [Ok(200), Err(UpstreamFailure::Garbled), Ok(200)]);
+}
+
 /// Guards against a caller that identifies no request and gets a late copy of another response.
 #[test]
 fn a_request_without_an_id_uses_no_connection_with_named_responses() {
