Take no end of a connection for the end of a response after a failed write

Callers saw: an upstream answered a request of 12 MiB without a length before it had read it, and its process was killed within the answer.

Cause: the system reports the reset once. The write that came first got it, and the read that followed saw an orderly end, which completes a body without a length. Ruled out: that a failed read is taken for an end.

Change: after a failed write, an end of the stream counts as a reset. A response that ends with its connection is whole only if the whole request had been written.

--- a/crates/kumquatlock/src/http/response.rs
+++ b/crates/kumquatlock/src/http/response.rs
@@ -37,7 +37,8 @@
 pub(super) enum ConnectionEnd {
     /// The upstream has closed its side.
     Closed,
-    /// The connection was reset.
+    /// The connection was reset, or counts as such: a write to it has failed. A write that reports a
+    /// reset clears it, and a read then sees a connection that seems closed.
     Reset,
 }
 
@@ -199,12 +200,12 @@
     }
 
     /// Handles the end of the connection. A body that ends with the connection is complete only if
-    /// the connection was not reset.
-    pub(super) fn end(&mut self, end: ConnectionEnd) -> ResponseStep {
+    /// the upstream has closed the connection after it was sent the whole request. If it ends while a
+    /// part is unsent, nothing tells the end of its response from that of its process.
+    pub(super) fn end(&mut self, end: ConnectionEnd, phase: RequestPhase) -> ResponseStep {
+        let may_be_whole = end == ConnectionEnd::Closed && phase == RequestPhase::Sent;
         match self.arriving.take() {
-            Some(arriving)
-                if end == ConnectionEnd::Closed && arriving.body.ends_with_connection() =>
-            {
+            Some(arriving) if may_be_whole && arriving.body.ends_with_connection() => {
                 ResponseStep::Finished(arriving.finish(false))
             }
             Some(_) => ResponseStep::Failed(UpstreamFailure::Truncated),
--- a/crates/kumquatlock/src/http/tests/proofs.rs
+++ b/crates/kumquatlock/src/http/tests/proofs.rs
@@ -151,3 +151,24 @@
     });
     assert_eq!(outcomes, [const { Err(UpstreamFailure::Garbled) }; 3]);
 }
+
+/// Guards against half of an answer without a length that counts as whole: the upstream ends while
+/// it is still being sent the request, and the reset is seen by a write, after which the connection
+/// looks closed.
+#[test]
+fn an_answer_that_is_reset_while_the_request_is_written_is_not_whole() {
+    let listener = listen();
+    let address = listener.local_addr().unwrap();
+    let upstream = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.read_exact(&mut [0; 1024]).unwrap();
+        let half = b"HTTP/1.1 200 OK\r\n\r\nhalf of the";
+        stream.write_all(half).unwrap();
+        thread::sleep(Duration::from_millis(200));
+        // The system resets the connection, because unread bytes are left.
+        drop(stream);
+    });
+    let outcome = ExchangeLoop::new().run(job(address, "POST", vec![1; LARGE_BODY_BYTES]));
+    assert_eq!(outcome, Err(UpstreamFailure::Truncated));
+    upstream.join().unwrap();
+}
--- a/crates/kumquatlock/src/http/tests/whole.rs
+++ b/crates/kumquatlock/src/http/tests/whole.rs
@@ -118,7 +118,7 @@
         }
         let (mut reader, step) = read(OWN, &self.bytes());
         let step = match step {
-            ResponseStep::Pending => reader.end(self.end),
+            ResponseStep::Pending => reader.end(self.end, self.phase),
             step => step,
         };
         match step {
@@ -156,7 +156,7 @@
 
     /// Whether the end of the connection can be the end of a response without a length.
     fn ends_whole(&self) -> bool {
-        self.end == ConnectionEnd::Closed
+        self.end == ConnectionEnd::Closed && self.phase == RequestPhase::Sent
     }
 }
 
@@ -164,7 +164,12 @@
 /// request's or a part of it is missing.
 #[test]
 fn only_the_whole_response_of_the_request_is_passed_on() {
-    for case in cases(&[RequestPhase::Sent]) {
+    let phases = [
+        RequestPhase::Unsent,
+        RequestPhase::PartlySent,
+        RequestPhase::Sent,
+    ];
+    for case in cases(&phases) {
         assert_eq!(case.play(), case.expected(), "{case:?}");
     }
 }
--- a/crates/kumquatlock/src/http/upstream.rs
+++ b/crates/kumquatlock/src/http/upstream.rs
@@ -139,13 +139,13 @@
         }
         if let Err(failure) = self.write() {
             // The upstream may have responded before it closed the connection.
-            return match self.read() {
+            return match self.read(ConnectionEnd::Reset) {
                 ExchangeProgress::Pending => ExchangeProgress::Failed(failure),
                 progress => progress,
             };
         }
         match is_readable {
-            true => self.read(),
+            true => self.read(ConnectionEnd::Closed),
             false => ExchangeProgress::Pending,
         }
     }
@@ -187,7 +187,9 @@
         Ok(())
     }
 
-    fn read(&mut self) -> ExchangeProgress {
+    /// Reads from the socket. `end` tells what an end of the stream means: after a failed write, the
+    /// connection was reset.
+    fn read(&mut self, end: ConnectionEnd) -> ExchangeProgress {
         let mut chunk = [0u8; READ_CHUNK_BYTES];
         loop {
             let is_ended = match self.socket.read(&mut chunk) {
@@ -203,7 +205,7 @@
                 Err(_) => return self.on_close(ConnectionEnd::Reset),
             };
             if is_ended {
-                return self.on_close(ConnectionEnd::Closed);
+                return self.on_close(end);
             }
             match self.parse() {
                 ExchangeProgress::Pending if self.read_buf.len() > MAX_UNPARSED_BYTES => {
@@ -216,9 +218,10 @@
     }
 
     fn on_close(&mut self, end: ConnectionEnd) -> ExchangeProgress {
+        let phase = self.request_phase();
         match &mut self.phase {
             ExchangePhase::Running(exchange) => {
-                let step = exchange.reader.end(end);
+                let step = exchange.reader.end(end, phase);
                 self.progress(step)
             }
             _ => ExchangeProgress::Closed,
@@ -226,21 +229,25 @@
     }
 
     fn parse(&mut self) -> ExchangeProgress {
-        let is_written = self.write_buf.is_empty();
+        let phase = self.request_phase();
         let ExchangePhase::Running(exchange) = &mut self.phase else {
             // Bytes that belong to no request.
             return ExchangeProgress::Closed;
         };
-        let phase = match (exchange.is_sent, is_written) {
-            (false, _) => RequestPhase::Unsent,
-            (true, false) => RequestPhase::PartlySent,
-            (true, true) => RequestPhase::Sent,
-        };
         let reader = &mut exchange.reader;
         let step = reader.feed(&mut self.read_buf, phase, &mut self.history);
         self.progress(step)
     }
 
+    fn request_phase(&self) -> RequestPhase {
+        let is_sent = self.exchange().is_some_and(|exchange| exchange.is_sent);
+        match (is_sent, self.write_buf.is_empty()) {
+            (false, _) => RequestPhase::Unsent,
+            (true, false) => RequestPhase::PartlySent,
+            (true, true) => RequestPhase::Sent,
+        }
+    }
+
     fn progress(&mut self, step: ResponseStep) -> ExchangeProgress {
         match step {
             ResponseStep::Pending => ExchangeProgress::Pending,
