--- a/crates/kumquatlock/src/http/response.rs
+++ b/crates/kumquatlock/src/http/response.rs
@@ -110,6 +110,13 @@
     body: BodyReader,
 }
 
+/// Result of reading a head.
+enum HeadStep {
+    Complete(ArrivingResponse),
+    Partial,
+    Failed(UpstreamFailure),
+}
+
 /// Reads the responses of a connection up to the one of its request.
 #[derive(Debug)]
 pub(super) struct ResponseReader {
@@ -160,15 +167,13 @@
             return ResponseStep::Failed(UpstreamFailure::Garbled);
         }
         loop {
-            if self.arriving.is_none() {
-                match self.read_head(read_buf, history) {
-                    Ok(true) => {}
-                    Ok(false) => return ResponseStep::Pending,
-                    Err(failure) => return ResponseStep::Failed(failure),
-                }
-            }
-            let Some(mut arriving) = self.arriving.take() else {
-                return ResponseStep::Pending;
+            let mut arriving = match self.arriving.take() {
+                Some(arriving) => arriving,
+                None => match self.read_head(read_buf, history) {
+                    HeadStep::Complete(arriving) => arriving,
+                    HeadStep::Partial => return ResponseStep::Pending,
+                    HeadStep::Failed(failure) => return ResponseStep::Failed(failure),
+                },
             };
             match arriving.body.feed(read_buf) {
                 BodyProgress::Partial => {
@@ -213,21 +218,17 @@
         }
     }
 
-    /// Reads the next head of a final response. Returns whether it is complete.
-    fn read_head(
-        &mut self,
-        read_buf: &mut BytesMut,
-        history: &mut ConnectionHistory,
-    ) -> Result<bool, UpstreamFailure> {
+    /// Reads the next head of a final response.
+    fn read_head(&mut self, read_buf: &mut BytesMut, history: &mut ConnectionHistory) -> HeadStep {
         loop {
             let head = match parse_response_head(read_buf, self.is_head) {
-                HeadProgress::Partial => return Ok(false),
+                HeadProgress::Partial => return HeadStep::Partial,
                 HeadProgress::Invalid(HeadError::Status(error)) => {
                     log::info!(status = error.0, upstream:% = self.upstream; "response_status_invalid");
-                    return Err(UpstreamFailure::InvalidStatus);
+                    return HeadStep::Failed(UpstreamFailure::InvalidStatus);
                 }
                 HeadProgress::Invalid(HeadError::Malformed | HeadError::TooLarge) => {
-                    return Err(UpstreamFailure::Garbled);
+                    return HeadStep::Failed(UpstreamFailure::Garbled);
                 }
                 HeadProgress::Complete { head, bytes } => {
                     read_buf.advance(bytes);
@@ -237,19 +238,20 @@
             let ResponseStatus::Final(status) = head.status else {
                 self.interim_responses += 1;
                 if self.interim_responses > MAX_INTERIM_RESPONSES {
-                    return Err(UpstreamFailure::Garbled);
+                    return HeadStep::Failed(UpstreamFailure::Garbled);
                 }
                 continue;
             };
-            let owner = self.find_owner(&head, history)?;
-            let body = BodyReader::new(head.framing, MAX_BODY_BYTES as u64);
-            self.arriving = Some(ArrivingResponse {
+            let owner = match self.find_owner(&head, history) {
+                Ok(owner) => owner,
+                Err(failure) => return HeadStep::Failed(failure),
+            };
+            return HeadStep::Complete(ArrivingResponse {
+                body: BodyReader::new(head.framing, MAX_BODY_BYTES as u64),
                 head,
                 status,
                 owner,
-                body,
             });
-            return Ok(true);
         }
     }
 
--- a/crates/kumquatlock/src/http/tests/whole.rs
+++ b/crates/kumquatlock/src/http/tests/whole.rs
@@ -47,30 +47,45 @@
     phase: RequestPhase,
 }
 
-fn cases(phases: &[RequestPhase]) -> Vec<Case> {
-    let mut cases = Vec::new();
-    for framing in [Framing::Length, Framing::Chunked, Framing::UntilClose] {
-        for owner in [Owner::Own, Owner::Other, Owner::Nobody] {
-            for part in [
-                Part::Nothing,
-                Part::HalfHead,
-                Part::Head,
-                Part::HalfBody,
-                Part::All,
-            ] {
-                for end in [ConnectionEnd::Closed, ConnectionEnd::Reset] {
-                    cases.extend(phases.iter().map(|phase| Case {
-                        framing,
-                        owner,
-                        part,
-                        end,
-                        phase: *phase,
-                    }));
-                }
-            }
+const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunked, Framing::UntilClose];
+const OWNERS: [Owner; 3] = [Owner::Own, Owner::Other, Owner::Nobody];
+const PARTS: [Part; 5] = [
+    Part::Nothing,
+    Part::HalfHead,
+    Part::Head,
+    Part::HalfBody,
+    Part::All,
+];
+const ENDS: [ConnectionEnd; 2] = [ConnectionEnd::Closed, ConnectionEnd::Reset];
+const PHASES: [RequestPhase; 3] = [
+    RequestPhase::Unsent,
+    RequestPhase::PartlySent,
+    RequestPhase::Sent,
+];
+
+/// Returns all combinations.
+fn cases() -> impl Iterator<Item = Case> {
+    let counts = [
+        FRAMINGS.len(),
+        OWNERS.len(),
+        PARTS.len(),
+        ENDS.len(),
+        PHASES.len(),
+    ];
+    (0..counts.iter().product()).map(move |mut number: usize| {
+        let mut next = |count: usize| {
+            let index = number % count;
+            number /= count;
+            index
+        };
+        Case {
+            framing: FRAMINGS[next(FRAMINGS.len())],
+            owner: OWNERS[next(OWNERS.len())],
+            part: PARTS[next(PARTS.len())],
+            end: ENDS[next(ENDS.len())],
+            phase: PHASES[next(PHASES.len())],
         }
-    }
-    cases
+    })
 }
 
 impl Case {
@@ -164,12 +179,7 @@
 /// request's or a part of it is missing.
 #[test]
 fn only_the_whole_response_of_the_request_is_passed_on() {
-    let phases = [
-        RequestPhase::Unsent,
-        RequestPhase::PartlySent,
-        RequestPhase::Sent,
-    ];
-    for case in cases(&phases) {
+    for case in cases() {
         assert_eq!(case.play(), case.expected(), "{case:?}");
     }
 }
--- a/crates/kumquatlock/src/ops/node/actor.rs
+++ b/crates/kumquatlock/src/ops/node/actor.rs
@@ -113,6 +113,8 @@
     pub(super) parent_links: IndexMap<distribution::LinkId, LinkId>,
     /// Link on which the parent has accepted the child.
     pub(super) attached_link: Option<distribution::LinkId>,
+    /// When the node last lost its parent, or started.
+    pub(super) detached_at: Timestamp,
     pub(super) announcer: UpstreamAnnouncer,
     pub(super) waiting_ends: WaitingEnds,
     pub(super) entry: EntryCalls,
@@ -226,6 +228,7 @@
             child,
             parent_links: IndexMap::new(),
             attached_link: None,
+            detached_at: now,
             announcer,
             waiting_ends: WaitingEnds::default(),
             entry: EntryCalls::new(location, parts.process, entry, random.clone()),
@@ -549,6 +552,8 @@
     pub(super) fn on_parent_link_closed(&mut self, now: Timestamp, link: distribution::LinkId) {
         if self.attached_link == Some(link) {
             self.attached_link = None;
+            self.detached_at = now;
+            log::info!("parent_lost");
             self.notify_uplink_change(now, false);
         }
     }
--- a/crates/kumquatlock/src/ops/node/steps.rs
+++ b/crates/kumquatlock/src/ops/node/steps.rs
@@ -223,7 +223,11 @@
                 }
             }
             ChildStep::Attached { link, floor } => {
-                log::info!(floor = floor.0; "parent_attached");
+                let detached_ms = match self.attached_link {
+                    Some(_) => 0,
+                    None => now.since(self.detached_at).as_millis() as u64,
+                };
+                log::info!(floor = floor.0, detached_ms; "parent_attached");
                 self.attached_link = Some(link);
                 self.notify_uplink_change(now, true);
             }
