Wait in the test of stops until each caller has got an answer

It started the stop 60 ms after it had started its callers. Now each caller's first answer is awaited, then the 60 ms of load follow.

--- a/crates/kumquatlock/src/http/tests/stops.rs
+++ b/crates/kumquatlock/src/http/tests/stops.rs
@@ -20,7 +20,7 @@
 const CALLERS: usize = 24;
 /// Number of stops for each kind of caller.
 const STOPS: usize = 6;
-/// Time for which the callers send requests before the stop.
+/// Time for which the callers send requests before the stop, after each has got its first answer.
 const LOAD_TIME: Duration = Duration::from_millis(60);
 const LIMITS: HttpLimits = HttpLimits {
     header_bytes: 4_096,
@@ -107,11 +107,16 @@
     cut: Vec<String>,
 }
 
-fn call_until_refused(address: SocketAddr, habit: CallerHabit) -> CallerReport {
+/// Sends requests until a connection is refused. `answered` is told of each answer.
+fn call_until_refused(
+    address: SocketAddr,
+    habit: CallerHabit,
+    answered: &Sender<()>,
+) -> CallerReport {
     let mut report = CallerReport::default();
     while let Ok(stream) = TcpStream::connect(address) {
         stream.set_read_timeout(Some(TIMEOUT)).unwrap();
-        if let Err(error) = use_connection(stream, habit, &mut report) {
+        if let Err(error) = use_connection(stream, habit, answered, &mut report) {
             report.cut.push(error.to_string());
         }
     }
@@ -121,6 +126,7 @@
 fn use_connection(
     mut stream: TcpStream,
     habit: CallerHabit,
+    answered: &Sender<()>,
     report: &mut CallerReport,
 ) -> io::Result<()> {
     let batch = if matches!(habit, CallerHabit::Pipelined) {
@@ -135,6 +141,7 @@
         for _ in 0..batch {
             let is_closing = read_response(&mut stream)?;
             report.answered += 1;
+            let _ = answered.send(());
             // Requests behind an announced close count as not read.
             if is_closing || matches!(habit, CallerHabit::Fresh) {
                 return Ok(());
@@ -168,9 +175,21 @@
         for stop in 0..STOPS {
             let server = TableServer::start();
             let address = server.address;
-            let callers: Vec<_> = (0..CALLERS)
-                .map(|_| thread::spawn(move || call_until_refused(address, habit)))
-                .collect();
+            let mut first_answers = Vec::new();
+            let mut callers = Vec::new();
+            for _ in 0..CALLERS {
+                let (sender, answered) = channel();
+                callers.push(thread::spawn(move || {
+                    call_until_refused(address, habit, &sender)
+                }));
+                first_answers.push(answered);
+            }
+            // On a busy machine, a stop after a fixed time would come before the callers.
+            for answered in &first_answers {
+                answered
+                    .recv_timeout(TIMEOUT)
+                    .expect("a caller got no answer");
+            }
             thread::sleep(LOAD_TIME);
             server.stop();
             let reports: Vec<_> = callers
