--- a/crates/kumquatlock-wire/src/distribution.rs
+++ b/crates/kumquatlock-wire/src/distribution.rs
@@ -3,9 +3,8 @@
 
 use bytes::Bytes;
 
-pub use crate::history::{
-    AcceptedManifest, CatalogHistory, EndedRun, EndedStart, SeenRegion, Tombstone,
-};
+pub use crate::history::{AcceptedManifest, CatalogHistory, SeenRegion, Tombstone};
+pub use crate::run_end::{EndedRun, EndedStart, RecordedEnds, RunEnd};
 
 /// A service: a name and the upstreams that may serve it.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -304,37 +303,6 @@
     pub run_started_ms: u64,
 }
 
-/// Report of a node that runs of an upstream have ended that it has no announcement of, or no longer
-/// has. Idempotent.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct RunEnd {
-    /// Name of the upstream.
-    #[prost(string, tag = "1")]
-    pub name: String,
-    /// Digest of the upstream's name and the identifier of its runs.
-    #[prost(fixed64, tag = "2")]
-    pub instance: u64,
-    /// Latest start of the ended runs, in milliseconds since 1970. A run that started later may
-    /// serve.
-    #[prost(uint64, tag = "3")]
-    pub latest_start_ms: u64,
-    /// The upstream's entry is removed if its incarnation is lower: an earlier process of the node
-    /// has registered it. Zero if the entry stays.
-    #[prost(uint64, tag = "4")]
-    pub remove_below: u64,
-}
-
-/// Tells a child which of the ends that it reported are committed to the log.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct RecordedEnds {
-    /// Ends that an [`UpstreamReport`] has stated.
-    #[prost(message, repeated, tag = "1")]
-    pub runs: Vec<EndedRun>,
-    /// Ends that a [`RunEnd`] has stated.
-    #[prost(message, repeated, tag = "2")]
-    pub starts: Vec<EndedStart>,
-}
-
 /// The complete catalog. Split into chunks for transfer.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CatalogState {
--- a/crates/kumquatlock-wire/src/history.rs
+++ b/crates/kumquatlock-wire/src/history.rs
@@ -2,7 +2,8 @@
 
 use bytes::Bytes;
 
-use crate::distribution::{ItemKind, WireState};
+use crate::distribution::ItemKind;
+use crate::run_end::{EndedRun, EndedStart};
 
 /// History of a catalog: the data beyond its current content.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -85,27 +86,3 @@
     #[prost(string, tag = "2")]
     pub region: String,
 }
-
-/// A run of an upstream that has announced that it drains or leaves.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
-pub struct EndedRun {
-    /// Digest of the run.
-    #[prost(fixed64, tag = "1")]
-    pub run: u64,
-    #[prost(enumeration = "WireState", tag = "2")]
-    pub state: i32,
-}
-
-/// Runs of one identifier that have ended: all that started at `latest_start_ms` or earlier.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
-pub struct EndedStart {
-    /// Digest of the upstream's name.
-    #[prost(fixed64, tag = "1")]
-    pub upstream: u64,
-    /// Digest of the upstream's name and the identifier of the runs.
-    #[prost(fixed64, tag = "2")]
-    pub instance: u64,
-    /// In milliseconds since 1970.
-    #[prost(uint64, tag = "3")]
-    pub latest_start_ms: u64,
-}
--- a/crates/kumquatlock-wire/src/lib.rs
+++ b/crates/kumquatlock-wire/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod rollout;
+mod run_end;
 
 pub use codec::{
     EncodedFrame, EnvelopeCodec, FrameError, MAX_CONTROL_FRAME_BYTES, MAX_FRAME_BYTES,
--- a/crates/kumquatlock/src/membership/announcer.rs
+++ b/crates/kumquatlock/src/membership/announcer.rs
@@ -3,12 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use kumquatlock_wire::distribution::{
-    EndedRun, RecordedEnds, RunEnd, UpstreamItem, UpstreamReport, WireState,
-};
+use kumquatlock_wire::distribution::{RecordedEnds, RunEnd, UpstreamReport, WireState};
 
 use super::run_ends::{EndAdmission, RunEnds, instance_digest};
 use super::schedule::ReportSchedule;
+use super::upstream::LocalUpstream;
 use super::{ANNOUNCE_LEASE, LEAVE_TIMEOUT, REPORTS_BEFORE_RAISE};
 use crate::core::{
     ConfigSnapshot, IncarnationId, SharedName, Timestamp, UpstreamState, stable_hash,
@@ -66,7 +65,7 @@
 
     /// Returns a digest that identifies the run in the whole mesh; zero if the upstream does not
     /// name its runs.
-    fn run_digest(&self) -> u64 {
+    pub(super) fn run_digest(&self) -> u64 {
         if self.instance.is_empty() {
             return 0;
         }
@@ -74,7 +73,7 @@
         stable_hash(run.as_bytes())
     }
 
-    fn instance_digest(&self) -> u64 {
+    pub(super) fn instance_digest(&self) -> u64 {
         instance_digest(&self.name, &self.instance)
     }
 
@@ -165,31 +164,6 @@
     Unreported,
 }
 
-#[derive(Debug)]
-struct LocalUpstream {
-    announcement: UpstreamAnnouncement,
-    incarnation: u64,
-    state: WireState,
-    /// Whether draining was requested. Further announcements don't end it.
-    is_drain_requested: bool,
-    /// Whether the run announced that it leaves. Further announcements of this run are ignored.
-    is_leave_requested: bool,
-    /// Whether the run itself announced that it drains or leaves. It must not serve again, also
-    /// after a restart of this node.
-    is_run_ended: bool,
-    /// Latest state in which control has recorded the end of the run.
-    recorded_end: WireState,
-    announced_at: Timestamp,
-    /// Whether the configuration shows this incarnation in this state.
-    is_confirmed: bool,
-    /// Whether the configuration has shown this incarnation at any time.
-    was_seen: bool,
-    is_name_taken: bool,
-    /// Reports of the current state.
-    schedule: ReportSchedule,
-    next_raise: u64,
-}
-
 /// State machine of one node for its local upstream. It performs no I/O.
 #[derive(Debug)]
 pub struct UpstreamAnnouncer {
@@ -542,81 +516,3 @@
         }
     }
 }
-
-impl LocalUpstream {
-    /// Advances to a later state. Within one incarnation, the state never returns to an earlier
-    /// one.
-    fn advance_state(&mut self, state: WireState, steps: &mut Vec<AnnouncerStep>) {
-        if (state as i32) <= self.state as i32 {
-            return;
-        }
-        self.state = state;
-        self.is_confirmed = false;
-        self.restart_reports();
-        steps.push(self.state_step());
-    }
-
-    /// Records that the run itself announced its end.
-    fn end_run(&mut self) {
-        if !self.is_run_ended {
-            self.is_run_ended = true;
-            self.is_confirmed = false;
-            self.restart_reports();
-        }
-    }
-
-    /// Records that control has recorded the end of the run in this state.
-    fn record_end(&mut self, run: &EndedRun) {
-        if let Ok(state) = WireState::try_from(run.state) {
-            self.recorded_end = self.recorded_end.max(state);
-        }
-    }
-
-    /// Whether control has recorded the end that the run announced. True if it has announced none,
-    /// or if the upstream does not name its runs.
-    fn is_end_recorded(&self) -> bool {
-        let has_end = self.is_run_ended && self.announcement.run_digest() != 0;
-        !has_end || self.recorded_end >= self.state
-    }
-
-    /// Whether nothing is left to report.
-    fn is_settled(&self) -> bool {
-        self.is_confirmed && self.is_end_recorded()
-    }
-
-    fn restart_reports(&mut self) {
-        self.schedule = ReportSchedule::default();
-    }
-
-    fn state_step(&self) -> AnnouncerStep {
-        let incarnation = IncarnationId(self.incarnation);
-        let state = match self.state {
-            WireState::Serving => UpstreamState::Serving,
-            WireState::Draining => UpstreamState::Draining,
-            WireState::Left => return AnnouncerStep::Removed,
-        };
-        AnnouncerStep::SetState { incarnation, state }
-    }
-
-    fn to_report(&self, location: &NodeLocation) -> UpstreamReport {
-        let upstream = UpstreamItem {
-            name: self.announcement.name.to_string(),
-            service: self.announcement.service.to_string(),
-            zone: location.zone.to_string(),
-            region: location.region.to_string(),
-            node_address: location.address.to_string(),
-            incarnation: self.incarnation,
-            slots: self.announcement.slots,
-            state: self.state as i32,
-            first_in_region: false,
-            version: self.announcement.version.to_string(),
-        };
-        UpstreamReport {
-            upstream,
-            run: self.announcement.run_digest(),
-            is_run_ended: self.is_run_ended,
-            instance: self.announcement.instance_digest(),
-            run_started_ms: self.announcement.run_started_ms,
-        }
-    }
-}
--- a/crates/kumquatlock/src/membership/mod.rs
+++ b/crates/kumquatlock/src/membership/mod.rs
@@ -11,6 +11,7 @@
 mod run_ends;
 mod schedule;
 mod tracker;
+mod upstream;
 
 use std::time::Duration;
 
