Show that a mesh never starts after the loss of one seed at the first start

One of the three seeds is gone for good 0.1 s after its start, at the first start of the whole system, and an empty machine takes its place 1 s later. The five control instances that run and are connected never form a group: each order gets 503, and no request is served.

Measured on x86_64: no acknowledgement in 60 s, 55 s of them with a stable core; ack_timeout is 4 s. Without the loss it takes 2 s.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,6 +5,7 @@
 //! could not run.
 
 mod backend;
+mod first;
 mod http;
 mod keys;
 mod operator;
@@ -27,6 +28,7 @@
     let record = Record::create(folder);
     let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
         "keys" => keys::run(&record, trouble),
+        "first" => first::run(&record, trouble),
         _ => COULD_NOT_RUN,
     }));
     let outcome = outcome.unwrap_or(COULD_NOT_RUN);
