Show that bookings that ran are answered 409 after a node stood still

A node stands still for 1.2 s while its backend answers bookings with 70,000 bytes each. The bookings have run once, their answers are lost, and their callers, at another node that was in touch all the time, get 409 finished_answer_gone.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,6 +6,7 @@
 
 mod backend;
 mod first;
+mod frozen;
 mod http;
 mod keys;
 mod operator;
@@ -28,6 +29,7 @@
     let record = Record::create(folder);
     let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
         "keys" => keys::run(&record, trouble),
+        "frozen" => frozen::run(&record, trouble),
         "first" => first::run(&record, trouble),
         _ => COULD_NOT_RUN,
     }));
