Show that changes of a large configuration drive the whole core over its memory

The operator changes the time-out of all of 8,400 routes again and again. All control instances grow by about 2 MB with each change, go over 256 MB within seconds of each other and are killed, and it begins again.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -7,6 +7,7 @@
 mod backend;
 mod first;
 mod frozen;
+mod growth;
 mod http;
 mod keys;
 mod operator;
@@ -30,6 +31,7 @@
     let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
         "keys" => keys::run(&record, trouble),
         "frozen" => frozen::run(&record, trouble),
+        "growth" => growth::run(&record, trouble),
         "first" => first::run(&record, trouble),
         _ => COULD_NOT_RUN,
     }));
