--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -13,6 +13,7 @@
 mod operator;
 mod platform;
 mod record;
+mod writer;
 
 use record::Record;
 
@@ -33,6 +34,7 @@
         "frozen" => frozen::run(&record, trouble),
         "growth" => growth::run(&record, trouble),
         "first" => first::run(&record, trouble),
+        "writer" => writer::run(&record, trouble),
         _ => COULD_NOT_RUN,
     }));
     let outcome = outcome.unwrap_or(COULD_NOT_RUN);
