Tell an empty table of accounts from none

Cause: an empty table and an absent one had the same form at every stage. The nodes asked in three places whether there are any accounts, and each one opened if not.

Change: an empty list becomes one item that no account can be named like. One method says whether keys are needed, and the decision on a request also says whether its header is forwarded.

The test without_accounts_no_key_is_needed expects "open" in place of "anonymous", because the two are told apart now: only the first forwards the header of the key.

--- a/crates/kumquatlock-node/tests/node/revoke.rs
+++ b/crates/kumquatlock-node/tests/node/revoke.rs
@@ -5,7 +5,7 @@
 
 use kumquatlock_testkit::caller::HttpRequest;
 use kumquatlock_testkit::process::{Mesh, wait_for};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::support::{WAIT_TIMEOUT, builder, start};
 
@@ -16,8 +16,12 @@
 fn submit(mesh: &Mesh, version: u64, keys: &[&str]) {
     let mut manifest = mesh.manifest(version);
     manifest["accounts"] = json!([{ "name": "crew", "keys": keys }]);
+    submit_manifest(mesh, &manifest);
+}
+
+fn submit_manifest(mesh: &Mesh, manifest: &Value) {
     wait_for("manifest accepted", WAIT_TIMEOUT, || {
-        let answer = mesh.controls[0].submit(&manifest).unwrap();
+        let answer = mesh.controls[0].submit(manifest).unwrap();
         match answer.status {
             200 => Ok(()),
             _ => Err(answer.text()),
@@ -95,3 +99,35 @@
     mesh.controls[0].process.resume().unwrap();
     wait_answer(&mesh, 0, "key-accepted", 200);
 }
+
+/// Guards against a mesh that lets every request in once the last account is removed, at once or after
+/// its processes have restarted.
+#[test]
+fn no_key_is_accepted_after_the_last_account_was_removed() {
+    let limit = LIMIT.as_millis().to_string();
+    let builder = builder()
+        .node_argument("--revocation-limit-ms")
+        .node_argument(&limit);
+    let mut mesh = start(builder);
+    submit(&mesh, 2, &[KEY]);
+    wait_answer(&mesh, 0, "key-known", 200);
+    let mut manifest = mesh.manifest(3);
+    manifest["accounts"] = json!([]);
+    submit_manifest(&mesh, &manifest);
+    wait_answer(&mesh, 0, "key-revoked", 401);
+    for control in &mut mesh.controls {
+        control.process.kill().unwrap();
+        control.process.restart().unwrap();
+    }
+    mesh.nodes[0].process.kill().unwrap();
+    mesh.nodes[0].process.restart().unwrap();
+    mesh.nodes[0].wait_ready().unwrap();
+    wait_answer(&mesh, 0, "key-revoked-restarted", 401);
+    let keyless = HttpRequest::post("/booking", "keyless");
+    let answer = mesh.nodes[0].caller().send(&keyless).unwrap();
+    assert_eq!(answer.status, 401, "{}", answer.text());
+    let ledger = mesh.ledger();
+    for body in ["key-revoked-restarted-1", "keyless"] {
+        assert_eq!(ledger.runs_of_body(body.as_bytes()).started, 0);
+    }
+}
--- a/crates/kumquatlock-wire/src/distribution.rs
+++ b/crates/kumquatlock-wire/src/distribution.rs
@@ -90,6 +90,28 @@
     pub source: String,
 }
 
+impl AccountItem {
+    /// Name of the item that stands for a table without accounts. No manifest can name an account so.
+    const EMPTY_TABLE_NAME: &str = "<none>";
+
+    /// Returns the item that stands for a table without accounts, with which every request needs a
+    /// key and no key is valid. A list without any item means that no request needs a key.
+    ///
+    /// An item is used rather than a field beside the list, because releases that don't know it take
+    /// it for an account without keys, and so refuse all keys too.
+    pub fn empty_table() -> Self {
+        AccountItem {
+            name: AccountItem::EMPTY_TABLE_NAME.to_owned(),
+            ..AccountItem::default()
+        }
+    }
+
+    /// Whether the item stands for a table without accounts.
+    pub fn is_empty_table(&self) -> bool {
+        self.name == AccountItem::EMPTY_TABLE_NAME
+    }
+}
+
 /// One service of a split route, with its weight.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct SplitItem {
@@ -326,6 +348,8 @@
     /// Absent if no request is in quarantine.
     #[prost(message, optional, tag = "8")]
     pub quarantine: Option<crate::quarantine::QuarantineList>,
+    /// [`AccountItem::empty_table`] if the manifest has a table without accounts. Empty if it has no
+    /// table.
     #[prost(message, repeated, tag = "9")]
     pub accounts: Vec<AccountItem>,
     /// Absent if no upstream states a version.
--- a/crates/kumquatlock/src/account/resolver.rs
+++ b/crates/kumquatlock/src/account/resolver.rs
@@ -10,8 +10,11 @@
 pub enum AccessDecision {
     /// The request belongs to this account.
     Account(Arc<ClientAccount>),
-    /// The request belongs to no account and needs none.
+    /// The request belongs to no account and needs none, because its route is public.
     Anonymous,
+    /// The configuration has no accounts, so no request needs a key. The header of the key is a matter
+    /// between the caller and the upstream.
+    Open,
     /// The request needs a key, and has none or one that no account has.
     UnknownKey,
     /// The request needs a key, and the configuration is not known to be recent enough to decide on
@@ -36,8 +39,8 @@
         route: &RouteEntry,
         key: Option<KeyDigest>,
     ) -> AccessDecision {
-        if snapshot.accounts.is_empty() {
-            return AccessDecision::Anonymous;
+        if !snapshot.needs_keys() {
+            return AccessDecision::Open;
         }
         let lease = self.lease.state(now);
         let account = key.and_then(|key| snapshot.account_keys.get(&key));
--- a/crates/kumquatlock/src/account/tests/decisions.rs
+++ b/crates/kumquatlock/src/account/tests/decisions.rs
@@ -15,6 +15,18 @@
 
 /// Builds a configuration with a public and a private route, and accounts with their keys.
 pub(super) fn configuration(version: u64, accounts: &[(&str, &[&str])]) -> ConfigSnapshot {
+    let account = |(name, keys): &(&str, &[&str])| AccountItem {
+        name: (*name).to_owned(),
+        key_digests: keys
+            .iter()
+            .map(|key| KeyDigest::of(key.as_bytes()).as_bytes().to_vec().into())
+            .collect(),
+        ..AccountItem::default()
+    };
+    configuration_of(version, accounts.iter().map(account).collect())
+}
+
+fn configuration_of(version: u64, accounts: Vec<AccountItem>) -> ConfigSnapshot {
     let service = ServiceItem {
         name: "booking".into(),
         ..ServiceItem::default()
@@ -27,19 +39,11 @@
         public,
         ..RouteItem::default()
     };
-    let account = |(name, keys): &(&str, &[&str])| AccountItem {
-        name: (*name).to_owned(),
-        key_digests: keys
-            .iter()
-            .map(|key| KeyDigest::of(key.as_bytes()).as_bytes().to_vec().into())
-            .collect(),
-        ..AccountItem::default()
-    };
     let state = CatalogState {
         version,
         services: vec![service],
         routes: vec![route("open", true), route("members", false)],
-        accounts: accounts.iter().map(account).collect(),
+        accounts,
         ..CatalogState::default()
     };
     let digests = state.services.iter().map(service_digest);
@@ -65,6 +69,7 @@
     match AccountResolver::default().resolve(now, configuration, route, key) {
         AccessDecision::Account(account) => account.name.to_string(),
         AccessDecision::Anonymous => "anonymous".to_owned(),
+        AccessDecision::Open => "open".to_owned(),
         AccessDecision::UnknownKey => "unknown_key".to_owned(),
         AccessDecision::Unproved => "unproved".to_owned(),
     }
@@ -111,7 +116,19 @@
 fn without_accounts_no_key_is_needed() {
     let configuration = configuration(1, &[]);
     for values in [&[][..], &["Token k-crew-1"]] {
-        assert_eq!(decide(&configuration, "members", values), "anonymous");
+        assert_eq!(decide(&configuration, "members", values), "open");
+    }
+}
+
+/// Guards against a table whose last account was removed and that then lets every request in, with
+/// the removed key too.
+#[test]
+fn a_table_without_accounts_admits_requests_to_public_routes_only() {
+    let configuration = configuration_of(1, vec![AccountItem::empty_table()]);
+    for values in [&[][..], &["Token k-crew-1"], &["Token <none>"]] {
+        let decision = decide(&configuration, "members", values);
+        assert_eq!(decision, "unknown_key", "{values:?}");
+        assert_eq!(decide(&configuration, "open", values), "anonymous");
     }
 }
 
--- a/crates/kumquatlock/src/account/tests/lease.rs
+++ b/crates/kumquatlock/src/account/tests/lease.rs
@@ -58,7 +58,8 @@
     let configuration = configuration(1, &[("crew", &["k-crew"])]);
     let known = Some(KeyDigest::of(b"k-crew"));
     let unknown = Some(KeyDigest::of(b"k-new"));
-    let crew = AccessDecision::Account(configuration.accounts["crew"].clone());
+    let crew = configuration.client_accounts().next().unwrap().clone();
+    let crew = AccessDecision::Account(crew);
     let cases = [
         ("members", known, [&crew, &crew, &AccessDecision::Unproved]),
         (
--- a/crates/kumquatlock/src/call/entry/admit.rs
+++ b/crates/kumquatlock/src/call/entry/admit.rs
@@ -9,7 +9,7 @@
 use crate::account::{AccessDecision, LeaseState};
 use crate::call::answer::{CallerAnswer, RejectReason};
 use crate::call::request::{CallerRequest, scope_key};
-use crate::core::{ClientAccount, ConfigSnapshot, RequestClass, RouteEntry, Timestamp};
+use crate::core::{ConfigSnapshot, RequestClass, RouteEntry, Timestamp};
 
 impl EntryCalls {
     /// Decides whether a request becomes a call.
@@ -33,9 +33,11 @@
             .ok_or(CallerAnswer::Rejected(RejectReason::NoRoute))?
             .clone();
         let refuse = |reason| refuse_unasked(request, route.class, reason);
-        let account = match self.resolve_account(now, snapshot, &route, request) {
+        let access = self.resolve_access(now, snapshot, &route, request);
+        let forwards_key = access == AccessDecision::Open;
+        let account = match access {
             AccessDecision::Account(account) => Some(account),
-            AccessDecision::Anonymous => None,
+            AccessDecision::Anonymous | AccessDecision::Open => None,
             AccessDecision::UnknownKey => {
                 return Err(CallerAnswer::Rejected(RejectReason::UnknownKey));
             }
@@ -58,6 +60,7 @@
         Ok(AdmittedCall {
             route,
             account,
+            forwards_key,
             fingerprint,
             deadline,
         })
@@ -79,7 +82,7 @@
         self.accounts.lease.state(now)
     }
 
-    fn resolve_account(
+    fn resolve_access(
         &self,
         now: Timestamp,
         snapshot: &ConfigSnapshot,
@@ -87,28 +90,21 @@
         request: &CallerRequest,
     ) -> AccessDecision {
         let header = self.settings.api_key;
-        let key = header.filter(|_| !snapshot.accounts.is_empty());
-        let key = key.and_then(|header| request.api_key.digest(header));
+        let key = header.and_then(|header| request.api_key.digest(header));
         self.accounts.resolve(now, snapshot, route, key)
     }
 
-    /// Removes the API key from a request that was admitted. Without client accounts, the header is
-    /// a matter between the caller and the upstream, and is forwarded.
+    /// Removes the API key from a request that was admitted, unless the key is the upstream's concern.
     ///
     /// The idempotency key is extended with the account, so that no account gets the stored answer of
     /// another one that has used the same key.
-    pub(super) fn bind_account(
-        &self,
-        request: &mut CallerRequest,
-        account: Option<&ClientAccount>,
-    ) {
-        if let Some(account) = account {
+    pub(super) fn bind_account(&self, request: &mut CallerRequest, call: &AdmittedCall) {
+        if let Some(account) = &call.account {
             let key = request.key.take();
             request.key = key.map(|key| scope_key(&key, &account.name));
         }
         let fields = std::mem::take(&mut request.api_key).into_fields();
-        let snapshot = self.snapshot.as_ref();
-        if snapshot.is_some_and(|snapshot| snapshot.accounts.is_empty()) {
+        if call.forwards_key {
             request.headers.extend(fields);
         }
     }
--- a/crates/kumquatlock/src/call/entry/mod.rs
+++ b/crates/kumquatlock/src/call/entry/mod.rs
@@ -269,7 +269,7 @@
         match admitted {
             Ok((call, quota)) => {
                 let service = self.split_chooser.choose(&call.route, &mut self.random);
-                self.bind_account(&mut request, call.account.as_deref());
+                self.bind_account(&mut request, &call);
                 let mut call = EntryCall::new(request, call, span, service, now);
                 self.record_origin(&mut call, local_runs);
                 self.deferred_calls += usize::from(call.is_deferred());
--- a/crates/kumquatlock/src/call/entry/quota.rs
+++ b/crates/kumquatlock/src/call/entry/quota.rs
@@ -71,7 +71,7 @@
     }
 
     pub(super) fn set_quotas(&mut self, snapshot: &ConfigSnapshot) {
-        let accounts = snapshot.accounts.values();
+        let accounts = snapshot.client_accounts();
         let quotas = accounts.filter_map(|account| Some((account.name.clone(), account.quota?)));
         let limits = QuotaLimits::collect(&self.settings.quota, quotas);
         self.quota
--- a/crates/kumquatlock/src/call/entry/state.rs
+++ b/crates/kumquatlock/src/call/entry/state.rs
@@ -28,6 +28,8 @@
     pub(super) route: Arc<RouteEntry>,
     /// Account that sent the request; `None` if it belongs to none.
     pub(super) account: Option<Arc<ClientAccount>>,
+    /// Whether the upstream gets the header in which callers present API keys.
+    pub(super) forwards_key: bool,
     pub(super) fingerprint: RequestFingerprint,
     pub(super) deadline: Timestamp,
 }
--- a/crates/kumquatlock/src/call/tests/accounts.rs
+++ b/crates/kumquatlock/src/call/tests/accounts.rs
@@ -212,3 +212,24 @@
     let received = upstream_headers(request);
     assert!(received.contains(&("authorization".to_owned(), "Basic YTpi".to_owned())));
 }
+
+/// Guards against a key that the upstream is shown, or that is accepted, after the last account was
+/// removed from the table.
+#[test]
+fn with_an_empty_table_no_key_is_accepted_and_none_is_forwarded() {
+    let key = bearer(KEY);
+    for headers in [&[][..], &[("authorization", &*key)]] {
+        let mut closed = simulation(AccountItem::empty_table(), false);
+        let step = open(&mut closed, headers);
+        let EntryStep::Answer { answer, .. } = step else {
+            panic!("the request was sent: {step:?}");
+        };
+        assert_eq!(answer, CallerAnswer::Rejected(RejectReason::UnknownKey));
+        let mut public = simulation(AccountItem::empty_table(), true);
+        let request = sent(open(&mut public, headers));
+        assert_eq!(request.account, None);
+        let received = upstream_headers(request);
+        let is_key = |(name, _): &(String, String)| name == "authorization";
+        assert!(!received.iter().any(is_key), "{received:?}");
+    }
+}
--- a/crates/kumquatlock/src/catalog/mod.rs
+++ b/crates/kumquatlock/src/catalog/mod.rs
@@ -172,6 +172,11 @@
 
     /// Returns all client accounts, sorted by name.
     pub fn accounts(&self) -> impl Iterator<Item = &AccountItem> {
+        self.account_items().filter(|item| !item.is_empty_table())
+    }
+
+    /// Returns the client accounts as they are encoded.
+    fn account_items(&self) -> impl Iterator<Item = &AccountItem> {
         self.store.accounts.values().map(|stored| &stored.item)
     }
 
--- a/crates/kumquatlock/src/catalog/tests.rs
+++ b/crates/kumquatlock/src/catalog/tests.rs
@@ -7,6 +7,7 @@
 use kumquatlock_wire::quarantine::QuarantineChange;
 use prost::Message;
 
+mod accounts;
 mod verdicts;
 
 use super::*;
--- a/crates/kumquatlock/src/catalog/transfer.rs
+++ b/crates/kumquatlock/src/catalog/transfer.rs
@@ -182,7 +182,7 @@
             history: Some(history),
             limits: self.limits,
             quarantine: (!self.quarantined.is_empty()).then(|| self.quarantine_list()),
-            accounts: self.accounts().cloned().collect(),
+            accounts: self.account_items().cloned().collect(),
             rollouts: self.rollouts.changed_since(0),
         }
     }
--- a/crates/kumquatlock/src/core/account.rs
+++ b/crates/kumquatlock/src/core/account.rs
@@ -68,6 +68,8 @@
     pub rank: Option<u32>,
     /// Limit on the account's requests; `None` for no limit.
     pub quota: Option<AccountQuota>,
+    /// Whether this is not an account, but stands for a table without any.
+    pub(super) is_empty_table: bool,
     pub(super) digest: u64,
 }
 
@@ -82,6 +84,7 @@
             keys,
             rank: item.rank,
             quota: AccountQuota::from_item(item),
+            is_empty_table: item.is_empty_table(),
             digest: account_digest(item),
         })
     }
--- a/crates/kumquatlock/src/core/snapshot.rs
+++ b/crates/kumquatlock/src/core/snapshot.rs
@@ -285,8 +285,9 @@
     pub routes: IndexMap<SharedName, Arc<RouteEntry>>,
     /// Upstreams by name, whether or not a service admits them.
     pub upstreams: IndexMap<SharedName, Arc<UpstreamEntry>>,
-    /// Client accounts by name.
-    pub accounts: IndexMap<SharedName, Arc<ClientAccount>>,
+    /// Client accounts by name. Empty if no request needs a key. A table without accounts is one entry
+    /// without keys, [`AccountItem::empty_table`].
+    accounts: IndexMap<SharedName, Arc<ClientAccount>>,
     /// Account of each API key. Derived from `accounts`.
     pub account_keys: Arc<IndexMap<KeyDigest, Arc<ClientAccount>>>,
     /// Limits on callers; `None` if the manifest states none.
@@ -329,6 +330,17 @@
         Ok(snapshot)
     }
 
+    /// Whether requests need the key of a client account, unless their route is public.
+    pub fn needs_keys(&self) -> bool {
+        !self.accounts.is_empty()
+    }
+
+    /// Returns the client accounts.
+    pub fn client_accounts(&self) -> impl Iterator<Item = &Arc<ClientAccount>> {
+        let accounts = self.accounts.values();
+        accounts.filter(|account| !account.is_empty_table)
+    }
+
     /// Applies a delta to a copy, validates the result and returns it. `self` remains unchanged.
     pub fn apply(&self, delta: &Delta) -> Result<Self, SnapshotError> {
         if delta.base != self.version.0 {
--- a/crates/kumquatlock/src/manifest/check.rs
+++ b/crates/kumquatlock/src/manifest/check.rs
@@ -34,7 +34,7 @@
         check_route_services(&path, route, &services)?;
         check_timeouts(&path, route)?;
     }
-    check_accounts(&manifest.accounts)
+    check_accounts(manifest.accounts.as_deref().unwrap_or_default())
 }
 
 fn check_accounts(accounts: &[RawAccount]) -> Result<(), ManifestError> {
--- a/crates/kumquatlock/src/manifest/mod.rs
+++ b/crates/kumquatlock/src/manifest/mod.rs
@@ -68,7 +68,8 @@
     pub services: Vec<ServiceItem>,
     /// Routes, sorted by name. `services` contains the services of every route.
     pub routes: Vec<RouteItem>,
-    /// Client accounts, sorted by name. No two of them have a key in common.
+    /// Client accounts, sorted by name. No two of them have a key in common. Empty if the manifest has
+    /// no table of accounts; [`AccountItem::empty_table`] if the table has none.
     pub accounts: Vec<AccountItem>,
     /// Digest of the content, which does not include the version.
     pub digest: u64,
@@ -85,8 +86,10 @@
     services: Vec<RawService>,
     #[serde(deserialize_with = "object::read_objects")]
     routes: Vec<RawRoute>,
-    #[serde(default, deserialize_with = "object::read_objects")]
-    accounts: Vec<RawAccount>,
+    /// `None` if no request needs a key. With an empty list every request needs one, and none is
+    /// valid.
+    #[serde(default, deserialize_with = "object::read_some_objects")]
+    accounts: Option<Vec<RawAccount>>,
 }
 
 #[derive(Deserialize)]
@@ -203,9 +206,7 @@
         services.sort_unstable_by(|left, right| left.name.cmp(&right.name));
         let mut routes: Vec<RouteItem> = manifest.routes.into_iter().map(route_item).collect();
         routes.sort_unstable_by(|left, right| left.name.cmp(&right.name));
-        let mut accounts: Vec<AccountItem> =
-            manifest.accounts.into_iter().map(account_item).collect();
-        accounts.sort_unstable_by(|left, right| left.name.cmp(&right.name));
+        let accounts = manifest.accounts.map_or_else(Vec::new, account_items);
         let limits = manifest.limits.map(|limits| LimitsItem {
             header_bytes: limits.header_bytes,
             body_bytes: limits.body_bytes,
@@ -241,6 +242,15 @@
     }
 }
 
+fn account_items(accounts: Vec<RawAccount>) -> Vec<AccountItem> {
+    if accounts.is_empty() {
+        return vec![AccountItem::empty_table()];
+    }
+    let mut items: Vec<AccountItem> = accounts.into_iter().map(account_item).collect();
+    items.sort_unstable_by(|left, right| left.name.cmp(&right.name));
+    items
+}
+
 fn account_item(account: RawAccount) -> AccountItem {
     let keys = account.keys.iter();
     let mut digests: Vec<Bytes> = keys
--- a/crates/kumquatlock/src/manifest/object.rs
+++ b/crates/kumquatlock/src/manifest/object.rs
@@ -39,3 +39,13 @@
     let objects = Vec::<JsonObject<T>>::deserialize(deserializer)?;
     Ok(objects.into_iter().map(|JsonObject(value)| value).collect())
 }
+
+/// Deserializes an array of JSON objects in a field that may be absent. `null` is refused, because it
+/// does not tell which of the two is meant.
+pub(super) fn read_some_objects<'de, D, T>(deserializer: D) -> Result<Option<Vec<T>>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    read_objects(deserializer).map(Some)
+}
--- a/crates/kumquatlock/src/manifest/tests.rs
+++ b/crates/kumquatlock/src/manifest/tests.rs
@@ -129,3 +129,23 @@
     let error = ManifestDocument::parse(long.as_bytes()).unwrap_err();
     assert_eq!(error.reason(), "too_large");
 }
+
+/// Guards against a table of accounts that a manifest leaves open to interpretation, and against an
+/// account that is taken for the entry of an empty table.
+#[test]
+fn a_table_of_accounts_is_a_list_or_absent() {
+    let with = |accounts: &str| VALID.replacen('{', &format!("{{\"accounts\": {accounts},"), 1);
+    let refused = [
+        ("null", "$.accounts wrong_shape"),
+        ("{}", "$.accounts wrong_shape"),
+        ("[{\"name\": \"<none>\"}]", "$.accounts[0].name bad_name"),
+    ];
+    for (accounts, expected) in refused {
+        let error = ManifestDocument::parse(with(accounts).as_bytes()).unwrap_err();
+        assert_eq!(format!("{} {}", error.path, error.reason()), expected);
+    }
+    let absent = ManifestDocument::parse(VALID.as_bytes()).unwrap();
+    assert!(absent.accounts.is_empty());
+    let empty = ManifestDocument::parse(with("[]").as_bytes()).unwrap();
+    assert_eq!(empty.accounts, [AccountItem::empty_table()]);
+}
--- a/crates/kumquatlock/src/ops/node/metrics.rs
+++ b/crates/kumquatlock/src/ops/node/metrics.rs
@@ -94,7 +94,7 @@
             &[],
             quarantined as u64,
         );
-        let accounts = config.map_or(0, |config| config.accounts.len());
+        let accounts = config.map_or(0, |config| config.client_accounts().count());
         page.add_gauge(
             "client_accounts",
             "Client accounts in the configuration",
