Refuse keys on an old configuration without accounts

What callers saw: with a limit on revocations, a node that was cut off before keys were introduced ran requests with a key that was introduced and taken away meanwhile, however long ago, and showed the key to the upstream.

Cause: the lease on the configuration was asked only if the configuration has accounts. That no request needs a key is a permission too, and an old configuration proves it as little as a key.

Change: a request that presents a key is refused as config_unproved once the lease has lapsed, also without a table of accounts. Requests without a key are served as before: no key was taken away from them, and a mesh that uses no keys must not stop at a cut.

Evidence: the test fails on ("members, Some(KeyDigest(..)) after 4500 ms", Open for Unproved) and passes now. Not shown with processes.

--- a/crates/kumquatlock/src/account/resolver.rs
+++ b/crates/kumquatlock/src/account/resolver.rs
@@ -39,10 +39,11 @@
         route: &RouteEntry,
         key: Option<KeyDigest>,
     ) -> AccessDecision {
-        if !snapshot.needs_keys() {
+        let lease = self.lease.state(now);
+        // A key that is presented may have been introduced and taken away since the latest proof.
+        if !snapshot.needs_keys() && (key.is_none() || lease != LeaseState::Lapsed) {
             return AccessDecision::Open;
         }
-        let lease = self.lease.state(now);
         let account = key.and_then(|key| snapshot.account_keys.get(&key));
         match (account, lease) {
             (Some(account), LeaseState::Recent | LeaseState::Valid) => {
--- a/crates/kumquatlock/src/account/tests/lease.rs
+++ b/crates/kumquatlock/src/account/tests/lease.rs
@@ -87,3 +87,29 @@
         }
     }
 }
+
+/// Guards against a node that was cut off before keys were introduced, and that goes on running
+/// requests with keys that were introduced and taken away meanwhile.
+#[test]
+fn a_configuration_without_accounts_decides_on_keys_only_while_it_is_proved_recent() {
+    let configuration = configuration(1, &[]);
+    let key = Some(KeyDigest::of(b"k-crew"));
+    let cases = [
+        ("members", key, 4_499, AccessDecision::Open),
+        ("members", key, 4_500, AccessDecision::Unproved),
+        ("members", None, 4_500, AccessDecision::Open),
+        ("open", key, 4_500, AccessDecision::Anonymous),
+    ];
+    let resolver = AccountResolver {
+        lease: lease(10_000),
+    };
+    for (route, key, age_ms, expected) in cases {
+        let now = Timestamp::from_millis(10_000 + age_ms);
+        let entry = &configuration.routes[route];
+        let decision = resolver.resolve(now, &configuration, entry, key);
+        assert_eq!(decision, expected, "{route}, {key:?} after {age_ms} ms");
+        let unlimited = AccountResolver::default();
+        let decision = unlimited.resolve(now, &configuration, entry, key);
+        assert_eq!(decision, AccessDecision::Open, "{route} without a limit");
+    }
+}
