Never round a quota to no limit

What would be seen: an account with a rate below 0.0005 requests per second had no limit.

Cause: rates are kept as requests in 1,000 s with zero for no limit, and the conversion rounds to the nearest number.

Change: a rate above zero becomes at least 1. Evidence: the test fails on the code before (0 for 1e-9).

--- a/crates/kumquatlock/src/manifest/mod.rs
+++ b/crates/kumquatlock/src/manifest/mod.rs
@@ -261,13 +261,19 @@
         name: account.name,
         key_digests: digests,
         rank: account.rank,
-        // Both are checked to be finite and not negative, and are bounded.
-        quota_millis: (account.rate.unwrap_or_default() * 1_000.0).round() as u64,
+        quota_millis: quota_millis(account.rate.unwrap_or_default()),
         burst: account.burst.unwrap_or_default() as u64,
         source: account.source.unwrap_or_default(),
     }
 }
 
+/// Converts requests per second to requests in 1,000 s. Zero, which is no limit, remains zero, and no
+/// other rate becomes zero. The rate is checked to be finite and not negative, and is bounded.
+fn quota_millis(rate: f64) -> u64 {
+    let millis = (rate * 1_000.0).round() as u64;
+    millis.max(u64::from(rate > 0.0))
+}
+
 fn route_item(route: RawRoute) -> RouteItem {
     let service = route.first_service().unwrap_or_default().to_owned();
     let split = route.split.into_iter().map(|part| SplitItem {
--- a/crates/kumquatlock/src/manifest/tests.rs
+++ b/crates/kumquatlock/src/manifest/tests.rs
@@ -149,3 +149,21 @@
     let empty = ManifestDocument::parse(with("[]").as_bytes()).unwrap();
     assert_eq!(empty.accounts, [AccountItem::empty_table()]);
 }
+
+/// Guards against a very small quota that becomes no limit at all.
+#[test]
+fn a_quota_above_zero_is_never_rounded_to_no_limit() {
+    let cases = [
+        ("0", 0),
+        ("1e-9", 1),
+        ("0.0004", 1),
+        ("0.0026", 3),
+        ("591", 591_000),
+    ];
+    for (rate, expected) in cases {
+        let account = format!("{{\"accounts\": [{{\"name\": \"crew\", \"rate\": {rate}}}],");
+        let text = VALID.replacen('{', &account, 1);
+        let document = ManifestDocument::parse(text.as_bytes()).unwrap();
+        assert_eq!(document.accounts[0].quota_millis, expected, "{rate}");
+    }
+}
