Let the children of the control tests ping on their own

Cause, a fault of the test: its child sent pings only while it waited for a message. Between its confirmation and the delta the test submits manifests and waits for an election; if that takes 6 s, the parent closes the child, as it should.

Change: from its hello on, a child pings every second from a thread of its own, as a real one does. The checks are the same.

--- a/crates/kumquatlock-control/tests/control/child.rs
+++ b/crates/kumquatlock-control/tests/control/child.rs
@@ -1,7 +1,10 @@
 //! A child that sends and receives stream messages over a plain socket.
 
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{self, RecvTimeoutError};
+use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
@@ -19,9 +22,12 @@
 
 pub(crate) struct RawChild {
     stream: TcpStream,
+    /// Locked for each whole message, because the thread that pings writes too.
+    writer: Arc<Mutex<TcpStream>>,
     codec: EnvelopeCodec,
     read_buf: BytesMut,
-    last_ping: Instant,
+    /// The thread that pings ends once this is dropped; `None` before the hello.
+    pings: Option<mpsc::Sender<()>>,
 }
 
 impl RawChild {
@@ -30,15 +36,18 @@
         stream
             .set_read_timeout(Some(Duration::from_millis(50)))
             .unwrap();
+        let writer = Arc::new(Mutex::new(stream.try_clone().unwrap()));
         RawChild {
             stream,
+            writer,
             codec: EnvelopeCodec::default(),
             read_buf: BytesMut::new(),
-            last_ping: Instant::now(),
+            pings: None,
         }
     }
 
-    /// Connects and sends a hello as a node without a configuration.
+    /// Connects and sends a hello as a node without a configuration. From then on the child pings its
+    /// parent, whatever else the test waits for.
     pub(crate) fn connect_with_hello(parent: SocketAddr, name: &str) -> Self {
         let mut child = RawChild::connect(parent);
         child.send(Body::Hello(Hello {
@@ -48,19 +57,33 @@
             region: "r".to_owned(),
             ..Hello::default()
         }));
+        child.start_pings();
         child
     }
 
+    fn start_pings(&mut self) {
+        let (pings, dropped) = mpsc::channel::<()>();
+        let writer = self.writer.clone();
+        thread::spawn(move || {
+            while dropped.recv_timeout(PING_INTERVAL) == Err(RecvTimeoutError::Timeout) {
+                let ping = Body::Ping(Ping {
+                    number: 1,
+                    prove: false,
+                });
+                if write_body(&writer, ping).is_err() {
+                    return;
+                }
+            }
+        });
+        self.pings = Some(pings);
+    }
+
     pub(crate) fn send(&mut self, body: Body) {
-        let mut write_buf = BytesMut::new();
-        self.codec
-            .encode(&Envelope::from(body), &mut write_buf)
-            .unwrap();
-        self.stream.write_all(&write_buf).unwrap();
+        write_body(&self.writer, body).unwrap();
     }
 
     pub(crate) fn send_raw(&mut self, bytes: &[u8]) {
-        self.stream.write_all(bytes).unwrap();
+        self.writer.lock().unwrap().write_all(bytes).unwrap();
     }
 
     /// Returns the next message other than a ping or pong; `None` if the parent has closed the
@@ -78,13 +101,6 @@
                 started.elapsed() < WAIT_TIMEOUT,
                 "timed out waiting for a message from the parent"
             );
-            if self.last_ping.elapsed() >= PING_INTERVAL {
-                self.last_ping = Instant::now();
-                self.send(Body::Ping(Ping {
-                    number: 1,
-                    prove: false,
-                }));
-            }
             let mut chunk = [0; 16 * 1024];
             match self.stream.read(&mut chunk) {
                 Ok(0) => return None,
@@ -184,3 +200,11 @@
         }));
     }
 }
+
+fn write_body(writer: &Mutex<TcpStream>, body: Body) -> io::Result<()> {
+    let mut write_buf = BytesMut::new();
+    EnvelopeCodec::default()
+        .encode(&Envelope::from(body), &mut write_buf)
+        .unwrap();
+    writer.lock().unwrap().write_all(&write_buf)
+}
