Answer "ran" if an attempt ran and its answer is gone

Cause: "it ran, and its answer is no longer stored" had no outcome of its own. The query for the outcome of an attempt made a rejection of it, for requests without a key too.

Change: AttemptResult says what is known of an attempt, for its response and for that to a query alike, and tells "ran, answer gone" from "unknown". Callers get 504 with the outcome "ran" and the reason "answer_gone", with a key and without. The reason finished_answer_gone and its 409 are gone.

Evidence: both tests fail on (outcome "rejected" for "ran").

--- a/crates/kumquatlock/src/call/answer.rs
+++ b/crates/kumquatlock/src/call/answer.rs
@@ -27,7 +27,9 @@
     NotRun(CallReason),
     /// The request may have run.
     Unknown(CallReason),
-    /// The request is invalid. This says nothing about earlier requests with the same key.
+    /// The request, or an earlier one with the same key, has run. Its answer is no longer stored.
+    AnswerGone,
+    /// The request is invalid and did not run. This says nothing about earlier requests with the same key.
     Rejected(RejectReason),
 }
 
@@ -51,8 +53,6 @@
     NoRoute,
     /// The key was already used with a different request.
     KeyReused,
-    /// The request with this key has run, but its answer is no longer stored.
-    FinishedAnswerGone,
 }
 
 impl RejectReason {
@@ -64,7 +64,7 @@
             | RejectReason::DepthExceeded => 400,
             RejectReason::UnknownKey => 401,
             RejectReason::NoRoute => 404,
-            RejectReason::KeyReused | RejectReason::FinishedAnswerGone => 409,
+            RejectReason::KeyReused => 409,
         }
     }
 }
@@ -82,6 +82,7 @@
             CallerAnswer::Answered { .. } => "answered",
             CallerAnswer::NotRun(_) => "not_run",
             CallerAnswer::Unknown(_) => "unknown",
+            CallerAnswer::AnswerGone => "ran",
             CallerAnswer::Rejected(_) => "rejected",
         }
     }
@@ -91,6 +92,7 @@
         match self {
             CallerAnswer::Answered { .. } => "",
             CallerAnswer::NotRun(reason) | CallerAnswer::Unknown(reason) => reason_label(*reason),
+            CallerAnswer::AnswerGone => reason_label(CallReason::AnswerGone),
             CallerAnswer::Rejected(reason) => reason.into(),
         }
     }
@@ -120,7 +122,7 @@
             }
             CallerAnswer::NotRun(CallReason::QuotaExceeded) => HttpResponse::json(429, &body),
             CallerAnswer::NotRun(_) => HttpResponse::json(503, &body),
-            CallerAnswer::Unknown(_) => HttpResponse::json(504, &body),
+            CallerAnswer::Unknown(_) | CallerAnswer::AnswerGone => HttpResponse::json(504, &body),
             CallerAnswer::Rejected(reason) => {
                 let response = HttpResponse::json(reason.status(), &body);
                 match names.api_key {
--- a/crates/kumquatlock/src/call/entry/attempt.rs
+++ b/crates/kumquatlock/src/call/entry/attempt.rs
@@ -321,6 +321,9 @@
             AttemptResult::Unknown(reason) => {
                 self.handle_failure(now, id, AttemptFailure::Unknown(reason), steps);
             }
+            AttemptResult::AnswerGone => {
+                self.answer(now, id, CallerAnswer::AnswerGone, steps);
+            }
             AttemptResult::ClaimedElsewhere => match response.owner {
                 Some(owner) => {
                     // The destination did not run an attempt whose claim another one holds.
@@ -372,7 +375,9 @@
         };
         let service = call.service.clone();
         let outcome = match result {
-            AttemptResult::Answer | AttemptResult::ClaimedElsewhere => UpstreamOutcome::Answered,
+            AttemptResult::Answer | AttemptResult::AnswerGone | AttemptResult::ClaimedElsewhere => {
+                UpstreamOutcome::Answered
+            }
             AttemptResult::ServerError => UpstreamOutcome::Failed,
             AttemptResult::NotRun(reason) => UpstreamOutcome::Refused(*reason),
             AttemptResult::Unknown(_) => UpstreamOutcome::Failed,
--- a/crates/kumquatlock/src/call/entry/message.rs
+++ b/crates/kumquatlock/src/call/entry/message.rs
@@ -13,20 +13,27 @@
 /// Lowest HTTP status that counts as a failure of the upstream.
 const MIN_SERVER_ERROR_STATUS: u32 = 500;
 
-/// What an answer means for the call.
+/// What is known of an attempt by the response to it, or by the response to a query for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub(super) enum AttemptResult {
+    /// It ran, and the response has its whole answer.
     #[strum(serialize = "answered")]
     Answer,
+    /// It ran, and the response has its whole answer, a server error.
     #[strum(serialize = "failed")]
     ServerError,
+    /// It ran, and its answer is no longer stored.
+    AnswerGone,
+    /// It did not run and never will.
     NotRun(CallReason),
+    /// It may have run.
     Unknown(CallReason),
+    /// It did not run, because another attempt holds the claim of its key.
     ClaimedElsewhere,
 }
 
-/// Returns what an answer means for the call.
+/// Returns what a response says of an attempt.
 pub(super) fn classify_response(response: &CallResponse) -> AttemptResult {
     let reason = CallReason::try_from(response.reason).unwrap_or(CallReason::UpstreamFailed);
     match CallOutcome::try_from(response.outcome) {
@@ -42,6 +49,7 @@
         Ok(CallOutcome::Answered) => AttemptResult::Answer,
         Ok(CallOutcome::NotRun) => AttemptResult::NotRun(reason),
         Ok(CallOutcome::ClaimedElsewhere) => AttemptResult::ClaimedElsewhere,
+        Ok(CallOutcome::Unknown) if reason == CallReason::AnswerGone => AttemptResult::AnswerGone,
         Ok(CallOutcome::Unknown | CallOutcome::Unspecified) | Err(_) => {
             AttemptResult::Unknown(reason)
         }
@@ -50,7 +58,7 @@
 
 /// Checks that an answer has the status of a final response, as every upstream's answer that was
 /// parsed has.
-pub(super) fn check_status(response: &CallResponse) -> Result<FinalStatus, InvalidStatus> {
+fn check_status(response: &CallResponse) -> Result<FinalStatus, InvalidStatus> {
     let status = FinalStatus::try_from(response.status);
     if let Err(error) = status {
         log::info!(status = error.0, entry = response.id.entry.as_str(), call = response.id.call_id;
--- a/crates/kumquatlock/src/call/entry/proof.rs
+++ b/crates/kumquatlock/src/call/entry/proof.rs
@@ -41,7 +41,8 @@
             AttemptResult::ClaimedElsewhere
             | AttemptResult::Unknown(_)
             | AttemptResult::Answer
-            | AttemptResult::ServerError => AttemptProof::None,
+            | AttemptResult::ServerError
+            | AttemptResult::AnswerGone => AttemptProof::None,
         }
     }
 }
--- a/crates/kumquatlock/src/call/entry/resolve.rs
+++ b/crates/kumquatlock/src/call/entry/resolve.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use kumquatlock_wire::Body;
-use kumquatlock_wire::call::{CallOutcome, CallReason, CallResponse};
+use kumquatlock_wire::call::{CallReason, CallResponse};
 use kumquatlock_wire::claim::{ClaimOwner, ClaimReply, OutcomeQuery};
 
-use super::message::check_status;
+use super::message::{AttemptResult, classify_response};
 use super::processes::DestinationProcess;
 use super::state::{CallPhase, EntryCall, OutcomeSearch};
 use super::{CallId, EntryCalls, EntryStep, PeerNode, micros, ticket_of};
@@ -221,29 +221,31 @@
             self.answer(now, id, answer, steps);
             return;
         }
-        let reason = CallReason::try_from(response.reason).unwrap_or(CallReason::UpstreamFailed);
-        match CallOutcome::try_from(response.outcome) {
-            Ok(CallOutcome::Answered)
-                if response.body_len == response.body.len() as u64
-                    && check_status(&response).is_ok() =>
-            {
+        match classify_response(&response) {
+            AttemptResult::Answer | AttemptResult::ServerError => {
                 self.answer(now, id, CallerAnswer::from_response(response), steps);
             }
+            AttemptResult::AnswerGone => {
+                self.answer(now, id, CallerAnswer::AnswerGone, steps);
+            }
             // Destination nodes remember an attempt only for a while after its deadline.
-            Ok(CallOutcome::NotRun) if now >= call.deadline => {
+            AttemptResult::NotRun(_) if now >= call.deadline => {
                 let answer = CallerAnswer::Unknown(search.reason);
                 self.answer(now, id, answer, steps);
             }
-            Ok(CallOutcome::NotRun) => {
+            AttemptResult::NotRun(_) => {
                 call.phase = CallPhase::Attempting;
                 let failure = AttemptFailure::NotRun(CallReason::LinkLost);
                 self.handle_failure(now, id, failure, steps);
             }
-            _ if reason == CallReason::AnswerGone => {
-                let answer = CallerAnswer::Rejected(RejectReason::FinishedAnswerGone);
+            AttemptResult::Unknown(reason) => {
+                self.answer(now, id, CallerAnswer::Unknown(reason), steps);
+            }
+            // A query asks for one attempt and gets no claim.
+            AttemptResult::ClaimedElsewhere => {
+                let answer = CallerAnswer::Unknown(search.reason);
                 self.answer(now, id, answer, steps);
             }
-            _ => self.answer(now, id, CallerAnswer::Unknown(reason), steps),
         }
     }
 
--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -13,6 +13,7 @@
 mod nested;
 mod not_run;
 mod not_run_model;
+mod outcomes;
 mod processes;
 mod quarantine;
 mod quota;
