Store answers of any size within a part of the memory

Cause: a node stored at most 64 KiB of one answer and 16 MiB of all, whatever its memory, and kept answers to requests without a key for ten minutes, although nobody asks for them after their call.

Change: stored answers have an eighth of the memory of the settings. An answer to a request without a key is dropped one second after its call's deadline.

--- a/crates/kumquatlock-node/tests/node/freeze.rs
+++ b/crates/kumquatlock-node/tests/node/freeze.rs
@@ -96,3 +96,42 @@
     let counts = check_bookings(&mesh, &bookings, &entries[1..2]);
     println!("{} bookings: {counts:?}", bookings.len());
 }
+
+/// Guards against the loss of large answers that a node finds ready when it wakes, after its links
+/// have been given up.
+#[test]
+fn large_answers_outlive_a_freeze_of_their_node() {
+    let mut mesh = start(builder());
+    // Slow enough that the calls are at work when the node is frozen.
+    for node in &mesh.nodes {
+        node.upstream.set_service_time(Duration::from_millis(300));
+    }
+    let mut calls = Vec::new();
+    for number in 0..48 {
+        // More calls than the upstream of their entry node has slots, so most go to other nodes.
+        let caller = mesh.nodes[0].caller();
+        // The stand-in repeats the body of the request.
+        let body = format!("order-{number}-{}", "x".repeat(70_000));
+        calls.push(thread::spawn(move || {
+            let request = HttpRequest::post("/booking", body.as_str());
+            let answer = caller.send(&request.timeout(WAIT_TIMEOUT)).unwrap();
+            (body, answer)
+        }));
+    }
+    wait_until("calls run at the node", WAIT_TIMEOUT, || {
+        mesh.nodes[3].upstream.in_flight() > 3
+    })
+    .unwrap();
+    mesh.nodes[3].process.pause().unwrap();
+    // The test depends on the duration of the freeze, so it waits for a fixed time.
+    thread::sleep(LONG_FREEZE);
+    mesh.nodes[3].process.resume().unwrap();
+    for call in calls {
+        let (body, answer) = call.join().unwrap();
+        let start = &body[..10];
+        assert_eq!(answer.status, 200, "{start}: {}", answer.text());
+        assert_eq!(answer.json()["body"], body.as_str(), "{start}");
+        let runs = mesh.ledger().runs_of_body(body.as_bytes()).started;
+        assert_eq!(runs, 1, "{start}");
+    }
+}
--- a/crates/kumquatlock/src/call/tests/outcomes.rs
+++ b/crates/kumquatlock/src/call/tests/outcomes.rs
@@ -7,6 +7,7 @@
 
 use super::simulation::CallSimulation;
 use crate::call::{CallId, HeaderNames};
+use crate::claim::SMALL_ANSWER_BYTES;
 use crate::http::{FinalStatus, HttpResponse, UpstreamFailure};
 
 /// What the upstream does with the attempt.
@@ -29,6 +30,8 @@
     Ended,
 }
 
+/// Size of a large answer that a node has room to store, in bytes.
+const LARGE_BYTES: usize = SMALL_ANSWER_BYTES + 1;
 /// Size of an answer that no node has room to store, in bytes.
 const OVERSIZED_BYTES: usize = 2 * 1024 * 1024;
 const KEYS: [Option<&str>; 2] = [None, Some("osrednja:order-7")];
@@ -67,6 +70,15 @@
 #[test]
 fn what_ran_is_never_answered_as_rejected() {
     let cases = [
+        (RunEnd::Answer(100), AskedAt::Running, "answered", 200),
+        (RunEnd::Answer(100), AskedAt::Ended, "answered", 200),
+        (
+            RunEnd::Answer(LARGE_BYTES),
+            AskedAt::Running,
+            "answered",
+            200,
+        ),
+        (RunEnd::Answer(LARGE_BYTES), AskedAt::Ended, "answered", 200),
         (
             RunEnd::Answer(OVERSIZED_BYTES),
             AskedAt::Running,
--- a/crates/kumquatlock/src/call/tests/simulation.rs
+++ b/crates/kumquatlock/src/call/tests/simulation.rs
@@ -31,6 +31,9 @@
 pub(super) const ENTRY: &str = "front-1";
 pub(super) const UPSTREAMS: [&str; 3] = ["booking-1", "booking-2", "booking-3"];
 
+/// Room for stored answers at each node.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
 /// A message that was sent and not yet delivered.
 #[derive(Debug)]
 pub(super) struct QueuedMessage {
@@ -555,7 +558,10 @@
 }
 
 fn new_destination(name: &str, now: Timestamp) -> Destination {
-    let settings = ClaimSettings::default();
+    let settings = ClaimSettings {
+        max_answer_bytes: MAX_ANSWER_BYTES,
+        ..ClaimSettings::default()
+    };
     let mut calls = DestinationCalls::new(name.into(), IncarnationId(1), settings.clone());
     calls.on_announce(now, endpoint());
     let own = ShardHolder {
--- a/crates/kumquatlock/src/claim/mod.rs
+++ b/crates/kumquatlock/src/claim/mod.rs
@@ -71,6 +71,7 @@
 //! finds itself listed was listed all the time, and no other holder has started without it.
 
 mod acquirer;
+mod answer_room;
 mod bootstrap;
 mod fencer;
 mod handover;
@@ -87,12 +88,12 @@
 use kumquatlock_wire::Body;
 
 pub use acquirer::{AcquireDecision, AcquireSteps, ClaimAcquirer, RefusalReason, SETTLE_TIMEOUT};
+pub use answer_room::SMALL_ANSWER_BYTES;
 pub use fencer::{ClaimFencer, FenceDecision, FenceSteps};
 pub use holder::{ClaimHolder, HandoverStep, MAX_CHUNK_BYTES};
 pub use joining::MAX_PROMISED_VIEWS;
 pub use outcome::{
-    AttemptAdmission, MAX_ANSWER_BYTES, MAX_QUERY_WAITERS, MAX_TOTAL_ANSWER_BYTES, OutcomeTable,
-    QueryAnswer, QueryReply, StoredAnswer,
+    AttemptAdmission, MAX_QUERY_WAITERS, OutcomeTable, QueryAnswer, QueryReply, StoredAnswer,
 };
 pub use placement::{
     HOLDERS_PER_SHARD, PlacementTable, REGION_GROUPS, SHARDS_PER_GROUP, SHARDS_PER_SERVICE,
@@ -111,8 +112,11 @@
 /// Settings of claims.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClaimSettings {
-    /// Time for which a destination stores an answer.
+    /// Time for which a destination stores an answer. One to a request without a key is stored only
+    /// until its call ends.
     pub retention: Duration,
+    /// Maximum size of all answers that a destination stores, in bytes; the oldest are dropped first.
+    pub max_answer_bytes: usize,
     /// Time for which a holder stores a key after its last change: the longest deadline, one hour,
     /// plus the retention. An attempt that entered before the change may wait until its deadline
     /// before it asks for the claim, and must still find the key.
@@ -130,6 +134,7 @@
     fn default() -> Self {
         ClaimSettings {
             retention: Duration::from_secs(600),
+            max_answer_bytes: 64 * 1024 * 1024,
             key_retention: Duration::from_secs(4_200),
             isolation_limit: Duration::from_secs(300),
             max_keys: 200_000,
--- a/crates/kumquatlock/src/claim/outcome.rs
+++ b/crates/kumquatlock/src/claim/outcome.rs
@@ -1,6 +1,5 @@
 //! Outcomes of the attempts at one destination.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,20 +8,19 @@
 use kumquatlock_wire::claim::ClaimOwner;
 
 use super::ClaimSettings;
+use super::answer_room::{AnswerPlace, AnswerRoom, RoomStep};
 use crate::core::{IncarnationId, SharedName, Timestamp};
 
-/// Maximum size of a stored answer, headers and body, in bytes.
-pub const MAX_ANSWER_BYTES: usize = 64 * 1024;
-
-/// Maximum size of all stored answers together, in bytes; the oldest are dropped first.
-pub const MAX_TOTAL_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-
 /// Maximum number of queries that wait for one running attempt.
 pub const MAX_QUERY_WAITERS: usize = 64;
 
 /// Time for which an attempt without a key is remembered, as a multiple of the retention.
 const UNKEYED_RETENTION_FACTOR: u32 = 2;
 
+/// How long the answer to an attempt without a key is stored beyond the deadline of its call. Covers
+/// the time that its call spent on the way.
+const UNKEYED_ANSWER_OVERTIME: Duration = Duration::from_secs(1);
+
 /// Maximum number of incarnations whose attempts one table covers. A node that runs for months takes
 /// new ones without end; entry nodes learn of the latest within seconds.
 const MAX_INCARNATIONS: usize = 16;
@@ -43,6 +41,7 @@
 }
 
 impl StoredAnswer {
+    /// Returns the size of headers and body in bytes.
     fn size(&self) -> usize {
         let headers = self.headers.iter();
         let headers: usize = headers
@@ -96,7 +95,10 @@
     /// Delivered; the claim is not granted yet.
     Pending,
     Running,
-    Answered(StoredAnswer),
+    Answered {
+        answer: StoredAnswer,
+        place: AnswerPlace,
+    },
     /// Finished; the answer was too large to store or was dropped.
     AnswerDropped,
     /// Started, but its outcome was not observed.
@@ -120,6 +122,9 @@
     changed: Timestamp,
     /// Time for which the attempt is remembered after its last change.
     retention: Duration,
+    /// Nobody asks for the answer from then on; `None` for an attempt with a key, whose requests may be
+    /// sent again at any time.
+    answer_deadline: Option<Timestamp>,
     waiters: Vec<(AttemptId, Timestamp)>,
 }
 
@@ -134,6 +139,20 @@
             _ => AttemptAdmission::Duplicate,
         }
     }
+
+    /// Whether the stored answer is no longer needed. `retention` is that of answers.
+    fn is_answer_expired(&self, now: Timestamp, retention: Duration) -> bool {
+        let is_asked_for = self.answer_deadline.is_none_or(|deadline| now < deadline);
+        !is_asked_for || now.since(self.changed) >= retention
+    }
+
+    /// Drops the answer if there is one.
+    fn drop_answer(&mut self, answers: &mut AnswerRoom) {
+        if let AttemptState::Answered { place, .. } = &self.state {
+            answers.remove(*place);
+            self.state = AttemptState::AnswerDropped;
+        }
+    }
 }
 
 /// One process of an entry node.
@@ -178,9 +197,8 @@
     /// entry numbers its calls in order, and a fence is kept for longer than any call lasts. At most
     /// [`MAX_CLOSED_ENTRIES`]; beyond it, the oldest is dropped.
     closed_calls: IndexMap<EntryProcess, u64>,
-    /// Attempts in state `Answered`, oldest first.
-    answered: VecDeque<AttemptId>,
-    answer_bytes: usize,
+    /// Order and sizes of the answers of the attempts in state `Answered`.
+    answers: AnswerRoom,
 }
 
 impl OutcomeTable {
@@ -194,8 +212,7 @@
             max_attempts: settings.max_keys,
             attempts: IndexMap::new(),
             closed_calls: IndexMap::new(),
-            answered: VecDeque::new(),
-            answer_bytes: 0,
+            answers: AnswerRoom::new(settings.max_answer_bytes),
         }
     }
 
@@ -214,7 +231,7 @@
 
     /// Returns the size of all stored answers in bytes.
     pub fn answer_bytes(&self) -> usize {
-        self.answer_bytes
+        self.answers.bytes()
     }
 
     /// Whether the attempt has been delivered or fenced, and is remembered.
@@ -224,7 +241,7 @@
 
     /// Registers a delivered attempt with a key, which needs a claim.
     pub fn register_keyed(&mut self, now: Timestamp, attempt: &AttemptId) -> AttemptAdmission {
-        self.register(now, attempt, self.keyed_retention)
+        self.register(now, attempt, self.keyed_retention, None)
     }
 
     /// Registers a delivered attempt without a key. Only its own entry queries it, until the
@@ -237,7 +254,9 @@
         left: Duration,
     ) -> AttemptAdmission {
         let usual = self.retention * UNKEYED_RETENTION_FACTOR;
-        self.register(now, attempt, usual.max(left + self.retention))
+        let retention = usual.max(left + self.retention);
+        let answer_deadline = now + left + UNKEYED_ANSWER_OVERTIME;
+        self.register(now, attempt, retention, Some(answer_deadline))
     }
 
     fn register(
@@ -245,6 +264,7 @@
         now: Timestamp,
         attempt: &AttemptId,
         retention: Duration,
+        answer_deadline: Option<Timestamp>,
     ) -> AttemptAdmission {
         if let Some(entry) = self.attempts.get_mut(attempt) {
             return entry.deliver_again();
@@ -255,7 +275,8 @@
         if self.attempts.len() >= self.max_attempts {
             return AttemptAdmission::Full;
         }
-        self.insert(now, attempt, AttemptState::Pending, retention);
+        let entry = self.insert(now, attempt, AttemptState::Pending, retention);
+        entry.answer_deadline = answer_deadline;
         AttemptAdmission::Admitted
     }
 
@@ -325,21 +346,26 @@
         if !self.is_running(attempt) {
             return Vec::new();
         }
-        let size = answer.size();
-        if size > MAX_ANSWER_BYTES {
-            let reply = QueryAnswer::Answered(answer);
-            return self.close(now, attempt, AttemptState::AnswerDropped, reply);
-        }
-        while self.answer_bytes + size > MAX_TOTAL_ANSWER_BYTES {
-            let Some(oldest) = self.answered.front().cloned() else {
-                break;
-            };
-            self.drop_answer(&oldest);
-        }
-        self.answer_bytes += size;
-        self.answered.push_back(attempt.clone());
         let reply = QueryAnswer::Answered(answer.clone());
-        self.close(now, attempt, AttemptState::Answered(answer), reply)
+        let state = match self.make_room(answer.size()) {
+            true => AttemptState::Answered {
+                place: self.answers.insert(attempt.clone(), answer.size()),
+                answer,
+            },
+            false => AttemptState::AnswerDropped,
+        };
+        self.close(now, attempt, state, reply)
+    }
+
+    /// Drops answers until one of this size fits. Returns false if it never does.
+    fn make_room(&mut self, size: usize) -> bool {
+        loop {
+            match self.answers.next_step(size) {
+                RoomStep::Store => return true,
+                RoomStep::Refuse => return false,
+                RoomStep::Drop(oldest) => self.drop_answer(&oldest),
+            }
+        }
     }
 
     /// Records that the outcome of a running attempt was not observed.
@@ -380,7 +406,7 @@
             });
         };
         match &entry.state {
-            AttemptState::Answered(answer) => Some(QueryAnswer::Answered(answer.clone())),
+            AttemptState::Answered { answer, .. } => Some(QueryAnswer::Answered(answer.clone())),
             AttemptState::AnswerDropped => Some(QueryAnswer::AnswerGone),
             AttemptState::Lost => Some(QueryAnswer::Unknown),
             AttemptState::Fenced { .. } => Some(QueryAnswer::NeverRuns),
@@ -399,16 +425,12 @@
 
     /// Answers queries past their deadline and drops answers and attempts past their retention.
     pub fn on_tick(&mut self, now: Timestamp) -> Vec<QueryReply> {
-        while let Some(oldest) = self.answered.front().cloned() {
-            let changed = self.attempts.get(&oldest).map(|entry| entry.changed);
-            if changed.is_some_and(|changed| now.since(changed) < self.retention) {
-                break;
-            }
-            self.drop_answer(&oldest);
-        }
         let mut replies = Vec::new();
         let mut closed = Vec::new();
         self.attempts.retain(|attempt, entry| {
+            if entry.is_answer_expired(now, self.retention) {
+                entry.drop_answer(&mut self.answers);
+            }
             entry.waiters.retain(|(query, deadline)| {
                 let waits = now < *deadline;
                 if !waits {
@@ -442,14 +464,18 @@
         attempt: &AttemptId,
         state: AttemptState,
         retention: Duration,
-    ) {
+    ) -> &mut AttemptEntry {
         let entry = AttemptEntry {
             state,
             changed: now,
             retention,
+            answer_deadline: None,
             waiters: Vec::new(),
         };
-        self.attempts.insert(attempt.clone(), entry);
+        self.attempts
+            .entry(attempt.clone())
+            .insert_entry(entry)
+            .into_mut()
     }
 
     /// Ends a pending or running attempt and answers its waiting queries.
@@ -474,13 +500,8 @@
     }
 
     fn drop_answer(&mut self, attempt: &AttemptId) {
-        self.answered.retain(|kept| kept != attempt);
-        let Some(entry) = self.attempts.get_mut(attempt) else {
-            return;
-        };
-        if let AttemptState::Answered(answer) = &entry.state {
-            self.answer_bytes -= answer.size();
-            entry.state = AttemptState::AnswerDropped;
+        if let Some(entry) = self.attempts.get_mut(attempt) {
+            entry.drop_answer(&mut self.answers);
         }
     }
 }
--- a/crates/kumquatlock/src/claim/tests/mod.rs
+++ b/crates/kumquatlock/src/claim/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of claims over an in-memory message queue.
 
+mod answers;
 mod cluster;
 mod failures;
 mod golden;
--- a/crates/kumquatlock/src/claim/tests/parts.rs
+++ b/crates/kumquatlock/src/claim/tests/parts.rs
@@ -12,12 +12,15 @@
 
 use super::cluster::{KEY, Member, SERVICE, TestCluster, answer, member, snapshot_of};
 use crate::claim::{
-    AcquireDecision, AttemptAdmission, ClaimAcquirer, ClaimSettings, MAX_ANSWER_BYTES,
-    MAX_TOTAL_ANSWER_BYTES, OutcomeTable, PlacementTable, QueryAnswer, SHARDS_PER_GROUP,
-    SHARDS_PER_SERVICE, StoredAnswer, shard_number,
+    AcquireDecision, AttemptAdmission, ClaimAcquirer, ClaimSettings, OutcomeTable, PlacementTable,
+    QueryAnswer, SHARDS_PER_GROUP, SHARDS_PER_SERVICE, SMALL_ANSWER_BYTES, StoredAnswer,
+    shard_number,
 };
 use crate::core::{IncarnationId, Timestamp};
 
+/// Room for stored answers.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
 const REGIONS: [&str; 3] = ["osrednja", "stajerska", "primorska"];
 
 fn members_of_three_regions() -> Vec<Member> {
@@ -138,7 +141,10 @@
 /// their limits.
 #[test]
 fn attempts_run_once_and_stored_answers_are_bounded() {
-    let settings = ClaimSettings::default();
+    let settings = ClaimSettings {
+        max_answer_bytes: MAX_ANSWER_BYTES,
+        ..ClaimSettings::default()
+    };
     let mut table = OutcomeTable::new("a".into(), IncarnationId(1), &settings);
     let now = Timestamp::default();
     let later = Timestamp::from_millis(5_000);
@@ -162,10 +168,10 @@
     assert!(!table.start_run(now, &attempt(0)));
 
     let large = StoredAnswer {
-        body: vec![0; MAX_ANSWER_BYTES].into(),
+        body: vec![0; SMALL_ANSWER_BYTES].into(),
         ..StoredAnswer::default()
     };
-    let count = (MAX_TOTAL_ANSWER_BYTES / MAX_ANSWER_BYTES) as u64 + 1;
+    let count = (MAX_ANSWER_BYTES / SMALL_ANSWER_BYTES) as u64 + 1;
     for call_id in 1..=count {
         assert_eq!(
             table.register_keyed(now, &attempt(call_id)),
@@ -181,7 +187,7 @@
         assert_eq!(table.query(now, &query_id, &owner_of(call_id), later), None);
         let replies = table.finish(now, &attempt(call_id), large.clone());
         assert_eq!(replies.len(), 1);
-        assert!(table.answer_bytes() <= MAX_TOTAL_ANSWER_BYTES);
+        assert!(table.answer_bytes() <= MAX_ANSWER_BYTES);
     }
     assert_eq!(
         table.query(now, &query_id, &owner_of(1), later),
--- a/crates/kumquatlock/src/ops/node/mod.rs
+++ b/crates/kumquatlock/src/ops/node/mod.rs
@@ -151,11 +151,16 @@
     IncarnationId(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
 }
 
+/// Part of the memory that stored answers may use: a third of the budget of bytes held for others,
+/// on which they draw.
+const ANSWER_MEMORY_DIVISOR: usize = 8;
+
 fn claim_settings(settings: &NodeSettings) -> ClaimSettings {
     ClaimSettings {
         retention: settings.claim_retention,
         key_retention: settings.longest_timeout + settings.claim_retention,
         isolation_limit: settings.claim_retention / 2,
+        max_answer_bytes: settings.limits.memory_bytes / ANSWER_MEMORY_DIVISOR,
         ..ClaimSettings::default()
     }
 }
