Believe an upstream that goes on contradicting its node

What callers would see: after one complete heartbeat of another writer with a high number, a later start or a wrong service, those of the backend itself were acknowledged and ignored for good: it got requests after `draining`, or went out of service.

Cause: each announcement was compared with the latest alone, and one that seemed late was dropped, whatever followed, and answered 200.

Change: the third contradiction of one run in a row, over a second or more, is believed; late heartbeats end, or arrive at once. `draining` is final for its run and is believed whatever its number. An announcement without effect is answered 409 unless it says what the node believes. Draining is now part of the announcement, so the decision is made in one place.

--- a/crates/kumquatlock/src/membership/announcer.rs
+++ b/crates/kumquatlock/src/membership/announcer.rs
@@ -5,6 +5,7 @@
 
 use kumquatlock_wire::distribution::{RecordedEnds, RunEnd, UpstreamReport, WireState};
 
+use super::contradiction::{ContradictionStep, Contradictions};
 use super::run_ends::{EndAdmission, RunEnds, instance_digest};
 use super::schedule::ReportSchedule;
 use super::upstream::LocalUpstream;
@@ -56,10 +57,12 @@
     pub sequence: u64,
     /// Version of the upstream's software; empty if it states none.
     pub version: SharedName,
+    /// Whether the run accepts no new requests. Final for the run.
+    pub is_draining: bool,
 }
 
 impl UpstreamAnnouncement {
-    fn is_same_run(&self, other: &UpstreamAnnouncement) -> bool {
+    pub(super) fn is_same_run(&self, other: &UpstreamAnnouncement) -> bool {
         self.instance == other.instance && self.run_started_ms == other.run_started_ms
     }
 
@@ -77,14 +80,26 @@
         instance_digest(&self.name, &self.instance)
     }
 
-    /// Returns whether this announcement was delayed: it was made before `other`, which has already
-    /// been handled.
-    fn is_outdated_by(&self, other: &UpstreamAnnouncement) -> bool {
+    /// Whether this announcement may have been delayed, because it was made before `other` by their
+    /// numbers, or says of a run what can't be true beside `other`.
+    fn contradicts(&self, other: &UpstreamAnnouncement) -> bool {
         match self.is_same_run(other) {
+            true if !self.instance.is_empty() && self.service != other.service => true,
             true => self.sequence > 0 && self.sequence <= other.sequence,
             false => self.run_started_ms < other.run_started_ms,
         }
     }
+
+    /// Whether the same run says the same service again after `earlier`.
+    pub(super) fn continues(&self, earlier: &UpstreamAnnouncement) -> bool {
+        let is_later = self.sequence > earlier.sequence || self.sequence == 0;
+        self.is_same_run(earlier) && self.service == earlier.service && is_later
+    }
+
+    /// Whether both say the same of the upstream.
+    pub(super) fn has_content_of(&self, other: &UpstreamAnnouncement) -> bool {
+        self.service == other.service && self.slots == other.slots && self.version == other.version
+    }
 }
 
 /// An input of [`UpstreamAnnouncer`].
@@ -139,9 +154,12 @@
     Draining,
     /// The upstream has left, or has never announced itself.
     Left,
-    /// The announcement was ignored, because a later one has been handled, or because the process
-    /// run that sent it has already announced that it leaves.
+    /// The announcement was ignored, because it contradicts a later one that has been handled, or
+    /// because the process run that sent it has already announced that it leaves.
     Late,
+    /// The announcement was ignored, because the configuration has no such service, while the
+    /// upstream that is registered serves another.
+    UnknownService,
     /// The end of a run is refused, because too many ends of unknown runs were announced.
     TooManyEnds,
     /// The node already has another upstream, which must leave first.
@@ -176,9 +194,25 @@
     upstream: Option<LocalUpstream>,
     /// Ends of runs other than the one of `upstream`.
     ends: RunEnds,
+    contradictions: Contradictions,
+    /// Latest configuration that the node has applied.
+    config: Option<Arc<ConfigSnapshot>>,
     is_attached: bool,
 }
 
+/// What to do with a valid announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnnounceStep {
+    /// It is the upstream's latest state.
+    Take,
+    /// Its run drains. Nothing else of it is used, because it may be late.
+    Drain,
+    /// It is late and says what the node believes.
+    Agree,
+    /// It has no effect, and gets this answer.
+    Ignore(AnnounceAnswer),
+}
+
 impl UpstreamAnnouncer {
     /// Creates an announcer without an upstream. `started_ms` is the wall clock time, in
     /// milliseconds, at which the node started.
@@ -189,6 +223,8 @@
             next_incarnation: started_ms.max(1),
             upstream: None,
             ends: RunEnds::default(),
+            contradictions: Contradictions::default(),
+            config: None,
             is_attached: false,
         }
     }
@@ -225,11 +261,7 @@
             AnnouncerEvent::Tick => self.check_leases(now, &mut steps),
             AnnouncerEvent::Announce(announcement) => self.announce(now, announcement, &mut steps),
             AnnouncerEvent::Drain => {
-                if let Some(upstream) = &mut self.upstream {
-                    upstream.is_drain_requested = true;
-                    upstream.end_run();
-                    upstream.advance_state(WireState::Draining, &mut steps);
-                }
+                self.drain_run(&mut steps);
                 steps.push(AnnouncerStep::Answer(self.answer()));
             }
             AnnouncerEvent::Stop => {
@@ -251,7 +283,8 @@
             }
             AnnouncerEvent::EndsRecorded(recorded) => self.record_ends(now, &recorded),
             AnnouncerEvent::ConfigApplied(snapshot) => {
-                self.compare_with_config(&snapshot, &mut steps)
+                self.compare_with_config(&snapshot, &mut steps);
+                self.config = Some(snapshot);
             }
             AnnouncerEvent::UplinkChanged { is_attached } => {
                 self.is_attached = is_attached;
@@ -342,41 +375,112 @@
         {
             return steps.push(AnnouncerStep::Answer(AnnounceAnswer::Invalid));
         }
+        match self.decide_announcement(now, &announcement) {
+            AnnounceStep::Take => self.take_announcement(now, announcement, steps),
+            AnnounceStep::Drain => self.drain_run(steps),
+            AnnounceStep::Agree => {}
+            AnnounceStep::Ignore(answer) => {
+                log::info!(
+                    instance = &*announcement.instance,
+                    run_started_ms = announcement.run_started_ms,
+                    sequence = announcement.sequence,
+                    service = &*announcement.service,
+                    reason = <&str>::from(answer);
+                    "announcement_ignored"
+                );
+                return steps.push(AnnouncerStep::Answer(answer));
+            }
+        }
+        steps.push(AnnouncerStep::Answer(self.answer()));
+    }
+
+    fn decide_announcement(
+        &mut self,
+        now: Timestamp,
+        announcement: &UpstreamAnnouncement,
+    ) -> AnnounceStep {
+        let late = AnnounceStep::Ignore(AnnounceAnswer::Late);
         if let Some(upstream) = &self.upstream {
             let latest = &upstream.announcement;
-            let is_ended_run = upstream.is_leave_requested && announcement.is_same_run(latest);
-            if is_ended_run || announcement.is_outdated_by(latest) {
-                return steps.push(AnnouncerStep::Answer(AnnounceAnswer::Late));
+            let is_same_run = announcement.is_same_run(latest);
+            if is_same_run && announcement.name != latest.name && upstream.is_registered() {
+                return AnnounceStep::Ignore(AnnounceAnswer::OtherUpstream);
+            }
+            if is_same_run && upstream.is_leave_requested {
+                return match announcement.is_draining {
+                    true => AnnounceStep::Agree,
+                    false => late,
+                };
+            }
+            if announcement.contradicts(latest) {
+                if is_same_run && announcement.is_draining {
+                    return AnnounceStep::Drain;
+                }
+                let step = self.contradictions.observe(now, announcement);
+                let agrees = is_same_run
+                    && upstream.state == WireState::Serving
+                    && announcement.has_content_of(latest);
+                match step {
+                    ContradictionStep::Ignore if agrees => return AnnounceStep::Agree,
+                    ContradictionStep::Ignore => return late,
+                    ContradictionStep::Believe => {}
+                }
+            } else if !is_same_run && self.is_unknown_service(&announcement.service) {
+                return AnnounceStep::Ignore(AnnounceAnswer::UnknownService);
             }
         }
         let UpstreamAnnouncement {
             instance,
             run_started_ms,
             ..
-        } = &announcement;
-        if self.ends.excludes(instance, *run_started_ms) {
-            return steps.push(AnnouncerStep::Answer(AnnounceAnswer::Late));
+        } = announcement;
+        match self.ends.excludes(instance, *run_started_ms) {
+            true if announcement.is_draining => AnnounceStep::Ignore(AnnounceAnswer::Left),
+            true => late,
+            false => AnnounceStep::Take,
         }
-        if let Some(upstream) = &mut self.upstream
-            && upstream.state != WireState::Left
-            && upstream.announcement.is_same_run(&announcement)
-        {
-            if upstream.announcement.name != announcement.name {
-                return steps.push(AnnouncerStep::Answer(AnnounceAnswer::OtherUpstream));
-            }
-            upstream.announced_at = now;
-            let is_same = upstream.announcement.service == announcement.service
-                && upstream.announcement.slots == announcement.slots
-                && upstream.announcement.version == announcement.version;
-            if upstream.is_drain_requested || (is_same && upstream.state == WireState::Serving) {
+    }
+
+    /// Whether the configuration has no such service, while the registered upstream serves one that
+    /// it has.
+    fn is_unknown_service(&self, service: &str) -> bool {
+        let (Some(config), Some(upstream)) = (&self.config, &self.upstream) else {
+            return false;
+        };
+        let is_known = |service: &str| config.services.contains_key(service);
+        let is_serving = upstream.state == WireState::Serving;
+        is_serving && is_known(&upstream.announcement.service) && !is_known(service)
+    }
+
+    /// Records that the present run has announced that it drains.
+    fn drain_run(&mut self, steps: &mut Vec<AnnouncerStep>) {
+        if let Some(upstream) = &mut self.upstream {
+            upstream.is_drain_requested = true;
+            upstream.end_run();
+            upstream.advance_state(WireState::Draining, steps);
+        }
+    }
+
+    fn take_announcement(
+        &mut self,
+        now: Timestamp,
+        announcement: UpstreamAnnouncement,
+        steps: &mut Vec<AnnouncerStep>,
+    ) {
+        self.contradictions.clear();
+        let is_draining = announcement.is_draining;
+        match &mut self.upstream {
+            Some(upstream) if upstream.is_continued_by(&announcement) => {
+                upstream.announced_at = now;
                 upstream.announcement = announcement;
-                return steps.push(AnnouncerStep::Answer(self.answer()));
             }
+            // This is the first announcement, or the first after a leave or an expired lease, or its
+            // content has changed. The content of an incarnation never changes, so a new one starts.
+            _ => self.start_incarnation(now, announcement, steps),
+        }
+        if is_draining {
+            self.drain_run(steps);
         }
-        // This is the first announcement, or the first after a leave or an expired lease, or its
-        // content has changed. The content of an incarnation never changes, so a new one starts.
-        self.start_incarnation(now, announcement, steps);
-        steps.push(AnnouncerStep::Answer(self.answer()));
     }
 
     fn start_incarnation(
--- a/crates/kumquatlock/src/membership/mod.rs
+++ b/crates/kumquatlock/src/membership/mod.rs
@@ -8,6 +8,7 @@
 //! every removal is a configuration change for all nodes.
 
 mod announcer;
+mod contradiction;
 mod run_ends;
 mod schedule;
 mod tracker;
--- a/crates/kumquatlock/src/membership/upstream.rs
+++ b/crates/kumquatlock/src/membership/upstream.rs
@@ -33,6 +33,19 @@
 }
 
 impl LocalUpstream {
+    /// Whether the upstream has not left.
+    pub(super) fn is_registered(&self) -> bool {
+        self.state != WireState::Left
+    }
+
+    /// Whether the incarnation goes on with this announcement.
+    pub(super) fn is_continued_by(&self, announcement: &UpstreamAnnouncement) -> bool {
+        let is_same = announcement.has_content_of(&self.announcement);
+        self.is_registered()
+            && announcement.is_same_run(&self.announcement)
+            && (self.is_drain_requested || (is_same && self.state == WireState::Serving))
+    }
+
     /// Advances to a later state. Within one incarnation, the state never returns to an earlier
     /// one.
     pub(super) fn advance_state(&mut self, state: WireState, steps: &mut Vec<AnnouncerStep>) {
--- a/crates/kumquatlock/src/ops/node/front.rs
+++ b/crates/kumquatlock/src/ops/node/front.rs
@@ -3,8 +3,7 @@
 use super::actor::NodeActor;
 use super::local::{LocalAnnouncement, LocalAnswer, LocalRequest, NodePort};
 use crate::call::{CallerAnswer, CallerRequest};
-use crate::core::SharedName;
-use crate::core::Timestamp;
+use crate::core::{SharedName, Timestamp, UpstreamState};
 use crate::http::{HttpEvent, HttpLimits, HttpRequest, RequestId};
 use crate::membership::{AnnounceAnswer, AnnouncerEvent, AnnouncerStep, UpstreamAnnouncement};
 
@@ -121,17 +120,14 @@
             run_started_ms: body.run_started_ms,
             sequence: body.sequence,
             version: self.upstream_version(&body.version),
+            is_draining: body.is_draining,
         };
-        self.destination.set_warm_up(now, body.warm_up);
+        let taken = announcement.clone();
         let answer = self.notify_announcer(now, AnnouncerEvent::Announce(announcement));
-        let is_current = matches!(
-            answer,
-            LocalAnswer::Announced(AnnounceAnswer::Serving { .. } | AnnounceAnswer::Draining)
-        );
-        match body.is_draining && is_current {
-            true => self.notify_announcer(now, AnnouncerEvent::Drain),
-            false => answer,
+        if self.announcer.announcement() == Some(&taken) {
+            self.destination.set_warm_up(now, body.warm_up);
         }
+        answer
     }
 
     /// Passes an event from the upstream to the announcer and returns the announcer's answer.
@@ -144,7 +140,11 @@
             Some(AnnouncerStep::Answer(answer)) => answer,
             _ => AnnounceAnswer::Invalid,
         };
-        if matches!(answer, AnnounceAnswer::Serving { .. }) {
+        let starts_serving = |step: &AnnouncerStep| match step {
+            AnnouncerStep::SetState { state, .. } => *state == UpstreamState::Serving,
+            _ => false,
+        };
+        if matches!(answer, AnnounceAnswer::Serving { .. }) || steps.iter().any(starts_serving) {
             self.refresh_endpoint(now);
         }
         self.queue_announcer(steps);
--- a/crates/kumquatlock/src/ops/node/local.rs
+++ b/crates/kumquatlock/src/ops/node/local.rs
@@ -247,11 +247,9 @@
 
 fn announce_response(answer: AnnounceAnswer) -> HttpResponse {
     let status = match answer {
-        AnnounceAnswer::Serving { .. }
-        | AnnounceAnswer::Draining
-        | AnnounceAnswer::Left
-        | AnnounceAnswer::Late => 200,
-        AnnounceAnswer::OtherUpstream | AnnounceAnswer::NameTaken => 409,
+        AnnounceAnswer::Serving { .. } | AnnounceAnswer::Draining | AnnounceAnswer::Left => 200,
+        AnnounceAnswer::Late | AnnounceAnswer::OtherUpstream | AnnounceAnswer::NameTaken => 409,
+        AnnounceAnswer::UnknownService => 422,
         AnnounceAnswer::Invalid => 422,
         AnnounceAnswer::TooManyEnds => 503,
     };
