Say in one place what covers the end of a run and what goes to the leader

Moves code only. "One record covers another" stood in three places and is EndedStart::covers; leave_run and keep_end build the message of an end by one function; what is for the leader was listed for messages of children and of voters, and is one list now, from which handle_as_leader takes the content.

--- a/crates/kumquatlock-wire/src/run_end.rs
+++ b/crates/kumquatlock-wire/src/run_end.rs
@@ -56,3 +56,11 @@
     #[prost(uint64, tag = "3")]
     pub latest_start_ms: u64,
 }
+
+impl EndedStart {
+    /// Whether the runs of an identifier of this upstream that started at this time or earlier have all
+    /// ended by this record.
+    pub fn covers(&self, instance: u64, latest_start_ms: u64) -> bool {
+        self.instance == instance && self.latest_start_ms >= latest_start_ms
+    }
+}
--- a/crates/kumquatlock/src/catalog/ended.rs
+++ b/crates/kumquatlock/src/catalog/ended.rs
@@ -102,9 +102,8 @@
     /// Whether a record shows that the run of this identifier, started at this time, has ended.
     pub(super) fn excludes(&self, start: &EndedStart) -> bool {
         let records = self.upstreams.get(&start.upstream);
-        records.into_iter().flatten().any(|record| {
-            record.instance == start.instance && record.latest_start_ms >= start.latest_start_ms
-        })
+        let mut records = records.into_iter().flatten();
+        records.any(|record| record.covers(start.instance, start.latest_start_ms))
     }
 
     pub(super) fn record(&mut self, start: EndedStart) {
--- a/crates/kumquatlock/src/distribution/run_ends.rs
+++ b/crates/kumquatlock/src/distribution/run_ends.rs
@@ -43,10 +43,7 @@
             }
             ReportedEnd::Start(start) => {
                 let mut starts = recorded.starts.iter();
-                starts.any(|other| {
-                    other.instance == start.instance
-                        && other.latest_start_ms >= start.latest_start_ms
-                })
+                starts.any(|other| other.covers(start.instance, start.latest_start_ms))
             }
         }
     }
--- a/crates/kumquatlock/src/membership/announcer.rs
+++ b/crates/kumquatlock/src/membership/announcer.rs
@@ -312,16 +312,15 @@
             upstream.advance_state(WireState::Left, steps);
             return AnnounceAnswer::Left;
         }
+        // Without an announcement, an entry of this upstream is from before the restart, and no run
+        // has it any more.
+        let remove_below = match self.upstream {
+            Some(_) => 0,
+            None => self.started_ms,
+        };
         let end = RunEnd {
-            name: self.location.name.to_string(),
-            instance: instance_digest(&self.location.name, &instance),
-            latest_start_ms: 0,
-            // Without an announcement, an entry of this upstream is from before the restart, and
-            // no run has it any more.
-            remove_below: match self.upstream {
-                Some(_) => 0,
-                None => self.started_ms,
-            },
+            remove_below,
+            ..self.run_end(&instance)
         };
         let wall_clock_ms = self.wall_clock_ms(now);
         match self.ends.add_unknown(now, wall_clock_ms, instance, end) {
@@ -510,6 +509,16 @@
         self.upstream = Some(upstream);
     }
 
+    /// Returns the message that runs with this identifier have ended, without their latest start.
+    fn run_end(&self, instance: &str) -> RunEnd {
+        RunEnd {
+            name: self.location.name.to_string(),
+            instance: instance_digest(&self.location.name, instance),
+            latest_start_ms: 0,
+            remove_below: 0,
+        }
+    }
+
     /// Goes on reporting the end of the present run, which is about to be replaced by another.
     fn keep_end(&mut self, now: Timestamp) {
         let Some(upstream) = &self.upstream else {
@@ -518,14 +527,11 @@
         if upstream.is_end_recorded() {
             return;
         }
-        let announcement = &upstream.announcement;
+        let instance = upstream.announcement.instance.clone();
         let end = RunEnd {
-            name: announcement.name.to_string(),
-            instance: announcement.instance_digest(),
-            latest_start_ms: announcement.run_started_ms,
-            remove_below: 0,
+            latest_start_ms: upstream.announcement.run_started_ms,
+            ..self.run_end(&instance)
         };
-        let instance = announcement.instance.clone();
         // Without room for it, a request that waits for this end gets no acknowledgement.
         self.ends.add(now, instance, end);
     }
--- a/crates/kumquatlock/src/membership/run_ends.rs
+++ b/crates/kumquatlock/src/membership/run_ends.rs
@@ -144,8 +144,8 @@
 
     pub(super) fn record(&mut self, now: Timestamp, recorded: &EndedStart) {
         for (instance, announced) in &mut self.ends {
-            let is_covered = announced.end.instance == recorded.instance
-                && announced.end.latest_start_ms <= recorded.latest_start_ms;
+            let end = &announced.end;
+            let is_covered = recorded.covers(end.instance, end.latest_start_ms);
             if is_covered && announced.recorded_at.is_none() {
                 log::info!(instance = &**instance; "run_end_recorded");
                 announced.recorded_at = Some(now);
--- a/crates/kumquatlock/src/ops/control/relay.rs
+++ b/crates/kumquatlock/src/ops/control/relay.rs
@@ -316,20 +316,9 @@
             return;
         }
         match message.content {
-            Some(Content::Report(report)) => self.handle_as_leader(now, Body::Report(report)),
-            Some(Content::Crash(report)) => self.handle_crash(now, &report),
-            Some(Content::Evidence(evidence)) => self.handle_evidence(now, &evidence),
-            Some(content @ Content::RunEnd(_)) => {
-                self.handle_as_leader(now, Body::Forward(forward_message(0, content)));
-            }
             Some(Content::QuotaAsk(ask)) => self.quota_asked_by_voter(now, from, &ask),
             Some(Content::QuotaGrant(grant)) => self.quota_granted(now, &grant),
-            Some(Content::Progress(progress)) => {
-                self.handle_as_leader(now, Body::Progress(progress))
-            }
-            Some(Content::Attachment(attachment)) => {
-                self.handle_as_leader(now, Body::Attachment(attachment));
-            }
+            Some(content) if is_for_leader(&content) => self.handle_as_leader(now, content),
             _ => self.answer_received(now, message),
         }
     }
@@ -352,25 +341,13 @@
     /// not reported to it.
     pub(super) fn forward_to_leader(&mut self, now: Timestamp, body: Body) {
         if self.is_leader() {
-            return self.handle_as_leader(now, body);
-        }
-        if let Some(link) = self.leader_link() {
-            let content = match body {
-                Body::Report(report) => Content::Report(report),
-                Body::Forward(Forward {
-                    content:
-                        Some(
-                            content @ (Content::Crash(_)
-                            | Content::Evidence(_)
-                            | Content::RunEnd(_)),
-                        ),
-                    ..
-                }) => content,
-                Body::Progress(progress) => Content::Progress(progress),
-                Body::Attachment(attachment) => Content::Attachment(attachment),
-                _ => return,
-            };
-            self.send_to_voter(link, forward_message(0, content), None);
+            if let Some(content) = leader_content(body) {
+                self.handle_as_leader(now, content);
+            }
+        } else if let Some(link) = self.leader_link() {
+            if let Some(content) = leader_content(body) {
+                self.send_to_voter(link, forward_message(0, content), None);
+            }
         } else if self.uplink.is_some() {
             self.queue
                 .push_back(QueuedEvent::Child(ChildEvent::Relay(body)));
@@ -379,26 +356,17 @@
 
     /// Handles a message for the leader. Drops the message if this instance is not the leader any
     /// more.
-    fn handle_as_leader(&mut self, now: Timestamp, body: Body) {
+    fn handle_as_leader(&mut self, now: Timestamp, content: Content) {
         if !self.is_leader() {
             return;
         }
-        match body {
-            Body::Report(report) => self.handle_report(report),
-            Body::Forward(Forward {
-                content: Some(Content::Crash(report)),
-                ..
-            }) => self.handle_crash(now, &report),
-            Body::Forward(Forward {
-                content: Some(Content::Evidence(evidence)),
-                ..
-            }) => self.handle_evidence(now, &evidence),
-            Body::Forward(Forward {
-                content: Some(Content::RunEnd(end)),
-                ..
-            }) => self.handle_run_end(end),
-            Body::Progress(progress) => self.handle_progress(now, progress),
-            Body::Attachment(attachment) => self.handle_attachment(now, &attachment),
+        match content {
+            Content::Report(report) => self.handle_report(report),
+            Content::Crash(report) => self.handle_crash(now, &report),
+            Content::Evidence(evidence) => self.handle_evidence(now, &evidence),
+            Content::RunEnd(end) => self.handle_run_end(end),
+            Content::Progress(progress) => self.handle_progress(now, progress),
+            Content::Attachment(attachment) => self.handle_attachment(now, &attachment),
             _ => {}
         }
     }
@@ -444,3 +412,28 @@
         }
     }
 }
+
+/// Returns the content for the leader of a message of a child; `None` if it is for someone else.
+fn leader_content(body: Body) -> Option<Content> {
+    let content = match body {
+        Body::Report(report) => Content::Report(report),
+        Body::Progress(progress) => Content::Progress(progress),
+        Body::Attachment(attachment) => Content::Attachment(attachment),
+        Body::Forward(message) => message.content?,
+        _ => return None,
+    };
+    is_for_leader(&content).then_some(content)
+}
+
+/// Whether the content is a message for the leader that gets no answer.
+fn is_for_leader(content: &Content) -> bool {
+    matches!(
+        content,
+        Content::Report(_)
+            | Content::Crash(_)
+            | Content::Evidence(_)
+            | Content::RunEnd(_)
+            | Content::Progress(_)
+            | Content::Attachment(_)
+    )
+}
