Split the decision on an announcement and the start of the key tests

Moves code only: the comparison with the latest announcement is a function of its own, and the tests of keys share the start of their mesh. A comment states why a stored answer never outlives its attempt.

--- a/crates/kumquatlock-node/tests/node/revoke.rs
+++ b/crates/kumquatlock-node/tests/node/revoke.rs
@@ -13,6 +13,17 @@
 /// Time within which a key that was taken away must stop.
 const LIMIT: Duration = Duration::from_secs(2);
 
+/// Starts a mesh whose nodes limit revocations, and submits an account with [`KEY`] as version 2.
+fn start_with_key() -> Mesh {
+    let limit = LIMIT.as_millis().to_string();
+    let builder = builder()
+        .node_argument("--revocation-limit-ms")
+        .node_argument(&limit);
+    let mesh = start(builder);
+    submit(&mesh, 2, &[KEY]);
+    mesh
+}
+
 fn submit(mesh: &Mesh, version: u64, keys: &[&str]) {
     let mut manifest = mesh.manifest(version);
     manifest["accounts"] = json!([{ "name": "crew", "keys": keys }]);
@@ -53,12 +64,7 @@
 /// than the limit after the key had been taken away.
 #[test]
 fn a_resumed_node_accepts_no_revoked_key() {
-    let limit = LIMIT.as_millis().to_string();
-    let builder = builder()
-        .node_argument("--revocation-limit-ms")
-        .node_argument(&limit);
-    let mut mesh = start(builder);
-    submit(&mesh, 2, &[KEY]);
+    let mut mesh = start_with_key();
     wait_answer(&mesh, 1, "key-known", 200);
     mesh.nodes[1].process.pause().unwrap();
     submit(&mesh, 3, &[]);
@@ -83,12 +89,7 @@
 /// that does not accept them again afterwards.
 #[test]
 fn a_node_that_is_cut_off_stops_accepting_keys() {
-    let limit = LIMIT.as_millis().to_string();
-    let builder = builder()
-        .node_argument("--revocation-limit-ms")
-        .node_argument(&limit);
-    let mut mesh = start(builder);
-    submit(&mesh, 2, &[KEY]);
+    let mut mesh = start_with_key();
     wait_answer(&mesh, 0, "key-known", 200);
     mesh.controls[0].process.pause().unwrap();
     thread::sleep(LIMIT);
@@ -104,12 +105,7 @@
 /// its processes have restarted.
 #[test]
 fn no_key_is_accepted_after_the_last_account_was_removed() {
-    let limit = LIMIT.as_millis().to_string();
-    let builder = builder()
-        .node_argument("--revocation-limit-ms")
-        .node_argument(&limit);
-    let mut mesh = start(builder);
-    submit(&mesh, 2, &[KEY]);
+    let mut mesh = start_with_key();
     wait_answer(&mesh, 0, "key-known", 200);
     let mut manifest = mesh.manifest(3);
     manifest["accounts"] = json!([]);
--- a/crates/kumquatlock/src/claim/outcome.rs
+++ b/crates/kumquatlock/src/claim/outcome.rs
@@ -197,7 +197,8 @@
     /// entry numbers its calls in order, and a fence is kept for longer than any call lasts. At most
     /// [`MAX_CLOSED_ENTRIES`]; beyond it, the oldest is dropped.
     closed_calls: IndexMap<EntryProcess, u64>,
-    /// Order and sizes of the answers of the attempts in state `Answered`.
+    /// Order and sizes of the answers of the attempts in state `Answered`, which are in `attempts`: an
+    /// answer expires no later than its attempt.
     answers: AnswerRoom,
 }
 
--- a/crates/kumquatlock/src/membership/announcer.rs
+++ b/crates/kumquatlock/src/membership/announcer.rs
@@ -398,35 +398,8 @@
         now: Timestamp,
         announcement: &UpstreamAnnouncement,
     ) -> AnnounceStep {
-        let late = AnnounceStep::Ignore(AnnounceAnswer::Late);
-        if let Some(upstream) = &self.upstream {
-            let latest = &upstream.announcement;
-            let is_same_run = announcement.is_same_run(latest);
-            if is_same_run && announcement.name != latest.name && upstream.is_registered() {
-                return AnnounceStep::Ignore(AnnounceAnswer::OtherUpstream);
-            }
-            if is_same_run && upstream.is_leave_requested {
-                return match announcement.is_draining {
-                    true => AnnounceStep::Agree,
-                    false => late,
-                };
-            }
-            if announcement.contradicts(latest) {
-                if is_same_run && announcement.is_draining {
-                    return AnnounceStep::Drain;
-                }
-                let step = self.contradictions.observe(now, announcement);
-                let agrees = is_same_run
-                    && upstream.state == WireState::Serving
-                    && announcement.has_content_of(latest);
-                match step {
-                    ContradictionStep::Ignore if agrees => return AnnounceStep::Agree,
-                    ContradictionStep::Ignore => return late,
-                    ContradictionStep::Believe => {}
-                }
-            } else if !is_same_run && self.is_unknown_service(&announcement.service) {
-                return AnnounceStep::Ignore(AnnounceAnswer::UnknownService);
-            }
+        if let Some(step) = self.compare_with_latest(now, announcement) {
+            return step;
         }
         let UpstreamAnnouncement {
             instance,
@@ -435,11 +408,47 @@
         } = announcement;
         match self.ends.excludes(instance, *run_started_ms) {
             true if announcement.is_draining => AnnounceStep::Ignore(AnnounceAnswer::Left),
-            true => late,
+            true => AnnounceStep::Ignore(AnnounceAnswer::Late),
             false => AnnounceStep::Take,
         }
     }
 
+    /// Compares an announcement with the latest one. Returns `None` if nothing speaks against it.
+    fn compare_with_latest(
+        &mut self,
+        now: Timestamp,
+        announcement: &UpstreamAnnouncement,
+    ) -> Option<AnnounceStep> {
+        let late = AnnounceStep::Ignore(AnnounceAnswer::Late);
+        let upstream = self.upstream.as_ref()?;
+        let latest = &upstream.announcement;
+        let is_same_run = announcement.is_same_run(latest);
+        if is_same_run && announcement.name != latest.name && upstream.is_registered() {
+            return Some(AnnounceStep::Ignore(AnnounceAnswer::OtherUpstream));
+        }
+        if is_same_run && upstream.is_leave_requested {
+            return Some(match announcement.is_draining {
+                true => AnnounceStep::Agree,
+                false => late,
+            });
+        }
+        if !announcement.contradicts(latest) {
+            let is_unknown = !is_same_run && self.is_unknown_service(&announcement.service);
+            return is_unknown.then_some(AnnounceStep::Ignore(AnnounceAnswer::UnknownService));
+        }
+        if is_same_run && announcement.is_draining {
+            return Some(AnnounceStep::Drain);
+        }
+        let agrees = is_same_run
+            && upstream.state == WireState::Serving
+            && announcement.has_content_of(latest);
+        match self.contradictions.observe(now, announcement) {
+            ContradictionStep::Ignore if agrees => Some(AnnounceStep::Agree),
+            ContradictionStep::Ignore => Some(late),
+            ContradictionStep::Believe => None,
+        }
+    }
+
     /// Whether the configuration has no such service, while the registered upstream serves one that
     /// it has.
     fn is_unknown_service(&self, service: &str) -> bool {
