--- a/crates/kumquatlock/src/agreement/tests.rs
+++ b/crates/kumquatlock/src/agreement/tests.rs
@@ -11,6 +11,7 @@
 use crate::core::SharedName;
 use crate::journal::RecoveredState;
 
+mod formation;
 mod group;
 mod hostile;
 mod open;
--- a/crates/kumquatlock/src/agreement/tests/group.rs
+++ b/crates/kumquatlock/src/agreement/tests/group.rs
@@ -99,11 +99,16 @@
 
     /// Starts a member with an empty data directory that may only join the existing group.
     pub(super) fn start_joining(&mut self, name: &str) {
+        self.forbid_forming();
+        self.start(name, RecoveredState::default());
+    }
+
+    /// Lets members that are started from now on only join the existing group.
+    pub(super) fn forbid_forming(&mut self) {
         let GroupMembership::Open { may_form_group, .. } = &mut self.settings.membership else {
             panic!("instances can join only an open group");
         };
         *may_form_group = false;
-        self.start(name, RecoveredState::default());
     }
 
     /// Returns the names of the committed voters according to the leader.
