Show that refused bookings fill the table of outcomes

Shown without a network: after as many refusals as the table holds, a booking is still refused 20 minutes and 2 seconds later, and runs if the others had run.

--- a/crates/kumquatlock/src/call/tests/mod.rs
+++ b/crates/kumquatlock/src/call/tests/mod.rs
@@ -18,6 +18,7 @@
 mod quarantine;
 mod quota;
 mod rate_limit;
+mod remembered;
 mod rollout;
 mod silence;
 mod simulation;
