Move announcements and account items to files of their own

UpstreamAnnouncement and AnnounceAnswer are in membership/announcement.rs, AccountItem in account.rs of the wire package.

--- a/crates/kumquatlock-wire/src/lib.rs
+++ b/crates/kumquatlock-wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! between nodes, and [`quarantine`] and [`quota`] from nodes to the leader and back. The structs derive `prost::Message` with handwritten attributes, so the build
 //! needs no code generator. Field numbers are part of the protocol and are never reused.
 
+mod account;
 pub mod agreement;
 pub mod call;
 pub mod claim;
--- a/crates/kumquatlock/src/membership/contradiction.rs
+++ b/crates/kumquatlock/src/membership/contradiction.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::announcer::UpstreamAnnouncement;
+use super::announcement::UpstreamAnnouncement;
 use crate::core::Timestamp;
 
 /// Number of contradicting announcements in a row after which they are believed.
--- a/crates/kumquatlock/src/membership/mod.rs
+++ b/crates/kumquatlock/src/membership/mod.rs
@@ -7,6 +7,7 @@
 //! removing many that are only cut off: callers detect and avoid a lost upstream themselves, but
 //! every removal is a configuration change for all nodes.
 
+mod announcement;
 mod announcer;
 mod contradiction;
 mod run_ends;
@@ -16,10 +17,8 @@
 
 use std::time::Duration;
 
-pub use announcer::{
-    AnnounceAnswer, AnnouncerEvent, AnnouncerStep, EndProgress, NodeLocation, UpstreamAnnouncement,
-    UpstreamAnnouncer,
-};
+pub use announcement::{AnnounceAnswer, UpstreamAnnouncement};
+pub use announcer::{AnnouncerEvent, AnnouncerStep, EndProgress, NodeLocation, UpstreamAnnouncer};
 pub use run_ends::{MAX_RUN_ENDS, RUN_END_RETENTION};
 pub use tracker::{AttachmentTracker, ExpiryDecision, ExpiryTiming, RecordOutcome};
 
--- a/crates/kumquatlock/src/membership/upstream.rs
+++ b/crates/kumquatlock/src/membership/upstream.rs
@@ -2,7 +2,8 @@
 
 use kumquatlock_wire::distribution::{EndedRun, UpstreamItem, UpstreamReport, WireState};
 
-use super::announcer::{AnnouncerStep, NodeLocation, UpstreamAnnouncement};
+use super::announcement::UpstreamAnnouncement;
+use super::announcer::{AnnouncerStep, NodeLocation};
 use super::schedule::ReportSchedule;
 use crate::core::{IncarnationId, Timestamp, UpstreamState};
 
